Thin whole path: daemons, stand-ins, command line and checks

Daemons serve chat completions (JSON and SSE) and plain-service calls by rules read from the key-value service. The local deployment runs three of them in two data centres with the platform's stand-ins in one process.

Conclusion: the interfaces in core/platform carry a request end to end; the baselines for routing, admission and claims stand behind interfaces.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,134 @@
+import js from '@eslint/js';
+import prettier from 'eslint-config-prettier';
+import importSort from 'eslint-plugin-simple-import-sort';
+import tseslint from 'typescript-eslint';
+
+/** Packages that each package may import; imports go downwards only. */
+const allowedPackages = {
+  core: [],
+  client: [],
+  daemon: ['core'],
+  cli: ['core'],
+  'stand-ins': ['core', 'daemon'],
+  measure: ['core', 'daemon', 'client', 'stand-ins'],
+};
+
+/** Features of the core that each feature may import through their index. */
+const allowedFeatures = {
+  platform: [],
+  rules: ['platform'],
+  membership: ['platform'],
+  streams: ['platform'],
+  claims: ['platform'],
+  admission: ['platform', 'rules'],
+  routing: ['platform', 'rules'],
+  moves: ['platform', 'membership', 'rules'],
+  fleet: ['platform', 'membership', 'routing'],
+  pipeline: [
+    'platform',
+    'rules',
+    'membership',
+    'streams',
+    'claims',
+    'admission',
+    'routing',
+    'moves',
+  ],
+};
+
+function packageBoundary(name) {
+  const others = Object.keys(allowedPackages).filter(
+    other => other !== name && !allowedPackages[name].includes(other),
+  );
+  return others.length === 0
+    ? []
+    : [
+        {
+          regex: `^@skylarkreach/(${others.join('|')})(/|$)`,
+          message: `packages/${name} may not import this package.`,
+        },
+      ];
+}
+
+const indexOnly = {
+  regex: '^\\.\\./(?!(\\.\\./)*index\\.js$)(?!(\\.\\./)*[a-z-]+/index\\.js$)',
+  message: 'Import another folder through its index.js.',
+};
+
+function restrict(files, patterns) {
+  return {
+    files,
+    rules: { 'no-restricted-imports': ['error', { patterns }] },
+  };
+}
+
+const packageRules = Object.keys(allowedPackages).map(name =>
+  restrict(
+    [`packages/${name}/src/**/*.ts`],
+    [indexOnly, ...packageBoundary(name)],
+  ),
+);
+
+const featureRules = Object.keys(allowedFeatures).map(feature => {
+  const others = Object.keys(allowedFeatures).filter(
+    other => other !== feature && !allowedFeatures[feature].includes(other),
+  );
+  const boundary = {
+    regex: `^\\.\\./(${others.join('|')})/`,
+    message: `core/${feature} may not import this feature.`,
+  };
+  return restrict(
+    [`packages/core/src/${feature}/**/*.ts`],
+    [indexOnly, boundary, ...packageBoundary('core')],
+  );
+});
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  js.configs.recommended,
+  {
+    files: ['packages/**/*.ts'],
+    extends: [
+      ...tseslint.configs.strictTypeChecked,
+      ...tseslint.configs.stylisticTypeChecked,
+    ],
+    languageOptions: {
+      parserOptions: { projectService: true },
+    },
+    rules: {
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/restrict-template-expressions': [
+        'error',
+        { allowNumber: true },
+      ],
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      'max-lines': ['error', { max: 350, skipBlankLines: true }],
+    },
+  },
+  {
+    files: ['packages/**/*.test.ts'],
+    rules: {
+      // node:test tracks the promises that describe and it return.
+      '@typescript-eslint/no-floating-promises': 'off',
+    },
+  },
+  {
+    plugins: { 'simple-import-sort': importSort },
+    rules: {
+      'simple-import-sort/imports': [
+        'error',
+        { groups: [['^node:'], ['^@?\\w'], ['^@skylarkreach/'], ['^\\.']] },
+      ],
+      'simple-import-sort/exports': 'error',
+    },
+  },
+  {
+    files: ['scripts/**/*.mjs', 'eslint.config.mjs'],
+    languageOptions: {
+      globals: { process: 'readonly', console: 'readonly', URL: 'readonly' },
+    },
+  },
+  ...packageRules,
+  ...featureRules,
+  prettier,
+);
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+export * from './operator-client.js';
+export * from './program.js';
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runProgram } from './program.js';
+
+await runProgram(process.argv);
--- /dev/null
+++ b/packages/cli/src/program.ts
@@ -0,0 +1,90 @@
+import sade from 'sade';
+
+import { CliError, CliExitCode, OperatorClient } from './operator-client.js';
+import type { CommonOptions } from './output.js';
+import { printResult } from './output.js';
+import { applyRules, checkRules, showRules } from './rule-commands.js';
+
+const DEFAULT_ADDRESS = '127.0.0.1:8081';
+
+/** Runs the command line and sets the process's exit code. */
+export async function runProgram(argv: readonly string[]): Promise<void> {
+  const program = sade('skylarkreach')
+    .option('--address', 'Operators’ address of a daemon, as IP:PORT')
+    .option('--json', 'Print JSON for programs')
+    .option('--yes', 'Answer yes to every question');
+  addRuleCommands(program);
+  addStateCommands(program);
+  // The library returns nothing where it has printed help or a usage error.
+  const parsed = program.parse([...argv], { lazy: true }) as
+    sade.LazyOutput | undefined;
+  if (parsed === undefined) return;
+  try {
+    await parsed.handler(...parsed.args);
+  } catch (error) {
+    if (!(error instanceof CliError)) throw error;
+    console.error(error.message);
+    process.exitCode = error.exitCode;
+  }
+}
+
+function addRuleCommands(program: sade.Sade): void {
+  program
+    .command('rules show')
+    .describe('Show the rules in force and their revision.')
+    .action((options: CommonOptions) => showRules(connect(options), options));
+  program
+    .command('rules check <file>')
+    .describe('Check a rule file; exit 1 where it has faults.')
+    .example('rules check rules.txt')
+    .action((file: string, options: CommonOptions) => {
+      checkRules(file, options);
+    });
+  program
+    .command('rules apply <file>')
+    .describe('Put a rule file in force; asks before it removes lines.')
+    .example('rules apply rules.txt --yes')
+    .action((file: string, options: CommonOptions) =>
+      applyRules(connect(options), file, options),
+    );
+}
+
+function addStateCommands(program: sade.Sade): void {
+  program
+    .command('status')
+    .describe('Show whether the daemon serves and which revision is in force.')
+    .action(async (options: CommonOptions) => {
+      const status = await connect(options).callOk('GET', '/v1/status');
+      printResult(options, status, JSON.stringify(status, undefined, 2));
+    });
+  program
+    .command('dump <address>')
+    .describe('Print the state of the daemon at an operators’ address.')
+    .example('dump 10.0.2.4:8081')
+    .action(async (address: string, options: CommonOptions) => {
+      const client = connect({ ...options, address });
+      const dump = await client.callOk('GET', '/v1/dump');
+      printResult(options, dump, JSON.stringify(dump, undefined, 2));
+    });
+  program
+    .command('moves')
+    .describe('Show the version moves that are recorded.')
+    .action(async (options: CommonOptions) => {
+      const moves = await connect(options).callOk('GET', '/v1/moves');
+      printResult(options, moves, JSON.stringify(moves, undefined, 2));
+    });
+}
+
+/** A client of the daemon that the options or the environment name. */
+function connect(options: CommonOptions): OperatorClient {
+  const address =
+    options.address ?? process.env.SKYLARKREACH_ADDRESS ?? DEFAULT_ADDRESS;
+  const token = process.env.SKYLARKREACH_TOKEN;
+  if (token === undefined) {
+    throw new CliError(
+      'No operator credential is set; put it into SKYLARKREACH_TOKEN.',
+      CliExitCode.Usage,
+    );
+  }
+  return new OperatorClient(address, token);
+}
--- /dev/null
+++ b/packages/core/src/admission/index.ts
@@ -0,0 +1,2 @@
+export * from './admission.js';
+export * from './in-flight-admission.js';
--- /dev/null
+++ b/packages/core/src/claims/index.ts
@@ -0,0 +1,2 @@
+export * from './claims.js';
+export * from './single-key-claims.js';
--- /dev/null
+++ b/packages/core/src/fakes/index.ts
@@ -0,0 +1,3 @@
+export * from './faulty-key-value.js';
+export * from './memory-key-value.js';
+export * from './memory-peers.js';
--- /dev/null
+++ b/packages/core/src/pipeline/admit-request.ts
@@ -0,0 +1,54 @@
+import type { Admission, AdmissionTicket } from '../admission/index.js';
+import { AdmissionRefusedError, RefusalReason } from '../admission/index.js';
+import type { IdentifiedRequest } from './request.js';
+import type { RequestError } from './request-error.js';
+import { notRun, RequestErrorKind } from './request-error.js';
+
+/** Token counts that admission plans with. */
+export interface TokenDemand {
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+}
+
+/** Admits a request, turning a refusal into the caller's error. */
+export async function admitRequest(
+  admission: Admission,
+  request: IdentifiedRequest,
+  demand: TokenDemand,
+  signal: AbortSignal,
+): Promise<AdmissionTicket> {
+  try {
+    return await admission.admit(
+      {
+        requestId: request.requestId,
+        workspace: request.workspace,
+        kind: request.kind,
+        priority: request.rule.priority,
+        limits: request.rule.limits,
+        deadlineAtMs: request.deadlineAtMs,
+        ...demand,
+      },
+      signal,
+    );
+  } catch (error) {
+    if (!(error instanceof AdmissionRefusedError)) throw error;
+    throw refusal(error);
+  }
+}
+
+function refusal(error: AdmissionRefusedError): RequestError {
+  return notRun(
+    KIND_OF_REASON[error.reason],
+    error.message,
+    'Send the request again after the time in Retry-After.',
+    error.retryAtMs,
+  );
+}
+
+const KIND_OF_REASON: Record<RefusalReason, RequestErrorKind> = {
+  [RefusalReason.WorkspaceInFlight]: RequestErrorKind.LimitReached,
+  [RefusalReason.WorkspaceTokens]: RequestErrorKind.LimitReached,
+  [RefusalReason.QueueFull]: RequestErrorKind.LimitReached,
+  [RefusalReason.DeadlineUnreachable]: RequestErrorKind.DeadlinePassed,
+  [RefusalReason.Stopping]: RequestErrorKind.Stopping,
+};
--- /dev/null
+++ b/packages/core/src/pipeline/identify.ts
@@ -0,0 +1,34 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+
+import type { Workspace } from '../platform/index.js';
+
+/** A credential as the settings hold it: never the token itself. */
+export interface TokenHash {
+  readonly workspace: Workspace;
+  /** SHA-256 of the token in hexadecimal. */
+  readonly sha256: string;
+}
+
+/** Maps bearer tokens to workspaces. */
+export class TokenDirectory {
+  private readonly hashes: readonly { workspace: Workspace; digest: Buffer }[];
+
+  constructor(tokens: readonly TokenHash[]) {
+    this.hashes = tokens.map(token => ({
+      workspace: token.workspace,
+      digest: Buffer.from(token.sha256, 'hex'),
+    }));
+  }
+
+  /** The token's workspace. Every hash is compared in constant time. */
+  workspaceOf(bearerToken: string): Workspace | undefined {
+    const digest = createHash('sha256').update(bearerToken).digest();
+    let found: Workspace | undefined;
+    for (const candidate of this.hashes) {
+      if (timingSafeEqual(candidate.digest, digest)) {
+        found = candidate.workspace;
+      }
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/packages/core/src/pipeline/request-error.ts
@@ -0,0 +1,86 @@
+/** What became of a request's work, as told to its caller. */
+export enum RequestOutcome {
+  /** No byte reached an endpoint and none can later. */
+  NotRun = 'notRun',
+  Ran = 'ran',
+  Unknown = 'unknown',
+}
+
+export enum RequestErrorKind {
+  BadRequest = 'badRequest',
+  Unauthenticated = 'unauthenticated',
+  NotFound = 'notFound',
+  TooLarge = 'tooLarge',
+  NoRule = 'noRule',
+  MissingDeadline = 'missingDeadline',
+  DeadlinePassed = 'deadlinePassed',
+  LimitReached = 'limitReached',
+  NoEndpoint = 'noEndpoint',
+  Stopping = 'stopping',
+  KeyReused = 'keyReused',
+  ClaimUnavailable = 'claimUnavailable',
+  CallInProgress = 'callInProgress',
+  OutcomeUnknown = 'outcomeUnknown',
+  EndpointFailed = 'endpointFailed',
+  CallerTooSlow = 'callerTooSlow',
+}
+
+const HTTP_STATUS: Record<RequestErrorKind, number> = {
+  [RequestErrorKind.BadRequest]: 400,
+  [RequestErrorKind.Unauthenticated]: 401,
+  [RequestErrorKind.NotFound]: 404,
+  [RequestErrorKind.TooLarge]: 413,
+  [RequestErrorKind.NoRule]: 403,
+  [RequestErrorKind.MissingDeadline]: 400,
+  [RequestErrorKind.DeadlinePassed]: 504,
+  [RequestErrorKind.LimitReached]: 429,
+  [RequestErrorKind.NoEndpoint]: 503,
+  [RequestErrorKind.Stopping]: 503,
+  [RequestErrorKind.KeyReused]: 422,
+  [RequestErrorKind.ClaimUnavailable]: 503,
+  [RequestErrorKind.CallInProgress]: 409,
+  [RequestErrorKind.OutcomeUnknown]: 502,
+  [RequestErrorKind.EndpointFailed]: 502,
+  [RequestErrorKind.CallerTooSlow]: 408,
+};
+
+export interface RequestErrorDetails {
+  readonly kind: RequestErrorKind;
+  readonly message: string;
+  readonly remedy: string;
+  readonly outcome: RequestOutcome;
+  /** Earliest time at which another try can succeed. */
+  readonly retryAtMs?: number;
+}
+
+/** Final failure of a request, with what its caller needs to know. */
+export class RequestError extends Error {
+  override readonly name = 'RequestError';
+  readonly kind: RequestErrorKind;
+  readonly remedy: string;
+  readonly outcome: RequestOutcome;
+  readonly retryAtMs: number | undefined;
+
+  constructor(details: RequestErrorDetails, options?: ErrorOptions) {
+    super(details.message, options);
+    this.kind = details.kind;
+    this.remedy = details.remedy;
+    this.outcome = details.outcome;
+    this.retryAtMs = details.retryAtMs;
+  }
+
+  get httpStatus(): number {
+    return HTTP_STATUS[this.kind];
+  }
+}
+
+/** A refusal of a request of which nothing was dispatched. */
+export function notRun(
+  kind: RequestErrorKind,
+  message: string,
+  remedy: string,
+  retryAtMs?: number,
+): RequestError {
+  const outcome = RequestOutcome.NotRun;
+  return new RequestError({ kind, message, remedy, outcome, retryAtMs });
+}
--- /dev/null
+++ b/packages/core/src/platform/random.ts
@@ -0,0 +1,28 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+
+/** Source of random numbers that a decision is given, so that runs repeat. */
+export interface Random {
+  /** Uniform number in [0, 1). */
+  nextFloat(): number;
+  /** Uniform integer in [0, exclusiveMax). */
+  nextInteger(exclusiveMax: number): number;
+}
+
+/** Seeded generator (xoroshiro128+ of pure-rand). */
+export class SeededRandom implements Random {
+  private readonly generator: RandomGenerator;
+
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  nextFloat(): number {
+    return uniformFloat64(this.generator);
+  }
+
+  nextInteger(exclusiveMax: number): number {
+    return Math.floor(this.nextFloat() * exclusiveMax);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/http-client.ts
@@ -0,0 +1,124 @@
+import type { Dispatcher } from 'undici';
+import { Agent, request } from 'undici';
+
+import type { Address, Clock } from '@skylarkreach/core/platform';
+import {
+  AnswerLostError,
+  NotFoundError,
+  NotSentError,
+  RefusedError,
+} from '@skylarkreach/core/platform';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const MIN_TIMEOUT_MS = 1;
+
+/** Errors of the connect phase, in which no byte of a request is written. */
+const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+export interface HttpCall {
+  readonly address: Address;
+  readonly method: Dispatcher.HttpMethod;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  readonly deadlineAtMs: number;
+  readonly signal?: AbortSignal;
+  /** Dial a connection for this call alone. */
+  readonly freshConnection?: boolean;
+}
+
+export type HttpResponse = Dispatcher.ResponseData;
+
+/** HTTP calls with a deadline, whose failures tell whether a byte was sent. */
+export class HttpClient {
+  private readonly shared = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  /** Connections of this agent close after each response. */
+  private readonly fresh = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    pipelining: 0,
+  });
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Sends the call and returns the response, whatever its status. */
+  async send(call: HttpCall): Promise<HttpResponse> {
+    const remainingMs = call.deadlineAtMs - this.clock.nowMs();
+    const timeout = AbortSignal.timeout(Math.max(remainingMs, MIN_TIMEOUT_MS));
+    const signal =
+      call.signal === undefined
+        ? timeout
+        : AbortSignal.any([timeout, call.signal]);
+    try {
+      return await request(`http://${call.address}${call.path}`, {
+        method: call.method,
+        headers: { 'content-type': 'application/json', ...call.headers },
+        body: call.body,
+        signal,
+        dispatcher: call.freshConnection === true ? this.fresh : this.shared,
+      });
+    } catch (error) {
+      throw toPlatformError(call.address, error);
+    }
+  }
+
+  /** Sends the call and reads its JSON answer; throws on any status but success. */
+  async sendJson(call: HttpCall): Promise<unknown> {
+    const response = await this.send(call);
+    await checkStatus(call.address, response);
+    try {
+      return await response.body.json();
+    } catch (error) {
+      throw new AnswerLostError(
+        `The answer of ${call.address} was cut off or is not JSON.`,
+        { cause: error },
+      );
+    }
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([this.shared.destroy(), this.fresh.destroy()]);
+  }
+}
+
+/** Throws the platform's error for a status other than success. */
+export async function checkStatus(
+  address: Address,
+  response: HttpResponse,
+): Promise<void> {
+  const { statusCode } = response;
+  if (statusCode < 300) return;
+  await response.body.dump();
+  if (statusCode === 404) {
+    throw new NotFoundError(`${address} does not know what was asked for.`);
+  }
+  if (statusCode === 503) {
+    const isLeaving = response.headers['x-leaving'] === 'true';
+    throw new RefusedError(`${address} takes no new work.`, isLeaving);
+  }
+  throw new AnswerLostError(`${address} answered with status ${statusCode}.`);
+}
+
+function toPlatformError(address: Address, error: unknown): Error {
+  const code =
+    error instanceof Error && 'code' in error ? String(error.code) : '';
+  if (CONNECT_ERROR_CODES.has(code)) {
+    return new NotSentError(`${address} cannot be reached (${code}).`, {
+      cause: error,
+    });
+  }
+  return new AnswerLostError(
+    `The call to ${address} got no answer (${String(error)}).`,
+    { cause: error },
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/http-key-value.ts
@@ -0,0 +1,140 @@
+import { z } from 'zod';
+
+import type {
+  Address,
+  KeyValue,
+  KeyValueEntry,
+  Lease,
+  LeaseRequest,
+  PutRequest,
+  PutResult,
+  WatchRequest,
+  WatchResult,
+} from '@skylarkreach/core/platform';
+import {
+  KeyValueUnavailableError,
+  NotFoundError,
+  NotSentError,
+  PutOutcome,
+  RefusedError,
+} from '@skylarkreach/core/platform';
+
+import type { HttpCall, HttpClient } from './http-client.js';
+
+/** Time after its deadline that a watch's answer may take to arrive. */
+const WATCH_MARGIN_MS = 2_000;
+
+const entrySchema = z.object({
+  key: z.string(),
+  value: z.string(),
+  version: z.number(),
+});
+const entriesSchema = z.object({ entries: z.array(entrySchema) });
+const putSchema = z.object({
+  outcome: z.enum(PutOutcome),
+  version: z.number(),
+});
+const watchSchema = z.object({
+  revision: z.number(),
+  entries: z.array(entrySchema),
+});
+const leaseSchema = z.object({
+  lease: z
+    .object({
+      name: z.string(),
+      holder: z.string(),
+      fencingNumber: z.number(),
+      expiresAtMs: z.number(),
+    })
+    .optional(),
+});
+
+/** The platform's key-value service over HTTP. */
+export class HttpKeyValue implements KeyValue {
+  constructor(
+    private readonly http: HttpClient,
+    private readonly address: Address,
+    private readonly token: string,
+  ) {}
+
+  async get(
+    key: string,
+    deadlineAtMs: number,
+  ): Promise<KeyValueEntry | undefined> {
+    const path = `/v1/keys/${encodeURIComponent(key)}`;
+    try {
+      const answer = await this.send({ method: 'GET', path, deadlineAtMs });
+      return entrySchema.parse(answer);
+    } catch (error) {
+      if (error instanceof NotFoundError) return undefined;
+      throw error;
+    }
+  }
+
+  async list(
+    prefix: string,
+    deadlineAtMs: number,
+  ): Promise<readonly KeyValueEntry[]> {
+    const path = `/v1/keys?prefix=${encodeURIComponent(prefix)}`;
+    const answer = await this.send({ method: 'GET', path, deadlineAtMs });
+    return entriesSchema.parse(answer).entries;
+  }
+
+  async put(request: PutRequest): Promise<PutResult> {
+    const { key, value, expectedVersion, deadlineAtMs } = request;
+    const answer = await this.send({
+      method: 'PUT',
+      path: `/v1/keys/${encodeURIComponent(key)}`,
+      body: JSON.stringify({ value, expectedVersion }),
+      deadlineAtMs,
+    });
+    return putSchema.parse(answer);
+  }
+
+  async watch(request: WatchRequest): Promise<WatchResult> {
+    const answer = await this.send({
+      method: 'POST',
+      path: '/v1/watch',
+      body: JSON.stringify(request),
+      deadlineAtMs: request.deadlineAtMs + WATCH_MARGIN_MS,
+    });
+    return watchSchema.parse(answer);
+  }
+
+  async acquireLease(request: LeaseRequest): Promise<Lease | undefined> {
+    const answer = await this.send({
+      method: 'POST',
+      path: '/v1/leases',
+      body: JSON.stringify(request),
+      deadlineAtMs: request.deadlineAtMs,
+    });
+    return leaseSchema.parse(answer).lease;
+  }
+
+  async releaseLease(lease: Lease, deadlineAtMs: number): Promise<void> {
+    await this.send({
+      method: 'POST',
+      path: '/v1/leases/release',
+      body: JSON.stringify(lease),
+      deadlineAtMs,
+    });
+  }
+
+  private async send(call: Omit<HttpCall, 'address'>): Promise<unknown> {
+    try {
+      return await this.http.sendJson({
+        ...call,
+        address: this.address,
+        headers: { authorization: `Bearer ${this.token}` },
+      });
+    } catch (error) {
+      if (error instanceof NotSentError || error instanceof RefusedError) {
+        throw new KeyValueUnavailableError(
+          'The key-value service cannot be reached; try again later.',
+          { cause: error },
+        );
+      }
+      throw error;
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/index.ts
@@ -0,0 +1,6 @@
+export * from './http-client.js';
+export * from './http-cloud.js';
+export * from './http-engine.js';
+export * from './http-key-value.js';
+export * from './http-service.js';
+export * from './system-clock.js';
--- /dev/null
+++ b/packages/daemon/src/callers/index.ts
@@ -0,0 +1,2 @@
+export * from './caller-headers.js';
+export * from './caller-server.js';
--- /dev/null
+++ b/packages/daemon/src/callers/problem.ts
@@ -0,0 +1,51 @@
+import type { ServerResponse } from 'node:http';
+
+import type { RequestError } from '@skylarkreach/core/pipeline';
+import type { Clock } from '@skylarkreach/core/platform';
+
+const PROBLEM_TYPE_PREFIX = 'urn:skylarkreach:problem:';
+
+/** Problem details of RFC 9457, with the outcome and the remedy. */
+export interface Problem {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly outcome: string;
+  readonly remedy: string;
+  readonly requestId: string;
+  readonly retryAt?: string;
+}
+
+export function toProblem(error: RequestError, requestId: string): Problem {
+  return {
+    type: `${PROBLEM_TYPE_PREFIX}${error.kind}`,
+    title: error.message,
+    status: error.httpStatus,
+    outcome: error.outcome,
+    remedy: error.remedy,
+    requestId,
+    ...(error.retryAtMs === undefined
+      ? {}
+      : { retryAt: new Date(error.retryAtMs).toISOString() }),
+  };
+}
+
+/** Ends the response with the error as `application/problem+json`. */
+export function sendProblem(
+  response: ServerResponse,
+  error: RequestError,
+  requestId: string,
+  clock: Clock,
+): void {
+  const problem = toProblem(error, requestId);
+  if (error.retryAtMs !== undefined) {
+    const remainingMs = error.retryAtMs - clock.nowMs();
+    const seconds = Math.max(1, Math.ceil(remainingMs / 1_000));
+    response.setHeader('retry-after', String(seconds));
+  }
+  response.writeHead(problem.status, {
+    'content-type': 'application/problem+json',
+    'x-request-id': requestId,
+  });
+  response.end(JSON.stringify(problem));
+}
--- /dev/null
+++ b/packages/daemon/src/http/http-router.ts
@@ -0,0 +1,67 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+/** One request on its way through a server of this process. */
+export interface HttpExchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly url: URL;
+  /** Values of the route's named groups, decoded. */
+  readonly params: Readonly<Record<string, string>>;
+}
+
+export type HttpHandler = (exchange: HttpExchange) => Promise<void>;
+
+interface Route {
+  readonly method: string;
+  readonly pattern: RegExp;
+  readonly handler: HttpHandler;
+}
+
+/** Finds the handler of a request by method and path. */
+export class HttpRouter {
+  private readonly routes: Route[] = [];
+
+  /** Adds a route; `{name}` in the path matches one segment, `{name+}` the rest. */
+  add(method: string, path: string, handler: HttpHandler): this {
+    const source = path
+      .replace(/\{(\w+)\}/g, '(?<$1>[^/]+)')
+      .replace(/\{(\w+)\+\}/g, '(?<$1>.*)');
+    this.routes.push({ method, pattern: new RegExp(`^${source}$`), handler });
+    return this;
+  }
+
+  /** The handler bound to its exchange, or undefined where no route fits. */
+  find(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): (() => Promise<void>) | undefined {
+    const url = new URL(request.url ?? '/', 'http://localhost');
+    for (const route of this.routes) {
+      const match = route.pattern.exec(url.pathname);
+      if (match === null || !this.acceptsMethod(route, request)) continue;
+      const params = decodeGroups(match.groups ?? {});
+      if (params === undefined) return undefined;
+      return () => route.handler({ request, response, url, params });
+    }
+    return undefined;
+  }
+
+  private acceptsMethod(route: Route, request: IncomingMessage): boolean {
+    return route.method === '*' || route.method === request.method;
+  }
+}
+
+function decodeGroups(
+  groups: Record<string, string>,
+): Record<string, string> | undefined {
+  try {
+    return Object.fromEntries(
+      Object.entries(groups).map(([name, value]) => [
+        name,
+        decodeURIComponent(value),
+      ]),
+    );
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/loops/loop.ts
@@ -0,0 +1,52 @@
+import type { Clock, Log } from '@skylarkreach/core/platform';
+import type { LogPart } from '@skylarkreach/core/platform';
+
+export interface LoopOptions {
+  readonly name: string;
+  readonly part: LogPart;
+  /** Time of the next step, given the time at which the last one ended. */
+  readonly nextAtMs: (nowMs: number) => number;
+  readonly step: () => Promise<void>;
+}
+
+/** Repeats a step until it is stopped; a failed step is logged and tried again. */
+export class Loop {
+  private readonly stopSignal = new AbortController();
+  private running: Promise<void> | undefined;
+
+  constructor(
+    private readonly options: LoopOptions,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  start(): void {
+    this.running ??= this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.stopSignal.abort();
+    await this.running;
+  }
+
+  private async run(): Promise<void> {
+    const { signal } = this.stopSignal;
+    while (!signal.aborted) {
+      await this.stepOnce();
+      const nextAtMs = this.options.nextAtMs(this.clock.nowMs());
+      await this.clock.waitUntil(nextAtMs, signal).catch(() => undefined);
+    }
+  }
+
+  private async stepOnce(): Promise<void> {
+    try {
+      await this.options.step();
+    } catch (error) {
+      if (this.stopSignal.signal.aborted) return;
+      const { name, part } = this.options;
+      this.log.warn(part, `The ${name} loop failed and tries again.`, {
+        error: String(error),
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,43 @@
+#!/usr/bin/env node
+import sade from 'sade';
+
+import { Daemon } from './daemon.js';
+import { loadSettings, SettingsError } from './settings/index.js';
+
+const EXIT_BAD_SETTINGS = 2;
+
+interface DaemonArguments {
+  readonly settings?: string;
+}
+
+sade('skylarkreachd', true)
+  .describe('Runs one daemon until it receives SIGINT or SIGTERM.')
+  .option('--settings', 'YAML file with the settings of this daemon')
+  .example('--settings /etc/skylarkreach/daemon.yaml')
+  .action((options: DaemonArguments) => runDaemon(options.settings))
+  .parse(process.argv);
+
+async function runDaemon(file: string | undefined): Promise<void> {
+  if (file === undefined) {
+    console.error('No settings file was named; add --settings FILE.');
+    process.exitCode = EXIT_BAD_SETTINGS;
+    return;
+  }
+  const daemon = createDaemon(file);
+  if (daemon === undefined) return;
+  await daemon.start();
+  const stop = () => void daemon.stop();
+  process.once('SIGINT', stop);
+  process.once('SIGTERM', stop);
+}
+
+function createDaemon(file: string): Daemon | undefined {
+  try {
+    return new Daemon(loadSettings(file));
+  } catch (error) {
+    if (!(error instanceof SettingsError)) throw error;
+    console.error(error.message);
+    process.exitCode = EXIT_BAD_SETTINGS;
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/index.ts
@@ -0,0 +1,2 @@
+export * from './http-peer.js';
+export * from './peer-server.js';
--- /dev/null
+++ b/packages/daemon/src/settings/settings.ts
@@ -0,0 +1,82 @@
+import { z } from 'zod';
+
+const PORT_LIMIT = 65_535;
+
+const address = z
+  .string()
+  .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, {
+    error: 'an IP number and a port, such as 10.0.0.5:8080',
+    abort: true,
+  })
+  .refine(
+    text => Number(text.split(':')[1]) <= PORT_LIMIT,
+    'a port of at most 65535',
+  );
+
+const sha256 = z
+  .string()
+  .regex(/^[0-9a-f]{64}$/, 'a SHA-256 digest as 64 hexadecimal digits');
+
+const secret = z.string().min(16, 'a secret of at least 16 characters');
+
+/** A duration in milliseconds; it becomes a deadline where it is used. */
+const durationMs = z.int().positive();
+
+const tokenSchema = z.strictObject({
+  workspace: z.string().min(1),
+  sha256,
+});
+
+const operatorSchema = z.strictObject({ name: z.string().min(1), sha256 });
+
+export enum LogLevel {
+  Debug = 'debug',
+  Info = 'info',
+  Warn = 'warn',
+  Error = 'error',
+  Silent = 'silent',
+}
+
+/** Settings of one daemon, as its YAML file holds them. */
+export const settingsSchema = z.strictObject({
+  identity: z.strictObject({
+    daemonId: z.string().min(1),
+    dataCentre: z.string().min(1),
+  }),
+  listen: z.strictObject({
+    callers: address,
+    operators: address,
+    peers: address,
+  }),
+  /** URL that callers reach this daemon by; the callers' address where absent. */
+  callerUrl: z.url().optional(),
+  platform: z.strictObject({
+    keyValueAddress: address,
+    cloudAddress: address,
+    token: secret,
+  }),
+  telemetry: z
+    .strictObject({
+      statsdAddress: address.optional(),
+      logLevel: z.enum(LogLevel).default(LogLevel.Info),
+    })
+    .prefault({}),
+  credentials: z.strictObject({
+    workspaces: z.array(tokenSchema).min(1),
+    operators: z.array(operatorSchema).min(1),
+    peerSecret: secret,
+  }),
+  limits: z
+    .strictObject({
+      maxBodyBytes: z.int().positive().default(1_000_000),
+      bodyTimeoutMs: durationMs.default(10_000),
+      maxHeaderBytes: z.int().positive().default(16_384),
+      maxTokens: z.int().positive().default(32_768),
+    })
+    .prefault({}),
+  claims: z
+    .strictObject({ retentionMs: durationMs.default(86_400_000) })
+    .prefault({}),
+});
+
+export type Settings = z.output<typeof settingsSchema>;
--- /dev/null
+++ b/packages/daemon/src/telemetry/index.ts
@@ -0,0 +1,2 @@
+export * from './pino-log.js';
+export * from './statsd-metrics.js';
--- /dev/null
+++ b/packages/daemon/src/telemetry/statsd-metrics.ts
@@ -0,0 +1,46 @@
+import { StatsD } from 'hot-shots';
+
+import type { Address, Metrics, MetricTags } from '@skylarkreach/core/platform';
+import { silentMetrics } from '@skylarkreach/core/platform';
+
+const METRIC_PREFIX = 'skylarkreach.';
+
+/** Metrics by hot-shots over UDP. */
+export class StatsdMetrics implements Metrics {
+  private readonly client: StatsD;
+
+  constructor(address: Address, dataCentre: string) {
+    const [host, port] = address.split(':');
+    this.client = new StatsD({
+      host,
+      port: Number(port),
+      prefix: METRIC_PREFIX,
+      globalTags: { dataCentre },
+      errorHandler: () => {
+        // Metrics are lost while the collector is away; serving goes on.
+      },
+    });
+  }
+
+  increment(name: string, count = 1, tags: MetricTags = {}): void {
+    this.client.increment(name, count, { ...tags });
+  }
+
+  gauge(name: string, value: number, tags: MetricTags = {}): void {
+    this.client.gauge(name, value, { ...tags });
+  }
+
+  timingMs(name: string, elapsedMs: number, tags: MetricTags = {}): void {
+    this.client.timing(name, elapsedMs, { ...tags });
+  }
+}
+
+/** Metrics sent to `address`, or dropped where the settings name none. */
+export function createMetrics(
+  address: Address | undefined,
+  dataCentre: string,
+): Metrics {
+  return address === undefined
+    ? silentMetrics
+    : new StatsdMetrics(address, dataCentre);
+}
--- /dev/null
+++ b/packages/measure/src/experiment/index.ts
@@ -0,0 +1,1 @@
+export * from './experiment.js';
--- /dev/null
+++ b/packages/measure/src/index.ts
@@ -0,0 +1,3 @@
+export * from './experiment/index.js';
+export * from './program.js';
+export * from './registry.js';
--- /dev/null
+++ b/packages/measure/src/main.ts
@@ -0,0 +1,3 @@
+import { runProgram } from './program.js';
+
+await runProgram(process.argv);
--- /dev/null
+++ b/packages/measure/src/path/index.ts
@@ -0,0 +1,1 @@
+export * from './path-experiment.js';
--- /dev/null
+++ b/packages/measure/src/program.ts
@@ -0,0 +1,72 @@
+import sade from 'sade';
+
+import type { Experiment, ExperimentOptions } from './experiment/index.js';
+import { EXPERIMENTS } from './registry.js';
+
+enum ExitCode {
+  Met = 0,
+  Missed = 1,
+  CouldNotRun = 2,
+}
+
+interface Flags {
+  readonly seed: number;
+  readonly full?: boolean;
+  readonly [name: string]: unknown;
+}
+
+const DEFAULT_SEED = 1;
+
+/** Runs the experiment that the command line names and sets the exit code. */
+export async function runProgram(argv: readonly string[]): Promise<void> {
+  const names = EXPERIMENTS.map(each => each.name).join(', ');
+  const program = sade('measure <name>', true)
+    .describe(`Runs an experiment: ${names}.`)
+    .option('--seed', 'Seed of the run', DEFAULT_SEED)
+    .option('--full', 'Run at full size')
+    .action((name: string, flags: Flags) => runNamed(name, flags));
+  const parsed = program.parse([...argv], { lazy: true }) as
+    sade.LazyOutput | undefined;
+  if (parsed !== undefined) await parsed.handler(...parsed.args);
+}
+
+async function runNamed(name: string, flags: Flags): Promise<void> {
+  const experiment = EXPERIMENTS.find(each => each.name === name);
+  if (experiment === undefined) {
+    console.error(`There is no experiment "${name}"; see --help.`);
+    process.exitCode = ExitCode.CouldNotRun;
+    return;
+  }
+  try {
+    await runExperiment(experiment, toOptions(flags));
+  } catch (error) {
+    console.error(error);
+    process.exitCode = ExitCode.CouldNotRun;
+  }
+}
+
+async function runExperiment(
+  experiment: Experiment,
+  options: ExperimentOptions,
+): Promise<void> {
+  const report = await experiment.run(options);
+  console.table(report.rows);
+  console.table(report.targets);
+  const { name } = experiment;
+  console.log(JSON.stringify({ name, seed: options.seed, ...report }));
+  const isMet = report.targets.every(target => target.met);
+  process.exitCode = isMet ? ExitCode.Met : ExitCode.Missed;
+}
+
+function toOptions(flags: Flags): ExperimentOptions {
+  const extra = Object.entries(flags)
+    .filter(
+      ([, value]) => typeof value === 'string' || typeof value === 'number',
+    )
+    .map(([name, value]) => [name, String(value)] as const);
+  return {
+    seed: flags.seed,
+    full: flags.full === true,
+    extra: Object.fromEntries(extra),
+  };
+}
--- /dev/null
+++ b/packages/measure/src/registry.ts
@@ -0,0 +1,5 @@
+import type { Experiment } from './experiment/index.js';
+import { pathExperiment } from './path/index.js';
+
+/** Every experiment, by the name that the command line takes. */
+export const EXPERIMENTS: readonly Experiment[] = [pathExperiment];
--- /dev/null
+++ b/packages/stand-ins/src/cloud/index.ts
@@ -0,0 +1,2 @@
+export * from './cloud-server.js';
+export * from './memory-cloud.js';
--- /dev/null
+++ b/packages/stand-ins/src/cloud/memory-cloud.ts
@@ -0,0 +1,119 @@
+import type {
+  Clock,
+  Cloud,
+  Endpoint,
+  FleetListing,
+  Instance,
+  Price,
+  ReclaimNotice,
+  StartRequest,
+  StartResult,
+} from '@skylarkreach/core/platform';
+import {
+  EndpointStage,
+  InstanceState,
+  StartOutcome,
+} from '@skylarkreach/core/platform';
+
+/** Cloud held in memory. Its list lags, its notices do not. */
+export class MemoryCloud implements Cloud {
+  /** Set to refuse every start. */
+  refusesStarts = false;
+  private readonly instances = new Map<string, Instance>();
+  private readonly endpoints = new Map<string, Endpoint>();
+  private readonly notices = new Map<string, ReclaimNotice>();
+  private readonly startedByToken = new Map<string, string>();
+  private published: FleetListing;
+  private nextInstance = 1;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly listLagMs: number,
+    private readonly priceList: readonly Price[] = [],
+  ) {
+    this.published = this.snapshot();
+  }
+
+  addInstance(instance: Instance): void {
+    this.instances.set(instance.id, instance);
+  }
+
+  addEndpoint(endpoint: Endpoint): void {
+    this.endpoints.set(endpoint.address, endpoint);
+  }
+
+  removeEndpoint(address: string): void {
+    this.endpoints.delete(address);
+  }
+
+  /** Announces that an instance is taken at `reclaimAtMs`. */
+  announceReclaim(instanceId: string, reclaimAtMs: number): void {
+    this.notices.set(instanceId, { instanceId, reclaimAtMs });
+    this.setState(instanceId, InstanceState.Leaving);
+    for (const endpoint of this.endpoints.values()) {
+      if (endpoint.instanceId !== instanceId) continue;
+      this.addEndpoint({ ...endpoint, stage: EndpointStage.Leaving });
+    }
+  }
+
+  list(): Promise<FleetListing> {
+    const nowMs = this.clock.nowMs();
+    const isFirst = this.published.endpoints.length === 0;
+    if (isFirst || nowMs - this.published.asOfMs >= this.listLagMs) {
+      const due = this.published;
+      this.published = this.snapshot();
+      return Promise.resolve(isFirst ? this.published : due);
+    }
+    return Promise.resolve(this.published);
+  }
+
+  prices(): Promise<readonly Price[]> {
+    return Promise.resolve(this.priceList);
+  }
+
+  start(request: StartRequest): Promise<StartResult> {
+    const known = this.startedByToken.get(request.clientToken);
+    if (known !== undefined) {
+      return Promise.resolve({
+        outcome: StartOutcome.Started,
+        instanceId: known,
+      });
+    }
+    if (this.refusesStarts) {
+      return Promise.resolve({ outcome: StartOutcome.Refused });
+    }
+    const instanceId = `instance-${this.nextInstance}`;
+    this.nextInstance += 1;
+    this.startedByToken.set(request.clientToken, instanceId);
+    this.addInstance({
+      id: instanceId,
+      machineClass: request.machineClass,
+      dataCentre: request.dataCentre,
+      billing: request.billing,
+      state: InstanceState.Running,
+    });
+    return Promise.resolve({ outcome: StartOutcome.Started, instanceId });
+  }
+
+  stop(instanceId: string): Promise<void> {
+    this.setState(instanceId, InstanceState.Gone);
+    return Promise.resolve();
+  }
+
+  reclaimNotices(): Promise<readonly ReclaimNotice[]> {
+    return Promise.resolve([...this.notices.values()]);
+  }
+
+  private setState(instanceId: string, state: InstanceState): void {
+    const instance = this.instances.get(instanceId);
+    if (instance !== undefined) this.addInstance({ ...instance, state });
+  }
+
+  private snapshot(): FleetListing {
+    return {
+      asOfMs: this.clock.nowMs(),
+      instances: [...this.instances.values()],
+      endpoints: [...this.endpoints.values()],
+    };
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/deployment/index.ts
@@ -0,0 +1,2 @@
+export * from './local-deployment.js';
+export * from './sample-rules.js';
--- /dev/null
+++ b/packages/stand-ins/src/http/index.ts
@@ -0,0 +1,1 @@
+export * from './stand-in-server.js';
--- /dev/null
+++ b/packages/stand-ins/src/key-value/index.ts
@@ -0,0 +1,1 @@
+export * from './key-value-server.js';
--- /dev/null
+++ b/packages/stand-ins/src/service/index.ts
@@ -0,0 +1,2 @@
+export * from './plain-service.js';
+export * from './service-server.js';
--- /dev/null
+++ b/scripts/prepare.mjs
@@ -0,0 +1,20 @@
+import { spawnSync } from 'node:child_process';
+import { existsSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+
+/** Root folder of the repository. */
+export const root = fileURLToPath(new URL('..', import.meta.url));
+
+/** Runs a command in the repository's root and exits with `failureCode` where it fails. */
+export function run(command, args, failureCode = 1) {
+  const result = spawnSync(command, args, { cwd: root, stdio: 'inherit' });
+  if (result.status !== 0) process.exit(failureCode);
+}
+
+/** Installs the packages where they are missing, then builds what has changed. */
+export function prepare(failureCode = 1) {
+  if (!existsSync(`${root}/node_modules/typescript`)) {
+    run('npm', ['ci', '--no-audit', '--no-fund'], failureCode);
+  }
+  run('node', ['node_modules/typescript/bin/tsc', '-b'], failureCode);
+}
--- /dev/null
+++ b/scripts/test.mjs
@@ -0,0 +1,18 @@
+import { spawnSync } from 'node:child_process';
+import { readdirSync } from 'node:fs';
+import { join } from 'node:path';
+
+import { prepare, root } from './prepare.mjs';
+
+prepare();
+const filter = process.argv[2] ?? '';
+const files = readdirSync(join(root, 'packages'), { recursive: true })
+  .map(file => join('packages', file))
+  .filter(file => /^packages\/[^/]+\/dist\/.*\.test\.js$/.test(file))
+  .filter(file => file.includes(filter))
+  .sort();
+const result = spawnSync('node', ['--test', '--enable-source-maps', ...files], {
+  cwd: root,
+  stdio: 'inherit',
+});
+process.exit(result.status ?? 1);
