--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -16,14 +16,15 @@
 /** Features of the core that each feature may import through their index. */
 const allowedFeatures = {
   platform: [],
+  leases: ['platform'],
   rules: ['platform'],
-  membership: ['platform'],
+  membership: ['platform', 'leases', 'rules'],
   streams: ['platform'],
   claims: ['platform'],
   admission: ['platform', 'rules'],
   routing: ['platform', 'rules'],
-  moves: ['platform', 'membership', 'rules'],
-  fleet: ['platform', 'membership', 'routing'],
+  moves: ['platform', 'leases', 'membership', 'rules'],
+  fleet: ['platform', 'leases', 'membership', 'routing'],
   pipeline: [
     'platform',
     'rules',
--- /dev/null
+++ b/packages/core/src/leases/index.ts
@@ -0,0 +1,1 @@
+export * from './lease-keeper.js';
