Merge rule edits by line and keep their history

Cause: an edit made on an older revision was refused whole, so that two operators could not work at the same moment, and a lost answer was reported as a failure although the edit may have been written.

Before: concurrent edits of different lines: the second refused; lost answer: error 503 with the edit in force. After: both hold; a line that both changed is refused with both texts; a lost answer is read back by the edit's id.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -3,7 +3,20 @@
 import { CliError, CliExitCode, OperatorClient } from './operator-client.js';
 import type { CommonOptions } from './output.js';
 import { printResult } from './output.js';
-import { applyRules, checkRules, showRules } from './rule-commands.js';
+import type {
+  CheckOptions,
+  ExplainOptions,
+  ShowOptions,
+} from './rule-commands.js';
+import {
+  applyRules,
+  checkRules,
+  explainRule,
+  showHistory,
+  showRules,
+} from './rule-commands.js';
+import type { WaitOptions } from './wait-command.js';
+import { waitForRevision } from './wait-command.js';
 
 const DEFAULT_ADDRESS = '127.0.0.1:8081';
 
@@ -32,21 +45,43 @@
   program
     .command('rules show')
     .describe('Show the rules in force and their revision.')
-    .action((options: CommonOptions) => showRules(connect(options), options));
+    .option('--out', 'Write them to a file for an edit')
+    .example('rules show --out rules.txt')
+    .action((options: ShowOptions) => showRules(connect(options), options));
   program
     .command('rules check <file>')
     .describe('Check a rule file; exit 1 where it has faults.')
+    .option('--online', 'Check names against a daemon too')
     .example('rules check rules.txt')
-    .action((file: string, options: CommonOptions) => {
-      checkRules(file, options);
-    });
+    .action((file: string, options: CheckOptions) =>
+      checkRules(() => connect(options), file, options),
+    );
   program
-    .command('rules apply <file>')
-    .describe('Put a rule file in force; asks before it removes lines.')
-    .example('rules apply rules.txt --yes')
-    .action((file: string, options: CommonOptions) =>
-      applyRules(connect(options), file, options),
+    .command('rules explain')
+    .describe('Show which line a request takes; exit 1 where none does.')
+    .option('--workspace', 'Workspace of the request')
+    .option('--kind', 'Kind of the request')
+    .example('rules explain --workspace northside --kind lookup')
+    .action((options: ExplainOptions) =>
+      explainRule(connect(options), options),
     );
+  program
+    .command('rules history')
+    .describe('Show who changed which lines at which revision.')
+    .action((options: CommonOptions) => showHistory(connect(options), options));
+  program
+    .command('rules apply <file>')
+    .describe('Merge a rule file into the rules; asks before it removes lines.')
+    .option('--wait', 'Wait until every live daemon reports the revision')
+    .option('--wait-seconds', 'Longest wait in seconds', 30)
+    .example('rules apply rules.txt --wait')
+    .action(async (file: string, options: WaitOptions) => {
+      const client = connect(options);
+      const revision = await applyRules(client, file, options);
+      if (options.wait === true) {
+        await waitForRevision(client, revision, options);
+      }
+    });
 }
 
 function addStateCommands(program: sade.Sade): void {
--- a/packages/core/src/rules/parse-rules.test.ts
+++ b/packages/core/src/rules/parse-rules.test.ts
@@ -5,6 +5,7 @@
 import { matchRule } from './match-rule.js';
 import { parseRules } from './parse-rules.js';
 import { RepeatPolicy } from './rule.js';
+import { encodeRuleDocument } from './rule-document.js';
 import { RuleStore } from './rule-store.js';
 
 const TEXT = [
@@ -32,6 +33,7 @@
     assert.deepEqual(
       faults.map(fault => [fault.line, fault.column]),
       [
+        [1, 23],
         [1, 10],
         [2, 11],
         [2, 1],
@@ -45,11 +47,22 @@
 describe('RuleStore', () => {
   it('takes only a newer revision', () => {
     const store = new RuleStore();
-    const entry = { key: 'rules/current', value: TEXT, version: 4 };
+    const value = encodeRuleDocument({ text: TEXT, recentEdits: [] });
+    const entry = { key: 'rules/current', value, version: 4 };
     assert.equal(store.apply(entry), true);
-    assert.equal(store.apply({ ...entry, value: '', version: 3 }), false);
-    assert.equal(store.apply({ ...entry, value: '', version: 4 }), false);
+    const other = encodeRuleDocument({ text: '', recentEdits: [] });
+    assert.equal(store.apply({ ...entry, value: other, version: 3 }), false);
+    assert.equal(store.apply({ ...entry, value: other, version: 4 }), false);
     assert.equal(store.text, TEXT);
     assert.equal(store.revision, 4);
   });
+
+  it('keeps the rules in force where a newer value is no document', () => {
+    const store = new RuleStore();
+    const value = encodeRuleDocument({ text: TEXT, recentEdits: [] });
+    store.apply({ key: 'rules/current', value, version: 1 });
+    const broken = { key: 'rules/current', value: '{', version: 2 };
+    assert.equal(store.apply(broken), false);
+    assert.equal(store.text, TEXT);
+  });
 });
--- a/packages/core/src/rules/parse-rules.ts
+++ b/packages/core/src/rules/parse-rules.ts
@@ -2,9 +2,11 @@
 
 import { Priority } from '../platform/index.js';
 import type { ParsedRules, Rule, RuleFault } from './rule.js';
-import { RepeatPolicy } from './rule.js';
+import { FaultSeverity, RepeatPolicy } from './rule.js';
 
 const DURATION_UNITS_MS = { ms: 1, s: 1_000, m: 60_000, h: 3_600_000 };
+/** Who asked, a comma, and why. */
+const REASON_PATTERN = /^[^,]*[^,\s][^,]*,.*\S/;
 const DURATION_PATTERN = /^(\d+)(ms|s|m|h)$/;
 
 const durationMs = z
@@ -19,7 +21,9 @@
 
 const fieldSchemas = {
   workspace: z.string().min(1),
-  kind: z.string().min(1),
+  kind: z
+    .string()
+    .regex(/^(\*|[a-z][a-z0-9-]*)$/, 'lower-case words joined by hyphens'),
   target: z.string().min(1),
   version: z.string().min(1),
   priority: z.enum(Priority),
@@ -60,12 +64,19 @@
     commentAt === -1 ? '' : content.slice(commentAt).trim().slice(1).trim();
   const body = commentAt === -1 ? content : content.slice(0, commentAt);
   const fail = (column: number, message: string, remedy: string) => {
-    faults.push({ line, column, text: content, message, remedy });
+    faults.push({
+      severity: FaultSeverity.Error,
+      line,
+      column,
+      text: content,
+      message,
+      remedy,
+    });
   };
-  if (reason === '') {
+  if (!REASON_PATTERN.test(reason)) {
     fail(
       body.trimEnd().length + 1,
-      'The line does not say who asked for it.',
+      'The line does not say who asked for it and why.',
       'End the line with "# who asked, why".',
     );
   }
--- a/packages/core/src/rules/rule-store.ts
+++ b/packages/core/src/rules/rule-store.ts
@@ -2,9 +2,7 @@
 import { matchRule } from './match-rule.js';
 import { parseRules } from './parse-rules.js';
 import type { Rule, RuleSubject } from './rule.js';
-
-/** Key of the rule file in the key-value service. */
-export const RULES_KEY = 'rules/current';
+import { decodeRuleDocument } from './rule-document.js';
 
 /** The rules in force in this process. Their revision only rises. */
 export class RuleStore {
@@ -20,11 +18,16 @@
     return this.currentText;
   }
 
-  /** Takes an entry read from the key-value service or from a peer; false where it is not newer. */
+  /**
+   * Takes an entry read from the key-value service or from a peer. False where
+   * it is not newer or holds no rule document; the rules in force then stay.
+   */
   apply(entry: KeyValueEntry): boolean {
     if (entry.version <= this.currentRevision) return false;
-    this.rules = parseRules(entry.value).rules;
-    this.currentText = entry.value;
+    const document = decodeRuleDocument(entry.value);
+    if (document === undefined) return false;
+    this.rules = parseRules(document.text).rules;
+    this.currentText = document.text;
     this.currentRevision = entry.version;
     return true;
   }
--- a/packages/core/src/rules/rule.ts
+++ b/packages/core/src/rules/rule.ts
@@ -32,8 +32,16 @@
   readonly reason: string;
 }
 
+export enum FaultSeverity {
+  /** The file cannot be put in force. */
+  Error = 'error',
+  /** The file can be put in force; the line probably is not what was meant. */
+  Warning = 'warning',
+}
+
 /** One fault of a rule file. Line and column count from 1. */
 export interface RuleFault {
+  readonly severity: FaultSeverity;
   readonly line: number;
   readonly column: number;
   readonly text: string;
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -9,7 +9,12 @@
 import type { Clock, StateSource } from '@skylarkreach/core/platform';
 import { LogPart, SeededRandom } from '@skylarkreach/core/platform';
 import { LeastInFlightRouter } from '@skylarkreach/core/routing';
-import { RuleStore } from '@skylarkreach/core/rules';
+import {
+  revisionMethod,
+  RevisionSurvey,
+  RuleEditor,
+  RuleStore,
+} from '@skylarkreach/core/rules';
 
 import {
   HttpClient,
@@ -104,7 +109,21 @@
       endpoints: parts.router.endpoints().length,
     }),
   });
-  addRuleCalls(operators, rules, keyValue, clock);
+  const peerServer = new PeerServer(credentials.peerSecret, metrics);
+  peerServer.handle(revisionMethod, () =>
+    Promise.resolve({ revision: rules.revision }),
+  );
+  const peer = new HttpPeer(http, credentials.peerSecret);
+  addRuleCalls(operators, {
+    rules,
+    clock,
+    editor: new RuleEditor(keyValue, clock),
+    survey: new RevisionSurvey(peer, () => []),
+    knownNames: () => ({
+      workspaces: credentials.workspaces.map(token => token.workspace),
+      groups: [...new Set(parts.router.endpoints().map(each => each.group))],
+    }),
+  });
   addMoveCalls(operators, keyValue, clock);
   const watch = new RuleWatch(keyValue, rules, clock);
   const poll = new EndpointPoll(cloud, parts.engine, parts.router, clock, log);
@@ -149,8 +168,8 @@
     prime: async () => {
       await Promise.allSettled([watch.readNow(), poll.readListing()]);
     },
-    peerServer: new PeerServer(credentials.peerSecret, metrics),
-    peer: new HttpPeer(http, credentials.peerSecret),
+    peerServer,
+    peer,
   };
 }
 
--- a/packages/stand-ins/src/deployment/local-deployment.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -13,7 +13,7 @@
   InstanceBilling,
   InstanceState,
 } from '@skylarkreach/core/platform';
-import { RULES_KEY } from '@skylarkreach/core/rules';
+import { encodeRuleDocument, RULES_KEY } from '@skylarkreach/core/rules';
 import type { BoundAddresses, Settings } from '@skylarkreach/daemon';
 import {
   Daemon,
@@ -152,7 +152,10 @@
     this.servers.push(keyValueServer, cloudServer);
     await this.store.put({
       key: RULES_KEY,
-      value: this.options.rules,
+      value: encodeRuleDocument({
+        text: this.options.rules,
+        recentEdits: [],
+      }),
       expectedVersion: 0,
       deadlineAtMs: this.clock.nowMs(),
     });
