--- /dev/null
+++ b/packages/measure/src/moves/index.ts
@@ -0,0 +1,1 @@
+export * from './moves-experiment.js';
--- /dev/null
+++ b/packages/measure/src/moves/moves-experiment.ts
@@ -0,0 +1,138 @@
+import { MoveState } from '@skylarkreach/core/moves';
+
+import type {
+  Experiment,
+  ExperimentOptions,
+  ExperimentReport,
+  ReportRow,
+  TargetResult,
+} from '../experiment/index.js';
+import { atLeast, atMost } from '../experiment/index.js';
+import { fixedStepSource, thresholdSource } from './baselines.js';
+import { BAD_CASES, MoveCase } from './fault-model.js';
+import type { MoveOutcome, ShareSourceFactory } from './simulate-move.js';
+import { controllerSource, simulateMove } from './simulate-move.js';
+
+const DEFAULT_MOVES = 200;
+const FULL_MOVES = 1_000;
+/** Baselines run this part of the moves. */
+const BASELINE_FRACTION = 0.25;
+const SEED_STRIDE = 1_000_003;
+
+/** Version moves of each kind, side by side with two baselines. */
+export const movesExperiment: Experiment = {
+  name: 'moves',
+  description: 'bad versions taken back, good ones done by the deadline',
+  run: options => Promise.resolve(runMoves(options)),
+};
+
+function runMoves(options: ExperimentOptions): ExperimentReport {
+  const moves = options.full ? FULL_MOVES : DEFAULT_MOVES;
+  const run = (createSource: ShareSourceFactory, count: number) =>
+    Object.values(MoveCase).flatMap((moveCase, caseIndex) =>
+      Array.from({ length: count }, (_, index) =>
+        simulateMove(
+          moveCase,
+          options.seed * SEED_STRIDE + caseIndex * FULL_MOVES + index,
+          createSource,
+        ),
+      ),
+    );
+  const baselineMoves = Math.ceil(moves * BASELINE_FRACTION);
+  const outcomes = run(controllerSource, moves);
+  return {
+    rows: [
+      ...rowsOf('evidence', outcomes),
+      ...rowsOf('fixed steps', run(fixedStepSource, baselineMoves)),
+      ...rowsOf('plain threshold', run(thresholdSource, baselineMoves)),
+    ],
+    targets: targetsOf(outcomes),
+  };
+}
+
+function rowsOf(way: string, outcomes: readonly MoveOutcome[]): ReportRow[] {
+  return Object.values(MoveCase).map(moveCase => {
+    const ofCase = outcomes.filter(each => each.moveCase === moveCase);
+    return {
+      way,
+      moveCase,
+      moves: ofCase.length,
+      takenBackPercent: percent(ofCase, isTakenBack),
+      donePercent: percent(ofCase, isDone),
+      badTrafficPercent: badTrafficPercent(ofCase),
+      worstBadTrafficPercent: Math.max(
+        ...ofCase.map(each => badTrafficPercent([each])),
+      ),
+      lateBadRequests: sum(ofCase, each => each.lateBadRequests),
+    };
+  });
+}
+
+function targetsOf(outcomes: readonly MoveOutcome[]): TargetResult[] {
+  const bad = outcomes.filter(each => BAD_CASES.includes(each.moveCase));
+  const good = outcomes.filter(each => each.moveCase === MoveCase.Good);
+  const incident = outcomes.filter(
+    each => each.moveCase === MoveCase.SharedIncident,
+  );
+  const takenBack = bad.filter(isTakenBack);
+  const doneInTime = percent(
+    good,
+    each => isDone(each) && !each.endedAfterDeadline,
+  );
+  const unclear = outcomes.filter(each => each.unreported || each.conflicting);
+  const firstShare = Math.max(
+    ...outcomes.map(each => each.firstStageShare * 100),
+  );
+  return [
+    atLeast('bad versions taken back', percent(bad, isTakenBack), 99, '%'),
+    atMost(
+      'requests served by a bad version',
+      badTrafficPercent(takenBack),
+      2,
+      '% of traffic',
+    ),
+    atMost(
+      'requests of a bad version over 5 s after the brake',
+      sum(takenBack, each => each.lateBadRequests),
+      0,
+      '',
+    ),
+    atLeast('good versions done by the deadline', doneInTime, 99, '%'),
+    atMost(
+      'shared incidents taken back',
+      percent(incident, isTakenBack),
+      5,
+      '%',
+    ),
+    atMost('endings unreported or conflicting', unclear.length, 0, ''),
+    atMost('share during the first stage', firstShare, 5, '%'),
+  ];
+}
+
+function isTakenBack(outcome: MoveOutcome): boolean {
+  return outcome.state === MoveState.TakenBack;
+}
+
+function isDone(outcome: MoveOutcome): boolean {
+  return outcome.state === MoveState.Done;
+}
+
+function percent(
+  outcomes: readonly MoveOutcome[],
+  matches: (outcome: MoveOutcome) => boolean,
+): number {
+  return (100 * outcomes.filter(matches).length) / Math.max(1, outcomes.length);
+}
+
+function badTrafficPercent(outcomes: readonly MoveOutcome[]): number {
+  const requests = sum(outcomes, each => each.requests);
+  const badRequests = sum(outcomes, each => each.badRequests);
+  return (100 * badRequests) / Math.max(1, requests);
+}
+
+function sum(
+  outcomes: readonly MoveOutcome[],
+  value: (outcome: MoveOutcome) => number,
+): number {
+  return outcomes.reduce((total, outcome) => total + value(outcome), 0);
+}
