Run version moves in the daemon and from the command line

Cause: the decisions of a move had no one to carry them out.

A runner reports evidence to two coordinators, renews the lease, writes by compare-and-swap and reads back whatever the answer was; brakes spread from peer to peer and are asked for at the start. Daemons that do not coordinate a move learn its record from a coordinator's answer, so that running moves cost the key-value service two readers each, not one a daemon.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,5 +1,11 @@
 import sade from 'sade';
 
+import {
+  showMoves,
+  startMove,
+  stopMove,
+  waitForMove,
+} from './move-commands.js';
 import { CliError, CliExitCode, OperatorClient } from './operator-client.js';
 import type { CommonOptions } from './output.js';
 import { printResult } from './output.js';
@@ -28,6 +34,7 @@
     .option('--yes', 'Answer yes to every question');
   addRuleCommands(program);
   addStateCommands(program);
+  addMoveCommands(program);
   // The library returns nothing where it has printed help or a usage error.
   const parsed = program.parse([...argv], { lazy: true }) as
     sade.LazyOutput | undefined;
@@ -101,13 +108,34 @@
       const dump = await client.callOk('GET', '/v1/dump');
       printResult(options, dump, JSON.stringify(dump, undefined, 2));
     });
+}
+
+function addMoveCommands(program: sade.Sade): void {
   program
-    .command('moves')
-    .describe('Show the version moves that are recorded.')
-    .action(async (options: CommonOptions) => {
-      const moves = await connect(options).callOk('GET', '/v1/moves');
-      printResult(options, moves, JSON.stringify(moves, undefined, 2));
-    });
+    .command('moves show', '', { alias: ['moves'], default: false })
+    .describe('Show the newest move of every group.')
+    .action((options: CommonOptions) => showMoves(connect(options), options));
+  program
+    .command('moves start <line>')
+    .describe('Start a move by its line.')
+    .example(
+      'moves start "group=ruling-model from=v1 to=v2 deadline=2030-01-31T09:30:00Z # operations, newer weights"',
+    )
+    .action((line: string, options: CommonOptions) =>
+      startMove(connect(options), line, options),
+    );
+  program
+    .command('moves stop <group>')
+    .describe('Take a running move back; asks first.')
+    .action((group: string, options: CommonOptions) =>
+      stopMove(connect(options), group, options),
+    );
+  program
+    .command('moves wait <group>')
+    .describe('Wait for the end: exit 0 done, 4 taken back.')
+    .action((group: string, options: CommonOptions) =>
+      waitForMove(connect(options), group, options),
+    );
 }
 
 /** A client of the daemon that the options or the environment name. */
--- /dev/null
+++ b/packages/core/src/moves/move-runner.test.ts
@@ -0,0 +1,203 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import {
+  Fault,
+  FaultyKeyValue,
+  MemoryKeyValue,
+  MemoryPeers,
+} from '../fakes/index.js';
+import type { DaemonIdentity } from '../platform/index.js';
+import { ManualClock, silentLog, silentMetrics } from '../platform/index.js';
+import type { MoveSpec } from './move.js';
+import { MoveState, TakeBackReason } from './move.js';
+import { MoveBoard } from './move-board.js';
+import { MoveLineError, parseMoveLine } from './move-line.js';
+import { MoveRunner } from './move-runner.js';
+import { MoveStarter, StartMoveOutcome } from './move-starter.js';
+import { brakesMethod, reportMethod } from './peer-methods.js';
+
+const TIMEOUT_MS = 1_000;
+const SPEC: MoveSpec = {
+  moveId: 'move-1',
+  group: 'model',
+  fromVersion: 'v1',
+  toVersion: 'v2',
+  kinds: ['lookup'],
+  cautiousKinds: [],
+  startedAtMs: 0,
+  deadlineAtMs: 120_000,
+  reason: 'operations, newer weights',
+};
+
+interface Member {
+  readonly board: MoveBoard;
+  readonly runner: MoveRunner;
+}
+
+/** Daemons over in-memory peers and one key-value service that can fail. */
+class Cluster {
+  readonly clock = new ManualClock();
+  readonly store = new MemoryKeyValue(this.clock);
+  fault = Fault.None;
+  readonly keyValue = new FaultyKeyValue(
+    this.store,
+    this.clock,
+    () => this.fault,
+  );
+  readonly peers = new MemoryPeers(this.clock);
+  readonly identities: DaemonIdentity[] = ['a', 'b', 'c'].map(id => ({
+    id,
+    dataCentre: 'north-1',
+    peerAddress: id,
+    callerUrl: `http://${id}`,
+  }));
+  readonly members: Member[] = this.identities.map(self => this.add(self));
+  readonly starter = new MoveStarter(this.keyValue, this.clock);
+
+  add(self: DaemonIdentity): Member {
+    const board = new MoveBoard(self.id);
+    const registry = this.peers.registry(self.peerAddress);
+    registry.handle(reportMethod, ({ recordVersion, report }) =>
+      Promise.resolve({
+        brake: board.onReport(report),
+        entry: board.entryAfter(report.group, recordVersion),
+      }),
+    );
+    registry.handle(brakesMethod, ({ brakes }) => {
+      for (const brake of brakes) board.onBrake(brake);
+      return Promise.resolve({ brakes: [...board.brakes()] });
+    });
+    const runner = new MoveRunner({
+      self,
+      board,
+      keyValue: this.keyValue,
+      peer: this.peers.peer(self.peerAddress),
+      clock: this.clock,
+      log: silentLog,
+      metrics: silentMetrics,
+      liveDaemons: () => this.identities,
+    });
+    return { board, runner };
+  }
+
+  start(spec: MoveSpec = SPEC) {
+    const deadlineAtMs = this.clock.nowMs() + TIMEOUT_MS;
+    return this.starter.start(spec, new Map(), deadlineAtMs);
+  }
+
+  /** Seconds in which every daemon serves requests and takes its part. */
+  async run(seconds: number, newFails: boolean): Promise<void> {
+    for (let second = 0; second < seconds; second += 1) {
+      await this.clock.advanceTo(this.clock.nowMs() + 1_000);
+      for (const { board, runner } of this.members) {
+        await runner.readRecords().catch(() => undefined);
+        serve(board, newFails);
+        await runner.step();
+      }
+    }
+  }
+
+  shares(): number[] {
+    const nowMs = this.clock.nowMs();
+    return this.members.map(
+      ({ board }) => board.find('model')?.share('lookup', nowMs) ?? 0,
+    );
+  }
+
+  states(): (MoveState | undefined)[] {
+    return this.members.map(({ board }) => board.find('model')?.record.state);
+  }
+}
+
+function serve(board: MoveBoard, newFails: boolean): void {
+  for (let request = 0; request < 30; request += 1) {
+    const isNew = request < 6;
+    board.recordResult({
+      group: 'model',
+      kind: 'lookup',
+      version: isNew ? 'v2' : 'v1',
+      failed: isNew && newFails,
+      firstTokenMs: 100,
+    });
+  }
+}
+
+describe('MoveRunner', () => {
+  it('finishes a good move and says so at every daemon', async () => {
+    const cluster = new Cluster();
+    await cluster.start();
+    await cluster.run(110, false);
+    assert.deepEqual(cluster.states(), Array(3).fill(MoveState.Done));
+  });
+
+  it('takes a failing version back at every daemon while the key-value service is down', async () => {
+    const cluster = new Cluster();
+    await cluster.start();
+    await cluster.run(12, false);
+    assert.ok(cluster.shares().every(share => share > 0));
+    cluster.fault = Fault.Down;
+    await cluster.run(10, true);
+    assert.deepEqual(cluster.shares(), [0, 0, 0]);
+    assert.deepEqual(cluster.states(), Array(3).fill(MoveState.Running));
+    cluster.fault = Fault.None;
+    await cluster.run(6, true);
+    assert.deepEqual(cluster.states(), Array(3).fill(MoveState.TakenBack));
+  });
+
+  it('keeps the brake over a restart of the daemon that pulled it', async () => {
+    const cluster = new Cluster();
+    await cluster.start();
+    await cluster.run(12, false);
+    cluster.fault = Fault.Down;
+    const [first] = cluster.identities;
+    assert.ok(first);
+    cluster.members[0]?.board.find('model')?.stop(cluster.clock.nowMs());
+    await cluster.run(1, false);
+    const restarted = cluster.add(first);
+    await restarted.runner.learnBrakes();
+    assert.equal(restarted.board.brakes()[0]?.reason, TakeBackReason.Operator);
+  });
+
+  it('refuses a second move of the group and starts a repeat once', async () => {
+    const cluster = new Cluster();
+    cluster.fault = Fault.None;
+    const first = await cluster.start();
+    assert.equal(first.outcome, StartMoveOutcome.Started);
+    assert.equal(first.warnings.length, 1);
+    const repeat = await cluster.start();
+    assert.equal(repeat.outcome, StartMoveOutcome.Started);
+    const second = await cluster.start({ ...SPEC, moveId: 'move-2' });
+    assert.equal(second.outcome, StartMoveOutcome.GroupBusy);
+    const other = await cluster.start({
+      ...SPEC,
+      moveId: 'move-3',
+      group: 'other',
+    });
+    assert.equal(other.outcome, StartMoveOutcome.Started);
+    assert.equal((await cluster.store.get('moves/model'))?.version, 1);
+  });
+
+  it('starts nothing while the key-value service is down', async () => {
+    const cluster = new Cluster();
+    cluster.fault = Fault.Down;
+    const result = await cluster.start();
+    assert.equal(result.outcome, StartMoveOutcome.Unavailable);
+  });
+});
+
+describe('parseMoveLine', () => {
+  it('reads a line and names what is missing', () => {
+    const line =
+      'group=model from=v1 to=v2 kinds=lookup,posting deadline=2030-01-31T09:30:00Z # operations, newer weights';
+    const request = parseMoveLine(line);
+    assert.deepEqual(request.kinds, ['lookup', 'posting']);
+    assert.equal(request.reason, 'operations, newer weights');
+    const withoutReason = line.split(' #')[0] ?? '';
+    assert.throws(() => parseMoveLine(withoutReason), MoveLineError);
+    assert.throws(
+      () => parseMoveLine('group=model to=v2 # operations, why'),
+      /Field from is wrong/,
+    );
+  });
+});
--- /dev/null
+++ b/packages/core/src/moves/two-sample-test.test.ts
@@ -0,0 +1,72 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import type { Random } from '../platform/index.js';
+import { SeededRandom } from '../platform/index.js';
+import { TwoSampleTest } from './two-sample-test.js';
+
+const BLOCKS = 300;
+const NEW_COUNT = 4;
+const OLD_COUNT = 12;
+
+function events(count: number, rate: number, random: Random): number {
+  let total = 0;
+  for (let index = 0; index < count; index += 1) {
+    if (random.nextFloat() < rate) total += 1;
+  }
+  return total;
+}
+
+/** Largest evidence over a run whose rates may change with the block. */
+function largestEvidence(
+  seed: number,
+  rateAt: (block: number) => { newRate: number; oldRate: number },
+): number {
+  const random = new SeededRandom(seed);
+  const test = new TwoSampleTest(BLOCKS);
+  let largest = -Infinity;
+  for (let block = 0; block < BLOCKS; block += 1) {
+    const { newRate, oldRate } = rateAt(block);
+    test.add({
+      newCount: NEW_COUNT,
+      newEvents: events(NEW_COUNT, newRate, random),
+      oldCount: OLD_COUNT,
+      oldEvents: events(OLD_COUNT, oldRate, random),
+    });
+    largest = Math.max(largest, test.logEvidence);
+  }
+  return largest;
+}
+
+describe('TwoSampleTest', () => {
+  it('keeps its rate of false findings under continuous looks', () => {
+    const alpha = 0.05;
+    const runs = 400;
+    let falseFindings = 0;
+    for (let seed = 1; seed <= runs; seed += 1) {
+      // Both versions go through the same incident.
+      const evidence = largestEvidence(seed, block => {
+        const rate = block > 100 && block < 150 ? 0.5 : 0.02;
+        return { newRate: rate, oldRate: rate };
+      });
+      if (evidence >= Math.log(1 / alpha)) falseFindings += 1;
+    }
+    assert.ok(falseFindings <= runs * alpha, `${falseFindings} of ${runs}`);
+  });
+
+  it('finds a fault that begins late in every run', () => {
+    for (let seed = 1; seed <= 100; seed += 1) {
+      const evidence = largestEvidence(seed, block => ({
+        newRate: block > 250 ? 0.4 : 0.01,
+        oldRate: 0.01,
+      }));
+      assert.ok(evidence >= Math.log(1_000), `seed ${seed}: ${evidence}`);
+    }
+  });
+
+  it('learns nothing from a block that one version has no request in', () => {
+    const test = new TwoSampleTest(BLOCKS);
+    test.add({ newCount: 50, newEvents: 50, oldCount: 0, oldEvents: 0 });
+    assert.equal(test.logEvidence, -Infinity);
+  });
+});
--- a/packages/core/src/rules/rule-store.ts
+++ b/packages/core/src/rules/rule-store.ts
@@ -32,6 +32,11 @@
     return true;
   }
 
+  /** The rules in force, in the file's order. */
+  all(): readonly Rule[] {
+    return this.rules;
+  }
+
   match(subject: RuleSubject): Rule | undefined {
     return matchRule(this.rules, subject);
   }
--- /dev/null
+++ b/packages/daemon/src/moves/index.ts
@@ -0,0 +1,2 @@
+export * from './kind-rate-meter.js';
+export * from './move-wiring.js';
--- /dev/null
+++ b/packages/daemon/src/moves/move-wiring.ts
@@ -0,0 +1,107 @@
+import type { VersionPolicy } from '@skylarkreach/core/moves';
+import {
+  brakesMethod,
+  MoveBoard,
+  MoveRunner,
+  MoveStarter,
+  reportMethod,
+} from '@skylarkreach/core/moves';
+import type {
+  Clock,
+  DaemonIdentity,
+  KeyValue,
+  Log,
+  Metrics,
+  Peer,
+  PeerRegistry,
+  StateSource,
+} from '@skylarkreach/core/platform';
+import { LogPart } from '@skylarkreach/core/platform';
+import type { RuleStore } from '@skylarkreach/core/rules';
+
+import { Loop } from '../loops/index.js';
+import type { OperatorServer } from '../operators/index.js';
+import { addMoveCalls } from '../operators/index.js';
+import { KindRateMeter } from './kind-rate-meter.js';
+
+const STEP_INTERVAL_MS = 1_000;
+
+export interface MoveWiringParts {
+  readonly self: DaemonIdentity;
+  readonly clock: Clock;
+  readonly keyValue: KeyValue;
+  readonly peer: Peer;
+  readonly registry: PeerRegistry;
+  readonly operators: OperatorServer;
+  readonly rules: RuleStore;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Live daemons, this one included. */
+  readonly liveDaemons: () => readonly DaemonIdentity[];
+}
+
+/** Version moves of one daemon. */
+export interface MoveWiring {
+  readonly policy: VersionPolicy;
+  readonly board: MoveBoard;
+  readonly rates: KindRateMeter;
+  readonly loops: readonly Loop[];
+  readonly source: StateSource;
+  /** Reads the records and asks peers for brakes, as far as they answer. */
+  readonly prime: () => Promise<void>;
+}
+
+/** Builds a daemon's part in version moves. */
+export function wireMoves(parts: MoveWiringParts): MoveWiring {
+  const { clock, keyValue, liveDaemons, log, operators, registry } = parts;
+  const board = new MoveBoard(parts.self.id);
+  const runner = new MoveRunner({ ...parts, board });
+  const rates = new KindRateMeter(clock);
+  registry.handle(reportMethod, ({ recordVersion, report }) =>
+    Promise.resolve({
+      brake: board.onReport(report),
+      entry: board.entryAfter(report.group, recordVersion),
+    }),
+  );
+  registry.handle(brakesMethod, ({ brakes }) => {
+    for (const brake of brakes) board.onBrake(brake);
+    return Promise.resolve({ brakes: [...board.brakes()] });
+  });
+  addMoveCalls(operators, {
+    board,
+    clock,
+    rules: parts.rules,
+    starter: new MoveStarter(keyValue, clock),
+    kindRates: group => rates.ratesOf(group, liveDaemons().length),
+  });
+  const loop = (name: string, step: () => Promise<void>) =>
+    new Loop(
+      {
+        name,
+        part: LogPart.Moves,
+        nextAtMs: nowMs => nowMs + STEP_INTERVAL_MS,
+        step,
+      },
+      clock,
+      log,
+    );
+  return {
+    board,
+    rates,
+    policy: board,
+    loops: [
+      loop('move records', () => runner.readRecords()),
+      loop('moves', () => runner.step()),
+    ],
+    source: {
+      name: 'moves',
+      dumpState: () => ({
+        records: board.controllers().map(each => each.record),
+        brakes: board.brakes(),
+      }),
+    },
+    prime: async () => {
+      await Promise.allSettled([runner.readRecords(), runner.learnBrakes()]);
+    },
+  };
+}
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -6,7 +6,11 @@
   ServicePipeline,
   TokenDirectory,
 } from '@skylarkreach/core/pipeline';
-import type { Clock, StateSource } from '@skylarkreach/core/platform';
+import type {
+  Clock,
+  DaemonIdentity,
+  StateSource,
+} from '@skylarkreach/core/platform';
 import { LogPart, SeededRandom } from '@skylarkreach/core/platform';
 import { LeastInFlightRouter } from '@skylarkreach/core/routing';
 import {
@@ -25,11 +29,8 @@
 } from './adapters/index.js';
 import { CallerServer } from './callers/index.js';
 import { EndpointPoll, Loop, RuleWatch } from './loops/index.js';
-import {
-  addMoveCalls,
-  addRuleCalls,
-  OperatorServer,
-} from './operators/index.js';
+import { wireMoves } from './moves/index.js';
+import { addRuleCalls, OperatorServer } from './operators/index.js';
 import { HttpPeer, PeerServer } from './peers/index.js';
 import type { Settings } from './settings/index.js';
 import { createMetrics, PinoLog } from './telemetry/index.js';
@@ -124,10 +125,28 @@
       groups: [...new Set(parts.router.endpoints().map(each => each.group))],
     }),
   });
-  addMoveCalls(operators, keyValue, clock);
+  const self: DaemonIdentity = {
+    id: identity.daemonId,
+    dataCentre: identity.dataCentre,
+    peerAddress: settings.listen.peers,
+    callerUrl: settings.callerUrl ?? `http://${settings.listen.callers}`,
+  };
+  const moves = wireMoves({
+    self,
+    clock,
+    keyValue,
+    peer,
+    registry: peerServer,
+    operators,
+    rules,
+    log,
+    metrics,
+    liveDaemons: () => [self],
+  });
   const watch = new RuleWatch(keyValue, rules, clock);
   const poll = new EndpointPoll(cloud, parts.engine, parts.router, clock, log);
   const loops = [
+    ...moves.loops,
     new Loop(
       {
         name: 'rule watch',
@@ -166,7 +185,11 @@
     loops,
     http,
     prime: async () => {
-      await Promise.allSettled([watch.readNow(), poll.readListing()]);
+      await Promise.allSettled([
+        watch.readNow(),
+        poll.readListing(),
+        moves.prime(),
+      ]);
     },
     peerServer,
     peer,
