--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -126,7 +126,12 @@
   {
     files: ['scripts/**/*.mjs', 'eslint.config.mjs'],
     languageOptions: {
-      globals: { process: 'readonly', console: 'readonly', URL: 'readonly' },
+      globals: {
+        process: 'readonly',
+        console: 'readonly',
+        URL: 'readonly',
+        globalThis: 'readonly',
+      },
     },
   },
   ...packageRules,
--- a/packages/measure/src/experiment/experiment.ts
+++ b/packages/measure/src/experiment/experiment.ts
@@ -18,6 +18,8 @@
   readonly seed: number;
   /** Run at full size instead of the default one. */
   readonly full: boolean;
+  /** Compare the figures with the page that states them. */
+  readonly check: boolean;
   /** Further options by name, as given on the command line. */
   readonly extra: Readonly<Record<string, string | undefined>>;
 }
--- a/packages/measure/src/program.ts
+++ b/packages/measure/src/program.ts
@@ -12,6 +12,7 @@
 interface Flags {
   readonly seed: number;
   readonly full?: boolean;
+  readonly check?: boolean;
   readonly [name: string]: unknown;
 }
 
@@ -24,6 +25,7 @@
     .describe(`Runs an experiment: ${names}.`)
     .option('--seed', 'Seed of the run', DEFAULT_SEED)
     .option('--full', 'Run at full size')
+    .option('--check', 'Compare the figures with the page that states them')
     .action((name: string, flags: Flags) => runNamed(name, flags));
   const parsed = program.parse([...argv], { lazy: true }) as
     sade.LazyOutput | undefined;
@@ -67,6 +69,7 @@
   return {
     seed: flags.seed,
     full: flags.full === true,
+    check: flags.check === true,
     extra: Object.fromEntries(extra),
   };
 }
--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -1,9 +1,11 @@
 import type { Experiment } from './experiment/index.js';
 import { movesExperiment } from './moves/index.js';
 import { pathExperiment } from './path/index.js';
+import { slopesExperiment } from './slopes/index.js';
 
 /** Every experiment, by the name that the command line takes. */
 export const EXPERIMENTS: readonly Experiment[] = [
   pathExperiment,
   movesExperiment,
+  slopesExperiment,
 ];
--- /dev/null
+++ b/packages/measure/src/slopes/index.ts
@@ -0,0 +1,1 @@
+export * from './slopes-experiment.js';
--- /dev/null
+++ b/packages/measure/src/slopes/path-probes.ts
@@ -0,0 +1,167 @@
+import { Agent, request } from 'undici';
+
+import { CALLER_TOKEN, LocalDeployment } from '@skylarkreach/stand-ins';
+
+import type { Point } from './fit-line.js';
+import type { Probe } from './probe.js';
+
+const REQUEST_COUNTS = [200, 400, 600, 800];
+const STREAM_COUNTS = [20, 40, 60, 80];
+const WARM_UP = 100;
+const FAR_DEADLINE = '2100-01-01T00:00:00Z';
+const STEP_MS = 1;
+
+type Send = (agent: Agent, index: number) => Promise<number>;
+
+/** Processor time that the daemon adds to a plain-service call, over a direct one. */
+export const requestProbe: Probe = {
+  name: 'request',
+  unit: 'µs a request',
+  sizeName: 'requests',
+  run: () =>
+    withDeployment(async deployment => {
+      const direct = directService(deployment);
+      const through = throughService(deployment);
+      return addedMicros(REQUEST_COUNTS, direct, through);
+    }),
+};
+
+/** Processor time that the daemon adds to a streamed token, over a direct stream. */
+export const tokenProbe: Probe = {
+  name: 'token',
+  unit: 'µs a token',
+  sizeName: 'tokens',
+  run: () =>
+    withDeployment(async deployment => {
+      const direct = directStream(deployment);
+      const through = throughStream(deployment);
+      return addedMicros(STREAM_COUNTS, direct, through);
+    }),
+};
+
+async function withDeployment(
+  probe: (deployment: LocalDeployment) => Promise<readonly Point[]>,
+): Promise<readonly Point[]> {
+  const deployment = new LocalDeployment({
+    daemons: 1,
+    engines: 1,
+    engineOptions: { stepMs: STEP_MS },
+  });
+  await deployment.start();
+  try {
+    return await probe(deployment);
+  } finally {
+    await deployment.stop();
+  }
+}
+
+/** Added processor time by the units that the sends report: requests or tokens. */
+async function addedMicros(
+  counts: readonly number[],
+  direct: Send,
+  through: Send,
+): Promise<readonly Point[]> {
+  const agent = new Agent({ connections: 1 });
+  try {
+    await sendMany(agent, through, WARM_UP);
+    await sendMany(agent, direct, WARM_UP);
+    const points: Point[] = [];
+    for (const count of counts) {
+      const without = await sendMany(agent, direct, count);
+      const added = await sendMany(agent, through, count);
+      points.push({ x: added.units, y: added.cpuMicros - without.cpuMicros });
+    }
+    return points;
+  } finally {
+    await agent.destroy();
+  }
+}
+
+async function sendMany(agent: Agent, send: Send, count: number) {
+  const before = process.cpuUsage();
+  let units = 0;
+  for (let index = 0; index < count; index += 1) {
+    units += await send(agent, index);
+  }
+  const used = process.cpuUsage(before);
+  return { units, cpuMicros: used.user + used.system };
+}
+
+function directService(deployment: LocalDeployment): Send {
+  return async (dispatcher, index) => {
+    const { body } = await request(
+      `http://${deployment.serviceAddress}/history`,
+      { method: 'POST', dispatcher, reset: true, body: `{"index":${index}}` },
+    );
+    await body.dump();
+    return 1;
+  };
+}
+
+function throughService(deployment: LocalDeployment): Send {
+  const address = deployment.daemons[0]?.addresses.callers ?? '';
+  return async (dispatcher, index) => {
+    const { body } = await request(
+      `http://${address}/v1/services/ledger/history`,
+      {
+        method: 'POST',
+        dispatcher,
+        headers: { ...callerHeaders(), 'skylarkreach-kind': 'history' },
+        body: `{"index":${index}}`,
+      },
+    );
+    await body.dump();
+    return 1;
+  };
+}
+
+function directStream(deployment: LocalDeployment): Send {
+  const address = deployment.engines[0]?.address ?? '';
+  let stream = 0;
+  return async (dispatcher, index) => {
+    stream += 1;
+    const { body } = await request(`http://${address}/v1/streams`, {
+      method: 'POST',
+      dispatcher,
+      body: JSON.stringify({
+        streamId: `direct-${stream}`,
+        model: 'ruling-model',
+        messages: messagesOf(index),
+        maxTokens: 1_000,
+        sentText: '',
+        sentTokens: 0,
+        priority: 'standard',
+        deadlineAtMs: Date.parse(FAR_DEADLINE),
+      }),
+    });
+    return countTokens(await body.text(), /"totalTokens":(\d+)/);
+  };
+}
+
+function throughStream(deployment: LocalDeployment): Send {
+  const address = deployment.daemons[0]?.addresses.callers ?? '';
+  return async (dispatcher, index) => {
+    const { body } = await request(`http://${address}/v1/chat/completions`, {
+      method: 'POST',
+      dispatcher,
+      headers: callerHeaders(),
+      body: JSON.stringify({ messages: messagesOf(index), stream: true }),
+    });
+    return countTokens(await body.text(), /"completion_tokens":(\d+)/);
+  };
+}
+
+function callerHeaders(): Record<string, string> {
+  return {
+    authorization: `Bearer ${CALLER_TOKEN}`,
+    'skylarkreach-deadline': FAR_DEADLINE,
+  };
+}
+
+function messagesOf(index: number) {
+  return [{ role: 'user', content: `Which account takes entry ${index}?` }];
+}
+
+function countTokens(text: string, pattern: RegExp): number {
+  return Number(pattern.exec(text)?.[1] ?? 0);
+}
--- /dev/null
+++ b/packages/measure/src/slopes/rule-probes.ts
@@ -0,0 +1,96 @@
+import { Priority } from '@skylarkreach/core/platform';
+import {
+  encodeRuleDocument,
+  formatRule,
+  RepeatPolicy,
+  RULES_KEY,
+  RuleStore,
+} from '@skylarkreach/core/rules';
+
+import type { Probe } from './probe.js';
+import { heldBytes, stepMicros } from './probe.js';
+
+const RULE_COUNTS = [50, 200, 400, 800];
+const MATCH_REPEATS = 20_000;
+const APPLY_REPEATS = 40;
+
+/** Processor time of the match of one request, by rules; the last line matches. */
+export const ruleMatchProbe: Probe = {
+  name: 'rule match',
+  unit: 'µs a request a rule',
+  sizeName: 'rules',
+  run: () =>
+    Promise.resolve(
+      RULE_COUNTS.map(x => {
+        const store = storeOf(x);
+        const subject = { workspace: `workspace-${x - 1}`, kind: 'lookup' };
+        const y = stepMicros(() => store.match(subject), MATCH_REPEATS);
+        return { x, y };
+      }),
+    ),
+};
+
+/** Processor time of putting a changed file in force, by rules. */
+export const ruleChangeProbe: Probe = {
+  name: 'rule change',
+  unit: 'µs a change a rule',
+  sizeName: 'rules',
+  run: () =>
+    Promise.resolve(
+      RULE_COUNTS.map(x => {
+        const store = new RuleStore();
+        const value = documentOf(x);
+        let version = 0;
+        const apply = () => {
+          version += 1;
+          store.apply({ key: RULES_KEY, value, version });
+        };
+        return { x, y: stepMicros(apply, APPLY_REPEATS) };
+      }),
+    ),
+};
+
+/** Memory of the rules in force, by rules. */
+export const ruleMemoryProbe: Probe = {
+  name: 'rule memory',
+  unit: 'bytes a rule',
+  sizeName: 'rules',
+  run: () =>
+    Promise.resolve(
+      RULE_COUNTS.map(x => ({ x, y: heldBytes(() => storeOf(x)) })),
+    ),
+};
+
+/** Size of the stored rule document, by rules. */
+export const ruleSizeProbe: Probe = {
+  name: 'rule size',
+  unit: 'bytes a rule',
+  sizeName: 'rules',
+  run: () =>
+    Promise.resolve(
+      RULE_COUNTS.map(x => ({ x, y: Buffer.byteLength(documentOf(x)) })),
+    ),
+};
+
+function storeOf(rules: number): RuleStore {
+  const store = new RuleStore();
+  store.apply({ key: RULES_KEY, value: documentOf(rules), version: 1 });
+  return store;
+}
+
+function documentOf(rules: number): string {
+  const lines = Array.from({ length: rules }, (_, index) =>
+    formatRule({
+      line: index + 1,
+      workspace: `workspace-${index}`,
+      kind: 'lookup',
+      group: 'ruling-model',
+      priority: Priority.Lookup,
+      deadlineLimitMs: 5_000,
+      limits: { inFlight: 50 },
+      repeat: RepeatPolicy.Repeatable,
+      reason: 'front desk, callers wait on the phone',
+    }),
+  );
+  return encodeRuleDocument({ text: `${lines.join('\n')}\n`, recentEdits: [] });
+}
