--- /dev/null
+++ b/packages/core/src/membership/swim-membership.ts
@@ -0,0 +1,345 @@
+import type { DaemonIdentity, DataCentre, Random } from '../platform/index.js';
+import type { MembershipAction, ProbeThroughAction } from './actions.js';
+import { MembershipActionKind } from './actions.js';
+import type { CellView } from './cell-layout.js';
+import { viewCells } from './cell-layout.js';
+import type { Member } from './member-table.js';
+import { isLive, MemberTable } from './member-table.js';
+import type { Membership, MemberUpdate } from './membership.js';
+import { MemberState } from './membership.js';
+import { MAX_ROSTER } from './messages.js';
+import { UpdateQueue } from './update-queue.js';
+
+const PROBE_INTERVAL_MS = 1_000;
+const PROBE_TIMEOUT_MS = 400;
+const PROBE_THROUGH_TIMEOUT_MS = 800;
+const HELPERS = 3;
+const JOIN_INTERVAL_MS = 500;
+const JOIN_TIMEOUT_MS = 1_000;
+const JOIN_TARGETS = 3;
+const SUSPICION_MS = 3_000;
+/** Most steps by which a daemon whose own probes fail prolongs its suspicions. */
+const MAX_SELF_DOUBT = 4;
+/** A gap between two ticks that shows that this process was paused. */
+const PAUSE_MS = 2_000;
+const VIEW_INTERVAL_MS = 1_000;
+
+/**
+ * Membership by random probes, indirect probes and suspicion.
+ * Sources: SWIM (Das, Gupta and Motivala, 2002); Lifeguard (Dadgar, Phillips
+ * and Currey, 2017) for the longer suspicion of a daemon that is itself slow.
+ */
+export class SwimMembership implements Membership {
+  /** Suspicions that ended in death, by this daemon's own decision. */
+  deathsDecided = 0;
+  private readonly table: MemberTable;
+  private readonly updates = new UpdateQueue();
+  private view: CellView = { cell: [], contacts: [], holdsRelays: true };
+  private viewShape = -1;
+  private nextViewAtMs = 0;
+  private nextProbeAtMs: number;
+  private nextJoinAtMs: number;
+  private joined = false;
+  private probeOrder: string[] = [];
+  private lastTickAtMs: number;
+  private selfDoubt = 0;
+  private ownIncarnation: number;
+  private leaving = false;
+
+  /** The incarnation starts from the clock, so that a restart outranks its earlier life. */
+  constructor(
+    readonly self: DaemonIdentity,
+    private readonly random: Random,
+    nowMs: number,
+  ) {
+    this.table = new MemberTable(self.id);
+    this.ownIncarnation = Math.floor(nowMs);
+    this.lastTickAtMs = nowMs;
+    this.nextJoinAtMs = nowMs;
+    this.nextProbeAtMs = nowMs + random.nextInteger(PROBE_INTERVAL_MS);
+  }
+
+  get incarnation(): number {
+    return this.ownIncarnation;
+  }
+
+  live(): readonly DaemonIdentity[] {
+    return [...this.targets()].filter(isLive).map(each => each.identity);
+  }
+
+  peersOutside(dataCentre: DataCentre): readonly DaemonIdentity[] {
+    return this.live().filter(each => each.dataCentre !== dataCentre);
+  }
+
+  /** Some of the daemons to probe, whether heard of or only listed. */
+  listedPeers(count: number): readonly DaemonIdentity[] {
+    const known = [...this.targets()].map(each => each.identity);
+    return this.pick(known, count);
+  }
+
+  /** Live members of the own cell that are in the own data centre. */
+  cellPeers(): readonly DaemonIdentity[] {
+    const { dataCentre } = this.self;
+    return this.view.cell
+      .filter(member => this.isLiveNow(member))
+      .map(each => each.identity)
+      .filter(each => each.dataCentre === dataCentre);
+  }
+
+  /** Live daemons known outside the own cell or the own data centre. */
+  outsidePeers(): readonly DaemonIdentity[] {
+    const inside = new Set(this.cellPeers().map(each => each.id));
+    return this.live().filter(each => !inside.has(each.id));
+  }
+
+  get holdsRelays(): boolean {
+    return this.view.holdsRelays;
+  }
+
+  stateOf(id: string): MemberState | undefined {
+    return this.table.get(id)?.state;
+  }
+
+  /** Takes the platform's list. It only adds daemons to probe. */
+  applyListing(daemons: readonly DaemonIdentity[], nowMs: number): void {
+    this.table.applyListing(daemons);
+    this.refreshView(nowMs);
+  }
+
+  /** Decides what to send now. Called a few times a second. */
+  tick(nowMs: number): readonly MembershipAction[] {
+    this.notePause(nowMs);
+    this.endSuspicions(nowMs);
+    this.table.forgetEnded(nowMs);
+    if (nowMs >= this.nextViewAtMs) this.refreshView(nowMs);
+    return [...this.joinActions(nowMs), ...this.probeActions(nowMs)];
+  }
+
+  /** News for an outgoing message; a suspect or dead receiver is told, so that it can refute. */
+  updatesFor(receiverId: string): MemberUpdate[] {
+    const updates = this.updates.take(this.view.cell.length);
+    const receiver = this.table.get(receiverId);
+    const isAccused =
+      receiver !== undefined &&
+      (receiver.state === MemberState.Suspect ||
+        receiver.state === MemberState.Dead);
+    if (!isAccused) return updates;
+    const accusation = updateOf(receiver);
+    const others = updates.filter(update => update.id !== receiverId);
+    return [accusation, ...others.slice(0, -1)];
+  }
+
+  /** Takes a message that shows its sender to be alive. */
+  heardFrom(
+    from: DaemonIdentity,
+    incarnation: number,
+    updates: readonly MemberUpdate[],
+    nowMs: number,
+  ): void {
+    const alive = {
+      id: from.id,
+      state: MemberState.Alive,
+      incarnation,
+      identity: from,
+    };
+    for (const update of [alive, ...updates]) this.learn(update, nowMs);
+  }
+
+  /** Takes the answer to a probe or to a join. */
+  answered(
+    target: DaemonIdentity,
+    incarnation: number,
+    updates: readonly MemberUpdate[],
+    nowMs: number,
+  ): void {
+    this.selfDoubt = Math.max(0, this.selfDoubt - 1);
+    this.heardFrom(target, incarnation, updates, nowMs);
+  }
+
+  /** Takes a join's answer. */
+  takeRoster(roster: readonly MemberUpdate[], nowMs: number): void {
+    this.joined = true;
+    for (const update of roster) this.learn(update, nowMs);
+    this.refreshView(nowMs);
+  }
+
+  /** Members for a daemon that joins. */
+  roster(): MemberUpdate[] {
+    const members = [...this.targets()].filter(isLive).map(updateOf);
+    return [this.ownUpdate(MemberState.Alive), ...members].slice(0, MAX_ROSTER);
+  }
+
+  /** A direct probe failed: others are asked before the target is suspected. */
+  probeFailed(
+    target: DaemonIdentity,
+    nowMs: number,
+  ): ProbeThroughAction | undefined {
+    this.selfDoubt = Math.min(MAX_SELF_DOUBT, this.selfDoubt + 1);
+    const member = this.table.get(target.id);
+    if (member === undefined || !isLive(member)) return undefined;
+    const helpers = this.pick(
+      this.live().filter(each => each.id !== target.id),
+      HELPERS,
+    );
+    if (helpers.length === 0) {
+      this.suspect(target, nowMs);
+      return undefined;
+    }
+    return {
+      kind: MembershipActionKind.ProbeThrough,
+      target,
+      helpers,
+      deadlineAtMs: nowMs + PROBE_THROUGH_TIMEOUT_MS,
+    };
+  }
+
+  /** No helper reached the target either. */
+  suspect(target: DaemonIdentity, nowMs: number): void {
+    const member = this.table.get(target.id);
+    if (member?.state !== MemberState.Alive) return;
+    const { incarnation } = member;
+    const state = MemberState.Suspect;
+    this.learn({ id: target.id, state, incarnation }, nowMs);
+  }
+
+  /** News that this daemon stops, to be sent to the peers returned. */
+  leave(): { update: MemberUpdate; peers: readonly DaemonIdentity[] } {
+    this.leaving = true;
+    const update = this.ownUpdate(MemberState.Left);
+    return { update, peers: this.pick(this.live(), HELPERS) };
+  }
+
+  private learn(update: MemberUpdate, nowMs: number): void {
+    if (update.id === this.self.id) {
+      this.refute(update);
+      return;
+    }
+    if (!this.concerns(update)) return;
+    const untilMs = nowMs + SUSPICION_MS * (1 + this.selfDoubt / 2);
+    const shapeBefore = this.table.shapeVersion;
+    if (!this.table.apply(update, untilMs, nowMs)) return;
+    const member = this.table.get(update.id);
+    if (member !== undefined) this.updates.add(updateOf(member));
+    const isSmall = this.view.contacts.length === 0;
+    if (isSmall && this.table.shapeVersion !== shapeBefore) {
+      this.refreshView(nowMs);
+    }
+  }
+
+  /** News about far cells is left to those cells; their contacts are probed here. */
+  private concerns(update: MemberUpdate): boolean {
+    if (this.view.contacts.length === 0) return true;
+    const identity = update.identity ?? this.table.get(update.id)?.identity;
+    return (
+      identity?.dataCentre === this.self.dataCentre ||
+      this.view.contacts.some(each => each.identity.id === update.id)
+    );
+  }
+
+  private refute(update: MemberUpdate): void {
+    const isAccused = update.state !== MemberState.Alive && !this.leaving;
+    if (!isAccused || update.incarnation < this.ownIncarnation) return;
+    this.ownIncarnation = update.incarnation + 1;
+    this.updates.add(this.ownUpdate(MemberState.Alive));
+  }
+
+  private ownUpdate(state: MemberState): MemberUpdate {
+    const { ownIncarnation, self } = this;
+    return {
+      id: self.id,
+      state,
+      incarnation: ownIncarnation,
+      identity: state === MemberState.Alive ? self : undefined,
+    };
+  }
+
+  /** After a pause of this process no deadline of another may count against it. */
+  private notePause(nowMs: number): void {
+    if (nowMs - this.lastTickAtMs > PAUSE_MS) {
+      this.table.extendSuspicions(nowMs + SUSPICION_MS);
+    }
+    this.lastTickAtMs = nowMs;
+  }
+
+  private endSuspicions(nowMs: number): void {
+    for (const { identity, incarnation } of this.table.overdueSuspects(nowMs)) {
+      this.deathsDecided += 1;
+      const state = MemberState.Dead;
+      this.learn({ id: identity.id, state, incarnation }, nowMs);
+    }
+  }
+
+  private joinActions(nowMs: number): readonly MembershipAction[] {
+    if (this.joined || nowMs < this.nextJoinAtMs) return [];
+    this.nextJoinAtMs = nowMs + JOIN_INTERVAL_MS;
+    return this.listedPeers(JOIN_TARGETS).map(target => ({
+      kind: MembershipActionKind.Join,
+      target,
+      deadlineAtMs: nowMs + JOIN_TIMEOUT_MS,
+    }));
+  }
+
+  private probeActions(nowMs: number): readonly MembershipAction[] {
+    if (nowMs < this.nextProbeAtMs) return [];
+    this.nextProbeAtMs = nowMs + PROBE_INTERVAL_MS;
+    const target = this.nextTarget();
+    if (target === undefined) return [];
+    return [
+      {
+        kind: MembershipActionKind.Probe,
+        target,
+        updates: this.updatesFor(target.id),
+        deadlineAtMs: nowMs + PROBE_TIMEOUT_MS,
+      },
+    ];
+  }
+
+  /** Goes round the targets in an order that is drawn anew for each round. */
+  private nextTarget(): DaemonIdentity | undefined {
+    if (this.probeOrder.length === 0) {
+      const ids = [...this.targets()].map(each => each.identity.id);
+      this.probeOrder = this.pick(ids, ids.length);
+    }
+    const id = this.probeOrder.pop();
+    return id === undefined ? undefined : this.table.get(id)?.identity;
+  }
+
+  private *targets(): Iterable<Member> {
+    for (const { identity } of [...this.view.cell, ...this.view.contacts]) {
+      const member = this.table.get(identity.id);
+      if (member !== undefined) yield member;
+    }
+  }
+
+  private isLiveNow(member: Member): boolean {
+    const current = this.table.get(member.identity.id);
+    return current !== undefined && isLive(current);
+  }
+
+  private refreshView(nowMs: number): void {
+    this.nextViewAtMs = nowMs + VIEW_INTERVAL_MS;
+    if (this.viewShape === this.table.shapeVersion) return;
+    this.viewShape = this.table.shapeVersion;
+    this.view = viewCells(this.self, this.table.all());
+  }
+
+  private pick<T>(from: readonly T[], count: number): T[] {
+    const rest = [...from];
+    const picked: T[] = [];
+    while (picked.length < count && rest.length > 0) {
+      const index = this.random.nextInteger(rest.length);
+      picked.push(...rest.splice(index, 1));
+    }
+    return picked;
+  }
+}
+
+function updateOf(member: Member): MemberUpdate {
+  const { identity, incarnation, state } = member;
+  return {
+    id: identity.id,
+    state,
+    incarnation,
+    identity: state === MemberState.Alive ? identity : undefined,
+  };
+}
--- a/packages/core/src/platform/cloud.ts
+++ b/packages/core/src/platform/cloud.ts
@@ -1,4 +1,4 @@
-import type { DataCentre, Endpoint } from './topology.js';
+import type { DaemonIdentity, DataCentre, Endpoint } from './topology.js';
 
 export enum InstanceBilling {
   Reclaimable = 'reclaimable',
@@ -60,6 +60,8 @@
   readonly asOfMs: number;
   readonly instances: readonly Instance[];
   readonly endpoints: readonly Endpoint[];
+  /** Daemons of the system; absent where the platform does not list them. */
+  readonly daemons?: readonly DaemonIdentity[] | undefined;
 }
 
 /** The platform's cloud API. */
--- a/packages/daemon/src/adapters/http-client.ts
+++ b/packages/daemon/src/adapters/http-client.ts
@@ -49,16 +49,20 @@
     pipelining: 0,
   });
 
+  private readonly waiting = new Set<AbortController>();
+
   constructor(private readonly clock: Clock) {}
 
   /** Sends the call and returns the response, whatever its status. */
   async send(call: HttpCall): Promise<HttpResponse> {
     const remainingMs = call.deadlineAtMs - this.clock.nowMs();
     const timeout = AbortSignal.timeout(Math.max(remainingMs, MIN_TIMEOUT_MS));
-    const signal =
-      call.signal === undefined
-        ? timeout
-        : AbortSignal.any([timeout, call.signal]);
+    const closing = new AbortController();
+    const signals = [timeout, closing.signal];
+    const signal = AbortSignal.any(
+      call.signal === undefined ? signals : [...signals, call.signal],
+    );
+    this.waiting.add(closing);
     try {
       return await request(`http://${call.address}${call.path}`, {
         method: call.method,
@@ -69,6 +73,8 @@
       });
     } catch (error) {
       throw toPlatformError(call.address, error);
+    } finally {
+      this.waiting.delete(closing);
     }
   }
 
@@ -86,7 +92,9 @@
     }
   }
 
+  /** Ends every call; an agent by itself leaves calls on fresh connections waiting. */
   async close(): Promise<void> {
+    for (const closing of this.waiting) closing.abort();
     await Promise.all([this.shared.destroy(), this.fresh.destroy()]);
   }
 }
--- a/packages/daemon/src/adapters/http-cloud.ts
+++ b/packages/daemon/src/adapters/http-cloud.ts
@@ -41,6 +41,16 @@
       stage: z.enum(EndpointStage),
     }),
   ),
+  daemons: z
+    .array(
+      z.object({
+        id: z.string(),
+        dataCentre: z.string(),
+        peerAddress: z.string(),
+        callerUrl: z.string(),
+      }),
+    )
+    .optional(),
 });
 const pricesSchema = z.object({
   prices: z.array(
--- a/packages/daemon/src/adapters/http-key-value.ts
+++ b/packages/daemon/src/adapters/http-key-value.ts
@@ -22,7 +22,7 @@
 import type { HttpCall, HttpClient } from './http-client.js';
 
 /** Time after its deadline that a watch's answer may take to arrive. */
-const WATCH_MARGIN_MS = 2_000;
+const WATCH_MARGIN_MS = 500;
 
 const entrySchema = z.object({
   key: z.string(),
@@ -97,6 +97,8 @@
       path: '/v1/watch',
       body: JSON.stringify(request),
       deadlineAtMs: request.deadlineAtMs + WATCH_MARGIN_MS,
+      // A connection that has gone silent must not carry the next watch.
+      freshConnection: true,
     });
     return watchSchema.parse(answer);
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -62,6 +62,8 @@
       this.listeners[1].listen(),
       this.listeners[2].listen(),
     ]);
+    this.wiring.identity.bind(callers, peers);
+    this.wiring.peerServer.acceptCallsTo(peers);
     await this.wiring.prime();
     for (const loop of this.wiring.loops) loop.start();
     this.ready = true;
@@ -74,6 +76,7 @@
   /** Stops gracefully: takes no new work and ends once the work in flight has ended. */
   async stop(): Promise<void> {
     this.ready = false;
+    await this.wiring.membership.leave();
     await this.listeners[0].close();
     await Promise.all(this.listeners.slice(1).map(each => each.close()));
     await this.stopLoops();
--- /dev/null
+++ b/packages/daemon/src/membership/membership-methods.ts
@@ -0,0 +1,45 @@
+import {
+  joinMethod,
+  probeMethod,
+  probeThroughMethod,
+  pullMethod,
+  pushMethod,
+  relayHeartbeatMethod,
+} from '@skylarkreach/core/membership';
+import type { PeerRegistry } from '@skylarkreach/core/platform';
+
+import type {
+  MembershipCallParts,
+  MembershipCalls,
+} from './membership-calls.js';
+
+/** Registers the methods of membership and spreading that other daemons call. */
+export function addMembershipMethods(
+  registry: PeerRegistry,
+  parts: MembershipCallParts,
+  calls: MembershipCalls,
+): void {
+  const { clock, spreader, store, swim } = parts;
+
+  registry.handle(probeMethod, message => {
+    const { digest, from, incarnation, updates } = message;
+    swim.heardFrom(from, incarnation, updates, clock.nowMs());
+    void spreader.fetchMissing(from, digest);
+    return Promise.resolve(calls.probeAnswer(from.id));
+  });
+  registry.handle(probeThroughMethod, ({ deadlineAtMs, target }) =>
+    calls.reach(target.peerAddress, deadlineAtMs),
+  );
+  registry.handle(joinMethod, ({ from, incarnation }) => {
+    const roster = swim.roster();
+    swim.heardFrom(from, incarnation, [], clock.nowMs());
+    return Promise.resolve({ roster, digest: calls.digest() });
+  });
+  registry.handle(relayHeartbeatMethod, () => Promise.resolve({}));
+  registry.handle(pushMethod, message =>
+    Promise.resolve(spreader.receive(message)),
+  );
+  registry.handle(pullMethod, ({ digest }) =>
+    Promise.resolve({ patches: [...store.newerThan(digest)] }),
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/membership/spreader.ts
@@ -0,0 +1,204 @@
+import type {
+  KeyVersion,
+  PushMessage,
+  SpreadPatch,
+  SpreadStore,
+  SpreadValue,
+  SwimMembership,
+  TreeBranch,
+} from '@skylarkreach/core/membership';
+import {
+  PatchOutcome,
+  pullMethod,
+  pushMethod,
+  SpreadTree,
+} from '@skylarkreach/core/membership';
+import type {
+  Clock,
+  DaemonIdentity,
+  Peer,
+  Random,
+} from '@skylarkreach/core/platform';
+import { PlatformError } from '@skylarkreach/core/platform';
+
+const PUSH_TIMEOUT_MS = 500;
+const PULL_TIMEOUT_MS = 1_000;
+/** Daemons of each other data centre that are told of a value accepted here. */
+const ENTRIES_PER_DATA_CENTRE = 2;
+/** Daemons of other data centres that a relay tells of a value it watched. */
+const RELAY_ENTRIES = 2;
+
+/** Hands new values to other daemons along trees, and fetches those that are missing here. */
+export class Spreader {
+  /** Values that arrived from a peer in a version older than the one held. */
+  staleReceived = 0;
+
+  constructor(
+    private readonly store: SpreadStore,
+    private readonly membership: SwimMembership,
+    private readonly peer: Peer,
+    private readonly clock: Clock,
+    private readonly random: Random,
+  ) {}
+
+  /** Takes a value accepted by this daemon and tells every data centre. */
+  async publish(value: SpreadValue): Promise<void> {
+    if (!this.store.take(value)) return;
+    const entries = this.entriesByDataCentre();
+    await this.sendInto([value.key], entries);
+  }
+
+  /** Takes a value that this daemon, as a relay, has read from the key-value service. */
+  async publishWatched(value: SpreadValue): Promise<void> {
+    if (!this.store.take(value)) return;
+    const others = this.membership.peersOutside(this.dataCentre);
+    const entries = [
+      ...this.ownOtherCells(),
+      ...this.pick(others, RELAY_ENTRIES),
+    ];
+    await this.sendInto([value.key], entries);
+  }
+
+  /** Takes a push; the news goes on before the answer's sender is known to have it. */
+  receive(message: PushMessage): { wanted: string[] } {
+    const outcomes = message.patches.map(patch => ({
+      key: patch.key,
+      outcome: this.takePatch(patch),
+    }));
+    const keysWith = (wanted: PatchOutcome) =>
+      outcomes.filter(each => each.outcome === wanted).map(each => each.key);
+    const taken = keysWith(PatchOutcome.Taken);
+    if (taken.length > 0) {
+      void (message.entersCell
+        ? this.sendInto(taken, this.ownOtherCells())
+        : this.sendAlong(taken, this.tree().ownBranches()));
+    }
+    return { wanted: keysWith(PatchOutcome.Wanted) };
+  }
+
+  /** Fetches what a peer's digest shows to be newer there. False where the peer did not answer. */
+  async fetchMissing(
+    source: DaemonIdentity,
+    digest: readonly KeyVersion[],
+  ): Promise<boolean> {
+    const missing = this.store.missingFrom(digest);
+    if (missing.length === 0) return true;
+    const deadlineAtMs = this.clock.nowMs() + PULL_TIMEOUT_MS;
+    try {
+      const answer = await this.peer.call(
+        source.peerAddress,
+        pullMethod,
+        { digest: [...missing] },
+        deadlineAtMs,
+      );
+      const taken = answer.patches.filter(
+        patch => this.takePatch(patch) === PatchOutcome.Taken,
+      );
+      const keys = taken.map(patch => patch.key);
+      void this.sendAlong(keys, this.tree().ownBranches());
+      return this.store.missingFrom(digest).length === 0;
+    } catch (error) {
+      if (error instanceof PlatformError) return false;
+      throw error;
+    }
+  }
+
+  private get dataCentre(): string {
+    return this.membership.self.dataCentre;
+  }
+
+  private takePatch(patch: SpreadPatch): PatchOutcome {
+    if (patch.version < this.store.version(patch.key)) this.staleReceived += 1;
+    return this.store.takePatch(patch);
+  }
+
+  private tree(): SpreadTree {
+    return new SpreadTree(this.membership.self, this.membership.cellPeers());
+  }
+
+  private async sendInto(
+    keys: readonly string[],
+    entries: readonly DaemonIdentity[],
+  ): Promise<void> {
+    await Promise.all([
+      this.sendAlong(keys, this.tree().rootBranches()),
+      ...entries.map(entry => this.push(entry, keys, true)),
+    ]);
+  }
+
+  private async sendAlong(
+    keys: readonly string[],
+    branches: readonly TreeBranch[],
+  ): Promise<void> {
+    if (keys.length === 0) return;
+    await Promise.all(branches.map(branch => this.sendBranch(keys, branch)));
+  }
+
+  private async sendBranch(
+    keys: readonly string[],
+    branch: TreeBranch,
+  ): Promise<void> {
+    if (await this.push(branch.child, keys, false)) return;
+    await Promise.all(branch.heirs.map(heir => this.push(heir, keys, false)));
+  }
+
+  /** True once the target holds the values. */
+  private async push(
+    target: DaemonIdentity,
+    keys: readonly string[],
+    entersCell: boolean,
+  ): Promise<boolean> {
+    const patches = keys.flatMap(key => this.store.patchOf(key) ?? []);
+    try {
+      const wanted = await this.sendPatches(target, patches, entersCell);
+      if (wanted.length === 0) return true;
+      const whole = wanted.flatMap(key => this.store.wholeOf(key) ?? []);
+      await this.sendPatches(target, whole, entersCell);
+      return true;
+    } catch (error) {
+      if (error instanceof PlatformError) return false;
+      throw error;
+    }
+  }
+
+  private async sendPatches(
+    target: DaemonIdentity,
+    patches: SpreadPatch[],
+    entersCell: boolean,
+  ): Promise<readonly string[]> {
+    const answer = await this.peer.call(
+      target.peerAddress,
+      pushMethod,
+      { patches, entersCell },
+      this.clock.nowMs() + PUSH_TIMEOUT_MS,
+    );
+    return answer.wanted;
+  }
+
+  /** Known daemons in other cells of the own data centre. */
+  private ownOtherCells(): readonly DaemonIdentity[] {
+    return this.membership
+      .outsidePeers()
+      .filter(each => each.dataCentre === this.dataCentre);
+  }
+
+  private entriesByDataCentre(): readonly DaemonIdentity[] {
+    const outside = this.membership.outsidePeers();
+    const dataCentres = new Set(outside.map(each => each.dataCentre));
+    return [...dataCentres].flatMap(dataCentre => {
+      const known = outside.filter(each => each.dataCentre === dataCentre);
+      return dataCentre === this.dataCentre
+        ? known
+        : this.pick(known, ENTRIES_PER_DATA_CENTRE);
+    });
+  }
+
+  private pick(
+    from: readonly DaemonIdentity[],
+    count: number,
+  ): readonly DaemonIdentity[] {
+    if (from.length <= count) return from;
+    const start = this.random.nextInteger(from.length);
+    return [...from.slice(start), ...from.slice(0, start)].slice(0, count);
+  }
+}
--- a/packages/daemon/src/peers/http-peer.ts
+++ b/packages/daemon/src/peers/http-peer.ts
@@ -1,10 +1,19 @@
 import { createJSONRPCRequest } from 'json-rpc-2.0';
 import { z } from 'zod';
 
-import type { Address, Peer, PeerMethod } from '@skylarkreach/core/platform';
+import type {
+  Address,
+  Clock,
+  Peer,
+  PeerMethod,
+} from '@skylarkreach/core/platform';
 import { PeerMessageError } from '@skylarkreach/core/platform';
 
 import type { HttpClient } from '../adapters/index.js';
+import { MessageSealer } from './message-seal.js';
+
+/** Most addresses whose next call dials anew. */
+const MAX_SUSPECTS = 4_096;
 
 const responseSchema = z.object({
   jsonrpc: z.literal('2.0'),
@@ -13,14 +22,19 @@
   error: z.object({ code: z.number(), message: z.string() }).optional(),
 });
 
-/** Calls other daemons by JSON-RPC 2.0 over HTTP. */
+/** Calls other daemons by JSON-RPC 2.0 over HTTP. After a failed call the next one dials anew. */
 export class HttpPeer implements Peer {
   private nextId = 1;
+  private readonly sealer: MessageSealer;
+  private readonly suspectAddresses = new Set<Address>();
 
   constructor(
     private readonly http: HttpClient,
-    private readonly peerSecret: string,
-  ) {}
+    peerSecret: string,
+    clock: Clock,
+  ) {
+    this.sealer = new MessageSealer(peerSecret, clock);
+  }
 
   async call<Params, Result>(
     address: Address,
@@ -30,16 +44,35 @@
   ): Promise<Result> {
     const id = this.nextId;
     this.nextId += 1;
-    const answer = await this.http.sendJson({
-      address,
-      method: 'POST',
-      path: '/rpc',
-      headers: { authorization: `Bearer ${this.peerSecret}` },
-      body: JSON.stringify(createJSONRPCRequest(id, method.name, params)),
-      deadlineAtMs,
-    });
+    const rpc = createJSONRPCRequest(id, method.name, params);
+    const answer = await this.send(address, JSON.stringify(rpc), deadlineAtMs);
     return readResult(address, method, id, answer);
   }
+
+  private async send(
+    address: Address,
+    body: string,
+    deadlineAtMs: number,
+  ): Promise<unknown> {
+    const wasSuspect = this.suspectAddresses.delete(address);
+    try {
+      return await this.http.sendJson({
+        address,
+        method: 'POST',
+        path: '/rpc',
+        headers: this.sealer.seal(address, body),
+        body,
+        deadlineAtMs,
+        freshConnection: wasSuspect,
+      });
+    } catch (error) {
+      if (this.suspectAddresses.size >= MAX_SUSPECTS) {
+        this.suspectAddresses.clear();
+      }
+      this.suspectAddresses.add(address);
+      throw error;
+    }
+  }
 }
 
 function readResult<Params, Result>(
--- a/packages/daemon/src/peers/index.ts
+++ b/packages/daemon/src/peers/index.ts
@@ -1,2 +1,3 @@
 export * from './http-peer.js';
+export * from './message-seal.js';
 export * from './peer-server.js';
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -19,7 +19,8 @@
   HttpService,
 } from './adapters/index.js';
 import { CallerServer } from './callers/index.js';
-import { EndpointPoll, Loop, RuleWatch } from './loops/index.js';
+import { EndpointPoll, Loop } from './loops/index.js';
+import { BoundIdentity, MembershipService } from './membership/index.js';
 import {
   addMoveCalls,
   addRuleCalls,
@@ -31,7 +32,6 @@
 
 const LISTING_INTERVAL_MS = 1_000;
 const LOAD_INTERVAL_MS = 500;
-const WATCH_RETRY_MS = 250;
 
 /** Everything that one daemon runs. */
 export interface Wiring {
@@ -41,6 +41,9 @@
   readonly peerServer: PeerServer;
   readonly peer: HttpPeer;
   readonly http: HttpClient;
+  readonly membership: MembershipService;
+  /** Identity of this daemon; its addresses are filled in once the servers are bound. */
+  readonly identity: BoundIdentity;
   readonly loops: readonly Loop[];
   /** Reads the rules and the platform's list once; a part that cannot be read is left to its loop. */
   readonly prime: () => Promise<void>;
@@ -91,34 +94,35 @@
     clock,
     log,
   });
+  const boundIdentity = new BoundIdentity(settings);
+  const peerServer = new PeerServer(credentials.peerSecret, metrics, clock);
+  const peer = new HttpPeer(http, credentials.peerSecret, clock);
+  const membership = new MembershipService(boundIdentity, {
+    ...parts,
+    cloud,
+    keyValue,
+    peer,
+    registry: peerServer,
+  });
   const operators = new OperatorServer({
     clock,
     keyValue,
     operators: credentials.operators,
-    sources: stateSources(parts),
+    sources: [...stateSources(parts), membership],
     status: () => ({
       daemonId: identity.daemonId,
       dataCentre: identity.dataCentre,
       ready: state.isReady(),
       ruleRevision: rules.revision,
       endpoints: parts.router.endpoints().length,
+      ...membership.status(),
     }),
   });
   addRuleCalls(operators, rules, keyValue, clock);
   addMoveCalls(operators, keyValue, clock);
-  const watch = new RuleWatch(keyValue, rules, clock);
   const poll = new EndpointPoll(cloud, parts.engine, parts.router, clock, log);
   const loops = [
-    new Loop(
-      {
-        name: 'rule watch',
-        part: LogPart.Rules,
-        nextAtMs: nowMs => nowMs + WATCH_RETRY_MS,
-        step: () => watch.step(),
-      },
-      clock,
-      log,
-    ),
+    ...membership.loops,
     new Loop(
       {
         name: 'listing',
@@ -147,10 +151,12 @@
     loops,
     http,
     prime: async () => {
-      await Promise.allSettled([watch.readNow(), poll.readListing()]);
+      await Promise.allSettled([membership.prime(), poll.readListing()]);
     },
-    peerServer: new PeerServer(credentials.peerSecret, metrics),
-    peer: new HttpPeer(http, credentials.peerSecret),
+    membership,
+    identity: boundIdentity,
+    peerServer,
+    peer,
   };
 }
 
--- a/packages/stand-ins/src/cloud/memory-cloud.ts
+++ b/packages/stand-ins/src/cloud/memory-cloud.ts
@@ -1,6 +1,7 @@
 import type {
   Clock,
   Cloud,
+  DaemonIdentity,
   Endpoint,
   FleetListing,
   Instance,
@@ -21,6 +22,7 @@
   refusesStarts = false;
   private readonly instances = new Map<string, Instance>();
   private readonly endpoints = new Map<string, Endpoint>();
+  private readonly daemons = new Map<string, DaemonIdentity>();
   private readonly notices = new Map<string, ReclaimNotice>();
   private readonly startedByToken = new Map<string, string>();
   private published: FleetListing;
@@ -46,6 +48,14 @@
     this.endpoints.delete(address);
   }
 
+  addDaemon(daemon: DaemonIdentity): void {
+    this.daemons.set(daemon.id, daemon);
+  }
+
+  removeDaemon(id: string): void {
+    this.daemons.delete(id);
+  }
+
   /** Announces that an instance is taken at `reclaimAtMs`. */
   announceReclaim(instanceId: string, reclaimAtMs: number): void {
     this.notices.set(instanceId, { instanceId, reclaimAtMs });
@@ -114,6 +124,7 @@
       asOfMs: this.clock.nowMs(),
       instances: [...this.instances.values()],
       endpoints: [...this.endpoints.values()],
+      daemons: [...this.daemons.values()],
     };
   }
 }
--- a/packages/stand-ins/src/deployment/local-deployment.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -119,6 +119,7 @@
     const id = `daemon-${this.daemons.length + 1}`;
     const daemon = new Daemon(this.daemonSettings(id, dataCentre));
     const addresses = await daemon.start();
+    this.cloud.addDaemon(daemon.wiring.identity);
     const running = { id, dataCentre, addresses, daemon };
     this.daemons.push(running);
     return running;
