--- a/packages/core/src/membership/swim-membership.ts
+++ b/packages/core/src/membership/swim-membership.ts
@@ -36,6 +36,7 @@
   private readonly updates = new UpdateQueue();
   private view: CellView = { cell: [], contacts: [], holdsRelays: true };
   private viewShape = -1;
+  private viewRefreshes = 0;
   private nextViewAtMs = 0;
   private nextProbeAtMs: number;
   private nextJoinAtMs: number;
@@ -92,6 +93,11 @@
     return this.live().filter(each => !inside.has(each.id));
   }
 
+  /** Number that rises whenever the live daemons or the cells may differ from before. */
+  get changes(): number {
+    return this.table.shapeVersion + this.viewRefreshes;
+  }
+
   get holdsRelays(): boolean {
     return this.view.holdsRelays;
   }
@@ -320,6 +326,7 @@
     this.nextViewAtMs = nowMs + VIEW_INTERVAL_MS;
     if (this.viewShape === this.table.shapeVersion) return;
     this.viewShape = this.table.shapeVersion;
+    this.viewRefreshes += 1;
     this.view = viewCells(this.self, this.table.all());
   }
 
--- a/packages/daemon/src/membership/membership-service.ts
+++ b/packages/daemon/src/membership/membership-service.ts
@@ -67,6 +67,7 @@
   private readonly watch: RuleWatch;
   private readonly seed: ListingSeed;
   private readonly calls: MembershipCalls;
+  private relayChanges = -1;
 
   /** `identity` names the daemon by the addresses that it is bound to. */
   constructor(
@@ -190,7 +191,7 @@
     const nowMs = this.parts.clock.nowMs();
     this.publishAcceptedRules();
     for (const action of this.swim.tick(nowMs)) this.calls.run(action);
-    this.relayRole.setCandidates(this.swim.cellPeers(), this.swim.holdsRelays);
+    this.updateRelayRole();
     for (const { target, deadlineAtMs } of this.relayRole.tick(nowMs)) {
       void this.calls.sendHeartbeat(target, deadlineAtMs);
     }
@@ -198,6 +199,13 @@
     return Promise.resolve();
   }
 
+  private updateRelayRole(): void {
+    const { changes, holdsRelays } = this.swim;
+    if (changes === this.relayChanges) return;
+    this.relayChanges = changes;
+    this.relayRole.setCandidates(this.swim.cellPeers(), holdsRelays);
+  }
+
   /** Spreads a revision that an operator's call put into the rules of this process. */
   private publishAcceptedRules(): void {
     const { revision, text } = this.parts.rules;
--- /dev/null
+++ b/packages/measure/src/config/index.ts
@@ -0,0 +1,3 @@
+export * from './config-experiment.js';
+export * from './counting-peer.js';
+export * from './simulated-fleet.js';
