Tell the members below a daemon that takes a value itself

Cause: a daemon in the middle of its cell's tree told the top of the tree, whose messages came back to it as known; the members below it then waited for a probe. A test over all origins of a cell of 40 showed it.

Conclusion: each member of the cell is reached once from any origin.

--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -35,6 +35,8 @@
  */
 export class MemberTable {
   private readonly members = new Map<string, Member>();
+  private readonly suspects = new Set<string>();
+  private readonly ended = new Set<string>();
   /** Rises whenever a member is added, ends or comes back. */
   private shape = 0;
 
@@ -83,29 +85,31 @@
 
   /** Moves the deadlines of all suspects to at least `untilMs`. */
   extendSuspicions(untilMs: number): void {
-    for (const [id, member] of this.members) {
-      if (member.state !== MemberState.Suspect) continue;
+    for (const member of this.membersOf(this.suspects)) {
       const suspectUntilMs = Math.max(member.suspectUntilMs, untilMs);
-      this.members.set(id, { ...member, suspectUntilMs });
+      this.members.set(member.identity.id, { ...member, suspectUntilMs });
     }
   }
 
   /** Suspects whose deadline has passed. */
   overdueSuspects(nowMs: number): readonly Member[] {
-    return [...this.members.values()].filter(
-      member =>
-        member.state === MemberState.Suspect && member.suspectUntilMs <= nowMs,
+    return this.membersOf(this.suspects).filter(
+      member => member.suspectUntilMs <= nowMs,
     );
   }
 
   forgetEnded(nowMs: number): void {
-    for (const [id, member] of this.members) {
-      if (hasEnded(member) && member.forgetAtMs <= nowMs) {
-        this.members.delete(id);
-      }
+    for (const { forgetAtMs, identity } of this.membersOf(this.ended)) {
+      if (forgetAtMs > nowMs) continue;
+      this.members.delete(identity.id);
+      this.ended.delete(identity.id);
     }
   }
 
+  private membersOf(ids: ReadonlySet<string>): readonly Member[] {
+    return [...ids].flatMap(id => this.members.get(id) ?? []);
+  }
+
   private store(
     identity: DaemonIdentity,
     state: MemberState,
@@ -124,6 +128,10 @@
       contactScore: before?.contactScore ?? rendezvousScore(this.selfId, id),
     };
     this.members.set(id, member);
+    this.suspects.delete(id);
+    this.ended.delete(id);
+    if (state === MemberState.Suspect) this.suspects.add(id);
+    if (hasEnded(member)) this.ended.add(id);
     const isSame =
       before !== undefined &&
       hasEnded(before) === hasEnded(member) &&
--- /dev/null
+++ b/packages/core/src/membership/relay-role.test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import type { DaemonIdentity } from '../platform/index.js';
+import { RelayRole, RELAYS_PER_DATA_CENTRE } from './relay-role.js';
+import { rankDaemons } from './rendezvous.js';
+import { SpreadTree } from './spread-tree.js';
+
+const DAEMONS: readonly DaemonIdentity[] = Array.from(
+  { length: 40 },
+  (_, index) => ({
+    id: `daemon-${index}`,
+    dataCentre: 'dc-0',
+    peerAddress: `10.0.0.1:${index}`,
+    callerUrl: '',
+  }),
+);
+
+function roleOf(self: DaemonIdentity): RelayRole {
+  const role = new RelayRole(self);
+  role.setCandidates(
+    DAEMONS.filter(each => each.id !== self.id),
+    true,
+  );
+  return role;
+}
+
+function standby(): DaemonIdentity {
+  const ranked = rankDaemons('relay/dc-0', DAEMONS);
+  const found = ranked[RELAYS_PER_DATA_CENTRE];
+  assert.ok(found);
+  return found;
+}
+
+describe('RelayRole', () => {
+  it('names the same few relays in every daemon', () => {
+    const acting = DAEMONS.filter(each => roleOf(each).isActing());
+    assert.equal(acting.length, RELAYS_PER_DATA_CENTRE);
+  });
+
+  it('lets a standby act within two seconds of a relay going silent', () => {
+    const role = roleOf(standby());
+    let failedAtMs = 0;
+    for (let nowMs = 0; nowMs <= 2_000 && !role.isActing(); nowMs += 250) {
+      const lost = role.tick(nowMs)[0];
+      failedAtMs = nowMs + 400;
+      if (lost !== undefined) role.failed(lost.target.id, failedAtMs);
+    }
+    assert.equal(role.isActing(), true);
+    assert.ok(failedAtMs <= 2_000);
+  });
+
+  it('lets the standby rest again once the relay answers', () => {
+    const role = roleOf(standby());
+    const relay = role.tick(0)[0]?.target;
+    assert.ok(relay);
+    role.failed(relay.id, 400);
+    assert.equal(role.isActing(), false);
+    role.failed(relay.id, 900);
+    assert.equal(role.isActing(), true);
+    role.answered(relay.id);
+    assert.equal(role.isActing(), false);
+  });
+});
+
+describe('SpreadTree', () => {
+  it('reaches every member of the cell once from any daemon', () => {
+    for (const origin of DAEMONS) {
+      const reached = new Map<string, number>();
+      const treeOf = (self: DaemonIdentity) =>
+        new SpreadTree(
+          self,
+          DAEMONS.filter(each => each.id !== self.id),
+        );
+      const visit = (daemon: DaemonIdentity) => {
+        reached.set(daemon.id, (reached.get(daemon.id) ?? 0) + 1);
+        if (daemon.id === origin.id) return;
+        for (const { child } of treeOf(daemon).ownBranches()) visit(child);
+      };
+      for (const { child } of treeOf(origin).rootBranches()) visit(child);
+      const others = DAEMONS.filter(each => each.id !== origin.id);
+      const missed = others.filter(each => reached.get(each.id) !== 1);
+      assert.deepEqual(
+        missed.map(each => each.id),
+        [],
+      );
+    }
+  });
+});
--- a/packages/core/src/membership/spread-tree.ts
+++ b/packages/core/src/membership/spread-tree.ts
@@ -26,25 +26,13 @@
 
   /** Children of this daemon's own place, for news that came along the tree. */
   ownBranches(): readonly TreeBranch[] {
-    return this.childrenOf(this.self);
+    return this.branches(this.childList(this.self));
   }
 
-  /** The top of the tree, for news that enters the cell here. */
+  /** The top of the tree and the own children, for news that enters the cell here. */
   rootBranches(): readonly TreeBranch[] {
     const roots = this.ranked.slice(0, FAN_OUT);
-    return [...this.branches(roots), ...this.branchesOfOwnRoot(roots)];
-  }
-
-  childrenOf(parent: DaemonIdentity): readonly TreeBranch[] {
-    return this.branches(this.childList(parent));
-  }
-
-  /** Where this daemon is a root itself, its own children are its task too. */
-  private branchesOfOwnRoot(
-    roots: readonly DaemonIdentity[],
-  ): readonly TreeBranch[] {
-    const isRoot = roots.some(root => root.id === this.self.id);
-    return isRoot ? this.ownBranches() : [];
+    return [...this.branches(roots), ...this.ownBranches()];
   }
 
   private branches(children: readonly DaemonIdentity[]): readonly TreeBranch[] {
--- a/packages/daemon/src/membership/membership-service.ts
+++ b/packages/daemon/src/membership/membership-service.ts
@@ -32,6 +32,7 @@
 import { Spreader } from './spreader.js';
 
 const TICK_MS = 250;
+const REPORT_INTERVAL_MS = 5_000;
 const PRIME_TARGETS = 3;
 
 export interface MembershipServiceParts {
@@ -68,6 +69,7 @@
   private readonly seed: ListingSeed;
   private readonly calls: MembershipCalls;
   private relayChanges = -1;
+  private nextReportAtMs = 0;
 
   /** `identity` names the daemon by the addresses that it is bound to. */
   constructor(
@@ -195,7 +197,7 @@
     for (const { target, deadlineAtMs } of this.relayRole.tick(nowMs)) {
       void this.calls.sendHeartbeat(target, deadlineAtMs);
     }
-    this.reportMetrics();
+    this.reportMetrics(nowMs);
     return Promise.resolve();
   }
 
@@ -213,7 +215,9 @@
     void this.publish({ key: RULES_KEY, version: revision, value: text });
   }
 
-  private reportMetrics(): void {
+  private reportMetrics(nowMs: number): void {
+    if (nowMs < this.nextReportAtMs) return;
+    this.nextReportAtMs = nowMs + REPORT_INTERVAL_MS;
     const { metrics } = this.parts;
     const status = this.status();
     metrics.gauge('membership.livePeers', status.livePeers);
--- a/packages/daemon/src/membership/spreader.ts
+++ b/packages/daemon/src/membership/spreader.ts
@@ -122,10 +122,18 @@
   ): Promise<void> {
     await Promise.all([
       this.sendAlong(keys, this.tree().rootBranches()),
-      ...entries.map(entry => this.push(entry, keys, true)),
+      ...entries.map(entry => this.pushEntry(entry, keys)),
     ]);
   }
 
+  private async pushEntry(
+    entry: DaemonIdentity,
+    keys: readonly string[],
+  ): Promise<void> {
+    if (await this.push(entry, keys, true)) return;
+    await this.push(entry, keys, true);
+  }
+
   private async sendAlong(
     keys: readonly string[],
     branches: readonly TreeBranch[],
@@ -139,7 +147,8 @@
     branch: TreeBranch,
   ): Promise<void> {
     if (await this.push(branch.child, keys, false)) return;
-    await Promise.all(branch.heirs.map(heir => this.push(heir, keys, false)));
+    const instead = [branch.child, ...branch.heirs];
+    await Promise.all(instead.map(each => this.push(each, keys, false)));
   }
 
   /** True once the target holds the values. */
