--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -6,11 +6,7 @@
   ServicePipeline,
   TokenDirectory,
 } from '@skylarkreach/core/pipeline';
-import type {
-  Clock,
-  DaemonIdentity,
-  StateSource,
-} from '@skylarkreach/core/platform';
+import type { Clock, StateSource } from '@skylarkreach/core/platform';
 import { LogPart, SeededRandom } from '@skylarkreach/core/platform';
 import { LeastInFlightRouter } from '@skylarkreach/core/routing';
 import {
@@ -28,7 +24,8 @@
   HttpService,
 } from './adapters/index.js';
 import { CallerServer } from './callers/index.js';
-import { EndpointPoll, Loop, RuleWatch } from './loops/index.js';
+import { EndpointPoll, Loop } from './loops/index.js';
+import { BoundIdentity, MembershipService } from './membership/index.js';
 import { wireMoves } from './moves/index.js';
 import { addRuleCalls, OperatorServer } from './operators/index.js';
 import { HttpPeer, PeerServer } from './peers/index.js';
@@ -37,7 +34,6 @@
 
 const LISTING_INTERVAL_MS = 1_000;
 const LOAD_INTERVAL_MS = 500;
-const WATCH_RETRY_MS = 250;
 
 /** Everything that one daemon runs. */
 export interface Wiring {
@@ -47,6 +43,9 @@
   readonly peerServer: PeerServer;
   readonly peer: HttpPeer;
   readonly http: HttpClient;
+  readonly membership: MembershipService;
+  /** Identity of this daemon; its addresses are filled in once the servers are bound. */
+  readonly identity: BoundIdentity;
   readonly loops: readonly Loop[];
   /** Reads the rules and the platform's list once; a part that cannot be read is left to its loop. */
   readonly prime: () => Promise<void>;
@@ -97,42 +96,46 @@
     clock,
     log,
   });
+  const boundIdentity = new BoundIdentity(settings);
+  const peerServer = new PeerServer(credentials.peerSecret, metrics, clock);
+  const peer = new HttpPeer(http, credentials.peerSecret, clock);
+  const membership = new MembershipService(boundIdentity, {
+    ...parts,
+    cloud,
+    keyValue,
+    peer,
+    registry: peerServer,
+  });
   const operators = new OperatorServer({
     clock,
     keyValue,
     operators: credentials.operators,
-    sources: stateSources(parts),
+    sources: [...stateSources(parts), membership],
     status: () => ({
       daemonId: identity.daemonId,
       dataCentre: identity.dataCentre,
       ready: state.isReady(),
       ruleRevision: rules.revision,
       endpoints: parts.router.endpoints().length,
+      ...membership.status(),
     }),
   });
-  const peerServer = new PeerServer(credentials.peerSecret, metrics);
   peerServer.handle(revisionMethod, () =>
     Promise.resolve({ revision: rules.revision }),
   );
-  const peer = new HttpPeer(http, credentials.peerSecret);
+  const liveDaemons = () => [boundIdentity, ...membership.live()];
   addRuleCalls(operators, {
     rules,
     clock,
     editor: new RuleEditor(keyValue, clock),
-    survey: new RevisionSurvey(peer, () => []),
+    survey: new RevisionSurvey(peer, liveDaemons),
     knownNames: () => ({
       workspaces: credentials.workspaces.map(token => token.workspace),
       groups: [...new Set(parts.router.endpoints().map(each => each.group))],
     }),
   });
-  const self: DaemonIdentity = {
-    id: identity.daemonId,
-    dataCentre: identity.dataCentre,
-    peerAddress: settings.listen.peers,
-    callerUrl: settings.callerUrl ?? `http://${settings.listen.callers}`,
-  };
   const moves = wireMoves({
-    self,
+    self: boundIdentity,
     clock,
     keyValue,
     peer,
@@ -141,22 +144,12 @@
     rules,
     log,
     metrics,
-    liveDaemons: () => [self],
+    liveDaemons,
   });
-  const watch = new RuleWatch(keyValue, rules, clock);
   const poll = new EndpointPoll(cloud, parts.engine, parts.router, clock, log);
   const loops = [
+    ...membership.loops,
     ...moves.loops,
-    new Loop(
-      {
-        name: 'rule watch',
-        part: LogPart.Rules,
-        nextAtMs: nowMs => nowMs + WATCH_RETRY_MS,
-        step: () => watch.step(),
-      },
-      clock,
-      log,
-    ),
     new Loop(
       {
         name: 'listing',
@@ -185,12 +178,11 @@
     loops,
     http,
     prime: async () => {
-      await Promise.allSettled([
-        watch.readNow(),
-        poll.readListing(),
-        moves.prime(),
-      ]);
+      await Promise.allSettled([membership.prime(), poll.readListing()]);
+      await moves.prime();
     },
+    membership,
+    identity: boundIdentity,
     peerServer,
     peer,
   };
--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -1,3 +1,4 @@
+import { configExperiment } from './config/index.js';
 import type { Experiment } from './experiment/index.js';
 import { movesExperiment } from './moves/index.js';
 import { pathExperiment } from './path/index.js';
@@ -8,4 +9,5 @@
   pathExperiment,
   movesExperiment,
   slopesExperiment,
+  configExperiment,
 ];
