Carry accepted answers over lost engines and daemons

Cause: an answer was lost once its first byte had passed and the engine or the daemon went away; a resend began from nothing.

The pipeline follows one answer over many connections; the daemon hands its requests off on its own reclaim notice.

Hand-off over real sockets is tested next.

--- a/packages/core/src/pipeline/request-error.ts
+++ b/packages/core/src/pipeline/request-error.ts
@@ -23,6 +23,11 @@
   OutcomeUnknown = 'outcomeUnknown',
   EndpointFailed = 'endpointFailed',
   CallerTooSlow = 'callerTooSlow',
+  /** A resume token is malformed, forged or of another request or workspace. */
+  ResumeRefused = 'resumeRefused',
+  ResumeExpired = 'resumeExpired',
+  /** What is needed to go on with a stream is gone. */
+  StreamLost = 'streamLost',
 }
 
 const HTTP_STATUS: Record<RequestErrorKind, number> = {
@@ -42,6 +47,9 @@
   [RequestErrorKind.OutcomeUnknown]: 502,
   [RequestErrorKind.EndpointFailed]: 502,
   [RequestErrorKind.CallerTooSlow]: 408,
+  [RequestErrorKind.ResumeRefused]: 403,
+  [RequestErrorKind.ResumeExpired]: 410,
+  [RequestErrorKind.StreamLost]: 409,
 };
 
 export interface RequestErrorDetails {
--- a/packages/core/src/pipeline/request.ts
+++ b/packages/core/src/pipeline/request.ts
@@ -1,5 +1,6 @@
 import type { ChatMessage, Workspace } from '../platform/index.js';
 import type { Rule } from '../rules/index.js';
+import type { ResumePoint } from '../streams/index.js';
 
 /** What a caller sent, once its form has been checked. */
 export interface CallerRequest {
@@ -12,10 +13,17 @@
   readonly idempotencyKey: string | undefined;
 }
 
+/** Part of an answer that a caller sends back, to go on after it. */
+export interface ReceivedAnswer {
+  readonly text: string;
+  readonly point: ResumePoint;
+}
+
 /** A chat completion. */
 export interface ModelCall extends CallerRequest {
   readonly messages: readonly ChatMessage[];
   readonly maxTokens: number;
+  readonly received?: ReceivedAnswer;
 }
 
 /** A call of a plain service. */
--- a/packages/daemon/src/adapters/http-engine.ts
+++ b/packages/daemon/src/adapters/http-engine.ts
@@ -86,6 +86,8 @@
       body: JSON.stringify(request),
       deadlineAtMs: request.deadlineAtMs,
       signal,
+      // An idle connection may have gone silent for good.
+      freshConnection: true,
     });
     yield* readEvents(address, response);
   }
--- a/packages/daemon/src/callers/caller-headers.ts
+++ b/packages/daemon/src/callers/caller-headers.ts
@@ -16,6 +16,7 @@
   Kind = 'skylarkreach-kind',
   RequestId = 'x-request-id',
   IdempotencyKey = 'idempotency-key',
+  LastEventId = 'last-event-id',
 }
 
 /** The caller's request id, or a new one where it sent none that can be used. */
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -1,18 +1,26 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type {
+  CallerRequest,
   ModelPipeline,
+  ReceivedAnswer,
+  ServiceCall,
   ServicePipeline,
+  TokenDirectory,
 } from '@skylarkreach/core/pipeline';
 import {
   notRun,
   RequestError,
   RequestErrorKind,
   RequestOutcome,
+  RunEnd,
+  workspaceOf,
 } from '@skylarkreach/core/pipeline';
-import type { Clock, Log } from '@skylarkreach/core/platform';
+import type { Clock, Log, ServiceResponse } from '@skylarkreach/core/platform';
 import { LogPart } from '@skylarkreach/core/platform';
+import type { ResumeTokens } from '@skylarkreach/core/streams';
 
+import type { OpenResponse, OpenResponses } from '../hand-off/index.js';
 import type { HttpExchange } from '../http/index.js';
 import {
   BodyError,
@@ -22,9 +30,11 @@
 } from '../http/index.js';
 import type { Settings } from '../settings/index.js';
 import { readCallerHeaders, requestIdOf } from './caller-headers.js';
+import type { ChatBody } from './chat-body.js';
 import { parseChatBody } from './chat-body.js';
 import { ChatHandler } from './chat-handler.js';
-import { sendProblem } from './problem.js';
+import { sendProblem, stopping } from './problem.js';
+import { RequestHandler } from './request-handler.js';
 
 export interface CallerServerParts {
   readonly models: ModelPipeline;
@@ -32,6 +42,9 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly limits: Settings['limits'];
+  readonly directory: TokenDirectory;
+  readonly resumeTokens: ResumeTokens;
+  readonly responses: OpenResponses;
   /** Whether the balancer may send new requests here. */
   readonly isReady: () => boolean;
 }
@@ -42,9 +55,18 @@
 export class CallerServer {
   private readonly router = new HttpRouter();
   private readonly chat: ChatHandler;
+  private readonly requests: RequestHandler;
 
   constructor(private readonly parts: CallerServerParts) {
-    this.chat = new ChatHandler(parts.models, parts.clock);
+    const { clock, directory, models, responses, resumeTokens } = parts;
+    this.chat = new ChatHandler(responses, resumeTokens, clock);
+    this.requests = new RequestHandler({
+      chat: this.chat,
+      tokens: resumeTokens,
+      clock,
+      directory,
+      models,
+    });
     this.router
       .add('POST', '/v1/chat/completions', exchange =>
         this.handleChat(exchange),
@@ -52,6 +74,15 @@
       .add('*', '/v1/services/{service}/{path+}', exchange =>
         this.handleService(exchange),
       )
+      .add('GET', '/v1/requests/{id}', exchange =>
+        this.requests.outcome(exchange),
+      )
+      .add('GET', '/v1/requests/{id}/events', exchange =>
+        this.requests.events(exchange),
+      )
+      .add('DELETE', '/v1/requests/{id}', exchange =>
+        this.requests.cancel(exchange),
+      )
       .add('GET', '/ready', exchange => this.handleReady(exchange));
   }
 
@@ -73,36 +104,88 @@
 
   private async handleChat(exchange: HttpExchange): Promise<void> {
     const { request, response } = exchange;
+    this.refuseWhileStopping();
     const headers = readCallerHeaders(request, requestIdOf(request));
     const text = await this.readBody(request);
     const body = parseChatBody(text, this.parts.limits.maxTokens);
-    const call = { ...headers, ...body };
-    const signal = abortOnClose(response);
-    if (body.stream) await this.chat.sendStream(call, response, signal);
-    else await this.chat.sendJson(call, response, signal);
+    this.refuseWhileStopping();
+    const workspace = workspaceOf(headers, this.parts.directory);
+    const name = { workspace, requestId: headers.requestId };
+    const received = this.receivedOf(request, headers, body, workspace);
+    const call = { ...headers, ...body, received };
+    const source = {
+      name,
+      expiresAtMs: headers.deadlineAtMs ?? 0,
+      open: (signal: AbortSignal) => this.parts.models.run(call, signal),
+    };
+    if (body.stream) await this.chat.sendStream(source, response);
+    else await this.chat.sendJson(source, response);
+  }
+
+  /** What the caller has of an answer that it asks to be completed. Throws `RequestError`. */
+  private receivedOf(
+    request: IncomingMessage,
+    { requestId }: CallerRequest,
+    { receivedText }: ChatBody,
+    workspace: string,
+  ): ReceivedAnswer | undefined {
+    if (receivedText === undefined) return undefined;
+    const point = this.requests.readPoint(request, { workspace, requestId });
+    if (point?.characters === receivedText.length) {
+      return { text: receivedText, point };
+    }
+    throw notRun(
+      RequestErrorKind.BadRequest,
+      'The received_text does not fit the Last-Event-ID.',
+      'Send all text received up to the event that Last-Event-ID names.',
+    );
   }
 
   private async handleService(exchange: HttpExchange): Promise<void> {
     const { params, request, response, url } = exchange;
+    this.refuseWhileStopping();
     const headers = readCallerHeaders(request, requestIdOf(request));
     const body = await this.readBody(request);
-    const answer = await this.parts.services.run(
-      {
-        ...headers,
-        service: params.service ?? '',
-        method: request.method ?? 'GET',
-        path: `/${params.path ?? ''}${url.search}`,
-        contentType: request.headers['content-type'] ?? DEFAULT_CONTENT_TYPE,
-        body,
-      },
-      // A call that may not be repeated runs on when its caller goes away.
-      new AbortController().signal,
-    );
-    response.writeHead(answer.status, {
-      'content-type': answer.contentType,
-      'x-request-id': headers.requestId,
+    this.refuseWhileStopping();
+    const call = {
+      ...headers,
+      service: params.service ?? '',
+      method: request.method ?? 'GET',
+      path: `/${params.path ?? ''}${url.search}`,
+      contentType: request.headers['content-type'] ?? DEFAULT_CONTENT_TYPE,
+      body,
+    };
+    const workspace = workspaceOf(headers, this.parts.directory);
+    const name = { workspace, requestId: headers.requestId };
+    const { responses } = this.parts;
+    await responses.track(name, response, RunEnd.Left, async open => {
+      const answer = await this.runService(call, open);
+      response.writeHead(answer.status, {
+        'content-type': answer.contentType,
+        'x-request-id': headers.requestId,
+      });
+      response.end(answer.body);
     });
-    response.end(answer.body);
+  }
+
+  /** Runs a service call, or gives its caller a final answer once this daemon has to leave. */
+  private async runService(
+    call: ServiceCall,
+    open: OpenResponse,
+  ): Promise<ServiceResponse> {
+    // A call that may not be repeated runs on when its caller goes away.
+    const { signal } = new AbortController();
+    const answer = this.parts.services.run(call, signal);
+    const handedOff = new Promise<never>((_, reject) => {
+      open.signal.addEventListener('abort', () => {
+        if (open.isHandedOff) reject(callLeft());
+      });
+    });
+    return Promise.race([answer, handedOff]);
+  }
+
+  private refuseWhileStopping(): void {
+    if (!this.parts.isReady()) throw stopping(this.parts.clock);
   }
 
   private handleReady(exchange: HttpExchange): Promise<void> {
@@ -148,20 +231,11 @@
   }
 }
 
-/** A signal that aborts when the caller's connection closes before the answer's end. */
-function abortOnClose(response: ServerResponse): AbortSignal {
-  const controller = new AbortController();
-  response.on('close', () => {
-    if (!response.writableFinished) controller.abort();
-  });
-  return controller.signal;
-}
-
 function unknownPath(request: IncomingMessage): RequestError {
   return notRun(
     RequestErrorKind.NotFound,
     `There is no ${request.method ?? ''} ${request.url?.slice(0, 100) ?? ''}.`,
-    'Use POST /v1/chat/completions or /v1/services/{service}/...',
+    'Use POST /v1/chat/completions, /v1/services/{service}/... or GET /v1/requests/{id}.',
   );
 }
 
@@ -186,3 +260,14 @@
     outcome: RequestOutcome.Unknown,
   });
 }
+
+/** The daemon leaves while the service still works on the call. */
+function callLeft(): RequestError {
+  return new RequestError({
+    kind: RequestErrorKind.OutcomeUnknown,
+    message: 'This daemon is leaving before the service has answered.',
+    remedy:
+      'Send the call again under the same Idempotency-Key, or ask the service what became of it.',
+    outcome: RequestOutcome.Unknown,
+  });
+}
--- a/packages/daemon/src/callers/chat-body.ts
+++ b/packages/daemon/src/callers/chat-body.ts
@@ -12,6 +12,7 @@
     .min(1, 'at least one message'),
   max_tokens: z.int().positive().optional(),
   stream: z.boolean().optional(),
+  received_text: z.string().optional(),
 });
 
 /** A chat completion request in the OpenAI form. */
@@ -19,6 +20,8 @@
   readonly messages: readonly ChatMessage[];
   readonly maxTokens: number;
   readonly stream: boolean;
+  /** Text that the caller has of an answer that broke off. */
+  readonly receivedText: string | undefined;
 }
 
 /** Parses a chat completion body. Throws `RequestError`. */
@@ -32,11 +35,12 @@
       'Send an OpenAI chat completion body.',
     );
   }
-  const { max_tokens, messages, stream } = parsed.data;
+  const { max_tokens, messages, received_text, stream } = parsed.data;
   return {
     messages,
     maxTokens: Math.min(max_tokens ?? DEFAULT_MAX_TOKENS, maxTokensLimit),
     stream: stream ?? false,
+    receivedText: received_text,
   };
 }
 
--- a/packages/daemon/src/callers/chat-handler.ts
+++ b/packages/daemon/src/callers/chat-handler.ts
@@ -1,91 +1,162 @@
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 
-import type { ModelCall, ModelPipeline } from '@skylarkreach/core/pipeline';
+import type { AnswerPart } from '@skylarkreach/core/pipeline';
 import {
   RequestError,
   RequestErrorKind,
   RequestOutcome,
+  RunEnd,
 } from '@skylarkreach/core/pipeline';
 import type { Clock, EngineEvent } from '@skylarkreach/core/platform';
 import { EngineEventKind } from '@skylarkreach/core/platform';
+import type { RequestName, ResumeTokens } from '@skylarkreach/core/streams';
 
+import type { OpenResponse, OpenResponses } from '../hand-off/index.js';
 import type { CompletionHeader } from './chat-response.js';
 import { chunkBody, completionBody, finishBody } from './chat-response.js';
-import { toProblem } from './problem.js';
+import { stopping, toProblem } from './problem.js';
 
 const MODEL_LABEL = 'skylarkreach';
 
-/** Answers chat completions as JSON or as server-sent events. */
+/** An answer to send, and the request that it belongs to. */
+export interface AnswerSource {
+  readonly name: RequestName;
+  /** Time until which its resume tokens hold. */
+  readonly expiresAtMs: number;
+  readonly open: (signal: AbortSignal) => AsyncIterable<AnswerPart>;
+}
+
+/** Sends answers as JSON or as server-sent events whose ids are resume tokens. */
 export class ChatHandler {
   constructor(
-    private readonly pipeline: ModelPipeline,
+    private readonly responses: OpenResponses,
+    private readonly tokens: ResumeTokens,
     private readonly clock: Clock,
   ) {}
 
   /** Sends the whole answer at once. Throws `RequestError` before anything is written. */
-  async sendJson(
-    call: ModelCall,
-    response: ServerResponse,
-    signal: AbortSignal,
-  ): Promise<void> {
-    let content = '';
-    for await (const event of this.pipeline.run(call, signal)) {
-      if (event.kind === EngineEventKind.Chunk) {
-        content += event.text;
-        continue;
+  sendJson(source: AnswerSource, response: ServerResponse): Promise<void> {
+    return this.track(source, response, RunEnd.Cancelled, async open => {
+      const header = this.header(source);
+      let content = '';
+      for await (const { event } of source.open(open.signal)) {
+        if (event.kind === EngineEventKind.Chunk) {
+          content += event.text;
+          continue;
+        }
+        response.writeHead(200, {
+          'content-type': 'application/json',
+          'x-request-id': source.name.requestId,
+        });
+        response.end(completionBody(header, content, event));
       }
-      const body = completionBody(this.header(call), content, event);
-      response.writeHead(200, {
-        'content-type': 'application/json',
-        'x-request-id': call.requestId,
-      });
-      response.end(body);
-    }
+    });
   }
 
   /** Streams the answer. Throws `RequestError` only before the first event. */
-  async sendStream(
-    call: ModelCall,
+  sendStream(source: AnswerSource, response: ServerResponse): Promise<void> {
+    return this.track(source, response, RunEnd.Left, async open => {
+      const header = this.header(source);
+      for await (const part of source.open(open.signal)) {
+        if (!response.headersSent) writeStreamHead(response, source.name);
+        const id = this.tokenAfter(part, source);
+        const text = eventText(header, part.event, id);
+        await write(response, text, open.signal);
+      }
+      if (!response.headersSent) writeStreamHead(response, source.name);
+      response.end('data: [DONE]\n\n');
+    });
+  }
+
+  /** Runs a send; where it is cut by a hand-off, points the caller elsewhere. */
+  private async track(
+    source: AnswerSource,
     response: ServerResponse,
-    signal: AbortSignal,
+    endOnClose: RunEnd,
+    send: (open: OpenResponse) => Promise<void>,
   ): Promise<void> {
-    const header = this.header(call);
-    try {
-      for await (const event of this.pipeline.run(call, signal)) {
-        if (!response.headersSent) writeStreamHead(response, call.requestId);
-        await write(response, eventText(header, event), signal);
+    const { name } = source;
+    await this.responses.track(name, response, endOnClose, async open => {
+      try {
+        await send(open);
+      } catch (error) {
+        if (open.isHandedOff)
+          await this.pointElsewhere(open, response, endOnClose);
+        else if (!response.headersSent) throw error;
+        else if (!open.signal.aborted) endWithError(response, error, name);
       }
-      response.end('data: [DONE]\n\n');
-    } catch (error) {
+    });
+  }
+
+  private async pointElsewhere(
+    open: OpenResponse,
+    response: ServerResponse,
+    endOnClose: RunEnd,
+  ): Promise<void> {
+    open.stop();
+    const { callerUrl, hasRecord } = await open.successor;
+    if (response.destroyed) return;
+    // Without a record nothing was dispatched, unless a stream was resumed by its token.
+    const isBegun = hasRecord || response.headersSent;
+    if (callerUrl === undefined || !isBegun) {
+      const outcome = isBegun ? RequestOutcome.Unknown : RequestOutcome.NotRun;
+      const error = stopping(this.clock, outcome);
       if (!response.headersSent) throw error;
-      if (!signal.aborted) endWithError(response, error, call.requestId);
+      endWithError(response, error, open.name);
+      return;
+    }
+    const { requestId } = open.name;
+    const path = `/v1/requests/${encodeURIComponent(requestId)}`;
+    if (response.headersSent) {
+      const data = JSON.stringify({ url: `${callerUrl}${path}/events` });
+      response.end(`event: moved\ndata: ${data}\n\n`);
+      return;
     }
+    const suffix = endOnClose === RunEnd.Left ? '/events' : '';
+    const location = `${callerUrl}${path}${suffix}`;
+    response.writeHead(303, { location, 'x-request-id': requestId });
+    response.end();
+  }
+
+  private tokenAfter(part: AnswerPart, source: AnswerSource): string {
+    return this.tokens.sign({
+      ...source.name,
+      address: part.address,
+      streamId: part.streamId,
+      tokenOffset: part.tokenOffset,
+      characters: part.characters,
+      expiresAtMs: source.expiresAtMs,
+    });
   }
 
-  private header(call: ModelCall): CompletionHeader {
+  private header(source: AnswerSource): CompletionHeader {
     return {
-      id: call.requestId,
+      id: source.name.requestId,
       model: MODEL_LABEL,
       createdAtMs: this.clock.nowMs(),
     };
   }
 }
 
-function writeStreamHead(response: ServerResponse, requestId: string): void {
+function writeStreamHead(response: ServerResponse, name: RequestName): void {
   response.writeHead(200, {
     'content-type': 'text/event-stream',
     'cache-control': 'no-store',
-    'x-request-id': requestId,
+    'x-request-id': name.requestId,
   });
 }
 
-function eventText(header: CompletionHeader, event: EngineEvent): string {
+function eventText(
+  header: CompletionHeader,
+  event: EngineEvent,
+  id: string,
+): string {
   const body =
     event.kind === EngineEventKind.Chunk
       ? chunkBody(header, event)
       : finishBody(header, event);
-  return `data: ${body}\n\n`;
+  return `id: ${id}\ndata: ${body}\n\n`;
 }
 
 /** Writes with back-pressure, so that a slow reader bounds what is held. */
@@ -94,13 +165,14 @@
   text: string,
   signal: AbortSignal,
 ): Promise<void> {
+  signal.throwIfAborted();
   if (!response.write(text)) await once(response, 'drain', { signal });
 }
 
 function endWithError(
   response: ServerResponse,
   error: unknown,
-  requestId: string,
+  name: RequestName,
 ): void {
   const requestError =
     error instanceof RequestError
@@ -111,6 +183,6 @@
           remedy: 'Send the request again.',
           outcome: RequestOutcome.Unknown,
         });
-  const body = JSON.stringify(toProblem(requestError, requestId));
+  const body = JSON.stringify(toProblem(requestError, name.requestId));
   response.end(`event: error\ndata: ${body}\n\n`);
 }
--- a/packages/daemon/src/callers/problem.ts
+++ b/packages/daemon/src/callers/problem.ts
@@ -1,9 +1,14 @@
 import type { ServerResponse } from 'node:http';
 
-import type { RequestError } from '@skylarkreach/core/pipeline';
+import {
+  RequestError,
+  RequestErrorKind,
+  RequestOutcome,
+} from '@skylarkreach/core/pipeline';
 import type { Clock } from '@skylarkreach/core/platform';
 
 const PROBLEM_TYPE_PREFIX = 'urn:skylarkreach:problem:';
+const STOPPING_RETRY_MS = 1_000;
 
 /** Problem details of RFC 9457, with the outcome and the remedy. */
 export interface Problem {
@@ -49,3 +54,18 @@
   });
   response.end(JSON.stringify(problem));
 }
+
+/** The daemon is stopping or its instance is being reclaimed. */
+export function stopping(
+  clock: Clock,
+  outcome = RequestOutcome.NotRun,
+): RequestError {
+  return new RequestError({
+    kind: RequestErrorKind.Stopping,
+    message: 'This daemon is stopping.',
+    remedy:
+      'Send the request again after the time in Retry-After; the balancer has other daemons.',
+    outcome,
+    retryAtMs: clock.nowMs() + STOPPING_RETRY_MS,
+  });
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -32,7 +32,7 @@
   constructor(settings: Settings, options: DaemonOptions = {}) {
     const clock = options.clock ?? new SystemClock();
     this.wiring = wire(settings, clock, options.seed ?? clock.nowMs(), {
-      isReady: () => this.ready,
+      isReady: () => this.ready && !this.isLeaving(),
     });
     const { callers, operators, peerServer } = this.wiring;
     const common = {
@@ -74,6 +74,10 @@
   /** Stops gracefully: takes no new work and ends once the work in flight has ended. */
   async stop(): Promise<void> {
     this.ready = false;
+    const { handOff, responses } = this.wiring.survival;
+    await responses.idle();
+    handOff.stop();
+    await handOff.ended();
     await this.listeners[0].close();
     await Promise.all(this.listeners.slice(1).map(each => each.close()));
     await this.stopLoops();
@@ -83,10 +87,15 @@
   /** Ends at once, as a killed process does. */
   async kill(): Promise<void> {
     this.ready = false;
+    this.wiring.survival.handOff.stop();
     for (const listener of this.listeners) listener.destroy();
     await this.stopLoops();
   }
 
+  private isLeaving(): boolean {
+    return this.wiring.survival.handOff.hasBegun;
+  }
+
   /** Stops the loops; closing the connections ends the watch that one may wait on. */
   private async stopLoops(): Promise<void> {
     const stopped = this.wiring.loops.map(loop => loop.stop());
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -37,11 +37,25 @@
   Silent = 'silent',
 }
 
+const resumeKeySchema = z.strictObject({
+  id: z.string().regex(/^\w{1,16}$/, '1 to 16 letters, digits or underscores'),
+  secret,
+});
+
+const peerSchema = z.strictObject({
+  id: z.string().min(1),
+  dataCentre: z.string().min(1),
+  peerAddress: address,
+  callerUrl: z.url(),
+});
+
 /** Settings of one daemon, as its YAML file holds them. */
 export const settingsSchema = z.strictObject({
   identity: z.strictObject({
     daemonId: z.string().min(1),
     dataCentre: z.string().min(1),
+    /** Instance that the daemon runs on, by which it knows its own reclaim notice. */
+    instanceId: z.string().min(1).optional(),
   }),
   listen: z.strictObject({
     callers: address,
@@ -65,7 +79,12 @@
     workspaces: z.array(tokenSchema).min(1),
     operators: z.array(operatorSchema).min(1),
     peerSecret: secret,
+    /** Keys of resume tokens: the first signs, all check. */
+    resumeKeys: z.array(resumeKeySchema).min(1).optional(),
   }),
+  /** Other daemons that records may be handed off to. */
+  peers: z.array(peerSchema).default([]),
+  handOff: z.strictObject({ marginMs: durationMs.default(1_000) }).prefault({}),
   limits: z
     .strictObject({
       maxBodyBytes: z.int().positive().default(1_000_000),
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -19,6 +19,8 @@
   HttpService,
 } from './adapters/index.js';
 import { CallerServer } from './callers/index.js';
+import type { Survival } from './hand-off/index.js';
+import { createSurvival } from './hand-off/index.js';
 import { EndpointPoll, Loop, RuleWatch } from './loops/index.js';
 import {
   addMoveCalls,
@@ -40,6 +42,7 @@
   readonly operators: OperatorServer;
   readonly peerServer: PeerServer;
   readonly peer: HttpPeer;
+  readonly survival: Survival;
   readonly http: HttpClient;
   readonly loops: readonly Loop[];
   /** Reads the rules and the platform's list once; a part that cannot be read is left to its loop. */
@@ -83,8 +86,21 @@
     engine: new HttpEngine(http),
     service: new HttpService(http),
   };
+  const peerServer = new PeerServer(credentials.peerSecret, metrics);
+  const peer = new HttpPeer(http, credentials.peerSecret);
+  const survival = createSurvival({
+    settings,
+    clock,
+    log,
+    cloud,
+    peer,
+    peerRegistry: peerServer,
+  });
   const callers = new CallerServer({
-    models: new ModelPipeline(parts),
+    models: new ModelPipeline(parts, survival.parts),
+    directory: parts.tokens,
+    resumeTokens: survival.tokens,
+    responses: survival.responses,
     services: new ServicePipeline(parts),
     limits: settings.limits,
     isReady: state.isReady,
@@ -109,6 +125,7 @@
   const watch = new RuleWatch(keyValue, rules, clock);
   const poll = new EndpointPoll(cloud, parts.engine, parts.router, clock, log);
   const loops = [
+    survival.loop,
     new Loop(
       {
         name: 'rule watch',
@@ -149,8 +166,9 @@
     prime: async () => {
       await Promise.allSettled([watch.readNow(), poll.readListing()]);
     },
-    peerServer: new PeerServer(credentials.peerSecret, metrics),
-    peer: new HttpPeer(http, credentials.peerSecret),
+    peerServer,
+    peer,
+    survival,
   };
 }
 
