Add the callers' library

It resumes broken and silent streams, follows pointers and 303, sends a request again with the text received where its stream is lost, and sends a call without an idempotency key only once.

Cause of one change in the daemon: a deadline more than 24 days away made the timer throw; the HTTP client now limits it, and resume tokens carry the deadline that the rule grants.

--- /dev/null
+++ b/packages/client/src/caller-client.test.ts
@@ -0,0 +1,209 @@
+import assert from 'node:assert/strict';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { after, describe, it } from 'node:test';
+
+import { CallerClient } from './caller-client.js';
+import { OutcomeUnknownError, ProblemError } from './errors.js';
+
+const DEADLINE_AT_MS = Date.parse('2100-01-01T00:00:00Z');
+const CHAT = {
+  messages: [{ role: 'user', content: 'question' }],
+  deadlineAtMs: DEADLINE_AT_MS,
+  requestId: 'request-1',
+};
+
+type Answer = (request: IncomingMessage, response: ServerResponse) => void;
+
+interface Received {
+  readonly line: string;
+  readonly lastEventId: string | undefined;
+  readonly body: string;
+}
+
+/** A daemon that answers each request in turn by a script. */
+class ScriptedDaemon {
+  readonly received: Received[] = [];
+  url = '';
+  private readonly server: Server;
+
+  constructor(private readonly answers: Answer[]) {
+    this.server = createServer((request, response) => {
+      void this.serve(request, response);
+    });
+  }
+
+  async listen(): Promise<string> {
+    await new Promise<void>(resolve => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = this.server.address() as AddressInfo;
+    this.url = `http://127.0.0.1:${port}`;
+    return this.url;
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    let body = '';
+    for await (const bytes of request) body += String(bytes);
+    const lastEventId = request.headers['last-event-id'];
+    this.received.push({
+      line: `${request.method ?? ''} ${request.url ?? ''}`,
+      lastEventId: typeof lastEventId === 'string' ? lastEventId : undefined,
+      body,
+    });
+    this.answers.shift()?.(request, response);
+  }
+}
+
+function chunk(id: string, content: string): string {
+  const data = JSON.stringify({ choices: [{ delta: { content } }] });
+  return `id: ${id}\ndata: ${data}\n\n`;
+}
+
+function events(...texts: string[]): Answer {
+  return (_, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    response.end(texts.join(''));
+  };
+}
+
+function problem(kind: string, status: number, extra = {}): Answer {
+  return (_, response) => {
+    const type = `urn:skylarkreach:problem:${kind}`;
+    response.writeHead(status);
+    response.end(
+      JSON.stringify({
+        ...{ type, status, title: 'Failed.', remedy: 'Wait.' },
+        ...{ outcome: 'notRun', ...extra },
+      }),
+    );
+  };
+}
+
+const DONE = 'data: [DONE]\n\n';
+
+describe('the caller client', () => {
+  const daemons: ScriptedDaemon[] = [];
+  const clients: CallerClient[] = [];
+
+  after(async () => {
+    for (const daemon of daemons) daemon.close();
+    for (const client of clients) await client.close();
+  });
+
+  async function start(...scripts: Answer[][]) {
+    const started = scripts.map(answers => new ScriptedDaemon(answers));
+    for (const daemon of started) await daemon.listen();
+    const client = new CallerClient({
+      addresses: started.map(daemon => daemon.url),
+      token: 'token-1',
+      silenceTimeoutMs: 200,
+    });
+    daemons.push(...started);
+    clients.push(client);
+    return { client, started };
+  }
+
+  it('resumes a stream that broke off at the next daemon', async () => {
+    const { client, started } = await start(
+      [events(chunk('1', 'one '))],
+      [events(chunk('2', 'two'), DONE)],
+    );
+    assert.equal(await client.send(CHAT), 'one two');
+    const [resumed] = started[1]?.received ?? [];
+    assert.equal(resumed?.line, 'GET /v1/requests/request-1/events');
+    assert.equal(resumed.lastEventId, '1');
+  });
+
+  it('resumes a stream that has gone silent', async () => {
+    const silent: Answer = (_, response) => {
+      response.writeHead(200, { 'content-type': 'text/event-stream' });
+      response.write(chunk('1', 'one '));
+    };
+    const { client } = await start([silent], [events(chunk('2', 'two'), DONE)]);
+    assert.equal(await client.send(CHAT), 'one two');
+  });
+
+  it('follows the pointer at the end of a stream', async () => {
+    const other = new ScriptedDaemon([events(chunk('2', 'two'), DONE)]);
+    daemons.push(other);
+    const url = `${await other.listen()}/v1/requests/request-1/events`;
+    const moved = `event: moved\ndata: ${JSON.stringify({ url })}\n\n`;
+    const { client } = await start([events(chunk('1', 'one '), moved)]);
+    assert.equal(await client.send(CHAT), 'one two');
+    assert.equal(other.received[0]?.lastEventId, '1');
+  });
+
+  it('follows a 303 answer', async () => {
+    const other = new ScriptedDaemon([events(chunk('1', 'one'), DONE)]);
+    daemons.push(other);
+    const location = `${await other.listen()}/v1/requests/request-1/events`;
+    const { client } = await start([
+      (_, response) => {
+        response.writeHead(303, { location }).end();
+      },
+    ]);
+    assert.equal(await client.send(CHAT), 'one');
+  });
+
+  it('sends the request again with its text where the stream is lost', async () => {
+    const { client, started } = await start(
+      [events(chunk('1', 'one ')), events(chunk('2', 'two'), DONE)],
+      [problem('streamLost', 409, { outcome: 'unknown' })],
+    );
+    assert.equal(await client.send(CHAT), 'one two');
+    const resent = started[0]?.received[1];
+    assert.equal(resent?.line, 'POST /v1/chat/completions');
+    assert.equal(resent.lastEventId, '1');
+    assert.match(resent.body, /"received_text":"one "/);
+  });
+
+  it('goes to another daemon where one is stopping', async () => {
+    const retryAt = new Date(DEADLINE_AT_MS).toISOString();
+    const { client } = await start(
+      [problem('stopping', 503, { retryAt })],
+      [events(chunk('1', 'one'), DONE)],
+    );
+    assert.equal(await client.send(CHAT), 'one');
+  });
+
+  it('throws a final problem', async () => {
+    const { client } = await start([problem('noRule', 403)]);
+    await assert.rejects(client.send(CHAT), ProblemError);
+  });
+
+  const posting = {
+    service: 'ledger',
+    path: '/postings',
+    method: 'POST',
+    deadlineAtMs: DEADLINE_AT_MS,
+    body: '{}',
+  } as const;
+  const hangUp: Answer = (_, response) => {
+    response.destroy();
+  };
+  const answer: Answer = (_, response) => {
+    response.end('posted');
+  };
+
+  it('sends a call with a key again under the same key', async () => {
+    const { client } = await start([hangUp], [answer]);
+    const sent = await client.call({ ...posting, idempotencyKey: 'key-1' });
+    assert.equal(sent.body, 'posted');
+  });
+
+  it('sends a call without a key once', async () => {
+    const { client, started } = await start([hangUp], [answer]);
+    await assert.rejects(client.call(posting), OutcomeUnknownError);
+    assert.equal(started[1]?.received.length, 0);
+  });
+});
--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,3 @@
+export * from './caller-client.js';
+export * from './errors.js';
+export * from './requests.js';
--- a/packages/core/src/pipeline/answer-run.ts
+++ b/packages/core/src/pipeline/answer-run.ts
@@ -26,6 +26,8 @@
   readonly tokenOffset: number;
   /** Characters of the answer up to this event's end. */
   readonly characters: number;
+  /** Time until which the answer can be resumed. */
+  readonly deadlineAtMs: number;
 }
 
 /**
@@ -278,6 +280,7 @@
         ? event.tokenOffset + event.tokens
         : event.totalTokens,
       characters: this.characters,
+      deadlineAtMs: this.start.deadlineAtMs,
     };
   }
 }
--- a/packages/core/src/pipeline/attempt-series.ts
+++ b/packages/core/src/pipeline/attempt-series.ts
@@ -39,6 +39,7 @@
   private mayHaveRun: boolean;
   private failure: AttemptEnd = AttemptEnd.Failed;
   private readonly choice: EndpointChoice;
+  private readonly deadlineAtMs: number;
 
   constructor(
     private readonly parts: PipelineParts,
@@ -47,6 +48,7 @@
   ) {
     this.work = start.work;
     this.target = start.target;
+    this.deadlineAtMs = start.deadlineAtMs;
     this.version = start.version;
     this.mayHaveRun = start.target !== undefined;
     this.choice = new EndpointChoice(parts, survival);
@@ -86,7 +88,7 @@
     const { address, streamId } = this.target ?? { address: '', streamId: '' };
     const { engine } = this.parts;
     if (isResume || this.work === undefined) {
-      const deadlineAtMs = this.work?.deadlineAtMs ?? Number.MAX_SAFE_INTEGER;
+      const { deadlineAtMs } = this;
       const fromToken = assembler.nextToken;
       return engine.resume(
         address,
--- a/packages/daemon/src/adapters/http-client.ts
+++ b/packages/daemon/src/adapters/http-client.ts
@@ -11,6 +11,7 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MIN_TIMEOUT_MS = 1;
+const MAX_TIMEOUT_MS = 2_147_483_647;
 
 /** Errors of the connect phase, in which no byte of a request is written. */
 const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
@@ -54,7 +55,9 @@
   /** Sends the call and returns the response, whatever its status. */
   async send(call: HttpCall): Promise<HttpResponse> {
     const remainingMs = call.deadlineAtMs - this.clock.nowMs();
-    const timeout = AbortSignal.timeout(Math.max(remainingMs, MIN_TIMEOUT_MS));
+    const timeout = AbortSignal.timeout(
+      Math.min(Math.max(remainingMs, MIN_TIMEOUT_MS), MAX_TIMEOUT_MS),
+    );
     const signal =
       call.signal === undefined
         ? timeout
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -115,7 +115,6 @@
     const call = { ...headers, ...body, received };
     const source = {
       name,
-      expiresAtMs: headers.deadlineAtMs ?? 0,
       open: (signal: AbortSignal) => this.parts.models.run(call, signal),
     };
     if (body.stream) await this.chat.sendStream(source, response);
--- a/packages/daemon/src/callers/chat-handler.ts
+++ b/packages/daemon/src/callers/chat-handler.ts
@@ -22,8 +22,6 @@
 /** An answer to send, and the request that it belongs to. */
 export interface AnswerSource {
   readonly name: RequestName;
-  /** Time until which its resume tokens hold. */
-  readonly expiresAtMs: number;
   readonly open: (signal: AbortSignal) => AsyncIterable<AnswerPart>;
 }
 
@@ -126,7 +124,7 @@
       streamId: part.streamId,
       tokenOffset: part.tokenOffset,
       characters: part.characters,
-      expiresAtMs: source.expiresAtMs,
+      expiresAtMs: part.deadlineAtMs,
     });
   }
 
--- a/packages/daemon/src/callers/request-handler.ts
+++ b/packages/daemon/src/callers/request-handler.ts
@@ -23,9 +23,6 @@
 import { CallerHeader } from './caller-headers.js';
 import type { ChatHandler } from './chat-handler.js';
 
-/** Time for which the events of a request found by its id alone can be resumed. */
-const RECORD_TOKEN_LIFETIME_MS = 600_000;
-
 export interface RequestHandlerParts {
   readonly models: ModelPipeline;
   readonly chat: ChatHandler;
@@ -44,7 +41,6 @@
     const name = this.nameOf(exchange);
     const source = {
       name,
-      expiresAtMs: this.defaultExpiryMs(),
       open: (signal: AbortSignal) => models.outcome(name, signal),
     };
     await chat.sendJson(source, exchange.response);
@@ -57,7 +53,6 @@
     const point = this.readPoint(exchange.request, name);
     const source = {
       name,
-      expiresAtMs: point?.expiresAtMs ?? this.defaultExpiryMs(),
       open: (signal: AbortSignal) =>
         point === undefined
           ? models.outcome(name, signal)
@@ -98,10 +93,6 @@
       requestId: params.id ?? '',
     };
   }
-
-  private defaultExpiryMs(): number {
-    return this.parts.clock.nowMs() + RECORD_TOKEN_LIFETIME_MS;
-  }
 }
 
 function resumeRefused(error: ResumeTokenError): RequestError {
