--- a/packages/core/src/moves/move-board.ts
+++ b/packages/core/src/moves/move-board.ts
@@ -66,6 +66,15 @@
     return { key: moveKey(group), value, version: known.recordVersion };
   }
 
+  /** True where the group's newest move to the version was taken back. */
+  isTakenBack(group: string, version: string): boolean {
+    const controller = this.byGroup.get(group);
+    if (controller?.record.spec.toVersion !== version) return false;
+    const { brake, record } = controller;
+    const isOpen = record.state === MoveState.Running;
+    return isOpen ? brake !== undefined : record.state === MoveState.TakenBack;
+  }
+
   /** Brakes that this daemon knows of. */
   brakes(): readonly Brake[] {
     for (const { brake } of this.byGroup.values()) {
--- a/packages/daemon/src/moves/move-wiring.ts
+++ b/packages/daemon/src/moves/move-wiring.ts
@@ -1,7 +1,6 @@
-import type { VersionPolicy } from '@skylarkreach/core/moves';
+import type { MoveBoard, VersionPolicy } from '@skylarkreach/core/moves';
 import {
   brakesMethod,
-  MoveBoard,
   MoveRunner,
   MoveStarter,
   reportMethod,
@@ -28,6 +27,7 @@
 
 export interface MoveWiringParts {
   readonly self: DaemonIdentity;
+  readonly board: MoveBoard;
   readonly clock: Clock;
   readonly keyValue: KeyValue;
   readonly peer: Peer;
@@ -53,9 +53,9 @@
 
 /** Builds a daemon's part in version moves. */
 export function wireMoves(parts: MoveWiringParts): MoveWiring {
-  const { clock, keyValue, liveDaemons, log, operators, registry } = parts;
-  const board = new MoveBoard(parts.self.id);
-  const runner = new MoveRunner({ ...parts, board });
+  const { board, clock, keyValue, liveDaemons, log, operators, registry } =
+    parts;
+  const runner = new MoveRunner(parts);
   const rates = new KindRateMeter(clock);
   registry.handle(reportMethod, ({ recordVersion, report }) =>
     Promise.resolve({
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,5 +1,6 @@
 import { InFlightAdmission } from '@skylarkreach/core/admission';
 import { SingleKeyClaims } from '@skylarkreach/core/claims';
+import { MoveBoard } from '@skylarkreach/core/moves';
 import type { PipelineParts } from '@skylarkreach/core/pipeline';
 import {
   ModelPipeline,
@@ -24,6 +25,8 @@
   HttpService,
 } from './adapters/index.js';
 import { CallerServer } from './callers/index.js';
+import type { Survival } from './hand-off/index.js';
+import { createSurvival } from './hand-off/index.js';
 import { EndpointPoll, Loop } from './loops/index.js';
 import { BoundIdentity, MembershipService } from './membership/index.js';
 import { wireMoves } from './moves/index.js';
@@ -42,6 +45,7 @@
   readonly operators: OperatorServer;
   readonly peerServer: PeerServer;
   readonly peer: HttpPeer;
+  readonly survival: Survival;
   readonly http: HttpClient;
   readonly membership: MembershipService;
   /** Identity of this daemon; its addresses are filled in once the servers are bound. */
@@ -88,14 +92,6 @@
     engine: new HttpEngine(http),
     service: new HttpService(http),
   };
-  const callers = new CallerServer({
-    models: new ModelPipeline(parts),
-    services: new ServicePipeline(parts),
-    limits: settings.limits,
-    isReady: state.isReady,
-    clock,
-    log,
-  });
   const boundIdentity = new BoundIdentity(settings);
   const peerServer = new PeerServer(credentials.peerSecret, metrics, clock);
   const peer = new HttpPeer(http, credentials.peerSecret, clock);
@@ -106,6 +102,28 @@
     peer,
     registry: peerServer,
   });
+  const board = new MoveBoard(identity.daemonId);
+  const survival = createSurvival({
+    liveDaemons: () => membership.live(),
+    versions: board,
+    settings,
+    clock,
+    log,
+    cloud,
+    peer,
+    peerRegistry: peerServer,
+  });
+  const callers = new CallerServer({
+    models: new ModelPipeline(parts, survival.parts),
+    directory: parts.tokens,
+    resumeTokens: survival.tokens,
+    responses: survival.responses,
+    services: new ServicePipeline(parts),
+    limits: settings.limits,
+    isReady: state.isReady,
+    clock,
+    log,
+  });
   const operators = new OperatorServer({
     clock,
     keyValue,
@@ -135,6 +153,7 @@
     }),
   });
   const moves = wireMoves({
+    board,
     self: boundIdentity,
     clock,
     keyValue,
@@ -148,6 +167,7 @@
   });
   const poll = new EndpointPoll(cloud, parts.engine, parts.router, clock, log);
   const loops = [
+    survival.loop,
     ...membership.loops,
     ...moves.loops,
     new Loop(
@@ -185,6 +205,7 @@
     identity: boundIdentity,
     peerServer,
     peer,
+    survival,
   };
 }
 
