--- a/packages/measure/src/config/config-experiment.ts
+++ b/packages/measure/src/config/config-experiment.ts
@@ -1,3 +1,5 @@
+import { encodeRuleDocument, RULES_KEY } from '@skylarkreach/core/rules';
+
 import type {
   Experiment,
   ExperimentOptions,
@@ -267,9 +269,10 @@
 function acceptAt(
   daemon: SimulatedDaemon,
   version: number,
-  value: string,
+  text: string,
 ): void {
-  daemon.rules.apply({ key: 'rules/current', version, value });
+  const value = encodeRuleDocument({ text, recentEdits: [] });
+  daemon.rules.apply({ key: RULES_KEY, version, value });
 }
 
 function sum(figures: readonly number[]): number {
--- a/packages/measure/src/config/simulated-fleet.ts
+++ b/packages/measure/src/config/simulated-fleet.ts
@@ -13,7 +13,7 @@
   silentLog,
   silentMetrics,
 } from '@skylarkreach/core/platform';
-import { RULES_KEY, RuleStore } from '@skylarkreach/core/rules';
+import { encodeRuleDocument, RULES_KEY, RuleStore } from '@skylarkreach/core/rules';
 import { MembershipService } from '@skylarkreach/daemon';
 import { MemoryCloud } from '@skylarkreach/stand-ins';
 
@@ -103,7 +103,7 @@
   async write(text: string, expectedVersion: number): Promise<number> {
     const result = await this.keyValue.put({
       key: RULES_KEY,
-      value: text,
+      value: encodeRuleDocument({ text, recentEdits: [] }),
       expectedVersion,
       deadlineAtMs: this.clock.nowMs() + CALL_TIMEOUT_MS,
     });
