Claim calls in sharded journals instead of one key a call

Cause: one key-value entry a call costs two writes a call, which a service of several hundred writes a second cannot carry at size; and a retry that met a run under way was told that the outcome is unknown.

Retries wait for the run that holds the key. A call that was not run may be claimed again under its key. Callers can ask for the outcome of a call. Services that remove duplicates or tell outcomes are named in the settings.

--- a/packages/core/src/claims/claims.ts
+++ b/packages/core/src/claims/claims.ts
@@ -1,4 +1,8 @@
-import type { ServiceResponse, Workspace } from '../platform/index.js';
+import type {
+  ServiceOutcome,
+  ServiceResponse,
+  Workspace,
+} from '../platform/index.js';
 
 export enum ClaimState {
   /** Taken, and not yet sent to any endpoint. */
@@ -20,6 +24,11 @@
   readonly bodyHash: string;
   readonly requestId: string;
   readonly deadlineAtMs: number;
+  /**
+   * The service removes duplicates by key across all its endpoints, so that the
+   * call may be sent without a claim while the key-value service is down.
+   */
+  readonly deduplicatedByService?: boolean;
 }
 
 /** What became of a claimed call. */
@@ -29,18 +38,23 @@
   readonly requestId: string;
   /** The record may be dropped after this time. */
   readonly keepUntilMs: number;
+  /** Absent where the call did not end, or its response is over the bound. */
   readonly response?: ServiceResponse;
 }
 
 export enum ClaimErrorKind {
   /** The claim could not be written; nothing was sent. */
   StoreUnavailable = 'storeUnavailable',
+  /** The journal holds as many claims as its values can; nothing was sent. */
+  JournalFull = 'journalFull',
   /** The key was used with another body. */
   KeyReused = 'keyReused',
   /** The first run's outcome is not known. */
   OutcomeUnknown = 'outcomeUnknown',
   /** The first run is still under way. */
   InProgress = 'inProgress',
+  /** The call ran, and its response is no longer at hand. */
+  ResponseNotKept = 'responseNotKept',
   /** The call was not sent. */
   NotRun = 'notRun',
 }
@@ -60,13 +74,21 @@
 /** Sends the call; throws `NotSentError` or `AnswerLostError` as a service does. */
 export type ClaimedDispatch = () => Promise<ServiceResponse>;
 
+/** Asks the service what became of the call; throws as a service does. */
+export type OutcomeQuery = (deadlineAtMs: number) => Promise<ServiceOutcome>;
+
 /** Runs calls that may not be repeated. */
 export interface Claims {
   /**
    * Runs the call under its key, or answers with what the first run under the
-   * key gave. Throws `ClaimError`.
+   * key gave. Throws `ClaimError`. `queryOutcome` is given where the service
+   * can tell what became of a call.
    */
-  run(intent: ClaimIntent, dispatch: ClaimedDispatch): Promise<ServiceResponse>;
+  run(
+    intent: ClaimIntent,
+    dispatch: ClaimedDispatch,
+    queryOutcome?: OutcomeQuery,
+  ): Promise<ServiceResponse>;
   /** Looks up what became of a call, or undefined where no claim is kept. */
   find(
     workspace: Workspace,
--- a/packages/core/src/pipeline/identify-request.ts
+++ b/packages/core/src/pipeline/identify-request.ts
@@ -28,7 +28,11 @@
   };
 }
 
-function workspaceOf(request: CallerRequest, tokens: TokenDirectory): string {
+/** The workspace that the bearer token belongs to. Throws `RequestError`. */
+export function workspaceOf(
+  request: Pick<CallerRequest, 'bearerToken'>,
+  tokens: TokenDirectory,
+): string {
   const { bearerToken } = request;
   const workspace =
     bearerToken === undefined ? undefined : tokens.workspaceOf(bearerToken);
--- a/packages/core/src/pipeline/pipeline-parts.ts
+++ b/packages/core/src/pipeline/pipeline-parts.ts
@@ -11,6 +11,7 @@
 import type { Router } from '../routing/index.js';
 import type { RuleStore } from '../rules/index.js';
 import type { TokenDirectory } from './identify.js';
+import type { ServiceTraitsByGroup } from './service-traits.js';
 
 /** Parts that the stages of the pipeline work with. */
 export interface PipelineParts {
@@ -23,6 +24,8 @@
   readonly claims: Claims;
   readonly engine: Engine;
   readonly service: Service;
+  /** What the operators state of plain services, by group. */
+  readonly serviceTraits?: ServiceTraitsByGroup;
   readonly log: Log;
   readonly metrics: Metrics;
 }
--- /dev/null
+++ b/packages/core/src/pipeline/service-dispatcher.ts
@@ -0,0 +1,110 @@
+import type { Endpoint, ServiceResponse } from '../platform/index.js';
+import { NotSentError, PlatformError } from '../platform/index.js';
+import type { Attempt, RouteRequest } from '../routing/index.js';
+import { AttemptEnd } from '../routing/index.js';
+import type { PipelineParts } from './pipeline-parts.js';
+import type { IdentifiedRequest, ServiceCall } from './request.js';
+import { serviceKey, traitsOf } from './service-traits.js';
+
+/** Sends calls to endpoints of plain services. */
+export class ServiceDispatcher {
+  constructor(private readonly parts: PipelineParts) {}
+
+  /** Tries each endpoint at most once, in the router's order. */
+  async dispatchRepeatable(
+    call: ServiceCall,
+    request: IdentifiedRequest,
+    signal: AbortSignal,
+  ): Promise<ServiceResponse> {
+    const excluded = new Set<string>();
+    for (;;) {
+      try {
+        return await this.dispatch(call, request, excluded, signal);
+      } catch (error) {
+        if (!(error instanceof PlatformError)) throw error;
+        if (this.choose(call, request, excluded) === undefined) throw error;
+      }
+    }
+  }
+
+  /** One dispatch, outside the endpoints in `excluded`. Throws as a service does. */
+  async dispatch(
+    call: ServiceCall,
+    request: IdentifiedRequest,
+    excluded: Set<string>,
+    signal: AbortSignal,
+  ): Promise<ServiceResponse> {
+    const { clock, router, service } = this.parts;
+    const endpoint = this.choose(call, request, excluded);
+    if (endpoint === undefined) {
+      throw new NotSentError(
+        `No endpoint of service ${call.service} takes work at present.`,
+      );
+    }
+    excluded.add(endpoint.address);
+    const attempt: Attempt = {
+      attemptId: `${request.requestId}.${excluded.size}`,
+      address: endpoint.address,
+      request: routeRequest(call, request, excluded),
+    };
+    router.recordDispatch(attempt, clock.nowMs());
+    let end = AttemptEnd.Failed;
+    try {
+      const response = await service.call(
+        endpoint.address,
+        {
+          method: call.method,
+          path: call.path,
+          contentType: call.contentType,
+          body: call.body,
+          idempotencyKey: this.keyFor(call, request),
+          deadlineAtMs: request.deadlineAtMs,
+        },
+        signal,
+      );
+      end = AttemptEnd.Succeeded;
+      return response;
+    } finally {
+      router.recordEnd(attempt, { end, generatedTokens: 0 }, clock.nowMs());
+    }
+  }
+
+  private choose(
+    call: ServiceCall,
+    request: IdentifiedRequest,
+    excluded: ReadonlySet<string>,
+  ): Endpoint | undefined {
+    const route = routeRequest(call, request, excluded);
+    return this.parts.router.choose(route, this.parts.clock.nowMs());
+  }
+
+  private keyFor(
+    call: ServiceCall,
+    request: IdentifiedRequest,
+  ): string | undefined {
+    if (call.idempotencyKey === undefined) return undefined;
+    const traits = traitsOf(this.parts.serviceTraits, call.service);
+    return serviceKey(traits, request.workspace, call.idempotencyKey);
+  }
+}
+
+function routeRequest(
+  call: ServiceCall,
+  request: IdentifiedRequest,
+  excluded: ReadonlySet<string>,
+): RouteRequest {
+  return {
+    requestId: request.requestId,
+    workspace: request.workspace,
+    kind: request.kind,
+    group: call.service,
+    version: request.rule.version,
+    promptText: '',
+    promptTokens: 0,
+    maxTokens: 0,
+    priority: request.rule.priority,
+    deadlineAtMs: request.deadlineAtMs,
+    excluded,
+    avoidedDataCentres: new Set(),
+  };
+}
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -2,6 +2,7 @@
 
 import type {
   ModelPipeline,
+  ServiceOutcomes,
   ServicePipeline,
 } from '@skylarkreach/core/pipeline';
 import {
@@ -24,11 +25,13 @@
 import { readCallerHeaders, requestIdOf } from './caller-headers.js';
 import { parseChatBody } from './chat-body.js';
 import { ChatHandler } from './chat-handler.js';
+import { OutcomeHandler } from './outcome-handler.js';
 import { sendProblem } from './problem.js';
 
 export interface CallerServerParts {
   readonly models: ModelPipeline;
   readonly services: ServicePipeline;
+  readonly outcomes: ServiceOutcomes;
   readonly clock: Clock;
   readonly log: Log;
   readonly limits: Settings['limits'];
@@ -45,10 +48,14 @@
 
   constructor(private readonly parts: CallerServerParts) {
     this.chat = new ChatHandler(parts.models, parts.clock);
+    const outcomes = new OutcomeHandler(parts.outcomes);
     this.router
       .add('POST', '/v1/chat/completions', exchange =>
         this.handleChat(exchange),
       )
+      .add('GET', '/v1/services/{service}/outcomes/{key}', exchange =>
+        outcomes.send(exchange),
+      )
       .add('*', '/v1/services/{service}/{path+}', exchange =>
         this.handleService(exchange),
       )
--- /dev/null
+++ b/packages/daemon/src/claims/index.ts
@@ -0,0 +1,1 @@
+export * from './create-claims.js';
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -29,6 +29,14 @@
 
 const operatorSchema = z.strictObject({ name: z.string().min(1), sha256 });
 
+const serviceSchema = z.strictObject({
+  group: z.string().min(1),
+  /** Removes duplicates by key across all its endpoints. */
+  deduplicatesByKey: z.boolean().default(false),
+  /** Answers `GET /v1/outcomes/{key}`. */
+  answersOutcomes: z.boolean().default(false),
+});
+
 export enum LogLevel {
   Debug = 'debug',
   Info = 'info',
@@ -75,8 +83,16 @@
     })
     .prefault({}),
   claims: z
-    .strictObject({ retentionMs: durationMs.default(86_400_000) })
+    .strictObject({
+      retentionMs: durationMs.default(86_400_000),
+      /** Journal values; the same at every daemon, and not to be changed later. */
+      shards: z.int().positive().max(10_000).default(64),
+      writeIntervalMs: durationMs.default(20),
+      maxResponseBytes: z.int().nonnegative().max(100_000).default(2_000),
+    })
     .prefault({}),
+  /** Plain services that act on `Idempotency-Key`. */
+  services: z.array(serviceSchema).default([]),
 });
 
 export type Settings = z.output<typeof settingsSchema>;
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,8 +1,8 @@
 import { InFlightAdmission } from '@skylarkreach/core/admission';
-import { SingleKeyClaims } from '@skylarkreach/core/claims';
 import type { PipelineParts } from '@skylarkreach/core/pipeline';
 import {
   ModelPipeline,
+  ServiceOutcomes,
   ServicePipeline,
   TokenDirectory,
 } from '@skylarkreach/core/pipeline';
@@ -19,6 +19,7 @@
   HttpService,
 } from './adapters/index.js';
 import { CallerServer } from './callers/index.js';
+import { createClaims, serviceTraitsOf } from './claims/index.js';
 import { EndpointPoll, Loop, RuleWatch } from './loops/index.js';
 import {
   addMoveCalls,
@@ -79,13 +80,15 @@
     tokens: new TokenDirectory(credentials.workspaces),
     admission: new InFlightAdmission(clock),
     router: new LeastInFlightRouter(random),
-    claims: new SingleKeyClaims(keyValue, clock, settings.claims.retentionMs),
+    claims: createClaims(settings, { keyValue, clock, random, log }),
+    serviceTraits: serviceTraitsOf(settings),
     engine: new HttpEngine(http),
     service: new HttpService(http),
   };
   const callers = new CallerServer({
     models: new ModelPipeline(parts),
     services: new ServicePipeline(parts),
+    outcomes: new ServiceOutcomes(parts),
     limits: settings.limits,
     isReady: state.isReady,
     clock,
--- a/packages/stand-ins/src/deployment/local-deployment.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -26,6 +26,7 @@
 import type { ModelEngineOptions } from '../engine/index.js';
 import { EngineServer, ModelEngine } from '../engine/index.js';
 import { KeyValueServer } from '../key-value/index.js';
+import type { PlainServiceOptions } from '../service/index.js';
 import { PlainService, ServiceServer } from '../service/index.js';
 import { SAMPLE_RULES } from './sample-rules.js';
 
@@ -45,6 +46,9 @@
   readonly logLevel: LogLevel;
   readonly rules: string;
   readonly engineOptions: Partial<ModelEngineOptions>;
+  readonly serviceOptions: Partial<PlainServiceOptions>;
+  /** Plain services that act on keys, as the daemons' settings list them. */
+  readonly services: Settings['services'];
   /** Wraps the key-value store, to inject faults. */
   readonly wrapKeyValue: (store: KeyValue) => KeyValue;
 }
@@ -55,6 +59,8 @@
   logLevel: LogLevel.Warn,
   rules: SAMPLE_RULES,
   engineOptions: {},
+  serviceOptions: {},
+  services: [],
   wrapKeyValue: store => store,
 };
 
@@ -80,7 +86,7 @@
   readonly clock: Clock = new SystemClock();
   readonly store: MemoryKeyValue;
   readonly cloud: MemoryCloud;
-  readonly service = new PlainService();
+  readonly service: PlainService;
   readonly engines: RunningEngine[] = [];
   readonly daemons: RunningDaemon[] = [];
   serviceAddress: Address = ANY_PORT;
@@ -91,6 +97,7 @@
 
   constructor(options: Partial<LocalDeploymentOptions> = {}) {
     this.options = { ...DEFAULT_OPTIONS, ...options };
+    this.service = new PlainService(this.options.serviceOptions);
     this.store = new MemoryKeyValue(this.clock);
     this.cloud = new MemoryCloud(this.clock, LIST_LAG_MS);
   }
@@ -210,6 +217,7 @@
         operators: [{ name: 'operator', sha256: sha256(OPERATOR_TOKEN) }],
         peerSecret: PEER_SECRET,
       },
+      services: this.options.services,
     });
   }
 }
--- a/packages/stand-ins/src/service/service-server.ts
+++ b/packages/stand-ins/src/service/service-server.ts
@@ -33,13 +33,17 @@
   private async call(exchange: HttpExchange): Promise<void> {
     const { request, response, url } = exchange;
     const key = request.headers['idempotency-key'];
-    const answer = this.service.call({
+    const { isLost, response: answer } = this.service.call({
       method: request.method ?? 'GET',
       path: `${url.pathname}${url.search}`,
       contentType: request.headers['content-type'] ?? '',
       body: await readText(request),
       idempotencyKey: typeof key === 'string' ? key : undefined,
     });
+    if (isLost) {
+      response.destroy();
+      return;
+    }
     response.writeHead(answer.status, { 'content-type': answer.contentType });
     response.end(answer.body);
   }
