Test and measure calls that run at most once

Cause: the promise of at most one run was tested for single faults only, and the cost of claims in writes and latency was not known.

MemoryPeers now gives a call up at its deadline, as the interface says; before, a daemon that did not answer held its caller for good.

Before: a test of an owner that does not answer failed for that reason, and an end that could not be recorded kept the process alive for 600 s.

Owners need the list of live daemons, which the daemon does not have yet.

--- a/packages/core/src/claims/claim-writer.ts
+++ b/packages/core/src/claims/claim-writer.ts
@@ -43,7 +43,8 @@
 export interface ClaimWriterOptions extends JournalLimits {
   /** Number of journal values; the same at every daemon, for good. */
   readonly shards: number;
-  readonly writeIntervalMs: number;
+  /** Mean rate of the writes of all journals together, each written by its owner. */
+  readonly writesPerSecond: number;
 }
 
 /**
@@ -142,7 +143,9 @@
     if (journal === undefined) {
       const key = `${JOURNAL_KEY_PREFIX}${shard}`;
       const { keyValue, clock, random, options } = this;
-      journal = new ShardJournal(keyValue, clock, random, { ...options, key });
+      const writesPerSecond = options.writesPerSecond / options.shards;
+      const shardOptions = { ...options, key, writesPerSecond };
+      journal = new ShardJournal(keyValue, clock, random, shardOptions);
       this.journals.set(shard, journal);
     }
     return journal;
--- a/packages/core/src/claims/journal-claims.ts
+++ b/packages/core/src/claims/journal-claims.ts
@@ -1,9 +1,9 @@
 import type { Clock, Log, ServiceResponse } from '../platform/index.js';
-import { LogPart, NotSentError, PlatformError } from '../platform/index.js';
-import type { ClaimVerdict, SettleCommand } from './claim-command.js';
+import { NotSentError, PlatformError } from '../platform/index.js';
 import { CommandKind, VerdictKind } from './claim-command.js';
 import * as failures from './claim-failures.js';
 import { ClaimJoiner } from './claim-joiner.js';
+import { ClaimRecorder, within } from './claim-recorder.js';
 import type { ClaimWriter } from './claim-writer.js';
 import type {
   ClaimedDispatch,
@@ -14,18 +14,11 @@
 } from './claims.js';
 import { ClaimError, ClaimErrorKind, ClaimState } from './claims.js';
 import type { JournalEntry } from './journal-entry.js';
-import { responseBytes, stateAt } from './journal-entry.js';
+import { stateAt } from './journal-entry.js';
 import { queryRan } from './outcome-query.js';
 
 /** Time after a claim's call within which its dispatch may start. */
 const DISPATCH_WINDOW_MS = 2_000;
-/** Longest time that an answer waits for its record. */
-const SETTLE_WAIT_MS = 250;
-/** Time for which the record of an end is tried. */
-const SETTLE_RETRY_MS = 600_000;
-/** Longest time that a claim on its way to the key-value service may take to arrive. */
-const LATE_CLAIM_MS = 5_000;
-
 export interface JournalClaimsOptions {
   /** Unique among daemons. */
   readonly daemonId: string;
@@ -56,7 +49,7 @@
  */
 export class JournalClaims implements Claims {
   private readonly localRuns = new Map<string, LocalRun>();
-  private readonly openSettles = new Set<Promise<unknown>>();
+  private readonly recorder: ClaimRecorder;
   private readonly joiner: ClaimJoiner;
   private readonly startedAtMs: number;
   private nextClaim = 1;
@@ -64,10 +57,16 @@
   constructor(
     private readonly writer: ClaimWriter,
     private readonly clock: Clock,
-    private readonly log: Log,
+    log: Log,
     private readonly options: JournalClaimsOptions,
   ) {
     this.joiner = new ClaimJoiner(writer, clock);
+    this.recorder = new ClaimRecorder(
+      writer,
+      clock,
+      log,
+      options.maxResponseBytes,
+    );
     this.startedAtMs = clock.nowMs();
   }
 
@@ -103,7 +102,7 @@
 
   /** Resolves once every end known here is on record, or was given up. */
   async drain(): Promise<void> {
-    await Promise.allSettled([...this.openSettles]);
+    await this.recorder.drain();
   }
 
   /** Counts for the state dump. */
@@ -111,7 +110,7 @@
     return {
       ...this.writer.counts(),
       runs: this.localRuns.size,
-      openSettles: this.openSettles.size,
+      openSettles: this.recorder.openSettles,
     };
   }
 
@@ -131,7 +130,7 @@
     const { bodyHash, deadlineAtMs } = run.intent;
     if (local.bodyHash !== bodyHash) throw failures.keyReused();
     try {
-      return await this.within(deadlineAtMs, local.response);
+      return await within(this.clock, deadlineAtMs, local.response);
     } catch (error) {
       if (!isInProgress(error)) throw error;
       // The run that was joined waited for another daemon's, and had less time.
@@ -140,19 +139,6 @@
     }
   }
 
-  private async within<T>(atMs: number, result: Promise<T>): Promise<T> {
-    const stopWaiting = new AbortController();
-    const timeout = this.clock
-      .waitUntil(atMs, stopWaiting.signal)
-      .then(() => Promise.reject(failures.inProgress()));
-    try {
-      return await Promise.race([result, timeout]);
-    } finally {
-      timeout.catch(ignoreAbort);
-      stopWaiting.abort();
-    }
-  }
-
   private async claimAndRun(run: ClaimRun): Promise<ServiceResponse> {
     const entry = this.newEntry(run.intent);
     const { key } = run;
@@ -244,21 +230,10 @@
 
   /** Records that the run was never sent, in case its claim was stored; returns `error`. */
   private abandon(run: ClaimRun, entry: JournalEntry, error: unknown): unknown {
-    void this.track(this.recordAbandoned(run, entry), run);
+    this.recorder.abandon(run, entry);
     return error;
   }
 
-  /** A claim on its way can still be stored while its dispatch could start, so that time is waited out. */
-  private async recordAbandoned(
-    run: ClaimRun,
-    entry: JournalEntry,
-  ): Promise<void> {
-    const first = await this.record(run, entry, ClaimState.NotRun);
-    if (first.kind === VerdictKind.Settled) return;
-    await this.clock.waitUntil(entry.dispatchUntilMs + LATE_CLAIM_MS);
-    await this.record(run, entry, ClaimState.NotRun);
-  }
-
   private async dispatchOnce(
     run: ClaimRun,
     entry: JournalEntry,
@@ -268,12 +243,12 @@
       response = await run.dispatch();
     } catch (error) {
       if (error instanceof NotSentError) {
-        await this.settle(run, entry, ClaimState.NotRun);
+        await this.recorder.settle(run, entry, ClaimState.NotRun);
         throw failures.notRun(error);
       }
       return this.answerAfterLoss(run, entry, error);
     }
-    await this.settle(run, entry, ClaimState.Ran, response);
+    await this.recorder.settle(run, entry, ClaimState.Ran, response);
     return response;
   }
 
@@ -282,7 +257,7 @@
     entry: JournalEntry,
     error: unknown,
   ): Promise<ServiceResponse> {
-    const settled = this.settle(run, entry, ClaimState.Unknown);
+    const settled = this.recorder.settle(run, entry, ClaimState.Unknown);
     const isLoss = error instanceof PlatformError;
     const failure = isLoss ? failures.outcomeUnknown(error) : error;
     const [answer] = await Promise.allSettled([
@@ -306,64 +281,10 @@
       this.clock,
     );
     if (outcome === undefined) throw failure;
-    void this.settle(run, entry, ClaimState.Ran, outcome.response);
+    void this.recorder.settle(run, entry, ClaimState.Ran, outcome.response);
     if (outcome.response === undefined) throw failures.responseNotKept();
     return outcome.response;
   }
-
-  /** Records the end of a run. Waits a bounded time; the record is tried further after it. */
-  private async settle(
-    run: ClaimRun,
-    entry: JournalEntry,
-    state: SettleCommand['state'],
-    response?: ServiceResponse,
-  ): Promise<void> {
-    const waitUntilMs = this.clock.nowMs() + SETTLE_WAIT_MS;
-    const written = this.track(this.record(run, entry, state, response), run);
-    await this.within(waitUntilMs, written).catch(ignoreAbort);
-  }
-
-  private record(
-    run: ClaimRun,
-    entry: JournalEntry,
-    state: SettleCommand['state'],
-    response?: ServiceResponse,
-  ): Promise<ClaimVerdict> {
-    const command: SettleCommand = {
-      kind: CommandKind.Settle,
-      key: run.key,
-      claimId: entry.claimId,
-      state,
-      response: this.boundedResponse(response),
-    };
-    return this.writer.submit(command, this.clock.nowMs() + SETTLE_RETRY_MS);
-  }
-
-  /** Keeps a write for `drain`; its failure is logged. */
-  private track(write: Promise<unknown>, run: ClaimRun): Promise<unknown> {
-    const tracked = write
-      .catch((error: unknown) => {
-        this.logUnrecorded(run, error);
-      })
-      .finally(() => this.openSettles.delete(tracked));
-    this.openSettles.add(tracked);
-    return tracked;
-  }
-
-  private boundedResponse(
-    response: ServiceResponse | undefined,
-  ): ServiceResponse | undefined {
-    if (response === undefined) return undefined;
-    const { maxResponseBytes } = this.options;
-    return responseBytes(response) <= maxResponseBytes ? response : undefined;
-  }
-
-  private logUnrecorded(run: ClaimRun, error: unknown): void {
-    this.log.warn(LogPart.Claims, 'The end of a call could not be recorded.', {
-      requestId: run.intent.requestId,
-      error: String(error),
-    });
-  }
 }
 
 function claimKey(workspace: string, idempotencyKey: string): string {
@@ -375,7 +296,3 @@
     error instanceof ClaimError && error.kind === ClaimErrorKind.InProgress
   );
 }
-
-function ignoreAbort(): void {
-  // The wait was ended because its result is no longer needed.
-}
--- a/packages/core/src/claims/shard-journal.ts
+++ b/packages/core/src/claims/shard-journal.ts
@@ -8,6 +8,7 @@
 import { CommandKind } from './claim-command.js';
 import type { JournalLimits } from './journal-state.js';
 import { JournalState } from './journal-state.js';
+import { WriteBudget } from './write-budget.js';
 
 const CALL_TIMEOUT_MS = 1_000;
 const MAX_BACKOFF_MS = 400;
@@ -19,8 +20,8 @@
 export interface ShardOptions extends JournalLimits {
   /** Key of the journal value. */
   readonly key: string;
-  /** Least time from the end of one write to the start of the next. */
-  readonly writeIntervalMs: number;
+  /** Mean rate of this journal's writes. */
+  readonly writesPerSecond: number;
 }
 
 interface PendingCommand {
@@ -50,6 +51,7 @@
   private cached: LoadedState | undefined;
   private reading: Promise<JournalState> | undefined;
   private isWriting = false;
+  private readonly budget: WriteBudget;
   private nextWriteAtMs = 0;
   private failures = 0;
 
@@ -58,7 +60,9 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly options: ShardOptions,
-  ) {}
+  ) {
+    this.budget = new WriteBudget(options.writesPerSecond);
+  }
 
   /**
    * Applies the command; resolves once its effect is stored. Throws
@@ -91,7 +95,8 @@
   private async writeAll(): Promise<void> {
     this.isWriting = true;
     while (this.pending.length > 0) {
-      await this.clock.waitUntil(this.nextWriteAtMs);
+      const startAtMs = this.budget.takeNext(this.clock.nowMs());
+      await this.clock.waitUntil(Math.max(startAtMs, this.nextWriteAtMs));
       const batch = this.pending.slice(0, MAX_BATCH);
       await this.tryWrite(batch);
     }
@@ -163,7 +168,6 @@
     verdicts: readonly ClaimVerdict[],
   ): void {
     this.failures = 0;
-    this.nextWriteAtMs = this.clock.nowMs() + this.options.writeIntervalMs;
     this.drop(batch);
     batch.forEach((each, index) => {
       const verdict = verdicts[index];
--- /dev/null
+++ b/packages/core/src/fakes/claim-daemons.ts
@@ -0,0 +1,97 @@
+import type { ClaimIntent, ClaimWriterOptions } from '../claims/index.js';
+import { ClaimWriter, JournalClaims } from '../claims/index.js';
+import type { Address, KeyValue, ServiceResponse } from '../platform/index.js';
+import {
+  ManualClock,
+  MAX_VALUE_BYTES,
+  SeededRandom,
+  silentLog,
+} from '../platform/index.js';
+import type { FaultPlan } from './faulty-key-value.js';
+import { Fault, FaultyKeyValue } from './faulty-key-value.js';
+import { MemoryKeyValue } from './memory-key-value.js';
+import { MemoryPeers } from './memory-peers.js';
+
+const START_MS = 1_000;
+const RETENTION_MS = 60_000;
+
+/** Deadline of the intents that `intentOf` makes. */
+export const CLAIM_DEADLINE_MS = 20_000;
+
+export const CLAIM_RESPONSE: ServiceResponse = {
+  status: 200,
+  contentType: 'application/json',
+  body: '{"receipt":1}',
+};
+
+/** An intent of one workspace under the key. */
+export function intentOf(
+  idempotencyKey: string,
+  changes: Partial<ClaimIntent> = {},
+): ClaimIntent {
+  return {
+    workspace: 'northside',
+    idempotencyKey,
+    bodyHash: 'hash-1',
+    requestId: 'request-1',
+    deadlineAtMs: CLAIM_DEADLINE_MS,
+    ...changes,
+  };
+}
+
+/** Claims of several daemons on one key-value service held in memory. */
+export class ClaimDaemons {
+  readonly clock = new ManualClock(START_MS);
+  readonly store = new MemoryKeyValue(this.clock);
+  readonly peers = new MemoryPeers(this.clock);
+
+  constructor(private readonly options: Partial<ClaimWriterOptions> = {}) {}
+
+  /** A daemon that writes its own claims, with faults on its calls of the service. */
+  add(daemonId: string, plan: FaultPlan = () => Fault.None): JournalClaims {
+    return this.build(daemonId, this.faulty(plan));
+  }
+
+  /** A daemon that forwards claims to their owner among `liveDaemons`. */
+  addPeer(
+    address: Address,
+    liveDaemons: readonly Address[],
+    plan: FaultPlan = () => Fault.None,
+  ): JournalClaims {
+    return this.build(address, this.faulty(plan), liveDaemons);
+  }
+
+  /** A daemon whose calls of the key-value service go through `keyValue`. */
+  build(
+    daemonId: string,
+    keyValue: KeyValue,
+    liveDaemons?: readonly Address[],
+  ): JournalClaims {
+    const options = {
+      shards: 1,
+      writesPerSecond: 1_000,
+      maxJournalBytes: MAX_VALUE_BYTES,
+      maxResponseBytes: 100,
+      ...this.options,
+    };
+    const peers = liveDaemons && {
+      peer: this.peers.peer(daemonId),
+      registry: this.peers.registry(daemonId),
+      selfAddress: () => daemonId,
+      liveDaemons: () => liveDaemons,
+    };
+    const random = new SeededRandom(1);
+    const { clock } = this;
+    const writer = new ClaimWriter(keyValue, clock, random, options, peers);
+    const { maxResponseBytes } = options;
+    return new JournalClaims(writer, clock, silentLog, {
+      daemonId,
+      retentionMs: RETENTION_MS,
+      maxResponseBytes,
+    });
+  }
+
+  private faulty(plan: FaultPlan): KeyValue {
+    return new FaultyKeyValue(this.store, this.clock, plan);
+  }
+}
--- a/packages/core/src/fakes/memory-peers.ts
+++ b/packages/core/src/fakes/memory-peers.ts
@@ -81,7 +81,8 @@
     if (handler === undefined || fault === Fault.Down) {
       throw new NotSentError(`Daemon ${address} cannot be reached.`);
     }
-    const answer = await handler(JSON.parse(JSON.stringify(params)));
+    const handled = handler(JSON.parse(JSON.stringify(params)));
+    const answer = await this.withinDeadline(address, handled, deadlineAtMs);
     this.network.countBytes(address, JSON.stringify(answer ?? null));
     if (fault === Fault.Slow) {
       await this.network.clock.waitUntil(
@@ -93,4 +94,26 @@
     }
     return method.result.parse(answer);
   }
+
+  /** Gives the call up at its deadline where the other daemon does not answer. */
+  private async withinDeadline(
+    address: Address,
+    handled: Promise<unknown>,
+    deadlineAtMs: number,
+  ): Promise<unknown> {
+    const answered = new AbortController();
+    const timeout = this.network.clock
+      .waitUntil(deadlineAtMs, answered.signal)
+      .then(() =>
+        Promise.reject(
+          new AnswerLostError(`No answer from ${address}; dial it again.`),
+        ),
+      );
+    try {
+      return await Promise.race([handled, timeout]);
+    } finally {
+      timeout.catch(() => undefined);
+      answered.abort();
+    }
+  }
 }
--- a/packages/daemon/src/claims/create-claims.ts
+++ b/packages/daemon/src/claims/create-claims.ts
@@ -28,7 +28,7 @@
   const { clock, keyValue, log, peers, random } = parts;
   const options = {
     shards: claims.shards,
-    writeIntervalMs: claims.writeIntervalMs,
+    writesPerSecond: claims.writesPerSecond,
     maxResponseBytes: claims.maxResponseBytes,
     maxJournalBytes: MAX_VALUE_BYTES - JOURNAL_MARGIN_BYTES,
   };
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -86,8 +86,8 @@
     .strictObject({
       retentionMs: durationMs.default(86_400_000),
       /** Journal values; the same at every daemon, and not to be changed later. */
-      shards: z.int().positive().max(10_000).default(64),
-      writeIntervalMs: durationMs.default(20),
+      shards: z.int().positive().max(10_000).default(32),
+      writesPerSecond: z.int().positive().default(200),
       maxResponseBytes: z.int().nonnegative().max(100_000).default(2_000),
     })
     .prefault({}),
--- /dev/null
+++ b/packages/measure/src/claims/claims-experiment.ts
@@ -0,0 +1,127 @@
+import type {
+  Experiment,
+  ExperimentOptions,
+  ExperimentReport,
+  ReportRow,
+  TargetResult,
+} from '../experiment/index.js';
+import { atLeast, atMost } from '../experiment/index.js';
+import { ClaimsKind } from './claims-kind.js';
+import { Interleaving } from './interleaving.js';
+import type { LoadResult } from './load-run.js';
+import { LoadRun } from './load-run.js';
+import type { RunCounts } from './run-log.js';
+
+const DEFAULT_INTERLEAVINGS = 2_500;
+const FULL_INTERLEAVINGS = 25_000;
+const DEFAULT_CLAIMS = 4_000;
+const FULL_CLAIMS = 40_000;
+const SEEDS_A_RUN = 1_000_000;
+
+const DAEMONS = 8;
+const SHARDS = 32;
+const WRITES_PER_SECOND = 200;
+const CLAIMS_PER_SECOND = 1_000;
+
+const MAX_WRITES_PER_SECOND = 300;
+const MAX_ADDED_P95_MS = 570;
+
+/** Kinds whose promises are targets; the others are baselines. */
+const MEASURED = ClaimsKind.Journal;
+
+/** At-most-once calls under faults, and what claims cost under load. */
+export const claimsExperiment: Experiment = {
+  name: 'claims',
+  description: 'double runs, false notRun, journal writes and added latency',
+  run: runClaims,
+};
+
+async function runClaims(
+  options: ExperimentOptions,
+): Promise<ExperimentReport> {
+  const rows: ReportRow[] = [];
+  const targets: TargetResult[] = [];
+  for (const kind of Object.values(ClaimsKind)) {
+    const counts = await playInterleavings(kind, options);
+    rows.push(faultRow(kind, counts));
+    if (kind === MEASURED) targets.push(...faultTargets(counts));
+  }
+  for (const kind of Object.values(ClaimsKind)) {
+    const load = await playLoad(kind, options);
+    rows.push(loadRow(kind, load));
+    if (kind === MEASURED) targets.push(...loadTargets(load));
+  }
+  return { rows, targets };
+}
+
+async function playInterleavings(
+  kind: ClaimsKind,
+  options: ExperimentOptions,
+): Promise<RunCounts> {
+  const count = options.full ? FULL_INTERLEAVINGS : DEFAULT_INTERLEAVINGS;
+  const results: RunCounts[] = [];
+  for (let index = 0; index < count; index += 1) {
+    const seed = options.seed * SEEDS_A_RUN + index;
+    results.push(await new Interleaving(kind, seed).play());
+  }
+  return results.reduce(addCounts);
+}
+
+function playLoad(
+  kind: ClaimsKind,
+  options: ExperimentOptions,
+): Promise<LoadResult> {
+  return new LoadRun(kind, {
+    seed: options.seed,
+    daemons: DAEMONS,
+    shards: SHARDS,
+    writesPerSecond: WRITES_PER_SECOND,
+    claimsPerSecond: CLAIMS_PER_SECOND,
+    claims: options.full ? FULL_CLAIMS : DEFAULT_CLAIMS,
+  }).play();
+}
+
+function addCounts(left: RunCounts, right: RunCounts): RunCounts {
+  return {
+    requests: left.requests + right.requests,
+    ran: left.ran + right.ran,
+    notRun: left.notRun + right.notRun,
+    unknown: left.unknown + right.unknown,
+    unanswered: left.unanswered + right.unanswered,
+    serviceRuns: left.serviceRuns + right.serviceRuns,
+    doubleRuns: left.doubleRuns + right.doubleRuns,
+    falseNotRun: left.falseNotRun + right.falseNotRun,
+    falseRan: left.falseRan + right.falseRan,
+    refusedAfterRun: left.refusedAfterRun + right.refusedAfterRun,
+  };
+}
+
+function faultRow(kind: ClaimsKind, counts: RunCounts): ReportRow {
+  return { way: kind, under: 'faults', ...counts };
+}
+
+function loadRow(kind: ClaimsKind, load: LoadResult): ReportRow {
+  return { way: kind, under: `${CLAIMS_PER_SECOND} claims a second`, ...load };
+}
+
+function faultTargets(counts: RunCounts): readonly TargetResult[] {
+  return [
+    atMost('double runs', counts.doubleRuns, 0, ''),
+    atMost('false notRun', counts.falseNotRun, 0, ''),
+    atMost('false ran', counts.falseRan, 0, ''),
+    atLeast('calls that ran under faults', counts.serviceRuns, 1, ''),
+  ];
+}
+
+function loadTargets(load: LoadResult): readonly TargetResult[] {
+  return [
+    atMost(
+      'journal writes a second at a thousand claims a second',
+      load.writesPerSecond,
+      MAX_WRITES_PER_SECOND,
+      '',
+    ),
+    atMost('added latency p95', load.addedP95Ms, MAX_ADDED_P95_MS, 'ms'),
+    atMost('claims that failed under load', load.failed, 0, ''),
+  ];
+}
--- /dev/null
+++ b/packages/measure/src/claims/index.ts
@@ -0,0 +1,1 @@
+export * from './claims-experiment.js';
