Merge at-most-once claims

Shards are owned by the live daemons that membership knows; a stopping daemon settles its claims before it ends. The wiring is split by what it builds.

--- a/packages/core/src/pipeline/identify-request.ts
+++ b/packages/core/src/pipeline/identify-request.ts
@@ -28,7 +28,7 @@
   };
 }
 
-/** The workspace of the caller's bearer token. Throws `RequestError`. */
+/** The workspace that the bearer token belongs to. Throws `RequestError`. */
 export function workspaceOf(
   request: Pick<CallerRequest, 'bearerToken'>,
   tokens: TokenDirectory,
--- a/packages/core/src/pipeline/index.ts
+++ b/packages/core/src/pipeline/index.ts
@@ -8,5 +8,7 @@
 export * from './request.js';
 export * from './request-error.js';
 export * from './run-end.js';
+export * from './service-outcomes.js';
 export * from './service-pipeline.js';
+export * from './service-traits.js';
 export * from './survival-parts.js';
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -5,6 +5,7 @@
   ModelPipeline,
   ReceivedAnswer,
   ServiceCall,
+  ServiceOutcomes,
   ServicePipeline,
   TokenDirectory,
 } from '@skylarkreach/core/pipeline';
@@ -33,12 +34,14 @@
 import type { ChatBody } from './chat-body.js';
 import { parseChatBody } from './chat-body.js';
 import { ChatHandler } from './chat-handler.js';
+import { OutcomeHandler } from './outcome-handler.js';
 import { sendProblem, stopping } from './problem.js';
 import { RequestHandler } from './request-handler.js';
 
 export interface CallerServerParts {
   readonly models: ModelPipeline;
   readonly services: ServicePipeline;
+  readonly outcomes: ServiceOutcomes;
   readonly clock: Clock;
   readonly log: Log;
   readonly limits: Settings['limits'];
@@ -67,10 +70,14 @@
       directory,
       models,
     });
+    const outcomes = new OutcomeHandler(parts.outcomes);
     this.router
       .add('POST', '/v1/chat/completions', exchange =>
         this.handleChat(exchange),
       )
+      .add('GET', '/v1/services/{service}/outcomes/{key}', exchange =>
+        outcomes.send(exchange),
+      )
       .add('*', '/v1/services/{service}/{path+}', exchange =>
         this.handleService(exchange),
       )
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -82,6 +82,7 @@
     await handOff.ended();
     await this.wiring.membership.leave();
     await this.listeners[0].close();
+    await this.wiring.claims.drain();
     await Promise.all(this.listeners.slice(1).map(each => each.close()));
     await this.stopLoops();
     this.wiring.parts.log.info(LogPart.Daemon, 'The daemon has stopped.');
--- a/packages/daemon/src/operators/operator-server.ts
+++ b/packages/daemon/src/operators/operator-server.ts
@@ -1,7 +1,7 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import type { Clock, KeyValue, StateSource } from '@skylarkreach/core/platform';
+import type { StateSource } from '@skylarkreach/core/platform';
 import { PlatformError } from '@skylarkreach/core/platform';
 
 import type { HttpHandler } from '../http/index.js';
@@ -28,22 +28,25 @@
 export type OperatorHandler = (call: OperatorCall) => Promise<OperatorAnswer>;
 
 export interface OperatorServerParts {
-  readonly clock: Clock;
-  readonly keyValue: KeyValue;
   readonly operators: Settings['credentials']['operators'];
-  readonly sources: readonly StateSource[];
   readonly status: () => unknown;
 }
 
 /** HTTP interface for operators. Every call needs an operator's credential. */
 export class OperatorServer {
   private readonly router = new HttpRouter();
+  private readonly sources: StateSource[] = [];
 
   constructor(private readonly parts: OperatorServerParts) {
     this.add('GET', '/v1/status', () => ok(this.parts.status()));
     this.add('GET', '/v1/dump', () => ok(this.dump()));
   }
 
+  /** Adds a part to what `GET /v1/dump` shows. */
+  addSource(source: StateSource): void {
+    this.sources.push(source);
+  }
+
   /** Adds a call of a feature. */
   add(method: string, path: string, handler: OperatorHandler): void {
     this.router.add(method, path, this.authenticated(handler));
@@ -64,7 +67,7 @@
 
   private dump(): Record<string, unknown> {
     return Object.fromEntries(
-      this.parts.sources.map(source => [source.name, source.dumpState()]),
+      this.sources.map(source => [source.name, source.dumpState()]),
     );
   }
 
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,13 +1,24 @@
 import { InFlightAdmission } from '@skylarkreach/core/admission';
-import { SingleKeyClaims } from '@skylarkreach/core/claims';
+import type { JournalClaims } from '@skylarkreach/core/claims';
 import { MoveBoard } from '@skylarkreach/core/moves';
 import type { PipelineParts } from '@skylarkreach/core/pipeline';
 import {
   ModelPipeline,
+  ServiceOutcomes,
   ServicePipeline,
   TokenDirectory,
 } from '@skylarkreach/core/pipeline';
-import type { Clock, StateSource } from '@skylarkreach/core/platform';
+import type {
+  Clock,
+  Cloud,
+  DaemonIdentity,
+  Engine,
+  KeyValue,
+  Log,
+  Metrics,
+  Random,
+  StateSource,
+} from '@skylarkreach/core/platform';
 import { LogPart, SeededRandom } from '@skylarkreach/core/platform';
 import { LeastInFlightRouter } from '@skylarkreach/core/routing';
 import {
@@ -25,10 +36,12 @@
   HttpService,
 } from './adapters/index.js';
 import { CallerServer } from './callers/index.js';
+import { createClaims, serviceTraitsOf } from './claims/index.js';
 import type { Survival } from './hand-off/index.js';
 import { createSurvival } from './hand-off/index.js';
 import { EndpointPoll, Loop } from './loops/index.js';
 import { BoundIdentity, MembershipService } from './membership/index.js';
+import type { MoveWiring } from './moves/index.js';
 import { wireMoves } from './moves/index.js';
 import { addRuleCalls, OperatorServer } from './operators/index.js';
 import { HttpPeer, PeerServer } from './peers/index.js';
@@ -44,8 +57,8 @@
   readonly callers: CallerServer;
   readonly operators: OperatorServer;
   readonly peerServer: PeerServer;
-  readonly peer: HttpPeer;
   readonly survival: Survival;
+  readonly claims: JournalClaims;
   readonly http: HttpClient;
   readonly membership: MembershipService;
   /** Identity of this daemon; its addresses are filled in once the servers are bound. */
@@ -60,6 +73,31 @@
   readonly isReady: () => boolean;
 }
 
+/** What every part of the daemon shares. */
+interface Base {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly http: HttpClient;
+  readonly keyValue: KeyValue;
+  readonly cloud: Cloud;
+  readonly engine: Engine;
+  readonly rules: RuleStore;
+  readonly peer: HttpPeer;
+  readonly registry: PeerServer;
+  readonly identity: BoundIdentity;
+}
+
+/** Parts that know of the other daemons. */
+interface Cluster {
+  readonly membership: MembershipService;
+  /** Live daemons, this one included. */
+  readonly liveDaemons: () => readonly DaemonIdentity[];
+  readonly board: MoveBoard;
+}
+
 /** Builds the parts of a daemon and connects them. */
 export function wire(
   settings: Settings,
@@ -67,81 +105,148 @@
   seed: number,
   state: ProcessState,
 ): Wiring {
+  const base = createBase(settings, clock, seed);
+  const cluster = createCluster(base);
+  const claims = createOwnedClaims(base, cluster);
+  const parts = createPipelineParts(base, claims);
+  const survival = createSurvival({
+    ...base,
+    peerRegistry: base.registry,
+    liveDaemons: () => cluster.membership.live(),
+    versions: cluster.board,
+  });
+  const operators = createOperators(base, cluster, parts, state);
+  const moves = wireMoves({
+    ...base,
+    ...cluster,
+    operators,
+    self: base.identity,
+  });
+  operators.addSource(moves.source);
+  const poll = createPoll(base, parts);
+  return {
+    parts,
+    operators,
+    survival,
+    claims,
+    callers: createCallers(base, parts, survival, state),
+    peerServer: base.registry,
+    http: base.http,
+    membership: cluster.membership,
+    identity: base.identity,
+    loops: createLoops(base, cluster, survival, moves, poll),
+    prime: async () => {
+      const first = [cluster.membership.prime(), poll.readListing()];
+      await Promise.allSettled(first);
+      await moves.prime();
+    },
+  };
+}
+
+function createBase(settings: Settings, clock: Clock, seed: number): Base {
   const { credentials, identity, platform, telemetry } = settings;
-  const log = new PinoLog(telemetry.logLevel, identity.daemonId);
+  const { cloudAddress, keyValueAddress, token } = platform;
   const metrics = createMetrics(telemetry.statsdAddress, identity.dataCentre);
   const http = new HttpClient(clock);
-  const keyValue = new HttpKeyValue(
-    http,
-    platform.keyValueAddress,
-    platform.token,
-  );
-  const cloud = new HttpCloud(http, platform.cloudAddress, platform.token);
-  const random = new SeededRandom(seed);
-  const rules = new RuleStore();
-  const parts: PipelineParts = {
+  return {
+    settings,
     clock,
-    random,
-    rules,
-    log,
     metrics,
-    tokens: new TokenDirectory(credentials.workspaces),
+    http,
+    random: new SeededRandom(seed),
+    log: new PinoLog(telemetry.logLevel, identity.daemonId),
+    keyValue: new HttpKeyValue(http, keyValueAddress, token),
+    cloud: new HttpCloud(http, cloudAddress, token),
+    engine: new HttpEngine(http),
+    rules: new RuleStore(),
+    peer: new HttpPeer(http, credentials.peerSecret, clock),
+    registry: new PeerServer(credentials.peerSecret, metrics, clock),
+    identity: new BoundIdentity(settings),
+  };
+}
+
+function createCluster(base: Base): Cluster {
+  const membership = new MembershipService(base.identity, base);
+  return {
+    membership,
+    liveDaemons: () => [base.identity, ...membership.live()],
+    board: new MoveBoard(base.identity.id),
+  };
+}
+
+/** Claims whose shards are owned by the live daemons. */
+function createOwnedClaims(base: Base, cluster: Cluster): JournalClaims {
+  const { identity, peer, registry, settings } = base;
+  const peers = {
+    peer,
+    registry,
+    selfAddress: () => identity.peerAddress,
+    liveDaemons: () => cluster.liveDaemons().map(each => each.peerAddress),
+  };
+  return createClaims(settings, { ...base, peers });
+}
+
+function createPipelineParts(base: Base, claims: JournalClaims): PipelineParts {
+  const { clock, http, random, settings } = base;
+  return {
+    ...base,
+    claims,
+    tokens: new TokenDirectory(settings.credentials.workspaces),
     admission: new InFlightAdmission(clock),
     router: new LeastInFlightRouter(random),
-    claims: new SingleKeyClaims(keyValue, clock, settings.claims.retentionMs),
-    engine: new HttpEngine(http),
+    serviceTraits: serviceTraitsOf(settings),
     service: new HttpService(http),
   };
-  const boundIdentity = new BoundIdentity(settings);
-  const peerServer = new PeerServer(credentials.peerSecret, metrics, clock);
-  const peer = new HttpPeer(http, credentials.peerSecret, clock);
-  const membership = new MembershipService(boundIdentity, {
-    ...parts,
-    cloud,
-    keyValue,
-    peer,
-    registry: peerServer,
-  });
-  const board = new MoveBoard(identity.daemonId);
-  const survival = createSurvival({
-    liveDaemons: () => membership.live(),
-    versions: board,
-    settings,
-    clock,
-    log,
-    cloud,
-    peer,
-    peerRegistry: peerServer,
-  });
-  const callers = new CallerServer({
+}
+
+function createCallers(
+  base: Base,
+  parts: PipelineParts,
+  survival: Survival,
+  state: ProcessState,
+): CallerServer {
+  return new CallerServer({
     models: new ModelPipeline(parts, survival.parts),
+    services: new ServicePipeline(parts),
+    outcomes: new ServiceOutcomes(parts),
     directory: parts.tokens,
     resumeTokens: survival.tokens,
     responses: survival.responses,
-    services: new ServicePipeline(parts),
-    limits: settings.limits,
+    limits: base.settings.limits,
     isReady: state.isReady,
-    clock,
-    log,
+    clock: base.clock,
+    log: base.log,
   });
+}
+
+function createOperators(
+  base: Base,
+  { liveDaemons, membership }: Cluster,
+  { router }: PipelineParts,
+  state: ProcessState,
+): OperatorServer {
+  const { clock, identity, keyValue, peer, registry, rules, settings } = base;
+  const { credentials } = settings;
   const operators = new OperatorServer({
-    clock,
-    keyValue,
     operators: credentials.operators,
-    sources: [...stateSources(parts), membership],
     status: () => ({
-      daemonId: identity.daemonId,
+      daemonId: identity.id,
       dataCentre: identity.dataCentre,
       ready: state.isReady(),
       ruleRevision: rules.revision,
-      endpoints: parts.router.endpoints().length,
+      endpoints: router.endpoints().length,
       ...membership.status(),
     }),
   });
-  peerServer.handle(revisionMethod, () =>
+  operators.addSource(membership);
+  operators.addSource(rulesSource(rules));
+  operators.addSource({
+    name: 'routing',
+    dumpState: () => router.endpoints(),
+  });
+  registry.handle(revisionMethod, () =>
     Promise.resolve({ revision: rules.revision }),
   );
-  const liveDaemons = () => [boundIdentity, ...membership.live()];
   addRuleCalls(operators, {
     rules,
     clock,
@@ -149,75 +254,44 @@
     survey: new RevisionSurvey(peer, liveDaemons),
     knownNames: () => ({
       workspaces: credentials.workspaces.map(token => token.workspace),
-      groups: [...new Set(parts.router.endpoints().map(each => each.group))],
+      groups: [...new Set(router.endpoints().map(each => each.group))],
     }),
   });
-  const moves = wireMoves({
-    board,
-    self: boundIdentity,
-    clock,
-    keyValue,
-    peer,
-    registry: peerServer,
-    operators,
-    rules,
-    log,
-    metrics,
-    liveDaemons,
-  });
-  const poll = new EndpointPoll(cloud, parts.engine, parts.router, clock, log);
-  const loops = [
-    survival.loop,
-    ...membership.loops,
-    ...moves.loops,
-    new Loop(
-      {
-        name: 'listing',
-        part: LogPart.Routing,
-        nextAtMs: nowMs => nowMs + LISTING_INTERVAL_MS,
-        step: () => poll.readListing(),
-      },
-      clock,
-      log,
-    ),
-    new Loop(
-      {
-        name: 'load',
-        part: LogPart.Routing,
-        nextAtMs: nowMs => nowMs + LOAD_INTERVAL_MS,
-        step: () => poll.readLoads(),
-      },
-      clock,
-      log,
-    ),
-  ];
+  return operators;
+}
+
+function rulesSource(rules: RuleStore): StateSource {
   return {
-    parts,
-    callers,
-    operators,
-    loops,
-    http,
-    prime: async () => {
-      await Promise.allSettled([membership.prime(), poll.readListing()]);
-      await moves.prime();
-    },
-    membership,
-    identity: boundIdentity,
-    peerServer,
-    peer,
-    survival,
+    name: 'rules',
+    dumpState: () => ({ revision: rules.revision, text: rules.text }),
   };
 }
 
-function stateSources(parts: PipelineParts): readonly StateSource[] {
+function createPoll(base: Base, parts: PipelineParts): EndpointPoll {
+  const { clock, cloud, engine, log } = base;
+  return new EndpointPoll(cloud, engine, parts.router, clock, log);
+}
+
+function createLoops(
+  base: Base,
+  cluster: Cluster,
+  survival: Survival,
+  moves: MoveWiring,
+  poll: EndpointPoll,
+): readonly Loop[] {
+  const { clock, log } = base;
+  const part = LogPart.Routing;
+  const every = (name: string, intervalMs: number, step: () => Promise<void>) =>
+    new Loop(
+      { name, part, step, nextAtMs: nowMs => nowMs + intervalMs },
+      clock,
+      log,
+    );
   return [
-    {
-      name: 'rules',
-      dumpState: () => ({
-        revision: parts.rules.revision,
-        text: parts.rules.text,
-      }),
-    },
-    { name: 'routing', dumpState: () => parts.router.endpoints() },
+    survival.loop,
+    ...cluster.membership.loops,
+    ...moves.loops,
+    every('listing', LISTING_INTERVAL_MS, () => poll.readListing()),
+    every('load', LOAD_INTERVAL_MS, () => poll.readLoads()),
   ];
 }
--- a/packages/measure/src/config/simulated-fleet.ts
+++ b/packages/measure/src/config/simulated-fleet.ts
@@ -13,7 +13,11 @@
   silentLog,
   silentMetrics,
 } from '@skylarkreach/core/platform';
-import { encodeRuleDocument, RULES_KEY, RuleStore } from '@skylarkreach/core/rules';
+import {
+  encodeRuleDocument,
+  RULES_KEY,
+  RuleStore,
+} from '@skylarkreach/core/rules';
 import { MembershipService } from '@skylarkreach/daemon';
 import { MemoryCloud } from '@skylarkreach/stand-ins';
 
--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -1,3 +1,4 @@
+import { claimsExperiment } from './claims/index.js';
 import { configExperiment } from './config/index.js';
 import type { Experiment } from './experiment/index.js';
 import { movesExperiment } from './moves/index.js';
@@ -10,4 +11,5 @@
   movesExperiment,
   slopesExperiment,
   configExperiment,
+  claimsExperiment,
 ];
