Keep requests to the version that a move chooses and judge their ends

Cause: moves decided shares that no request followed. A router around the router asks the moves for the version, keeps the endpoints that are not in use yet out, and reports how attempts end; both pipelines already go through it. An answer of a plain service with status 500 or more now counts as the endpoint's failure.

Test: at a share of 0.3 a request keeps its version, one of two new endpoints is used, and after a brake all go to the old version.

--- a/packages/core/src/pipeline/index.ts
+++ b/packages/core/src/pipeline/index.ts
@@ -12,3 +12,4 @@
 export * from './service-pipeline.js';
 export * from './service-traits.js';
 export * from './survival-parts.js';
+export * from './versioned-router.js';
--- a/packages/core/src/pipeline/service-dispatcher.ts
+++ b/packages/core/src/pipeline/service-dispatcher.ts
@@ -6,6 +6,9 @@
 import type { IdentifiedRequest, ServiceCall } from './request.js';
 import { serviceKey, traitsOf } from './service-traits.js';
 
+/** Least status of an answer that counts as the endpoint's failure. */
+const SERVER_ERROR_STATUS = 500;
+
 /** Sends calls to endpoints of plain services. */
 export class ServiceDispatcher {
   constructor(private readonly parts: PipelineParts) {}
@@ -62,7 +65,7 @@
         },
         signal,
       );
-      end = AttemptEnd.Succeeded;
+      if (response.status < SERVER_ERROR_STATUS) end = AttemptEnd.Succeeded;
       return response;
     } finally {
       router.recordEnd(attempt, { end, generatedTokens: 0 }, clock.nowMs());
--- /dev/null
+++ b/packages/core/src/pipeline/versioned-router.test.ts
@@ -0,0 +1,145 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import type { VersionedResult } from '../moves/index.js';
+import { MoveBoard, moveKey, startRecord } from '../moves/index.js';
+import type { Endpoint } from '../platform/index.js';
+import {
+  EndpointKind,
+  EndpointStage,
+  Priority,
+  SeededRandom,
+} from '../platform/index.js';
+import type { Attempt, RouteRequest } from '../routing/index.js';
+import { AttemptEnd, LeastInFlightRouter } from '../routing/index.js';
+import { VersionedRouter } from './versioned-router.js';
+
+const KINDS = ['lookup'];
+
+function endpoint(address: string, version: string): Endpoint {
+  return {
+    address,
+    version,
+    kind: EndpointKind.Model,
+    group: 'model',
+    dataCentre: 'north-1',
+    instanceId: address,
+    stage: EndpointStage.Ready,
+  };
+}
+
+function request(requestId: string, version?: string): RouteRequest {
+  return {
+    requestId,
+    version,
+    workspace: 'northside',
+    kind: 'lookup',
+    group: 'model',
+    promptText: '',
+    promptTokens: 1,
+    maxTokens: 10,
+    priority: Priority.Lookup,
+    deadlineAtMs: 60_000,
+    excluded: new Set(),
+    avoidedDataCentres: new Set(),
+  };
+}
+
+function setUp(share: number) {
+  const board = new MoveBoard('daemon-1');
+  const record = startRecord({
+    moveId: 'move-1',
+    group: 'model',
+    fromVersion: 'v1',
+    toVersion: 'v2',
+    kinds: KINDS,
+    cautiousKinds: [],
+    startedAtMs: 0,
+    deadlineAtMs: 60_000,
+    reason: 'operations, newer weights',
+  });
+  const progress = [{ kind: 'lookup', share, newCount: 0 }];
+  const value = JSON.stringify({ ...record, progress });
+  board.onEntry({ key: moveKey('model'), value, version: 1 }, 0);
+  const results: VersionedResult[] = [];
+  const router = new VersionedRouter(
+    new LeastInFlightRouter(new SeededRandom(3)),
+    board,
+    {
+      onDispatch: () => undefined,
+      onResult: result => {
+        results.push(result);
+      },
+    },
+  );
+  router.applyListing(
+    [
+      endpoint('old-1', 'v1'),
+      endpoint('old-2', 'v1'),
+      endpoint('new-1', 'v2'),
+      endpoint('new-2', 'v2'),
+    ],
+    0,
+  );
+  return { board, results, router };
+}
+
+describe('VersionedRouter', () => {
+  it('sends the share to the new version and keeps each request to one', () => {
+    const { router } = setUp(0.3);
+    const used = new Set<string>();
+    let fresh = 0;
+    for (let index = 0; index < 1_000; index += 1) {
+      const first = router.choose(request(`request-${index}`), 0);
+      const again = router.choose(request(`request-${index}`), 1);
+      assert.equal(first?.version, again?.version);
+      if (first?.version === 'v2') fresh += 1;
+      if (first?.version === 'v2') used.add(first.address);
+    }
+    assert.ok(fresh > 240 && fresh < 360, `${fresh} of 1000`);
+    assert.equal(used.size, 1);
+  });
+
+  it('keeps the version that an answer began with, and drops it with the brake', () => {
+    const { board, router } = setUp(0.3);
+    assert.equal(router.choose(request('request-1', 'v2'), 0)?.version, 'v2');
+    board.find('model')?.stop(0);
+    for (let index = 0; index < 100; index += 1) {
+      const chosen = router.choose(request(`request-${index}`), 1);
+      assert.equal(chosen?.version, 'v1');
+    }
+    assert.equal(board.isTakenBack('model', 'v2'), true);
+  });
+
+  it('reports ends that speak of the version, with their times', () => {
+    const { results, router } = setUp(0.3);
+    const route = request('request-1', 'v2');
+    const chosen = router.choose(route, 0);
+    const attemptOf = (attemptId: string): Attempt => ({
+      attemptId,
+      address: chosen?.address ?? '',
+      request: route,
+    });
+    const [first, second] = [attemptOf('a'), attemptOf('b')];
+    router.recordDispatch(first, 1_000);
+    router.recordDispatch(second, 1_000);
+    const cancelled = { end: AttemptEnd.Cancelled, generatedTokens: 0 };
+    router.recordEnd(second, cancelled, 1_100);
+    const whole = {
+      end: AttemptEnd.Succeeded,
+      firstByteAtMs: 1_200,
+      generatedTokens: 11,
+    };
+    router.recordEnd(first, whole, 1_700);
+    assert.deepEqual(results, [
+      {
+        group: 'model',
+        kind: 'lookup',
+        version: 'v2',
+        failed: false,
+        firstTokenMs: 200,
+        tokenGapMs: 50,
+      },
+    ]);
+  });
+});
--- a/packages/daemon/src/moves/move-wiring.ts
+++ b/packages/daemon/src/moves/move-wiring.ts
@@ -1,4 +1,4 @@
-import type { MoveBoard, VersionPolicy } from '@skylarkreach/core/moves';
+import type { MoveBoard } from '@skylarkreach/core/moves';
 import {
   brakesMethod,
   MoveRunner,
@@ -21,13 +21,14 @@
 import { Loop } from '../loops/index.js';
 import type { OperatorServer } from '../operators/index.js';
 import { addMoveCalls } from '../operators/index.js';
-import { KindRateMeter } from './kind-rate-meter.js';
+import type { KindRateMeter } from './kind-rate-meter.js';
 
 const STEP_INTERVAL_MS = 1_000;
 
 export interface MoveWiringParts {
   readonly self: DaemonIdentity;
   readonly board: MoveBoard;
+  readonly rates: KindRateMeter;
   readonly clock: Clock;
   readonly keyValue: KeyValue;
   readonly peer: Peer;
@@ -42,9 +43,6 @@
 
 /** Version moves of one daemon. */
 export interface MoveWiring {
-  readonly policy: VersionPolicy;
-  readonly board: MoveBoard;
-  readonly rates: KindRateMeter;
   readonly loops: readonly Loop[];
   readonly source: StateSource;
   /** Reads the records and asks peers for brakes, as far as they answer. */
@@ -53,10 +51,9 @@
 
 /** Builds a daemon's part in version moves. */
 export function wireMoves(parts: MoveWiringParts): MoveWiring {
-  const { board, clock, keyValue, liveDaemons, log, operators, registry } =
-    parts;
+  const { board, clock, keyValue, liveDaemons, log } = parts;
+  const { operators, rates, registry } = parts;
   const runner = new MoveRunner(parts);
-  const rates = new KindRateMeter(clock);
   registry.handle(reportMethod, ({ recordVersion, report }) =>
     Promise.resolve({
       brake: board.onReport(report),
@@ -86,9 +83,6 @@
       log,
     );
   return {
-    board,
-    rates,
-    policy: board,
     loops: [
       loop('move records', () => runner.readRecords()),
       loop('moves', () => runner.step()),
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -7,6 +7,7 @@
   ServiceOutcomes,
   ServicePipeline,
   TokenDirectory,
+  VersionedRouter,
 } from '@skylarkreach/core/pipeline';
 import type {
   Clock,
@@ -42,7 +43,7 @@
 import { EndpointPoll, Loop } from './loops/index.js';
 import { BoundIdentity, MembershipService } from './membership/index.js';
 import type { MoveWiring } from './moves/index.js';
-import { wireMoves } from './moves/index.js';
+import { KindRateMeter, wireMoves } from './moves/index.js';
 import { addRuleCalls, OperatorServer } from './operators/index.js';
 import { HttpPeer, PeerServer } from './peers/index.js';
 import type { Settings } from './settings/index.js';
@@ -108,7 +109,8 @@
   const base = createBase(settings, clock, seed);
   const cluster = createCluster(base);
   const claims = createOwnedClaims(base, cluster);
-  const parts = createPipelineParts(base, claims);
+  const rates = new KindRateMeter(clock);
+  const parts = createPipelineParts(base, cluster, claims, rates);
   const survival = createSurvival({
     ...base,
     peerRegistry: base.registry,
@@ -119,6 +121,7 @@
   const moves = wireMoves({
     ...base,
     ...cluster,
+    rates,
     operators,
     self: base.identity,
   });
@@ -186,14 +189,27 @@
   return createClaims(settings, { ...base, peers });
 }
 
-function createPipelineParts(base: Base, claims: JournalClaims): PipelineParts {
+function createPipelineParts(
+  base: Base,
+  { board }: Cluster,
+  claims: JournalClaims,
+  rates: KindRateMeter,
+): PipelineParts {
   const { clock, http, random, settings } = base;
+  const router = new VersionedRouter(new LeastInFlightRouter(random), board, {
+    onDispatch: (group, kind) => {
+      rates.count(group, kind);
+    },
+    onResult: result => {
+      board.recordResult(result);
+    },
+  });
   return {
     ...base,
     claims,
     tokens: new TokenDirectory(settings.credentials.workspaces),
     admission: new InFlightAdmission(clock),
-    router: new LeastInFlightRouter(random),
+    router,
     serviceTraits: serviceTraitsOf(settings),
     service: new HttpService(http),
   };
