Measure what control costs a daemon, bound its news, test peers over sockets

Cause: probes carried up to six pieces of news of 190 bytes; after a cold start of 50 daemons each spent 5.9 KB a second for as long as the news lasted.

--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -60,7 +60,8 @@
 const probeAnswerSchema = z.object({
   incarnation: count,
   updates: z.array(updateSchema).max(MAX_UPDATES),
-  digest: digestSchema,
+  /** Left out where it equals the digest of the probe. */
+  digest: digestSchema.optional(),
   /** Time since the sender last knew its values to be current. */
   confirmedAgeMs: count.optional(),
 });
--- a/packages/daemon/src/membership/membership-calls.ts
+++ b/packages/daemon/src/membership/membership-calls.ts
@@ -1,4 +1,5 @@
 import type {
+  KeyVersion,
   MembershipAction,
   ProbeAction,
   ProbeThroughAction,
@@ -68,7 +69,10 @@
       );
       const { confirmedAgeMs, digest, incarnation, updates } = answer;
       this.parts.swim.answered(target, incarnation, updates, clock.nowMs());
-      const isComplete = await this.parts.spreader.fetchMissing(target, digest);
+      const isComplete = await this.parts.spreader.fetchMissing(
+        target,
+        digest ?? [],
+      );
       if (isComplete && confirmedAgeMs !== undefined) {
         this.parts.store.confirm(sentAtMs - confirmedAgeMs);
       }
@@ -171,12 +175,14 @@
   }
 
   /** What a probe is answered with. */
-  probeAnswer(receiverId: string) {
+  probeAnswer(receiverId: string, received: readonly KeyVersion[]) {
     const confirmedAtMs = this.parts.store.confirmedAtMs();
+    const digest = this.digest();
+    const isSame = JSON.stringify(digest) === JSON.stringify(received);
     return {
       incarnation: this.parts.swim.incarnation,
       updates: this.parts.swim.updatesFor(receiverId),
-      digest: this.digest(),
+      digest: isSame ? undefined : digest,
       confirmedAgeMs:
         confirmedAtMs === undefined
           ? undefined
--- a/packages/daemon/src/membership/membership-methods.ts
+++ b/packages/daemon/src/membership/membership-methods.ts
@@ -25,7 +25,7 @@
     const { digest, from, incarnation, updates } = message;
     swim.heardFrom(from, incarnation, updates, clock.nowMs());
     void spreader.fetchMissing(from, digest);
-    return Promise.resolve(calls.probeAnswer(from.id));
+    return Promise.resolve(calls.probeAnswer(from.id, digest));
   });
   registry.handle(probeThroughMethod, ({ deadlineAtMs, target }) =>
     calls.reach(target.peerAddress, deadlineAtMs),
--- /dev/null
+++ b/packages/daemon/src/peers/peer-server.test.ts
@@ -0,0 +1,150 @@
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+
+import { request } from 'undici';
+import { z } from 'zod';
+
+import {
+  definePeerMethod,
+  ManualClock,
+  silentMetrics,
+} from '@skylarkreach/core/platform';
+
+import { HttpClient, SystemClock } from '../adapters/index.js';
+import { HttpListener } from '../http/index.js';
+import { HttpPeer } from './http-peer.js';
+import { MessageSealer } from './message-seal.js';
+import {
+  MAX_PEER_MESSAGE_BYTES,
+  PeerRefusal,
+  PeerServer,
+} from './peer-server.js';
+
+const SECRET = 'peer-secret-example';
+const NOW_MS = 1_000_000;
+const BODY = JSON.stringify({
+  jsonrpc: '2.0',
+  id: 1,
+  method: 'test.echo',
+  params: { text: 'a' },
+});
+const echo = definePeerMethod(
+  'test.echo',
+  z.object({ text: z.string() }),
+  z.object({ text: z.string() }),
+);
+
+describe('PeerServer', () => {
+  const clock = new ManualClock(NOW_MS);
+  const server = new PeerServer(SECRET, silentMetrics, clock);
+  const listener = new HttpListener(
+    {
+      address: '127.0.0.1:0',
+      maxHeaderBytes: 16_384,
+      headersTimeoutMs: 10_000,
+    },
+    (incoming, response) => void server.serve(incoming, response),
+  );
+  const http = new HttpClient(new SystemClock());
+  let address = '';
+  let calls = 0;
+
+  before(async () => {
+    server.handle(echo, params => {
+      calls += 1;
+      return Promise.resolve(params);
+    });
+    address = await listener.listen();
+    server.acceptCallsTo(address);
+  });
+  after(async () => {
+    await http.close();
+    listener.destroy();
+  });
+
+  function seal(body: string, sentAtMs = NOW_MS, target = address) {
+    return new MessageSealer(SECRET, new ManualClock(sentAtMs)).seal(
+      target,
+      body,
+    );
+  }
+
+  async function statusOf(headers: Record<string, string>, body: string) {
+    const answer = await request(`http://${address}/rpc`, {
+      method: 'POST',
+      headers,
+      body,
+    }).catch(() => undefined);
+    await answer?.body.dump();
+    return answer?.statusCode;
+  }
+
+  async function expectRefused(
+    refusal: PeerRefusal,
+    headers: Record<string, string>,
+    body: string,
+  ): Promise<void> {
+    const callsBefore = calls;
+    const refusedBefore = server.refused(refusal);
+    const status = await statusOf(headers, body);
+    assert.notEqual(status, 200);
+    assert.equal(server.refused(refusal), refusedBefore + 1);
+    assert.equal(calls, callsBefore);
+  }
+
+  it('answers a call of a peer that holds the credential', async () => {
+    const peer = new HttpPeer(http, SECRET, clock);
+    const deadlineAtMs = Date.now() + 5_000;
+    const answer = await peer.call(address, echo, { text: 'b' }, deadlineAtMs);
+    assert.deepEqual(answer, { text: 'b' });
+  });
+
+  it('refuses messages without the credential, or altered ones', async () => {
+    await expectRefused(PeerRefusal.Unauthenticated, {}, BODY);
+    const wrong = new MessageSealer('another-secret-text', clock);
+    await expectRefused(
+      PeerRefusal.Unauthenticated,
+      wrong.seal(address, BODY),
+      BODY,
+    );
+    await expectRefused(
+      PeerRefusal.Unauthenticated,
+      seal(BODY),
+      BODY.replace('"a"', '"b"'),
+    );
+  });
+
+  it('refuses a message that was sealed for another daemon', async () => {
+    const headers = seal(BODY, NOW_MS, '10.0.0.1:1');
+    await expectRefused(PeerRefusal.Unauthenticated, headers, BODY);
+  });
+
+  it('takes a message once only, and none that is old', async () => {
+    const headers = seal(BODY);
+    assert.equal(await statusOf(headers, BODY), 200);
+    await expectRefused(PeerRefusal.Replayed, headers, BODY);
+    const old = seal(BODY, NOW_MS - 31_000);
+    await expectRefused(PeerRefusal.OutsideWindow, old, BODY);
+  });
+
+  it('still knows a message after the nonces of its window were put aside', async () => {
+    await clock.advanceTo(NOW_MS + 50_000);
+    const headers = seal(BODY, NOW_MS + 70_000);
+    assert.equal(await statusOf(headers, BODY), 200);
+    await clock.advanceTo(NOW_MS + 61_000);
+    assert.equal(await statusOf(seal(BODY, clock.nowMs()), BODY), 200);
+    await expectRefused(PeerRefusal.Replayed, headers, BODY);
+  });
+
+  it('refuses malformed and oversize messages', async () => {
+    const sentAtMs = clock.nowMs();
+    const malformed = '{"jsonrpc":"2.0"';
+    await expectRefused(
+      PeerRefusal.Malformed,
+      seal(malformed, sentAtMs),
+      malformed,
+    );
+    const large = 'x'.repeat(MAX_PEER_MESSAGE_BYTES + 1);
+    await expectRefused(PeerRefusal.TooLarge, seal(large, sentAtMs), large);
+  });
+});
--- a/packages/measure/src/config/simulated-fleet.ts
+++ b/packages/measure/src/config/simulated-fleet.ts
@@ -17,6 +17,7 @@
 import { MembershipService } from '@skylarkreach/daemon';
 import { MemoryCloud } from '@skylarkreach/stand-ins';
 
+import { CountingKeyValue } from './counting-key-value.js';
 import { CountingPeer, TrafficCount } from './counting-peer.js';
 
 const START_MS = 1_000_000;
@@ -156,7 +157,7 @@
         this.traffic,
       ),
       registry: this.network.registry(peerAddress),
-      keyValue: this.keyValue,
+      keyValue: new CountingKeyValue(this.keyValue, peerAddress, this.traffic),
       cloud: this.cloud,
       rules,
     });
--- /dev/null
+++ b/packages/measure/src/control/index.ts
@@ -0,0 +1,1 @@
+export * from './control-experiment.js';
--- /dev/null
+++ b/packages/measure/src/control/socket-group.ts
@@ -0,0 +1,116 @@
+import { MemoryKeyValue } from '@skylarkreach/core/fakes';
+import type { DaemonIdentity } from '@skylarkreach/core/platform';
+import {
+  SeededRandom,
+  silentLog,
+  silentMetrics,
+} from '@skylarkreach/core/platform';
+import { RULES_KEY, RuleStore } from '@skylarkreach/core/rules';
+import {
+  HttpClient,
+  HttpListener,
+  HttpPeer,
+  MembershipService,
+  PeerServer,
+  SystemClock,
+} from '@skylarkreach/daemon';
+import { MemoryCloud } from '@skylarkreach/stand-ins';
+
+const PEER_SECRET = 'peer-secret-example';
+const LIST_LAG_MS = 100;
+const MAX_HEADER_BYTES = 16_384;
+const HEADERS_TIMEOUT_MS = 10_000;
+
+interface SocketDaemon {
+  readonly http: HttpClient;
+  readonly listener: HttpListener;
+  readonly service: MembershipService;
+  readonly rules: RuleStore;
+}
+
+/** Control parts of several daemons in this process, over real sockets on loopback. */
+export class SocketGroup {
+  private readonly clock = new SystemClock();
+  private readonly keyValue = new MemoryKeyValue(this.clock);
+  private readonly cloud = new MemoryCloud(this.clock, LIST_LAG_MS);
+  private readonly daemons: SocketDaemon[] = [];
+
+  constructor(
+    private readonly size: number,
+    private readonly dataCentres: number,
+    private readonly seed: number,
+  ) {}
+
+  async start(rulesText: string): Promise<void> {
+    await this.write(rulesText, 0);
+    for (let index = 0; index < this.size; index += 1) {
+      this.daemons.push(await this.startDaemon(index));
+    }
+    for (const { service } of this.daemons) {
+      await service.prime();
+      for (const loop of service.loops) loop.start();
+    }
+  }
+
+  /** Accepts a change of the rules at the first daemon. */
+  async change(text: string): Promise<void> {
+    const writer = this.daemons[0];
+    if (writer === undefined) return;
+    const version = await this.write(text, writer.rules.revision);
+    writer.rules.apply({ key: RULES_KEY, version, value: text });
+  }
+
+  async stop(): Promise<void> {
+    const loops = this.daemons.flatMap(each => each.service.loops);
+    const stopped = loops.map(loop => loop.stop());
+    this.keyValue.close();
+    for (const { listener } of this.daemons) listener.destroy();
+    await Promise.all(this.daemons.map(each => each.http.close()));
+    await Promise.all(stopped);
+  }
+
+  private async write(value: string, expectedVersion: number) {
+    const result = await this.keyValue.put({
+      key: RULES_KEY,
+      value,
+      expectedVersion,
+      deadlineAtMs: this.clock.nowMs(),
+    });
+    return result.version;
+  }
+
+  private async startDaemon(index: number): Promise<SocketDaemon> {
+    const { clock } = this;
+    const http = new HttpClient(clock);
+    const server = new PeerServer(PEER_SECRET, silentMetrics, clock);
+    const listener = new HttpListener(
+      {
+        address: '127.0.0.1:0',
+        maxHeaderBytes: MAX_HEADER_BYTES,
+        headersTimeoutMs: HEADERS_TIMEOUT_MS,
+      },
+      (request, response) => void server.serve(request, response),
+    );
+    const peerAddress = await listener.listen();
+    const identity: DaemonIdentity = {
+      id: `daemon-${index}`,
+      dataCentre: `dc-${index % this.dataCentres}`,
+      peerAddress,
+      callerUrl: `http://${peerAddress}`,
+    };
+    const rules = new RuleStore();
+    const service = new MembershipService(identity, {
+      clock,
+      random: new SeededRandom(this.seed + index),
+      log: silentLog,
+      metrics: silentMetrics,
+      peer: new HttpPeer(http, PEER_SECRET, clock),
+      registry: server,
+      keyValue: this.keyValue,
+      cloud: this.cloud,
+      rules,
+    });
+    this.cloud.addDaemon(identity);
+    return { http, listener, service, rules };
+  }
+}
--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -1,4 +1,5 @@
 import { configExperiment } from './config/index.js';
+import { controlExperiment } from './control/index.js';
 import type { Experiment } from './experiment/index.js';
 import { pathExperiment } from './path/index.js';
 
@@ -6,4 +7,5 @@
 export const EXPERIMENTS: readonly Experiment[] = [
   pathExperiment,
   configExperiment,
+  controlExperiment,
 ];
--- a/packages/stand-ins/src/cloud/memory-cloud.ts
+++ b/packages/stand-ins/src/cloud/memory-cloud.ts
@@ -52,6 +52,11 @@
     this.daemons.set(daemon.id, daemon);
   }
 
+  /** Daemons on the list as it was last published. */
+  listedDaemons(): number {
+    return this.published.daemons?.length ?? 0;
+  }
+
   removeDaemon(id: string): void {
     this.daemons.delete(id);
   }
