Probe a suspect once more before it counts as dead

Cause: a test paused one of 24 daemons for two seconds; 4 observers declared it dead after the pause, since its refutation had not reached them in time.

Conclusion: each observer checks by itself, which costs one probe for each suspicion that runs out.

--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -85,10 +85,14 @@
 
   /** Moves the deadlines of all suspects to at least `untilMs`. */
   extendSuspicions(untilMs: number): void {
-    for (const member of this.membersOf(this.suspects)) {
-      const suspectUntilMs = Math.max(member.suspectUntilMs, untilMs);
-      this.members.set(member.identity.id, { ...member, suspectUntilMs });
-    }
+    for (const id of this.suspects) this.extendSuspicion(id, untilMs);
+  }
+
+  extendSuspicion(id: string, untilMs: number): void {
+    const member = this.members.get(id);
+    if (member?.state !== MemberState.Suspect) return;
+    const suspectUntilMs = Math.max(member.suspectUntilMs, untilMs);
+    this.members.set(id, { ...member, suspectUntilMs });
   }
 
   /** Suspects whose deadline has passed. */
--- a/packages/core/src/membership/swim-membership.ts
+++ b/packages/core/src/membership/swim-membership.ts
@@ -1,5 +1,9 @@
 import type { DaemonIdentity, DataCentre, Random } from '../platform/index.js';
-import type { MembershipAction, ProbeThroughAction } from './actions.js';
+import type {
+  MembershipAction,
+  ProbeAction,
+  ProbeThroughAction,
+} from './actions.js';
 import { MembershipActionKind } from './actions.js';
 import type { CellView } from './cell-layout.js';
 import { viewCells } from './cell-layout.js';
@@ -8,6 +12,7 @@
 import type { Membership, MemberUpdate } from './membership.js';
 import { MemberState } from './membership.js';
 import { MAX_ROSTER } from './messages.js';
+import { pickRandom, ProbeOrder } from './probe-order.js';
 import { UpdateQueue } from './update-queue.js';
 
 const PROBE_INTERVAL_MS = 1_000;
@@ -18,6 +23,8 @@
 const JOIN_TIMEOUT_MS = 1_000;
 const JOIN_TARGETS = 3;
 const SUSPICION_MS = 3_000;
+/** Time that the answer to the last probe of a suspect may take. */
+const LAST_CHECK_MS = 500;
 /** Most steps by which a daemon whose own probes fail prolongs its suspicions. */
 const MAX_SELF_DOUBT = 4;
 /** A gap between two ticks that shows that this process was paused. */
@@ -41,7 +48,9 @@
   private nextProbeAtMs: number;
   private nextJoinAtMs: number;
   private joined = false;
-  private probeOrder: string[] = [];
+  private readonly order = new ProbeOrder();
+  /** Suspects that were probed a last time. */
+  private readonly lastChecks = new Set<string>();
   private lastTickAtMs: number;
   private selfDoubt = 0;
   private ownIncarnation: number;
@@ -75,7 +84,7 @@
   /** Some of the daemons to probe, whether heard of or only listed. */
   listedPeers(count: number): readonly DaemonIdentity[] {
     const known = [...this.targets()].map(each => each.identity);
-    return this.pick(known, count);
+    return pickRandom(this.random, known, count);
   }
 
   /** Live members of the own cell that are in the own data centre. */
@@ -115,10 +124,14 @@
   /** Decides what to send now. Called a few times a second. */
   tick(nowMs: number): readonly MembershipAction[] {
     this.notePause(nowMs);
-    this.endSuspicions(nowMs);
+    const lastChecks = this.endSuspicions(nowMs);
     this.table.forgetEnded(nowMs);
     if (nowMs >= this.nextViewAtMs) this.refreshView(nowMs);
-    return [...this.joinActions(nowMs), ...this.probeActions(nowMs)];
+    return [
+      ...lastChecks,
+      ...this.joinActions(nowMs),
+      ...this.probeActions(nowMs),
+    ];
   }
 
   /** News for an outgoing message; a suspect or dead receiver is told, so that it can refute. */
@@ -183,7 +196,8 @@
     this.selfDoubt = Math.min(MAX_SELF_DOUBT, this.selfDoubt + 1);
     const member = this.table.get(target.id);
     if (member === undefined || !isLive(member)) return undefined;
-    const helpers = this.pick(
+    const helpers = pickRandom(
+      this.random,
       this.live().filter(each => each.id !== target.id),
       HELPERS,
     );
@@ -212,7 +226,7 @@
   leave(): { update: MemberUpdate; peers: readonly DaemonIdentity[] } {
     this.leaving = true;
     const update = this.ownUpdate(MemberState.Left);
-    return { update, peers: this.pick(this.live(), HELPERS) };
+    return { update, peers: pickRandom(this.random, this.live(), HELPERS) };
   }
 
   private learn(update: MemberUpdate, nowMs: number): void {
@@ -224,6 +238,7 @@
     const untilMs = nowMs + SUSPICION_MS * (1 + this.selfDoubt / 2);
     const shapeBefore = this.table.shapeVersion;
     if (!this.table.apply(update, untilMs, nowMs)) return;
+    this.lastChecks.delete(update.id);
     const member = this.table.get(update.id);
     if (member !== undefined) this.updates.add(updateOf(member));
     const isSmall = this.view.contacts.length === 0;
@@ -267,12 +282,21 @@
     this.lastTickAtMs = nowMs;
   }
 
-  private endSuspicions(nowMs: number): void {
+  /** A suspect whose time is over is probed once more by this daemon itself before it counts as dead. */
+  private endSuspicions(nowMs: number): readonly MembershipAction[] {
+    const actions: MembershipAction[] = [];
     for (const { identity, incarnation } of this.table.overdueSuspects(nowMs)) {
-      this.deathsDecided += 1;
-      const state = MemberState.Dead;
-      this.learn({ id: identity.id, state, incarnation }, nowMs);
+      const { id } = identity;
+      if (this.lastChecks.has(id)) {
+        this.deathsDecided += 1;
+        this.learn({ id, state: MemberState.Dead, incarnation }, nowMs);
+        continue;
+      }
+      this.lastChecks.add(id);
+      this.table.extendSuspicion(id, nowMs + LAST_CHECK_MS);
+      actions.push(this.probeOf(identity, nowMs));
     }
+    return actions;
   }
 
   private joinActions(nowMs: number): readonly MembershipAction[] {
@@ -288,26 +312,18 @@
   private probeActions(nowMs: number): readonly MembershipAction[] {
     if (nowMs < this.nextProbeAtMs) return [];
     this.nextProbeAtMs = nowMs + PROBE_INTERVAL_MS;
-    const target = this.nextTarget();
-    if (target === undefined) return [];
-    return [
-      {
-        kind: MembershipActionKind.Probe,
-        target,
-        updates: this.updatesFor(target.id),
-        deadlineAtMs: nowMs + PROBE_TIMEOUT_MS,
-      },
-    ];
+    const id = this.order.next([...this.targets()].map(idOf), this.random);
+    const target = id === undefined ? undefined : this.table.get(id);
+    return target === undefined ? [] : [this.probeOf(target.identity, nowMs)];
   }
 
-  /** Goes round the targets in an order that is drawn anew for each round. */
-  private nextTarget(): DaemonIdentity | undefined {
-    if (this.probeOrder.length === 0) {
-      const ids = [...this.targets()].map(each => each.identity.id);
-      this.probeOrder = this.pick(ids, ids.length);
-    }
-    const id = this.probeOrder.pop();
-    return id === undefined ? undefined : this.table.get(id)?.identity;
+  private probeOf(target: DaemonIdentity, nowMs: number): ProbeAction {
+    return {
+      kind: MembershipActionKind.Probe,
+      target,
+      updates: this.updatesFor(target.id),
+      deadlineAtMs: nowMs + PROBE_TIMEOUT_MS,
+    };
   }
 
   private *targets(): Iterable<Member> {
@@ -329,16 +345,10 @@
     this.viewRefreshes += 1;
     this.view = viewCells(this.self, this.table.all());
   }
+}
 
-  private pick<T>(from: readonly T[], count: number): T[] {
-    const rest = [...from];
-    const picked: T[] = [];
-    while (picked.length < count && rest.length > 0) {
-      const index = this.random.nextInteger(rest.length);
-      picked.push(...rest.splice(index, 1));
-    }
-    return picked;
-  }
+function idOf(member: Member): string {
+  return member.identity.id;
 }
 
 function updateOf(member: Member): MemberUpdate {
--- a/packages/measure/src/config/simulated-fleet.ts
+++ b/packages/measure/src/config/simulated-fleet.ts
@@ -49,6 +49,8 @@
   silentShare = 0;
   /** Share of messages that are lost. */
   lossShare = 0;
+  /** Daemons that nothing reaches and that reach nobody, as while a process is paused. */
+  readonly paused = new Set<Address>();
   private readonly network: MemoryPeers;
   private readonly cloud: MemoryCloud;
   private nextId = 1;
@@ -165,6 +167,7 @@
   }
 
   private linkFault(from: Address, to: Address): Fault {
+    if (this.paused.has(from) || this.paused.has(to)) return Fault.Silent;
     if (this.lossShare > 0 && this.random.nextFloat() < this.lossShare) {
       return this.random.nextFloat() < 0.5 ? Fault.CallLost : Fault.AnswerLost;
     }
--- a/packages/measure/src/control/control-experiment.ts
+++ b/packages/measure/src/control/control-experiment.ts
@@ -46,7 +46,7 @@
   readonly figure: number;
 }
 
-/** Bytes a second of each daemon, by its role at the end of the run. */
+/** Bytes a second of each daemon, by whether it was a relay at either end of the run. */
 interface TrafficFigures {
   readonly relays: readonly number[];
   readonly others: readonly number[];
@@ -163,6 +163,7 @@
   await fleet.advance(WARM_UP_MS);
   fleet.traffic.reset();
   const startedAtMs = fleet.clock.nowMs();
+  const relaysAtStart = new Set(fleet.daemons.filter(isRelay));
   const stepMs = changes === 0 ? TRAFFIC_MS : CHANGE_INTERVAL_MS / changes;
   let revision = 1;
   for (let elapsedMs = 0; elapsedMs < TRAFFIC_MS; elapsedMs += stepMs) {
@@ -178,13 +179,18 @@
   const elapsedSeconds = (fleet.clock.nowMs() - startedAtMs) / 1_000;
   const rateOf = (daemon: SimulatedDaemon) =>
     fleet.traffic.bytesOf(daemon.identity.peerAddress) / elapsedSeconds;
-  const isRelay = (each: SimulatedDaemon) => each.service.status().relay;
-  const relays = fleet.daemons.filter(isRelay).map(rateOf);
-  const others = fleet.daemons.filter(each => !isRelay(each)).map(rateOf);
+  const wasRelay = (each: SimulatedDaemon) =>
+    relaysAtStart.has(each) || isRelay(each);
+  const relays = fleet.daemons.filter(wasRelay).map(rateOf);
+  const others = fleet.daemons.filter(each => !wasRelay(each)).map(rateOf);
   fleet.stop();
   return { relays, others };
 }
 
+function isRelay(daemon: SimulatedDaemon): boolean {
+  return daemon.service.status().relay;
+}
+
 /** Processor time of one daemon over real sockets, as percent of a core. */
 async function measureProcessor(
   seed: number,
