--- a/packages/core/src/membership/swim-membership.ts
+++ b/packages/core/src/membership/swim-membership.ts
@@ -5,13 +5,13 @@
   ProbeThroughAction,
 } from './actions.js';
 import { MembershipActionKind } from './actions.js';
-import type { CellView } from './cell-layout.js';
-import { viewCells } from './cell-layout.js';
+import { CellTracker } from './cell-tracker.js';
 import type { Member } from './member-table.js';
 import { isLive, MemberTable } from './member-table.js';
 import type { Membership, MemberUpdate } from './membership.js';
 import { MemberState } from './membership.js';
 import { MAX_ROSTER } from './messages.js';
+import { OwnRecord } from './own-record.js';
 import { pickRandom, ProbeOrder } from './probe-order.js';
 import { UpdateQueue } from './update-queue.js';
 
@@ -22,6 +22,8 @@
 const JOIN_INTERVAL_MS = 500;
 const JOIN_TIMEOUT_MS = 1_000;
 const JOIN_TARGETS = 3;
+const REJOIN_INTERVAL_MS = 4_000;
+const MAX_JOINS = 6;
 const SUSPICION_MS = 3_000;
 /** Time that the answer to the last probe of a suspect may take. */
 const LAST_CHECK_MS = 500;
@@ -29,7 +31,6 @@
 const MAX_SELF_DOUBT = 4;
 /** A gap between two ticks that shows that this process was paused. */
 const PAUSE_MS = 2_000;
-const VIEW_INTERVAL_MS = 1_000;
 
 /**
  * Membership by random probes, indirect probes and suspicion.
@@ -41,40 +42,39 @@
   deathsDecided = 0;
   private readonly table: MemberTable;
   private readonly updates = new UpdateQueue();
-  private view: CellView = { cell: [], contacts: [], holdsRelays: true };
-  private viewShape = -1;
-  private viewRefreshes = 0;
-  private nextViewAtMs = 0;
+  private readonly cells: CellTracker;
   private nextProbeAtMs: number;
   private nextJoinAtMs: number;
-  private joined = false;
+  private joins = 0;
   private readonly order = new ProbeOrder();
   /** Suspects that were probed a last time. */
   private readonly lastChecks = new Set<string>();
   private lastTickAtMs: number;
   private selfDoubt = 0;
-  private ownIncarnation: number;
-  private leaving = false;
+  private readonly own: OwnRecord;
 
-  /** The incarnation starts from the clock, so that a restart outranks its earlier life. */
   constructor(
     readonly self: DaemonIdentity,
     private readonly random: Random,
     nowMs: number,
   ) {
     this.table = new MemberTable(self.id);
-    this.ownIncarnation = Math.floor(nowMs);
+    this.cells = new CellTracker(self, this.table);
+    this.own = new OwnRecord(self, nowMs);
     this.lastTickAtMs = nowMs;
     this.nextJoinAtMs = nowMs;
     this.nextProbeAtMs = nowMs + random.nextInteger(PROBE_INTERVAL_MS);
   }
 
   get incarnation(): number {
-    return this.ownIncarnation;
+    return this.own.incarnation;
   }
 
   live(): readonly DaemonIdentity[] {
-    return [...this.targets()].filter(isLive).map(each => each.identity);
+    return this.cells
+      .targets()
+      .filter(isLive)
+      .map(each => each.identity);
   }
 
   peersOutside(dataCentre: DataCentre): readonly DaemonIdentity[] {
@@ -83,15 +83,16 @@
 
   /** Some of the daemons to probe, whether heard of or only listed. */
   listedPeers(count: number): readonly DaemonIdentity[] {
-    const known = [...this.targets()].map(each => each.identity);
+    const known = this.cells.targets().map(each => each.identity);
     return pickRandom(this.random, known, count);
   }
 
   /** Live members of the own cell that are in the own data centre. */
   cellPeers(): readonly DaemonIdentity[] {
     const { dataCentre } = this.self;
-    return this.view.cell
-      .filter(member => this.isLiveNow(member))
+    return this.cells
+      .cell()
+      .filter(isLive)
       .map(each => each.identity)
       .filter(each => each.dataCentre === dataCentre);
   }
@@ -104,11 +105,11 @@
 
   /** Number that rises whenever the live daemons or the cells may differ from before. */
   get changes(): number {
-    return this.table.shapeVersion + this.viewRefreshes;
+    return this.cells.changes;
   }
 
   get holdsRelays(): boolean {
-    return this.view.holdsRelays;
+    return this.cells.holdsRelays;
   }
 
   stateOf(id: string): MemberState | undefined {
@@ -118,7 +119,7 @@
   /** Takes the platform's list. It only adds daemons to probe. */
   applyListing(daemons: readonly DaemonIdentity[], nowMs: number): void {
     this.table.applyListing(daemons);
-    this.refreshView(nowMs);
+    this.cells.refresh(nowMs);
   }
 
   /** Decides what to send now. Called a few times a second. */
@@ -126,7 +127,7 @@
     this.notePause(nowMs);
     const lastChecks = this.endSuspicions(nowMs);
     this.table.forgetEnded(nowMs);
-    if (nowMs >= this.nextViewAtMs) this.refreshView(nowMs);
+    this.cells.refreshIfDue(nowMs);
     return [
       ...lastChecks,
       ...this.joinActions(nowMs),
@@ -136,7 +137,7 @@
 
   /** News for an outgoing message; a suspect or dead receiver is told, so that it can refute. */
   updatesFor(receiverId: string): MemberUpdate[] {
-    const updates = this.updates.take(this.view.cell.length);
+    const updates = this.updates.take(this.cells.cell().length);
     const receiver = this.table.get(receiverId);
     const isAccused =
       receiver !== undefined &&
@@ -177,15 +178,15 @@
 
   /** Takes a join's answer. */
   takeRoster(roster: readonly MemberUpdate[], nowMs: number): void {
-    this.joined = true;
+    this.joins += 1;
     for (const update of roster) this.learn(update, nowMs);
-    this.refreshView(nowMs);
+    this.cells.refresh(nowMs);
   }
 
   /** Members for a daemon that joins. */
   roster(): MemberUpdate[] {
-    const members = [...this.targets()].filter(isLive).map(updateOf);
-    return [this.ownUpdate(MemberState.Alive), ...members].slice(0, MAX_ROSTER);
+    const members = this.cells.targets().filter(isLive).map(updateOf);
+    return [this.own.alive(), ...members].slice(0, MAX_ROSTER);
   }
 
   /** A direct probe failed: others are asked before the target is suspected. */
@@ -224,54 +225,22 @@
 
   /** News that this daemon stops, to be sent to the peers returned. */
   leave(): { update: MemberUpdate; peers: readonly DaemonIdentity[] } {
-    this.leaving = true;
-    const update = this.ownUpdate(MemberState.Left);
+    const update = this.own.leave();
     return { update, peers: pickRandom(this.random, this.live(), HELPERS) };
   }
 
   private learn(update: MemberUpdate, nowMs: number): void {
     if (update.id === this.self.id) {
-      this.refute(update);
+      if (this.own.refute(update)) this.updates.add(this.own.alive());
       return;
     }
-    if (!this.concerns(update)) return;
+    if (!this.cells.concerns(update)) return;
     const untilMs = nowMs + SUSPICION_MS * (1 + this.selfDoubt / 2);
-    const shapeBefore = this.table.shapeVersion;
     if (!this.table.apply(update, untilMs, nowMs)) return;
     this.lastChecks.delete(update.id);
     const member = this.table.get(update.id);
     if (member !== undefined) this.updates.add(updateOf(member));
-    const isSmall = this.view.contacts.length === 0;
-    if (isSmall && this.table.shapeVersion !== shapeBefore) {
-      this.refreshView(nowMs);
-    }
-  }
-
-  /** News about far cells is left to those cells; their contacts are probed here. */
-  private concerns(update: MemberUpdate): boolean {
-    if (this.view.contacts.length === 0) return true;
-    const identity = update.identity ?? this.table.get(update.id)?.identity;
-    return (
-      identity?.dataCentre === this.self.dataCentre ||
-      this.view.contacts.some(each => each.identity.id === update.id)
-    );
-  }
-
-  private refute(update: MemberUpdate): void {
-    const isAccused = update.state !== MemberState.Alive && !this.leaving;
-    if (!isAccused || update.incarnation < this.ownIncarnation) return;
-    this.ownIncarnation = update.incarnation + 1;
-    this.updates.add(this.ownUpdate(MemberState.Alive));
-  }
-
-  private ownUpdate(state: MemberState): MemberUpdate {
-    const { ownIncarnation, self } = this;
-    return {
-      id: self.id,
-      state,
-      incarnation: ownIncarnation,
-      identity: state === MemberState.Alive ? self : undefined,
-    };
+    this.cells.noteChange(nowMs);
   }
 
   /** After a pause of this process no deadline of another may count against it. */
@@ -299,10 +268,15 @@
     return actions;
   }
 
+  /** Joins until one daemon has answered, and a few times more while listed daemons are not heard of. */
   private joinActions(nowMs: number): readonly MembershipAction[] {
-    if (this.joined || nowMs < this.nextJoinAtMs) return [];
-    this.nextJoinAtMs = nowMs + JOIN_INTERVAL_MS;
-    return this.listedPeers(JOIN_TARGETS).map(target => ({
+    if (this.joins >= MAX_JOINS || nowMs < this.nextJoinAtMs) return [];
+    const isFirst = this.joins === 0;
+    this.nextJoinAtMs =
+      nowMs + (isFirst ? JOIN_INTERVAL_MS : REJOIN_INTERVAL_MS);
+    const isComplete = this.cells.targets().every(each => isLive(each));
+    if (!isFirst && isComplete) return [];
+    return this.listedPeers(isFirst ? JOIN_TARGETS : 1).map(target => ({
       kind: MembershipActionKind.Join,
       target,
       deadlineAtMs: nowMs + JOIN_TIMEOUT_MS,
@@ -312,7 +286,7 @@
   private probeActions(nowMs: number): readonly MembershipAction[] {
     if (nowMs < this.nextProbeAtMs) return [];
     this.nextProbeAtMs = nowMs + PROBE_INTERVAL_MS;
-    const id = this.order.next([...this.targets()].map(idOf), this.random);
+    const id = this.order.next(this.cells.targets().map(idOf), this.random);
     const target = id === undefined ? undefined : this.table.get(id);
     return target === undefined ? [] : [this.probeOf(target.identity, nowMs)];
   }
@@ -325,26 +299,6 @@
       deadlineAtMs: nowMs + PROBE_TIMEOUT_MS,
     };
   }
-
-  private *targets(): Iterable<Member> {
-    for (const { identity } of [...this.view.cell, ...this.view.contacts]) {
-      const member = this.table.get(identity.id);
-      if (member !== undefined) yield member;
-    }
-  }
-
-  private isLiveNow(member: Member): boolean {
-    const current = this.table.get(member.identity.id);
-    return current !== undefined && isLive(current);
-  }
-
-  private refreshView(nowMs: number): void {
-    this.nextViewAtMs = nowMs + VIEW_INTERVAL_MS;
-    if (this.viewShape === this.table.shapeVersion) return;
-    this.viewShape = this.table.shapeVersion;
-    this.viewRefreshes += 1;
-    this.view = viewCells(this.self, this.table.all());
-  }
 }
 
 function idOf(member: Member): string {
