--- a/packages/core/src/rules/rule-editor.ts
+++ b/packages/core/src/rules/rule-editor.ts
@@ -1,4 +1,4 @@
-import type { Clock, KeyValue, PutResult } from '../platform/index.js';
+import type { Clock, KeyValue, KeyValueEntry } from '../platform/index.js';
 import {
   AnswerLostError,
   PlatformError,
@@ -50,6 +50,8 @@
   readonly revision: number;
   readonly conflicts: readonly LineConflict[];
   readonly faults: readonly RuleFault[];
+  /** What was written, so that the writer can put it in force at once. */
+  readonly entry?: KeyValueEntry;
 }
 
 interface ReadDocument {
@@ -122,10 +124,17 @@
     if (merged.text === document.text) {
       return result(EditOutcome.Unchanged, revision);
     }
-    const written = await this.write(edit, document, revision, merged.text);
-    return written.outcome === PutOutcome.Written
-      ? { ...result(EditOutcome.Applied, written.version), faults }
-      : undefined;
+    const value = await this.newValue(edit, document, revision, merged.text);
+    const written = await this.keyValue.put({
+      key: RULES_KEY,
+      value,
+      expectedVersion: revision,
+      deadlineAtMs: edit.deadlineAtMs,
+    });
+    if (written.outcome !== PutOutcome.Written) return undefined;
+    const { version } = written;
+    const entry = { key: RULES_KEY, value, version };
+    return { ...result(EditOutcome.Applied, version), faults, entry };
   }
 
   private async read(deadlineAtMs: number): Promise<ReadDocument> {
@@ -148,12 +157,12 @@
     return (await this.history.read(edit.deadlineAtMs)).find(isSame);
   }
 
-  private async write(
+  private async newValue(
     edit: EditRequest,
     document: RuleDocument,
     revision: number,
     text: string,
-  ): Promise<PutResult> {
+  ): Promise<string> {
     const kept = await this.history.archive(document, edit.deadlineAtMs);
     const recorded: RuleEdit = {
       revision: revision + 1,
@@ -163,12 +172,7 @@
       added: [...addedLines(document.text, text)],
       removed: [...removedLines(document.text, text)],
     };
-    return this.keyValue.put({
-      key: RULES_KEY,
-      value: encodeRuleDocument({ text, recentEdits: [...kept, recorded] }),
-      expectedVersion: revision,
-      deadlineAtMs: edit.deadlineAtMs,
-    });
+    return encodeRuleDocument({ text, recentEdits: [...kept, recorded] });
   }
 }
 
--- a/packages/core/src/rules/rule-store.ts
+++ b/packages/core/src/rules/rule-store.ts
@@ -8,10 +8,15 @@
 export class RuleStore {
   private rules: readonly Rule[] = [];
   private currentText = '';
-  private currentRevision = 0;
+  private currentEntry: KeyValueEntry | undefined;
 
   get revision(): number {
-    return this.currentRevision;
+    return this.currentEntry?.version ?? 0;
+  }
+
+  /** The stored value in force, as it is passed on to peers. */
+  get entry(): KeyValueEntry | undefined {
+    return this.currentEntry;
   }
 
   get text(): string {
@@ -23,12 +28,13 @@
    * it is not newer or holds no rule document; the rules in force then stay.
    */
   apply(entry: KeyValueEntry): boolean {
-    if (entry.version <= this.currentRevision) return false;
+    if (entry.version <= this.revision) return false;
     const document = decodeRuleDocument(entry.value);
     if (document === undefined) return false;
     this.rules = parseRules(document.text).rules;
     this.currentText = document.text;
-    this.currentRevision = entry.version;
+    const { key, value, version } = entry;
+    this.currentEntry = { key, value, version };
     return true;
   }
 
--- a/packages/daemon/src/membership/membership-service.ts
+++ b/packages/daemon/src/membership/membership-service.ts
@@ -210,9 +210,10 @@
 
   /** Spreads a revision that an operator's call put into the rules of this process. */
   private publishAcceptedRules(): void {
-    const { revision, text } = this.parts.rules;
-    if (revision <= this.store.version(RULES_KEY)) return;
-    void this.publish({ key: RULES_KEY, version: revision, value: text });
+    const { entry } = this.parts.rules;
+    if (entry === undefined) return;
+    if (entry.version <= this.store.version(RULES_KEY)) return;
+    void this.publish(entry);
   }
 
   private reportMetrics(nowMs: number): void {
--- a/packages/daemon/src/operators/rule-calls.ts
+++ b/packages/daemon/src/operators/rule-calls.ts
@@ -120,6 +120,7 @@
     operator: call.operator,
     deadlineAtMs: parts.clock.nowMs() + CALL_TIMEOUT_MS,
   });
+  if (result.entry !== undefined) parts.rules.apply(result.entry);
   return toAnswer(result);
 }
 
@@ -127,7 +128,7 @@
   const [message, remedy] = REMEDY_OF_OUTCOME[result.outcome] ?? [];
   return {
     status: STATUS_OF_OUTCOME[result.outcome],
-    body: { ...result, message, remedy },
+    body: { ...result, entry: undefined, message, remedy },
   };
 }
 
--- a/packages/measure/src/config/simulated-fleet.ts
+++ b/packages/measure/src/config/simulated-fleet.ts
@@ -21,6 +21,7 @@
 import { MembershipService } from '@skylarkreach/daemon';
 import { MemoryCloud } from '@skylarkreach/stand-ins';
 
+import { CountingKeyValue } from './counting-key-value.js';
 import { CountingPeer, TrafficCount } from './counting-peer.js';
 
 const START_MS = 1_000_000;
@@ -52,6 +53,8 @@
   silentShare = 0;
   /** Share of messages that are lost. */
   lossShare = 0;
+  /** Daemons that nothing reaches and that reach nobody, as while a process is paused. */
+  readonly paused = new Set<Address>();
   private readonly network: MemoryPeers;
   private readonly cloud: MemoryCloud;
   private nextId = 1;
@@ -160,7 +163,7 @@
         this.traffic,
       ),
       registry: this.network.registry(peerAddress),
-      keyValue: this.keyValue,
+      keyValue: new CountingKeyValue(this.keyValue, peerAddress, this.traffic),
       cloud: this.cloud,
       rules,
     });
@@ -168,6 +171,7 @@
   }
 
   private linkFault(from: Address, to: Address): Fault {
+    if (this.paused.has(from) || this.paused.has(to)) return Fault.Silent;
     if (this.lossShare > 0 && this.random.nextFloat() < this.lossShare) {
       return this.random.nextFloat() < 0.5 ? Fault.CallLost : Fault.AnswerLost;
     }
--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -1,5 +1,6 @@
 import { claimsExperiment } from './claims/index.js';
 import { configExperiment } from './config/index.js';
+import { controlExperiment } from './control/index.js';
 import type { Experiment } from './experiment/index.js';
 import { movesExperiment } from './moves/index.js';
 import { pathExperiment } from './path/index.js';
@@ -12,4 +13,5 @@
   slopesExperiment,
   configExperiment,
   claimsExperiment,
+  controlExperiment,
 ];
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -4,6 +4,9 @@
 
 import { prepare, root } from './prepare.mjs';
 
+/** Ends a test that waits in vain. */
+const TEST_TIMEOUT_MS = 120_000;
+
 prepare();
 const filter = process.argv[2] ?? '';
 const files = readdirSync(join(root, 'packages'), { recursive: true })
@@ -11,8 +14,17 @@
   .filter(file => /^packages\/[^/]+\/dist\/.*\.test\.js$/.test(file))
   .filter(file => file.includes(filter))
   .sort();
-const result = spawnSync('node', ['--test', '--enable-source-maps', ...files], {
-  cwd: root,
-  stdio: 'inherit',
-});
+const result = spawnSync(
+  'node',
+  [
+    '--test',
+    '--enable-source-maps',
+    `--test-timeout=${TEST_TIMEOUT_MS}`,
+    ...files,
+  ],
+  {
+    cwd: root,
+    stdio: 'inherit',
+  },
+);
 process.exit(result.status ?? 1);
