--- /dev/null
+++ b/packages/measure/src/fleet/index.ts
@@ -0,0 +1,1 @@
+export * from './fleet-experiment.js';
--- /dev/null
+++ b/packages/measure/src/fleet/trace.ts
@@ -0,0 +1,195 @@
+import type { MachineClass, Pool } from '@skylarkreach/core/fleet';
+import { poolKey } from '@skylarkreach/core/fleet';
+import type { DataCentre, Price, Random } from '@skylarkreach/core/platform';
+import { InstanceBilling, SeededRandom } from '@skylarkreach/core/platform';
+
+import type { FleetDeployment } from './deployments.js';
+import { MACHINE_CLASSES } from './deployments.js';
+
+const HOUR_MS = 3_600_000;
+const MINUTE_MS = 60_000;
+const PRICE_STEP_MS = 5 * MINUTE_MS;
+
+/** Bounds of the mean price of a reclaimable pool, as a part of the price on demand. */
+export const MIN_MEAN_RATIO = 0.25;
+export const MAX_MEAN_RATIO = 0.45;
+const MIN_RATIO = 0.15;
+const MAX_RATIO = 1.1;
+const RATIO_NOISE = 0.02;
+const RATIO_REVERSION = 0.05;
+const SPIKES_PER_DAY = 0.5;
+const SPIKE_RATIO = 0.95;
+const SPIKE_MS = 2 * HOUR_MS;
+
+/** Time between the notice of a reclaim and the loss. */
+export const NOTICE_MS = 30_000;
+export const WAVES_PER_DAY = 4;
+const MIN_WAVE_GAP_MS = HOUR_MS / 2;
+const MIN_REFUSED_MS = 10 * MINUTE_MS;
+const MAX_REFUSED_MS = 40 * MINUTE_MS;
+/** Chance that a pool outside the wave's data centre refuses starts too. */
+const REFUSED_RECLAIMABLE_CHANCE = 0.5;
+const REFUSED_ON_DEMAND_CHANCE = 0.25;
+
+/** Reclaim of all reclaimable instances of one data centre. */
+export interface Wave {
+  readonly dataCentre: DataCentre;
+  readonly noticeAtMs: number;
+  readonly refusedUntilMs: number;
+  readonly refusedPools: ReadonlySet<string>;
+}
+
+/** Demand, prices and reclaims of some days, the same for every strategy. */
+export class FleetTrace {
+  readonly waves: readonly Wave[];
+  private readonly ratios = new Map<string, readonly number[]>();
+  private readonly noise: readonly number[];
+
+  constructor(
+    readonly deployment: FleetDeployment,
+    readonly startAtMs: number,
+    readonly endAtMs: number,
+    seed: number,
+  ) {
+    const random = new SeededRandom(seed);
+    for (const pool of this.pools(InstanceBilling.Reclaimable)) {
+      this.ratios.set(poolKey(pool), this.ratioWalk(random));
+    }
+    this.noise = this.demandNoise(random);
+    this.waves = this.drawWaves(random);
+  }
+
+  /** Load that callers ask for, in tokens a second. */
+  demandAt(nowMs: number): number {
+    const { peakTokensPerSecond, nightShare, peakHours } = this.deployment;
+    const hour = ((nowMs - this.startAtMs) / HOUR_MS) % 24;
+    const swing = peakHours.reduce(
+      (most, peakHour) => Math.max(most, bump(hour - peakHour)),
+      0,
+    );
+    const shape = nightShare + (1 - nightShare) * swing;
+    return peakTokensPerSecond * shape * (1 + this.at(this.noise, nowMs));
+  }
+
+  pricesAt(nowMs: number): readonly Price[] {
+    const all = [
+      ...this.pools(InstanceBilling.Reclaimable),
+      ...this.pools(InstanceBilling.OnDemand),
+    ];
+    return all.map(pool => {
+      const ratios = this.ratios.get(poolKey(pool));
+      const ratio = ratios === undefined ? 1 : this.at(ratios, nowMs);
+      const pricePerHour = classOf(pool).onDemandPricePerHour * ratio;
+      return { ...pool, pricePerHour };
+    });
+  }
+
+  /** Whether the pool refuses starts because of a wave. */
+  refuses(pool: Pool, nowMs: number): boolean {
+    return this.waves.some(
+      wave =>
+        nowMs >= wave.noticeAtMs &&
+        nowMs < wave.refusedUntilMs &&
+        wave.refusedPools.has(poolKey(pool)),
+    );
+  }
+
+  private pools(billing: InstanceBilling): readonly Pool[] {
+    return this.deployment.dataCentres.flatMap(dataCentre =>
+      MACHINE_CLASSES.map(({ name }) => ({
+        machineClass: name,
+        dataCentre,
+        billing,
+      })),
+    );
+  }
+
+  private at(values: readonly number[], nowMs: number): number {
+    const index = Math.floor((nowMs - this.startAtMs) / PRICE_STEP_MS);
+    return values[Math.min(Math.max(index, 0), values.length - 1)] ?? 0;
+  }
+
+  /** Mean-reverting walk with spikes. */
+  private ratioWalk(random: Random): readonly number[] {
+    const mean =
+      MIN_MEAN_RATIO + random.nextFloat() * (MAX_MEAN_RATIO - MIN_MEAN_RATIO);
+    const spikeChance = (SPIKES_PER_DAY * PRICE_STEP_MS) / (24 * HOUR_MS);
+    let ratio = mean;
+    let spikeSteps = 0;
+    return this.steps().map(() => {
+      ratio += RATIO_REVERSION * (mean - ratio);
+      ratio += RATIO_NOISE * (random.nextFloat() * 2 - 1);
+      ratio = Math.min(Math.max(ratio, MIN_RATIO), MAX_RATIO);
+      if (random.nextFloat() < spikeChance)
+        spikeSteps = SPIKE_MS / PRICE_STEP_MS;
+      spikeSteps -= 1;
+      return spikeSteps > 0 ? SPIKE_RATIO : ratio;
+    });
+  }
+
+  private demandNoise(random: Random): readonly number[] {
+    let level = 0;
+    return this.steps().map(() => {
+      level = 0.8 * level + 0.03 * (random.nextFloat() * 2 - 1);
+      return level;
+    });
+  }
+
+  private steps(): readonly number[] {
+    const count = Math.ceil((this.endAtMs - this.startAtMs) / PRICE_STEP_MS);
+    return Array.from({ length: count }, (_, index) => index);
+  }
+
+  private drawWaves(random: Random): readonly Wave[] {
+    const days = (this.endAtMs - this.startAtMs) / (24 * HOUR_MS);
+    const count = Math.round(WAVES_PER_DAY * days);
+    const slotMs = (this.endAtMs - this.startAtMs) / count;
+    return Array.from({ length: count }, (_, index) => {
+      const withinMs = random.nextFloat() * (slotMs - MIN_WAVE_GAP_MS);
+      const noticeAtMs =
+        this.startAtMs + index * slotMs + MIN_WAVE_GAP_MS / 2 + withinMs;
+      return this.drawWave(random, noticeAtMs);
+    });
+  }
+
+  private drawWave(random: Random, noticeAtMs: number): Wave {
+    const { dataCentres } = this.deployment;
+    const index = random.nextInteger(dataCentres.length);
+    const dataCentre = dataCentres[index] ?? '';
+    const refused = [
+      ...this.pools(InstanceBilling.Reclaimable).filter(
+        pool =>
+          random.nextFloat() < REFUSED_RECLAIMABLE_CHANCE ||
+          pool.dataCentre === dataCentre,
+      ),
+      ...this.pools(InstanceBilling.OnDemand).filter(
+        () => random.nextFloat() < REFUSED_ON_DEMAND_CHANCE,
+      ),
+    ];
+    const refusedMs =
+      MIN_REFUSED_MS + random.nextFloat() * (MAX_REFUSED_MS - MIN_REFUSED_MS);
+    return {
+      dataCentre,
+      noticeAtMs,
+      refusedUntilMs: noticeAtMs + refusedMs,
+      refusedPools: new Set(refused.map(poolKey)),
+    };
+  }
+}
+
+function classOf(pool: Pool): MachineClass & { onDemandPricePerHour: number } {
+  const found = MACHINE_CLASSES.find(each => each.name === pool.machineClass);
+  if (found === undefined) {
+    throw new RangeError(
+      `Add the class ${pool.machineClass} to the experiment.`,
+    );
+  }
+  return found;
+}
+
+/** Smooth rise and fall around zero hours, over four hours to each side. */
+function bump(hours: number): number {
+  const halfWidthHours = 4;
+  if (Math.abs(hours) >= halfWidthHours) return 0;
+  return (1 + Math.cos((Math.PI * hours) / halfWidthHours)) / 2;
+}
--- a/packages/stand-ins/src/cloud/memory-cloud.ts
+++ b/packages/stand-ins/src/cloud/memory-cloud.ts
@@ -12,6 +12,7 @@
 import {
   EndpointStage,
   InstanceState,
+  NotSentError,
   StartOutcome,
 } from '@skylarkreach/core/platform';
 
@@ -19,6 +20,10 @@
 export class MemoryCloud implements Cloud {
   /** Set to refuse every start. */
   refusesStarts = false;
+  /** Decides whether there is capacity for a start. */
+  hasCapacity: (request: StartRequest) => boolean = () => true;
+  /** State of an instance right after its start. */
+  stateAfterStart = InstanceState.Running;
   private readonly instances = new Map<string, Instance>();
   private readonly endpoints = new Map<string, Endpoint>();
   private readonly notices = new Map<string, ReclaimNotice>();
@@ -29,7 +34,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly listLagMs: number,
-    private readonly priceList: readonly Price[] = [],
+    private priceList: readonly Price[] = [],
   ) {
     this.published = this.snapshot();
   }
@@ -46,6 +51,31 @@
     this.endpoints.delete(address);
   }
 
+  /** Takes an instance away, with its endpoints and its notice. */
+  removeInstance(instanceId: string): void {
+    this.instances.delete(instanceId);
+    this.notices.delete(instanceId);
+    for (const endpoint of this.endpoints.values()) {
+      if (endpoint.instanceId === instanceId) {
+        this.removeEndpoint(endpoint.address);
+      }
+    }
+  }
+
+  /** Instances as they are now, without the list's lag. */
+  currentInstances(): readonly Instance[] {
+    return [...this.instances.values()];
+  }
+
+  /** Endpoints as they are now, without the list's lag. */
+  currentEndpoints(): readonly Endpoint[] {
+    return [...this.endpoints.values()];
+  }
+
+  setPrices(prices: readonly Price[]): void {
+    this.priceList = prices;
+  }
+
   /** Announces that an instance is taken at `reclaimAtMs`. */
   announceReclaim(instanceId: string, reclaimAtMs: number): void {
     this.notices.set(instanceId, { instanceId, reclaimAtMs });
@@ -79,7 +109,11 @@
         instanceId: known,
       });
     }
-    if (this.refusesStarts) {
+    if (this.clock.nowMs() > request.deadlineAtMs) {
+      const message = 'The start came after its deadline; send it again.';
+      return Promise.reject(new NotSentError(message));
+    }
+    if (this.refusesStarts || !this.hasCapacity(request)) {
       return Promise.resolve({ outcome: StartOutcome.Refused });
     }
     const instanceId = `instance-${this.nextInstance}`;
@@ -90,7 +124,7 @@
       machineClass: request.machineClass,
       dataCentre: request.dataCentre,
       billing: request.billing,
-      state: InstanceState.Running,
+      state: this.stateAfterStart,
     });
     return Promise.resolve({ outcome: StartOutcome.Started, instanceId });
   }
