Pause the fleet's processes at starts, stops and orders, and read the plan once

Cause: a pause seldom fell on a call that changes something, so the count of double orders showed little; and every round wrote and parsed the plan again.

--- a/packages/core/src/fleet/fleet-manager.ts
+++ b/packages/core/src/fleet/fleet-manager.ts
@@ -11,7 +11,7 @@
 import { LogPart } from '../platform/index.js';
 import type { DemandSource } from './demand.js';
 import type { FleetPlan } from './fleet-plan.js';
-import { clientTokenOf, EMPTY_PLAN, isReady, SlotState } from './fleet-plan.js';
+import { clientTokenOf, isReady, SlotState } from './fleet-plan.js';
 import type { FleetDecision, FleetPlanner } from './fleet-planner.js';
 import type { FleetPolicy } from './fleet-policy.js';
 import type { LeaseGuardOptions } from './lease-guard.js';
@@ -21,7 +21,7 @@
 import type { LoadSource } from './order-schedule.js';
 import { scheduleOrders } from './order-schedule.js';
 import type { StoredPlan } from './plan-store.js';
-import { PlanStore } from './plan-store.js';
+import { NO_STORED_PLAN, PlanStore } from './plan-store.js';
 import type { ActionResult } from './start-runner.js';
 import { ActionOutcome, applyResults, StartRunner } from './start-runner.js';
 
@@ -62,7 +62,7 @@
   private readonly guard: LeaseGuard;
   private readonly starts: StartRunner;
   private readonly orders: OrderRunner;
-  private last: StoredPlan = { plan: EMPTY_PLAN, version: 0 };
+  private last = NO_STORED_PLAN;
   private missingTokensPerSecond = 0;
 
   constructor(
@@ -105,6 +105,7 @@
     const results = await this.starts.run(decision.actions);
     for (const result of results) this.logResult(result);
     const orderResults = await this.orders.run(stored.plan);
+    if (results.length + orderResults.length === 0) return;
     const { policy } = this.options;
     const nowMs = this.parts.clock.nowMs();
     const acted = applyResults(policy, stored.plan, results, nowMs);
@@ -172,12 +173,13 @@
     return listing.endpoints.filter(endpoint => endpoint.group === group);
   }
 
-  /** Stores a plan that changed. Undefined where another process was first. */
+  /** Stores a plan that changed in more than the list's age. Undefined where another process was first. */
   private async save(
     from: StoredPlan,
     plan: FleetPlan,
   ): Promise<StoredPlan | undefined> {
-    if (JSON.stringify(plan) === JSON.stringify(from.plan)) return from;
+    const { listingAsOfMs } = from.plan;
+    if (JSON.stringify({ ...plan, listingAsOfMs }) === from.text) return from;
     if (this.guard.current() === undefined) return undefined;
     const deadlineAtMs = this.guard.callDeadlineMs();
     const stored = await this.store.write(plan, from.version, deadlineAtMs);
--- a/packages/core/src/fleet/order-runner.ts
+++ b/packages/core/src/fleet/order-runner.ts
@@ -24,6 +24,8 @@
   readonly fencingCheck: FencingCheck;
   /** Time after its load from the store by which an order's effect must show. */
   readonly effectTimeoutMs: number;
+  /** Time between two looks at an endpoint whose orders are all done. */
+  readonly verifyIntervalMs: number;
 }
 
 export enum OrderProgress {
@@ -45,6 +47,7 @@
 export class OrderRunner {
   /** Time until which an order sent from here may still arrive. */
   private readonly openUntilMs = new Map<string, number>();
+  private readonly verifyAtMs = new Map<Address, number>();
 
   constructor(
     private readonly engine: OrderEngine,
@@ -71,13 +74,18 @@
     const nowMs = this.clock.nowMs();
     if (lease === undefined || nowMs < order.notBeforeAtMs) return false;
     const isUnfenced = this.options.fencingCheck === FencingCheck.Ignored;
-    if (order.done && !isUnfenced) return false;
+    if (order.done && !(isUnfenced && this.isVerifyDue(order))) return false;
     if (nowMs < (this.openUntilMs.get(this.idOf(order)) ?? 0)) return false;
     const isInherited = order.fencingNumber < lease.fencingNumber;
     const mayArriveLate = isUnfenced || isInherited;
     return !mayArriveLate || nowMs >= this.guard.settledAtMs();
   }
 
+  /** An endpoint that ignores fencing numbers is read again now and then. */
+  private isVerifyDue({ address }: OrderRecord): boolean {
+    return this.clock.nowMs() >= (this.verifyAtMs.get(address) ?? 0);
+  }
+
   private async runEndpoint(
     address: Address,
     orders: readonly OrderRecord[],
@@ -86,6 +94,8 @@
     try {
       const deadlineAtMs = this.guard.callDeadlineMs();
       const inventory = await this.engine.inventory(address, deadlineAtMs);
+      const verifyAtMs = this.clock.nowMs() + this.options.verifyIntervalMs;
+      this.verifyAtMs.set(address, verifyAtMs);
       for (const order of orders) {
         const progress = await this.advance(order, inventory);
         if (progress !== undefined) {
@@ -136,6 +146,10 @@
   }
 
   private forgetOld(plan: FleetPlan): void {
+    const addresses = new Set(plan.orders.map(order => order.address));
+    for (const address of this.verifyAtMs.keys()) {
+      if (!addresses.has(address)) this.verifyAtMs.delete(address);
+    }
     const known = new Set(plan.orders.map(order => this.idOf(order)));
     for (const orderId of this.openUntilMs.keys()) {
       if (!known.has(orderId)) this.openUntilMs.delete(orderId);
--- a/packages/core/src/fleet/plan-store.ts
+++ b/packages/core/src/fleet/plan-store.ts
@@ -6,10 +6,18 @@
 /** A plan with the version that a write of it must name. */
 export interface StoredPlan {
   readonly plan: FleetPlan;
+  /** The plan as it is stored. */
+  readonly text: string;
   /** 0 where no plan was stored yet. */
   readonly version: number;
 }
 
+export const NO_STORED_PLAN: StoredPlan = {
+  plan: EMPTY_PLAN,
+  text: '',
+  version: 0,
+};
+
 /** Key of a fleet's plan in the key-value service. */
 export function planKey(fleet: string): string {
   return `fleet/${fleet}/plan`;
@@ -18,6 +26,7 @@
 /** Reads and writes the plan by compare-and-swap. */
 export class PlanStore {
   private readonly key: string;
+  private last: StoredPlan | undefined;
 
   constructor(
     private readonly keyValue: KeyValue,
@@ -29,8 +38,13 @@
   /** Throws `PlatformError` or `FleetPlanError`. */
   async read(deadlineAtMs: number): Promise<StoredPlan> {
     const entry = await this.keyValue.get(this.key, deadlineAtMs);
-    if (entry === undefined) return { plan: EMPTY_PLAN, version: 0 };
-    return { plan: parsePlan(this.key, entry.value), version: entry.version };
+    if (entry === undefined) return NO_STORED_PLAN;
+    const { value: text, version } = entry;
+    if (this.last?.version === version && this.last.text === text) {
+      return this.last;
+    }
+    this.last = { plan: parsePlan(this.key, text), text, version };
+    return this.last;
   }
 
   /**
@@ -43,31 +57,27 @@
     expectedVersion: number,
     deadlineAtMs: number,
   ): Promise<StoredPlan | undefined> {
-    const value = JSON.stringify(plan);
+    const text = JSON.stringify(plan);
+    const written = { plan, text, version: expectedVersion + 1 };
+    const isWritten = await this.put(written, deadlineAtMs);
+    if (!isWritten) return undefined;
+    this.last = written;
+    return written;
+  }
+
+  private async put(plan: StoredPlan, deadlineAtMs: number): Promise<boolean> {
     try {
       const result = await this.keyValue.put({
         key: this.key,
-        value,
-        expectedVersion,
+        value: plan.text,
+        expectedVersion: plan.version - 1,
         deadlineAtMs,
       });
-      if (result.outcome === PutOutcome.Conflict) return undefined;
-      return { plan, version: result.version };
+      return result.outcome === PutOutcome.Written;
     } catch (error) {
       if (!(error instanceof AnswerLostError)) throw error;
-      return this.readBack(value, plan, expectedVersion, deadlineAtMs);
+      const entry = await this.keyValue.get(this.key, deadlineAtMs);
+      return entry?.version === plan.version && entry.value === plan.text;
     }
   }
-
-  private async readBack(
-    value: string,
-    plan: FleetPlan,
-    expectedVersion: number,
-    deadlineAtMs: number,
-  ): Promise<StoredPlan | undefined> {
-    const entry = await this.keyValue.get(this.key, deadlineAtMs);
-    const isWritten =
-      entry?.version === expectedVersion + 1 && entry.value === value;
-    return isWritten ? { plan, version: entry.version } : undefined;
-  }
 }
--- a/packages/measure/src/fleet/fleet-experiment.ts
+++ b/packages/measure/src/fleet/fleet-experiment.ts
@@ -114,6 +114,7 @@
     starts: totals.starts,
     pauses: totals.pauses,
     kills: totals.kills,
+    pausesAtChange: totals.pausesAtChange,
   };
 }
 
--- a/packages/measure/src/fleet/gate.ts
+++ b/packages/measure/src/fleet/gate.ts
@@ -3,6 +3,12 @@
 
 const LOST_ANSWER_CHANCE = 0.02;
 const LOST_CALL_CHANCE = 0.01;
+const MAX_CALLS_BEFORE_PAUSE = 16;
+
+/** Calls that change something; a process is paused at them more often. */
+const CHANGING_CALLS: readonly PropertyKey[] = ['order', 'start', 'stop'];
+const PAUSE_CHANCE = 0.1;
+const MAX_PAUSE_MS = 60_000;
 
 /** Holds, loses or ends the calls of one process, at the worst point of its round. */
 export class Gate {
@@ -11,6 +17,8 @@
   private pauseMs = 0;
   private endsWithPause = false;
   private ended = false;
+  /** Pauses that fell on a call which changes something. */
+  pausesAtChange = 0;
 
   constructor(
     private readonly clock: Clock,
@@ -41,13 +49,14 @@
         const member: unknown = Reflect.get(object, name);
         if (typeof member !== 'function') return member;
         return (...args: unknown[]) =>
-          this.call(() => Reflect.apply(member, object, args) as unknown);
+          this.call(name, () => Reflect.apply(member, object, args) as unknown);
       },
     });
   }
 
-  private async call(send: () => unknown): Promise<unknown> {
+  private async call(name: PropertyKey, send: () => unknown): Promise<unknown> {
     if (this.hasEnded()) throw new NotSentError('The process has ended.');
+    if (CHANGING_CALLS.includes(name)) this.pauseAtChange();
     this.countDown();
     await this.hold();
     if (this.random.nextFloat() < LOST_CALL_CHANCE) throw lost();
@@ -58,6 +67,15 @@
     return answer;
   }
 
+  /** The call at hand is sent late, as by a process paused after its last check. */
+  private pauseAtChange(): void {
+    if (this.random.nextFloat() >= PAUSE_CHANCE) return;
+    this.callsUntilPause = 0;
+    this.pauseMs = this.random.nextFloat() * MAX_PAUSE_MS;
+    this.endsWithPause ||= this.random.nextFloat() < 0.5;
+    this.pausesAtChange += 1;
+  }
+
   private countDown(): void {
     if (this.callsUntilPause === undefined) return;
     this.callsUntilPause -= 1;
@@ -72,8 +90,6 @@
   }
 }
 
-const MAX_CALLS_BEFORE_PAUSE = 16;
-
 function lost(): AnswerLostError {
   return new AnswerLostError('The answer was lost; read the state back.');
 }
--- a/packages/measure/src/fleet/processes.ts
+++ b/packages/measure/src/fleet/processes.ts
@@ -48,6 +48,7 @@
 export class Processes {
   pauses = 0;
   kills = 0;
+  private readonly gates: Gate[] = [];
   private readonly processes: Process[];
   private started = 0;
 
@@ -55,6 +56,11 @@
     this.processes = Array.from({ length: PROCESSES }, () => this.create());
   }
 
+  /** Pauses that fell between the last check and a start, a stop or an order. */
+  get pausesAtChange(): number {
+    return this.gates.reduce((sum, gate) => sum + gate.pausesAtChange, 0);
+  }
+
   /** Lets every process that is not held run one round. */
   step(): void {
     for (const [index, process] of this.processes.entries()) {
@@ -107,6 +113,7 @@
     const { clock, orders, random, trace, world } = this.parts;
     this.started += 1;
     const gate = new Gate(clock, random);
+    this.gates.push(gate);
     const policy = policyOf(trace.deployment);
     const keyValue = gate.wrap(this.parts.keyValue);
     const keeper = new LeaseKeeper(keyValue, clock, {
@@ -141,6 +148,7 @@
           fleet: policy.name,
           fencingCheck: FencingCheck.Ignored,
           effectTimeoutMs: 600_000,
+          verifyIntervalMs: 60_000,
         },
       },
     );
--- a/packages/measure/src/fleet/run-strategy.ts
+++ b/packages/measure/src/fleet/run-strategy.ts
@@ -45,6 +45,7 @@
   readonly waves: number;
   readonly pauses: number;
   readonly kills: number;
+  readonly pausesAtChange: number;
 }
 
 /** Runs one strategy over the trace of a seed. */
@@ -112,6 +113,7 @@
       waves: this.trace.waves.length,
       pauses: this.processes.pauses,
       kills: this.processes.kills,
+      pausesAtChange: this.processes.pausesAtChange,
     };
   }
 
--- a/packages/measure/src/fleet/trace.ts
+++ b/packages/measure/src/fleet/trace.ts
@@ -44,6 +44,7 @@
   readonly waves: readonly Wave[];
   private readonly ratios = new Map<string, readonly number[]>();
   private readonly noise: readonly number[];
+  private readonly prices = new Map<number, readonly Price[]>();
 
   constructor(
     readonly deployment: FleetDeployment,
@@ -72,6 +73,13 @@
   }
 
   pricesAt(nowMs: number): readonly Price[] {
+    const step = Math.floor((nowMs - this.startAtMs) / PRICE_STEP_MS);
+    const prices = this.prices.get(step) ?? this.drawPrices(nowMs);
+    this.prices.set(step, prices);
+    return prices;
+  }
+
+  private drawPrices(nowMs: number): readonly Price[] {
     const all = [
       ...this.pools(InstanceBilling.Reclaimable),
       ...this.pools(InstanceBilling.OnDemand),
