Write the fencing number before acting, and test the fleet under faults

Cause: a property over random turns, held calls and lost answers (seed 5) found that the late write of a paused holder could still win: the new holder had started a slot's instance before it wrote anything, and the old result "refused" removed the slot, so that the instance belonged to none.

Conclusion: a new holder writes its number first, so that every earlier write conflicts; a write without a known end is followed by another before the next action.

--- a/packages/core/src/fleet/fleet-manager.ts
+++ b/packages/core/src/fleet/fleet-manager.ts
@@ -55,7 +55,8 @@
 /**
  * Runs one fleet by lease: reads the stored plan, decides, stores the new plan
  * by compare-and-swap and only then carries it out. Whoever holds the lease
- * next continues from the stored plan, under the same client tokens.
+ * next continues from the stored plan, under the same client tokens. It writes
+ * its fencing number first, so that a late write of an earlier holder conflicts.
  */
 export class FleetManager {
   private readonly store: PlanStore;
@@ -63,6 +64,8 @@
   private readonly starts: StartRunner;
   private readonly orders: OrderRunner;
   private last = NO_STORED_PLAN;
+  /** A write without a known end; the next round writes before it acts, so that it conflicts. */
+  private hasOpenWrite = false;
   private missingTokensPerSecond = 0;
 
   constructor(
@@ -83,6 +86,11 @@
     this.guard.current();
   }
 
+  /** Gives the lease back, so that another process goes on at once. */
+  release(): Promise<void> {
+    return this.parts.keeper.release();
+  }
+
   /** Time at which `renew` should be called next. */
   nextRenewalAtMs(): number {
     return this.parts.keeper.nextRenewalAtMs();
@@ -146,13 +154,14 @@
     const lease = this.guard.current();
     if (lease === undefined) return undefined;
     const { fencingNumber } = lease;
+    if (plan.fencingNumber > fencingNumber) return undefined;
     const decision = planner.decide(
       { plan, listing, notices, prices, demandTokensPerSecond, fencingNumber },
       clock.nowMs(),
     );
     const endpoints = this.endpointsOf(listing);
     const scheduled = this.schedule(decision.plan, endpoints, fencingNumber);
-    return { ...decision, plan: scheduled };
+    return { ...decision, plan: { ...scheduled, fencingNumber } };
   }
 
   private schedule(
@@ -179,15 +188,18 @@
     plan: FleetPlan,
   ): Promise<StoredPlan | undefined> {
     const { listingAsOfMs } = from.plan;
-    if (JSON.stringify({ ...plan, listingAsOfMs }) === from.text) return from;
+    const isSame = JSON.stringify({ ...plan, listingAsOfMs }) === from.text;
+    if (isSame && !this.hasOpenWrite) return from;
     if (this.guard.current() === undefined) return undefined;
     const deadlineAtMs = this.guard.callDeadlineMs();
+    this.hasOpenWrite = true;
     const stored = await this.store.write(plan, from.version, deadlineAtMs);
     if (stored === undefined) {
       const { log } = this.parts;
       log.warn(LogPart.Fleet, 'Another process changed the plan first.');
       return undefined;
     }
+    this.hasOpenWrite = false;
     this.last = stored;
     return stored;
   }
--- a/packages/core/src/fleet/fleet-plan.ts
+++ b/packages/core/src/fleet/fleet-plan.ts
@@ -65,6 +65,8 @@
 });
 
 const planSchema = z.object({
+  /** Fencing number of the last holder that took the plan over. */
+  fencingNumber: z.int(),
   nextSlotId: z.int(),
   nextOrderNumber: z.int(),
   slots: z.array(slotSchema),
@@ -99,6 +101,7 @@
 }
 
 export const EMPTY_PLAN: FleetPlan = {
+  fencingNumber: 0,
   nextSlotId: 1,
   nextOrderNumber: 1,
   slots: [],
