--- /dev/null
+++ b/packages/daemon/src/fleet/index.ts
@@ -0,0 +1,2 @@
+export * from './load-demand.js';
+export * from './wire-fleet.js';
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
 
+import { fleetSettingsSchema } from './fleet-settings.js';
+
 const PORT_LIMIT = 65_535;
 
 const address = z
@@ -77,6 +79,8 @@
   claims: z
     .strictObject({ retentionMs: durationMs.default(86_400_000) })
     .prefault({}),
+  /** Fleets that the daemons plan by lease; none where absent. */
+  fleet: z.array(fleetSettingsSchema).default([]),
 });
 
 export type Settings = z.output<typeof settingsSchema>;
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -19,6 +19,7 @@
   HttpService,
 } from './adapters/index.js';
 import { CallerServer } from './callers/index.js';
+import { wireFleet } from './fleet/index.js';
 import { EndpointPoll, Loop, RuleWatch } from './loops/index.js';
 import {
   addMoveCalls,
@@ -83,6 +84,7 @@
     engine: new HttpEngine(http),
     service: new HttpService(http),
   };
+  const fleet = wireFleet(settings, { ...parts, cloud, keyValue });
   const callers = new CallerServer({
     models: new ModelPipeline(parts),
     services: new ServicePipeline(parts),
@@ -95,7 +97,7 @@
     clock,
     keyValue,
     operators: credentials.operators,
-    sources: stateSources(parts),
+    sources: [...stateSources(parts), ...fleet.sources],
     status: () => ({
       daemonId: identity.daemonId,
       dataCentre: identity.dataCentre,
@@ -109,6 +111,7 @@
   const watch = new RuleWatch(keyValue, rules, clock);
   const poll = new EndpointPoll(cloud, parts.engine, parts.router, clock, log);
   const loops = [
+    ...fleet.loops,
     new Loop(
       {
         name: 'rule watch',
