--- a/packages/measure/src/fleet/processes.ts
+++ b/packages/measure/src/fleet/processes.ts
@@ -1,4 +1,9 @@
-import type { FleetPlanner } from '@skylarkreach/core/fleet';
+import type {
+  DemandSource,
+  FleetManagerOptions,
+  FleetPlanner,
+  FleetPolicy,
+} from '@skylarkreach/core/fleet';
 import { FencingCheck, FleetManager } from '@skylarkreach/core/fleet';
 import { LeaseKeeper } from '@skylarkreach/core/leases';
 import type {
@@ -20,8 +25,9 @@
 import { LOADS, STORE_BYTES_PER_SECOND } from './world.js';
 
 const PROCESSES = 3;
-const GRANT_MS = 20_000;
-const MARGIN_MS = 2_000;
+const LEASE = { grantMs: 20_000, marginMs: 2_000 };
+const EFFECT_TIMEOUT_MS = 600_000;
+const VERIFY_INTERVAL_MS = 60_000;
 const CALL_TIMEOUT_MS = 4_000;
 const MEAN_PAUSE_GAP_MS = 15 * 60_000;
 const MEAN_KILL_GAP_MS = 30 * 60_000;
@@ -110,48 +116,54 @@
   }
 
   private create(): Process {
-    const { clock, orders, random, trace, world } = this.parts;
+    const { clock, random } = this.parts;
     this.started += 1;
     const gate = new Gate(clock, random);
     this.gates.push(gate);
-    const policy = policyOf(trace.deployment);
+    const manager = this.createManager(gate, `process-${this.started}`);
+    return { manager, gate, isBusy: false, renewAtMs: 0 };
+  }
+
+  private createManager(gate: Gate, holder: string): FleetManager {
+    const { clock, orders, trace, world } = this.parts;
+    const { name } = trace.deployment;
     const keyValue = gate.wrap(this.parts.keyValue);
-    const keeper = new LeaseKeeper(keyValue, clock, {
-      name: `fleet/${policy.name}`,
-      holder: `process-${this.started}`,
-      grantMs: GRANT_MS,
-      marginMs: MARGIN_MS,
-    });
-    const manager = new FleetManager(
+    const lease = { name: `fleet/${name}`, holder, ...LEASE };
+    return new FleetManager(
       {
         clock,
         cloud: gate.wrap(world.cloud),
         engine: gate.wrap(orders),
         keyValue,
-        keeper,
+        keeper: new LeaseKeeper(keyValue, clock, lease),
         planner: this.parts.createPlanner(),
-        demand: {
-          demandTokensPerSecond: nowMs =>
-            Promise.resolve(trace.demandAt(nowMs)),
-        },
+        demand: demandOfTrace(trace),
         loads: { requiredLoads: () => LOADS },
         log: silentLog,
         metrics: silentMetrics,
       },
-      {
-        policy,
-        grantMs: GRANT_MS,
-        marginMs: MARGIN_MS,
-        callTimeoutMs: CALL_TIMEOUT_MS,
-        storeBytesPerSecond: STORE_BYTES_PER_SECOND,
-        orders: {
-          fleet: policy.name,
-          fencingCheck: FencingCheck.Ignored,
-          effectTimeoutMs: 600_000,
-          verifyIntervalMs: 60_000,
-        },
-      },
+      managerOptions(policyOf(trace.deployment)),
     );
-    return { manager, gate, isBusy: false, renewAtMs: 0 };
   }
 }
+
+function demandOfTrace(trace: FleetTrace): DemandSource {
+  return {
+    demandTokensPerSecond: nowMs => Promise.resolve(trace.demandAt(nowMs)),
+  };
+}
+
+function managerOptions(policy: FleetPolicy): FleetManagerOptions {
+  return {
+    ...LEASE,
+    policy,
+    callTimeoutMs: CALL_TIMEOUT_MS,
+    storeBytesPerSecond: STORE_BYTES_PER_SECOND,
+    orders: {
+      fleet: policy.name,
+      fencingCheck: FencingCheck.Ignored,
+      effectTimeoutMs: EFFECT_TIMEOUT_MS,
+      verifyIntervalMs: VERIFY_INTERVAL_MS,
+    },
+  };
+}
