--- a/packages/core/src/fleet/observe.ts
+++ b/packages/core/src/fleet/observe.ts
@@ -127,18 +127,7 @@
   listing: FleetListing,
   fencingNumber: number,
 ): FleetPlan {
-  const known = new Set(plan.slots.map(slot => slot.instanceId));
-  const serving = new Set(
-    listing.endpoints
-      .filter(endpoint => endpoint.group === policy.group)
-      .map(endpoint => endpoint.instanceId),
-  );
-  const unknown = listing.instances
-    .filter(instance => serving.has(instance.id))
-    .filter(instance => !known.has(instance.id))
-    .filter(instance => instance.state === InstanceState.Running)
-    .filter(instance => policy.dataCentres.includes(instance.dataCentre))
-    .filter(instance => capacityOf(policy, instance.machineClass) > 0);
+  const unknown = unknownInstances(policy, plan, listing);
   if (unknown.length === 0 || plan.slots.some(isUnanswered)) return plan;
   const slots = unknown.map((instance, index): Slot => ({
     ...poolOf(instance),
@@ -156,6 +145,25 @@
   };
 }
 
+function unknownInstances(
+  policy: FleetPolicy,
+  plan: FleetPlan,
+  listing: FleetListing,
+): readonly Instance[] {
+  const known = new Set(plan.slots.map(slot => slot.instanceId));
+  const serving = new Set(
+    listing.endpoints
+      .filter(endpoint => endpoint.group === policy.group)
+      .map(endpoint => endpoint.instanceId),
+  );
+  return listing.instances
+    .filter(instance => serving.has(instance.id))
+    .filter(instance => !known.has(instance.id))
+    .filter(instance => instance.state === InstanceState.Running)
+    .filter(instance => policy.dataCentres.includes(instance.dataCentre))
+    .filter(instance => capacityOf(policy, instance.machineClass) > 0);
+}
+
 /** An unknown instance may be that of a start whose answer is not known yet. */
 function isUnanswered(slot: Slot): boolean {
   return slot.state === SlotState.Planned;
--- a/packages/core/src/fleet/offers.ts
+++ b/packages/core/src/fleet/offers.ts
@@ -1,7 +1,7 @@
 import type { Price } from '../platform/index.js';
 import type { FleetPlan, ReclaimRecord } from './fleet-plan.js';
 import type { FleetPolicy, Pool } from './fleet-policy.js';
-import { capacityOf, poolKey } from './fleet-policy.js';
+import { capacityOf, poolKey, poolOf } from './fleet-policy.js';
 
 /** A pool that may be asked for an instance now. */
 export interface Offer extends Pool {
@@ -31,24 +31,25 @@
   return prices
     .filter(price => policy.dataCentres.includes(price.dataCentre))
     .filter(price => !paused.has(poolKey(price)))
-    .map(price => {
-      const record = reclaims.get(poolKey(price));
-      const count = Math.min(
-        decayedReclaims(record, nowMs),
-        MAX_WEIGHED_RECLAIMS,
-      );
-      return {
-        machineClass: price.machineClass,
-        dataCentre: price.dataCentre,
-        billing: price.billing,
-        pricePerHour: price.pricePerHour,
-        weightedPrice: price.pricePerHour * (1 + RECLAIM_PRICE_SHARE * count),
-        tokensPerSecond: capacityOf(policy, price.machineClass),
-      };
-    })
+    .map(price => offerOf(policy, price, reclaims.get(poolKey(price)), nowMs))
     .filter(offer => offer.tokensPerSecond > 0);
 }
 
+function offerOf(
+  policy: FleetPolicy,
+  price: Price,
+  record: ReclaimRecord | undefined,
+  nowMs: number,
+): Offer {
+  const count = Math.min(decayedReclaims(record, nowMs), MAX_WEIGHED_RECLAIMS);
+  return {
+    ...poolOf(price),
+    pricePerHour: price.pricePerHour,
+    weightedPrice: price.pricePerHour * (1 + RECLAIM_PRICE_SHARE * count),
+    tokensPerSecond: capacityOf(policy, price.machineClass),
+  };
+}
+
 /** Reclaims of a pool, halved for every half-life since they were counted. */
 export function decayedReclaims(
   record: ReclaimRecord | undefined,
--- a/packages/daemon/src/fleet/wire-fleet.ts
+++ b/packages/daemon/src/fleet/wire-fleet.ts
@@ -1,3 +1,4 @@
+import type { FleetManagerOptions } from '@skylarkreach/core/fleet';
 import { FleetManager, SpreadFleetPlanner } from '@skylarkreach/core/fleet';
 import { LeaseKeeper } from '@skylarkreach/core/leases';
 import type {
@@ -81,22 +82,26 @@
       demand: new LoadDemand(fleet.group, engine, router),
       loads: { requiredLoads: () => fleet.loads },
     },
-    {
-      policy: fleet,
-      grantMs: GRANT_MS,
-      marginMs: MARGIN_MS,
-      callTimeoutMs: CALL_TIMEOUT_MS,
-      storeBytesPerSecond: fleet.storeBytesPerSecond,
-      orders: {
-        fleet: fleet.name,
-        fencingCheck: fleet.fencing,
-        effectTimeoutMs: fleet.effectTimeoutMs,
-        verifyIntervalMs: VERIFY_INTERVAL_MS,
-      },
-    },
+    managerOptions(fleet),
   );
 }
 
+function managerOptions(fleet: FleetSettings): FleetManagerOptions {
+  return {
+    policy: fleet,
+    grantMs: GRANT_MS,
+    marginMs: MARGIN_MS,
+    callTimeoutMs: CALL_TIMEOUT_MS,
+    storeBytesPerSecond: fleet.storeBytesPerSecond,
+    orders: {
+      fleet: fleet.name,
+      fencingCheck: fleet.fencing,
+      effectTimeoutMs: fleet.effectTimeoutMs,
+      verifyIntervalMs: VERIFY_INTERVAL_MS,
+    },
+  };
+}
+
 function createLoops(
   manager: FleetManager,
   parts: FleetLoopParts,
