--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
 
+import { fleetSettingsSchema } from './fleet-settings.js';
+
 const PORT_LIMIT = 65_535;
 
 const address = z
@@ -112,6 +114,8 @@
     .prefault({}),
   /** Plain services that act on `Idempotency-Key`. */
   services: z.array(serviceSchema).default([]),
+  /** Fleets that the daemons plan by lease; none where absent. */
+  fleet: z.array(fleetSettingsSchema).default([]),
 });
 
 export type Settings = z.output<typeof settingsSchema>;
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -38,6 +38,7 @@
 } from './adapters/index.js';
 import { CallerServer } from './callers/index.js';
 import { createClaims, serviceTraitsOf } from './claims/index.js';
+import { wireFleet } from './fleet/index.js';
 import type { Survival } from './hand-off/index.js';
 import { createSurvival } from './hand-off/index.js';
 import { EndpointPoll, Loop } from './loops/index.js';
@@ -126,6 +127,8 @@
     self: base.identity,
   });
   operators.addSource(moves.source);
+  const fleet = wireFleet(settings, { ...base, router: parts.router });
+  for (const source of fleet.sources) operators.addSource(source);
   const poll = createPoll(base, parts);
   return {
     parts,
@@ -137,7 +140,10 @@
     http: base.http,
     membership: cluster.membership,
     identity: base.identity,
-    loops: createLoops(base, cluster, survival, moves, poll),
+    loops: [
+      ...fleet.loops,
+      ...createLoops(base, cluster, survival, moves, poll),
+    ],
     prime: async () => {
       const first = [cluster.membership.prime(), poll.readListing()];
       await Promise.allSettled(first);
--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -2,6 +2,7 @@
 import { configExperiment } from './config/index.js';
 import { controlExperiment } from './control/index.js';
 import type { Experiment } from './experiment/index.js';
+import { fleetExperiment } from './fleet/index.js';
 import { movesExperiment } from './moves/index.js';
 import { pathExperiment } from './path/index.js';
 import { slopesExperiment } from './slopes/index.js';
@@ -14,4 +15,5 @@
   configExperiment,
   claimsExperiment,
   controlExperiment,
+  fleetExperiment,
 ];
