--- a/packages/stand-ins/src/deployment/local-deployment.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -5,6 +5,7 @@
   Address,
   Clock,
   DataCentre,
+  Instance,
   KeyValue,
 } from '@skylarkreach/core/platform';
 import {
@@ -41,21 +42,27 @@
 
 export interface LocalDeploymentOptions {
   readonly daemons: number;
+  /** Data centres that daemons and engines are spread over. */
+  readonly dataCentres: readonly DataCentre[];
   readonly engines: number;
   readonly logLevel: LogLevel;
   readonly rules: string;
   readonly engineOptions: Partial<ModelEngineOptions>;
   /** Wraps the key-value store, to inject faults. */
   readonly wrapKeyValue: (store: KeyValue) => KeyValue;
+  /** Further workspaces by name, with their tokens. */
+  readonly workspaceTokens: Readonly<Record<string, string>>;
 }
 
 const DEFAULT_OPTIONS: LocalDeploymentOptions = {
   daemons: 3,
+  dataCentres: DATA_CENTRES,
   engines: 3,
   logLevel: LogLevel.Warn,
   rules: SAMPLE_RULES,
   engineOptions: {},
   wrapKeyValue: store => store,
+  workspaceTokens: {},
 };
 
 /** A model engine of the deployment. */
@@ -86,6 +93,7 @@
   serviceAddress: Address = ANY_PORT;
   private readonly options: LocalDeploymentOptions;
   private readonly servers: { destroy(): void }[] = [];
+  private nextDaemon = 1;
   private keyValueAddress: Address = ANY_PORT;
   private cloudAddress: Address = ANY_PORT;
 
@@ -99,11 +107,11 @@
   async start(): Promise<void> {
     await this.startPlatform();
     for (let index = 0; index < this.options.engines; index += 1) {
-      await this.addEngine(dataCentreAt(index));
+      await this.addEngine(this.dataCentreAt(index));
     }
     await this.addService();
     for (let index = 0; index < this.options.daemons; index += 1) {
-      await this.addDaemon(dataCentreAt(index));
+      await this.addDaemon(this.dataCentreAt(index));
     }
   }
 
@@ -116,14 +124,60 @@
   }
 
   async addDaemon(dataCentre: DataCentre): Promise<RunningDaemon> {
-    const id = `daemon-${this.daemons.length + 1}`;
+    const id = `daemon-${this.nextDaemon}`;
+    this.nextDaemon += 1;
     const daemon = new Daemon(this.daemonSettings(id, dataCentre));
     const addresses = await daemon.start();
     const running = { id, dataCentre, addresses, daemon };
     this.daemons.push(running);
+    this.cloud.addInstance(instanceOf(id, dataCentre));
+    this.connectPeers();
     return running;
   }
 
+  /** Announces that all instances of a data centre are taken at `reclaimAtMs`. */
+  announceReclaim(dataCentre: DataCentre, reclaimAtMs: number): void {
+    for (const { instanceId } of this.engines.filter(inPlace(dataCentre))) {
+      this.cloud.announceReclaim(instanceId, reclaimAtMs);
+    }
+    for (const { id } of this.daemons.filter(inPlace(dataCentre))) {
+      this.cloud.announceReclaim(id, reclaimAtMs);
+    }
+  }
+
+  /** Takes every engine and daemon of a data centre at once. */
+  async take(dataCentre: DataCentre): Promise<void> {
+    for (const { server } of this.engines.filter(inPlace(dataCentre))) {
+      server.destroy();
+    }
+    const daemons = this.daemons.filter(inPlace(dataCentre));
+    await Promise.all(daemons.map(daemon => this.killDaemon(daemon)));
+  }
+
+  /** Announces a reclaim of a data centre and carries it out. */
+  async reclaim(dataCentre: DataCentre, reclaimAtMs: number): Promise<void> {
+    this.announceReclaim(dataCentre, reclaimAtMs);
+    await this.clock.waitUntil(reclaimAtMs);
+    await this.take(dataCentre);
+  }
+
+  /** Ends a daemon at once; the others no longer know it. */
+  async killDaemon(running: RunningDaemon): Promise<void> {
+    this.forget(running);
+    await running.daemon.kill();
+  }
+
+  /** Stops a daemon gracefully; the others no longer know it. */
+  async stopDaemon(running: RunningDaemon): Promise<void> {
+    this.forget(running);
+    await running.daemon.stop();
+  }
+
+  /** URLs that callers reach the daemons by. */
+  callerUrls(): readonly string[] {
+    return this.daemons.map(({ addresses }) => `http://${addresses.callers}`);
+  }
+
   async addEngine(
     dataCentre: DataCentre,
     options: Partial<ModelEngineOptions> = {},
@@ -141,6 +195,31 @@
     return running;
   }
 
+  private forget(running: RunningDaemon): void {
+    const index = this.daemons.indexOf(running);
+    if (index >= 0) this.daemons.splice(index, 1);
+    this.connectPeers();
+  }
+
+  /** Tells every daemon of the others. */
+  private connectPeers(): void {
+    const identities = this.daemons.map(({ addresses, dataCentre, id }) => ({
+      id,
+      dataCentre,
+      peerAddress: addresses.peers,
+      callerUrl: `http://${addresses.callers}`,
+    }));
+    for (const { daemon, id } of this.daemons) {
+      const others = identities.filter(identity => identity.id !== id);
+      daemon.wiring.survival.peers.replace(others);
+    }
+  }
+
+  private dataCentreAt(index: number): DataCentre {
+    const { dataCentres } = this.options;
+    return dataCentres[index % dataCentres.length] ?? 'north-1';
+  }
+
   private async startPlatform(): Promise<void> {
     const keyValueServer = new KeyValueServer(
       ANY_PORT,
@@ -166,7 +245,7 @@
     this.addToCloud(
       address,
       'service-1',
-      dataCentreAt(0),
+      this.dataCentreAt(0),
       EndpointKind.Service,
     );
   }
@@ -177,13 +256,7 @@
     dataCentre: DataCentre,
     kind: EndpointKind,
   ): void {
-    this.cloud.addInstance({
-      id: instanceId,
-      machineClass: 'standard',
-      dataCentre,
-      billing: InstanceBilling.Reclaimable,
-      state: InstanceState.Running,
-    });
+    this.cloud.addInstance(instanceOf(instanceId, dataCentre));
     this.cloud.addEndpoint({
       address,
       kind,
@@ -197,7 +270,7 @@
 
   private daemonSettings(daemonId: string, dataCentre: DataCentre): Settings {
     return settingsSchema.parse({
-      identity: { daemonId, dataCentre },
+      identity: { daemonId, dataCentre, instanceId: daemonId },
       listen: { callers: ANY_PORT, operators: ANY_PORT, peers: ANY_PORT },
       platform: {
         keyValueAddress: this.keyValueAddress,
@@ -206,7 +279,10 @@
       },
       telemetry: { logLevel: this.options.logLevel },
       credentials: {
-        workspaces: [{ workspace: WORKSPACE, sha256: sha256(CALLER_TOKEN) }],
+        workspaces: Object.entries({
+          [WORKSPACE]: CALLER_TOKEN,
+          ...this.options.workspaceTokens,
+        }).map(([workspace, token]) => ({ workspace, sha256: sha256(token) })),
         operators: [{ name: 'operator', sha256: sha256(OPERATOR_TOKEN) }],
         peerSecret: PEER_SECRET,
       },
@@ -214,8 +290,19 @@
   }
 }
 
-function dataCentreAt(index: number): DataCentre {
-  return DATA_CENTRES[index % DATA_CENTRES.length] ?? 'north-1';
+function instanceOf(id: string, dataCentre: DataCentre): Instance {
+  return {
+    id,
+    machineClass: 'standard',
+    dataCentre,
+    billing: InstanceBilling.Reclaimable,
+    state: InstanceState.Running,
+  };
+}
+
+function inPlace(dataCentre: DataCentre) {
+  return (part: { readonly dataCentre: DataCentre }) =>
+    part.dataCentre === dataCentre;
 }
 
 function sha256(text: string): string {
