--- a/packages/core/src/pipeline/attempt-series.ts
+++ b/packages/core/src/pipeline/attempt-series.ts
@@ -134,9 +134,10 @@
       this.failure = AttemptEnd.Cancelled;
     this.settle(this.failure);
     if (left !== undefined) this.excluded.add(left.address);
+    const reclaimAtMs = this.reclaimAtMs() ?? Infinity;
     const endpoint = await this.waitForEndpoint(assembler, signal);
     if (left !== undefined && moveCache) {
-      await this.moveCache(left, endpoint.address);
+      await this.moveCache(left, endpoint.address, reclaimAtMs);
     }
     if (left !== undefined && isStillRunning(failure))
       cancelStream(this.parts, left);
@@ -255,10 +256,14 @@
       .find(endpoint => endpoint.address === address);
   }
 
-  private async moveCache(left: StreamTarget, to: string): Promise<void> {
+  private async moveCache(
+    left: StreamTarget,
+    to: string,
+    reclaimAtMs: number,
+  ): Promise<void> {
     const { clock, engine, log } = this.parts;
-    const { cacheMoveTimeoutMs } = this.survival.policy;
-    const deadlineAtMs = clock.nowMs() + cacheMoveTimeoutMs;
+    const latestAtMs = clock.nowMs() + this.survival.policy.cacheMoveTimeoutMs;
+    const deadlineAtMs = Math.min(latestAtMs, reclaimAtMs);
     try {
       await engine.moveCache(left.address, to, left.streamId, deadlineAtMs);
     } catch (error) {
--- a/packages/core/src/streams/splice.ts
+++ b/packages/core/src/streams/splice.ts
@@ -30,8 +30,10 @@
   readonly silenceTimeoutMs: number;
   /** Connections tried one after another without progress at one endpoint. */
   readonly maxResumes: number;
-  /** Time that copying a KV cache may take. */
+  /** Longest time that copying a KV cache may take. */
   readonly cacheMoveTimeoutMs: number;
+  /** Shortest time before a reclaim in which copying a KV cache is tried. */
+  readonly minCacheMoveMs: number;
   /** Time before a reclaim at which work has to be off the instance. */
   readonly reclaimMarginMs: number;
   /** Longest wait for an endpoint that can go on with an accepted request. */
@@ -45,6 +47,7 @@
   silenceTimeoutMs: 1_500,
   maxResumes: 2,
   cacheMoveTimeoutMs: 1_000,
+  minCacheMoveMs: 200,
   reclaimMarginMs: 250,
   endpointWaitMs: 15_000,
   endpointRetryMs: 100,
@@ -66,8 +69,8 @@
 ): SpliceAction {
   const { failure, nowMs, reclaimAtMs, resumesDone } = situation;
   if (failure === StreamFailure.Reclaimed) {
-    const endsAtMs = nowMs + policy.cacheMoveTimeoutMs;
-    const isTimeLeft = reclaimAtMs !== undefined && endsAtMs <= reclaimAtMs;
+    const isTimeLeft =
+      reclaimAtMs !== undefined && reclaimAtMs - nowMs >= policy.minCacheMoveMs;
     return isTimeLeft ? SpliceAction.MoveCache : SpliceAction.Regenerate;
   }
   const mayResume =
--- /dev/null
+++ b/packages/measure/src/survive/deployment-waves.ts
@@ -0,0 +1,98 @@
+import { CallerClient } from '@skylarkreach/client';
+import { SeededRandom } from '@skylarkreach/core/platform';
+import { LogLevel } from '@skylarkreach/daemon';
+import {
+  answerTokens,
+  CALLER_TOKEN,
+  LocalDeployment,
+} from '@skylarkreach/stand-ins';
+
+const DATA_CENTRES = ['north-1', 'north-2', 'north-3', 'north-4'];
+const ANSWER_TIME_MS = 60_000;
+const ARRIVALS_MS = 3_000;
+const FIRST_WAVE = { dataCentre: 'north-1', noticeMs: 1_000, untilMs: 3_000 };
+const SECOND_WAVE = { dataCentre: 'north-2', noticeMs: 1_600, untilMs: 2_800 };
+const STEP_MS = 25;
+
+/** What became of the requests that went over real sockets. */
+export interface DeploymentFigures {
+  readonly requests: number;
+  readonly lost: number;
+  readonly notWhole: number;
+}
+
+/** Sends requests through the local deployment while two data centres are reclaimed. */
+export async function runDeploymentWaves(
+  seed: number,
+  count: number,
+): Promise<DeploymentFigures> {
+  const deployment = new LocalDeployment({
+    daemons: 8,
+    engines: 8,
+    dataCentres: DATA_CENTRES,
+    engineOptions: { stepMs: STEP_MS },
+    logLevel: LogLevel.Silent,
+  });
+  await deployment.start();
+  const client = new CallerClient({
+    addresses: deployment.callerUrls(),
+    token: CALLER_TOKEN,
+  });
+  try {
+    const waves = [FIRST_WAVE, SECOND_WAVE].map(wave => play(deployment, wave));
+    const texts = await sendAll(client, deployment, seed, count);
+    await Promise.all(waves);
+    return summarise(seed, texts);
+  } finally {
+    await client.close();
+    await deployment.stop();
+  }
+}
+
+/** Announces and carries out the reclaim of one data centre. */
+async function play(
+  deployment: LocalDeployment,
+  wave: typeof FIRST_WAVE,
+): Promise<void> {
+  const { clock } = deployment;
+  const beganAtMs = clock.nowMs();
+  await clock.waitUntil(beganAtMs + wave.noticeMs);
+  await deployment.reclaim(wave.dataCentre, beganAtMs + wave.untilMs);
+}
+
+async function sendAll(
+  client: CallerClient,
+  { clock }: LocalDeployment,
+  seed: number,
+  count: number,
+): Promise<readonly (string | undefined)[]> {
+  const random = new SeededRandom(seed);
+  const beganAtMs = clock.nowMs();
+  return Promise.all(
+    Array.from({ length: count }, async (_, index) => {
+      await clock.waitUntil(beganAtMs + random.nextInteger(ARRIVALS_MS));
+      const deadlineAtMs = clock.nowMs() + ANSWER_TIME_MS;
+      const messages = messagesOf(seed, index);
+      return client.send({ messages, deadlineAtMs }).catch(() => undefined);
+    }),
+  );
+}
+
+function messagesOf(seed: number, index: number) {
+  return [{ role: 'user', content: `Question ${index} of run ${seed}` }];
+}
+
+function summarise(
+  seed: number,
+  texts: readonly (string | undefined)[],
+): DeploymentFigures {
+  const isWhole = (text: string, index: number) =>
+    text === answerTokens(messagesOf(seed, index)).join('');
+  return {
+    requests: texts.length,
+    lost: texts.filter(text => text === undefined).length,
+    notWhole: texts.filter(
+      (text, index) => text !== undefined && !isWhole(text, index),
+    ).length,
+  };
+}
--- /dev/null
+++ b/packages/measure/src/survive/index.ts
@@ -0,0 +1,1 @@
+export * from './survive-experiment.js';
--- /dev/null
+++ b/packages/measure/src/survive/simulated-caller.ts
@@ -0,0 +1,118 @@
+import type { AnswerPart } from '@skylarkreach/core/pipeline';
+import {
+  RequestError,
+  RequestErrorKind,
+  RequestOutcome,
+} from '@skylarkreach/core/pipeline';
+import type { Clock } from '@skylarkreach/core/platform';
+import { EngineEventKind } from '@skylarkreach/core/platform';
+import type { ResumePoint } from '@skylarkreach/core/streams';
+import { ResumeTokens } from '@skylarkreach/core/streams';
+
+import type { SimulatedDaemon } from './simulated-daemon.js';
+import type { TracedRequest } from './trace.js';
+
+const RECONNECT_DELAY_MS = 50;
+const TOKENS = new ResumeTokens([{ id: 'key', secret: 'secret-of-a-trace' }]);
+
+/** What became of one request. */
+export interface CallerResult {
+  readonly text: string;
+  readonly isFinished: boolean;
+  /** Refused before it was accepted, with nothing run. */
+  readonly isRefused: boolean;
+  readonly reconnects: number;
+}
+
+/** A caller that goes on at another daemon whenever its own lets go. */
+export class SimulatedCaller {
+  private text = '';
+  private isFinished = false;
+  private isRefused = false;
+  private token: string | undefined;
+  private mustResend = true;
+  private reconnects = 0;
+  private error: unknown;
+
+  constructor(
+    private readonly traced: TracedRequest,
+    private readonly clock: Clock,
+    private readonly chooseDaemon: () => SimulatedDaemon | undefined,
+  ) {}
+
+  /** Sends the request and follows its answer until it ends or fails for good. */
+  async run(): Promise<CallerResult> {
+    await this.clock.waitUntil(this.traced.arrivesAtMs);
+    while (!this.isFinished && this.error === undefined) {
+      await this.followOnce();
+    }
+    const { isFinished, isRefused, reconnects, text } = this;
+    return { isFinished, isRefused, reconnects, text };
+  }
+
+  private async followOnce(): Promise<void> {
+    const daemon = this.chooseDaemon();
+    if (daemon === undefined) {
+      this.error = new Error('No daemon is left.');
+      return;
+    }
+    try {
+      for await (const part of this.open(daemon)) this.take(part);
+    } catch (error) {
+      this.prepareNext(error, daemon);
+      this.reconnects += 1;
+      await this.clock.waitUntil(this.clock.nowMs() + RECONNECT_DELAY_MS);
+    }
+  }
+
+  private open(daemon: SimulatedDaemon) {
+    const { call } = this.traced;
+    const { signal } = daemon.end;
+    const point = this.point();
+    if (!this.mustResend && point !== undefined) {
+      return daemon.pipeline.resume(point, signal);
+    }
+    const received =
+      point === undefined ? undefined : { text: this.text, point };
+    return daemon.pipeline.run({ ...call, received }, signal);
+  }
+
+  private point(): ResumePoint | undefined {
+    if (this.token === undefined) return undefined;
+    const { call, workspace } = this.traced;
+    const claim = { requestId: call.requestId, workspace };
+    return TOKENS.verify(this.token, claim, this.clock.nowMs());
+  }
+
+  private take(part: AnswerPart): void {
+    const { call, workspace } = this.traced;
+    if (part.event.kind === EngineEventKind.Chunk) this.text += part.event.text;
+    else this.isFinished = true;
+    this.token = TOKENS.sign({
+      requestId: call.requestId,
+      workspace,
+      address: part.address,
+      streamId: part.streamId,
+      tokenOffset: part.tokenOffset,
+      characters: part.characters,
+      expiresAtMs: part.deadlineAtMs,
+    });
+  }
+
+  private prepareNext(error: unknown, daemon: SimulatedDaemon): void {
+    if (daemon.end.signal.aborted) {
+      this.mustResend = this.token === undefined;
+      return;
+    }
+    const isLost =
+      error instanceof RequestError &&
+      error.kind === RequestErrorKind.StreamLost;
+    if (isLost) {
+      this.mustResend = true;
+      return;
+    }
+    this.error = error;
+    this.isRefused =
+      error instanceof RequestError && error.outcome === RequestOutcome.NotRun;
+  }
+}
--- /dev/null
+++ b/packages/measure/src/survive/survive-experiment.ts
@@ -0,0 +1,65 @@
+import type {
+  Experiment,
+  ExperimentOptions,
+  ExperimentReport,
+} from '../experiment/index.js';
+import { atMost } from '../experiment/index.js';
+import type { DeploymentFigures } from './deployment-waves.js';
+import { runDeploymentWaves } from './deployment-waves.js';
+import type { SurvivalFigures } from './simulation.js';
+import { simulateRestarts, simulateSurvival } from './simulation.js';
+
+const DEFAULT_REQUESTS = 300;
+const FULL_REQUESTS = 3_000;
+const DEFAULT_DEPLOYMENT_REQUESTS = 120;
+const FULL_DEPLOYMENT_REQUESTS = 600;
+
+/** Accepted requests through waves of reclaims, against restarting from nothing. */
+export const surviveExperiment: Experiment = {
+  name: 'survive',
+  description: 'accepted requests lost or cut through waves of reclaims',
+  run: runSurvive,
+};
+
+async function runSurvive(
+  options: ExperimentOptions,
+): Promise<ExperimentReport> {
+  const { full, seed } = options;
+  const count = full ? FULL_REQUESTS : DEFAULT_REQUESTS;
+  const socketCount = full
+    ? FULL_DEPLOYMENT_REQUESTS
+    : DEFAULT_DEPLOYMENT_REQUESTS;
+  const survived = await simulateSurvival(seed, count);
+  const restarted = await simulateRestarts(seed, count);
+  const deployed = await runDeploymentWaves(seed, socketCount);
+  return report(survived, restarted, deployed);
+}
+
+function report(
+  survived: SurvivalFigures,
+  restarted: SurvivalFigures,
+  deployed: DeploymentFigures,
+): ExperimentReport {
+  const share = survived.recomputedTokens / restarted.recomputedTokens;
+  return {
+    rows: [
+      { ...survived },
+      { ...restarted },
+      { way: 'local deployment, real sockets', ...deployed },
+    ],
+    targets: [
+      atMost('lost', survived.lost, 0, ''),
+      atMost('answers not whole', survived.notWhole, 0, ''),
+      atMost(
+        'answers with text of another caller',
+        survived.wrongCaller,
+        0,
+        '',
+      ),
+      atMost('refused', survived.refused, 0, ''),
+      atMost('tokens recomputed, share of restarting', share, 1, ''),
+      atMost('lost over sockets', deployed.lost, 0, ''),
+      atMost('answers not whole over sockets', deployed.notWhole, 0, ''),
+    ],
+  };
+}
--- /dev/null
+++ b/packages/measure/src/survive/trace.ts
@@ -0,0 +1,122 @@
+import { createHash } from 'node:crypto';
+
+import type { ConnectionPlan } from '@skylarkreach/core/fakes';
+import { HEALTHY, StreamFault } from '@skylarkreach/core/fakes';
+import type { ModelCall } from '@skylarkreach/core/pipeline';
+import type { Endpoint, Random } from '@skylarkreach/core/platform';
+import {
+  EndpointKind,
+  EndpointStage,
+  SeededRandom,
+} from '@skylarkreach/core/platform';
+
+export const GROUP = 'model';
+export const DATA_CENTRES = ['north-1', 'north-2', 'north-3', 'north-4'];
+export const MS_PER_TOKEN = 44;
+export const WORKSPACES = ['northside', 'southside', 'westside'];
+
+const ENDPOINTS_PER_DATA_CENTRE = 3;
+const ARRIVALS_END_MS = 20_000;
+const REQUEST_TIME_MS = 100_000;
+const MIN_TOKENS = 20;
+const TOKENS_SPREAD = 300;
+const FAULTY_SHARE = 0.15;
+const FAULT_WITHIN_TOKENS = 100;
+const FAULTS = Object.values(StreamFault);
+
+/** One wave: a data centre whose instances are taken. */
+export interface Wave {
+  readonly dataCentre: string;
+  readonly noticeAtMs: number;
+  readonly reclaimAtMs: number;
+  /** Time at which replacements are listed. */
+  readonly replacedAtMs: number;
+}
+
+/** The second wave comes during the first; the last comes without notice. */
+export const WAVES: readonly Wave[] = [
+  wave('north-1', 4_000, 6_000),
+  wave('north-2', 5_000, 5_600),
+  wave('north-3', 14_000, 14_000),
+];
+
+/** Time at which the trace has ended. */
+export const TRACE_END_MS = ARRIVALS_END_MS + REQUEST_TIME_MS;
+
+/** A request of the trace. */
+export interface TracedRequest {
+  readonly arrivesAtMs: number;
+  readonly workspace: string;
+  readonly call: ModelCall;
+}
+
+/** Requests with seeded sizes and times of arrival. */
+export function requestsOf(
+  seed: number,
+  count: number,
+): readonly TracedRequest[] {
+  const random = new SeededRandom(seed);
+  return Array.from({ length: count }, (_, index) => {
+    const arrivesAtMs = random.nextInteger(ARRIVALS_END_MS);
+    const workspace = WORKSPACES[index % WORKSPACES.length] ?? '';
+    const content = `${workspace}-${index}`;
+    return {
+      arrivesAtMs,
+      workspace,
+      call: {
+        // Workspaces choose their ids themselves, so that some are equal.
+        requestId: `request-${Math.floor(index / WORKSPACES.length)}`,
+        bearerToken: tokenOf(workspace),
+        kind: 'chat',
+        deadlineAtMs: arrivesAtMs + REQUEST_TIME_MS,
+        idempotencyKey: undefined,
+        messages: [{ role: 'user', content }],
+        maxTokens: MIN_TOKENS + random.nextInteger(TOKENS_SPREAD),
+      },
+    };
+  });
+}
+
+/** Endpoints of a data centre; each generation has new instances. */
+export function endpointsOf(
+  dataCentre: string,
+  generation: number,
+): Endpoint[] {
+  return Array.from({ length: ENDPOINTS_PER_DATA_CENTRE }, (_, index) => {
+    const instanceId = `${dataCentre}.${generation}.${index}`;
+    return {
+      address: instanceId,
+      kind: EndpointKind.Model,
+      group: GROUP,
+      version: 'v1',
+      stage: EndpointStage.Ready,
+      dataCentre,
+      instanceId,
+    };
+  });
+}
+
+/** The fault of a connection, drawn with a seed of its own. */
+export function drawFault(random: Random): ConnectionPlan {
+  const fault = FAULTS[random.nextInteger(FAULTS.length)];
+  const afterTokens = random.nextInteger(FAULT_WITHIN_TOKENS);
+  const isFaulty = random.nextFloat() < FAULTY_SHARE;
+  return isFaulty && fault !== undefined ? { fault, afterTokens } : HEALTHY;
+}
+
+export function tokenOf(workspace: string): string {
+  return `token-of-${workspace}`;
+}
+
+export function tokenHash(workspace: string): string {
+  return createHash('sha256').update(tokenOf(workspace)).digest('hex');
+}
+
+function wave(
+  dataCentre: string,
+  noticeAtMs: number,
+  reclaimAtMs: number,
+): Wave {
+  const replacedAtMs = reclaimAtMs + 5_000;
+  return { dataCentre, noticeAtMs, reclaimAtMs, replacedAtMs };
+}
