Send heartbeats on open streams that wait

Cause: a stream that waits for an endpoint sends nothing for up to 15 s, while the client takes 10 s of silence for a lost connection and sent a queued request a second time elsewhere after the same 10 s.

--- a/packages/client/src/answer-stream.ts
+++ b/packages/client/src/answer-stream.ts
@@ -9,8 +9,10 @@
 import type { ServerEvent } from './event-reader.js';
 import { readEvents } from './event-reader.js';
 import type { ChatRequest, ClientOptions } from './requests.js';
+import { SilenceTimer } from './silence-timer.js';
 
 const DEFAULT_SILENCE_TIMEOUT_MS = 10_000;
+const DEFAULT_FIRST_BYTE_TIMEOUT_MS = 30_000;
 const DONE = '[DONE]';
 const STREAM_LOST = ':streamLost';
 const NOT_FOUND = ':notFound';
@@ -72,30 +74,40 @@
     EndOfConnection,
     undefined
   > {
-    const silence = new AbortController();
-    const timeoutMs =
-      this.options.silenceTimeoutMs ?? DEFAULT_SILENCE_TIMEOUT_MS;
-    const timer = setTimeout(() => {
-      silence.abort();
-    }, timeoutMs);
+    const silence = new SilenceTimer(
+      this.options.firstByteTimeoutMs ?? DEFAULT_FIRST_BYTE_TIMEOUT_MS,
+    );
     try {
       const response = await this.open(silence.signal);
       if (response.statusCode !== 200) return await endOfRefusal(response);
-      this.ring.recordSuccess();
-      const onByte = () => timer.refresh();
-      for await (const event of readEvents(response.body, onByte)) {
-        const end = this.endOf(event);
-        if (end !== undefined) return end;
-        yield* this.takeText(event);
-        if (this.finished) return BROKEN;
-      }
-      return BROKEN;
+      return yield* this.readAnswer(response, silence);
     } catch {
       return BROKEN;
     } finally {
-      clearTimeout(timer);
-      silence.abort();
+      silence.stop();
+    }
+  }
+
+  private async *readAnswer(
+    response: Dispatcher.ResponseData,
+    silence: SilenceTimer,
+  ): AsyncGenerator<string, EndOfConnection, undefined> {
+    this.ring.recordSuccess();
+    const timeoutMs =
+      this.options.silenceTimeoutMs ?? DEFAULT_SILENCE_TIMEOUT_MS;
+    const onByte = () => {
+      silence.restart(timeoutMs);
+    };
+    onByte();
+    for await (const event of readEvents(response.body, onByte)) {
+      const end = this.endOf(event);
+      if (end !== undefined) return end;
+      silence.pause();
+      yield* this.takeText(event);
+      onByte();
+      if (this.finished) return BROKEN;
     }
+    return BROKEN;
   }
 
   private open(signal: AbortSignal): Promise<Dispatcher.ResponseData> {
--- a/packages/client/src/caller-client.test.ts
+++ b/packages/client/src/caller-client.test.ts
@@ -107,6 +107,7 @@
       addresses: started.map(daemon => daemon.url),
       token: 'token-1',
       silenceTimeoutMs: 200,
+      firstByteTimeoutMs: 500,
     });
     daemons.push(...started);
     clients.push(client);
@@ -133,6 +134,14 @@
     assert.equal(await client.send(CHAT), 'one two');
   });
 
+  it('sends a request elsewhere that was never answered', async () => {
+    const { client } = await start(
+      [() => undefined],
+      [events(chunk('1', 'one'), DONE)],
+    );
+    assert.equal(await client.send(CHAT), 'one');
+  });
+
   it('follows the pointer at the end of a stream', async () => {
     const other = new ScriptedDaemon([events(chunk('2', 'two'), DONE)]);
     daemons.push(other);
--- a/packages/client/src/requests.ts
+++ b/packages/client/src/requests.ts
@@ -46,6 +46,8 @@
   readonly addresses: readonly string[];
   /** Bearer token of the workspace. */
   readonly token: string;
-  /** Time without a byte after which a stream is resumed elsewhere, in milliseconds. */
+  /** Time without a byte after which an open stream is resumed elsewhere, in milliseconds. */
   readonly silenceTimeoutMs?: number;
+  /** Time to the first byte after which a request is sent elsewhere, in milliseconds. */
+  readonly firstByteTimeoutMs?: number;
 }
--- a/packages/daemon/src/callers/chat-handler.ts
+++ b/packages/daemon/src/callers/chat-handler.ts
@@ -15,6 +15,7 @@
 import type { OpenResponse, OpenResponses } from '../hand-off/index.js';
 import type { CompletionHeader } from './chat-response.js';
 import { chunkBody, completionBody, finishBody } from './chat-response.js';
+import { Heartbeat } from './heartbeat.js';
 import { stopping, toProblem } from './problem.js';
 
 const MODEL_LABEL = 'skylarkreach';
@@ -55,18 +56,34 @@
   /** Streams the answer. Throws `RequestError` only before the first event. */
   sendStream(source: AnswerSource, response: ServerResponse): Promise<void> {
     return this.track(source, response, RunEnd.Left, async open => {
-      const header = this.header(source);
-      for await (const part of source.open(open.signal)) {
-        if (!response.headersSent) writeStreamHead(response, source.name);
-        const id = this.tokenAfter(part, source);
-        const text = eventText(header, part.event, id);
-        await write(response, text, open.signal);
+      const heartbeat = new Heartbeat(this.clock, text => {
+        if (response.headersSent) response.write(text);
+      });
+      try {
+        await this.writeEvents(source, response, open.signal, heartbeat);
+      } finally {
+        heartbeat.stop();
       }
-      if (!response.headersSent) writeStreamHead(response, source.name);
-      response.end('data: [DONE]\n\n');
     });
   }
 
+  private async writeEvents(
+    source: AnswerSource,
+    response: ServerResponse,
+    signal: AbortSignal,
+    heartbeat: Heartbeat,
+  ): Promise<void> {
+    const header = this.header(source);
+    for await (const part of source.open(signal)) {
+      if (!response.headersSent) writeStreamHead(response, source.name);
+      const id = this.tokenAfter(part, source);
+      await write(response, eventText(header, part.event, id), signal);
+      heartbeat.recordWrite();
+    }
+    if (!response.headersSent) writeStreamHead(response, source.name);
+    response.end('data: [DONE]\n\n');
+  }
+
   /** Runs a send; where it is cut by a hand-off, points the caller elsewhere. */
   private async track(
     source: AnswerSource,
