--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -52,13 +52,6 @@
   secret,
 });
 
-const peerSchema = z.strictObject({
-  id: z.string().min(1),
-  dataCentre: z.string().min(1),
-  peerAddress: address,
-  callerUrl: z.url(),
-});
-
 /** Settings of one daemon, as its YAML file holds them. */
 export const settingsSchema = z.strictObject({
   identity: z.strictObject({
@@ -92,8 +85,6 @@
     /** Keys of resume tokens: the first signs, all check. */
     resumeKeys: z.array(resumeKeySchema).min(1).optional(),
   }),
-  /** Other daemons that records may be handed off to. */
-  peers: z.array(peerSchema).default([]),
   handOff: z.strictObject({ marginMs: durationMs.default(1_000) }).prefault({}),
   limits: z
     .strictObject({
--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -6,6 +6,7 @@
 import { movesExperiment } from './moves/index.js';
 import { pathExperiment } from './path/index.js';
 import { slopesExperiment } from './slopes/index.js';
+import { surviveExperiment } from './survive/index.js';
 
 /** Every experiment, by the name that the command line takes. */
 export const EXPERIMENTS: readonly Experiment[] = [
@@ -16,4 +17,5 @@
   claimsExperiment,
   controlExperiment,
   fleetExperiment,
+  surviveExperiment,
 ];
