Choose endpoints by expected finish

Cause: the least-in-flight router saw neither the engines' queues nor their prefix caches, rescanned the whole table for each request, and a list older than the last one could bring back an endpoint that had left.

Conclusion: waiting, weighted uncached prefill and a slowly averaged decode rate are enough; what an endpoint has evicted passes on to the next home.

--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -6,6 +6,8 @@
   readonly requestId: string;
   readonly workspace: Workspace;
   readonly kind: string;
+  /** Endpoint group that the request goes to; capacity is shared within a group. */
+  readonly group?: string;
   readonly priority: Priority;
   readonly limits: RuleLimits;
   readonly promptTokens: number;
--- a/packages/core/src/pipeline/admit-request.ts
+++ b/packages/core/src/pipeline/admit-request.ts
@@ -23,6 +23,7 @@
         requestId: request.requestId,
         workspace: request.workspace,
         kind: request.kind,
+        group: request.rule.group,
         priority: request.rule.priority,
         limits: request.rule.limits,
         deadlineAtMs: request.deadlineAtMs,
--- /dev/null
+++ b/packages/core/src/routing/bounded-map.ts
@@ -0,0 +1,28 @@
+/** Map of bounded size that drops the entry written longest ago. */
+export class BoundedMap<Key, Value> {
+  private readonly entries = new Map<Key, Value>();
+
+  constructor(private readonly maxEntries: number) {}
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  get(key: Key): Value | undefined {
+    return this.entries.get(key);
+  }
+
+  set(key: Key, value: Value): void {
+    this.entries.delete(key);
+    this.entries.set(key, value);
+    if (this.entries.size <= this.maxEntries) return;
+    for (const oldest of this.entries.keys()) {
+      this.entries.delete(oldest);
+      return;
+    }
+  }
+
+  delete(key: Key): void {
+    this.entries.delete(key);
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/endpoint-table.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import fc from 'fast-check';
+
+import type { Endpoint } from '../platform/index.js';
+import { EndpointKind, EndpointStage } from '../platform/index.js';
+import { EndpointTable } from './endpoint-table.js';
+
+const ADDRESS = '10.0.0.1:8000';
+
+function endpoint(changes: Partial<Endpoint> = {}): Endpoint {
+  return {
+    address: ADDRESS,
+    kind: EndpointKind.Model,
+    group: 'model',
+    version: 'v1',
+    dataCentre: 'zone-1',
+    instanceId: 'instance-1',
+    stage: EndpointStage.Ready,
+    ...changes,
+  };
+}
+
+function isCandidate(table: EndpointTable): boolean {
+  return table.candidates('model')?.get(ADDRESS) !== undefined;
+}
+
+describe('EndpointTable', () => {
+  it('never offers an endpoint again once any source has said that it leaves', () => {
+    const step = fc.record({
+      kind: fc.constantFrom('listed', 'omitted', 'marked', 'told'),
+      stage: fc.constantFrom(...Object.values(EndpointStage)),
+      atMs: fc.nat(1_000),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 20 }), steps => {
+        const table = new EndpointTable();
+        let hasLeft = false;
+        for (const { atMs, kind, stage } of steps) {
+          if (kind === 'listed')
+            table.applyListing([endpoint({ stage })], atMs);
+          if (kind === 'omitted') table.applyListing([], atMs);
+          if (kind === 'told') table.add(endpoint({ stage }), atMs);
+          if (kind === 'marked') table.markLeaving(ADDRESS, atMs);
+          const known = table.get(ADDRESS)?.stage;
+          hasLeft ||= kind === 'marked' || known === EndpointStage.Leaving;
+          hasLeft ||= known === EndpointStage.Gone;
+          assert.ok(!(hasLeft && isCandidate(table)));
+        }
+      }),
+      { seed: 11, numRuns: 2_000 },
+    );
+  });
+
+  it('ignores a list older than the last one', () => {
+    const table = new EndpointTable();
+    table.applyListing([endpoint()], 100);
+    table.applyListing([], 50);
+    assert.ok(isCandidate(table));
+  });
+
+  it('keeps an endpoint that is newer than the list', () => {
+    const table = new EndpointTable();
+    table.add(endpoint(), 100);
+    table.applyListing([], 90);
+    assert.ok(isCandidate(table));
+    table.applyListing([], 110);
+    assert.ok(!isCandidate(table));
+  });
+
+  it('takes a new instance at the address of one that left', () => {
+    const table = new EndpointTable();
+    table.applyListing([endpoint()], 100);
+    table.markLeaving(ADDRESS, 110);
+    table.applyListing([endpoint({ instanceId: 'instance-2' })], 120);
+    assert.ok(isCandidate(table));
+  });
+
+  it('moves an endpoint between the groups of its versions', () => {
+    const table = new EndpointTable();
+    table.applyListing([endpoint()], 100);
+    table.applyListing([endpoint({ version: 'v2' })], 110);
+    assert.equal(table.ready('model', 'v1').length, 0);
+    assert.equal(table.ready('model', 'v2').length, 1);
+    assert.equal(table.ready('model').length, 1);
+  });
+});
--- a/packages/core/src/routing/least-in-flight-router.ts
+++ b/packages/core/src/routing/least-in-flight-router.ts
@@ -1,6 +1,6 @@
 import type { Address, Endpoint, Random } from '../platform/index.js';
 import { EndpointTable } from './endpoint-table.js';
-import type { Attempt, Router, RouteRequest } from './router.js';
+import type { Attempt, LeavingSource, Router, RouteRequest } from './router.js';
 
 /** Chooses the endpoint with the fewest of this daemon's own attempts, ties at random. */
 export class LeastInFlightRouter implements Router {
@@ -27,8 +27,8 @@
     this.inFlight.set(attempt.address, this.count(attempt.address) - 1);
   }
 
-  applyListing(endpoints: readonly Endpoint[]): void {
-    this.table.applyListing(endpoints);
+  applyListing(endpoints: readonly Endpoint[], asOfMs: number): void {
+    this.table.applyListing(endpoints, asOfMs);
   }
 
   applyLoad(): void {
@@ -39,8 +39,8 @@
     // The prefix cache plays no part in this choice.
   }
 
-  markLeaving(address: Address): void {
-    this.table.markLeaving(address);
+  markLeaving(address: Address, _source: LeavingSource, nowMs: number): void {
+    this.table.markLeaving(address, nowMs);
   }
 
   endpoints(): readonly Endpoint[] {
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -67,6 +67,11 @@
   applyLoad(address: Address, report: LoadReport, nowMs: number): void;
   applyCacheEvents(address: Address, events: readonly CacheEvent[]): void;
   markLeaving(address: Address, source: LeavingSource, nowMs: number): void;
+  /** Takes word of one endpoint from elsewhere than the platform's list. */
+  addEndpoint?(endpoint: Endpoint, asOfMs: number): void;
+  applyPrices?(prices: ReadonlyMap<Address, number>): void;
+  /** Time that a new request of the group would wait at an endpoint, in milliseconds; undefined without reports. */
+  expectedWaitMs?(group: string, nowMs: number): number | undefined;
   /** Endpoints known to this daemon, with the stage that it believes. */
   endpoints(): readonly Endpoint[];
 }
--- a/packages/daemon/src/loops/endpoint-poll.ts
+++ b/packages/daemon/src/loops/endpoint-poll.ts
@@ -1,11 +1,16 @@
 import type {
+  Address,
+  CacheEvent,
   Clock,
   Cloud,
   Endpoint,
   Engine,
+  FleetListing,
   Log,
+  Price,
 } from '@skylarkreach/core/platform';
 import {
+  CacheEventKind,
   EndpointKind,
   EndpointStage,
   LogPart,
@@ -15,10 +20,12 @@
 import { LeavingSource } from '@skylarkreach/core/routing';
 
 const CALL_TIMEOUT_MS = 2_000;
+const PRICE_INTERVAL_MS = 60_000;
 
-/** Tells the router of the platform's list, reclaim notices, loads and cache events. */
+/** Tells the router of the platform's list, reclaim notices, prices, loads and cache events. */
 export class EndpointPoll {
-  private readonly lastSequences = new Map<string, number>();
+  private readonly lastSequences = new Map<Address, number>();
+  private nextPricesAtMs = 0;
 
   constructor(
     private readonly cloud: Cloud,
@@ -40,6 +47,16 @@
         this.markLeaving(endpoint, LeavingSource.Notice);
       }
     }
+    await this.readPrices(listing);
+  }
+
+  /** Reads the prices of the listed endpoints, where the last ones have grown old. */
+  private async readPrices(listing: FleetListing): Promise<void> {
+    const nowMs = this.clock.nowMs();
+    if (nowMs < this.nextPricesAtMs) return;
+    this.nextPricesAtMs = nowMs + PRICE_INTERVAL_MS;
+    const prices = await this.cloud.prices(nowMs + CALL_TIMEOUT_MS);
+    this.router.applyPrices?.(pricesByAddress(listing, prices));
   }
 
   /** Reads the load and the cache events of every live model endpoint. */
@@ -58,15 +75,7 @@
       const report = await this.engine.load(address, deadlineAtMs);
       this.router.applyLoad(address, report, this.clock.nowMs());
       if (report.leaving) this.markLeaving(endpoint, LeavingSource.Refusal);
-      const lastSequence = this.lastSequences.get(address) ?? 0;
-      const events = await this.engine.cacheEvents(
-        address,
-        lastSequence,
-        deadlineAtMs,
-      );
-      this.router.applyCacheEvents(address, events);
-      const newest = events.at(-1)?.sequence ?? lastSequence;
-      this.lastSequences.set(address, newest);
+      await this.readCacheEvents(address, deadlineAtMs);
     } catch (error) {
       if (!(error instanceof PlatformError)) throw error;
       this.log.warn(LogPart.Routing, 'An endpoint gave no load report.', {
@@ -76,6 +85,24 @@
     }
   }
 
+  /** Reads new cache events; after a gap, all that the engine has kept, in the next round. */
+  private async readCacheEvents(
+    address: Address,
+    deadlineAtMs: number,
+  ): Promise<void> {
+    const lastSequence = this.lastSequences.get(address) ?? 0;
+    const events = await this.engine.cacheEvents(
+      address,
+      lastSequence,
+      deadlineAtMs,
+    );
+    this.router.applyCacheEvents(address, events);
+    const newest = events.at(-1)?.sequence ?? lastSequence;
+    const isResync = lastSequence === 0;
+    const hasLost = hasGap(events, lastSequence) && !isResync;
+    this.lastSequences.set(address, hasLost ? 0 : newest);
+  }
+
   private markLeaving(endpoint: Endpoint, source: LeavingSource): void {
     if (endpoint.stage === EndpointStage.Leaving) return;
     this.router.markLeaving(endpoint.address, source, this.clock.nowMs());
@@ -84,3 +111,31 @@
     });
   }
 }
+
+function hasGap(events: readonly CacheEvent[], lastSequence: number): boolean {
+  let expected = lastSequence + 1;
+  for (const { kind, sequence } of events) {
+    if (kind === CacheEventKind.Gap || sequence !== expected) return true;
+    expected = sequence + 1;
+  }
+  return false;
+}
+
+function pricesByAddress(
+  listing: FleetListing,
+  prices: readonly Price[],
+): ReadonlyMap<Address, number> {
+  const instances = new Map(listing.instances.map(each => [each.id, each]));
+  const byAddress = new Map<Address, number>();
+  for (const { address, instanceId } of listing.endpoints) {
+    const instance = instances.get(instanceId);
+    const price = prices.find(
+      each =>
+        each.machineClass === instance?.machineClass &&
+        each.dataCentre === instance.dataCentre &&
+        each.billing === instance.billing,
+    );
+    if (price !== undefined) byAddress.set(address, price.pricePerHour);
+  }
+  return byAddress;
+}
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -8,7 +8,7 @@
 } from '@skylarkreach/core/pipeline';
 import type { Clock, StateSource } from '@skylarkreach/core/platform';
 import { LogPart, SeededRandom } from '@skylarkreach/core/platform';
-import { LeastInFlightRouter } from '@skylarkreach/core/routing';
+import { ExpectedFinishRouter } from '@skylarkreach/core/routing';
 import { RuleStore } from '@skylarkreach/core/rules';
 
 import {
@@ -78,7 +78,7 @@
     metrics,
     tokens: new TokenDirectory(credentials.workspaces),
     admission: new InFlightAdmission(clock),
-    router: new LeastInFlightRouter(random),
+    router: new ExpectedFinishRouter(random),
     claims: new SingleKeyClaims(keyValue, clock, settings.claims.retentionMs),
     engine: new HttpEngine(http),
     service: new HttpService(http),
--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -1,5 +1,9 @@
 import type { Experiment } from './experiment/index.js';
 import { pathExperiment } from './path/index.js';
+import { routingExperiment } from './routing/index.js';
 
 /** Every experiment, by the name that the command line takes. */
-export const EXPERIMENTS: readonly Experiment[] = [pathExperiment];
+export const EXPERIMENTS: readonly Experiment[] = [
+  pathExperiment,
+  routingExperiment,
+];
--- /dev/null
+++ b/packages/measure/src/routing/engine-model.ts
@@ -0,0 +1,184 @@
+import type { CacheEvent, LoadReport } from '@skylarkreach/core/platform';
+import { BLOCK_TOKENS, Priority } from '@skylarkreach/core/platform';
+import { PrefixCache } from '@skylarkreach/stand-ins';
+
+import type { EventLoop } from './event-loop.js';
+import type { WorkItem } from './workload.js';
+
+export interface EngineModelOptions {
+  readonly cacheTokens: number;
+  readonly maxRunning: number;
+  /** Requests held beyond which new ones are refused. */
+  readonly maxActive: number;
+}
+
+const STEP_TOKENS = 512;
+const STEP_BASE_MS = 8;
+const DECODE_MS_PER_REQUEST = 0.2;
+const PREFILL_MS_PER_TOKEN = 0.06;
+const REPORT_INTERVAL_MS = 500;
+const PRIORITY_ORDER = [Priority.Lookup, Priority.Standard, Priority.Draft];
+
+/** Tokens prefilled a second while a full chunk goes into each step. */
+const PREFILL_TOKENS_PER_SECOND =
+  (STEP_TOKENS * 1_000) / (STEP_BASE_MS + STEP_TOKENS * PREFILL_MS_PER_TOKEN);
+
+/** A request in the batch or in the queue of an engine. */
+export interface EngineTask {
+  readonly item: WorkItem;
+  readonly onFirstToken: () => void;
+  readonly onTokenGap: (gapMs: number) => void;
+  readonly onFinish: (cachedTokens: number) => void;
+}
+
+interface ActiveTask extends EngineTask {
+  readonly cachedTokens: number;
+  prefillLeft: number;
+  decoded: number;
+  lastTokenAtMs: number;
+}
+
+/** Counts of all engines of one run. */
+export interface PrefillTotals {
+  prefilledTokens: number;
+  /** Prefilled tokens of blocks that some engine had computed before. */
+  recomputedTokens: number;
+  readonly computedBlocks: Set<string>;
+}
+
+/**
+ * Engine with continuous batching and chunked prefill in simulated time. A step
+ * lasts longer with every request that decodes and every token of prefill.
+ */
+export class EngineModel {
+  private readonly cache: PrefixCache;
+  private active: ActiveTask[] = [];
+  private isStepping = false;
+  private report: LoadReport;
+  private lastStepMs = STEP_BASE_MS;
+
+  constructor(
+    private readonly loop: EventLoop,
+    private readonly options: EngineModelOptions,
+    private readonly totals: PrefillTotals,
+  ) {
+    this.cache = new PrefixCache(options.cacheTokens);
+    this.report = this.currentLoad();
+  }
+
+  /** Takes the task, or returns false where the engine is full. */
+  submit(task: EngineTask): boolean {
+    if (this.active.length >= this.options.maxActive) return false;
+    const { item } = task;
+    const cachedTokens = this.cache.cachedTokens(item.blockHashes);
+    this.active.push({
+      ...task,
+      cachedTokens,
+      prefillLeft: Math.max(1, item.promptTokens - cachedTokens),
+      decoded: 0,
+      lastTokenAtMs: 0,
+    });
+    if (!this.isStepping) this.startStep();
+    return true;
+  }
+
+  cancel(item: WorkItem): void {
+    this.active = this.active.filter(task => task.item !== item);
+  }
+
+  /** The report of the last interval, which lags. */
+  load(): LoadReport {
+    const ageMs = this.loop.nowMs() - this.report.reportedAtMs;
+    const previous = this.report;
+    if (ageMs >= REPORT_INTERVAL_MS) this.report = this.currentLoad();
+    return previous;
+  }
+
+  cacheEvents(afterSequence: number): readonly CacheEvent[] {
+    return this.cache.eventsAfter(afterSequence);
+  }
+
+  private startStep(): void {
+    this.isStepping = this.active.length > 0;
+    if (!this.isStepping) return;
+    const running = this.running();
+    const decoding = running.filter(task => task.prefillLeft === 0);
+    const prefilled = this.prefill(running, STEP_TOKENS - decoding.length);
+    this.lastStepMs =
+      STEP_BASE_MS +
+      decoding.length * DECODE_MS_PER_REQUEST +
+      prefilled * PREFILL_MS_PER_TOKEN;
+    this.loop.at(this.loop.nowMs() + this.lastStepMs, () => {
+      for (const task of decoding) this.decode(task);
+      this.startStep();
+    });
+  }
+
+  private running(): ActiveTask[] {
+    const byPriority = [...this.active].sort(
+      (left, right) =>
+        PRIORITY_ORDER.indexOf(left.item.priority) -
+        PRIORITY_ORDER.indexOf(right.item.priority),
+    );
+    return byPriority.slice(0, this.options.maxRunning);
+  }
+
+  private prefill(running: readonly ActiveTask[], budget: number): number {
+    let left = Math.max(0, budget);
+    for (const task of running) {
+      if (task.prefillLeft === 0 || left === 0) continue;
+      const tokens = Math.min(task.prefillLeft, left);
+      task.prefillLeft -= tokens;
+      left -= tokens;
+      if (task.prefillLeft === 0) this.endPrefill(task);
+    }
+    return Math.max(0, budget) - left;
+  }
+
+  private endPrefill(task: ActiveTask): void {
+    const { blockHashes, promptTokens } = task.item;
+    const { totals } = this;
+    totals.prefilledTokens += promptTokens - task.cachedTokens;
+    for (const hash of blockHashes.slice(task.cachedTokens / BLOCK_TOKENS)) {
+      if (totals.computedBlocks.has(hash)) {
+        totals.recomputedTokens += BLOCK_TOKENS;
+      }
+      totals.computedBlocks.add(hash);
+    }
+    this.cache.store(blockHashes);
+  }
+
+  private decode(task: ActiveTask): void {
+    if (!this.active.includes(task)) return;
+    const nowMs = this.loop.nowMs();
+    if (task.decoded === 0) task.onFirstToken();
+    else task.onTokenGap(nowMs - task.lastTokenAtMs);
+    task.lastTokenAtMs = nowMs;
+    task.decoded += 1;
+    if (task.decoded < task.item.outputTokens) return;
+    this.cancel(task.item);
+    task.onFinish(task.cachedTokens);
+  }
+
+  private currentLoad(): LoadReport {
+    const running = Math.min(this.active.length, this.options.maxRunning);
+    return {
+      reportedAtMs: this.loop.nowMs(),
+      runningRequests: running,
+      queuedRequests: this.active.length - running,
+      queuedPrefillTokens: this.sum(task => task.prefillLeft),
+      decodingTokensLeft: this.sum(
+        task => task.item.outputTokens - task.decoded,
+      ),
+      cacheUsedTokens: this.cache.usedTokens,
+      cacheLimitTokens: this.options.cacheTokens,
+      prefillTokensPerSecond: PREFILL_TOKENS_PER_SECOND,
+      decodeTokensPerSecond: 1_000 / this.lastStepMs,
+      leaving: false,
+    };
+  }
+
+  private sum(value: (task: ActiveTask) => number): number {
+    return this.active.reduce((total, task) => total + value(task), 0);
+  }
+}
--- /dev/null
+++ b/packages/measure/src/routing/index.ts
@@ -0,0 +1,5 @@
+export * from './routing-experiment.js';
+export * from './run-results.js';
+export * from './shapes.js';
+export * from './simulation.js';
+export * from './workload.js';
--- /dev/null
+++ b/packages/measure/src/routing/run-results.ts
@@ -0,0 +1,135 @@
+import type { Histogram } from 'hdr-histogram-js';
+import { build } from 'hdr-histogram-js';
+
+import type { Workspace } from '@skylarkreach/core/platform';
+import { Priority } from '@skylarkreach/core/platform';
+
+import type { PrefillTotals } from './engine-model.js';
+import type { WorkItem } from './workload.js';
+
+const MICROS_PER_MS = 1_000;
+
+interface WorkspaceResults {
+  requests: number;
+  finished: number;
+  /** Sum of the time to first token in milliseconds. */
+  firstTokenMs: number;
+}
+
+/** What one run showed. Times are kept in microseconds in the histograms. */
+export class RunResults {
+  requests = 0;
+  refusals = 0;
+  dispatches = 0;
+  finished = 0;
+  /** Generated tokens of requests that finished by their deadline. */
+  usefulTokens = 0;
+  /** Longest time from arrival to a refusal, in milliseconds. */
+  maxRefusalMs = 0;
+  private readonly firstTokens = histogram();
+  private readonly tokenGaps = histogram();
+  private readonly lookups = histogram();
+  private readonly byWorkspace = new Map<Workspace, WorkspaceResults>();
+
+  constructor(private readonly totals: PrefillTotals) {}
+
+  get recomputedTokens(): number {
+    return this.totals.recomputedTokens;
+  }
+
+  get prefilledTokens(): number {
+    return this.totals.prefilledTokens;
+  }
+
+  get firstTokenP95Ms(): number {
+    return percentileMs(this.firstTokens);
+  }
+
+  get tokenGapP95Ms(): number {
+    return percentileMs(this.tokenGaps);
+  }
+
+  /** p95 from arrival to the whole answer of look-ups that were answered. */
+  get lookupP95Ms(): number {
+    return percentileMs(this.lookups);
+  }
+
+  /** Jain's index of mean time to first token across workspaces. */
+  get firstTokenFairness(): number {
+    return jainIndex(
+      this.workspaces().map(each => each.firstTokenMs / each.requests),
+    );
+  }
+
+  /** Jain's index of the share of requests that finished, across workspaces. */
+  get finishedFairness(): number {
+    return jainIndex(
+      this.workspaces().map(each => each.finished / each.requests),
+    );
+  }
+
+  recordArrival(item: WorkItem): void {
+    this.requests += 1;
+    this.workspaceOf(item).requests += 1;
+  }
+
+  recordRefusal(item: WorkItem, nowMs: number): void {
+    this.refusals += 1;
+    this.maxRefusalMs = Math.max(this.maxRefusalMs, nowMs - item.arrivesAtMs);
+  }
+
+  recordFirstToken(item: WorkItem, nowMs: number): void {
+    const elapsedMs = nowMs - item.arrivesAtMs;
+    record(this.firstTokens, elapsedMs);
+    this.workspaceOf(item).firstTokenMs += elapsedMs;
+  }
+
+  recordTokenGap(gapMs: number): void {
+    record(this.tokenGaps, gapMs);
+  }
+
+  recordFinish(item: WorkItem, nowMs: number): void {
+    if (nowMs > item.deadlineAtMs) return;
+    this.finished += 1;
+    this.usefulTokens += item.outputTokens;
+    this.workspaceOf(item).finished += 1;
+    if (item.priority === Priority.Lookup) {
+      record(this.lookups, nowMs - item.arrivesAtMs);
+    }
+  }
+
+  private workspaces(): readonly WorkspaceResults[] {
+    return [...this.byWorkspace.values()];
+  }
+
+  private workspaceOf(item: WorkItem): WorkspaceResults {
+    let results = this.byWorkspace.get(item.workspace);
+    if (results === undefined) {
+      results = { requests: 0, finished: 0, firstTokenMs: 0 };
+      this.byWorkspace.set(item.workspace, results);
+    }
+    return results;
+  }
+}
+
+/** Jain's fairness index: 1 where all values are equal, 1/n where one has all. */
+export function jainIndex(values: readonly number[]): number {
+  const sum = values.reduce((total, value) => total + value, 0);
+  const squares = values.reduce((total, value) => total + value * value, 0);
+  return squares === 0 ? 1 : (sum * sum) / (values.length * squares);
+}
+
+function histogram(): Histogram {
+  return build({
+    numberOfSignificantValueDigits: 3,
+    highestTrackableValue: 600_000_000,
+  });
+}
+
+function record(target: Histogram, elapsedMs: number): void {
+  target.recordValue(Math.max(0, Math.round(elapsedMs * MICROS_PER_MS)));
+}
+
+function percentileMs(source: Histogram): number {
+  return source.getValueAtPercentile(95) / MICROS_PER_MS;
+}
--- /dev/null
+++ b/packages/measure/src/routing/simulation.ts
@@ -0,0 +1,253 @@
+import type { Admission, AdmissionTicket } from '@skylarkreach/core/admission';
+import type { Address, Endpoint, Random } from '@skylarkreach/core/platform';
+import {
+  EndpointKind,
+  EndpointStage,
+  SeededRandom,
+} from '@skylarkreach/core/platform';
+import type { Attempt, Router, RouteRequest } from '@skylarkreach/core/routing';
+import { AttemptEnd } from '@skylarkreach/core/routing';
+
+import type { PrefillTotals } from './engine-model.js';
+import { EngineModel } from './engine-model.js';
+import { EventLoop } from './event-loop.js';
+import { RunResults } from './run-results.js';
+import type { WorkItem, WorkloadShape } from './workload.js';
+
+const GROUP = 'model';
+const POLL_INTERVAL_MS = 500;
+const CACHE_EVENT_LAG_MS = 500;
+const GAP_PROBABILITY = 0.02;
+const DRAIN_MS = 120_000;
+
+/** One daemon's decisions in a run. */
+export interface DaemonParts {
+  readonly router: Router;
+  readonly admission?: Admission;
+  /** Time at which a refused attempt is sent again; undefined to give up. */
+  readonly retryAtMs?: (
+    item: WorkItem,
+    failedAttempts: number,
+    nowMs: number,
+  ) => number | undefined;
+}
+
+export interface SimulationOptions {
+  readonly daemons: number;
+  readonly seed: number;
+  readonly maxRunning: number;
+  readonly maxActive: number;
+  readonly createDaemon: (index: number, loop: EventLoop) => DaemonParts;
+}
+
+interface EngineEntry {
+  readonly endpoint: Endpoint;
+  readonly engine: EngineModel;
+}
+
+interface Daemon extends DaemonParts {
+  readonly lastSequences: Map<Address, number>;
+}
+
+/** Daemons that share engines and nothing else, over one workload in simulated time. */
+export class Simulation {
+  private readonly loop = new EventLoop();
+  private readonly random: Random;
+  private readonly totals: PrefillTotals = {
+    prefilledTokens: 0,
+    recomputedTokens: 0,
+    computedBlocks: new Set(),
+  };
+  private readonly results = new RunResults(this.totals);
+  private readonly engines = new Map<Address, EngineEntry>();
+  private readonly daemons: Daemon[] = [];
+
+  constructor(
+    private readonly shape: WorkloadShape,
+    private readonly options: SimulationOptions,
+  ) {
+    this.random = new SeededRandom(options.seed);
+    for (let index = 0; index < shape.engines; index += 1)
+      this.addEngine(index);
+    for (let index = 0; index < options.daemons; index += 1) {
+      this.addDaemon(index);
+    }
+  }
+
+  async run(items: readonly WorkItem[]): Promise<RunResults> {
+    for (const item of items) {
+      this.loop.at(item.arrivesAtMs, () => {
+        const daemon =
+          this.daemons[this.random.nextInteger(this.daemons.length)];
+        this.loop.notePromises();
+        if (daemon !== undefined) void this.serve(daemon, item);
+      });
+    }
+    await this.loop.runUntil(this.shape.durationMs + DRAIN_MS);
+    return this.results;
+  }
+
+  private addEngine(index: number): void {
+    const endpoint: Endpoint = {
+      address: `10.0.0.${index + 1}:8000`,
+      kind: EndpointKind.Model,
+      group: GROUP,
+      version: 'v1',
+      dataCentre: `zone-${(index % 4) + 1}`,
+      instanceId: `instance-${index + 1}`,
+      stage: EndpointStage.Ready,
+    };
+    const { cacheTokens } = this.shape;
+    const { maxActive, maxRunning } = this.options;
+    const limits = { cacheTokens, maxActive, maxRunning };
+    const engine = new EngineModel(this.loop, limits, this.totals);
+    this.engines.set(endpoint.address, { endpoint, engine });
+  }
+
+  private addDaemon(index: number): void {
+    const parts = this.options.createDaemon(index, this.loop);
+    const daemon = { ...parts, lastSequences: new Map<Address, number>() };
+    const endpoints = [...this.engines.values()].map(each => each.endpoint);
+    daemon.router.applyListing(endpoints, 0);
+    this.daemons.push(daemon);
+    const firstPollMs = this.random.nextFloat() * POLL_INTERVAL_MS;
+    this.loop.at(firstPollMs, () => {
+      this.poll(daemon);
+    });
+  }
+
+  /** Reads loads at once and cache events late, some of which are lost. */
+  private poll(daemon: Daemon): void {
+    const nowMs = this.loop.nowMs();
+    for (const [address, { engine }] of this.engines) {
+      daemon.router.applyLoad(address, engine.load(), nowMs);
+      const events = engine.cacheEvents(daemon.lastSequences.get(address) ?? 0);
+      const newest = events.at(-1)?.sequence;
+      if (newest === undefined) continue;
+      const isLost = this.random.nextFloat() < GAP_PROBABILITY;
+      daemon.lastSequences.set(address, isLost ? 0 : newest);
+      if (isLost) continue;
+      this.loop.at(nowMs + CACHE_EVENT_LAG_MS, () => {
+        daemon.router.applyCacheEvents(address, events);
+      });
+    }
+    if (nowMs > this.shape.durationMs + DRAIN_MS) return;
+    this.loop.at(nowMs + POLL_INTERVAL_MS, () => {
+      this.poll(daemon);
+    });
+  }
+
+  private async serve(daemon: Daemon, item: WorkItem): Promise<void> {
+    this.results.recordArrival(item);
+    let ticket: AdmissionTicket | undefined;
+    try {
+      ticket = await daemon.admission?.admit(
+        { ...item, limits: {}, group: GROUP },
+        new AbortController().signal,
+      );
+    } catch {
+      this.results.recordRefusal(item, this.loop.nowMs());
+      return;
+    }
+    const generated = await this.dispatchAll(daemon, item);
+    ticket?.release(generated, this.loop.nowMs());
+  }
+
+  private async dispatchAll(daemon: Daemon, item: WorkItem): Promise<number> {
+    const excluded = new Set<Address>();
+    for (let failures = 1; ; failures += 1) {
+      if (await this.dispatch(daemon, item, excluded)) return item.outputTokens;
+      const nowMs = this.loop.nowMs();
+      const retryAtMs = daemon.retryAtMs?.(item, failures, nowMs);
+      if (retryAtMs === undefined) return 0;
+      await this.loop.waitUntil(retryAtMs);
+    }
+  }
+
+  private dispatch(
+    daemon: Daemon,
+    item: WorkItem,
+    excluded: Set<Address>,
+  ): Promise<boolean> {
+    const request = routeRequest(item, excluded);
+    const endpoint = daemon.router.choose(request, this.loop.nowMs());
+    const entry = endpoint && this.engines.get(endpoint.address);
+    if (endpoint === undefined || entry === undefined) {
+      return Promise.resolve(false);
+    }
+    excluded.add(endpoint.address);
+    this.results.dispatches += 1;
+    const attempt = {
+      attemptId: `${item.requestId}.${excluded.size}`,
+      address: endpoint.address,
+      request,
+    };
+    daemon.router.recordDispatch(attempt, this.loop.nowMs());
+    return this.execute(daemon.router, entry.engine, attempt, item);
+  }
+
+  /** Runs one attempt until it has finished, was refused or has met the deadline. */
+  private execute(
+    router: Router,
+    engine: EngineModel,
+    attempt: Attempt,
+    item: WorkItem,
+  ): Promise<boolean> {
+    return new Promise(resolve => {
+      let firstByteAtMs: number | undefined;
+      let hasEnded = false;
+      const endAs = (end: AttemptEnd, cachedTokens: number) => {
+        if (hasEnded) return;
+        hasEnded = true;
+        const succeeded = end === AttemptEnd.Succeeded;
+        const generatedTokens = succeeded ? item.outputTokens : 0;
+        const result = { end, generatedTokens, cachedTokens, firstByteAtMs };
+        router.recordEnd(attempt, result, this.loop.nowMs());
+        this.loop.notePromises();
+        resolve(end !== AttemptEnd.Refused);
+      };
+      const isTaken = engine.submit({
+        item,
+        onFirstToken: () => {
+          firstByteAtMs = this.loop.nowMs();
+          this.results.recordFirstToken(item, firstByteAtMs);
+        },
+        onTokenGap: gapMs => {
+          this.results.recordTokenGap(gapMs);
+        },
+        onFinish: cachedTokens => {
+          this.results.recordFinish(item, this.loop.nowMs());
+          endAs(AttemptEnd.Succeeded, cachedTokens);
+        },
+      });
+      if (!isTaken) {
+        endAs(AttemptEnd.Refused, 0);
+        return;
+      }
+      this.loop.at(item.deadlineAtMs, () => {
+        if (hasEnded) return;
+        engine.cancel(item);
+        endAs(AttemptEnd.Cancelled, 0);
+      });
+    });
+  }
+}
+
+function routeRequest(
+  item: WorkItem,
+  excluded: ReadonlySet<Address>,
+): RouteRequest {
+  return {
+    requestId: item.requestId,
+    workspace: item.workspace,
+    kind: item.kind,
+    group: GROUP,
+    promptText: item.promptText,
+    promptTokens: item.promptTokens,
+    maxTokens: item.maxTokens,
+    priority: item.priority,
+    deadlineAtMs: item.deadlineAtMs,
+    excluded,
+    avoidedDataCentres: new Set(),
+  };
+}
--- /dev/null
+++ b/packages/measure/src/routing/workload.ts
@@ -0,0 +1,158 @@
+import type { Priority, Random, Workspace } from '@skylarkreach/core/platform';
+import {
+  CHARACTERS_PER_TOKEN,
+  estimateTokens,
+  promptBlockHashes,
+  SeededRandom,
+} from '@skylarkreach/core/platform';
+
+/** One request of a workload. */
+export interface WorkItem {
+  readonly requestId: string;
+  readonly workspace: Workspace;
+  readonly kind: string;
+  readonly priority: Priority;
+  readonly arrivesAtMs: number;
+  readonly deadlineAtMs: number;
+  readonly promptText: string;
+  readonly promptTokens: number;
+  readonly blockHashes: readonly string[];
+  readonly maxTokens: number;
+  readonly outputTokens: number;
+}
+
+interface IntegerRange {
+  readonly min: number;
+  readonly max: number;
+}
+
+/** One kind of work in a workload. */
+export interface KindShape {
+  readonly kind: string;
+  readonly priority: Priority;
+  /** Share of all requests. */
+  readonly share: number;
+  readonly questionTokens: IntegerRange;
+  readonly outputTokens: IntegerRange;
+  readonly deadlineMs: number;
+}
+
+/** Shape of one deployment's requests and of its engines. */
+export interface WorkloadShape {
+  readonly name: string;
+  readonly engines: number;
+  readonly cacheTokens: number;
+  readonly requestsPerSecond: number;
+  readonly durationMs: number;
+  /** Share of the requests by workspace. */
+  readonly workspaceShares: readonly number[];
+  readonly systemTokens: number;
+  /** Documents (ledgers, contracts) open at any time in all workspaces. */
+  readonly documents: number;
+  readonly documentTokens: IntegerRange;
+  /** Requests after which a document is closed and another is opened. */
+  readonly requestsPerDocument: IntegerRange;
+  readonly kinds: readonly KindShape[];
+}
+
+interface OpenDocument {
+  readonly text: string;
+  requestsLeft: number;
+}
+
+/** Requests of a shape with Poisson arrivals, in order of arrival. */
+export function createWorkload(
+  shape: WorkloadShape,
+  seed: number,
+): readonly WorkItem[] {
+  return new WorkloadBuilder(shape, new SeededRandom(seed)).build();
+}
+
+class WorkloadBuilder {
+  private readonly documents: OpenDocument[][];
+  private readonly systemText: string;
+
+  constructor(
+    private readonly shape: WorkloadShape,
+    private readonly random: Random,
+  ) {
+    this.systemText = this.text(shape.systemTokens);
+    this.documents = shape.workspaceShares.map(share => {
+      const count = Math.max(1, Math.round(share * shape.documents));
+      return Array.from({ length: count }, () => this.openDocument());
+    });
+  }
+
+  build(): readonly WorkItem[] {
+    const items: WorkItem[] = [];
+    let atMs = 0;
+    for (;;) {
+      const gap = -Math.log(1 - this.random.nextFloat());
+      atMs += (gap * 1_000) / this.shape.requestsPerSecond;
+      if (atMs > this.shape.durationMs) return items;
+      items.push(this.item(items.length, atMs));
+    }
+  }
+
+  private item(index: number, arrivesAtMs: number): WorkItem {
+    const shares = this.shape.workspaceShares;
+    const workspace = this.weighted(shares);
+    const kinds = this.shape.kinds;
+    const kind = kinds[this.weighted(kinds.map(each => each.share))];
+    if (kind === undefined) throw new Error('A workload needs a kind.');
+    const question = this.text(this.integer(kind.questionTokens));
+    const document = this.documentText(workspace);
+    const promptText = this.systemText + document + question;
+    return {
+      requestId: `request-${index}`,
+      workspace: `workspace-${workspace + 1}`,
+      kind: kind.kind,
+      priority: kind.priority,
+      arrivesAtMs,
+      deadlineAtMs: arrivesAtMs + kind.deadlineMs,
+      promptText,
+      promptTokens: estimateTokens(promptText),
+      blockHashes: promptBlockHashes(promptText),
+      maxTokens: kind.outputTokens.max,
+      outputTokens: this.integer(kind.outputTokens),
+    };
+  }
+
+  private documentText(workspace: number): string {
+    const open = this.documents[workspace] ?? [];
+    const index = this.random.nextInteger(open.length);
+    const document = open[index];
+    if (document === undefined) return '';
+    document.requestsLeft -= 1;
+    if (document.requestsLeft === 0) open[index] = this.openDocument();
+    return document.text;
+  }
+
+  private openDocument(): OpenDocument {
+    return {
+      text: this.text(this.integer(this.shape.documentTokens)),
+      requestsLeft: this.integer(this.shape.requestsPerDocument),
+    };
+  }
+
+  private weighted(weights: readonly number[]): number {
+    const total = weights.reduce((sum, weight) => sum + weight, 0);
+    let left = this.random.nextFloat() * total;
+    const index = weights.findIndex(weight => (left -= weight) < 0);
+    return index === -1 ? weights.length - 1 : index;
+  }
+
+  private integer({ min, max }: IntegerRange): number {
+    return min + this.random.nextInteger(max - min + 1);
+  }
+
+  /** Text that shares no block with any other text. */
+  private text(tokens: number): string {
+    const word = this.random
+      .nextInteger(2 ** 31)
+      .toString(36)
+      .padStart(8, '.');
+    const length = tokens * CHARACTERS_PER_TOKEN;
+    return word.repeat(Math.ceil(length / word.length)).slice(0, length);
+  }
+}
