Admit fairly and refuse early under overload

Cause: admission had only a count by workspace: no queue, no token limit, no priority, and nothing that kept endpoints from being flooded, so that past capacity nearly every request missed its deadline.

--- a/packages/core/src/routing/expected-finish-router.ts
+++ b/packages/core/src/routing/expected-finish-router.ts
@@ -154,20 +154,18 @@
     this.forget(address);
   }
 
-  expectedWaitMs(group: string, nowMs: number): number | undefined {
+  /** Mean of the waits that a few random endpoints have reported. */
+  reportedWaitMs(group: string): number | undefined {
     const candidates = this.table.candidates(group);
     if (candidates === undefined) return undefined;
-    let totalMs = 0;
-    let reported = 0;
+    const waitsMs: number[] = [];
     for (let sample = 0; sample < WAIT_SAMPLES; sample += 1) {
-      const endpoint = candidates.random(this.random);
-      if (endpoint === undefined) continue;
-      const load = this.loads.estimate(endpoint.address, nowMs);
-      if (load.prefillTokensPerSecond === undefined) continue;
-      totalMs += load.waitMs;
-      reported += 1;
+      const address = candidates.random(this.random)?.address ?? '';
+      const waitMs = this.loads.reportedWaitMs(address);
+      if (waitMs !== undefined) waitsMs.push(waitMs);
     }
-    return reported === 0 ? undefined : totalMs / reported;
+    if (waitsMs.length === 0) return undefined;
+    return waitsMs.reduce((sum, each) => sum + each, 0) / waitsMs.length;
   }
 
   endpoints(): readonly Endpoint[] {
--- a/packages/core/src/routing/load-view.ts
+++ b/packages/core/src/routing/load-view.ts
@@ -68,6 +68,15 @@
     this.loads.delete(address);
   }
 
+  /** Wait that the last report shows, in milliseconds; undefined without one. */
+  reportedWaitMs(address: Address): number | undefined {
+    const report = this.loads.get(address)?.report;
+    if (report === undefined) return undefined;
+    const { prefillTokensPerSecond, queuedPrefillTokens } = report;
+    const prefillMs = (queuedPrefillTokens * 1_000) / prefillTokensPerSecond;
+    return prefillMs + slotWaitMs(report);
+  }
+
   estimate(address: Address, nowMs: number): LoadEstimate {
     const load = this.loads.get(address);
     const report = load?.report;
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -70,8 +70,8 @@
   /** Takes word of one endpoint from elsewhere than the platform's list. */
   addEndpoint?(endpoint: Endpoint, asOfMs: number): void;
   applyPrices?(prices: ReadonlyMap<Address, number>): void;
-  /** Time that a new request of the group would wait at an endpoint, in milliseconds; undefined without reports. */
-  expectedWaitMs?(group: string, nowMs: number): number | undefined;
+  /** Wait at the endpoints of the group by their reports, in milliseconds; undefined without reports. */
+  reportedWaitMs?(group: string): number | undefined;
   /** Endpoints known to this daemon, with the stage that it believes. */
   endpoints(): readonly Endpoint[];
 }
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,4 +1,4 @@
-import { InFlightAdmission } from '@skylarkreach/core/admission';
+import { FairAdmission } from '@skylarkreach/core/admission';
 import { SingleKeyClaims } from '@skylarkreach/core/claims';
 import type { PipelineParts } from '@skylarkreach/core/pipeline';
 import {
@@ -70,6 +70,8 @@
   const cloud = new HttpCloud(http, platform.cloudAddress, platform.token);
   const random = new SeededRandom(seed);
   const rules = new RuleStore();
+  const router = new ExpectedFinishRouter(random);
+  const admission = new FairAdmission(clock, router);
   const parts: PipelineParts = {
     clock,
     random,
@@ -77,8 +79,8 @@
     log,
     metrics,
     tokens: new TokenDirectory(credentials.workspaces),
-    admission: new InFlightAdmission(clock),
-    router: new ExpectedFinishRouter(random),
+    admission,
+    router,
     claims: new SingleKeyClaims(keyValue, clock, settings.claims.retentionMs),
     engine: new HttpEngine(http),
     service: new HttpService(http),
@@ -95,7 +97,10 @@
     clock,
     keyValue,
     operators: credentials.operators,
-    sources: stateSources(parts),
+    sources: [
+      ...stateSources(parts),
+      { name: 'admission', dumpState: () => admission.dumpState() },
+    ],
     status: () => ({
       daemonId: identity.daemonId,
       dataCentre: identity.dataCentre,
--- /dev/null
+++ b/packages/measure/src/overload/index.ts
@@ -0,0 +1,1 @@
+export * from './overload-experiment.js';
--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -1,4 +1,5 @@
 import type { Experiment } from './experiment/index.js';
+import { overloadExperiment } from './overload/index.js';
 import { pathExperiment } from './path/index.js';
 import { routingExperiment } from './routing/index.js';
 
@@ -6,4 +7,5 @@
 export const EXPERIMENTS: readonly Experiment[] = [
   pathExperiment,
   routingExperiment,
+  overloadExperiment,
 ];
--- a/packages/measure/src/routing/engine-model.ts
+++ b/packages/measure/src/routing/engine-model.ts
@@ -36,6 +36,7 @@
   prefillLeft: number;
   decoded: number;
   lastTokenAtMs: number;
+  isActive: boolean;
 }
 
 /** Counts of all engines of one run. */
@@ -52,7 +53,7 @@
  */
 export class EngineModel {
   private readonly cache: PrefixCache;
-  private active: ActiveTask[] = [];
+  private readonly active: ActiveTask[] = [];
   private isStepping = false;
   private report: LoadReport;
   private lastStepMs = STEP_BASE_MS;
@@ -71,8 +72,9 @@
     if (this.active.length >= this.options.maxActive) return false;
     const { item } = task;
     const cachedTokens = this.cache.cachedTokens(item.blockHashes);
-    this.active.push({
+    this.insert({
       ...task,
+      isActive: true,
       cachedTokens,
       prefillLeft: Math.max(1, item.promptTokens - cachedTokens),
       decoded: 0,
@@ -83,7 +85,9 @@
   }
 
   cancel(item: WorkItem): void {
-    this.active = this.active.filter(task => task.item !== item);
+    const index = this.active.findIndex(task => task.item === item);
+    const [task] = index === -1 ? [] : this.active.splice(index, 1);
+    if (task !== undefined) task.isActive = false;
   }
 
   /** The report of the last interval, which lags. */
@@ -114,13 +118,17 @@
     });
   }
 
-  private running(): ActiveTask[] {
-    const byPriority = [...this.active].sort(
-      (left, right) =>
-        PRIORITY_ORDER.indexOf(left.item.priority) -
-        PRIORITY_ORDER.indexOf(right.item.priority),
+  /** Keeps the tasks ordered by priority, then by arrival. */
+  private insert(task: ActiveTask): void {
+    const rank = PRIORITY_ORDER.indexOf(task.item.priority);
+    const index = this.active.findIndex(
+      other => PRIORITY_ORDER.indexOf(other.item.priority) > rank,
     );
-    return byPriority.slice(0, this.options.maxRunning);
+    this.active.splice(index === -1 ? this.active.length : index, 0, task);
+  }
+
+  private running(): ActiveTask[] {
+    return this.active.slice(0, this.options.maxRunning);
   }
 
   private prefill(running: readonly ActiveTask[], budget: number): number {
@@ -149,7 +157,7 @@
   }
 
   private decode(task: ActiveTask): void {
-    if (!this.active.includes(task)) return;
+    if (!task.isActive) return;
     const nowMs = this.loop.nowMs();
     if (task.decoded === 0) task.onFirstToken();
     else task.onTokenGap(nowMs - task.lastTokenAtMs);
--- a/packages/measure/src/routing/index.ts
+++ b/packages/measure/src/routing/index.ts
@@ -1,3 +1,4 @@
+export * from './baseline-routers.js';
 export * from './routing-experiment.js';
 export * from './run-results.js';
 export * from './shapes.js';
--- a/packages/measure/src/routing/run-results.ts
+++ b/packages/measure/src/routing/run-results.ts
@@ -22,7 +22,7 @@
   refusals = 0;
   dispatches = 0;
   finished = 0;
-  /** Generated tokens of requests that finished by their deadline. */
+  /** Tokens, of prompt and answer, of requests that finished by their deadline. */
   usefulTokens = 0;
   /** Longest time from arrival to a refusal, in milliseconds. */
   maxRefusalMs = 0;
@@ -31,7 +31,11 @@
   private readonly lookups = histogram();
   private readonly byWorkspace = new Map<Workspace, WorkspaceResults>();
 
-  constructor(private readonly totals: PrefillTotals) {}
+  /** Requests that arrive before `measuredFromMs` are left out. */
+  constructor(
+    private readonly totals: PrefillTotals,
+    private readonly measuredFromMs: number,
+  ) {}
 
   get recomputedTokens(): number {
     return this.totals.recomputedTokens;
@@ -69,16 +73,23 @@
   }
 
   recordArrival(item: WorkItem): void {
+    if (item.arrivesAtMs < this.measuredFromMs) return;
     this.requests += 1;
     this.workspaceOf(item).requests += 1;
   }
 
+  recordDispatch(item: WorkItem): void {
+    if (item.arrivesAtMs >= this.measuredFromMs) this.dispatches += 1;
+  }
+
   recordRefusal(item: WorkItem, nowMs: number): void {
+    if (item.arrivesAtMs < this.measuredFromMs) return;
     this.refusals += 1;
     this.maxRefusalMs = Math.max(this.maxRefusalMs, nowMs - item.arrivesAtMs);
   }
 
   recordFirstToken(item: WorkItem, nowMs: number): void {
+    if (item.arrivesAtMs < this.measuredFromMs) return;
     const elapsedMs = nowMs - item.arrivesAtMs;
     record(this.firstTokens, elapsedMs);
     this.workspaceOf(item).firstTokenMs += elapsedMs;
@@ -89,9 +100,10 @@
   }
 
   recordFinish(item: WorkItem, nowMs: number): void {
+    if (item.arrivesAtMs < this.measuredFromMs) return;
     if (nowMs > item.deadlineAtMs) return;
     this.finished += 1;
-    this.usefulTokens += item.outputTokens;
+    this.usefulTokens += item.promptTokens + item.outputTokens;
     this.workspaceOf(item).finished += 1;
     if (item.priority === Priority.Lookup) {
       record(this.lookups, nowMs - item.arrivesAtMs);
--- a/packages/measure/src/routing/simulation.ts
+++ b/packages/measure/src/routing/simulation.ts
@@ -35,6 +35,8 @@
 export interface SimulationOptions {
   readonly daemons: number;
   readonly seed: number;
+  /** Requests that arrive earlier warm the caches and are not counted. */
+  readonly measuredFromMs?: number;
   readonly maxRunning: number;
   readonly maxActive: number;
   readonly createDaemon: (index: number, loop: EventLoop) => DaemonParts;
@@ -58,7 +60,7 @@
     recomputedTokens: 0,
     computedBlocks: new Set(),
   };
-  private readonly results = new RunResults(this.totals);
+  private readonly results: RunResults;
   private readonly engines = new Map<Address, EngineEntry>();
   private readonly daemons: Daemon[] = [];
 
@@ -67,6 +69,7 @@
     private readonly options: SimulationOptions,
   ) {
     this.random = new SeededRandom(options.seed);
+    this.results = new RunResults(this.totals, options.measuredFromMs ?? 0);
     for (let index = 0; index < shape.engines; index += 1)
       this.addEngine(index);
     for (let index = 0; index < options.daemons; index += 1) {
@@ -176,7 +179,7 @@
       return Promise.resolve(false);
     }
     excluded.add(endpoint.address);
-    this.results.dispatches += 1;
+    this.results.recordDispatch(item);
     const attempt = {
       attemptId: `${item.requestId}.${excluded.size}`,
       address: endpoint.address,
