--- a/packages/core/src/admission/concurrency-limit.ts
+++ b/packages/core/src/admission/concurrency-limit.ts
@@ -30,7 +30,6 @@
   private limit: number;
   private nextAdjustAtMs = 0;
   private lastWaitMs = 0;
-  private isStarting = true;
 
   constructor(private readonly options = DEFAULT_CONCURRENCY) {
     this.limit = options.first;
@@ -56,21 +55,15 @@
     const isFalling = waitMs < this.lastWaitMs * FALLING_SHARE;
     this.lastWaitMs = waitMs;
     if (waitMs <= targetWaitMs) {
-      if (queued > 0) this.limit = Math.min(max, this.increased());
+      const increased = this.limit + 1 + this.limit * INCREASE_SHARE;
+      if (queued > 0) this.limit = Math.min(max, increased);
     } else if (!isFalling) {
       const used = Math.min(this.limit, inFlight + 1);
       const factor = decreaseFactor(targetWaitMs, waitMs);
       this.limit = Math.max(min, used * factor);
-      this.isStarting = false;
     }
     return true;
   }
-
-  /** Doubles until the first decrease, then rises by a share. */
-  private increased(): number {
-    if (this.isStarting) return this.limit * 2;
-    return this.limit + 1 + this.limit * INCREASE_SHARE;
-  }
 }
 
 function decreaseFactor(targetWaitMs: number, waitMs: number): number {
--- a/packages/measure/src/routing/run-results.ts
+++ b/packages/measure/src/routing/run-results.ts
@@ -22,7 +22,7 @@
   refusals = 0;
   dispatches = 0;
   finished = 0;
-  /** Tokens, of prompt and answer, of requests that finished by their deadline. */
+  /** Tokens, of prompt and answer, of requests that finished within the measured time and by their deadline. */
   usefulTokens = 0;
   /** Longest time from arrival to a refusal, in milliseconds. */
   maxRefusalMs = 0;
@@ -35,6 +35,7 @@
   constructor(
     private readonly totals: PrefillTotals,
     private readonly measuredFromMs: number,
+    private readonly measuredToMs: number,
   ) {}
 
   get recomputedTokens(): number {
@@ -100,10 +101,14 @@
   }
 
   recordFinish(item: WorkItem, nowMs: number): void {
+    const isMeasured =
+      nowMs >= this.measuredFromMs && nowMs <= this.measuredToMs;
+    if (isMeasured && nowMs <= item.deadlineAtMs) {
+      this.usefulTokens += item.promptTokens + item.outputTokens;
+    }
     if (item.arrivesAtMs < this.measuredFromMs) return;
     if (nowMs > item.deadlineAtMs) return;
     this.finished += 1;
-    this.usefulTokens += item.promptTokens + item.outputTokens;
     this.workspaceOf(item).finished += 1;
     if (item.priority === Priority.Lookup) {
       record(this.lookups, nowMs - item.arrivesAtMs);
--- a/packages/measure/src/routing/simulation.ts
+++ b/packages/measure/src/routing/simulation.ts
@@ -69,7 +69,11 @@
     private readonly options: SimulationOptions,
   ) {
     this.random = new SeededRandom(options.seed);
-    this.results = new RunResults(this.totals, options.measuredFromMs ?? 0);
+    this.results = new RunResults(
+      this.totals,
+      options.measuredFromMs ?? 0,
+      shape.durationMs,
+    );
     for (let index = 0; index < shape.engines; index += 1)
       this.addEngine(index);
     for (let index = 0; index < options.daemons; index += 1) {
