--- a/packages/core/src/pipeline/index.ts
+++ b/packages/core/src/pipeline/index.ts
@@ -5,6 +5,7 @@
 export * from './live-runs.js';
 export * from './model-pipeline.js';
 export * from './pipeline-parts.js';
+export * from './repeatable-dispatch.js';
 export * from './request.js';
 export * from './request-error.js';
 export * from './run-end.js';
--- a/packages/core/src/pipeline/model-pipeline.test.ts
+++ b/packages/core/src/pipeline/model-pipeline.test.ts
@@ -112,7 +112,7 @@
       MS_PER_TOKEN,
       () => left.shift() ?? HEALTHY,
     );
-    this.router.applyListing(endpoints);
+    this.router.applyListing(endpoints, this.clock.nowMs());
     const rules = new RuleStore();
     const value = encodeRuleDocument({ text: RULES, recentEdits: [] });
     rules.apply({ key: 'rules', value, version: 1 });
--- a/packages/core/src/pipeline/service-dispatcher.ts
+++ b/packages/core/src/pipeline/service-dispatcher.ts
@@ -1,8 +1,15 @@
-import type { Endpoint, ServiceResponse } from '../platform/index.js';
-import { NotSentError, PlatformError } from '../platform/index.js';
+import type { Address, Endpoint, ServiceResponse } from '../platform/index.js';
+import { NotSentError, RefusedError } from '../platform/index.js';
 import type { Attempt, RouteRequest } from '../routing/index.js';
-import { AttemptEnd } from '../routing/index.js';
+import {
+  AttemptEnd,
+  BudgetedRetryPolicy,
+  LeavingSource,
+  LookupHedgePolicy,
+  RetryBudget,
+} from '../routing/index.js';
 import type { PipelineParts } from './pipeline-parts.js';
+import { RepeatableDispatch } from './repeatable-dispatch.js';
 import type { IdentifiedRequest, ServiceCall } from './request.js';
 import { serviceKey, traitsOf } from './service-traits.js';
 
@@ -11,23 +18,32 @@
 
 /** Sends calls to endpoints of plain services. */
 export class ServiceDispatcher {
-  constructor(private readonly parts: PipelineParts) {}
+  private readonly repeatable: RepeatableDispatch;
 
-  /** Tries each endpoint at most once, in the router's order. */
-  async dispatchRepeatable(
+  constructor(private readonly parts: PipelineParts) {
+    const budget = new RetryBudget();
+    this.repeatable = new RepeatableDispatch(
+      parts.clock,
+      new BudgetedRetryPolicy(budget, parts.random),
+      new LookupHedgePolicy(budget),
+    );
+  }
+
+  /** Retries and hedges under the budget; begins anew once every endpoint was tried. */
+  dispatchRepeatable(
     call: ServiceCall,
     request: IdentifiedRequest,
     signal: AbortSignal,
   ): Promise<ServiceResponse> {
-    const excluded = new Set<string>();
-    for (;;) {
-      try {
-        return await this.dispatch(call, request, excluded, signal);
-      } catch (error) {
-        if (!(error instanceof PlatformError)) throw error;
-        if (this.choose(call, request, excluded) === undefined) throw error;
-      }
-    }
+    const { deadlineAtMs, rule } = request;
+    const attempt = (tried: Set<Address>, attemptSignal: AbortSignal) => {
+      if (this.choose(call, request, tried) === undefined) tried.clear();
+      return this.dispatch(call, request, tried, attemptSignal);
+    };
+    return this.repeatable.run(
+      { priority: rule.priority, deadlineAtMs, attempt },
+      signal,
+    );
   }
 
   /** One dispatch, outside the endpoints in `excluded`. Throws as a service does. */
@@ -67,11 +83,24 @@
       );
       if (response.status < SERVER_ERROR_STATUS) end = AttemptEnd.Succeeded;
       return response;
+    } catch (error) {
+      if (signal.aborted) end = AttemptEnd.Cancelled;
+      if (error instanceof RefusedError) {
+        end = AttemptEnd.Refused;
+        this.noteRefusal(error, endpoint.address);
+      }
+      throw error;
     } finally {
       router.recordEnd(attempt, { end, generatedTokens: 0 }, clock.nowMs());
     }
   }
 
+  private noteRefusal(error: RefusedError, address: Address): void {
+    if (!error.leaving) return;
+    const { clock, router } = this.parts;
+    router.markLeaving(address, LeavingSource.Refusal, clock.nowMs());
+  }
+
   private choose(
     call: ServiceCall,
     request: IdentifiedRequest,
--- a/packages/core/src/pipeline/versioned-router.ts
+++ b/packages/core/src/pipeline/versioned-router.ts
@@ -73,6 +73,18 @@
     }
   }
 
+  addEndpoint(endpoint: Endpoint, asOfMs: number): void {
+    this.inner.addEndpoint?.(endpoint, asOfMs);
+  }
+
+  applyPrices(prices: ReadonlyMap<Address, number>): void {
+    this.inner.applyPrices?.(prices);
+  }
+
+  reportedWaitMs(group: string): number | undefined {
+    return this.inner.reportedWaitMs?.(group);
+  }
+
   applyLoad(address: Address, report: LoadReport, nowMs: number): void {
     this.inner.applyLoad(address, report, nowMs);
   }
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,4 +1,7 @@
-import { InFlightAdmission } from '@skylarkreach/core/admission';
+import {
+  DEFAULT_FAIR_ADMISSION,
+  FairAdmission,
+} from '@skylarkreach/core/admission';
 import type { JournalClaims } from '@skylarkreach/core/claims';
 import { MoveBoard } from '@skylarkreach/core/moves';
 import type { PipelineParts } from '@skylarkreach/core/pipeline';
@@ -21,7 +24,7 @@
   StateSource,
 } from '@skylarkreach/core/platform';
 import { LogPart, SeededRandom } from '@skylarkreach/core/platform';
-import { LeastInFlightRouter } from '@skylarkreach/core/routing';
+import { ExpectedFinishRouter } from '@skylarkreach/core/routing';
 import {
   revisionMethod,
   RevisionSurvey,
@@ -197,12 +200,13 @@
 
 function createPipelineParts(
   base: Base,
-  { board }: Cluster,
+  { board, liveDaemons }: Cluster,
   claims: JournalClaims,
   rates: KindRateMeter,
 ): PipelineParts {
   const { clock, http, random, settings } = base;
-  const router = new VersionedRouter(new LeastInFlightRouter(random), board, {
+  const inner = new ExpectedFinishRouter(random);
+  const router = new VersionedRouter(inner, board, {
     onDispatch: (group, kind) => {
       rates.count(group, kind);
     },
@@ -214,7 +218,10 @@
     ...base,
     claims,
     tokens: new TokenDirectory(settings.credentials.workspaces),
-    admission: new InFlightAdmission(clock),
+    admission: new FairAdmission(clock, inner, {
+      ...DEFAULT_FAIR_ADMISSION,
+      daemonCount: () => liveDaemons().length,
+    }),
     router,
     serviceTraits: serviceTraitsOf(settings),
     service: new HttpService(http),
--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -4,7 +4,9 @@
 import type { Experiment } from './experiment/index.js';
 import { fleetExperiment } from './fleet/index.js';
 import { movesExperiment } from './moves/index.js';
+import { overloadExperiment } from './overload/index.js';
 import { pathExperiment } from './path/index.js';
+import { routingExperiment } from './routing/index.js';
 import { slopesExperiment } from './slopes/index.js';
 import { surviveExperiment } from './survive/index.js';
 
@@ -18,4 +20,6 @@
   controlExperiment,
   fleetExperiment,
   surviveExperiment,
+  routingExperiment,
+  overloadExperiment,
 ];
--- a/packages/measure/src/survive/world.ts
+++ b/packages/measure/src/survive/world.ts
@@ -1,7 +1,7 @@
 import { ScriptedEngine } from '@skylarkreach/core/fakes';
 import type { Endpoint, ReclaimNotice } from '@skylarkreach/core/platform';
 import { ManualClock, SeededRandom } from '@skylarkreach/core/platform';
-import { LeastInFlightRouter } from '@skylarkreach/core/routing';
+import { LeastInFlightRouter, LeavingSource } from '@skylarkreach/core/routing';
 import { ReclaimBoard } from '@skylarkreach/core/streams';
 
 import type { Wave } from './trace.js';
@@ -29,7 +29,7 @@
     );
     this.router = new LeastInFlightRouter(new SeededRandom(seed + 2));
     this.endpoints = DATA_CENTRES.flatMap(each => endpointsOf(each, 1));
-    this.router.applyListing(this.endpoints);
+    this.router.applyListing(this.endpoints, this.clock.nowMs());
   }
 
   /** Carries out one wave as time passes. */
@@ -49,7 +49,7 @@
       ...this.endpoints.filter(each => each.dataCentre !== dataCentre),
       ...endpointsOf(dataCentre, 2),
     ];
-    this.router.applyListing(this.endpoints);
+    this.router.applyListing(this.endpoints, this.clock.nowMs());
   }
 
   private announce(doomed: readonly Endpoint[], reclaimAtMs: number): void {
@@ -61,7 +61,11 @@
     this.reclaims.apply(this.notices);
     for (const { address } of doomed) {
       this.engine.leaving.add(address);
-      this.router.markLeaving(address);
+      this.router.markLeaving(
+        address,
+        LeavingSource.Notice,
+        this.clock.nowMs(),
+      );
     }
   }
 }
