--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -9,7 +9,7 @@
   client: [],
   daemon: ['core'],
   cli: ['core'],
-  'stand-ins': ['core', 'daemon'],
+  'stand-ins': ['core', 'daemon', 'client'],
   measure: ['core', 'daemon', 'client', 'stand-ins'],
 };
 
--- a/packages/stand-ins/src/deployment/at-most-once.test.ts
+++ b/packages/stand-ins/src/deployment/at-most-once.test.ts
@@ -7,7 +7,8 @@
 import { Fault, FaultyKeyValue } from '@skylarkreach/core/fakes';
 import { SystemClock } from '@skylarkreach/daemon';
 
-import { CALLER_TOKEN, LocalDeployment } from './local-deployment.js';
+import { CALLER_TOKEN } from './daemon-settings.js';
+import { LocalDeployment } from './local-deployment.js';
 
 const FAR_DEADLINE = '2100-01-01T00:00:00Z';
 const LOST_BODY = '{"lost":true}';
--- a/packages/stand-ins/src/deployment/index.ts
+++ b/packages/stand-ins/src/deployment/index.ts
@@ -1,2 +1,3 @@
+export * from './daemon-settings.js';
 export * from './local-deployment.js';
 export * from './sample-rules.js';
--- a/packages/stand-ins/src/deployment/local-deployment.test.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.test.ts
@@ -6,7 +6,8 @@
 import { z } from 'zod';
 
 import { answerTokens } from '../engine/index.js';
-import { CALLER_TOKEN, LocalDeployment } from './local-deployment.js';
+import { CALLER_TOKEN } from './daemon-settings.js';
+import { LocalDeployment } from './local-deployment.js';
 
 const MESSAGES = [{ role: 'user', content: 'Which account takes this entry?' }];
 const FAR_DEADLINE = '2100-01-01T00:00:00Z';
--- a/packages/stand-ins/src/deployment/local-deployment.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -1,5 +1,3 @@
-import { createHash } from 'node:crypto';
-
 import { MemoryKeyValue } from '@skylarkreach/core/fakes';
 import type {
   Address,
@@ -15,12 +13,7 @@
 } from '@skylarkreach/core/platform';
 import { encodeRuleDocument, RULES_KEY } from '@skylarkreach/core/rules';
 import type { BoundAddresses, Settings } from '@skylarkreach/daemon';
-import {
-  Daemon,
-  LogLevel,
-  settingsSchema,
-  SystemClock,
-} from '@skylarkreach/daemon';
+import { Daemon, LogLevel, SystemClock } from '@skylarkreach/daemon';
 
 import { CloudServer, MemoryCloud } from '../cloud/index.js';
 import type { ModelEngineOptions } from '../engine/index.js';
@@ -28,21 +21,16 @@
 import { KeyValueServer } from '../key-value/index.js';
 import type { PlainServiceOptions } from '../service/index.js';
 import { PlainService, ServiceServer } from '../service/index.js';
+import { ANY_PORT, daemonSettings } from './daemon-settings.js';
 import { SAMPLE_RULES } from './sample-rules.js';
 
-export const CALLER_TOKEN = 'caller-token-example';
-export const OPERATOR_TOKEN = 'operator-token-example';
-export const WORKSPACE = 'northside';
-
-const PLATFORM_TOKEN = 'platform-token-example';
-const PEER_SECRET = 'peer-secret-example';
-const ANY_PORT = '127.0.0.1:0';
 const LIST_LAG_MS = 1_000;
-const DATA_CENTRES: readonly DataCentre[] = ['north-1', 'north-2'];
 
 export interface LocalDeploymentOptions {
   readonly daemons: number;
   readonly engines: number;
+  /** Data centres that daemons and engines are spread over in turn. */
+  readonly dataCentres: readonly DataCentre[];
   readonly logLevel: LogLevel;
   readonly rules: string;
   readonly engineOptions: Partial<ModelEngineOptions>;
@@ -56,6 +44,7 @@
 const DEFAULT_OPTIONS: LocalDeploymentOptions = {
   daemons: 3,
   engines: 3,
+  dataCentres: ['north-1', 'north-2'],
   logLevel: LogLevel.Warn,
   rules: SAMPLE_RULES,
   engineOptions: {},
@@ -76,24 +65,35 @@
 /** A daemon of the deployment. */
 export interface RunningDaemon {
   readonly id: string;
+  readonly instanceId: string;
   readonly dataCentre: DataCentre;
   readonly addresses: BoundAddresses;
   readonly daemon: Daemon;
 }
 
+/** An endpoint whose reclaim was announced. */
+export interface LeavingEndpoint {
+  readonly address: Address;
+  readonly announcedAtMs: number;
+}
+
 /** Daemons, engines, a plain service and the platform's stand-ins in one process. */
 export class LocalDeployment {
   readonly clock: Clock = new SystemClock();
   readonly store: MemoryKeyValue;
   readonly cloud: MemoryCloud;
   readonly service: PlainService;
+  /** Every engine that was started, the ones taken away included. */
   readonly engines: RunningEngine[] = [];
+  /** The daemons that run. */
   readonly daemons: RunningDaemon[] = [];
+  readonly leavingEndpoints: LeavingEndpoint[] = [];
   serviceAddress: Address = ANY_PORT;
   private readonly options: LocalDeploymentOptions;
   private readonly servers: { destroy(): void }[] = [];
   private keyValueAddress: Address = ANY_PORT;
   private cloudAddress: Address = ANY_PORT;
+  private startedDaemons = 0;
 
   constructor(options: Partial<LocalDeploymentOptions> = {}) {
     this.options = { ...DEFAULT_OPTIONS, ...options };
@@ -106,11 +106,11 @@
   async start(): Promise<void> {
     await this.startPlatform();
     for (let index = 0; index < this.options.engines; index += 1) {
-      await this.addEngine(dataCentreAt(index));
+      await this.addEngine(this.dataCentreAt(index));
     }
     await this.addService();
     for (let index = 0; index < this.options.daemons; index += 1) {
-      await this.addDaemon(dataCentreAt(index));
+      await this.addDaemon(this.dataCentreAt(index));
     }
   }
 
@@ -123,11 +123,22 @@
   }
 
   async addDaemon(dataCentre: DataCentre): Promise<RunningDaemon> {
-    const id = `daemon-${this.daemons.length + 1}`;
-    const daemon = new Daemon(this.daemonSettings(id, dataCentre));
+    this.startedDaemons += 1;
+    const id = `daemon-${this.startedDaemons}`;
+    const instanceId = `host-of-${id}`;
+    const daemon = new Daemon(
+      daemonSettings({
+        identity: { daemonId: id, dataCentre, instanceId },
+        keyValueAddress: this.keyValueAddress,
+        cloudAddress: this.cloudAddress,
+        logLevel: this.options.logLevel,
+        services: this.options.services,
+      }),
+    );
     const addresses = await daemon.start();
+    this.addInstance(instanceId, dataCentre);
     this.cloud.addDaemon(daemon.wiring.identity);
-    const running = { id, dataCentre, addresses, daemon };
+    const running = { id, instanceId, dataCentre, addresses, daemon };
     this.daemons.push(running);
     return running;
   }
@@ -149,6 +160,48 @@
     return running;
   }
 
+  /** Announces that the instances of a data centre are taken at `reclaimAtMs`. */
+  announceReclaim(dataCentre: DataCentre, reclaimAtMs: number): void {
+    const announcedAtMs = this.clock.nowMs();
+    for (const { address, instanceId } of this.enginesIn(dataCentre)) {
+      this.leavingEndpoints.push({ address, announcedAtMs });
+      this.cloud.announceReclaim(instanceId, reclaimAtMs);
+    }
+    for (const { instanceId } of this.daemonsIn(dataCentre)) {
+      this.cloud.announceReclaim(instanceId, reclaimAtMs);
+    }
+  }
+
+  /** Takes the engines and daemons of a data centre away at once. */
+  async takeDataCentre(dataCentre: DataCentre): Promise<void> {
+    for (const engine of this.enginesIn(dataCentre)) this.killEngine(engine);
+    const daemons = this.daemonsIn(dataCentre);
+    await Promise.all(daemons.map(each => this.killDaemon(each)));
+  }
+
+  /** Ends an engine at once, with all its streams. */
+  killEngine({ address, server }: RunningEngine): void {
+    server.destroy();
+    this.cloud.removeEndpoint(address);
+  }
+
+  /** Ends a daemon at once, as a killed process does. */
+  async killDaemon(killed: RunningDaemon): Promise<void> {
+    const index = this.daemons.indexOf(killed);
+    if (index === -1) return;
+    this.daemons.splice(index, 1);
+    this.cloud.removeDaemon(killed.id);
+    await killed.daemon.kill();
+  }
+
+  private enginesIn(dataCentre: DataCentre): readonly RunningEngine[] {
+    return this.engines.filter(each => each.dataCentre === dataCentre);
+  }
+
+  private daemonsIn(dataCentre: DataCentre): readonly RunningDaemon[] {
+    return this.daemons.filter(each => each.dataCentre === dataCentre);
+  }
+
   private async startPlatform(): Promise<void> {
     const keyValueServer = new KeyValueServer(
       ANY_PORT,
@@ -177,7 +230,7 @@
     this.addToCloud(
       address,
       'service-1',
-      dataCentreAt(0),
+      this.dataCentreAt(0),
       EndpointKind.Service,
     );
   }
@@ -188,13 +241,7 @@
     dataCentre: DataCentre,
     kind: EndpointKind,
   ): void {
-    this.cloud.addInstance({
-      id: instanceId,
-      machineClass: 'standard',
-      dataCentre,
-      billing: InstanceBilling.Reclaimable,
-      state: InstanceState.Running,
-    });
+    this.addInstance(instanceId, dataCentre);
     this.cloud.addEndpoint({
       address,
       kind,
@@ -206,30 +253,18 @@
     });
   }
 
-  private daemonSettings(daemonId: string, dataCentre: DataCentre): Settings {
-    return settingsSchema.parse({
-      identity: { daemonId, dataCentre },
-      listen: { callers: ANY_PORT, operators: ANY_PORT, peers: ANY_PORT },
-      platform: {
-        keyValueAddress: this.keyValueAddress,
-        cloudAddress: this.cloudAddress,
-        token: PLATFORM_TOKEN,
-      },
-      telemetry: { logLevel: this.options.logLevel },
-      credentials: {
-        workspaces: [{ workspace: WORKSPACE, sha256: sha256(CALLER_TOKEN) }],
-        operators: [{ name: 'operator', sha256: sha256(OPERATOR_TOKEN) }],
-        peerSecret: PEER_SECRET,
-      },
-      services: this.options.services,
+  private addInstance(id: string, dataCentre: DataCentre): void {
+    this.cloud.addInstance({
+      id,
+      machineClass: 'standard',
+      dataCentre,
+      billing: InstanceBilling.Reclaimable,
+      state: InstanceState.Running,
     });
   }
-}
 
-function dataCentreAt(index: number): DataCentre {
-  return DATA_CENTRES[index % DATA_CENTRES.length] ?? 'north-1';
-}
-
-function sha256(text: string): string {
-  return createHash('sha256').update(text).digest('hex');
+  private dataCentreAt(index: number): DataCentre {
+    const { dataCentres } = this.options;
+    return dataCentres[index % dataCentres.length] ?? 'north-1';
+  }
 }
--- a/packages/stand-ins/src/engine/model-engine.ts
+++ b/packages/stand-ins/src/engine/model-engine.ts
@@ -46,6 +46,12 @@
   checksFencing: true,
 };
 
+/** New work that was sent to the engine, whether it took it or not. */
+export interface EngineDispatch {
+  readonly streamId: string;
+  readonly atMs: number;
+}
+
 const PRIORITY_ORDER = [Priority.Lookup, Priority.Standard, Priority.Draft];
 
 /** Finished streams that can still be resumed. */
@@ -58,6 +64,8 @@
 export class ModelEngine {
   leaving = false;
   readonly orders: EngineOrder[] = [];
+  /** Kept so that a checker can tell work sent to an engine that is leaving. */
+  readonly dispatches: EngineDispatch[] = [];
   readonly options: ModelEngineOptions;
   private readonly cache: PrefixCache;
   private readonly streams = new Map<string, EngineStream>();
@@ -88,6 +96,8 @@
     request: GenerateRequest,
     signal: AbortSignal,
   ): AsyncGenerator<EngineEvent, void, undefined> {
+    const { streamId } = request;
+    this.dispatches.push({ streamId, atMs: this.clock.nowMs() });
     if (this.leaving) throw new RefusedError('The engine is leaving.', true);
     const promptText = promptTextOf(request.messages);
     const stream = new EngineStream(
@@ -98,7 +108,7 @@
     );
     stream.cachedTokens = this.cache.cachedTokens(stream.blockHashes);
     stream.prefillTokensLeft -= stream.cachedTokens;
-    this.streams.set(request.streamId, stream);
+    this.streams.set(streamId, stream);
     this.active.push(stream);
     this.dropOldStreams();
     return stream.read(request.sentTokens, signal);
--- a/packages/stand-ins/src/service/plain-service.ts
+++ b/packages/stand-ins/src/service/plain-service.ts
@@ -17,6 +17,8 @@
   readonly deduplicatesByKey: boolean;
   /** Whether the answer of the next call is lost once the call has run. */
   readonly losesAnswer: (request: ServiceRun) => boolean;
+  /** Time between a run and its response, in milliseconds. */
+  readonly responseDelayMs: number;
   /** Body of each response; a receipt where absent. */
   readonly responseBody?: string;
 }
@@ -24,6 +26,7 @@
 const DEFAULT_OPTIONS: PlainServiceOptions = {
   deduplicatesByKey: false,
   losesAnswer: () => false,
+  responseDelayMs: 0,
 };
 
 /** What the service made of one call. */
@@ -36,8 +39,8 @@
 /** Stand-in of a plain service. It runs every call it gets, unless told to remove duplicates. */
 export class PlainService {
   readonly runs: ServiceRun[] = [];
+  readonly options: PlainServiceOptions;
   private readonly responses = new Map<string, ServiceResponse>();
-  private readonly options: PlainServiceOptions;
 
   constructor(options: Partial<PlainServiceOptions> = {}) {
     this.options = { ...DEFAULT_OPTIONS, ...options };
--- a/packages/stand-ins/src/service/service-server.ts
+++ b/packages/stand-ins/src/service/service-server.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import type { Address } from '@skylarkreach/core/platform';
 import type { HttpExchange } from '@skylarkreach/daemon';
 import { HttpRouter } from '@skylarkreach/daemon';
@@ -40,6 +42,8 @@
       body: await readText(request),
       idempotencyKey: typeof key === 'string' ? key : undefined,
     });
+    const { responseDelayMs } = this.service.options;
+    if (responseDelayMs > 0) await delay(responseDelayMs);
     if (isLost) {
       response.destroy();
       return;
