Ask the service about a run whose daemon is gone

The service was asked only after the wait.

The new test of the claims fails without the change ("waiting") and passes with it.

--- a/packages/core/src/claims/journal-claims.ts
+++ b/packages/core/src/claims/journal-claims.ts
@@ -60,13 +60,13 @@
     log: Log,
     private readonly options: JournalClaimsOptions,
   ) {
-    this.joiner = new ClaimJoiner(writer, clock);
     this.recorder = new ClaimRecorder(
       writer,
       clock,
       log,
       options.maxResponseBytes,
     );
+    this.joiner = new ClaimJoiner(writer, this.recorder, clock);
     this.startedAtMs = clock.nowMs();
   }
 
@@ -188,7 +188,7 @@
     held: JournalEntry | undefined,
   ): Promise<ServiceResponse> {
     const { deadlineAtMs } = run.intent;
-    const end = await this.joiner.waitForEnd(run.key, held, deadlineAtMs);
+    const end = await this.joiner.waitForEnd(run, held);
     if (end === undefined) throw failures.outcomeUnknown();
     switch (end.state) {
       case ClaimState.Ran:
--- a/packages/core/src/claims/journal-faults.test.ts
+++ b/packages/core/src/claims/journal-faults.test.ts
@@ -64,6 +64,18 @@
     }
   });
 
+  it('tells a retry before its deadline what the service says of a run whose daemon is gone', async () => {
+    const daemons = new ClaimDaemons();
+    void daemons.add('daemon-1').run(intentOf('key-1'), () => NEVER);
+    await daemons.clock.advanceTo(2_000);
+    const retry = daemons
+      .add('daemon-2')
+      .run(intentOf('key-1'), mustNotRun, tells(ServiceOutcomeKind.Ran));
+    await daemons.clock.advanceTo(CLAIM_DEADLINE_MS / 2);
+    const inTime = Promise.race([retry, Promise.resolve('waiting')]);
+    assert.deepEqual(await inTime, CLAIM_RESPONSE);
+  });
+
   it('refuses at once while the key-value service is down, and sends nothing', async () => {
     const daemons = new ClaimDaemons();
     await assert.rejects(
