Run scenarios from feature files

Cause: no test put several daemons, callers and the platform's faults together and then looked at all promises.

Feature files are parsed by @cucumber/gherkin and run under node:test against the local deployment, with the callers' library as caller. A daemon that was killed waits on its clock for ever, so that nothing of it runs on, as after a kill of its process.

--- a/packages/stand-ins/src/deployment/local-deployment.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -22,6 +22,7 @@
 import type { PlainServiceOptions } from '../service/index.js';
 import { PlainService, ServiceServer } from '../service/index.js';
 import { ANY_PORT, daemonSettings } from './daemon-settings.js';
+import { ProcessClock } from './process-clock.js';
 import { SAMPLE_RULES } from './sample-rules.js';
 
 const LIST_LAG_MS = 1_000;
@@ -69,6 +70,7 @@
   readonly dataCentre: DataCentre;
   readonly addresses: BoundAddresses;
   readonly daemon: Daemon;
+  readonly clock: ProcessClock;
 }
 
 /** An endpoint whose reclaim was announced. */
@@ -126,6 +128,7 @@
     this.startedDaemons += 1;
     const id = `daemon-${this.startedDaemons}`;
     const instanceId = `host-of-${id}`;
+    const clock = new ProcessClock(this.clock);
     const daemon = new Daemon(
       daemonSettings({
         identity: { daemonId: id, dataCentre, instanceId },
@@ -134,11 +137,12 @@
         logLevel: this.options.logLevel,
         services: this.options.services,
       }),
+      { clock },
     );
     const addresses = await daemon.start();
     this.addInstance(instanceId, dataCentre);
     this.cloud.addDaemon(daemon.wiring.identity);
-    const running = { id, instanceId, dataCentre, addresses, daemon };
+    const running = { id, instanceId, dataCentre, addresses, daemon, clock };
     this.daemons.push(running);
     return running;
   }
@@ -192,6 +196,7 @@
     this.daemons.splice(index, 1);
     this.cloud.removeDaemon(killed.id);
     await killed.daemon.kill();
+    killed.clock.end();
   }
 
   private enginesIn(dataCentre: DataCentre): readonly RunningEngine[] {
--- /dev/null
+++ b/packages/stand-ins/src/scenarios/feature-file.ts
@@ -0,0 +1,37 @@
+import { readFileSync } from 'node:fs';
+import { basename } from 'node:path';
+
+import {
+  AstBuilder,
+  compile,
+  GherkinClassicTokenMatcher,
+  Parser,
+} from '@cucumber/gherkin';
+import { IdGenerator } from '@cucumber/messages';
+
+/** One scenario of a feature file, with the background's steps before its own. */
+export interface FeatureScenario {
+  readonly name: string;
+  readonly steps: readonly string[];
+}
+
+export interface Feature {
+  readonly name: string;
+  readonly scenarios: readonly FeatureScenario[];
+}
+
+/** Reads a feature file; an outline yields one scenario for each example. */
+export function readFeature(path: string | URL): Feature {
+  const uri = basename(String(path));
+  const newId = IdGenerator.incrementing();
+  const parser = new Parser(
+    new AstBuilder(newId),
+    new GherkinClassicTokenMatcher(),
+  );
+  const document = parser.parse(readFileSync(path, 'utf8'));
+  const scenarios = compile(document, uri, newId).map(pickle => ({
+    name: pickle.name,
+    steps: pickle.steps.map(step => step.text),
+  }));
+  return { name: document.feature?.name ?? uri, scenarios };
+}
--- /dev/null
+++ b/packages/stand-ins/src/scenarios/platform-steps.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict';
+
+import { Fault } from '@skylarkreach/core/fakes';
+import { InstanceBilling, StartOutcome } from '@skylarkreach/core/platform';
+
+import type { RunningDaemon } from '../deployment/index.js';
+import type { ScenarioContext } from './scenario-context.js';
+import type { StepRegistry } from './step-registry.js';
+
+const POSTING_MS = 400;
+const START_TIMEOUT_MS = 5_000;
+
+/** Adds the deployment and what fails in it. */
+export function addPlatformSteps(steps: StepRegistry<ScenarioContext>): void {
+  steps
+    .add(
+      /^a deployment of (\d+) data centres with (\d+) daemons and (\d+) engines$/,
+      (context, dataCentres, daemons, engines) =>
+        context.start({
+          dataCentres: dataCentreNames(Number(dataCentres)),
+          daemons: Number(daemons),
+          engines: Number(engines),
+          serviceOptions: { responseDelayMs: POSTING_MS },
+        }),
+    )
+    .add(/^an engine that serves a caller is killed$/, killServingEngine)
+    .add(/^the daemon of the first caller is killed$/, async context => {
+      await context.world.killDaemon(daemonOfFirstCaller(context));
+    })
+    .add(/^the daemon of the first posting is killed$/, async context => {
+      await context.world.killDaemon(firstDaemon(context));
+    })
+    .add(/^a posting's claim is written, its answer lost$/, loseClaimAnswer)
+    .add(/^the key-value service is down$/, context => {
+      context.world.setKeyValueFault(Fault.Down);
+    })
+    .add(/^the key-value service is back$/, context => {
+      context.world.setKeyValueFault(Fault.None);
+    })
+    .add(
+      /^data centre (\S+) is reclaimed with (\d+) ms of notice$/,
+      (context, dataCentre = '', noticeMs) =>
+        context.world.reclaim(dataCentre, Number(noticeMs)),
+    )
+    .add(/^the platform refuses starts$/, refuseStarts);
+}
+
+function killServingEngine({ world }: ScenarioContext): void {
+  const { engines } = world.deployment;
+  const serving = engines.find(each => each.engine.dispatches.length > 0);
+  assert.ok(serving !== undefined, 'No engine serves a caller.');
+  world.killEngine(serving);
+}
+
+function daemonOfFirstCaller(context: ScenarioContext): RunningDaemon {
+  const url = context.answers[0]?.firstUrl;
+  const { daemons } = context.world.deployment;
+  const found = daemons.find(
+    each => `http://${each.addresses.callers}` === url,
+  );
+  assert.ok(found !== undefined, 'The daemon of the first caller is gone.');
+  return found;
+}
+
+/** The daemon that the first posting of a scenario is sent to. */
+function firstDaemon({ world }: ScenarioContext): RunningDaemon {
+  const [found] = world.deployment.daemons;
+  assert.ok(found !== undefined, 'No daemon runs.');
+  return found;
+}
+
+async function loseClaimAnswer(context: ScenarioContext): Promise<void> {
+  const { callers, faults } = context.world;
+  const written = faults.loseNextWriteAnswer();
+  context.postings = [callers.post()];
+  await written;
+  context.world.traceFault('key-value service', 'loses the answer of a write');
+}
+
+async function refuseStarts({ world }: ScenarioContext): Promise<void> {
+  const { clock, cloud } = world.deployment;
+  cloud.refusesStarts = true;
+  const result = await cloud.start({
+    machineClass: 'standard',
+    dataCentre: 'north-1',
+    billing: InstanceBilling.Reclaimable,
+    clientToken: 'start-1',
+    deadlineAtMs: clock.nowMs() + START_TIMEOUT_MS,
+  });
+  assert.equal(result.outcome, StartOutcome.Refused);
+  world.traceFault('cloud', 'refuses starts');
+}
+
+function dataCentreNames(count: number): readonly string[] {
+  return Array.from({ length: count }, (_, index) => `north-${index + 1}`);
+}
--- /dev/null
+++ b/packages/stand-ins/src/scenarios/scenario-world.ts
@@ -0,0 +1,136 @@
+import type { Fault } from '@skylarkreach/core/fakes';
+import { FaultyKeyValue } from '@skylarkreach/core/fakes';
+import type { DataCentre } from '@skylarkreach/core/platform';
+import { LogLevel, SystemClock } from '@skylarkreach/daemon';
+
+import type {
+  LocalDeploymentOptions,
+  RunningDaemon,
+  RunningEngine,
+} from '../deployment/index.js';
+import { LocalDeployment } from '../deployment/index.js';
+import type { DispatchEvidence, Evidence } from './evidence.js';
+import { KeyValueFaults } from './key-value-faults.js';
+import { PromiseChecker } from './promise-checker.js';
+import { RevisionObserver } from './revision-observer.js';
+import { ScenarioCallers } from './scenario-callers.js';
+import { ScenarioOperators } from './scenario-operators.js';
+import { Trace, TraceKind } from './trace.js';
+import type { Violation } from './violation.js';
+import { PromiseViolationError } from './violation.js';
+
+/** A local deployment with its callers, operators, faults and trace. */
+export class ScenarioWorld {
+  readonly faults = new KeyValueFaults();
+  readonly deployment: LocalDeployment;
+  readonly trace: Trace;
+  readonly callers: ScenarioCallers;
+  readonly operators: ScenarioOperators;
+  private readonly observer: RevisionObserver;
+
+  constructor(options: Partial<LocalDeploymentOptions>) {
+    this.deployment = new LocalDeployment({
+      logLevel: LogLevel.Silent,
+      services: [
+        { group: 'ledger', deduplicatesByKey: false, answersOutcomes: true },
+      ],
+      ...options,
+      wrapKeyValue: store =>
+        new FaultyKeyValue(store, new SystemClock(), operation =>
+          this.faults.next(operation),
+        ),
+    });
+    const { clock } = this.deployment;
+    this.trace = new Trace(clock);
+    this.callers = new ScenarioCallers(clock, this.trace, () =>
+      this.deployment.daemons.map(each => `http://${each.addresses.callers}`),
+    );
+    this.operators = new ScenarioOperators(this.trace);
+    this.observer = new RevisionObserver(this.deployment);
+  }
+
+  async start(): Promise<void> {
+    await this.deployment.start();
+    this.observer.start();
+  }
+
+  async stop(): Promise<void> {
+    this.faults.clear();
+    this.observer.stop();
+    await this.callers.close();
+    await this.deployment.stop();
+  }
+
+  /** Sets the fault of every call of the key-value service. */
+  setKeyValueFault(fault: Fault): void {
+    this.faults.standing = fault;
+    this.traceFault('key-value service', fault);
+  }
+
+  /** Announces the reclaim of a data centre, waits for it and takes it away. */
+  async reclaim(dataCentre: DataCentre, noticeMs: number): Promise<void> {
+    const { clock } = this.deployment;
+    const reclaimAtMs = clock.nowMs() + noticeMs;
+    this.deployment.announceReclaim(dataCentre, reclaimAtMs);
+    this.traceFault(dataCentre, `is reclaimed in ${noticeMs} ms`);
+    await clock.waitUntil(reclaimAtMs);
+    await this.deployment.takeDataCentre(dataCentre);
+    this.traceFault(dataCentre, 'is gone');
+  }
+
+  async killDaemon(killed: RunningDaemon): Promise<void> {
+    this.traceFault(killed.id, `${killed.addresses.callers} is killed`);
+    await this.deployment.killDaemon(killed);
+  }
+
+  killEngine(killed: RunningEngine): void {
+    this.traceFault(killed.instanceId, `${killed.address} is killed`);
+    this.deployment.killEngine(killed);
+  }
+
+  traceFault(subject: string, message: string): void {
+    this.trace.record(TraceKind.Fault, subject, message);
+  }
+
+  /** Waits for every caller, then checks every promise. */
+  async check(): Promise<readonly Violation[]> {
+    await this.callers.ended();
+    return new PromiseChecker().check(await this.evidence());
+  }
+
+  /** Throws `PromiseViolationError` where a promise did not hold. */
+  async expectEveryPromise(): Promise<void> {
+    const violations = await this.check();
+    if (violations.length === 0) return;
+    throw new PromiseViolationError(violations, this.trace.toText());
+  }
+
+  private async evidence(): Promise<Evidence> {
+    const { answers, postings } = this.callers;
+    const { engines, leavingEndpoints, service } = this.deployment;
+    return {
+      answers: await Promise.all(answers.map(each => each.ended)),
+      postings: await Promise.all(postings.map(each => each.ended)),
+      runs: service.runs,
+      dispatches: engines.flatMap(dispatchesOf),
+      leavings: leavingEndpoints.map(({ address, announcedAtMs }) => ({
+        endpoint: address,
+        announcedAtMs,
+      })),
+      revisions: this.observer.revisions,
+      badVersions: [],
+    };
+  }
+}
+
+function dispatchesOf({
+  address,
+  engine,
+}: RunningEngine): readonly DispatchEvidence[] {
+  const { version } = engine.options;
+  return engine.dispatches.map(each => ({
+    ...each,
+    version,
+    endpoint: address,
+  }));
+}
