Soak the local deployment under random faults

Cause: the scenarios play one fault or two, chosen by hand; any of them may come at any moment, together or twice.

--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -4,6 +4,7 @@
 import { movesExperiment } from './moves/index.js';
 import { pathExperiment } from './path/index.js';
 import { slopesExperiment } from './slopes/index.js';
+import { soakExperiment } from './soak/index.js';
 
 /** Every experiment, by the name that the command line takes. */
 export const EXPERIMENTS: readonly Experiment[] = [
@@ -12,4 +13,5 @@
   slopesExperiment,
   configExperiment,
   claimsExperiment,
+  soakExperiment,
 ];
--- /dev/null
+++ b/packages/measure/src/soak/index.ts
@@ -0,0 +1,1 @@
+export * from './soak-experiment.js';
--- a/packages/stand-ins/src/deployment/local-deployment.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -96,6 +96,7 @@
   private keyValueAddress: Address = ANY_PORT;
   private cloudAddress: Address = ANY_PORT;
   private startedDaemons = 0;
+  private readonly goneEngines = new Set<RunningEngine>();
 
   constructor(options: Partial<LocalDeploymentOptions> = {}) {
     this.options = { ...DEFAULT_OPTIONS, ...options };
@@ -184,21 +185,39 @@
   }
 
   /** Ends an engine at once, with all its streams. */
-  killEngine({ address, server }: RunningEngine): void {
-    server.destroy();
-    this.cloud.removeEndpoint(address);
+  killEngine(killed: RunningEngine): void {
+    this.goneEngines.add(killed);
+    killed.server.destroy();
+    this.cloud.removeEndpoint(killed.address);
+  }
+
+  /** The engines that run. */
+  liveEngines(): readonly RunningEngine[] {
+    return this.engines.filter(each => !this.goneEngines.has(each));
+  }
+
+  /** Stops a daemon gracefully. */
+  async stopDaemon(stopped: RunningDaemon): Promise<void> {
+    if (!this.removeDaemon(stopped)) return;
+    await stopped.daemon.stop();
   }
 
   /** Ends a daemon at once, as a killed process does. */
   async killDaemon(killed: RunningDaemon): Promise<void> {
-    const index = this.daemons.indexOf(killed);
-    if (index === -1) return;
-    this.daemons.splice(index, 1);
-    this.cloud.removeDaemon(killed.id);
+    if (!this.removeDaemon(killed)) return;
     await killed.daemon.kill();
     killed.clock.end();
   }
 
+  /** Takes a daemon off the lists; false where it was off already. */
+  private removeDaemon({ id }: RunningDaemon): boolean {
+    const index = this.daemons.findIndex(each => each.id === id);
+    if (index === -1) return false;
+    this.daemons.splice(index, 1);
+    this.cloud.removeDaemon(id);
+    return true;
+  }
+
   private enginesIn(dataCentre: DataCentre): readonly RunningEngine[] {
     return this.engines.filter(each => each.dataCentre === dataCentre);
   }
--- a/packages/stand-ins/src/scenarios/scenario-callers.ts
+++ b/packages/stand-ins/src/scenarios/scenario-callers.ts
@@ -9,7 +9,7 @@
 import type { Trace } from './trace.js';
 import { TraceKind } from './trace.js';
 
-const ANSWER_TIMEOUT_MS = 30_000;
+const ANSWER_TIMEOUT_MS = 20_000;
 const POSTING_TIMEOUT_MS = 8_000;
 const SILENCE_TIMEOUT_MS = 3_000;
 
@@ -34,11 +34,12 @@
   readonly answers: RunningAnswer[] = [];
   readonly postings: RunningPosting[] = [];
   private readonly clients: CallerClient[] = [];
+  private openRequests = 0;
 
   constructor(
     private readonly clock: Clock,
     private readonly trace: Trace,
-    /** URLs of the daemons that run. */
+    /** URLs of the daemons that run, or of the balancer. */
     private readonly urls: () => readonly string[],
   ) {}
 
@@ -53,8 +54,10 @@
       requestId,
       firstUrl: addresses[0] ?? '',
       text: '',
-      ended: Promise.resolve().then(() =>
-        this.followAnswer(answer, addresses, messages),
+      ended: this.count(
+        Promise.resolve().then(() =>
+          this.followAnswer(answer, addresses, messages),
+        ),
       ),
     };
     this.answers.push(answer);
@@ -77,6 +80,11 @@
     return this.track(key, sendPostingOnce({ url, key, deadlineAtMs }));
   }
 
+  /** Requests that have no outcome yet. */
+  get waiting(): number {
+    return this.openRequests;
+  }
+
   /** Resolves once every caller has an outcome. */
   async ended(): Promise<void> {
     await Promise.all(this.answers.map(each => each.ended));
@@ -87,13 +95,22 @@
     await Promise.all(this.clients.map(client => client.close()));
   }
 
+  private async count<T>(request: Promise<T>): Promise<T> {
+    this.openRequests += 1;
+    try {
+      return await request;
+    } finally {
+      this.openRequests -= 1;
+    }
+  }
+
   private nextKey(): string {
     return `posting-${this.postings.length + 1}`;
   }
 
   private track(key: string, sent: Promise<PostingEvidence>): RunningPosting {
     this.trace.record(TraceKind.Caller, key, 'posts');
-    const ended = sent.then(evidence => {
+    const ended = this.count(sent).then(evidence => {
       this.trace.record(TraceKind.Caller, key, `is told ${evidence.outcome}`);
       return evidence;
     });
--- a/packages/stand-ins/src/scenarios/scenario-world.ts
+++ b/packages/stand-ins/src/scenarios/scenario-world.ts
@@ -1,6 +1,6 @@
 import type { Fault } from '@skylarkreach/core/fakes';
 import { FaultyKeyValue } from '@skylarkreach/core/fakes';
-import type { DataCentre } from '@skylarkreach/core/platform';
+import type { Address, DataCentre } from '@skylarkreach/core/platform';
 import { LogLevel, SystemClock } from '@skylarkreach/daemon';
 
 import type {
@@ -8,7 +8,7 @@
   RunningDaemon,
   RunningEngine,
 } from '../deployment/index.js';
-import { LocalDeployment } from '../deployment/index.js';
+import { Balancer, LocalDeployment } from '../deployment/index.js';
 import type { DispatchEvidence, Evidence } from './evidence.js';
 import { KeyValueFaults } from './key-value-faults.js';
 import { PromiseChecker } from './promise-checker.js';
@@ -19,6 +19,14 @@
 import type { Violation } from './violation.js';
 import { PromiseViolationError } from './violation.js';
 
+/** How callers reach the daemons. */
+export enum CallerPath {
+  /** Each caller knows every daemon. */
+  Direct = 'direct',
+  /** Each connection goes to a daemon that the balancer chooses. */
+  Balancer = 'balancer',
+}
+
 /** A local deployment with its callers, operators, faults and trace. */
 export class ScenarioWorld {
   readonly faults = new KeyValueFaults();
@@ -26,9 +34,14 @@
   readonly trace: Trace;
   readonly callers: ScenarioCallers;
   readonly operators: ScenarioOperators;
+  readonly balancer: Balancer;
   private readonly observer: RevisionObserver;
+  private balancerUrl = '';
 
-  constructor(options: Partial<LocalDeploymentOptions>) {
+  constructor(
+    options: Partial<LocalDeploymentOptions>,
+    private readonly path = CallerPath.Direct,
+  ) {
     this.deployment = new LocalDeployment({
       logLevel: LogLevel.Silent,
       services: [
@@ -42,8 +55,9 @@
     });
     const { clock } = this.deployment;
     this.trace = new Trace(clock);
+    this.balancer = new Balancer(() => this.readyAddresses());
     this.callers = new ScenarioCallers(clock, this.trace, () =>
-      this.deployment.daemons.map(each => `http://${each.addresses.callers}`),
+      this.callerUrls(),
     );
     this.operators = new ScenarioOperators(this.trace);
     this.observer = new RevisionObserver(this.deployment);
@@ -51,6 +65,7 @@
 
   async start(): Promise<void> {
     await this.deployment.start();
+    this.balancerUrl = await this.balancer.listen();
     this.observer.start();
   }
 
@@ -58,6 +73,7 @@
     this.faults.clear();
     this.observer.stop();
     await this.callers.close();
+    this.balancer.destroy();
     await this.deployment.stop();
   }
 
@@ -105,6 +121,20 @@
     throw new PromiseViolationError(violations, this.trace.toText());
   }
 
+  private callerUrls(): readonly string[] {
+    if (this.path === CallerPath.Balancer) return [this.balancerUrl];
+    return this.deployment.daemons.map(
+      each => `http://${each.addresses.callers}`,
+    );
+  }
+
+  /** Daemons that are neither stopping nor under notice. */
+  private readyAddresses(): readonly Address[] {
+    return this.deployment.daemons
+      .filter(({ daemon }) => !daemon.wiring.survival.handOff.hasBegun)
+      .map(each => each.addresses.callers);
+  }
+
   private async evidence(): Promise<Evidence> {
     const { answers, postings } = this.callers;
     const { engines, leavingEndpoints, service } = this.deployment;
--- a/packages/stand-ins/src/scenarios/trace.ts
+++ b/packages/stand-ins/src/scenarios/trace.ts
@@ -28,9 +28,16 @@
     this.events.push({ atMs, kind, subject, message });
   }
 
-  /** One line an event: milliseconds since the start, kind, subject, message. */
-  toText(): string {
+  /**
+   * One line an event: milliseconds since the start, kind, subject, message.
+   * Of callers only the named ones, where `subjects` is given.
+   */
+  toText(subjects?: ReadonlySet<string>): string {
     return this.events
+      .filter(
+        ({ kind, subject }) =>
+          kind !== TraceKind.Caller || (subjects?.has(subject) ?? true),
+      )
       .map(({ atMs, kind, message, subject }) => {
         const sinceStartMs = String(atMs - this.startedAtMs).padStart(7);
         return `${sinceStartMs} ${kind.padEnd(8)} ${subject}: ${message}`;
