--- a/packages/core/src/moves/move-board.ts
+++ b/packages/core/src/moves/move-board.ts
@@ -99,7 +99,11 @@
     const controller = this.byGroup.get(subject.group);
     if (controller === undefined) return ANY_VERSION;
     const { spec, state } = controller.record;
-    if (!spec.kinds.includes(subject.kind)) return ANY_VERSION;
+    if (!spec.kinds.includes(subject.kind)) {
+      return state === MoveState.Done
+        ? ANY_VERSION
+        : { version: spec.fromVersion, unused: new Set() };
+    }
     const share = controller.share(subject.kind, nowMs);
     if (!takesNewVersion(spec.moveId, subject.requestId, share)) {
       return { version: spec.fromVersion, unused: new Set() };
--- a/packages/core/src/moves/move-runner.ts
+++ b/packages/core/src/moves/move-runner.ts
@@ -16,7 +16,7 @@
 import { MoveActionKind } from './move-action.js';
 import type { MoveBoard } from './move-board.js';
 import type { MoveController } from './move-controller.js';
-import { brakesMethod, reportMethod } from './peer-methods.js';
+import { brakesMethod, recordMethod, reportMethod } from './peer-methods.js';
 
 const CALL_TIMEOUT_MS = 1_000;
 /** Time between two reads that look for new moves. */
@@ -71,6 +71,18 @@
     );
   }
 
+  /** Tells every live daemon of a group's record, so that none waits for its next read. */
+  async announce(group: string): Promise<void> {
+    const { board, clock, peer } = this.parts;
+    const entry = board.entryAfter(group, 0);
+    if (entry === undefined) return;
+    const deadlineAtMs = clock.nowMs() + CALL_TIMEOUT_MS;
+    const calls = this.others().map(other =>
+      peer.call(other.peerAddress, recordMethod, { entry }, deadlineAtMs),
+    );
+    await Promise.allSettled(calls);
+  }
+
   /** One round: report evidence, decide, act. */
   async step(): Promise<void> {
     await Promise.all(
--- a/packages/core/src/moves/move-starter.ts
+++ b/packages/core/src/moves/move-starter.ts
@@ -1,4 +1,4 @@
-import type { Clock, KeyValue } from '../platform/index.js';
+import type { Clock, KeyValue, KeyValueEntry } from '../platform/index.js';
 import {
   AnswerLostError,
   KeyValueUnavailableError,
@@ -23,6 +23,8 @@
   readonly outcome: StartMoveOutcome;
   /** The move in force for the group, where it is known. */
   readonly record?: MoveRecord;
+  /** The stored record where this call started the move. */
+  readonly entry?: KeyValueEntry;
   /** What the operator should know about the move's chances. */
   readonly warnings: readonly string[];
 }
@@ -105,10 +107,15 @@
     warnings: readonly string[],
     deadlineAtMs: number,
   ): Promise<StartMoveResult> {
-    const { record } = await this.read(spec.group, deadlineAtMs);
+    const { record, version } = await this.read(spec.group, deadlineAtMs);
     const isOurs = record?.spec.moveId === spec.moveId;
     const isBusy = !isOurs && record?.state === MoveState.Running;
-    if (isOurs) return { outcome: StartMoveOutcome.Started, record, warnings };
+    if (isOurs) {
+      const key = moveKey(spec.group);
+      const entry = { key, value: JSON.stringify(record), version };
+      const outcome = StartMoveOutcome.Started;
+      return { outcome, record, entry, warnings };
+    }
     const outcome = isBusy
       ? StartMoveOutcome.GroupBusy
       : StartMoveOutcome.Unknown;
--- a/packages/core/src/moves/peer-methods.ts
+++ b/packages/core/src/moves/peer-methods.ts
@@ -27,3 +27,10 @@
   z.object({ brakes: z.array(brakeSchema).max(100) }),
   z.object({ brakes: z.array(brakeSchema).max(100) }),
 );
+
+/** Brings the record of a move that has just started to a daemon. */
+export const recordMethod = definePeerMethod(
+  'moves.record',
+  z.object({ entry: entrySchema }),
+  z.object({}),
+);
--- a/packages/daemon/src/moves/move-wiring.ts
+++ b/packages/daemon/src/moves/move-wiring.ts
@@ -3,6 +3,7 @@
   brakesMethod,
   MoveRunner,
   MoveStarter,
+  recordMethod,
   reportMethod,
 } from '@skylarkreach/core/moves';
 import type {
@@ -64,8 +65,13 @@
     for (const brake of brakes) board.onBrake(brake);
     return Promise.resolve({ brakes: [...board.brakes()] });
   });
+  registry.handle(recordMethod, ({ entry }) => {
+    board.onEntry(entry, clock.nowMs());
+    return Promise.resolve({});
+  });
   addMoveCalls(operators, {
     board,
+    announce: group => runner.announce(group),
     clock,
     rules: parts.rules,
     starter: new MoveStarter(keyValue, clock),
--- a/packages/daemon/src/operators/move-calls.ts
+++ b/packages/daemon/src/operators/move-calls.ts
@@ -36,6 +36,8 @@
   readonly starter: MoveStarter;
   readonly rules: RuleStore;
   readonly clock: Clock;
+  /** Tells every live daemon of the group's record. */
+  readonly announce: (group: string) => Promise<void>;
   /** Requests of each kind of a group a second over all daemons, estimated. */
   readonly kindRates: (group: string) => ReadonlyMap<string, number>;
 }
@@ -115,7 +117,12 @@
   }
   const rates = kindRates(spec.group);
   const deadlineAtMs = clock.nowMs() + CALL_TIMEOUT_MS;
-  return toAnswer(await starter.start(spec, rates, deadlineAtMs));
+  const result = await starter.start(spec, rates, deadlineAtMs);
+  if (result.entry !== undefined) {
+    parts.board.onEntry(result.entry, clock.nowMs());
+    await parts.announce(spec.group);
+  }
+  return toAnswer(result);
 }
 
 function readLine(line: string): MoveRequest | MoveLineError {
@@ -158,6 +165,6 @@
   const [message, remedy] = REMEDY_OF_OUTCOME[result.outcome] ?? [];
   return {
     status: STATUS_OF_OUTCOME[result.outcome],
-    body: { ...result, message, remedy },
+    body: { ...result, entry: undefined, message, remedy },
   };
 }
--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -8,6 +8,7 @@
 import { pathExperiment } from './path/index.js';
 import { routingExperiment } from './routing/index.js';
 import { slopesExperiment } from './slopes/index.js';
+import { soakExperiment } from './soak/index.js';
 import { surviveExperiment } from './survive/index.js';
 
 /** Every experiment, by the name that the command line takes. */
@@ -22,4 +23,5 @@
   surviveExperiment,
   routingExperiment,
   overloadExperiment,
+  soakExperiment,
 ];
--- a/packages/stand-ins/src/deployment/hand-off.test.ts
+++ b/packages/stand-ins/src/deployment/hand-off.test.ts
@@ -6,8 +6,9 @@
 import { z } from 'zod';
 
 import { answerTokens } from '../engine/index.js';
+import { CALLER_TOKEN } from './daemon-settings.js';
 import type { RunningDaemon } from './local-deployment.js';
-import { CALLER_TOKEN, LocalDeployment } from './local-deployment.js';
+import { LocalDeployment } from './local-deployment.js';
 
 const FAR_DEADLINE = '2100-01-01T00:00:00Z';
 const OTHER_TOKEN = 'token-of-the-other-workspace';
--- a/packages/stand-ins/src/deployment/local-deployment.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -1,11 +1,9 @@
-import { createHash } from 'node:crypto';
-
 import { MemoryKeyValue } from '@skylarkreach/core/fakes';
 import type {
   Address,
   Clock,
   DataCentre,
-  Instance,
+  Endpoint,
   KeyValue,
 } from '@skylarkreach/core/platform';
 import {
@@ -16,12 +14,7 @@
 } from '@skylarkreach/core/platform';
 import { encodeRuleDocument, RULES_KEY } from '@skylarkreach/core/rules';
 import type { BoundAddresses, Settings } from '@skylarkreach/daemon';
-import {
-  Daemon,
-  LogLevel,
-  settingsSchema,
-  SystemClock,
-} from '@skylarkreach/daemon';
+import { Daemon, LogLevel, SystemClock } from '@skylarkreach/daemon';
 
 import { CloudServer, MemoryCloud } from '../cloud/index.js';
 import type { ModelEngineOptions } from '../engine/index.js';
@@ -29,47 +22,41 @@
 import { KeyValueServer } from '../key-value/index.js';
 import type { PlainServiceOptions } from '../service/index.js';
 import { PlainService, ServiceServer } from '../service/index.js';
+import { ANY_PORT, daemonSettings } from './daemon-settings.js';
+import { ProcessClock } from './process-clock.js';
 import { SAMPLE_RULES } from './sample-rules.js';
 
-export const CALLER_TOKEN = 'caller-token-example';
-export const OPERATOR_TOKEN = 'operator-token-example';
-export const WORKSPACE = 'northside';
-
-const PLATFORM_TOKEN = 'platform-token-example';
-const PEER_SECRET = 'peer-secret-example';
-const ANY_PORT = '127.0.0.1:0';
 const POLL_INTERVAL_MS = 20;
 const LIST_LAG_MS = 1_000;
-const DATA_CENTRES: readonly DataCentre[] = ['north-1', 'north-2'];
 
 export interface LocalDeploymentOptions {
   readonly daemons: number;
-  /** Data centres that daemons and engines are spread over. */
-  readonly dataCentres: readonly DataCentre[];
   readonly engines: number;
+  /** Data centres that daemons and engines are spread over in turn. */
+  readonly dataCentres: readonly DataCentre[];
   readonly logLevel: LogLevel;
   readonly rules: string;
   readonly engineOptions: Partial<ModelEngineOptions>;
   readonly serviceOptions: Partial<PlainServiceOptions>;
   /** Plain services that act on keys, as the daemons' settings list them. */
   readonly services: Settings['services'];
+  /** Tokens of further workspaces, by workspace. */
+  readonly workspaceTokens: Readonly<Record<string, string>>;
   /** Wraps the key-value store, to inject faults. */
   readonly wrapKeyValue: (store: KeyValue) => KeyValue;
-  /** Further workspaces by name, with their tokens. */
-  readonly workspaceTokens: Readonly<Record<string, string>>;
 }
 
 const DEFAULT_OPTIONS: LocalDeploymentOptions = {
   daemons: 3,
-  dataCentres: DATA_CENTRES,
   engines: 3,
+  dataCentres: ['north-1', 'north-2'],
   logLevel: LogLevel.Warn,
   rules: SAMPLE_RULES,
   engineOptions: {},
   serviceOptions: {},
   services: [],
-  wrapKeyValue: store => store,
   workspaceTokens: {},
+  wrapKeyValue: store => store,
 };
 
 /** A model engine of the deployment. */
@@ -84,9 +71,17 @@
 /** A daemon of the deployment. */
 export interface RunningDaemon {
   readonly id: string;
+  readonly instanceId: string;
   readonly dataCentre: DataCentre;
   readonly addresses: BoundAddresses;
   readonly daemon: Daemon;
+  readonly clock: ProcessClock;
+}
+
+/** An endpoint whose reclaim was announced. */
+export interface LeavingEndpoint {
+  readonly address: Address;
+  readonly announcedAtMs: number;
 }
 
 /** Daemons, engines, a plain service and the platform's stand-ins in one process. */
@@ -95,14 +90,18 @@
   readonly store: MemoryKeyValue;
   readonly cloud: MemoryCloud;
   readonly service: PlainService;
+  /** Every engine that was started, the ones taken away included. */
   readonly engines: RunningEngine[] = [];
+  /** The daemons that run. */
   readonly daemons: RunningDaemon[] = [];
+  readonly leavingEndpoints: LeavingEndpoint[] = [];
   serviceAddress: Address = ANY_PORT;
   private readonly options: LocalDeploymentOptions;
   private readonly servers: { destroy(): void }[] = [];
-  private nextDaemon = 1;
   private keyValueAddress: Address = ANY_PORT;
   private cloudAddress: Address = ANY_PORT;
+  private startedDaemons = 0;
+  private readonly goneEngines = new Set<RunningEngine>();
 
   constructor(options: Partial<LocalDeploymentOptions> = {}) {
     this.options = { ...DEFAULT_OPTIONS, ...options };
@@ -133,80 +132,124 @@
   }
 
   async addDaemon(dataCentre: DataCentre): Promise<RunningDaemon> {
-    const id = `daemon-${this.nextDaemon}`;
-    this.nextDaemon += 1;
-    const daemon = new Daemon(this.daemonSettings(id, dataCentre));
+    this.startedDaemons += 1;
+    const id = `daemon-${this.startedDaemons}`;
+    const instanceId = `host-of-${id}`;
+    const clock = new ProcessClock(this.clock);
+    const daemon = new Daemon(
+      daemonSettings({
+        identity: { daemonId: id, dataCentre, instanceId },
+        keyValueAddress: this.keyValueAddress,
+        cloudAddress: this.cloudAddress,
+        logLevel: this.options.logLevel,
+        services: this.options.services,
+        workspaceTokens: this.options.workspaceTokens,
+      }),
+      { clock },
+    );
     const addresses = await daemon.start();
+    this.addInstance(instanceId, dataCentre);
     this.cloud.addDaemon(daemon.wiring.identity);
-    const running = { id, dataCentre, addresses, daemon };
+    const running = { id, instanceId, dataCentre, addresses, daemon, clock };
     this.daemons.push(running);
-    this.cloud.addInstance(instanceOf(id, dataCentre));
     return running;
   }
 
-  /** Announces that all instances of a data centre are taken at `reclaimAtMs`. */
+  async addEngine(
+    dataCentre: DataCentre,
+    options: Partial<ModelEngineOptions> = {},
+  ): Promise<RunningEngine> {
+    const engine = new ModelEngine(this.clock, {
+      ...this.options.engineOptions,
+      ...options,
+    });
+    const server = new EngineServer(ANY_PORT, engine);
+    const address = await server.listen();
+    const instanceId = `engine-${this.engines.length + 1}`;
+    this.addToCloud({
+      address,
+      instanceId,
+      dataCentre,
+      kind: EndpointKind.Model,
+      group: 'ruling-model',
+      version: engine.options.version,
+    });
+    const running = { address, instanceId, dataCentre, engine, server };
+    this.engines.push(running);
+    return running;
+  }
+
+  /** Announces that the instances of a data centre are taken at `reclaimAtMs`. */
   announceReclaim(dataCentre: DataCentre, reclaimAtMs: number): void {
-    for (const { instanceId } of this.engines.filter(inPlace(dataCentre))) {
+    const announcedAtMs = this.clock.nowMs();
+    for (const { address, instanceId } of this.enginesIn(dataCentre)) {
+      this.leavingEndpoints.push({ address, announcedAtMs });
       this.cloud.announceReclaim(instanceId, reclaimAtMs);
     }
-    for (const { id } of this.daemons.filter(inPlace(dataCentre))) {
-      this.cloud.announceReclaim(id, reclaimAtMs);
+    for (const { instanceId } of this.daemonsIn(dataCentre)) {
+      this.cloud.announceReclaim(instanceId, reclaimAtMs);
     }
   }
 
-  /** Takes every engine and daemon of a data centre at once. */
-  async take(dataCentre: DataCentre): Promise<void> {
-    for (const { server } of this.engines.filter(inPlace(dataCentre))) {
-      server.destroy();
-    }
-    const daemons = this.daemons.filter(inPlace(dataCentre));
-    await Promise.all(daemons.map(daemon => this.killDaemon(daemon)));
+  /** Takes the engines and daemons of a data centre away at once. */
+  async takeDataCentre(dataCentre: DataCentre): Promise<void> {
+    for (const engine of this.enginesIn(dataCentre)) this.killEngine(engine);
+    const daemons = this.daemonsIn(dataCentre);
+    await Promise.all(daemons.map(each => this.killDaemon(each)));
   }
 
   /** Announces a reclaim of a data centre and carries it out. */
   async reclaim(dataCentre: DataCentre, reclaimAtMs: number): Promise<void> {
     this.announceReclaim(dataCentre, reclaimAtMs);
     await this.clock.waitUntil(reclaimAtMs);
-    await this.take(dataCentre);
+    await this.takeDataCentre(dataCentre);
   }
 
-  /** Ends a daemon at once; the others no longer know it. */
-  async killDaemon(running: RunningDaemon): Promise<void> {
-    this.forget(running);
-    await running.daemon.kill();
+  /** URLs that callers reach the daemons by. */
+  callerUrls(): readonly string[] {
+    return this.daemons.map(({ addresses }) => `http://${addresses.callers}`);
   }
 
-  /** Stops a daemon gracefully; the others no longer know it. */
-  async stopDaemon(running: RunningDaemon): Promise<void> {
-    this.forget(running);
-    await running.daemon.stop();
+  /** Ends an engine at once, with all its streams. */
+  killEngine(killed: RunningEngine): void {
+    this.goneEngines.add(killed);
+    killed.server.destroy();
+    this.cloud.removeEndpoint(killed.address);
   }
 
-  /** URLs that callers reach the daemons by. */
-  callerUrls(): readonly string[] {
-    return this.daemons.map(({ addresses }) => `http://${addresses.callers}`);
+  /** The engines that run. */
+  liveEngines(): readonly RunningEngine[] {
+    return this.engines.filter(each => !this.goneEngines.has(each));
   }
 
-  async addEngine(
-    dataCentre: DataCentre,
-    options: Partial<ModelEngineOptions> = {},
-  ): Promise<RunningEngine> {
-    const engine = new ModelEngine(this.clock, {
-      ...this.options.engineOptions,
-      ...options,
-    });
-    const server = new EngineServer(ANY_PORT, engine);
-    const address = await server.listen();
-    const instanceId = `engine-${this.engines.length + 1}`;
-    this.addToCloud(address, instanceId, dataCentre, EndpointKind.Model);
-    const running = { address, instanceId, dataCentre, engine, server };
-    this.engines.push(running);
-    return running;
+  /** Stops a daemon gracefully. */
+  async stopDaemon(stopped: RunningDaemon): Promise<void> {
+    if (!this.removeDaemon(stopped)) return;
+    await stopped.daemon.stop();
+  }
+
+  /** Ends a daemon at once, as a killed process does. */
+  async killDaemon(killed: RunningDaemon): Promise<void> {
+    if (!this.removeDaemon(killed)) return;
+    await killed.daemon.kill();
+    killed.clock.end();
   }
 
-  private forget(running: RunningDaemon): void {
-    const index = this.daemons.indexOf(running);
-    if (index >= 0) this.daemons.splice(index, 1);
+  /** Takes a daemon off the lists; false where it was off already. */
+  private removeDaemon({ id }: RunningDaemon): boolean {
+    const index = this.daemons.findIndex(each => each.id === id);
+    if (index === -1) return false;
+    this.daemons.splice(index, 1);
+    this.cloud.removeDaemon(id);
+    return true;
+  }
+
+  private enginesIn(dataCentre: DataCentre): readonly RunningEngine[] {
+    return this.engines.filter(each => each.dataCentre === dataCentre);
+  }
+
+  private daemonsIn(dataCentre: DataCentre): readonly RunningDaemon[] {
+    return this.daemons.filter(each => each.dataCentre === dataCentre);
   }
 
   /** Waits until every daemon knows that every other one is alive. */
@@ -221,11 +264,6 @@
     }
   }
 
-  private dataCentreAt(index: number): DataCentre {
-    const { dataCentres } = this.options;
-    return dataCentres[index % dataCentres.length] ?? 'north-1';
-  }
-
   private async startPlatform(): Promise<void> {
     const keyValueServer = new KeyValueServer(
       ANY_PORT,
@@ -251,70 +289,33 @@
     const address = await server.listen();
     this.serviceAddress = address;
     this.servers.push(server);
-    this.addToCloud(
-      address,
-      'service-1',
-      this.dataCentreAt(0),
-      EndpointKind.Service,
-    );
-  }
-
-  private addToCloud(
-    address: Address,
-    instanceId: string,
-    dataCentre: DataCentre,
-    kind: EndpointKind,
-  ): void {
-    this.cloud.addInstance(instanceOf(instanceId, dataCentre));
-    this.cloud.addEndpoint({
+    this.addToCloud({
       address,
-      kind,
-      group: kind === EndpointKind.Model ? 'ruling-model' : 'ledger',
+      instanceId: 'service-1',
+      dataCentre: this.dataCentreAt(0),
+      kind: EndpointKind.Service,
+      group: 'ledger',
       version: 'v1',
-      dataCentre,
-      instanceId,
-      stage: EndpointStage.Ready,
     });
   }
 
-  private daemonSettings(daemonId: string, dataCentre: DataCentre): Settings {
-    return settingsSchema.parse({
-      identity: { daemonId, dataCentre, instanceId: daemonId },
-      listen: { callers: ANY_PORT, operators: ANY_PORT, peers: ANY_PORT },
-      platform: {
-        keyValueAddress: this.keyValueAddress,
-        cloudAddress: this.cloudAddress,
-        token: PLATFORM_TOKEN,
-      },
-      telemetry: { logLevel: this.options.logLevel },
-      credentials: {
-        workspaces: Object.entries({
-          [WORKSPACE]: CALLER_TOKEN,
-          ...this.options.workspaceTokens,
-        }).map(([workspace, token]) => ({ workspace, sha256: sha256(token) })),
-        operators: [{ name: 'operator', sha256: sha256(OPERATOR_TOKEN) }],
-        peerSecret: PEER_SECRET,
-      },
-      services: this.options.services,
-    });
+  private addToCloud(endpoint: Omit<Endpoint, 'stage'>): void {
+    this.addInstance(endpoint.instanceId, endpoint.dataCentre);
+    this.cloud.addEndpoint({ ...endpoint, stage: EndpointStage.Ready });
   }
-}
-
-function instanceOf(id: string, dataCentre: DataCentre): Instance {
-  return {
-    id,
-    machineClass: 'standard',
-    dataCentre,
-    billing: InstanceBilling.Reclaimable,
-    state: InstanceState.Running,
-  };
-}
 
-function inPlace(dataCentre: DataCentre) {
-  return (part: { readonly dataCentre: DataCentre }) =>
-    part.dataCentre === dataCentre;
-}
+  private addInstance(id: string, dataCentre: DataCentre): void {
+    this.cloud.addInstance({
+      id,
+      machineClass: 'standard',
+      dataCentre,
+      billing: InstanceBilling.Reclaimable,
+      state: InstanceState.Running,
+    });
+  }
 
-function sha256(text: string): string {
-  return createHash('sha256').update(text).digest('hex');
+  private dataCentreAt(index: number): DataCentre {
+    const { dataCentres } = this.options;
+    return dataCentres[index % dataCentres.length] ?? 'north-1';
+  }
 }
--- a/packages/stand-ins/src/engine/model-engine.ts
+++ b/packages/stand-ins/src/engine/model-engine.ts
@@ -34,6 +34,8 @@
   readonly maxRunning: number;
   /** Refuses orders that carry an old fencing number. */
   readonly checksFencing: boolean;
+  /** Breaks every stream at the next step, as a bad version does. */
+  readonly breaksStreams: boolean;
 }
 
 export const DEFAULT_ENGINE_OPTIONS: ModelEngineOptions = {
@@ -44,8 +46,15 @@
   loadLagMs: 500,
   maxRunning: 64,
   checksFencing: true,
+  breaksStreams: false,
 };
 
+/** New work that was sent to the engine, whether it took it or not. */
+export interface EngineDispatch {
+  readonly streamId: string;
+  readonly atMs: number;
+}
+
 const PRIORITY_ORDER = [Priority.Lookup, Priority.Standard, Priority.Draft];
 
 /** Finished streams that can still be resumed. */
@@ -58,6 +67,8 @@
 export class ModelEngine {
   leaving = false;
   readonly orders: EngineOrder[] = [];
+  /** Kept so that a checker can tell work sent to an engine that is leaving. */
+  readonly dispatches: EngineDispatch[] = [];
   readonly options: ModelEngineOptions;
   private readonly cache: PrefixCache;
   private readonly streams = new Map<string, EngineStream>();
@@ -88,6 +99,8 @@
     request: GenerateRequest,
     signal: AbortSignal,
   ): AsyncGenerator<EngineEvent, void, undefined> {
+    const { streamId } = request;
+    this.dispatches.push({ streamId, atMs: this.clock.nowMs() });
     if (this.leaving) throw new RefusedError('The engine is leaving.', true);
     const promptText = promptTextOf(request.messages);
     const stream = new EngineStream(
@@ -98,7 +111,7 @@
     );
     stream.cachedTokens = this.cache.cachedTokens(stream.blockHashes);
     stream.prefillTokensLeft -= stream.cachedTokens;
-    this.streams.set(request.streamId, stream);
+    this.streams.set(streamId, stream);
     this.active.push(stream);
     this.dropOldStreams();
     return stream.read(request.sentTokens, signal);
@@ -181,6 +194,7 @@
 
   /** One batching step: a token for each stream that decodes, the rest for prefill. */
   step(): void {
+    if (this.options.breaksStreams) this.breakStreams();
     const running = this.byPriority().slice(0, this.options.maxRunning);
     let budgetTokens = this.options.stepTokens;
     for (const stream of running) {
