--- a/packages/core/src/pipeline/model-pipeline.test.ts
+++ b/packages/core/src/pipeline/model-pipeline.test.ts
@@ -23,7 +23,7 @@
   silentMetrics,
 } from '../platform/index.js';
 import { LeastInFlightRouter } from '../routing/index.js';
-import { encodeRuleDocument, RuleStore } from '../rules/index.js';
+import { rulesEntry, RuleStore } from '../rules/index.js';
 import type { RequestRecord } from '../streams/index.js';
 import {
   DEFAULT_STREAM_POLICY,
@@ -114,8 +114,7 @@
     );
     this.router.applyListing(endpoints, this.clock.nowMs());
     const rules = new RuleStore();
-    const value = encodeRuleDocument({ text: RULES, recentEdits: [] });
-    rules.apply({ key: 'rules', value, version: 1 });
+    rules.apply(rulesEntry(RULES, 1));
     const keyValue = new MemoryKeyValue(this.clock);
     const parts = {
       clock: this.clock,
--- a/packages/core/src/rules/rule-document.ts
+++ b/packages/core/src/rules/rule-document.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
 
+import type { KeyValueEntry } from '../platform/index.js';
+
 /** Key of the rule file in the key-value service. */
 export const RULES_KEY = 'rules/current';
 
@@ -41,6 +43,12 @@
   return JSON.stringify(document);
 }
 
+/** The stored entry of a rule file without recorded edits, as a deployment begins with. */
+export function rulesEntry(text: string, version: number): KeyValueEntry {
+  const value = encodeRuleDocument({ text, recentEdits: [] });
+  return { key: RULES_KEY, value, version };
+}
+
 /** Reads a stored document; undefined where the value is none. */
 export function decodeRuleDocument(value: string): RuleDocument | undefined {
   return documentSchema.safeParse(parseJson(value)).data;
--- a/packages/measure/src/config/config-experiment.ts
+++ b/packages/measure/src/config/config-experiment.ts
@@ -1,4 +1,4 @@
-import { encodeRuleDocument, RULES_KEY } from '@skylarkreach/core/rules';
+import { rulesEntry } from '@skylarkreach/core/rules';
 
 import type {
   Experiment,
@@ -271,8 +271,7 @@
   version: number,
   text: string,
 ): void {
-  const value = encodeRuleDocument({ text, recentEdits: [] });
-  daemon.rules.apply({ key: RULES_KEY, version, value });
+  daemon.rules.apply(rulesEntry(text, version));
 }
 
 function sum(figures: readonly number[]): number {
--- a/packages/measure/src/config/simulated-fleet.ts
+++ b/packages/measure/src/config/simulated-fleet.ts
@@ -13,11 +13,7 @@
   silentLog,
   silentMetrics,
 } from '@skylarkreach/core/platform';
-import {
-  encodeRuleDocument,
-  RULES_KEY,
-  RuleStore,
-} from '@skylarkreach/core/rules';
+import { RULES_KEY, rulesEntry, RuleStore } from '@skylarkreach/core/rules';
 import { MembershipService } from '@skylarkreach/daemon';
 import { MemoryCloud } from '@skylarkreach/stand-ins';
 
@@ -110,7 +106,7 @@
   async write(text: string, expectedVersion: number): Promise<number> {
     const result = await this.keyValue.put({
       key: RULES_KEY,
-      value: encodeRuleDocument({ text, recentEdits: [] }),
+      value: rulesEntry(text, expectedVersion + 1).value,
       expectedVersion,
       deadlineAtMs: this.clock.nowMs() + CALL_TIMEOUT_MS,
     });
--- a/packages/measure/src/control/control-experiment.ts
+++ b/packages/measure/src/control/control-experiment.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { MAX_CELL_MEMBERS } from '@skylarkreach/core/membership';
+import { rulesEntry } from '@skylarkreach/core/rules';
 
 import type { SimulatedDaemon } from '../config/index.js';
 import { SimulatedFleet } from '../config/index.js';
@@ -170,9 +171,7 @@
     if (changes > 0) {
       const text = rulesText(revision + 1);
       revision = await fleet.write(text, revision);
-      fleet
-        .pick()
-        .rules.apply({ key: 'rules/current', version: revision, value: text });
+      fleet.pick().rules.apply(rulesEntry(text, revision));
     }
     await fleet.advance(stepMs);
   }
--- a/packages/measure/src/control/socket-group.ts
+++ b/packages/measure/src/control/socket-group.ts
@@ -5,11 +5,7 @@
   silentLog,
   silentMetrics,
 } from '@skylarkreach/core/platform';
-import {
-  encodeRuleDocument,
-  RULES_KEY,
-  RuleStore,
-} from '@skylarkreach/core/rules';
+import { RULES_KEY, rulesEntry, RuleStore } from '@skylarkreach/core/rules';
 import {
   HttpClient,
   HttpListener,
@@ -61,7 +57,7 @@
     const writer = this.daemons[0];
     if (writer === undefined) return;
     const version = await this.write(text, writer.rules.revision);
-    writer.rules.apply({ key: RULES_KEY, version, value: documentOf(text) });
+    writer.rules.apply(rulesEntry(text, version));
   }
 
   async stop(): Promise<void> {
@@ -76,7 +72,7 @@
   private async write(text: string, expectedVersion: number) {
     const result = await this.keyValue.put({
       key: RULES_KEY,
-      value: documentOf(text),
+      value: rulesEntry(text, expectedVersion + 1).value,
       expectedVersion,
       deadlineAtMs: this.clock.nowMs(),
     });
@@ -118,7 +114,3 @@
     return { http, listener, service, rules };
   }
 }
-
-function documentOf(text: string): string {
-  return encodeRuleDocument({ text, recentEdits: [] });
-}
--- a/packages/measure/src/survive/simulated-daemon.ts
+++ b/packages/measure/src/survive/simulated-daemon.ts
@@ -18,7 +18,7 @@
   silentLog,
   silentMetrics,
 } from '@skylarkreach/core/platform';
-import { RuleStore } from '@skylarkreach/core/rules';
+import { rulesEntry, RuleStore } from '@skylarkreach/core/rules';
 import {
   DEFAULT_STREAM_POLICY,
   findRecordMethod,
@@ -100,7 +100,7 @@
   private parts(seed: number): PipelineParts {
     const { clock, engine, router } = this.world;
     const rules = new RuleStore();
-    rules.apply({ key: 'rules', value: RULES, version: 1 });
+    rules.apply(rulesEntry(RULES, 1));
     return {
       clock,
       engine,
