--- a/packages/cli/src/program.test.ts
+++ b/packages/cli/src/program.test.ts
@@ -154,6 +154,29 @@
     assert.match(printed.at(-1) ?? '', /not yet reported by entry-2/);
   });
 
+  it('starts, stops and waits for a move, each by its own call', async () => {
+    const spec = {
+      moveId: 'move-1',
+      group: 'model',
+      fromVersion: 'v1',
+      toVersion: 'v2',
+      deadlineAtMs: 1,
+      reason: 'operations, newer weights',
+    };
+    const ending = { endedAtMs: 1, newRequests: 9, unprovedKinds: [] };
+    const move = { spec, state: 'takenBack', shares: [], ending };
+    answers = {
+      'POST /v1/moves': { status: 200, body: { warnings: [], record: move } },
+      'DELETE /v1/moves/model': { status: 200, body: move },
+      'GET /v1/moves': { status: 200, body: { moves: [move] } },
+    };
+    assert.equal(await run('moves', 'start', 'group=model'), 0);
+    assert.deepEqual(bodies, ['group=model']);
+    assert.equal(await run('moves', 'stop', 'model', '--yes'), 0);
+    assert.equal(await run('moves', 'show'), 0);
+    assert.equal(await run('moves', 'wait', 'model'), 4);
+  });
+
   it('exits 3 where the daemon cannot be reached', async () => {
     server.close();
     assert.equal(await run('status'), 3);
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -112,7 +112,7 @@
 
 function addMoveCommands(program: sade.Sade): void {
   program
-    .command('moves show', '', { alias: ['moves'], default: false })
+    .command('moves show')
     .describe('Show the newest move of every group.')
     .action((options: CommonOptions) => showMoves(connect(options), options));
   program
