Answer peers about moves in one place

The daemon and the moves' tests registered the same three answers by themselves; the tests lacked the third. Both now call answerMovePeers.

--- a/packages/core/src/moves/index.ts
+++ b/packages/core/src/moves/index.ts
@@ -1,3 +1,4 @@
+export * from './answer-peers.js';
 export * from './coordinators.js';
 export * from './evidence.js';
 export * from './evidence-pool.js';
--- a/packages/core/src/moves/move-runner.test.ts
+++ b/packages/core/src/moves/move-runner.test.ts
@@ -9,13 +9,13 @@
 } from '../fakes/index.js';
 import type { DaemonIdentity } from '../platform/index.js';
 import { ManualClock, silentLog, silentMetrics } from '../platform/index.js';
+import { answerMovePeers } from './answer-peers.js';
 import type { MoveSpec } from './move.js';
 import { MoveState, TakeBackReason } from './move.js';
 import { MoveBoard } from './move-board.js';
 import { MoveLineError, parseMoveLine } from './move-line.js';
 import { MoveRunner } from './move-runner.js';
 import { MoveStarter, StartMoveOutcome } from './move-starter.js';
-import { brakesMethod, reportMethod } from './peer-methods.js';
 
 const TIMEOUT_MS = 1_000;
 const SPEC: MoveSpec = {
@@ -58,16 +58,7 @@
   add(self: DaemonIdentity): Member {
     const board = new MoveBoard(self.id);
     const registry = this.peers.registry(self.peerAddress);
-    registry.handle(reportMethod, ({ recordVersion, report }) =>
-      Promise.resolve({
-        brake: board.onReport(report),
-        entry: board.entryAfter(report.group, recordVersion),
-      }),
-    );
-    registry.handle(brakesMethod, ({ brakes }) => {
-      for (const brake of brakes) board.onBrake(brake);
-      return Promise.resolve({ brakes: [...board.brakes()] });
-    });
+    answerMovePeers(registry, board, this.clock);
     const runner = new MoveRunner({
       self,
       board,
--- a/packages/daemon/src/moves/move-wiring.ts
+++ b/packages/daemon/src/moves/move-wiring.ts
@@ -1,10 +1,8 @@
 import type { MoveBoard } from '@skylarkreach/core/moves';
 import {
-  brakesMethod,
+  answerMovePeers,
   MoveRunner,
   MoveStarter,
-  recordMethod,
-  reportMethod,
 } from '@skylarkreach/core/moves';
 import type {
   Clock,
@@ -55,20 +53,7 @@
   const { board, clock, keyValue, liveDaemons, log } = parts;
   const { operators, rates, registry } = parts;
   const runner = new MoveRunner(parts);
-  registry.handle(reportMethod, ({ recordVersion, report }) =>
-    Promise.resolve({
-      brake: board.onReport(report),
-      entry: board.entryAfter(report.group, recordVersion),
-    }),
-  );
-  registry.handle(brakesMethod, ({ brakes }) => {
-    for (const brake of brakes) board.onBrake(brake);
-    return Promise.resolve({ brakes: [...board.brakes()] });
-  });
-  registry.handle(recordMethod, ({ entry }) => {
-    board.onEntry(entry, clock.nowMs());
-    return Promise.resolve({});
-  });
+  answerMovePeers(registry, board, clock);
   addMoveCalls(operators, {
     board,
     announce: group => runner.announce(group),
