--- a/packages/core/src/admission/admission-lane.ts
+++ b/packages/core/src/admission/admission-lane.ts
@@ -1,4 +1,4 @@
-import { Priority } from '../platform/index.js';
+import { Priority } from '../ports/index.js';
 import type { AdmissionRequest } from './admission.js';
 import type { ConcurrencyOptions } from './concurrency-limit.js';
 import { ConcurrencyLimit } from './concurrency-limit.js';
--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -1,4 +1,4 @@
-import type { Priority, Workspace } from '../platform/index.js';
+import type { Priority, Workspace } from '../ports/index.js';
 import type { RuleLimits } from '../rules/index.js';
 
 /** What admission depends on. */
--- a/packages/core/src/admission/fair-admission.test.ts
+++ b/packages/core/src/admission/fair-admission.test.ts
@@ -3,7 +3,7 @@
 
 import fc from 'fast-check';
 
-import { ManualClock, Priority } from '../platform/index.js';
+import { ManualClock, Priority } from '../ports/index.js';
 import type { AdmissionRequest } from './admission.js';
 import { AdmissionRefusedError, RefusalReason } from './admission.js';
 import { DEFAULT_CONCURRENCY } from './concurrency-limit.js';
--- a/packages/core/src/admission/fair-admission.ts
+++ b/packages/core/src/admission/fair-admission.ts
@@ -1,5 +1,5 @@
-import type { Clock, Workspace } from '../platform/index.js';
-import { Priority } from '../platform/index.js';
+import type { Clock, Workspace } from '../ports/index.js';
+import { Priority } from '../ports/index.js';
 import type {
   Admission,
   AdmissionRequest,
--- a/packages/core/src/admission/fair-queue.ts
+++ b/packages/core/src/admission/fair-queue.ts
@@ -1,4 +1,4 @@
-import type { Workspace } from '../platform/index.js';
+import type { Workspace } from '../ports/index.js';
 
 /** What a queue needs to know of an item. */
 export interface QueuedItem {
--- a/packages/core/src/admission/in-flight-admission.ts
+++ b/packages/core/src/admission/in-flight-admission.ts
@@ -1,4 +1,4 @@
-import type { Clock, Workspace } from '../platform/index.js';
+import type { Clock, Workspace } from '../ports/index.js';
 import type {
   Admission,
   AdmissionRequest,
--- a/packages/core/src/admission/token-allowance.ts
+++ b/packages/core/src/admission/token-allowance.ts
@@ -1,4 +1,4 @@
-import type { Workspace } from '../platform/index.js';
+import type { Workspace } from '../ports/index.js';
 
 const MINUTE_MS = 60_000;
 const MAX_WORKSPACES = 4_096;
--- a/packages/core/src/claims/claim-joiner.ts
+++ b/packages/core/src/claims/claim-joiner.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '../platform/index.js';
-import { PlatformError } from '../platform/index.js';
+import type { Clock } from '../ports/index.js';
+import { PlatformError } from '../ports/index.js';
 import * as failures from './claim-failures.js';
 import type { ClaimRecorder, RecordedRun } from './claim-recorder.js';
 import type { ClaimWriter } from './claim-writer.js';
--- a/packages/core/src/claims/claim-owners.ts
+++ b/packages/core/src/claims/claim-owners.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 
-import type { Address } from '../platform/index.js';
+import type { Address } from '../ports/index.js';
 
 /** Shard of a claim's key, from 0 to `shards` - 1. */
 export function shardOf(key: string, shards: number): number {
--- a/packages/core/src/claims/claim-recorder.ts
+++ b/packages/core/src/claims/claim-recorder.ts
@@ -1,5 +1,5 @@
-import type { Clock, Log, ServiceResponse } from '../platform/index.js';
-import { LogPart } from '../platform/index.js';
+import type { Clock, Log, ServiceResponse } from '../ports/index.js';
+import { LogPart } from '../ports/index.js';
 import type { ClaimVerdict, SettleCommand } from './claim-command.js';
 import { CommandKind, VerdictKind } from './claim-command.js';
 import * as failures from './claim-failures.js';
--- a/packages/core/src/claims/claim-writer.ts
+++ b/packages/core/src/claims/claim-writer.ts
@@ -7,8 +7,8 @@
   Peer,
   PeerRegistry,
   Random,
-} from '../platform/index.js';
-import { definePeerMethod, PlatformError } from '../platform/index.js';
+} from '../ports/index.js';
+import { definePeerMethod, PlatformError } from '../ports/index.js';
 import type { ClaimCommand, ClaimVerdict } from './claim-command.js';
 import { claimCommandSchema, claimVerdictSchema } from './claim-command.js';
 import { ownerOf, shardOf } from './claim-owners.js';
--- a/packages/core/src/claims/claims.ts
+++ b/packages/core/src/claims/claims.ts
@@ -2,7 +2,7 @@
   ServiceOutcome,
   ServiceResponse,
   Workspace,
-} from '../platform/index.js';
+} from '../ports/index.js';
 
 export enum ClaimState {
   /** Taken, and not yet sent to any endpoint. */
--- a/packages/core/src/claims/journal-claims.test.ts
+++ b/packages/core/src/claims/journal-claims.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from 'node:test';
 
 import { CLAIM_RESPONSE, ClaimDaemons, intentOf } from '../fakes/index.js';
-import type { ServiceResponse } from '../platform/index.js';
-import { NotSentError } from '../platform/index.js';
+import type { ServiceResponse } from '../ports/index.js';
+import { NotSentError } from '../ports/index.js';
 import { ClaimError, ClaimErrorKind, ClaimState } from './claims.js';
 
 function hasKind(kind: ClaimErrorKind) {
--- a/packages/core/src/claims/journal-claims.ts
+++ b/packages/core/src/claims/journal-claims.ts
@@ -1,5 +1,5 @@
-import type { Clock, Log, ServiceResponse } from '../platform/index.js';
-import { NotSentError, PlatformError } from '../platform/index.js';
+import type { Clock, Log, ServiceResponse } from '../ports/index.js';
+import { NotSentError, PlatformError } from '../ports/index.js';
 import { CommandKind, VerdictKind } from './claim-command.js';
 import * as failures from './claim-failures.js';
 import { ClaimJoiner } from './claim-joiner.js';
--- a/packages/core/src/claims/journal-entry.ts
+++ b/packages/core/src/claims/journal-entry.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
-import type { ServiceResponse } from '../platform/index.js';
-import { PlatformError } from '../platform/index.js';
+import type { ServiceResponse } from '../ports/index.js';
+import { PlatformError } from '../ports/index.js';
 import { ClaimState } from './claims.js';
 
 /** A journal value cannot be read; it has to be mended by hand before its shard takes claims. */
--- a/packages/core/src/claims/journal-faults.test.ts
+++ b/packages/core/src/claims/journal-faults.test.ts
@@ -9,8 +9,8 @@
   Fault,
   intentOf,
 } from '../fakes/index.js';
-import type { ServiceOutcome, ServiceResponse } from '../platform/index.js';
-import { AnswerLostError, ServiceOutcomeKind } from '../platform/index.js';
+import type { ServiceOutcome, ServiceResponse } from '../ports/index.js';
+import { AnswerLostError, ServiceOutcomeKind } from '../ports/index.js';
 import { ownerOf } from './claim-owners.js';
 import { ClaimError, ClaimErrorKind, ClaimState } from './claims.js';
 
--- a/packages/core/src/claims/outcome-query.ts
+++ b/packages/core/src/claims/outcome-query.ts
@@ -1,5 +1,5 @@
-import type { Clock, ServiceOutcome } from '../platform/index.js';
-import { PlatformError, ServiceOutcomeKind } from '../platform/index.js';
+import type { Clock, ServiceOutcome } from '../ports/index.js';
+import { PlatformError, ServiceOutcomeKind } from '../ports/index.js';
 import type { OutcomeQuery } from './claims.js';
 
 const QUERY_TIMEOUT_MS = 1_000;
--- a/packages/core/src/claims/shard-journal.ts
+++ b/packages/core/src/claims/shard-journal.ts
@@ -1,9 +1,9 @@
-import type { Clock, KeyValue, Random } from '../platform/index.js';
+import type { Clock, KeyValue, Random } from '../ports/index.js';
 import {
   KeyValueUnavailableError,
   PlatformError,
   PutOutcome,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import type { ClaimCommand, ClaimVerdict } from './claim-command.js';
 import { CommandKind } from './claim-command.js';
 import type { JournalLimits } from './journal-state.js';
--- a/packages/core/src/claims/single-key-claims.test.ts
+++ b/packages/core/src/claims/single-key-claims.test.ts
@@ -2,12 +2,8 @@
 import { describe, it } from 'node:test';
 
 import { Fault, FaultyKeyValue, MemoryKeyValue } from '../fakes/index.js';
-import type { KeyValue, ServiceResponse } from '../platform/index.js';
-import {
-  AnswerLostError,
-  ManualClock,
-  NotSentError,
-} from '../platform/index.js';
+import type { KeyValue, ServiceResponse } from '../ports/index.js';
+import { AnswerLostError, ManualClock, NotSentError } from '../ports/index.js';
 import type { ClaimIntent } from './claims.js';
 import { ClaimError, ClaimErrorKind, ClaimState } from './claims.js';
 import { SingleKeyClaims } from './single-key-claims.js';
--- a/packages/core/src/claims/single-key-claims.ts
+++ b/packages/core/src/claims/single-key-claims.ts
@@ -1,12 +1,12 @@
 import { z } from 'zod';
 
-import type { Clock, KeyValue, ServiceResponse } from '../platform/index.js';
+import type { Clock, KeyValue, ServiceResponse } from '../ports/index.js';
 import {
   AnswerLostError,
   NotSentError,
   PlatformError,
   PutOutcome,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import type {
   ClaimedDispatch,
   ClaimIntent,
--- a/packages/core/src/fakes/claim-daemons.ts
+++ b/packages/core/src/fakes/claim-daemons.ts
@@ -1,12 +1,12 @@
 import type { ClaimIntent, ClaimWriterOptions } from '../claims/index.js';
 import { ClaimWriter, JournalClaims } from '../claims/index.js';
-import type { Address, KeyValue, ServiceResponse } from '../platform/index.js';
+import type { Address, KeyValue, ServiceResponse } from '../ports/index.js';
 import {
   ManualClock,
   MAX_VALUE_BYTES,
   SeededRandom,
   silentLog,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import type { FaultPlan } from './faulty-key-value.js';
 import { Fault, FaultyKeyValue } from './faulty-key-value.js';
 import { MemoryKeyValue } from './memory-key-value.js';
--- a/packages/core/src/fakes/faulty-key-value.ts
+++ b/packages/core/src/fakes/faulty-key-value.ts
@@ -8,11 +8,8 @@
   PutResult,
   WatchRequest,
   WatchResult,
-} from '../platform/index.js';
-import {
-  AnswerLostError,
-  KeyValueUnavailableError,
-} from '../platform/index.js';
+} from '../ports/index.js';
+import { AnswerLostError, KeyValueUnavailableError } from '../ports/index.js';
 
 /** What happens to the next call of a faulty double. */
 export enum Fault {
--- a/packages/core/src/fakes/memory-key-value.test.ts
+++ b/packages/core/src/fakes/memory-key-value.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import type { Lease } from '../platform/index.js';
-import { AnswerLostError, ManualClock, PutOutcome } from '../platform/index.js';
+import type { Lease } from '../ports/index.js';
+import { AnswerLostError, ManualClock, PutOutcome } from '../ports/index.js';
 import { Fault, FaultyKeyValue } from './faulty-key-value.js';
 import { MemoryKeyValue } from './memory-key-value.js';
 
--- a/packages/core/src/fakes/memory-key-value.ts
+++ b/packages/core/src/fakes/memory-key-value.ts
@@ -8,8 +8,8 @@
   PutResult,
   WatchRequest,
   WatchResult,
-} from '../platform/index.js';
-import { MAX_VALUE_BYTES, PutOutcome } from '../platform/index.js';
+} from '../ports/index.js';
+import { MAX_VALUE_BYTES, PutOutcome } from '../ports/index.js';
 
 interface StoredEntry extends KeyValueEntry {
   readonly revision: number;
--- a/packages/core/src/fakes/memory-peers.ts
+++ b/packages/core/src/fakes/memory-peers.ts
@@ -5,8 +5,8 @@
   PeerHandler,
   PeerMethod,
   PeerRegistry,
-} from '../platform/index.js';
-import { AnswerLostError, NotSentError } from '../platform/index.js';
+} from '../ports/index.js';
+import { AnswerLostError, NotSentError } from '../ports/index.js';
 import { Fault } from './faulty-key-value.js';
 
 type AnyHandler = (params: unknown) => Promise<unknown>;
--- a/packages/core/src/fakes/scripted-engine.ts
+++ b/packages/core/src/fakes/scripted-engine.ts
@@ -8,7 +8,7 @@
   GenerateRequest,
   LoadReport,
   ResumeRequest,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import {
   EngineEventKind,
   estimateTokens,
@@ -19,7 +19,7 @@
   promptTextOf,
   RefusedError,
   StreamBrokenError,
-} from '../platform/index.js';
+} from '../ports/index.js';
 
 /** What goes wrong on one connection to an engine. */
 export enum StreamFault {
--- a/packages/core/src/fleet/capacity.ts
+++ b/packages/core/src/fleet/capacity.ts
@@ -1,4 +1,4 @@
-import type { DataCentre } from '../platform/index.js';
+import type { DataCentre } from '../ports/index.js';
 import type { FleetPolicy, Pool } from './fleet-policy.js';
 import { capacityOf } from './fleet-policy.js';
 
--- a/packages/core/src/fleet/demand.ts
+++ b/packages/core/src/fleet/demand.ts
@@ -1,4 +1,4 @@
-import type { LoadReport } from '../platform/index.js';
+import type { LoadReport } from '../ports/index.js';
 
 /** Load that callers ask for at present. */
 export interface DemandSource {
--- a/packages/core/src/fleet/fleet-manager.test.ts
+++ b/packages/core/src/fleet/fleet-manager.test.ts
@@ -3,7 +3,7 @@
 
 import fc from 'fast-check';
 
-import { PlatformError } from '../platform/index.js';
+import { PlatformError } from '../ports/index.js';
 import type { FleetManager } from './fleet-manager.js';
 import { clientTokenOf, SlotState } from './fleet-plan.js';
 import {
--- a/packages/core/src/fleet/fleet-manager.ts
+++ b/packages/core/src/fleet/fleet-manager.ts
@@ -7,8 +7,8 @@
   KeyValue,
   Log,
   Metrics,
-} from '../platform/index.js';
-import { LogPart } from '../platform/index.js';
+} from '../ports/index.js';
+import { LogPart } from '../ports/index.js';
 import type { DemandSource } from './demand.js';
 import type { FleetPlan } from './fleet-plan.js';
 import { clientTokenOf, isReady, SlotState } from './fleet-plan.js';
--- a/packages/core/src/fleet/fleet-plan.ts
+++ b/packages/core/src/fleet/fleet-plan.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 
-import { EngineOrderKind, InstanceBilling } from '../platform/index.js';
+import { EngineOrderKind, InstanceBilling } from '../ports/index.js';
 
 export enum SlotState {
   /** Written down; its start may have been sent. */
--- a/packages/core/src/fleet/fleet-planner.test.ts
+++ b/packages/core/src/fleet/fleet-planner.test.ts
@@ -3,13 +3,13 @@
 
 import fc from 'fast-check';
 
-import type { FleetListing, Price } from '../platform/index.js';
+import type { FleetListing, Price } from '../ports/index.js';
 import {
   EndpointKind,
   EndpointStage,
   InstanceBilling,
   InstanceState,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import { allocate } from './allocate.js';
 import type { FleetPlan, Slot } from './fleet-plan.js';
 import { EMPTY_PLAN, isKept, SlotState } from './fleet-plan.js';
--- a/packages/core/src/fleet/fleet-planner.ts
+++ b/packages/core/src/fleet/fleet-planner.ts
@@ -1,4 +1,4 @@
-import type { Price } from '../platform/index.js';
+import type { Price } from '../ports/index.js';
 import type { Allocation } from './allocate.js';
 import { allocate } from './allocate.js';
 import { Capacity } from './capacity.js';
--- a/packages/core/src/fleet/fleet-platform-double.ts
+++ b/packages/core/src/fleet/fleet-platform-double.ts
@@ -7,7 +7,7 @@
   KeyValue,
   Random,
   StartRequest,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import {
   AnswerLostError,
   EndpointKind,
@@ -21,7 +21,7 @@
   silentLog,
   silentMetrics,
   StartOutcome,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import { FleetManager } from './fleet-manager.js';
 import { SpreadFleetPlanner } from './fleet-planner.js';
 import type { FleetPolicy } from './fleet-policy.js';
--- a/packages/core/src/fleet/fleet-policy.ts
+++ b/packages/core/src/fleet/fleet-policy.ts
@@ -1,5 +1,5 @@
-import type { DataCentre } from '../platform/index.js';
-import type { InstanceBilling } from '../platform/index.js';
+import type { DataCentre } from '../ports/index.js';
+import type { InstanceBilling } from '../ports/index.js';
 
 /** A class of machines and the load that one instance of it carries. */
 export interface MachineClass {
--- a/packages/core/src/fleet/lease-guard.ts
+++ b/packages/core/src/fleet/lease-guard.ts
@@ -1,5 +1,5 @@
 import type { LeaseKeeper } from '../leases/index.js';
-import type { Clock, Lease } from '../platform/index.js';
+import type { Clock, Lease } from '../ports/index.js';
 
 export interface LeaseGuardOptions {
   /** Longest time that an earlier holder's lease can still run when this one starts. */
--- a/packages/core/src/fleet/observe.ts
+++ b/packages/core/src/fleet/observe.ts
@@ -1,9 +1,5 @@
-import type {
-  FleetListing,
-  Instance,
-  ReclaimNotice,
-} from '../platform/index.js';
-import { EndpointStage, InstanceState } from '../platform/index.js';
+import type { FleetListing, Instance, ReclaimNotice } from '../ports/index.js';
+import { EndpointStage, InstanceState } from '../ports/index.js';
 import type { FleetPlan, Slot } from './fleet-plan.js';
 import { isKept, SlotState } from './fleet-plan.js';
 import type { FleetPolicy } from './fleet-policy.js';
--- a/packages/core/src/fleet/offers.ts
+++ b/packages/core/src/fleet/offers.ts
@@ -1,4 +1,4 @@
-import type { Price } from '../platform/index.js';
+import type { Price } from '../ports/index.js';
 import type { FleetPlan, ReclaimRecord } from './fleet-plan.js';
 import type { FleetPolicy, Pool } from './fleet-policy.js';
 import { capacityOf, poolKey, poolOf } from './fleet-policy.js';
--- a/packages/core/src/fleet/order-runner.ts
+++ b/packages/core/src/fleet/order-runner.ts
@@ -4,8 +4,8 @@
   Engine,
   EngineInventory,
   Lease,
-} from '../platform/index.js';
-import { EngineOrderKind, PlatformError } from '../platform/index.js';
+} from '../ports/index.js';
+import { EngineOrderKind, PlatformError } from '../ports/index.js';
 import type { FleetPlan, OrderRecord } from './fleet-plan.js';
 import type { LeaseGuard } from './lease-guard.js';
 import { markOrderDone, renewOrder } from './order-schedule.js';
--- a/packages/core/src/fleet/order-schedule.ts
+++ b/packages/core/src/fleet/order-schedule.ts
@@ -1,4 +1,4 @@
-import type { Endpoint, EngineOrderKind } from '../platform/index.js';
+import type { Endpoint, EngineOrderKind } from '../ports/index.js';
 import type { FleetPlan, OrderRecord } from './fleet-plan.js';
 import { isKept } from './fleet-plan.js';
 
--- a/packages/core/src/fleet/plan-store.ts
+++ b/packages/core/src/fleet/plan-store.ts
@@ -1,5 +1,5 @@
-import type { KeyValue } from '../platform/index.js';
-import { AnswerLostError, PutOutcome } from '../platform/index.js';
+import type { KeyValue } from '../ports/index.js';
+import { AnswerLostError, PutOutcome } from '../ports/index.js';
 import type { FleetPlan } from './fleet-plan.js';
 import { EMPTY_PLAN, parsePlan } from './fleet-plan.js';
 
--- a/packages/core/src/fleet/runners.test.ts
+++ b/packages/core/src/fleet/runners.test.ts
@@ -3,14 +3,14 @@
 
 import { MemoryKeyValue } from '../fakes/index.js';
 import { LeaseKeeper } from '../leases/index.js';
-import type { Cloud, EngineInventory } from '../platform/index.js';
+import type { Cloud, EngineInventory } from '../ports/index.js';
 import {
   AnswerLostError,
   EngineOrderKind,
   InstanceBilling,
   ManualClock,
   StartOutcome,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import { EMPTY_PLAN, SlotState } from './fleet-plan.js';
 import { FleetActionKind } from './fleet-planner.js';
 import type { FleetPolicy } from './fleet-policy.js';
--- a/packages/core/src/fleet/start-runner.ts
+++ b/packages/core/src/fleet/start-runner.ts
@@ -1,5 +1,5 @@
-import type { Clock, Cloud, Lease } from '../platform/index.js';
-import { PlatformError, StartOutcome } from '../platform/index.js';
+import type { Clock, Cloud, Lease } from '../ports/index.js';
+import { PlatformError, StartOutcome } from '../ports/index.js';
 import type { FleetPlan, Slot } from './fleet-plan.js';
 import { clientTokenOf, SlotState } from './fleet-plan.js';
 import type { FleetAction } from './fleet-planner.js';
--- a/packages/core/src/fleet/warm-ups.ts
+++ b/packages/core/src/fleet/warm-ups.ts
@@ -1,9 +1,5 @@
-import type {
-  Address,
-  ChatMessage,
-  GenerateRequest,
-} from '../platform/index.js';
-import { Priority } from '../platform/index.js';
+import type { Address, ChatMessage, GenerateRequest } from '../ports/index.js';
+import { Priority } from '../ports/index.js';
 
 /** A prompt prefix that lost its cached copy, or may have. */
 export interface PrefixUse {
--- a/packages/core/src/leases/lease-keeper.test.ts
+++ b/packages/core/src/leases/lease-keeper.test.ts
@@ -2,8 +2,8 @@
 import { describe, it } from 'node:test';
 
 import { Fault, FaultyKeyValue, MemoryKeyValue } from '../fakes/index.js';
-import type { KeyValue } from '../platform/index.js';
-import { ManualClock } from '../platform/index.js';
+import type { KeyValue } from '../ports/index.js';
+import { ManualClock } from '../ports/index.js';
 import { LeaseKeeper } from './lease-keeper.js';
 
 const GRANT_MS = 10_000;
--- a/packages/core/src/leases/lease-keeper.ts
+++ b/packages/core/src/leases/lease-keeper.ts
@@ -1,5 +1,5 @@
-import type { Clock, KeyValue, Lease } from '../platform/index.js';
-import { PlatformError } from '../platform/index.js';
+import type { Clock, KeyValue, Lease } from '../ports/index.js';
+import { PlatformError } from '../ports/index.js';
 
 export interface LeaseKeeperOptions {
   /** Name of the lease in the key-value service. */
--- a/packages/core/src/membership/cell-layout.ts
+++ b/packages/core/src/membership/cell-layout.ts
@@ -1,4 +1,4 @@
-import type { DaemonIdentity } from '../platform/index.js';
+import type { DaemonIdentity } from '../ports/index.js';
 import type { Member } from './member-table.js';
 import { hasEnded, isLive } from './member-table.js';
 import { hash32 } from './rendezvous.js';
--- a/packages/core/src/membership/cell-tracker.ts
+++ b/packages/core/src/membership/cell-tracker.ts
@@ -1,4 +1,4 @@
-import type { DaemonIdentity } from '../platform/index.js';
+import type { DaemonIdentity } from '../ports/index.js';
 import type { CellView } from './cell-layout.js';
 import { viewCells } from './cell-layout.js';
 import type { Member, MemberTable } from './member-table.js';
--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -1,4 +1,4 @@
-import type { DaemonIdentity } from '../platform/index.js';
+import type { DaemonIdentity } from '../ports/index.js';
 import type { MemberUpdate } from './membership.js';
 import { MemberState } from './membership.js';
 import { hash32, rendezvousScore } from './rendezvous.js';
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -1,4 +1,4 @@
-import type { DaemonIdentity, DataCentre } from '../platform/index.js';
+import type { DaemonIdentity, DataCentre } from '../ports/index.js';
 
 /** The daemons that this daemon knows to be alive. */
 export interface Membership {
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
-import type { DaemonIdentity } from '../platform/index.js';
-import { definePeerMethod } from '../platform/index.js';
+import type { DaemonIdentity } from '../ports/index.js';
+import { definePeerMethod } from '../ports/index.js';
 import type { MemberUpdate } from './membership.js';
 import { MemberState } from './membership.js';
 import type { KeyVersion, SpreadPatch } from './spread-value.js';
--- a/packages/core/src/membership/probe-order.ts
+++ b/packages/core/src/membership/probe-order.ts
@@ -1,4 +1,4 @@
-import type { Random } from '../platform/index.js';
+import type { Random } from '../ports/index.js';
 
 /** Goes round the members in an order that is drawn anew for each round (SWIM, section 4.3). */
 export class ProbeOrder {
--- a/packages/core/src/membership/relay-role.test.ts
+++ b/packages/core/src/membership/relay-role.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import type { DaemonIdentity } from '../platform/index.js';
+import type { DaemonIdentity } from '../ports/index.js';
 import { RelayRole, RELAYS_PER_DATA_CENTRE } from './relay-role.js';
 import { rankDaemons } from './rendezvous.js';
 import { SpreadTree } from './spread-tree.js';
--- a/packages/core/src/membership/rendezvous.ts
+++ b/packages/core/src/membership/rendezvous.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 
-import type { DaemonIdentity } from '../platform/index.js';
+import type { DaemonIdentity } from '../ports/index.js';
 
 /** Uniform 32-bit hash of a text. */
 export function hash32(text: string): number {
--- a/packages/core/src/membership/spread-tree.ts
+++ b/packages/core/src/membership/spread-tree.ts
@@ -1,4 +1,4 @@
-import type { DaemonIdentity } from '../platform/index.js';
+import type { DaemonIdentity } from '../ports/index.js';
 import { rankDaemons } from './rendezvous.js';
 
 const FAN_OUT = 4;
--- a/packages/core/src/membership/swim-membership.test.ts
+++ b/packages/core/src/membership/swim-membership.test.ts
@@ -3,8 +3,8 @@
 
 import fc from 'fast-check';
 
-import type { DaemonIdentity } from '../platform/index.js';
-import { SeededRandom } from '../platform/index.js';
+import type { DaemonIdentity } from '../ports/index.js';
+import { SeededRandom } from '../ports/index.js';
 import { MembershipActionKind } from './actions.js';
 import { MAX_CELL_MEMBERS } from './cell-layout.js';
 import { MemberTable } from './member-table.js';
--- a/packages/core/src/membership/swim-membership.ts
+++ b/packages/core/src/membership/swim-membership.ts
@@ -1,4 +1,4 @@
-import type { DaemonIdentity, DataCentre, Random } from '../platform/index.js';
+import type { DaemonIdentity, DataCentre, Random } from '../ports/index.js';
 import type {
   MembershipAction,
   ProbeAction,
--- a/packages/core/src/moves/answer-peers.ts
+++ b/packages/core/src/moves/answer-peers.ts
@@ -1,4 +1,4 @@
-import type { Clock, PeerRegistry } from '../platform/index.js';
+import type { Clock, PeerRegistry } from '../ports/index.js';
 import type { MoveBoard } from './move-board.js';
 import { brakesMethod, recordMethod, reportMethod } from './peer-methods.js';
 
--- a/packages/core/src/moves/move-board.ts
+++ b/packages/core/src/moves/move-board.ts
@@ -1,4 +1,4 @@
-import type { Endpoint, KeyValueEntry } from '../platform/index.js';
+import type { Endpoint, KeyValueEntry } from '../ports/index.js';
 import type { EvidenceReport, RequestResult } from './evidence.js';
 import type { Brake, MoveRecord } from './move.js';
 import { decodeMoveRecord, moveKey, MoveState } from './move.js';
--- a/packages/core/src/moves/move-runner.test.ts
+++ b/packages/core/src/moves/move-runner.test.ts
@@ -7,8 +7,8 @@
   MemoryKeyValue,
   MemoryPeers,
 } from '../fakes/index.js';
-import type { DaemonIdentity } from '../platform/index.js';
-import { ManualClock, silentLog, silentMetrics } from '../platform/index.js';
+import type { DaemonIdentity } from '../ports/index.js';
+import { ManualClock, silentLog, silentMetrics } from '../ports/index.js';
 import { answerMovePeers } from './answer-peers.js';
 import type { MoveSpec } from './move.js';
 import { MoveState, TakeBackReason } from './move.js';
--- a/packages/core/src/moves/move-runner.ts
+++ b/packages/core/src/moves/move-runner.ts
@@ -6,8 +6,8 @@
   Log,
   Metrics,
   Peer,
-} from '../platform/index.js';
-import { LogPart, PlatformError } from '../platform/index.js';
+} from '../ports/index.js';
+import { LogPart, PlatformError } from '../ports/index.js';
 import { coordinatorsOf } from './coordinators.js';
 import type { EvidenceReport } from './evidence.js';
 import type { Brake, MoveEnding, MoveRecord, MoveSpec } from './move.js';
--- a/packages/core/src/moves/move-starter.ts
+++ b/packages/core/src/moves/move-starter.ts
@@ -1,9 +1,9 @@
-import type { Clock, KeyValue, KeyValueEntry } from '../platform/index.js';
+import type { Clock, KeyValue, KeyValueEntry } from '../ports/index.js';
 import {
   AnswerLostError,
   KeyValueUnavailableError,
   PutOutcome,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import type { MoveRecord, MoveSpec } from './move.js';
 import { decodeMoveRecord, moveKey, MoveState, startRecord } from './move.js';
 import type { KindRates } from './share-plan.js';
--- a/packages/core/src/moves/peer-methods.ts
+++ b/packages/core/src/moves/peer-methods.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 
-import { definePeerMethod } from '../platform/index.js';
+import { definePeerMethod } from '../ports/index.js';
 import { evidenceReportSchema } from './evidence.js';
 import { brakeSchema } from './move.js';
 
--- a/packages/core/src/moves/two-sample-test.test.ts
+++ b/packages/core/src/moves/two-sample-test.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import type { Random } from '../platform/index.js';
-import { SeededRandom } from '../platform/index.js';
+import type { Random } from '../ports/index.js';
+import { SeededRandom } from '../ports/index.js';
 import { TwoSampleTest } from './two-sample-test.js';
 
 const BLOCKS = 300;
--- a/packages/core/src/moves/version-choice.ts
+++ b/packages/core/src/moves/version-choice.ts
@@ -1,6 +1,6 @@
 import xxhash from 'xxhash-wasm';
 
-import type { Address, Endpoint } from '../platform/index.js';
+import type { Address, Endpoint } from '../ports/index.js';
 
 const HASH_RANGE = 2 ** 32;
 
--- a/packages/core/src/moves/version-policy.ts
+++ b/packages/core/src/moves/version-policy.ts
@@ -1,4 +1,4 @@
-import type { Address, Endpoint } from '../platform/index.js';
+import type { Address, Endpoint } from '../ports/index.js';
 
 /** What the version of a request depends on. */
 export interface VersionSubject {
--- a/packages/core/src/pipeline/answer-run.ts
+++ b/packages/core/src/pipeline/answer-run.ts
@@ -1,5 +1,5 @@
-import type { EngineEvent } from '../platform/index.js';
-import { EngineEventKind, LogPart } from '../platform/index.js';
+import type { EngineEvent } from '../ports/index.js';
+import { EngineEventKind, LogPart } from '../ports/index.js';
 import type { RequestName, RequestRecord } from '../streams/index.js';
 import {
   AnswerAssembler,
--- a/packages/core/src/pipeline/answer-start.ts
+++ b/packages/core/src/pipeline/answer-start.ts
@@ -1,5 +1,5 @@
-import type { EngineEvent } from '../platform/index.js';
-import { EngineEventKind } from '../platform/index.js';
+import type { EngineEvent } from '../ports/index.js';
+import { EngineEventKind } from '../ports/index.js';
 import type {
   ModelWork,
   RequestName,
--- a/packages/core/src/pipeline/attempt-series.ts
+++ b/packages/core/src/pipeline/attempt-series.ts
@@ -1,10 +1,10 @@
-import type { Endpoint, EngineEvent } from '../platform/index.js';
+import type { Endpoint, EngineEvent } from '../ports/index.js';
 import {
   EngineEventKind,
   LogPart,
   PlatformError,
   RefusedError,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import type { Attempt } from '../routing/index.js';
 import { AttemptEnd, LeavingSource } from '../routing/index.js';
 import type { AnswerAssembler, ModelWork } from '../streams/index.js';
--- a/packages/core/src/pipeline/cancel-stream.ts
+++ b/packages/core/src/pipeline/cancel-stream.ts
@@ -1,4 +1,4 @@
-import { LogPart } from '../platform/index.js';
+import { LogPart } from '../ports/index.js';
 import type { StreamTarget } from './answer-start.js';
 import type { PipelineParts } from './pipeline-parts.js';
 
--- a/packages/core/src/pipeline/endpoint-choice.ts
+++ b/packages/core/src/pipeline/endpoint-choice.ts
@@ -1,5 +1,5 @@
-import type { Endpoint } from '../platform/index.js';
-import { estimateTokens, promptTextOf } from '../platform/index.js';
+import type { Endpoint } from '../ports/index.js';
+import { estimateTokens, promptTextOf } from '../ports/index.js';
 import type { RouteRequest } from '../routing/index.js';
 import type { ModelWork } from '../streams/index.js';
 import type { PipelineParts } from './pipeline-parts.js';
--- a/packages/core/src/pipeline/identify.ts
+++ b/packages/core/src/pipeline/identify.ts
@@ -1,6 +1,6 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 
-import type { Workspace } from '../platform/index.js';
+import type { Workspace } from '../ports/index.js';
 
 /** A credential as the settings hold it: never the token itself. */
 export interface TokenHash {
--- a/packages/core/src/pipeline/model-pipeline.test.ts
+++ b/packages/core/src/pipeline/model-pipeline.test.ts
@@ -11,7 +11,7 @@
   ScriptedEngine,
   StreamFault,
 } from '../fakes/index.js';
-import type { Endpoint, Service } from '../platform/index.js';
+import type { Endpoint, Service } from '../ports/index.js';
 import {
   EndpointKind,
   EndpointStage,
@@ -21,7 +21,7 @@
   SeededRandom,
   silentLog,
   silentMetrics,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import { LeastInFlightRouter } from '../routing/index.js';
 import { rulesEntry, RuleStore } from '../rules/index.js';
 import type { RequestRecord } from '../streams/index.js';
--- a/packages/core/src/pipeline/model-pipeline.ts
+++ b/packages/core/src/pipeline/model-pipeline.ts
@@ -1,4 +1,4 @@
-import { estimateTokens, promptTextOf } from '../platform/index.js';
+import { estimateTokens, promptTextOf } from '../ports/index.js';
 import type {
   ModelWork,
   RequestName,
--- a/packages/core/src/pipeline/outcome-query.ts
+++ b/packages/core/src/pipeline/outcome-query.ts
@@ -1,10 +1,10 @@
-import type { Endpoint, ServiceOutcome, Workspace } from '../platform/index.js';
+import type { Endpoint, ServiceOutcome, Workspace } from '../ports/index.js';
 import {
   EndpointKind,
   EndpointStage,
   PlatformError,
   ServiceOutcomeKind,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import type { PipelineParts } from './pipeline-parts.js';
 import { serviceKey, traitsOf } from './service-traits.js';
 
--- a/packages/core/src/pipeline/pipeline-parts.ts
+++ b/packages/core/src/pipeline/pipeline-parts.ts
@@ -7,7 +7,7 @@
   Metrics,
   Random,
   Service,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import type { Router } from '../routing/index.js';
 import type { RuleStore } from '../rules/index.js';
 import type { TokenDirectory } from './identify.js';
--- a/packages/core/src/pipeline/repeatable-dispatch.test.ts
+++ b/packages/core/src/pipeline/repeatable-dispatch.test.ts
@@ -6,7 +6,7 @@
   ManualClock,
   Priority,
   SeededRandom,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import {
   BudgetedRetryPolicy,
   LookupHedgePolicy,
--- a/packages/core/src/pipeline/repeatable-dispatch.ts
+++ b/packages/core/src/pipeline/repeatable-dispatch.ts
@@ -1,5 +1,5 @@
-import type { Address, Clock, Priority } from '../platform/index.js';
-import { PlatformError } from '../platform/index.js';
+import type { Address, Clock, Priority } from '../ports/index.js';
+import { PlatformError } from '../ports/index.js';
 import type { HedgePolicy, RetryPolicy } from '../routing/index.js';
 import { RetryAction } from '../routing/index.js';
 
--- a/packages/core/src/pipeline/request.ts
+++ b/packages/core/src/pipeline/request.ts
@@ -1,4 +1,4 @@
-import type { ChatMessage, Workspace } from '../platform/index.js';
+import type { ChatMessage, Workspace } from '../ports/index.js';
 import type { Rule } from '../rules/index.js';
 import type { ResumePoint } from '../streams/index.js';
 
--- a/packages/core/src/pipeline/run-errors.ts
+++ b/packages/core/src/pipeline/run-errors.ts
@@ -3,7 +3,7 @@
   NotSentError,
   PlatformError,
   RefusedError,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import { StreamFailure } from '../streams/index.js';
 import {
   RequestError,
--- a/packages/core/src/pipeline/service-dispatcher.ts
+++ b/packages/core/src/pipeline/service-dispatcher.ts
@@ -1,5 +1,5 @@
-import type { Address, Endpoint, ServiceResponse } from '../platform/index.js';
-import { NotSentError, RefusedError } from '../platform/index.js';
+import type { Address, Endpoint, ServiceResponse } from '../ports/index.js';
+import { NotSentError, RefusedError } from '../ports/index.js';
 import type { Attempt, RouteRequest } from '../routing/index.js';
 import {
   AttemptEnd,
--- a/packages/core/src/pipeline/service-failures.ts
+++ b/packages/core/src/pipeline/service-failures.ts
@@ -1,7 +1,7 @@
 import type { ClaimError } from '../claims/index.js';
 import { ClaimErrorKind } from '../claims/index.js';
-import type { PlatformError } from '../platform/index.js';
-import { NotSentError } from '../platform/index.js';
+import type { PlatformError } from '../ports/index.js';
+import { NotSentError } from '../ports/index.js';
 import {
   notRun,
   RequestError,
--- a/packages/core/src/pipeline/service-outcomes.ts
+++ b/packages/core/src/pipeline/service-outcomes.ts
@@ -1,7 +1,7 @@
 import type { ClaimRecord } from '../claims/index.js';
 import { ClaimError, ClaimState } from '../claims/index.js';
-import type { ServiceResponse } from '../platform/index.js';
-import { ServiceOutcomeKind } from '../platform/index.js';
+import type { ServiceResponse } from '../ports/index.js';
+import { ServiceOutcomeKind } from '../ports/index.js';
 import { workspaceOf } from './identify-request.js';
 import type { ServiceCallName } from './outcome-query.js';
 import { queryServiceOutcome } from './outcome-query.js';
--- a/packages/core/src/pipeline/service-pipeline.ts
+++ b/packages/core/src/pipeline/service-pipeline.ts
@@ -2,8 +2,8 @@
 
 import type { OutcomeQuery } from '../claims/index.js';
 import { ClaimError } from '../claims/index.js';
-import type { ServiceResponse } from '../platform/index.js';
-import { estimateTokens, PlatformError } from '../platform/index.js';
+import type { ServiceResponse } from '../ports/index.js';
+import { estimateTokens, PlatformError } from '../ports/index.js';
 import { RepeatPolicy } from '../rules/index.js';
 import { admitRequest } from './admit-request.js';
 import { identifyRequest } from './identify-request.js';
--- a/packages/core/src/pipeline/service-traits.ts
+++ b/packages/core/src/pipeline/service-traits.ts
@@ -1,4 +1,4 @@
-import type { Workspace } from '../platform/index.js';
+import type { Workspace } from '../ports/index.js';
 
 /** What the operators state of a plain service. */
 export interface ServiceTraits {
--- a/packages/core/src/pipeline/versioned-router.test.ts
+++ b/packages/core/src/pipeline/versioned-router.test.ts
@@ -3,13 +3,13 @@
 
 import type { VersionedResult } from '../moves/index.js';
 import { MoveBoard, moveKey, startRecord } from '../moves/index.js';
-import type { Endpoint } from '../platform/index.js';
+import type { Endpoint } from '../ports/index.js';
 import {
   EndpointKind,
   EndpointStage,
   Priority,
   SeededRandom,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import type { Attempt, RouteRequest } from '../routing/index.js';
 import { AttemptEnd, LeastInFlightRouter } from '../routing/index.js';
 import { VersionedRouter } from './versioned-router.js';
--- a/packages/core/src/pipeline/versioned-router.ts
+++ b/packages/core/src/pipeline/versioned-router.ts
@@ -4,7 +4,7 @@
   CacheEvent,
   Endpoint,
   LoadReport,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import type {
   Attempt,
   AttemptResult,
--- a/packages/core/src/routing/candidate-group.ts
+++ b/packages/core/src/routing/candidate-group.ts
@@ -1,4 +1,4 @@
-import type { Address, Endpoint, Random } from '../platform/index.js';
+import type { Address, Endpoint, Random } from '../ports/index.js';
 import { HashRing } from './hash-ring.js';
 
 /**
--- a/packages/core/src/routing/endpoint-table.test.ts
+++ b/packages/core/src/routing/endpoint-table.test.ts
@@ -3,8 +3,8 @@
 
 import fc from 'fast-check';
 
-import type { Endpoint } from '../platform/index.js';
-import { EndpointKind, EndpointStage } from '../platform/index.js';
+import type { Endpoint } from '../ports/index.js';
+import { EndpointKind, EndpointStage } from '../ports/index.js';
 import { EndpointTable } from './endpoint-table.js';
 
 const ADDRESS = '10.0.0.1:8000';
--- a/packages/core/src/routing/endpoint-table.ts
+++ b/packages/core/src/routing/endpoint-table.ts
@@ -1,5 +1,5 @@
-import type { Address, Endpoint } from '../platform/index.js';
-import { EndpointStage } from '../platform/index.js';
+import type { Address, Endpoint } from '../ports/index.js';
+import { EndpointStage } from '../ports/index.js';
 import { BoundedMap } from './bounded-map.js';
 import { CandidateGroup } from './candidate-group.js';
 
--- a/packages/core/src/routing/expected-finish-router.test.ts
+++ b/packages/core/src/routing/expected-finish-router.test.ts
@@ -1,14 +1,14 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import type { Endpoint, LoadReport } from '../platform/index.js';
+import type { Endpoint, LoadReport } from '../ports/index.js';
 import {
   EndpointKind,
   EndpointStage,
   estimateTokens,
   Priority,
   SeededRandom,
-} from '../platform/index.js';
+} from '../ports/index.js';
 import { ExpectedFinishRouter } from './expected-finish-router.js';
 import type { RouteRequest } from './router.js';
 import { AttemptEnd, LeavingSource } from './router.js';
--- a/packages/core/src/routing/expected-finish-router.ts
+++ b/packages/core/src/routing/expected-finish-router.ts
@@ -4,8 +4,8 @@
   Endpoint,
   LoadReport,
   Random,
-} from '../platform/index.js';
-import { EndpointStage, promptBlockHashes } from '../platform/index.js';
+} from '../ports/index.js';
+import { EndpointStage, promptBlockHashes } from '../ports/index.js';
 import { BoundedMap } from './bounded-map.js';
 import type { CandidateGroup } from './candidate-group.js';
 import { EndpointTable } from './endpoint-table.js';
--- a/packages/core/src/routing/hash-ring.ts
+++ b/packages/core/src/routing/hash-ring.ts
@@ -1,4 +1,4 @@
-import type { Address } from '../platform/index.js';
+import type { Address } from '../ports/index.js';
 import { hash32 } from './hash.js';
 
 const NEIGHBOURS = 32;
--- a/packages/core/src/routing/hedge-policy.ts
+++ b/packages/core/src/routing/hedge-policy.ts
@@ -1,4 +1,4 @@
-import { Priority } from '../platform/index.js';
+import { Priority } from '../ports/index.js';
 import type { RetryBudget } from './retry-budget.js';
 
 const SAMPLES = 128;
--- a/packages/core/src/routing/least-in-flight-router.ts
+++ b/packages/core/src/routing/least-in-flight-router.ts
@@ -1,4 +1,4 @@
-import type { Address, Endpoint, Random } from '../platform/index.js';
+import type { Address, Endpoint, Random } from '../ports/index.js';
 import { EndpointTable } from './endpoint-table.js';
 import type { Attempt, LeavingSource, Router, RouteRequest } from './router.js';
 
--- a/packages/core/src/routing/load-view.ts
+++ b/packages/core/src/routing/load-view.ts
@@ -1,4 +1,4 @@
-import type { Address, LoadReport } from '../platform/index.js';
+import type { Address, LoadReport } from '../ports/index.js';
 
 const DECODE_RATE_WEIGHT = 0.02;
 const MAX_REPORT_AGE_MS = 3_000;
--- a/packages/core/src/routing/outlier-ejection.ts
+++ b/packages/core/src/routing/outlier-ejection.ts
@@ -1,4 +1,4 @@
-import type { Address } from '../platform/index.js';
+import type { Address } from '../ports/index.js';
 
 export interface OutlierOptions {
   /** Failures in a row after which an endpoint is ejected. */
--- a/packages/core/src/routing/prefix-index.test.ts
+++ b/packages/core/src/routing/prefix-index.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import { BLOCK_TOKENS, CacheEventKind } from '../platform/index.js';
+import { BLOCK_TOKENS, CacheEventKind } from '../ports/index.js';
 import { PrefixIndex } from './prefix-index.js';
 
 const ADDRESS = '10.0.0.1:8000';
--- a/packages/core/src/routing/prefix-index.ts
+++ b/packages/core/src/routing/prefix-index.ts
@@ -1,5 +1,5 @@
-import type { Address, CacheEvent } from '../platform/index.js';
-import { BLOCK_TOKENS, CacheEventKind } from '../platform/index.js';
+import type { Address, CacheEvent } from '../ports/index.js';
+import { BLOCK_TOKENS, CacheEventKind } from '../ports/index.js';
 import { BoundedMap } from './bounded-map.js';
 
 const MAX_HOLDERS = 16;
--- a/packages/core/src/routing/retry-policy.test.ts
+++ b/packages/core/src/routing/retry-policy.test.ts
@@ -3,7 +3,7 @@
 
 import fc from 'fast-check';
 
-import { Priority, SeededRandom } from '../platform/index.js';
+import { Priority, SeededRandom } from '../ports/index.js';
 import { LookupHedgePolicy } from './hedge-policy.js';
 import { RetryBudget } from './retry-budget.js';
 import {
--- a/packages/core/src/routing/retry-policy.ts
+++ b/packages/core/src/routing/retry-policy.ts
@@ -1,4 +1,4 @@
-import type { Random } from '../platform/index.js';
+import type { Random } from '../ports/index.js';
 import type { RetryBudget } from './retry-budget.js';
 
 /** An attempt that failed, and what is left to the request. */
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -6,7 +6,7 @@
   LoadReport,
   Priority,
   Workspace,
-} from '../platform/index.js';
+} from '../ports/index.js';
 
 /** What the choice of an endpoint depends on. */
 export interface RouteRequest {
--- a/packages/core/src/rules/check-rules.test.ts
+++ b/packages/core/src/rules/check-rules.test.ts
@@ -3,7 +3,7 @@
 
 import fc from 'fast-check';
 
-import { Priority } from '../platform/index.js';
+import { Priority } from '../ports/index.js';
 import { checkRules, hasErrors } from './check-rules.js';
 import { formatRule } from './format-rule.js';
 import { parseRules } from './parse-rules.js';
--- a/packages/core/src/rules/parse-rules.test.ts
+++ b/packages/core/src/rules/parse-rules.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import { Priority } from '../platform/index.js';
+import { Priority } from '../ports/index.js';
 import { matchRule } from './match-rule.js';
 import { parseRules } from './parse-rules.js';
 import { RepeatPolicy } from './rule.js';
--- a/packages/core/src/rules/parse-rules.ts
+++ b/packages/core/src/rules/parse-rules.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 
-import { Priority } from '../platform/index.js';
+import { Priority } from '../ports/index.js';
 import type { ParsedRules, Rule, RuleFault } from './rule.js';
 import { FaultSeverity, RepeatPolicy } from './rule.js';
 
--- a/packages/core/src/rules/revision-survey.ts
+++ b/packages/core/src/rules/revision-survey.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
-import type { DaemonIdentity, Peer } from '../platform/index.js';
-import { definePeerMethod, PlatformError } from '../platform/index.js';
+import type { DaemonIdentity, Peer } from '../ports/index.js';
+import { definePeerMethod, PlatformError } from '../ports/index.js';
 
 /** Asks a daemon which revision of the rules it has in force. */
 export const revisionMethod = definePeerMethod(
--- a/packages/core/src/rules/rule-document.ts
+++ b/packages/core/src/rules/rule-document.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 
-import type { KeyValueEntry } from '../platform/index.js';
+import type { KeyValueEntry } from '../ports/index.js';
 
 /** Key of the rule file in the key-value service. */
 export const RULES_KEY = 'rules/current';
--- a/packages/core/src/rules/rule-editor.test.ts
+++ b/packages/core/src/rules/rule-editor.test.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check';
 
 import { Fault, FaultyKeyValue, MemoryKeyValue } from '../fakes/index.js';
-import { ManualClock } from '../platform/index.js';
+import { ManualClock } from '../ports/index.js';
 import {
   decodeRuleDocument,
   MAX_RECENT_EDITS,
--- a/packages/core/src/rules/rule-editor.ts
+++ b/packages/core/src/rules/rule-editor.ts
@@ -1,9 +1,5 @@
-import type { Clock, KeyValue, KeyValueEntry } from '../platform/index.js';
-import {
-  AnswerLostError,
-  PlatformError,
-  PutOutcome,
-} from '../platform/index.js';
+import type { Clock, KeyValue, KeyValueEntry } from '../ports/index.js';
+import { AnswerLostError, PlatformError, PutOutcome } from '../ports/index.js';
 import { checkRules, hasErrors } from './check-rules.js';
 import type { LineConflict } from './merge-lines.js';
 import { addedLines, mergeLines, removedLines } from './merge-lines.js';
--- a/packages/core/src/rules/rule-history.ts
+++ b/packages/core/src/rules/rule-history.ts
@@ -1,5 +1,5 @@
-import type { KeyValue } from '../platform/index.js';
-import { PutOutcome } from '../platform/index.js';
+import type { KeyValue } from '../ports/index.js';
+import { PutOutcome } from '../ports/index.js';
 import type { RuleDocument, RuleEdit } from './rule-document.js';
 import {
   decodeHistory,
--- a/packages/core/src/rules/rule-store.ts
+++ b/packages/core/src/rules/rule-store.ts
@@ -1,4 +1,4 @@
-import type { KeyValueEntry } from '../platform/index.js';
+import type { KeyValueEntry } from '../ports/index.js';
 import { matchRule } from './match-rule.js';
 import { parseRules } from './parse-rules.js';
 import type { Rule, RuleSubject } from './rule.js';
--- a/packages/core/src/rules/rule.ts
+++ b/packages/core/src/rules/rule.ts
@@ -1,4 +1,4 @@
-import type { Priority } from '../platform/index.js';
+import type { Priority } from '../ports/index.js';
 
 /** Whether a call may be dispatched more than once. */
 export enum RepeatPolicy {
--- a/packages/core/src/streams/answer-assembler.test.ts
+++ b/packages/core/src/streams/answer-assembler.test.ts
@@ -3,8 +3,8 @@
 
 import fc from 'fast-check';
 
-import type { EngineEvent } from '../platform/index.js';
-import { EngineEventKind, FinishReason } from '../platform/index.js';
+import type { EngineEvent } from '../ports/index.js';
+import { EngineEventKind, FinishReason } from '../ports/index.js';
 import { AnswerAssembler } from './answer-assembler.js';
 
 const SEED = 4;
--- a/packages/core/src/streams/answer-assembler.ts
+++ b/packages/core/src/streams/answer-assembler.ts
@@ -1,9 +1,5 @@
-import type {
-  EngineChunk,
-  EngineEvent,
-  EngineFinish,
-} from '../platform/index.js';
-import { EngineEventKind } from '../platform/index.js';
+import type { EngineChunk, EngineEvent, EngineFinish } from '../ports/index.js';
+import { EngineEventKind } from '../ports/index.js';
 
 /** Chunks held for an earlier one that is missing; more than this are dropped and asked for again. */
 const MAX_HELD_CHUNKS = 256;
--- a/packages/core/src/streams/reclaim-board.ts
+++ b/packages/core/src/streams/reclaim-board.ts
@@ -1,4 +1,4 @@
-import type { DataCentre, Endpoint, ReclaimNotice } from '../platform/index.js';
+import type { DataCentre, Endpoint, ReclaimNotice } from '../ports/index.js';
 
 /** Share of a data centre's known instances under notice from which all of it counts as doomed. */
 const DOOMED_SHARE = 0.5;
--- a/packages/core/src/streams/record-copies.test.ts
+++ b/packages/core/src/streams/record-copies.test.ts
@@ -4,8 +4,8 @@
 import fc from 'fast-check';
 
 import { Fault, MemoryPeers } from '../fakes/index.js';
-import type { DaemonIdentity } from '../platform/index.js';
-import { ManualClock, Priority, silentLog } from '../platform/index.js';
+import type { DaemonIdentity } from '../ports/index.js';
+import { ManualClock, Priority, silentLog } from '../ports/index.js';
 import { PeerList, RecordCopies, recordHolders } from './record-copies.js';
 import { RecordStore } from './record-store.js';
 import type { RequestRecord } from './request-record.js';
--- a/packages/core/src/streams/record-copies.ts
+++ b/packages/core/src/streams/record-copies.ts
@@ -6,8 +6,8 @@
   DataCentre,
   Log,
   Peer,
-} from '../platform/index.js';
-import { LogPart, PlatformError } from '../platform/index.js';
+} from '../ports/index.js';
+import { LogPart, PlatformError } from '../ports/index.js';
 import type { RequestName, RequestRecord } from './request-record.js';
 import { findRecordMethod, putRecordMethod } from './request-record.js';
 
--- a/packages/core/src/streams/request-record.ts
+++ b/packages/core/src/streams/request-record.ts
@@ -5,7 +5,7 @@
   EngineEventKind,
   FinishReason,
   Priority,
-} from '../platform/index.js';
+} from '../ports/index.js';
 
 const workSchema = z.object({
   requestId: z.string(),
--- a/packages/core/src/streams/resume-token.ts
+++ b/packages/core/src/streams/resume-token.ts
@@ -2,7 +2,7 @@
 
 import { z } from 'zod';
 
-import type { Address, Workspace } from '../platform/index.js';
+import type { Address, Workspace } from '../ports/index.js';
 
 /** Longest token that is looked at, in characters. */
 const MAX_TOKEN_CHARACTERS = 2_048;
--- a/packages/core/src/streams/silence-guard.ts
+++ b/packages/core/src/streams/silence-guard.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../platform/index.js';
+import type { Clock } from '../ports/index.js';
 
 const PAUSED_RECHECK_MS = 1_000;
 
--- a/packages/daemon/src/adapters/http-client.ts
+++ b/packages/daemon/src/adapters/http-client.ts
@@ -1,13 +1,13 @@
 import type { Dispatcher } from 'undici';
 import { Agent, request } from 'undici';
 
-import type { Address, Clock } from '@skylarkreach/core/platform';
+import type { Address, Clock } from '@skylarkreach/core/ports';
 import {
   AnswerLostError,
   NotFoundError,
   NotSentError,
   RefusedError,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MIN_TIMEOUT_MS = 1;
--- a/packages/daemon/src/adapters/http-cloud.ts
+++ b/packages/daemon/src/adapters/http-cloud.ts
@@ -8,14 +8,14 @@
   ReclaimNotice,
   StartRequest,
   StartResult,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import {
   EndpointKind,
   EndpointStage,
   InstanceBilling,
   InstanceState,
   StartOutcome,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 import type { HttpCall, HttpClient } from './http-client.js';
 
--- a/packages/daemon/src/adapters/http-engine.ts
+++ b/packages/daemon/src/adapters/http-engine.ts
@@ -11,14 +11,14 @@
   GenerateRequest,
   LoadReport,
   ResumeRequest,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import {
   CacheEventKind,
   EngineEventKind,
   FinishReason,
   OrderOutcome,
   StreamBrokenError,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 import type { HttpClient, HttpResponse } from './http-client.js';
 import { checkStatus } from './http-client.js';
--- a/packages/daemon/src/adapters/http-key-value.ts
+++ b/packages/daemon/src/adapters/http-key-value.ts
@@ -10,14 +10,14 @@
   PutResult,
   WatchRequest,
   WatchResult,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import {
   KeyValueUnavailableError,
   NotFoundError,
   NotSentError,
   PutOutcome,
   RefusedError,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 import type { HttpCall, HttpClient } from './http-client.js';
 
--- a/packages/daemon/src/adapters/http-service.ts
+++ b/packages/daemon/src/adapters/http-service.ts
@@ -6,12 +6,12 @@
   ServiceOutcome,
   ServiceRequest,
   ServiceResponse,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import {
   AnswerLostError,
   RefusedError,
   ServiceOutcomeKind,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 import type { HttpClient, HttpResponse } from './http-client.js';
 
--- a/packages/daemon/src/adapters/system-clock.ts
+++ b/packages/daemon/src/adapters/system-clock.ts
@@ -1,6 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
-import type { Clock } from '@skylarkreach/core/platform';
+import type { Clock } from '@skylarkreach/core/ports';
 
 /** Wall clock of the machine. */
 export class SystemClock implements Clock {
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -17,8 +17,8 @@
   RunEnd,
   workspaceOf,
 } from '@skylarkreach/core/pipeline';
-import type { Clock, Log, ServiceResponse } from '@skylarkreach/core/platform';
-import { LogPart } from '@skylarkreach/core/platform';
+import type { Clock, Log, ServiceResponse } from '@skylarkreach/core/ports';
+import { LogPart } from '@skylarkreach/core/ports';
 import type { ResumeTokens } from '@skylarkreach/core/streams';
 
 import type { OpenResponse, OpenResponses } from '../hand-off/index.js';
--- a/packages/daemon/src/callers/chat-body.ts
+++ b/packages/daemon/src/callers/chat-body.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
 import { notRun, RequestErrorKind } from '@skylarkreach/core/pipeline';
-import type { ChatMessage } from '@skylarkreach/core/platform';
+import type { ChatMessage } from '@skylarkreach/core/ports';
 
 const DEFAULT_MAX_TOKENS = 1_024;
 
--- a/packages/daemon/src/callers/chat-handler.ts
+++ b/packages/daemon/src/callers/chat-handler.ts
@@ -8,8 +8,8 @@
   RequestOutcome,
   RunEnd,
 } from '@skylarkreach/core/pipeline';
-import type { Clock, EngineEvent } from '@skylarkreach/core/platform';
-import { EngineEventKind } from '@skylarkreach/core/platform';
+import type { Clock, EngineEvent } from '@skylarkreach/core/ports';
+import { EngineEventKind } from '@skylarkreach/core/ports';
 import type { RequestName, ResumeTokens } from '@skylarkreach/core/streams';
 
 import type { OpenResponse, OpenResponses } from '../hand-off/index.js';
--- a/packages/daemon/src/callers/chat-response.ts
+++ b/packages/daemon/src/callers/chat-response.ts
@@ -1,4 +1,4 @@
-import type { EngineChunk, EngineFinish } from '@skylarkreach/core/platform';
+import type { EngineChunk, EngineFinish } from '@skylarkreach/core/ports';
 
 /** What every chunk and answer of one completion carries. */
 export interface CompletionHeader {
--- a/packages/daemon/src/callers/heartbeat.test.ts
+++ b/packages/daemon/src/callers/heartbeat.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import { ManualClock } from '@skylarkreach/core/platform';
+import { ManualClock } from '@skylarkreach/core/ports';
 
 import { Heartbeat, HEARTBEAT_INTERVAL_MS } from './heartbeat.js';
 
--- a/packages/daemon/src/callers/heartbeat.ts
+++ b/packages/daemon/src/callers/heartbeat.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@skylarkreach/core/platform';
+import type { Clock } from '@skylarkreach/core/ports';
 
 /** Longest time in which nothing is written to an open stream. */
 export const HEARTBEAT_INTERVAL_MS = 3_000;
--- a/packages/daemon/src/callers/problem.ts
+++ b/packages/daemon/src/callers/problem.ts
@@ -5,7 +5,7 @@
   RequestErrorKind,
   RequestOutcome,
 } from '@skylarkreach/core/pipeline';
-import type { Clock } from '@skylarkreach/core/platform';
+import type { Clock } from '@skylarkreach/core/ports';
 
 const PROBLEM_TYPE_PREFIX = 'urn:skylarkreach:problem:';
 const STOPPING_RETRY_MS = 1_000;
--- a/packages/daemon/src/callers/request-handler.ts
+++ b/packages/daemon/src/callers/request-handler.ts
@@ -10,7 +10,7 @@
   RequestOutcome,
   workspaceOf,
 } from '@skylarkreach/core/pipeline';
-import type { Clock } from '@skylarkreach/core/platform';
+import type { Clock } from '@skylarkreach/core/ports';
 import type {
   RequestName,
   ResumePoint,
--- a/packages/daemon/src/claims/create-claims.ts
+++ b/packages/daemon/src/claims/create-claims.ts
@@ -1,8 +1,8 @@
 import type { ClaimPeers } from '@skylarkreach/core/claims';
 import { ClaimWriter, JournalClaims } from '@skylarkreach/core/claims';
 import type { ServiceTraitsByGroup } from '@skylarkreach/core/pipeline';
-import type { Clock, KeyValue, Log, Random } from '@skylarkreach/core/platform';
-import { MAX_VALUE_BYTES } from '@skylarkreach/core/platform';
+import type { Clock, KeyValue, Log, Random } from '@skylarkreach/core/ports';
+import { MAX_VALUE_BYTES } from '@skylarkreach/core/ports';
 
 import type { Settings } from '../settings/index.js';
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,5 @@
-import type { Address, Clock } from '@skylarkreach/core/platform';
-import { LogPart } from '@skylarkreach/core/platform';
+import type { Address, Clock } from '@skylarkreach/core/ports';
+import { LogPart } from '@skylarkreach/core/ports';
 
 import { SystemClock } from './adapters/index.js';
 import { HttpListener } from './http/index.js';
--- a/packages/daemon/src/fleet/load-demand.ts
+++ b/packages/daemon/src/fleet/load-demand.ts
@@ -1,7 +1,7 @@
 import type { DemandSource } from '@skylarkreach/core/fleet';
 import { demandOf } from '@skylarkreach/core/fleet';
-import type { Address, Engine, LoadReport } from '@skylarkreach/core/platform';
-import { EndpointStage, PlatformError } from '@skylarkreach/core/platform';
+import type { Address, Engine, LoadReport } from '@skylarkreach/core/ports';
+import { EndpointStage, PlatformError } from '@skylarkreach/core/ports';
 import type { Router } from '@skylarkreach/core/routing';
 
 const CALL_TIMEOUT_MS = 1_000;
--- a/packages/daemon/src/fleet/wire-fleet.ts
+++ b/packages/daemon/src/fleet/wire-fleet.ts
@@ -9,8 +9,8 @@
   Log,
   Metrics,
   StateSource,
-} from '@skylarkreach/core/platform';
-import { EndpointStage, LogPart } from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
+import { EndpointStage, LogPart } from '@skylarkreach/core/ports';
 import type { Router } from '@skylarkreach/core/routing';
 import { LeavingSource } from '@skylarkreach/core/routing';
 
--- a/packages/daemon/src/hand-off/hand-off.ts
+++ b/packages/daemon/src/hand-off/hand-off.ts
@@ -1,6 +1,6 @@
 import type { LiveRuns } from '@skylarkreach/core/pipeline';
-import type { Clock, Log } from '@skylarkreach/core/platform';
-import { LogPart } from '@skylarkreach/core/platform';
+import type { Clock, Log } from '@skylarkreach/core/ports';
+import { LogPart } from '@skylarkreach/core/ports';
 import type {
   RecordCopies,
   RecordStore,
--- a/packages/daemon/src/hand-off/reclaim-watch.ts
+++ b/packages/daemon/src/hand-off/reclaim-watch.ts
@@ -1,4 +1,4 @@
-import type { Clock, Cloud } from '@skylarkreach/core/platform';
+import type { Clock, Cloud } from '@skylarkreach/core/ports';
 import type { ReclaimBoard } from '@skylarkreach/core/streams';
 
 import type { HandOff } from './hand-off.js';
--- a/packages/daemon/src/hand-off/survival.ts
+++ b/packages/daemon/src/hand-off/survival.ts
@@ -9,8 +9,8 @@
   Log,
   Peer,
   PeerRegistry,
-} from '@skylarkreach/core/platform';
-import { LogPart } from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
+import { LogPart } from '@skylarkreach/core/ports';
 import type { PeerDirectory, ResumeKey } from '@skylarkreach/core/streams';
 import {
   DEFAULT_STREAM_POLICY,
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, RequestListener, Server } from 'node:http';
 import { createServer } from 'node:http';
 
-import type { Address } from '@skylarkreach/core/platform';
+import type { Address } from '@skylarkreach/core/ports';
 
 export interface ListenerOptions {
   readonly address: Address;
--- a/packages/daemon/src/loops/endpoint-poll.ts
+++ b/packages/daemon/src/loops/endpoint-poll.ts
@@ -8,14 +8,14 @@
   FleetListing,
   Log,
   Price,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import {
   CacheEventKind,
   EndpointKind,
   EndpointStage,
   LogPart,
   PlatformError,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import type { Router } from '@skylarkreach/core/routing';
 import { LeavingSource } from '@skylarkreach/core/routing';
 
--- a/packages/daemon/src/loops/loop.ts
+++ b/packages/daemon/src/loops/loop.ts
@@ -1,5 +1,5 @@
-import type { Clock, Log } from '@skylarkreach/core/platform';
-import type { LogPart } from '@skylarkreach/core/platform';
+import type { Clock, Log } from '@skylarkreach/core/ports';
+import type { LogPart } from '@skylarkreach/core/ports';
 
 export interface LoopOptions {
   readonly name: string;
--- a/packages/daemon/src/loops/rule-watch.ts
+++ b/packages/daemon/src/loops/rule-watch.ts
@@ -1,6 +1,6 @@
 import type { SpreadStore, SpreadValue } from '@skylarkreach/core/membership';
-import type { Clock, KeyValue, Random } from '@skylarkreach/core/platform';
-import { AnswerLostError } from '@skylarkreach/core/platform';
+import type { Clock, KeyValue, Random } from '@skylarkreach/core/ports';
+import { AnswerLostError } from '@skylarkreach/core/ports';
 import { RULES_KEY } from '@skylarkreach/core/rules';
 
 const WATCH_TIMEOUT_MS = 2_000;
--- a/packages/daemon/src/membership/bound-identity.ts
+++ b/packages/daemon/src/membership/bound-identity.ts
@@ -1,4 +1,4 @@
-import type { Address, DaemonIdentity } from '@skylarkreach/core/platform';
+import type { Address, DaemonIdentity } from '@skylarkreach/core/ports';
 
 import type { Settings } from '../settings/index.js';
 
--- a/packages/daemon/src/membership/listing-seed.ts
+++ b/packages/daemon/src/membership/listing-seed.ts
@@ -1,5 +1,5 @@
 import type { SwimMembership } from '@skylarkreach/core/membership';
-import type { Clock, Cloud } from '@skylarkreach/core/platform';
+import type { Clock, Cloud } from '@skylarkreach/core/ports';
 
 const CALL_TIMEOUT_MS = 1_500;
 const MIN_INTERVAL_MS = 5_000;
--- a/packages/daemon/src/membership/membership-calls.ts
+++ b/packages/daemon/src/membership/membership-calls.ts
@@ -19,8 +19,8 @@
   Clock,
   DaemonIdentity,
   Peer,
-} from '@skylarkreach/core/platform';
-import { PlatformError } from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
+import { PlatformError } from '@skylarkreach/core/ports';
 
 import type { Spreader } from './spreader.js';
 
--- a/packages/daemon/src/membership/membership-methods.ts
+++ b/packages/daemon/src/membership/membership-methods.ts
@@ -6,7 +6,7 @@
   pushMethod,
   relayHeartbeatMethod,
 } from '@skylarkreach/core/membership';
-import type { PeerRegistry } from '@skylarkreach/core/platform';
+import type { PeerRegistry } from '@skylarkreach/core/ports';
 
 import type {
   MembershipCallParts,
--- a/packages/daemon/src/membership/membership-service.ts
+++ b/packages/daemon/src/membership/membership-service.ts
@@ -20,8 +20,8 @@
   PeerRegistry,
   Random,
   StateSource,
-} from '@skylarkreach/core/platform';
-import { LogPart } from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
+import { LogPart } from '@skylarkreach/core/ports';
 import type { RuleStore } from '@skylarkreach/core/rules';
 import { RULES_KEY } from '@skylarkreach/core/rules';
 
--- a/packages/daemon/src/membership/spreader.ts
+++ b/packages/daemon/src/membership/spreader.ts
@@ -18,8 +18,8 @@
   DaemonIdentity,
   Peer,
   Random,
-} from '@skylarkreach/core/platform';
-import { PlatformError } from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
+import { PlatformError } from '@skylarkreach/core/ports';
 
 const PUSH_TIMEOUT_MS = 500;
 const PULL_TIMEOUT_MS = 1_000;
--- a/packages/daemon/src/moves/kind-rate-meter.ts
+++ b/packages/daemon/src/moves/kind-rate-meter.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@skylarkreach/core/platform';
+import type { Clock } from '@skylarkreach/core/ports';
 
 const WINDOW_MS = 60_000;
 const MS_PER_SECOND = 1_000;
--- a/packages/daemon/src/moves/move-wiring.ts
+++ b/packages/daemon/src/moves/move-wiring.ts
@@ -13,8 +13,8 @@
   Peer,
   PeerRegistry,
   StateSource,
-} from '@skylarkreach/core/platform';
-import { LogPart } from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
+import { LogPart } from '@skylarkreach/core/ports';
 import type { RuleStore } from '@skylarkreach/core/rules';
 
 import { Loop } from '../loops/index.js';
--- a/packages/daemon/src/operators/move-calls.ts
+++ b/packages/daemon/src/operators/move-calls.ts
@@ -14,7 +14,7 @@
   parseMoveLine,
   StartMoveOutcome,
 } from '@skylarkreach/core/moves';
-import type { Clock } from '@skylarkreach/core/platform';
+import type { Clock } from '@skylarkreach/core/ports';
 import type { Rule, RuleStore } from '@skylarkreach/core/rules';
 import { RepeatPolicy } from '@skylarkreach/core/rules';
 
--- a/packages/daemon/src/operators/operator-server.ts
+++ b/packages/daemon/src/operators/operator-server.ts
@@ -1,8 +1,8 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import type { StateSource } from '@skylarkreach/core/platform';
-import { PlatformError } from '@skylarkreach/core/platform';
+import type { StateSource } from '@skylarkreach/core/ports';
+import { PlatformError } from '@skylarkreach/core/ports';
 
 import type { HttpHandler } from '../http/index.js';
 import { bearerToken, BodyError, HttpRouter, readBody } from '../http/index.js';
--- a/packages/daemon/src/operators/rule-calls.ts
+++ b/packages/daemon/src/operators/rule-calls.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 
-import type { Clock } from '@skylarkreach/core/platform';
+import type { Clock } from '@skylarkreach/core/ports';
 import type {
   EditResult,
   KnownNames,
--- a/packages/daemon/src/peers/http-peer.ts
+++ b/packages/daemon/src/peers/http-peer.ts
@@ -6,8 +6,8 @@
   Clock,
   Peer,
   PeerMethod,
-} from '@skylarkreach/core/platform';
-import { PeerMessageError } from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
+import { PeerMessageError } from '@skylarkreach/core/ports';
 
 import type { HttpClient } from '../adapters/index.js';
 import { MessageSealer } from './message-seal.js';
--- a/packages/daemon/src/peers/message-seal.ts
+++ b/packages/daemon/src/peers/message-seal.ts
@@ -1,6 +1,6 @@
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
 
-import type { Address, Clock } from '@skylarkreach/core/platform';
+import type { Address, Clock } from '@skylarkreach/core/ports';
 
 /** Header names of a sealed message. */
 export enum SealHeader {
--- a/packages/daemon/src/peers/peer-server.test.ts
+++ b/packages/daemon/src/peers/peer-server.test.ts
@@ -8,7 +8,7 @@
   definePeerMethod,
   ManualClock,
   silentMetrics,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 import { HttpClient, SystemClock } from '../adapters/index.js';
 import { HttpListener } from '../http/index.js';
--- a/packages/daemon/src/peers/peer-server.ts
+++ b/packages/daemon/src/peers/peer-server.ts
@@ -10,7 +10,7 @@
   PeerHandler,
   PeerMethod,
   PeerRegistry,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 import { BodyError, BodyErrorKind, readBody } from '../http/index.js';
 import { MessageVerifier, SealFault, SealHeader } from './message-seal.js';
--- a/packages/daemon/src/settings/fleet-settings.ts
+++ b/packages/daemon/src/settings/fleet-settings.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
 import { FencingCheck } from '@skylarkreach/core/fleet';
-import { EngineOrderKind } from '@skylarkreach/core/platform';
+import { EngineOrderKind } from '@skylarkreach/core/ports';
 
 const SECOND_MS = 1_000;
 const MINUTE_MS = 60 * SECOND_MS;
--- a/packages/daemon/src/telemetry/pino-log.ts
+++ b/packages/daemon/src/telemetry/pino-log.ts
@@ -1,7 +1,7 @@
 import type { Logger } from 'pino';
 import { pino } from 'pino';
 
-import type { Log, LogFields, LogPart } from '@skylarkreach/core/platform';
+import type { Log, LogFields, LogPart } from '@skylarkreach/core/ports';
 
 import type { LogLevel } from '../settings/index.js';
 
--- a/packages/daemon/src/telemetry/statsd-metrics.ts
+++ b/packages/daemon/src/telemetry/statsd-metrics.ts
@@ -1,7 +1,7 @@
 import { StatsD } from 'hot-shots';
 
-import type { Address, Metrics, MetricTags } from '@skylarkreach/core/platform';
-import { silentMetrics } from '@skylarkreach/core/platform';
+import type { Address, Metrics, MetricTags } from '@skylarkreach/core/ports';
+import { silentMetrics } from '@skylarkreach/core/ports';
 
 const METRIC_PREFIX = 'skylarkreach.';
 
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -22,8 +22,8 @@
   Metrics,
   Random,
   StateSource,
-} from '@skylarkreach/core/platform';
-import { LogPart, SeededRandom } from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
+import { LogPart, SeededRandom } from '@skylarkreach/core/ports';
 import { ExpectedFinishRouter } from '@skylarkreach/core/routing';
 import {
   revisionMethod,
--- a/packages/measure/src/claims/claims-kind.ts
+++ b/packages/measure/src/claims/claims-kind.ts
@@ -4,8 +4,8 @@
   JournalClaims,
   SingleKeyClaims,
 } from '@skylarkreach/core/claims';
-import type { Clock, KeyValue, Random } from '@skylarkreach/core/platform';
-import { MAX_VALUE_BYTES, silentLog } from '@skylarkreach/core/platform';
+import type { Clock, KeyValue, Random } from '@skylarkreach/core/ports';
+import { MAX_VALUE_BYTES, silentLog } from '@skylarkreach/core/ports';
 
 /** The ways of claiming that are compared. */
 export enum ClaimsKind {
--- a/packages/measure/src/claims/gate.ts
+++ b/packages/measure/src/claims/gate.ts
@@ -6,8 +6,8 @@
   PutRequest,
   PutResult,
   WatchResult,
-} from '@skylarkreach/core/platform';
-import { AnswerLostError } from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
+import { AnswerLostError } from '@skylarkreach/core/ports';
 
 /** A process that can be paused and killed between any two of its steps. */
 export class Gate {
--- a/packages/measure/src/claims/interleaving.ts
+++ b/packages/measure/src/claims/interleaving.ts
@@ -5,13 +5,13 @@
   MemoryKeyValue,
   MemoryPeers,
 } from '@skylarkreach/core/fakes';
-import type { ServiceResponse } from '@skylarkreach/core/platform';
+import type { ServiceResponse } from '@skylarkreach/core/ports';
 import {
   AnswerLostError,
   ManualClock,
   NotSentError,
   SeededRandom,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 import type { ClaimsKind } from './claims-kind.js';
 import { buildClaims } from './claims-kind.js';
--- a/packages/measure/src/claims/load-run.ts
+++ b/packages/measure/src/claims/load-run.ts
@@ -5,8 +5,8 @@
   MemoryKeyValue,
   MemoryPeers,
 } from '@skylarkreach/core/fakes';
-import type { KeyValue, ServiceResponse } from '@skylarkreach/core/platform';
-import { ManualClock, SeededRandom } from '@skylarkreach/core/platform';
+import type { KeyValue, ServiceResponse } from '@skylarkreach/core/ports';
+import { ManualClock, SeededRandom } from '@skylarkreach/core/ports';
 
 import type { ClaimsKind } from './claims-kind.js';
 import { buildClaims } from './claims-kind.js';
--- a/packages/measure/src/config/counting-key-value.ts
+++ b/packages/measure/src/config/counting-key-value.ts
@@ -8,7 +8,7 @@
   PutResult,
   WatchRequest,
   WatchResult,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 import type { TrafficCount } from './counting-peer.js';
 
--- a/packages/measure/src/config/counting-peer.ts
+++ b/packages/measure/src/config/counting-peer.ts
@@ -1,4 +1,4 @@
-import type { Address, Peer, PeerMethod } from '@skylarkreach/core/platform';
+import type { Address, Peer, PeerMethod } from '@skylarkreach/core/ports';
 
 /** Bytes of the request line and headers that the daemon's HTTP client sends. */
 const REQUEST_OVERHEAD_BYTES = 230;
--- a/packages/measure/src/config/simulated-fleet.ts
+++ b/packages/measure/src/config/simulated-fleet.ts
@@ -6,13 +6,13 @@
 } from '@skylarkreach/core/fakes';
 import type { PushMessage } from '@skylarkreach/core/membership';
 import { pushMethod } from '@skylarkreach/core/membership';
-import type { Address, DaemonIdentity } from '@skylarkreach/core/platform';
+import type { Address, DaemonIdentity } from '@skylarkreach/core/ports';
 import {
   ManualClock,
   SeededRandom,
   silentLog,
   silentMetrics,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import { RULES_KEY, rulesEntry, RuleStore } from '@skylarkreach/core/rules';
 import { MembershipService } from '@skylarkreach/daemon';
 import { MemoryCloud } from '@skylarkreach/stand-ins';
--- a/packages/measure/src/control/footprint.ts
+++ b/packages/measure/src/control/footprint.ts
@@ -2,8 +2,8 @@
 import { runInNewContext } from 'node:vm';
 
 import { SwimMembership } from '@skylarkreach/core/membership';
-import type { DaemonIdentity } from '@skylarkreach/core/platform';
-import { SeededRandom } from '@skylarkreach/core/platform';
+import type { DaemonIdentity } from '@skylarkreach/core/ports';
+import { SeededRandom } from '@skylarkreach/core/ports';
 
 const INSTANCES = 5;
 
--- a/packages/measure/src/control/socket-group.ts
+++ b/packages/measure/src/control/socket-group.ts
@@ -1,10 +1,10 @@
 import { MemoryKeyValue } from '@skylarkreach/core/fakes';
-import type { DaemonIdentity } from '@skylarkreach/core/platform';
+import type { DaemonIdentity } from '@skylarkreach/core/ports';
 import {
   SeededRandom,
   silentLog,
   silentMetrics,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import { RULES_KEY, rulesEntry, RuleStore } from '@skylarkreach/core/rules';
 import {
   HttpClient,
--- a/packages/measure/src/fleet/deployments.ts
+++ b/packages/measure/src/fleet/deployments.ts
@@ -1,5 +1,5 @@
 import type { FleetPolicy, MachineClass } from '@skylarkreach/core/fleet';
-import type { DataCentre } from '@skylarkreach/core/platform';
+import type { DataCentre } from '@skylarkreach/core/ports';
 
 /** Class of machines with its price on demand. */
 export interface PricedClass extends MachineClass {
--- a/packages/measure/src/fleet/gate.ts
+++ b/packages/measure/src/fleet/gate.ts
@@ -1,5 +1,5 @@
-import type { Clock, Random } from '@skylarkreach/core/platform';
-import { AnswerLostError, NotSentError } from '@skylarkreach/core/platform';
+import type { Clock, Random } from '@skylarkreach/core/ports';
+import { AnswerLostError, NotSentError } from '@skylarkreach/core/ports';
 
 const LOST_ANSWER_CHANCE = 0.02;
 const LOST_CALL_CHANCE = 0.01;
--- a/packages/measure/src/fleet/order-log.ts
+++ b/packages/measure/src/fleet/order-log.ts
@@ -5,8 +5,8 @@
   EngineInventory,
   EngineOrder,
   OrderOutcome,
-} from '@skylarkreach/core/platform';
-import { AnswerLostError } from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
+import { AnswerLostError } from '@skylarkreach/core/ports';
 import { ModelEngine } from '@skylarkreach/stand-ins';
 
 /** What an endpoint does with an order that arrives after its deadline. */
--- a/packages/measure/src/fleet/processes.ts
+++ b/packages/measure/src/fleet/processes.ts
@@ -6,16 +6,12 @@
 } from '@skylarkreach/core/fleet';
 import { FencingCheck, FleetManager } from '@skylarkreach/core/fleet';
 import { LeaseKeeper } from '@skylarkreach/core/leases';
-import type {
-  KeyValue,
-  ManualClock,
-  Random,
-} from '@skylarkreach/core/platform';
+import type { KeyValue, ManualClock, Random } from '@skylarkreach/core/ports';
 import {
   PlatformError,
   silentLog,
   silentMetrics,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 import { policyOf } from './deployments.js';
 import { Gate } from './gate.js';
--- a/packages/measure/src/fleet/run-strategy.ts
+++ b/packages/measure/src/fleet/run-strategy.ts
@@ -3,7 +3,7 @@
   FaultyKeyValue,
   MemoryKeyValue,
 } from '@skylarkreach/core/fakes';
-import { ManualClock, SeededRandom } from '@skylarkreach/core/platform';
+import { ManualClock, SeededRandom } from '@skylarkreach/core/ports';
 
 import type { FleetDeployment } from './deployments.js';
 import { policyOf } from './deployments.js';
--- a/packages/measure/src/fleet/strategies.ts
+++ b/packages/measure/src/fleet/strategies.ts
@@ -17,7 +17,7 @@
   SlotState,
   SpreadFleetPlanner,
 } from '@skylarkreach/core/fleet';
-import { InstanceBilling } from '@skylarkreach/core/platform';
+import { InstanceBilling } from '@skylarkreach/core/ports';
 
 export enum Strategy {
   Spread = 'skylarkreach',
--- a/packages/measure/src/fleet/trace.ts
+++ b/packages/measure/src/fleet/trace.ts
@@ -1,7 +1,7 @@
 import type { MachineClass, Pool } from '@skylarkreach/core/fleet';
 import { poolKey } from '@skylarkreach/core/fleet';
-import type { DataCentre, Price, Random } from '@skylarkreach/core/platform';
-import { InstanceBilling, SeededRandom } from '@skylarkreach/core/platform';
+import type { DataCentre, Price, Random } from '@skylarkreach/core/ports';
+import { InstanceBilling, SeededRandom } from '@skylarkreach/core/ports';
 
 import type { FleetDeployment } from './deployments.js';
 import { MACHINE_CLASSES } from './deployments.js';
--- a/packages/measure/src/fleet/world.ts
+++ b/packages/measure/src/fleet/world.ts
@@ -1,13 +1,13 @@
 import type { RequiredLoad } from '@skylarkreach/core/fleet';
 import { poolKey } from '@skylarkreach/core/fleet';
-import type { Instance, ManualClock } from '@skylarkreach/core/platform';
+import type { Instance, ManualClock } from '@skylarkreach/core/ports';
 import {
   EndpointKind,
   EndpointStage,
   EngineOrderKind,
   InstanceBilling,
   InstanceState,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import type { ModelEngine } from '@skylarkreach/stand-ins';
 import { MemoryCloud } from '@skylarkreach/stand-ins';
 
--- a/packages/measure/src/moves/fault-model.ts
+++ b/packages/measure/src/moves/fault-model.ts
@@ -1,4 +1,4 @@
-import type { Random } from '@skylarkreach/core/platform';
+import type { Random } from '@skylarkreach/core/ports';
 
 /** Kinds of moves that the experiment runs. */
 export enum MoveCase {
--- a/packages/measure/src/moves/move-world.ts
+++ b/packages/measure/src/moves/move-world.ts
@@ -12,7 +12,7 @@
   MoveController,
   startRecord,
 } from '@skylarkreach/core/moves';
-import type { Random } from '@skylarkreach/core/platform';
+import type { Random } from '@skylarkreach/core/ports';
 
 const LEASE_MS = 6_000;
 const LEASE_MARGIN_MS = 1_000;
--- a/packages/measure/src/moves/simulate-move.ts
+++ b/packages/measure/src/moves/simulate-move.ts
@@ -1,7 +1,7 @@
 import type { MoveSpec, RequestResult } from '@skylarkreach/core/moves';
 import { endFromMs, MoveState } from '@skylarkreach/core/moves';
-import type { Random } from '@skylarkreach/core/platform';
-import { SeededRandom } from '@skylarkreach/core/platform';
+import type { Random } from '@skylarkreach/core/ports';
+import { SeededRandom } from '@skylarkreach/core/ports';
 
 import type { MoveCase } from './fault-model.js';
 import {
--- a/packages/measure/src/overload/overload-experiment.ts
+++ b/packages/measure/src/overload/overload-experiment.ts
@@ -1,6 +1,6 @@
 import { FairAdmission } from '@skylarkreach/core/admission';
-import type { Clock } from '@skylarkreach/core/platform';
-import { SeededRandom } from '@skylarkreach/core/platform';
+import type { Clock } from '@skylarkreach/core/ports';
+import { SeededRandom } from '@skylarkreach/core/ports';
 import type { Router } from '@skylarkreach/core/routing';
 import {
   BudgetedRetryPolicy,
--- a/packages/measure/src/routing/baseline-routers.ts
+++ b/packages/measure/src/routing/baseline-routers.ts
@@ -1,5 +1,5 @@
-import type { Address, Endpoint } from '@skylarkreach/core/platform';
-import { promptBlockHashes } from '@skylarkreach/core/platform';
+import type { Address, Endpoint } from '@skylarkreach/core/ports';
+import { promptBlockHashes } from '@skylarkreach/core/ports';
 import type { Router, RouteRequest } from '@skylarkreach/core/routing';
 import {
   DEFAULT_EXPECTED_FINISH_OPTIONS,
--- a/packages/measure/src/routing/engine-model.ts
+++ b/packages/measure/src/routing/engine-model.ts
@@ -1,5 +1,5 @@
-import type { CacheEvent, LoadReport } from '@skylarkreach/core/platform';
-import { BLOCK_TOKENS, Priority } from '@skylarkreach/core/platform';
+import type { CacheEvent, LoadReport } from '@skylarkreach/core/ports';
+import { BLOCK_TOKENS, Priority } from '@skylarkreach/core/ports';
 import { PrefixCache } from '@skylarkreach/stand-ins';
 
 import type { EventLoop } from './event-loop.js';
--- a/packages/measure/src/routing/routing-experiment.ts
+++ b/packages/measure/src/routing/routing-experiment.ts
@@ -1,4 +1,4 @@
-import { SeededRandom } from '@skylarkreach/core/platform';
+import { SeededRandom } from '@skylarkreach/core/ports';
 import type { ExpectedFinishOptions, Router } from '@skylarkreach/core/routing';
 import {
   DEFAULT_EXPECTED_FINISH_OPTIONS,
--- a/packages/measure/src/routing/run-results.ts
+++ b/packages/measure/src/routing/run-results.ts
@@ -1,8 +1,8 @@
 import type { Histogram } from 'hdr-histogram-js';
 import { build } from 'hdr-histogram-js';
 
-import type { Workspace } from '@skylarkreach/core/platform';
-import { Priority } from '@skylarkreach/core/platform';
+import type { Workspace } from '@skylarkreach/core/ports';
+import { Priority } from '@skylarkreach/core/ports';
 
 import type { PrefillTotals } from './engine-model.js';
 import type { WorkItem } from './workload.js';
--- a/packages/measure/src/routing/simulation.ts
+++ b/packages/measure/src/routing/simulation.ts
@@ -1,10 +1,10 @@
 import type { Admission, AdmissionTicket } from '@skylarkreach/core/admission';
-import type { Address, Endpoint, Random } from '@skylarkreach/core/platform';
+import type { Address, Endpoint, Random } from '@skylarkreach/core/ports';
 import {
   EndpointKind,
   EndpointStage,
   SeededRandom,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import type { Attempt, Router, RouteRequest } from '@skylarkreach/core/routing';
 import { AttemptEnd } from '@skylarkreach/core/routing';
 
--- a/packages/measure/src/routing/workload.ts
+++ b/packages/measure/src/routing/workload.ts
@@ -1,10 +1,10 @@
-import type { Priority, Random, Workspace } from '@skylarkreach/core/platform';
+import type { Priority, Random, Workspace } from '@skylarkreach/core/ports';
 import {
   CHARACTERS_PER_TOKEN,
   estimateTokens,
   promptBlockHashes,
   SeededRandom,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 /** One request of a workload. */
 export interface WorkItem {
--- a/packages/measure/src/slopes/rule-probes.ts
+++ b/packages/measure/src/slopes/rule-probes.ts
@@ -1,4 +1,4 @@
-import { Priority } from '@skylarkreach/core/platform';
+import { Priority } from '@skylarkreach/core/ports';
 import {
   encodeRuleDocument,
   formatRule,
--- a/packages/measure/src/soak/soak-experiment.ts
+++ b/packages/measure/src/soak/soak-experiment.ts
@@ -1,5 +1,5 @@
-import type { Random } from '@skylarkreach/core/platform';
-import { SeededRandom } from '@skylarkreach/core/platform';
+import type { Random } from '@skylarkreach/core/ports';
+import { SeededRandom } from '@skylarkreach/core/ports';
 import type { ScenarioCallers, Violation } from '@skylarkreach/stand-ins';
 import {
   CallerPath,
--- a/packages/measure/src/soak/soak-faults.ts
+++ b/packages/measure/src/soak/soak-faults.ts
@@ -1,5 +1,5 @@
 import { Fault } from '@skylarkreach/core/fakes';
-import type { Clock, DataCentre, Random } from '@skylarkreach/core/platform';
+import type { Clock, DataCentre, Random } from '@skylarkreach/core/ports';
 import type {
   RunningDaemon,
   RunningEngine,
--- a/packages/measure/src/survive/deployment-waves.ts
+++ b/packages/measure/src/survive/deployment-waves.ts
@@ -1,5 +1,5 @@
 import { CallerClient } from '@skylarkreach/client';
-import { SeededRandom } from '@skylarkreach/core/platform';
+import { SeededRandom } from '@skylarkreach/core/ports';
 import { LogLevel } from '@skylarkreach/daemon';
 import {
   answerTokens,
--- a/packages/measure/src/survive/restart-baseline.ts
+++ b/packages/measure/src/survive/restart-baseline.ts
@@ -1,10 +1,10 @@
-import type { GenerateRequest } from '@skylarkreach/core/platform';
+import type { GenerateRequest } from '@skylarkreach/core/ports';
 import {
   EngineEventKind,
   estimateTokens,
   Priority,
   promptTextOf,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import type { RouteRequest } from '@skylarkreach/core/routing';
 import {
   DEFAULT_STREAM_POLICY,
--- a/packages/measure/src/survive/simulated-caller.ts
+++ b/packages/measure/src/survive/simulated-caller.ts
@@ -4,8 +4,8 @@
   RequestErrorKind,
   RequestOutcome,
 } from '@skylarkreach/core/pipeline';
-import type { Clock } from '@skylarkreach/core/platform';
-import { EngineEventKind } from '@skylarkreach/core/platform';
+import type { Clock } from '@skylarkreach/core/ports';
+import { EngineEventKind } from '@skylarkreach/core/ports';
 import type { ResumePoint } from '@skylarkreach/core/streams';
 import { ResumeTokens } from '@skylarkreach/core/streams';
 
--- a/packages/measure/src/survive/simulated-daemon.ts
+++ b/packages/measure/src/survive/simulated-daemon.ts
@@ -11,13 +11,13 @@
   RunEndedError,
   TokenDirectory,
 } from '@skylarkreach/core/pipeline';
-import type { DaemonIdentity, Service } from '@skylarkreach/core/platform';
+import type { DaemonIdentity, Service } from '@skylarkreach/core/ports';
 import {
   NotFoundError,
   SeededRandom,
   silentLog,
   silentMetrics,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import { rulesEntry, RuleStore } from '@skylarkreach/core/rules';
 import {
   DEFAULT_STREAM_POLICY,
--- a/packages/measure/src/survive/simulation.ts
+++ b/packages/measure/src/survive/simulation.ts
@@ -1,10 +1,10 @@
 import { MemoryPeers, scriptedAnswer } from '@skylarkreach/core/fakes';
-import type { DaemonIdentity } from '@skylarkreach/core/platform';
+import type { DaemonIdentity } from '@skylarkreach/core/ports';
 import {
   estimateTokens,
   promptTextOf,
   SeededRandom,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 import { restartUntilWhole } from './restart-baseline.js';
 import type { CallerResult } from './simulated-caller.js';
--- a/packages/measure/src/survive/trace.ts
+++ b/packages/measure/src/survive/trace.ts
@@ -3,12 +3,12 @@
 import type { ConnectionPlan } from '@skylarkreach/core/fakes';
 import { HEALTHY, StreamFault } from '@skylarkreach/core/fakes';
 import type { ModelCall } from '@skylarkreach/core/pipeline';
-import type { Endpoint, Random } from '@skylarkreach/core/platform';
+import type { Endpoint, Random } from '@skylarkreach/core/ports';
 import {
   EndpointKind,
   EndpointStage,
   SeededRandom,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 export const GROUP = 'model';
 export const DATA_CENTRES = ['north-1', 'north-2', 'north-3', 'north-4'];
--- a/packages/measure/src/survive/world.ts
+++ b/packages/measure/src/survive/world.ts
@@ -1,6 +1,6 @@
 import { ScriptedEngine } from '@skylarkreach/core/fakes';
-import type { Endpoint, ReclaimNotice } from '@skylarkreach/core/platform';
-import { ManualClock, SeededRandom } from '@skylarkreach/core/platform';
+import type { Endpoint, ReclaimNotice } from '@skylarkreach/core/ports';
+import { ManualClock, SeededRandom } from '@skylarkreach/core/ports';
 import { LeastInFlightRouter, LeavingSource } from '@skylarkreach/core/routing';
 import { ReclaimBoard } from '@skylarkreach/core/streams';
 
--- a/packages/stand-ins/src/cloud/cloud-server.ts
+++ b/packages/stand-ins/src/cloud/cloud-server.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
-import type { Address, Cloud } from '@skylarkreach/core/platform';
-import { InstanceBilling } from '@skylarkreach/core/platform';
+import type { Address, Cloud } from '@skylarkreach/core/ports';
+import { InstanceBilling } from '@skylarkreach/core/ports';
 import { HttpRouter } from '@skylarkreach/daemon';
 
 import { readText, sendJson, StandInServer } from '../http/index.js';
--- a/packages/stand-ins/src/cloud/fleet-loop.test.ts
+++ b/packages/stand-ins/src/cloud/fleet-loop.test.ts
@@ -4,7 +4,7 @@
 
 import { MemoryKeyValue } from '@skylarkreach/core/fakes';
 import { FencingCheck } from '@skylarkreach/core/fleet';
-import { InstanceBilling } from '@skylarkreach/core/platform';
+import { InstanceBilling } from '@skylarkreach/core/ports';
 import {
   Daemon,
   LogLevel,
--- a/packages/stand-ins/src/cloud/memory-cloud.ts
+++ b/packages/stand-ins/src/cloud/memory-cloud.ts
@@ -9,13 +9,13 @@
   ReclaimNotice,
   StartRequest,
   StartResult,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import {
   EndpointStage,
   InstanceState,
   NotSentError,
   StartOutcome,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 /** Cloud held in memory. Its list lags, its notices do not. */
 export class MemoryCloud implements Cloud {
--- a/packages/stand-ins/src/deployment/balancer.ts
+++ b/packages/stand-ins/src/deployment/balancer.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
 
-import type { Address } from '@skylarkreach/core/platform';
+import type { Address } from '@skylarkreach/core/ports';
 
 /** A caller's connection and the one to a daemon that it is joined to. */
 interface Link {
--- a/packages/stand-ins/src/deployment/daemon-settings.ts
+++ b/packages/stand-ins/src/deployment/daemon-settings.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 
-import type { Address } from '@skylarkreach/core/platform';
+import type { Address } from '@skylarkreach/core/ports';
 import type { LogLevel, Settings } from '@skylarkreach/daemon';
 import { settingsSchema } from '@skylarkreach/daemon';
 
--- a/packages/stand-ins/src/deployment/local-deployment.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.ts
@@ -5,13 +5,13 @@
   DataCentre,
   Endpoint,
   KeyValue,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import {
   EndpointKind,
   EndpointStage,
   InstanceBilling,
   InstanceState,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import { RULES_KEY, rulesEntry } from '@skylarkreach/core/rules';
 import type { BoundAddresses, Settings } from '@skylarkreach/daemon';
 import { Daemon, LogLevel, SystemClock } from '@skylarkreach/daemon';
--- a/packages/stand-ins/src/deployment/process-clock.ts
+++ b/packages/stand-ins/src/deployment/process-clock.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@skylarkreach/core/platform';
+import type { Clock } from '@skylarkreach/core/ports';
 
 /** Clock of one process of a deployment; a wait of a process that was killed never ends. */
 export class ProcessClock implements Clock {
--- a/packages/stand-ins/src/engine/answer-text.ts
+++ b/packages/stand-ins/src/engine/answer-text.ts
@@ -1,5 +1,5 @@
-import type { ChatMessage } from '@skylarkreach/core/platform';
-import { promptTextOf, SeededRandom } from '@skylarkreach/core/platform';
+import type { ChatMessage } from '@skylarkreach/core/ports';
+import { promptTextOf, SeededRandom } from '@skylarkreach/core/ports';
 
 const WORDS = [
   'the',
--- a/packages/stand-ins/src/engine/engine-server.ts
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -1,13 +1,13 @@
 import { request as sendRequest } from 'undici';
 import { z } from 'zod';
 
-import type { Address, EngineEvent } from '@skylarkreach/core/platform';
+import type { Address, EngineEvent } from '@skylarkreach/core/ports';
 import {
   EngineOrderKind,
   NotFoundError,
   Priority,
   RefusedError,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import type { HttpExchange } from '@skylarkreach/daemon';
 import { HttpRouter } from '@skylarkreach/daemon';
 
--- a/packages/stand-ins/src/engine/engine-stream.ts
+++ b/packages/stand-ins/src/engine/engine-stream.ts
@@ -2,11 +2,8 @@
   EngineEvent,
   FinishReason,
   GenerateRequest,
-} from '@skylarkreach/core/platform';
-import {
-  EngineEventKind,
-  StreamBrokenError,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
+import { EngineEventKind, StreamBrokenError } from '@skylarkreach/core/ports';
 
 export enum StreamEnd {
   Finished = 'finished',
--- a/packages/stand-ins/src/engine/model-engine.ts
+++ b/packages/stand-ins/src/engine/model-engine.ts
@@ -6,7 +6,7 @@
   EngineOrder,
   GenerateRequest,
   LoadReport,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 import {
   EngineOrderKind,
   estimateTokens,
@@ -17,7 +17,7 @@
   promptBlockHashes,
   promptTextOf,
   RefusedError,
-} from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
 
 import { answerTokens } from './answer-text.js';
 import { EngineStream, StreamEnd } from './engine-stream.js';
--- a/packages/stand-ins/src/engine/prefix-cache.ts
+++ b/packages/stand-ins/src/engine/prefix-cache.ts
@@ -1,5 +1,5 @@
-import type { CacheEvent } from '@skylarkreach/core/platform';
-import { BLOCK_TOKENS, CacheEventKind } from '@skylarkreach/core/platform';
+import type { CacheEvent } from '@skylarkreach/core/ports';
+import { BLOCK_TOKENS, CacheEventKind } from '@skylarkreach/core/ports';
 
 /** Events kept for readers; a reader that falls behind sees a gap. */
 const MAX_KEPT_EVENTS = 1_000;
--- a/packages/stand-ins/src/http/stand-in-server.ts
+++ b/packages/stand-ins/src/http/stand-in-server.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 
-import type { Address } from '@skylarkreach/core/platform';
+import type { Address } from '@skylarkreach/core/ports';
 import type { HttpRouter } from '@skylarkreach/daemon';
 import { HttpListener, readBody } from '@skylarkreach/daemon';
 
--- a/packages/stand-ins/src/key-value/key-value-server.ts
+++ b/packages/stand-ins/src/key-value/key-value-server.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
-import type { Address, KeyValue } from '@skylarkreach/core/platform';
-import { PlatformError } from '@skylarkreach/core/platform';
+import type { Address, KeyValue } from '@skylarkreach/core/ports';
+import { PlatformError } from '@skylarkreach/core/ports';
 import type { HttpExchange } from '@skylarkreach/daemon';
 import { HttpRouter } from '@skylarkreach/daemon';
 
--- a/packages/stand-ins/src/scenarios/evidence.ts
+++ b/packages/stand-ins/src/scenarios/evidence.ts
@@ -1,4 +1,4 @@
-import type { Address } from '@skylarkreach/core/platform';
+import type { Address } from '@skylarkreach/core/ports';
 
 import type { ServiceRun } from '../service/index.js';
 
--- a/packages/stand-ins/src/scenarios/platform-steps.ts
+++ b/packages/stand-ins/src/scenarios/platform-steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 
 import { Fault } from '@skylarkreach/core/fakes';
-import { InstanceBilling, StartOutcome } from '@skylarkreach/core/platform';
+import { InstanceBilling, StartOutcome } from '@skylarkreach/core/ports';
 
 import type { RunningDaemon } from '../deployment/index.js';
 import type { ScenarioContext } from './scenario-context.js';
--- a/packages/stand-ins/src/scenarios/scenario-callers.ts
+++ b/packages/stand-ins/src/scenarios/scenario-callers.ts
@@ -1,5 +1,5 @@
 import { CallerClient, Outcome, ProblemError } from '@skylarkreach/client';
-import type { Clock } from '@skylarkreach/core/platform';
+import type { Clock } from '@skylarkreach/core/ports';
 
 import { CALLER_TOKEN } from '../deployment/index.js';
 import { answerTokens } from '../engine/index.js';
--- a/packages/stand-ins/src/scenarios/scenario-operators.ts
+++ b/packages/stand-ins/src/scenarios/scenario-operators.ts
@@ -1,7 +1,7 @@
 import { request } from 'undici';
 import { z } from 'zod';
 
-import type { Address } from '@skylarkreach/core/platform';
+import type { Address } from '@skylarkreach/core/ports';
 
 import { OPERATOR_TOKEN } from '../deployment/index.js';
 import type { Trace } from './trace.js';
--- a/packages/stand-ins/src/scenarios/scenario-world.ts
+++ b/packages/stand-ins/src/scenarios/scenario-world.ts
@@ -1,6 +1,6 @@
 import type { Fault } from '@skylarkreach/core/fakes';
 import { FaultyKeyValue } from '@skylarkreach/core/fakes';
-import type { Address, DataCentre } from '@skylarkreach/core/platform';
+import type { Address, DataCentre } from '@skylarkreach/core/ports';
 import { LogLevel, SystemClock } from '@skylarkreach/daemon';
 
 import type {
--- a/packages/stand-ins/src/scenarios/trace.ts
+++ b/packages/stand-ins/src/scenarios/trace.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@skylarkreach/core/platform';
+import type { Clock } from '@skylarkreach/core/ports';
 
 export enum TraceKind {
   Fault = 'fault',
--- a/packages/stand-ins/src/service/plain-service.ts
+++ b/packages/stand-ins/src/service/plain-service.ts
@@ -2,8 +2,8 @@
   ServiceOutcome,
   ServiceRequest,
   ServiceResponse,
-} from '@skylarkreach/core/platform';
-import { ServiceOutcomeKind } from '@skylarkreach/core/platform';
+} from '@skylarkreach/core/ports';
+import { ServiceOutcomeKind } from '@skylarkreach/core/ports';
 
 /** One run of a call, kept so that a checker can count double runs. */
 export interface ServiceRun {
--- a/packages/stand-ins/src/service/service-server.ts
+++ b/packages/stand-ins/src/service/service-server.ts
@@ -1,6 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
-import type { Address } from '@skylarkreach/core/platform';
+import type { Address } from '@skylarkreach/core/ports';
 import type { HttpExchange } from '@skylarkreach/daemon';
 import { HttpRouter } from '@skylarkreach/daemon';
 
