Serve the users' platform: the whole path, thin, with its duties

One role on every edge instance. platform/ holds names, formats, calls and the settings template and decides nothing; the linter lets only gateway-wiring.ts meet it. New in core: forwarding (routes, attempts, streams by event id, allowances), hints between daemons, duties towards the platform. Membership and spreading are reused; their rules and cloud list are now parts that a daemon may lack.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,10 +6,11 @@
 /** Packages that each package may import; imports go downwards only. */
 const allowedPackages = {
   core: [],
+  platform: ['core'],
   client: [],
-  daemon: ['core'],
+  daemon: ['core', 'platform'],
   cli: ['core'],
-  'stand-ins': ['core', 'daemon', 'client'],
+  'stand-ins': ['core', 'daemon', 'client', 'platform'],
   measure: ['core', 'daemon', 'client', 'stand-ins'],
 };
 
@@ -25,6 +26,9 @@
   routing: ['ports', 'rules'],
   moves: ['ports', 'leases', 'membership', 'rules'],
   fleet: ['ports', 'leases', 'membership', 'routing'],
+  forwarding: ['ports', 'routing'],
+  hints: ['ports', 'forwarding'],
+  duties: ['ports', 'leases', 'forwarding', 'hints'],
   pipeline: [
     'ports',
     'rules',
@@ -63,13 +67,37 @@
   };
 }
 
+function sourcesOf(name) {
+  return name === 'platform'
+    ? 'platform/src/**/*.ts'
+    : `packages/${name}/src/**/*.ts`;
+}
+
 const packageRules = Object.keys(allowedPackages).map(name =>
-  restrict(
-    [`packages/${name}/src/**/*.ts`],
-    [indexOnly, ...packageBoundary(name)],
-  ),
+  restrict([sourcesOf(name)], [indexOnly, ...packageBoundary(name)]),
 );
 
+/** The platform's folder is met by the module that wires the parts alone. */
+const platformOnlyInWiring = {
+  files: ['packages/daemon/src/**/*.ts'],
+  ignores: ['packages/daemon/src/gateway/gateway-wiring.ts'],
+  rules: {
+    'no-restricted-imports': [
+      'error',
+      {
+        patterns: [
+          indexOnly,
+          ...packageBoundary('daemon'),
+          {
+            regex: '^@skylarkreach/platform(/|$)',
+            message: 'Only gateway-wiring.ts meets the platform.',
+          },
+        ],
+      },
+    ],
+  },
+};
+
 const featureRules = Object.keys(allowedFeatures).map(feature => {
   const others = Object.keys(allowedFeatures).filter(
     other => other !== feature && !allowedFeatures[feature].includes(other),
@@ -85,10 +113,10 @@
 });
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] },
   js.configs.recommended,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [
       ...tseslint.configs.strictTypeChecked,
       ...tseslint.configs.stylisticTypeChecked,
@@ -107,7 +135,7 @@
     },
   },
   {
-    files: ['packages/**/*.test.ts'],
+    files: ['packages/**/*.test.ts', 'platform/**/*.test.ts'],
     rules: {
       // node:test tracks the promises that describe and it return.
       '@typescript-eslint/no-floating-promises': 'off',
@@ -135,6 +163,7 @@
     },
   },
   ...packageRules,
+  platformOnlyInWiring,
   ...featureRules,
   prettier,
 );
--- /dev/null
+++ b/packages/core/src/duties/fleet-scaler.ts
@@ -0,0 +1,113 @@
+import type {
+  EndpointRecord,
+  ForwardGroup,
+  ScalingTraits,
+} from '../forwarding/index.js';
+import { EndpointState } from '../forwarding/index.js';
+import type { Clock, DataCentre, Log } from '../ports/index.js';
+import { LogPart, PlatformError } from '../ports/index.js';
+import type { DutyCalls, DutyProof, ScalingOrder } from './duty-calls.js';
+import { OrderOutcome } from './duty-calls.js';
+import { planFleet } from './fleet-plan.js';
+
+const CALL_TIMEOUT_MS = 800;
+/** Time after which an order that was accepted is given again. */
+const REPEAT_MS = 10_000; // an order may be lost with an instance that answered it
+/** Time after which endpoints that were not to be had are ordered again. */
+const UNAVAILABLE_MS = 1_500;
+
+export interface FleetScalerParts {
+  readonly clock: Clock;
+  readonly calls: DutyCalls;
+  readonly log: Log;
+  readonly groups: () => readonly ForwardGroup[];
+  readonly endpoints: () => readonly EndpointRecord[];
+  /** Requests in flight at a group's endpoints, of all daemons. */
+  readonly runningIn: (group: string) => number;
+}
+
+interface GivenOrder {
+  readonly count: number;
+  readonly nextAtMs: number;
+}
+
+/** Orders endpoints so that the load is carried at the least price. */
+export class FleetScaler {
+  private readonly given = new Map<string, GivenOrder>();
+  private fencingNumber: number | undefined;
+
+  constructor(private readonly parts: FleetScalerParts) {}
+
+  /** Gives the orders that are due. `proof` returns undefined once the duty is lost. */
+  async step(proof: () => DutyProof | undefined): Promise<void> {
+    const current = proof();
+    if (current === undefined) return;
+    if (this.fencingNumber !== current.fencingNumber) {
+      this.fencingNumber = current.fencingNumber;
+      this.given.clear();
+    }
+    for (const { name, scaling } of this.parts.groups()) {
+      if (scaling === undefined) continue;
+      for (const order of this.plan(name, scaling)) {
+        const still = proof();
+        if (still === undefined) return;
+        await this.give(order, still);
+      }
+    }
+  }
+
+  private plan(group: string, scaling: ScalingTraits): readonly ScalingOrder[] {
+    const { endpoints, runningIn } = this.parts;
+    const present = endpoints().filter(
+      each => each.group === group && each.state === EndpointState.Ready,
+    );
+    return planFleet({
+      scaling,
+      present,
+      running: runningIn(group),
+      isUnavailable: (dataCentre, isReclaimable) =>
+        this.isUnavailable(keyOf(group, dataCentre, isReclaimable)),
+    }).map(each => ({ group, ...each }));
+  }
+
+  private async give(order: ScalingOrder, proof: DutyProof): Promise<void> {
+    const { calls, clock, log } = this.parts;
+    const { count, dataCentre, group, isReclaimable } = order;
+    const key = keyOf(group, dataCentre, isReclaimable);
+    const before = this.given.get(key);
+    const nowMs = clock.nowMs();
+    const isSame = before === undefined ? false : before.count === count;
+    if (isSame && nowMs < (before?.nextAtMs ?? 0)) return;
+    const fields = { group, dataCentre, isReclaimable, count };
+    try {
+      const outcome = await calls.order(order, proof, nowMs + CALL_TIMEOUT_MS);
+      const isAccepted = outcome === OrderOutcome.Accepted;
+      const waitMs = isAccepted ? REPEAT_MS : UNAVAILABLE_MS;
+      this.given.set(key, { count, nextAtMs: nowMs + waitMs });
+      log.info(LogPart.Duties, 'Endpoints are ordered.', {
+        ...fields,
+        outcome,
+      });
+    } catch (error) {
+      if (!(error instanceof PlatformError)) throw error;
+      log.warn(LogPart.Duties, 'An order was not taken.', {
+        ...fields,
+        error: error.message,
+      });
+    }
+  }
+
+  private isUnavailable(key: string): boolean {
+    const nowMs = this.parts.clock.nowMs();
+    const given = this.given.get(key);
+    return given !== undefined && nowMs < given.nextAtMs && given.count < 0;
+  }
+}
+
+function keyOf(
+  group: string,
+  dataCentre: DataCentre,
+  isReclaimable: boolean,
+): string {
+  return `${group} ${dataCentre} ${String(isReclaimable)}`;
+}
--- /dev/null
+++ b/packages/core/src/forwarding/allowance-ledger.test.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import fc from 'fast-check';
+
+import { AllowanceLedger } from './allowance-ledger.js';
+import type { TokenRate } from './configuration.js';
+
+const SEED = 20_261_204;
+const RATE: TokenRate = {
+  tokensPerSecond: 100,
+  burstTokens: 200,
+  plainTokens: 1,
+};
+
+describe('AllowanceLedger', () => {
+  it('grants the burst, then what the rate brings back', () => {
+    const ledger = new AllowanceLedger();
+    assert.equal(ledger.take('a', RATE, 150, 0), undefined);
+    assert.equal(ledger.take('a', RATE, 150, 0), undefined);
+    assert.equal(ledger.take('a', RATE, 1, 0), 1_000);
+    assert.notEqual(ledger.take('a', RATE, 1, 999), undefined);
+    assert.equal(ledger.take('a', RATE, 150, 1_001), undefined);
+    assert.equal(ledger.take('b', RATE, 200, 1_001), undefined);
+  });
+
+  it('does not let small requests keep a large one out', () => {
+    const ledger = new AllowanceLedger();
+    assert.equal(ledger.take('a', RATE, 190, 0), undefined);
+    assert.equal(ledger.take('a', RATE, 180, 0), undefined);
+    assert.notEqual(ledger.take('a', RATE, 1, 0), undefined);
+  });
+
+  it('takes what peers have granted, once', () => {
+    const ledger = new AllowanceLedger();
+    assert.equal(ledger.take('a', RATE, 1, 0), undefined);
+    ledger.applyPeer('p/1', { a: 100 }, true);
+    ledger.applyPeer('p/1', { a: 100 }, true);
+    assert.equal(ledger.take('a', RATE, 99, 0), undefined);
+    assert.notEqual(ledger.take('a', RATE, 1, 0), undefined);
+  });
+
+  it('does not count what a longer-lived peer granted before it was known', () => {
+    const ledger = new AllowanceLedger();
+    assert.equal(ledger.take('a', RATE, 1, 0), undefined);
+    ledger.applyPeer('p/1', { a: 5_000 }, false);
+    assert.equal(ledger.take('a', RATE, 149, 0), undefined);
+    ledger.applyPeer('p/1', { a: 5_050 }, false);
+    assert.notEqual(ledger.take('a', RATE, 10, 0), undefined);
+  });
+
+  it('puts a lower limit in force at once', () => {
+    const ledger = new AllowanceLedger();
+    assert.equal(ledger.take('a', RATE, 10, 0), undefined);
+    const lower = { ...RATE, burstTokens: 20, tokensPerSecond: 10 };
+    assert.equal(ledger.take('a', lower, 20, 0), undefined);
+    assert.notEqual(ledger.take('a', lower, 1, 0), undefined);
+  });
+
+  it('keeps all daemons within the limit, whatever the order and loss of their news', () => {
+    const step = fc.record({
+      daemon: fc.nat(2),
+      tokens: fc.integer({ min: 1, max: 60 }),
+      passesMs: fc.nat(200),
+      /** Which of the two peers hear of it. */
+      heard: fc.tuple(fc.boolean(), fc.boolean()),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 60 }), steps => {
+        const ledgers = [0, 1, 2].map(() => new AllowanceLedger());
+        let nowMs = 0;
+        let granted = 0;
+        let unheard = 0;
+        for (const { daemon, heard, passesMs, tokens } of steps) {
+          nowMs += passesMs;
+          const ledger = ledgers[daemon];
+          if (ledger === undefined) continue;
+          for (const each of ledgers) each.take('a', RATE, 0, nowMs);
+          if (ledger.take('a', RATE, tokens, nowMs) !== undefined) continue;
+          granted += tokens;
+          const others = ledgers.filter(each => each !== ledger);
+          others.forEach((other, index) => {
+            if (heard[index] === true) {
+              other.applyPeer(`p/${daemon}`, ledger.granted(), true);
+            } else {
+              unheard += tokens;
+            }
+          });
+        }
+        const limit = RATE.burstTokens + (RATE.tokensPerSecond * nowMs) / 1_000;
+        // Each grant that a peer has not heard of can be granted there once more.
+        assert.ok(granted <= limit + unheard + 60);
+      }),
+      { seed: SEED },
+    );
+  });
+});
--- /dev/null
+++ b/packages/core/src/forwarding/configuration-store.ts
@@ -0,0 +1,58 @@
+import type { Workspace } from '../ports/index.js';
+import type {
+  Configuration,
+  ForwardGroup,
+  ForwardRoute,
+  ForwardWorkspace,
+} from './configuration.js';
+import { RouteTable } from './route-table.js';
+
+/** The configuration in force at this daemon. Its version only rises. */
+export class ConfigurationStore {
+  private configuration: Configuration | undefined;
+  private routeTable = new RouteTable([]);
+  private workspacesByKey = new Map<string, ForwardWorkspace>();
+  private workspacesByName = new Map<Workspace, ForwardWorkspace>();
+  private groupsByName = new Map<string, ForwardGroup>();
+
+  get current(): Configuration | undefined {
+    return this.configuration;
+  }
+
+  /** Version in force; 0 where none is known. */
+  get version(): number {
+    return this.configuration?.version ?? 0;
+  }
+
+  /** Puts a configuration in force; false where it is not newer than the present one. */
+  apply(next: Configuration): boolean {
+    if (next.version <= this.version) return false;
+    this.configuration = next;
+    this.routeTable = new RouteTable(next.routes);
+    const workspaces = next.workspaces ?? [];
+    this.workspacesByKey = new Map(
+      workspaces.flatMap(each => each.apiKeys.map(key => [key, each] as const)),
+    );
+    this.workspacesByName = new Map(
+      workspaces.map(each => [each.workspace, each]),
+    );
+    this.groupsByName = new Map(next.groups.map(each => [each.name, each]));
+    return true;
+  }
+
+  findRoute(host: string, target: string): ForwardRoute | undefined {
+    return this.routeTable.find(host, target);
+  }
+
+  findByKey(apiKey: string): ForwardWorkspace | undefined {
+    return this.workspacesByKey.get(apiKey);
+  }
+
+  findWorkspace(workspace: Workspace): ForwardWorkspace | undefined {
+    return this.workspacesByName.get(workspace);
+  }
+
+  findGroup(name: string): ForwardGroup | undefined {
+    return this.groupsByName.get(name);
+  }
+}
--- /dev/null
+++ b/packages/core/src/forwarding/event-splitter.test.ts
@@ -0,0 +1,66 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import fc from 'fast-check';
+
+import { EventSplitter } from './event-splitter.js';
+
+const SEED = 20_261_204;
+
+describe('EventSplitter', () => {
+  it('gives whole events with their ids and holds the rest back', () => {
+    const splitter = new EventSplitter();
+    const text = 'id: 1\ndata: a\n\ndata: b\nid:2\n\nid: 3\nda';
+    const events = splitter.push(Buffer.from(text));
+    assert.deepEqual(
+      events.map(event => [event.id, Buffer.from(event.bytes).toString()]),
+      [
+        ['1', 'id: 1\ndata: a\n\n'],
+        ['2', 'data: b\nid:2\n\n'],
+      ],
+    );
+    assert.equal(splitter.hasPartial, true);
+  });
+
+  it('knows lines that end in a carriage return', () => {
+    const splitter = new EventSplitter();
+    const [event] = splitter.push(Buffer.from('id: 7\r\ndata: x\r\n\r\n'));
+    assert.equal(event?.id, '7');
+    assert.equal(splitter.hasPartial, false);
+  });
+
+  it('changes no byte, however the stream is cut', () => {
+    const line = fc.stringMatching(/^[a-z:é ]{1,8}$/);
+    const block = fc.array(line, { minLength: 1, maxLength: 4 });
+    fc.assert(
+      fc.property(
+        fc.array(block, { minLength: 1, maxLength: 6 }),
+        fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 }),
+        (blocks, sizes) => {
+          const text = blocks.map(lines => `${lines.join('\n')}\n\n`).join('');
+          const bytes = Buffer.from(text);
+          const splitter = new EventSplitter();
+          const events = cut(bytes, sizes).flatMap(chunk => [
+            ...splitter.push(chunk),
+          ]);
+          const joined = Buffer.concat(events.map(event => event.bytes));
+          assert.deepEqual(joined, bytes);
+          assert.equal(events.length, blocks.length);
+          assert.equal(splitter.hasPartial, false);
+        },
+      ),
+      { seed: SEED },
+    );
+  });
+});
+
+function cut(bytes: Buffer, sizes: readonly number[]): readonly Buffer[] {
+  const chunks: Buffer[] = [];
+  let start = 0;
+  for (let turn = 0; start < bytes.length; turn += 1) {
+    const size = sizes[turn % sizes.length] ?? 1;
+    chunks.push(bytes.subarray(start, start + size));
+    start += size;
+  }
+  return chunks;
+}
--- /dev/null
+++ b/packages/core/src/forwarding/fakes/index.ts
@@ -0,0 +1,4 @@
+export * from './plain-protocol.js';
+export * from './recording-sink.js';
+export * from './samples.js';
+export * from './scripted-upstream.js';
--- /dev/null
+++ b/packages/core/src/forwarding/fakes/recording-sink.ts
@@ -0,0 +1,29 @@
+import type { RawHeaders } from '../index.js';
+import type { AnswerSink } from '../index.js';
+
+/** Keeps what a caller is sent. */
+export class RecordingSink implements AnswerSink {
+  status: number | undefined;
+  headers: RawHeaders = [];
+  text = '';
+  isEnded = false;
+  isDestroyed = false;
+
+  begin(status: number, headers: RawHeaders): void {
+    this.status = status;
+    this.headers = headers;
+  }
+
+  write(bytes: Uint8Array): Promise<void> {
+    this.text += Buffer.from(bytes).toString('utf8');
+    return Promise.resolve();
+  }
+
+  end(): void {
+    this.isEnded = true;
+  }
+
+  destroy(): void {
+    this.isDestroyed = true;
+  }
+}
--- /dev/null
+++ b/packages/core/src/forwarding/fakes/samples.ts
@@ -0,0 +1,93 @@
+import type { Configuration, ForwardRoute } from '../index.js';
+import type { EndpointRecord } from '../index.js';
+import type { AnswerTraits } from '../index.js';
+import { RouteType } from '../index.js';
+import { EndpointState } from '../index.js';
+
+/** Host of the sample routes. */
+export const SAMPLE_HOST = 'a.example';
+
+/** A route of look-ups that may be tried twice. */
+export function sampleRoute(changes: Partial<ForwardRoute> = {}): ForwardRoute {
+  return {
+    name: 'lookups',
+    host: SAMPLE_HOST,
+    pathPrefix: '/lookups/',
+    type: RouteType.Idempotent,
+    targets: [{ group: 'ledger', weight: 1 }],
+    timeoutMs: 1_000,
+    latencyObjectiveMs: 100,
+    maxGapMs: undefined,
+    priority: 0,
+    maxAttempts: 2,
+    isPublic: false,
+    isResumable: false,
+    ...changes,
+  };
+}
+
+/** A configuration with one workspace and the routes given. */
+export function sampleConfigurationOf(
+  routes: readonly ForwardRoute[],
+  changes: Partial<Configuration> = {},
+): Configuration {
+  return {
+    version: 1,
+    routes,
+    groups: [],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 65_536,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    workspaces: [
+      {
+        workspace: 'kowhai',
+        apiKeys: ['key-1'],
+        priority: undefined,
+        tokenRate: undefined,
+      },
+    ],
+    ...changes,
+  };
+}
+
+/** An endpoint of the group `ledger` that takes work. */
+export function sampleEndpoint(
+  id: string,
+  changes: Partial<EndpointRecord> = {},
+): EndpointRecord {
+  return {
+    id,
+    address: `10.0.0.${id.length}:80`,
+    group: 'ledger',
+    dataCentre: 'north-1',
+    version: 'v1',
+    slots: 4,
+    state: EndpointState.Ready,
+    coldRemainingMs: 0,
+    isReclaimable: false,
+    leavesInMs: undefined,
+    bornAtMs: 1,
+    ...changes,
+  };
+}
+
+/** Traits of a whole answer to the request. */
+export function answerTraits(
+  requestId: string,
+  changes: Partial<AnswerTraits> = {},
+): AnswerTraits {
+  return {
+    requestId,
+    isNotRun: false,
+    isMisdirected: false,
+    isSigned: true,
+    isEncoded: false,
+    isEventStream: false,
+    closes: false,
+    load: undefined,
+    ...changes,
+  };
+}
--- a/packages/core/src/leases/lease-keeper.ts
+++ b/packages/core/src/leases/lease-keeper.ts
@@ -66,6 +66,11 @@
     }
   }
 
+  /** No longer uses the lease, and takes a new one at the next renewal. */
+  forget(): void {
+    this.lease = undefined;
+  }
+
   /** Gives the lease back, so that another can take it at once. */
   async release(): Promise<void> {
     const { lease } = this;
--- a/packages/core/src/ports/index.ts
+++ b/packages/core/src/ports/index.ts
@@ -2,6 +2,7 @@
 export * from './cloud.js';
 export * from './engine.js';
 export * from './errors.js';
+export * from './json-http.js';
 export * from './key-value.js';
 export * from './peer.js';
 export * from './prompt-blocks.js';
--- a/packages/core/src/ports/key-value.ts
+++ b/packages/core/src/ports/key-value.ts
@@ -78,3 +78,9 @@
   /** Ends a lease early; no effect where the holder no longer has it. */
   releaseLease(lease: Lease, deadlineAtMs: number): Promise<void>;
 }
+
+/** Reads every entry under a prefix together with the revision that they are of. */
+export interface SnapshotReader {
+  /** Throws as `KeyValue` does. */
+  readPrefix(prefix: string, deadlineAtMs: number): Promise<WatchResult>;
+}
--- a/packages/core/src/ports/telemetry.ts
+++ b/packages/core/src/ports/telemetry.ts
@@ -10,6 +10,9 @@
   Moves = 'moves',
   Membership = 'membership',
   Fleet = 'fleet',
+  Forwarding = 'forwarding',
+  Configuration = 'configuration',
+  Duties = 'duties',
 }
 
 export type LogFields = Readonly<Record<string, string | number | boolean>>;
--- a/packages/core/src/routing/retry-budget.ts
+++ b/packages/core/src/routing/retry-budget.ts
@@ -3,6 +3,8 @@
   readonly share: number;
   /** Largest number of repeats that can be saved up. */
   readonly maxSaved: number;
+  /** Repeats that a new budget holds; none where absent. */
+  readonly initialSaved?: number;
 }
 
 export const DEFAULT_RETRY_BUDGET: RetryBudgetOptions = {
@@ -15,9 +17,11 @@
  * retries cannot multiply the load of endpoints that are failing.
  */
 export class RetryBudget {
-  private saved = 0;
+  private saved: number;
 
-  constructor(private readonly options = DEFAULT_RETRY_BUDGET) {}
+  constructor(private readonly options = DEFAULT_RETRY_BUDGET) {
+    this.saved = options.initialSaved ?? 0;
+  }
 
   recordFirstAttempt(): void {
     const { maxSaved, share } = this.options;
--- a/packages/daemon/src/adapters/http-client.ts
+++ b/packages/daemon/src/adapters/http-client.ts
@@ -1,7 +1,13 @@
 import type { Dispatcher } from 'undici';
 import { Agent, request } from 'undici';
 
-import type { Address, Clock } from '@skylarkreach/core/ports';
+import type {
+  Address,
+  Clock,
+  JsonAnswer,
+  JsonCall,
+  JsonHttp,
+} from '@skylarkreach/core/ports';
 import {
   AnswerLostError,
   NotFoundError,
@@ -36,7 +42,7 @@
 export type HttpResponse = Dispatcher.ResponseData;
 
 /** HTTP calls with a deadline, whose failures tell whether a byte was sent. */
-export class HttpClient {
+export class HttpClient implements JsonHttp {
   private readonly shared = new Agent({
     connect: { timeout: CONNECT_TIMEOUT_MS },
     headersTimeout: 0,
@@ -58,7 +64,10 @@
   async send(call: HttpCall): Promise<HttpResponse> {
     const remainingMs = call.deadlineAtMs - this.clock.nowMs();
     const timeout = AbortSignal.timeout(
-      Math.min(Math.max(remainingMs, MIN_TIMEOUT_MS), MAX_TIMEOUT_MS),
+      Math.min(
+        Math.max(Math.ceil(remainingMs), MIN_TIMEOUT_MS),
+        MAX_TIMEOUT_MS,
+      ),
     );
     const closing = new AbortController();
     const signals = [timeout, closing.signal];
@@ -95,6 +104,24 @@
     }
   }
 
+  async exchange(call: JsonCall): Promise<JsonAnswer> {
+    const { body, ...rest } = call;
+    const response = await this.send({
+      ...rest,
+      ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+    });
+    try {
+      const text = await response.body.text();
+      const answer: unknown = text === '' ? undefined : JSON.parse(text);
+      return { status: response.statusCode, body: answer };
+    } catch (error) {
+      throw new AnswerLostError(
+        `The answer of ${call.address} was cut off or is not JSON.`,
+        { cause: error },
+      );
+    }
+  }
+
   /** Ends every call; an agent by itself leaves calls on fresh connections waiting. */
   async close(): Promise<void> {
     for (const closing of this.waiting) closing.abort();
@@ -120,13 +147,20 @@
   throw new AnswerLostError(`${address} answered with status ${statusCode}.`);
 }
 
+/** Whether an error of undici is of the connect phase, in which no byte of a request is written. */
+export function isConnectError(error: unknown): boolean {
+  const isCoded = error instanceof Error && 'code' in error;
+  return isCoded && CONNECT_ERROR_CODES.has(String(error.code));
+}
+
 function toPlatformError(address: Address, error: unknown): Error {
-  const code =
-    error instanceof Error && 'code' in error ? String(error.code) : '';
-  if (CONNECT_ERROR_CODES.has(code)) {
-    return new NotSentError(`${address} cannot be reached (${code}).`, {
-      cause: error,
-    });
+  if (isConnectError(error)) {
+    return new NotSentError(
+      `${address} cannot be reached (${String(error)}).`,
+      {
+        cause: error,
+      },
+    );
   }
   return new AnswerLostError(
     `The call to ${address} got no answer (${String(error)}).`,
--- a/packages/daemon/src/adapters/system-clock.ts
+++ b/packages/daemon/src/adapters/system-clock.ts
@@ -2,18 +2,26 @@
 
 import type { Clock } from '@skylarkreach/core/ports';
 
+/** Longest delay that a Node.js timer takes. */
+const MAX_TIMER_MS = 2_147_483_647;
+
 /** Wall clock of the machine. */
 export class SystemClock implements Clock {
   nowMs(): number {
     return Date.now();
   }
 
-  async waitUntil(atMs: number, signal?: AbortSignal): Promise<void> {
-    const remainingMs = atMs - Date.now();
-    if (remainingMs <= 0) return;
-    await delay(Math.min(remainingMs, MAX_TIMER_MS), undefined, { signal });
+  waitUntil(atMs: number, signal?: AbortSignal): Promise<void> {
+    return waitMs(atMs - Date.now(), signal);
   }
 }
 
-/** Longest delay that a Node.js timer takes. */
-const MAX_TIMER_MS = 2_147_483_647;
+/** Waits by a timer; rejects with the signal's reason when it is aborted first. */
+export async function waitMs(
+  remainingMs: number,
+  signal?: AbortSignal,
+): Promise<void> {
+  if (remainingMs <= 0) return;
+  const delayMs = Math.min(Math.ceil(remainingMs), MAX_TIMER_MS);
+  await delay(delayMs, undefined, { signal });
+}
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -34,17 +34,8 @@
   }
 
   /** Starts to listen; returns the address, with the port chosen where it was 0. */
-  async listen(): Promise<Address> {
-    const [host, port] = this.options.address.split(':');
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(Number(port), host, resolve);
-    });
-    const bound = this.server.address();
-    if (bound === null || typeof bound === 'string') {
-      throw new Error(`The server on ${this.options.address} has no port.`);
-    }
-    return `${bound.address}:${bound.port}`;
+  listen(): Promise<Address> {
+    return listenOn(this.server, this.options.address);
   }
 
   /** Stops taking connections and resolves once every request has ended. */
@@ -72,6 +63,23 @@
   }
 }
 
+/** Binds a server; returns the address, with the port chosen where it was 0. */
+export async function listenOn(
+  server: Server,
+  address: Address,
+): Promise<Address> {
+  const [host, port] = address.split(':');
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(port), host, resolve);
+  });
+  const bound = server.address();
+  if (bound === null || typeof bound === 'string') {
+    throw new Error(`The server on ${address} has no port.`);
+  }
+  return `${bound.address}:${bound.port}`;
+}
+
 /** The token of an `Authorization: Bearer` header. */
 export function bearerToken(request: IncomingMessage): string | undefined {
   const header = request.headers.authorization;
--- a/packages/daemon/src/http/read-body.ts
+++ b/packages/daemon/src/http/read-body.ts
@@ -24,11 +24,19 @@
   readonly timeout: AbortSignal;
 }
 
-/** Reads a body of bounded size in bounded time. Throws `BodyError`. */
-export function readBody(
+/** Reads a text of bounded size in bounded time. Throws `BodyError`. */
+export async function readBody(
   request: IncomingMessage,
   limits: BodyLimits,
 ): Promise<string> {
+  return (await readBytes(request, limits)).toString('utf8');
+}
+
+/** Reads a body of bounded size in bounded time. Throws `BodyError`. */
+export function readBytes(
+  request: IncomingMessage,
+  limits: BodyLimits,
+): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
@@ -58,10 +66,12 @@
     });
     request.on('end', () => {
       limits.timeout.removeEventListener('abort', onTimeout);
-      resolve(Buffer.concat(chunks).toString('utf8'));
+      resolve(Buffer.concat(chunks));
     });
-    request.on('error', () => {
+    const onCut = () => {
       fail(BodyErrorKind.CutOff, 'The connection closed within the body.');
-    });
+    };
+    request.on('error', onCut);
+    request.on('close', onCut);
   });
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,6 @@
 export * from './adapters/index.js';
 export * from './daemon.js';
+export * from './gateway/index.js';
 export * from './http/index.js';
 export * from './loops/index.js';
 export * from './membership/index.js';
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -2,7 +2,9 @@
 import sade from 'sade';
 
 import { Daemon } from './daemon.js';
-import { loadSettings, SettingsError } from './settings/index.js';
+import { Gateway } from './gateway/index.js';
+import type { AnySettings } from './settings/index.js';
+import { loadAnySettings, SettingsError } from './settings/index.js';
 
 const EXIT_BAD_SETTINGS = 2;
 
@@ -10,6 +12,12 @@
   readonly settings?: string;
 }
 
+/** What runs until it is stopped. */
+interface Stoppable {
+  start(): Promise<unknown>;
+  stop(): Promise<void>;
+}
+
 sade('skylarkreachd', true)
   .describe('Runs one daemon until it receives SIGINT or SIGTERM.')
   .option('--settings', 'YAML file with the settings of this daemon')
@@ -23,17 +31,21 @@
     process.exitCode = EXIT_BAD_SETTINGS;
     return;
   }
-  const daemon = createDaemon(file);
-  if (daemon === undefined) return;
+  const settings = readSettings(file);
+  if (settings === undefined) return;
+  const daemon: Stoppable =
+    'gateway' in settings
+      ? new Gateway(settings.gateway)
+      : new Daemon(settings.own);
   await daemon.start();
   const stop = () => void daemon.stop();
   process.once('SIGINT', stop);
   process.once('SIGTERM', stop);
 }
 
-function createDaemon(file: string): Daemon | undefined {
+function readSettings(file: string): AnySettings | undefined {
   try {
-    return new Daemon(loadSettings(file));
+    return loadAnySettings(file);
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error;
     console.error(error.message);
--- a/packages/daemon/src/membership/membership-calls.ts
+++ b/packages/daemon/src/membership/membership-calls.ts
@@ -51,7 +51,7 @@
         void this.probeThrough(action);
         return;
       case MembershipActionKind.Join:
-        void this.join(action.target);
+        void this.join(action.target.peerAddress);
         return;
     }
   }
@@ -70,7 +70,7 @@
       const { confirmedAgeMs, digest, incarnation, updates } = answer;
       this.parts.swim.answered(target, incarnation, updates, clock.nowMs());
       const isComplete = await this.parts.spreader.fetchMissing(
-        target,
+        target.peerAddress,
         digest ?? [],
       );
       if (isComplete && confirmedAgeMs !== undefined) {
@@ -104,19 +104,19 @@
     }
   }
 
-  /** Asks a daemon for the members and values that it holds. */
-  async join(target: DaemonIdentity): Promise<void> {
+  /** Asks the daemon at an address for the members and values that it holds. */
+  async join(peerAddress: Address): Promise<void> {
     const { clock, peer } = this.parts;
     const { incarnation, self } = this.parts.swim;
     try {
       const answer = await peer.call(
-        target.peerAddress,
+        peerAddress,
         joinMethod,
         { from: self, incarnation },
         clock.nowMs() + JOIN_TIMEOUT_MS,
       );
       this.parts.swim.takeRoster(answer.roster, clock.nowMs());
-      await this.parts.spreader.fetchMissing(target, answer.digest);
+      await this.parts.spreader.fetchMissing(peerAddress, answer.digest);
     } catch (error) {
       // Another target is asked until one has answered.
       if (!(error instanceof PlatformError)) throw error;
--- a/packages/daemon/src/membership/membership-methods.ts
+++ b/packages/daemon/src/membership/membership-methods.ts
@@ -24,7 +24,7 @@
   registry.handle(probeMethod, message => {
     const { digest, from, incarnation, updates } = message;
     swim.heardFrom(from, incarnation, updates, clock.nowMs());
-    void spreader.fetchMissing(from, digest);
+    void spreader.fetchMissing(from.peerAddress, digest);
     return Promise.resolve(calls.probeAnswer(from.id, digest));
   });
   registry.handle(probeThroughMethod, ({ deadlineAtMs, target }) =>
--- a/packages/daemon/src/membership/membership-service.ts
+++ b/packages/daemon/src/membership/membership-service.ts
@@ -9,8 +9,8 @@
   SwimMembership,
 } from '@skylarkreach/core/membership';
 import type {
+  Address,
   Clock,
-  Cloud,
   DaemonIdentity,
   DataCentre,
   KeyValue,
@@ -26,6 +26,7 @@
 import { RULES_KEY } from '@skylarkreach/core/rules';
 
 import { Loop, RuleWatch } from '../loops/index.js';
+import type { SeedSource } from './listing-seed.js';
 import { ListingSeed } from './listing-seed.js';
 import { MembershipCalls } from './membership-calls.js';
 import { addMembershipMethods } from './membership-methods.js';
@@ -42,9 +43,15 @@
   readonly metrics: Metrics;
   readonly peer: Peer;
   readonly registry: PeerRegistry;
+  readonly seeds: SeedSource;
+  /** Rules to follow and spread; undefined where the daemon has none. */
+  readonly rules?: FollowedRules;
+}
+
+/** The rule file in the key-value service and its copy in this process. */
+export interface FollowedRules {
   readonly keyValue: KeyValue;
-  readonly cloud: Cloud;
-  readonly rules: RuleStore;
+  readonly store: RuleStore;
 }
 
 /** What the operators' status shows of membership and spreading. */
@@ -65,7 +72,7 @@
   readonly store = new SpreadStore();
   readonly relayRole: RelayRole;
   readonly spreader: Spreader;
-  private readonly watch: RuleWatch;
+  private readonly watch: RuleWatch | undefined;
   private readonly seed: ListingSeed;
   private readonly calls: MembershipCalls;
   private relayChanges = -1;
@@ -76,19 +83,14 @@
     identity: DaemonIdentity,
     private readonly parts: MembershipServiceParts,
   ) {
-    const { clock, cloud, peer, random } = parts;
+    const { clock, peer, random, rules, seeds } = parts;
     this.swim = new SwimMembership(identity, random, clock.nowMs());
     this.relayRole = new RelayRole(identity);
     this.spreader = new Spreader(this.store, this.swim, peer, clock, random);
-    this.watch = new RuleWatch({
-      ...parts,
-      store: this.store,
-      isActing: () => this.relayRole.isActing(),
-      publish: value => this.spreader.publishWatched(value),
-    });
-    this.seed = new ListingSeed(cloud, this.swim, clock);
+    this.watch = rules && this.createWatch(rules);
+    this.seed = new ListingSeed(seeds, this.swim, clock);
     this.store.onValue(value => {
-      if (value.key === RULES_KEY) parts.rules.apply(value);
+      if (value.key === RULES_KEY) rules?.store.apply(value);
     });
     const callParts = {
       ...parts,
@@ -122,7 +124,7 @@
 
   /** Takes the newest rules from the key-value service and from peers, whichever answers. */
   async prime(): Promise<void> {
-    await Promise.allSettled([this.watch.readNow(), this.primeFromPeers()]);
+    await Promise.allSettled([this.watch?.readNow(), this.primeFromPeers()]);
   }
 
   /** Tells peers that this daemon stops. */
@@ -151,10 +153,27 @@
     };
   }
 
+  private createWatch({ keyValue }: FollowedRules): RuleWatch {
+    return new RuleWatch({
+      ...this.parts,
+      keyValue,
+      store: this.store,
+      isActing: () => this.relayRole.isActing(),
+      publish: value => this.spreader.publishWatched(value),
+    });
+  }
+
+  /** Asks the daemon at an address for the members and values that it knows. */
+  joinAt(peerAddress: Address): Promise<void> {
+    return this.calls.join(peerAddress);
+  }
+
   private async primeFromPeers(): Promise<void> {
     await this.seed.readNow();
     const targets = this.swim.listedPeers(PRIME_TARGETS);
-    await Promise.allSettled(targets.map(target => this.calls.join(target)));
+    await Promise.allSettled(
+      targets.map(target => this.calls.join(target.peerAddress)),
+    );
   }
 
   private createLoops(): readonly Loop[] {
@@ -166,7 +185,20 @@
       nextAtMs: (nowMs: number) => number,
       step: () => Promise<void>,
     ) => new Loop({ name, part, nextAtMs, step }, clock, log);
+    const { watch } = this;
+    const ruleLoops =
+      watch === undefined
+        ? []
+        : [
+            loop(
+              'rule watch',
+              LogPart.Rules,
+              nowMs => watch.nextAtMs(nowMs),
+              () => watch.step(),
+            ),
+          ];
     return [
+      ...ruleLoops,
       loop(
         'membership',
         membership,
@@ -179,12 +211,6 @@
         () => this.seed.nextAtMs(),
         () => this.seed.readNow(),
       ),
-      loop(
-        'rule watch',
-        LogPart.Rules,
-        nowMs => this.watch.nextAtMs(nowMs),
-        () => this.watch.step(),
-      ),
     ];
   }
 
@@ -202,6 +228,7 @@
   }
 
   private updateRelayRole(): void {
+    if (this.watch === undefined) return;
     const { changes, holdsRelays } = this.swim;
     if (changes === this.relayChanges) return;
     this.relayChanges = changes;
@@ -210,7 +237,7 @@
 
   /** Spreads a revision that an operator's call put into the rules of this process. */
   private publishAcceptedRules(): void {
-    const { entry } = this.parts.rules;
+    const entry = this.parts.rules?.store.entry;
     if (entry === undefined) return;
     if (entry.version <= this.store.version(RULES_KEY)) return;
     void this.publish(entry);
@@ -222,7 +249,9 @@
     const { metrics } = this.parts;
     const status = this.status();
     metrics.gauge('membership.livePeers', status.livePeers);
-    metrics.gauge('rules.revision', this.parts.rules.revision);
+    const { rules } = this.parts;
+    if (rules === undefined) return;
+    metrics.gauge('rules.revision', rules.store.revision);
     metrics.gauge('rules.fresh', status.rulesFresh ? 1 : 0);
   }
 }
--- a/packages/daemon/src/membership/spreader.ts
+++ b/packages/daemon/src/membership/spreader.ts
@@ -14,6 +14,7 @@
   SpreadTree,
 } from '@skylarkreach/core/membership';
 import type {
+  Address,
   Clock,
   DaemonIdentity,
   Peer,
@@ -78,7 +79,7 @@
 
   /** Fetches what a peer's digest shows to be newer there. False where the peer did not answer. */
   async fetchMissing(
-    source: DaemonIdentity,
+    source: Address,
     digest: readonly KeyVersion[],
   ): Promise<boolean> {
     const missing = this.store.missingFrom(digest);
@@ -86,7 +87,7 @@
     const deadlineAtMs = this.clock.nowMs() + PULL_TIMEOUT_MS;
     try {
       const answer = await this.peer.call(
-        source.peerAddress,
+        source,
         pullMethod,
         { digest: [...missing] },
         deadlineAtMs,
--- a/packages/daemon/src/settings/index.ts
+++ b/packages/daemon/src/settings/index.ts
@@ -1,4 +1,6 @@
+export * from './fields.js';
 export * from './fleet-settings.js';
+export * from './gateway-settings.js';
 export * from './load-settings.js';
 export * from './settings.js';
 export * from './settings-error.js';
--- a/packages/daemon/src/settings/load-settings.ts
+++ b/packages/daemon/src/settings/load-settings.ts
@@ -3,28 +3,62 @@
 import { parseDocument } from 'yaml';
 import type { z } from 'zod';
 
+import type { GatewaySettings } from './gateway-settings.js';
+import { gatewaySettingsSchema } from './gateway-settings.js';
 import type { Settings } from './settings.js';
 import { settingsSchema } from './settings.js';
 import type { SettingsFault } from './settings-error.js';
 import { SettingsError } from './settings-error.js';
 
+/** Section whose presence shows that a file is for a platform's entry. */
+const GATEWAY_SECTION = 'gateway';
+
+/** Settings of a daemon, by the interface that it serves. */
+export type AnySettings =
+  { readonly own: Settings } | { readonly gateway: GatewaySettings };
+
 /** Reads and checks a settings file. Throws `SettingsError` with every fault. */
 export function loadSettings(file: string): Settings {
   return parseSettings(file, readText(file));
 }
 
+/** Reads and checks a settings file of either kind. Throws `SettingsError` with every fault. */
+export function loadAnySettings(file: string): AnySettings {
+  return parseAnySettings(file, readText(file));
+}
+
+/** Checks the text of a settings file of either kind. Throws `SettingsError` with every fault. */
+export function parseAnySettings(file: string, text: string): AnySettings {
+  const value = parseYaml(file, text);
+  const isGateway =
+    typeof value === 'object' && value !== null && GATEWAY_SECTION in value;
+  if (!isGateway) return { own: check(settingsSchema, file, value) };
+  const section = value[GATEWAY_SECTION];
+  return { gateway: check(gatewaySettingsSchema, file, section) };
+}
+
 /** Checks the text of a settings file. Throws `SettingsError` with every fault. */
 export function parseSettings(file: string, text: string): Settings {
+  return check(settingsSchema, file, parseYaml(file, text));
+}
+
+function parseYaml(file: string, text: string): unknown {
   const document = parseDocument(text);
-  if (document.errors.length > 0) {
-    const faults = document.errors.map(error => ({
-      path: `line ${error.linePos?.[0].line ?? 1}`,
-      expected: 'valid YAML',
-      remedy: error.message.split('\n')[0] ?? error.message,
-    }));
-    throw new SettingsError(file, faults);
-  }
-  const parsed = settingsSchema.safeParse(document.toJS());
+  if (document.errors.length === 0) return document.toJS();
+  const faults = document.errors.map(error => ({
+    path: `line ${error.linePos?.[0].line ?? 1}`,
+    expected: 'valid YAML',
+    remedy: error.message.split('\n')[0] ?? error.message,
+  }));
+  throw new SettingsError(file, faults);
+}
+
+function check<Output>(
+  schema: z.ZodType<Output>,
+  file: string,
+  value: unknown,
+): Output {
+  const parsed = schema.safeParse(value);
   if (parsed.success) return parsed.data;
   throw new SettingsError(file, parsed.error.issues.map(toFault));
 }
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -1,29 +1,14 @@
 import { z } from 'zod';
 
+import { address, durationMs, LogLevel } from './fields.js';
 import { fleetSettingsSchema } from './fleet-settings.js';
 
-const PORT_LIMIT = 65_535;
-
-const address = z
-  .string()
-  .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, {
-    error: 'an IP number and a port, such as 10.0.0.5:8080',
-    abort: true,
-  })
-  .refine(
-    text => Number(text.split(':')[1]) <= PORT_LIMIT,
-    'a port of at most 65535',
-  );
-
 const sha256 = z
   .string()
   .regex(/^[0-9a-f]{64}$/, 'a SHA-256 digest as 64 hexadecimal digits');
 
 const secret = z.string().min(16, 'a secret of at least 16 characters');
 
-/** A duration in milliseconds; it becomes a deadline where it is used. */
-const durationMs = z.int().positive();
-
 const tokenSchema = z.strictObject({
   workspace: z.string().min(1),
   sha256,
@@ -39,14 +24,6 @@
   answersOutcomes: z.boolean().default(false),
 });
 
-export enum LogLevel {
-  Debug = 'debug',
-  Info = 'info',
-  Warn = 'warn',
-  Error = 'error',
-  Silent = 'silent',
-}
-
 const resumeKeySchema = z.strictObject({
   id: z.string().regex(/^\w{1,16}$/, '1 to 16 letters, digits or underscores'),
   secret,
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -45,7 +45,11 @@
 import type { Survival } from './hand-off/index.js';
 import { createSurvival } from './hand-off/index.js';
 import { EndpointPoll, Loop } from './loops/index.js';
-import { BoundIdentity, MembershipService } from './membership/index.js';
+import {
+  BoundIdentity,
+  CloudSeedSource,
+  MembershipService,
+} from './membership/index.js';
 import type { MoveWiring } from './moves/index.js';
 import { KindRateMeter, wireMoves } from './moves/index.js';
 import { addRuleCalls, OperatorServer } from './operators/index.js';
@@ -178,7 +182,12 @@
 }
 
 function createCluster(base: Base): Cluster {
-  const membership = new MembershipService(base.identity, base);
+  const { cloud, identity, keyValue, rules } = base;
+  const membership = new MembershipService(identity, {
+    ...base,
+    seeds: new CloudSeedSource(cloud),
+    rules: { keyValue, store: rules },
+  });
   return {
     membership,
     liveDaemons: () => [base.identity, ...membership.live()],
--- a/packages/measure/src/config/simulated-fleet.ts
+++ b/packages/measure/src/config/simulated-fleet.ts
@@ -14,7 +14,7 @@
   silentMetrics,
 } from '@skylarkreach/core/ports';
 import { RULES_KEY, rulesEntry, RuleStore } from '@skylarkreach/core/rules';
-import { MembershipService } from '@skylarkreach/daemon';
+import { CloudSeedSource, MembershipService } from '@skylarkreach/daemon';
 import { MemoryCloud } from '@skylarkreach/stand-ins';
 
 import { CountingKeyValue } from './counting-key-value.js';
@@ -159,9 +159,15 @@
         this.traffic,
       ),
       registry: this.network.registry(peerAddress),
-      keyValue: new CountingKeyValue(this.keyValue, peerAddress, this.traffic),
-      cloud: this.cloud,
-      rules,
+      seeds: new CloudSeedSource(this.cloud),
+      rules: {
+        keyValue: new CountingKeyValue(
+          this.keyValue,
+          peerAddress,
+          this.traffic,
+        ),
+        store: rules,
+      },
     });
     return { identity, service, rules };
   }
--- a/packages/measure/src/control/socket-group.ts
+++ b/packages/measure/src/control/socket-group.ts
@@ -7,6 +7,7 @@
 } from '@skylarkreach/core/ports';
 import { RULES_KEY, rulesEntry, RuleStore } from '@skylarkreach/core/rules';
 import {
+  CloudSeedSource,
   HttpClient,
   HttpListener,
   HttpPeer,
@@ -106,9 +107,8 @@
       metrics: silentMetrics,
       peer: new HttpPeer(http, PEER_SECRET, clock),
       registry: server,
-      keyValue: this.keyValue,
-      cloud: this.cloud,
-      rules,
+      seeds: new CloudSeedSource(this.cloud),
+      rules: { keyValue: this.keyValue, store: rules },
     });
     this.cloud.addDaemon(identity);
     return { http, listener, service, rules };
--- /dev/null
+++ b/packages/stand-ins/src/gateway/index.ts
@@ -0,0 +1,1 @@
+export * from './platform-deployment.js';
--- /dev/null
+++ b/packages/stand-ins/src/gateway/platform-deployment.ts
@@ -0,0 +1,90 @@
+import type { GatewayAddresses, GatewaySettings } from '@skylarkreach/daemon';
+import { Gateway, gatewaySettingsSchema, LogLevel } from '@skylarkreach/daemon';
+import {
+  CloudServer,
+  sampleConfiguration,
+  sampleEntry,
+  StoreServer,
+  WorkerServer,
+} from '@skylarkreach/platform/stand-ins';
+
+import { ANY_PORT } from '../deployment/index.js';
+
+const POLL_INTERVAL_MS = 10;
+const CONFIGURATION_KEY = 'op/config';
+const ENTRY_PREFIX = 'servers/';
+
+/** A daemon at the platform's entry and the addresses that it is bound to. */
+export interface RunningGateway {
+  readonly gateway: Gateway;
+  readonly addresses: GatewayAddresses;
+}
+
+/** Daemons at a platform's entry with stand-ins for all that the platform offers, in one process. */
+export class PlatformDeployment {
+  readonly store = new StoreServer();
+  readonly cloud = new CloudServer();
+  readonly workers: WorkerServer[] = [];
+  readonly gateways: RunningGateway[] = [];
+  private storeAddress = ANY_PORT;
+  private cloudAddress = ANY_PORT;
+
+  async start(): Promise<void> {
+    this.storeAddress = await this.store.listen();
+    this.cloudAddress = await this.cloud.listen();
+    this.configure(1);
+  }
+
+  /** Writes the sample configuration as an operator does. */
+  configure(version: number): void {
+    this.store.state.put(CONFIGURATION_KEY, sampleConfiguration(version));
+  }
+
+  async addWorker(service: string, id: string): Promise<WorkerServer> {
+    const worker = new WorkerServer({ id });
+    const address = await worker.listen();
+    const entry = sampleEntry(service, address);
+    this.store.state.put(`${ENTRY_PREFIX}${id}`, entry);
+    this.workers.push(worker);
+    return worker;
+  }
+
+  /** Starts a daemon and waits until it is ready. */
+  async addGateway(daemonId: string): Promise<RunningGateway> {
+    const gateway = new Gateway(this.settings(daemonId));
+    const addresses = await gateway.start();
+    const running = { gateway, addresses };
+    this.gateways.push(running);
+    while (!gateway.isReady) {
+      await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
+    }
+    return running;
+  }
+
+  /** Ends everything at once. */
+  async destroy(): Promise<void> {
+    await Promise.all(this.gateways.map(each => each.gateway.end()));
+    for (const worker of this.workers) worker.destroy();
+    this.store.destroy();
+    this.cloud.destroy();
+  }
+
+  private settings(daemonId: string): GatewaySettings {
+    return gatewaySettingsSchema.parse({
+      identity: { daemonId, dataCentre: 'north-1', isFirstStart: true },
+      listen: {
+        callers: ANY_PORT,
+        readiness: ANY_PORT,
+        operators: ANY_PORT,
+        peers: ANY_PORT,
+        metrics: ANY_PORT,
+      },
+      platform: {
+        storeAddress: this.storeAddress,
+        cloudAddress: this.cloudAddress,
+      },
+      peerSecret: 'a secret of the stand-ins',
+      telemetry: { logLevel: LogLevel.Silent },
+    });
+  }
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,33 @@
+import { build } from 'esbuild';
+
+import { root } from './prepare.mjs';
+
+/** Resolves the workspace's packages to their sources, so that no other build is needed. */
+const workspaceSources = {
+  name: 'workspace-sources',
+  setup(bundler) {
+    bundler.onResolve({ filter: /^@skylarkreach\// }, ({ path }) => {
+      const [, name, feature] = path.split('/');
+      const folder = name === 'platform' ? 'platform' : `packages/${name}`;
+      const file = feature === undefined ? 'index.ts' : `${feature}/index.ts`;
+      return { path: `${root}/${folder}/src/${file}` };
+    });
+  },
+};
+
+await build({
+  entryPoints: [`${root}/packages/daemon/src/main.ts`],
+  outfile: `${root}/target/skylarkreachd.mjs`,
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  minify: true,
+  keepNames: true,
+  legalComments: 'none',
+  // Libraries in CommonJS form call require for Node.js' own modules.
+  banner: {
+    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+  },
+  plugins: [workspaceSources],
+});
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -9,9 +9,13 @@
 
 prepare();
 const filter = process.argv[2] ?? '';
-const files = readdirSync(join(root, 'packages'), { recursive: true })
-  .map(file => join('packages', file))
-  .filter(file => /^packages\/[^/]+\/dist\/.*\.test\.js$/.test(file))
+const files = ['packages', 'platform']
+  .flatMap(folder =>
+    readdirSync(join(root, folder), { recursive: true }).map(file =>
+      join(folder, file),
+    ),
+  )
+  .filter(file => /^(packages\/[^/]+|platform)\/dist\/.*\.test\.js$/.test(file))
   .filter(file => file.includes(filter))
   .sort();
 const result = spawnSync(
