Roll versions out on trial, replace reclaimed endpoints on demand

The plan now orders on-demand endpoints for those that are missing, the cheapest first, and keeps a peak of the load for 8 s.

Allowances: a request may overdraw once, so that small requests do not keep large ones out; small ones have a reserve.

Rollouts: a bounded number of requests tries the new version, evidence is pooled by hints and judged by the present sequential test, a brake of any daemon is final, and success is said once the old endpoints are idle.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -27,7 +27,8 @@
   moves: ['ports', 'leases', 'membership', 'rules'],
   fleet: ['ports', 'leases', 'membership', 'routing'],
   forwarding: ['ports', 'routing'],
-  hints: ['ports', 'forwarding'],
+  rollouts: ['ports', 'moves', 'forwarding'],
+  hints: ['ports', 'forwarding', 'rollouts'],
   duties: ['ports', 'leases', 'forwarding', 'hints'],
   pipeline: [
     'ports',
--- a/packages/core/src/duties/fleet-plan.ts
+++ b/packages/core/src/duties/fleet-plan.ts
@@ -1,16 +1,13 @@
 import type { EndpointRecord, ScalingTraits } from '../forwarding/index.js';
+import { EndpointState } from '../forwarding/index.js';
 import type { DataCentre } from '../ports/index.js';
 
 export interface FleetSituation {
   readonly scaling: ScalingTraits;
-  /** Endpoints of the group that take work. */
-  readonly present: readonly EndpointRecord[];
-  /** Requests in flight at them. */
+  /** Endpoints of the group. */
+  readonly endpoints: readonly EndpointRecord[];
+  /** Most requests that were in flight at them lately. */
   readonly running: number;
-  readonly isUnavailable: (
-    dataCentre: DataCentre,
-    isReclaimable: boolean,
-  ) => boolean;
 }
 
 /** Endpoints of one kind that a data centre is to have. */
@@ -22,40 +19,68 @@
 
 /** Requests in flight that one engine serves within the objective. */
 const RUNNING_PER_ENDPOINT = 8; // with 14 in flight at each, journal entry 6d5a72b8 shows first events after 1.8 s
-/** Reclaimable endpoints of each data centre while there is little load. */
-const MIN_RECLAIMABLE = 2; // a data centre that keeps one through a partial loss keeps its prompts
-/** Data centres whose reclaimable endpoints may be gone at one time. */
-const LOST_DATA_CENTRES = 2; // a second reclaim may come before the first one's endpoints are replaced
+/** Endpoints that are kept while there is no load. */
+const MIN_NEEDED = 3; // one for the load that returns, and two that may be lost at once
+/** Endpoints on demand that are always kept. */
+const MIN_ON_DEMAND = 1; // holds the prompts of all while every reclaimable one is gone
 
 /**
- * Endpoints for the load, in each data centre the same number of reclaimable
- * ones, so that the loss of one data centre takes the least.
+ * The endpoints that carry the load at the least price: reclaimable ones, the
+ * same number in each data centre and enough without any one of them, and for
+ * those that are not there now, on-demand ones in the cheapest data centres.
  */
 export function planFleet({
+  endpoints,
   running,
   scaling,
 }: FleetSituation): readonly PlannedCount[] {
-  const dataCentres = Object.keys(scaling.pricesByDataCentre);
-  const needed = Math.ceil(running / RUNNING_PER_ENDPOINT);
-  const kept = Math.max(1, dataCentres.length - LOST_DATA_CENTRES);
-  const each = Math.ceil(needed / kept);
-  const count = Math.min(
-    scaling.maxEndpoints,
-    Math.max(MIN_RECLAIMABLE, scaling.minEndpoints, each),
+  const dataCentres = byPrice(scaling);
+  const needed = Math.max(
+    MIN_NEEDED,
+    Math.ceil(running / RUNNING_PER_ENDPOINT) + 1,
   );
-  const cheapest = cheapestOf(scaling);
-  return dataCentres.flatMap(dataCentre => {
-    const onDemand = dataCentre === cheapest ? 1 : 0;
-    return [
-      { dataCentre, isReclaimable: true, count },
-      { dataCentre, isReclaimable: false, count: onDemand },
-    ];
-  });
+  const reclaimable = reclaimableEach(scaling, needed, dataCentres.length);
+  const present = endpoints.filter(
+    each => each.isReclaimable && each.state === EndpointState.Ready,
+  );
+  const missing = Math.max(MIN_ON_DEMAND, needed - present.length);
+  const onDemand = spread(
+    missing,
+    dataCentres.length,
+    scaling.maxEndpoints - reclaimable,
+  );
+  return dataCentres.flatMap((dataCentre, index) => [
+    { dataCentre, isReclaimable: true, count: reclaimable },
+    { dataCentre, isReclaimable: false, count: onDemand[index] ?? 0 },
+  ]);
+}
+
+function reclaimableEach(
+  { maxEndpoints, minEndpoints, reclaimablePrice }: ScalingTraits,
+  needed: number,
+  dataCentres: number,
+): number {
+  if (reclaimablePrice === undefined) return 0;
+  const enoughWithoutOne = Math.ceil(needed / Math.max(1, dataCentres - 1));
+  // One place is left for an on-demand endpoint.
+  return Math.min(maxEndpoints - 1, Math.max(minEndpoints, enoughWithoutOne));
 }
 
-function cheapestOf({ pricesByDataCentre }: ScalingTraits): DataCentre {
-  const sorted = Object.entries(pricesByDataCentre).sort(
-    ([, left], [, right]) => left - right,
+/** Counts that sum up to `total` as far as the limit of each allows, the first ones larger. */
+function spread(
+  total: number,
+  parts: number,
+  limitEach: number,
+): readonly number[] {
+  const counts = Array.from({ length: parts }, (_, index) =>
+    Math.floor((total + parts - 1 - index) / parts),
   );
-  return sorted[0]?.[0] ?? '';
+  return counts.map(count => Math.max(0, Math.min(limitEach, count)));
+}
+
+/** Data centres, the cheapest first. */
+function byPrice({ pricesByDataCentre }: ScalingTraits): readonly DataCentre[] {
+  return Object.entries(pricesByDataCentre)
+    .sort(([, left], [, right]) => left - right)
+    .map(([dataCentre]) => dataCentre);
 }
--- a/packages/core/src/duties/fleet-scaler.ts
+++ b/packages/core/src/duties/fleet-scaler.ts
@@ -3,18 +3,20 @@
   ForwardGroup,
   ScalingTraits,
 } from '../forwarding/index.js';
-import { EndpointState } from '../forwarding/index.js';
 import type { Clock, DataCentre, Log } from '../ports/index.js';
 import { LogPart, PlatformError } from '../ports/index.js';
 import type { DutyCalls, DutyProof, ScalingOrder } from './duty-calls.js';
 import { OrderOutcome } from './duty-calls.js';
 import { planFleet } from './fleet-plan.js';
+import { RecentPeak } from './recent-peak.js';
 
 const CALL_TIMEOUT_MS = 800;
 /** Time after which an order that was accepted is given again. */
 const REPEAT_MS = 10_000; // an order may be lost with an instance that answered it
 /** Time after which endpoints that were not to be had are ordered again. */
-const UNAVAILABLE_MS = 1_500;
+const UNAVAILABLE_MS = 2_000; // a seventh of the shortest time without any
+/** Time for which a peak of the load keeps its endpoints. */
+const PEAK_MS = 8_000; // twice the time in which an endpoint starts
 
 export interface FleetScalerParts {
   readonly clock: Clock;
@@ -34,6 +36,7 @@
 /** Orders endpoints so that the load is carried at the least price. */
 export class FleetScaler {
   private readonly given = new Map<string, GivenOrder>();
+  private readonly peaks = new Map<string, RecentPeak>();
   private fencingNumber: number | undefined;
 
   constructor(private readonly parts: FleetScalerParts) {}
@@ -57,17 +60,17 @@
   }
 
   private plan(group: string, scaling: ScalingTraits): readonly ScalingOrder[] {
-    const { endpoints, runningIn } = this.parts;
-    const present = endpoints().filter(
-      each => each.group === group && each.state === EndpointState.Ready,
-    );
-    return planFleet({
+    const { clock, endpoints, runningIn } = this.parts;
+    const nowMs = clock.nowMs();
+    const peak = this.peaks.get(group) ?? new RecentPeak(PEAK_MS);
+    this.peaks.set(group, peak);
+    peak.add(runningIn(group), nowMs);
+    const counts = planFleet({
       scaling,
-      present,
-      running: runningIn(group),
-      isUnavailable: (dataCentre, isReclaimable) =>
-        this.isUnavailable(keyOf(group, dataCentre, isReclaimable)),
-    }).map(each => ({ group, ...each }));
+      endpoints: endpoints().filter(each => each.group === group),
+      running: peak.value(nowMs),
+    });
+    return counts.map(each => ({ group, ...each }));
   }
 
   private async give(order: ScalingOrder, proof: DutyProof): Promise<void> {
@@ -96,12 +99,6 @@
       });
     }
   }
-
-  private isUnavailable(key: string): boolean {
-    const nowMs = this.parts.clock.nowMs();
-    const given = this.given.get(key);
-    return given !== undefined && nowMs < given.nextAtMs && given.count < 0;
-  }
 }
 
 function keyOf(
--- a/packages/core/src/forwarding/allowance-ledger.ts
+++ b/packages/core/src/forwarding/allowance-ledger.ts
@@ -15,6 +15,10 @@
 
 /** Least time that a refused caller is told to wait. */
 const MIN_WAIT_MS = 100;
+/** Part of the burst below which a request counts as small. */
+const SMALL_PART = 50; // a look-up is about a thousandth, a draft a fifth
+/** Share of the burst that small requests may overdraw, so that large ones do not keep them out. */
+const RESERVE_SHARE = 0.2; // below what the platform lets daemons err by
 
 /**
  * Allowances of workspaces over all daemons: one token bucket for each, from
@@ -28,7 +32,7 @@
   /**
    * Takes tokens; returns the time in milliseconds to wait where none are left.
    * The last request may take more than there are, so that large requests are
-   * not kept out by small ones.
+   * not kept out by small ones, and small ones have a reserve.
    */
   take(
     workspace: Workspace,
@@ -37,7 +41,9 @@
     nowMs: number,
   ): number | undefined {
     const allowance = this.fill(workspace, rate, nowMs);
-    if (allowance.tokens > 0) {
+    const isSmall = tokens * SMALL_PART <= rate.burstTokens;
+    const reserve = isSmall ? rate.burstTokens * RESERVE_SHARE : 0;
+    if (allowance.tokens + reserve > 0) {
       allowance.tokens -= tokens;
       allowance.granted += tokens;
       return undefined;
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -15,8 +15,10 @@
 /** What the choice of an endpoint depends on. */
 export interface PoolQuery {
   readonly group: string;
-  /** The only version allowed; undefined where any will do. */
-  readonly version: string | undefined;
+  /** The only version allowed; any where absent. */
+  readonly onlyVersion?: string;
+  /** A version that is not allowed. */
+  readonly notVersion?: string;
   /** Endpoints already tried, by id. */
   readonly excluded: ReadonlySet<string>;
   readonly promptParts: readonly PromptPart[];
@@ -136,11 +138,12 @@
     );
   }
 
-  /** Requests of all daemons at the endpoints of a group. */
-  runningIn(group: string): number {
+  /** Requests of all daemons at the endpoints of a group, without those of one version. */
+  runningIn(group: string, exceptVersion?: string): number {
     let running = 0;
     for (const [id, member] of this.members) {
-      if (member.record.group !== group) continue;
+      const { record } = member;
+      if (record.group !== group || record.version === exceptVersion) continue;
       running += member.running + (this.peerWork.get(id)?.running ?? 0);
     }
     return running;
@@ -167,8 +170,7 @@
       member =>
         this.isUsable(member, query.group, nowMs) &&
         !query.excluded.has(member.record.id) &&
-        (query.version === undefined ||
-          member.record.version === query.version),
+        fitsVersion(member.record, query),
     );
     const home = homeOf(usable, query.promptParts);
     let best: PoolMember | undefined;
@@ -315,6 +317,14 @@
   };
 }
 
+function fitsVersion(
+  { version }: EndpointRecord,
+  { notVersion, onlyVersion }: PoolQuery,
+): boolean {
+  if (version === notVersion) return false;
+  return onlyVersion === undefined || version === onlyVersion;
+}
+
 function serviceMs(member: PoolMember, running: number): number {
   const rounds = Math.max(1, (running + 1) / Math.max(1, member.record.slots));
   const answerMs = member.answerMs ?? DEFAULT_ANSWER_MS;
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -243,17 +243,26 @@
     const { clock, pool, versions } = this.parts;
     const { group, request } = this.subject;
     const { promptParts, usage } = request.traits;
+    const isFirst = this.excluded.size === 0;
+    const rule = isFirst ? versions.choose(group) : versions.chooseAgain(group);
     const query: PoolQuery = {
       group,
-      version: versions.versionFor(group, request.requestId),
       excluded: this.excluded,
       promptParts,
       promptTokens: usage?.promptTokens ?? 0,
+      ...(rule.only === undefined ? {} : { onlyVersion: rule.only }),
+      ...(rule.not === undefined ? {} : { notVersion: rule.not }),
     };
     const nowMs = clock.nowMs();
-    const place = pool.take(query, nowMs);
-    if (place !== undefined || this.excluded.size === 0) return place;
-    return pool.take({ ...query, excluded: new Set() }, nowMs);
+    const place =
+      pool.take(query, nowMs) ??
+      (isFirst
+        ? undefined
+        : pool.take({ ...query, excluded: new Set() }, nowMs));
+    if (place !== undefined || rule.only === undefined) return place;
+    // The version on trial has no endpoint to spare; any other one serves.
+    const { onlyVersion, ...any } = query;
+    return pool.take({ ...any, notVersion: onlyVersion ?? '' }, nowMs);
   }
 
   private deliver(answer: WholeAnswer): void {
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -18,10 +18,20 @@
 import { identifyForward } from './identify-forward.js';
 import type { AnswerSink, Upstream } from './upstream.js';
 
+/** Versions of a group's endpoints that a request may use. */
+export interface VersionRule {
+  readonly only?: string;
+  readonly not?: string;
+}
+
+export const ANY_VERSION_RULE: VersionRule = {};
+
 /** Keeps the requests of a group to versions of its endpoints. */
 export interface VersionChoice {
-  /** The only version that the request may use; undefined where any will do. */
-  versionFor(group: string, requestId: string): string | undefined;
+  /** For the first attempt of a request. */
+  choose(group: string): VersionRule;
+  /** For each further attempt. */
+  chooseAgain(group: string): VersionRule;
   /** Takes how an answer of the group went. */
   recordAnswer(answer: VersionedAnswer): void;
 }
--- a/packages/core/src/forwarding/sources.ts
+++ b/packages/core/src/forwarding/sources.ts
@@ -11,12 +11,21 @@
   readonly durationMs: number;
 }
 
+/** The end of a rollout, as it is written down. */
+export interface EndedRollout {
+  readonly group: string;
+  readonly toVersion: string;
+  readonly hasSucceeded: boolean;
+}
+
 /** What operators have written, as of one revision of the store. */
 export interface OperatorState {
   readonly revision: number;
   /** Undefined where it has not changed, or cannot be read. */
   readonly configuration: Configuration | undefined;
   readonly rollouts: readonly RolloutOrder[];
+  /** Rollouts that are written down as over; read only where all is read. */
+  readonly ended: readonly EndedRollout[];
   /** Entries that cannot be read. */
   readonly malformed: number;
 }
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -2,6 +2,7 @@
 
 import type { EndpointWork } from '../forwarding/index.js';
 import { definePeerMethod } from '../ports/index.js';
+import { rolloutHintsSchema } from '../rollouts/index.js';
 
 const MAX_TEXT = 256;
 const text = z.string().min(1).max(MAX_TEXT);
@@ -36,6 +37,7 @@
   endpointReadAgeMs: count.optional(),
   /** Version of the list of endpoints that the sender has. */
   endpointsVersion: count,
+  rollouts: z.array(rolloutHintsSchema),
   /** The sender holds the duties towards the platform. */
   holdsDuties: z.boolean(),
 });
--- a/packages/core/src/moves/evidence.ts
+++ b/packages/core/src/moves/evidence.ts
@@ -11,7 +11,7 @@
 });
 
 /** Requests of one kind that ended in one span of time, counted for each signal. */
-const kindEvidenceSchema = z.object({
+export const kindEvidenceSchema = z.object({
   kind: z.string(),
   [Signal.Failure]: blockSchema,
   [Signal.SlowFirstToken]: blockSchema,
--- a/packages/daemon/src/gateway/gateway-base.ts
+++ b/packages/daemon/src/gateway/gateway-base.ts
@@ -5,6 +5,7 @@
   OperatorSource,
 } from '@skylarkreach/core/forwarding';
 import type { Clock, KeyValue, Log, Random } from '@skylarkreach/core/ports';
+import type { RolloutStatus } from '@skylarkreach/core/rollouts';
 
 import type { HttpClient } from '../adapters/index.js';
 import type { GatewaySettings } from '../settings/index.js';
@@ -17,6 +18,7 @@
   readonly operators: OperatorSource;
   readonly endpoints: EndpointSource;
   readonly duties: DutyCalls;
+  readonly rolloutStatus: RolloutStatus;
 }
 
 /** What every part of a gateway shares. */
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -10,6 +10,8 @@
 } from '@skylarkreach/core/forwarding';
 import { TrueTime } from '@skylarkreach/core/hints';
 import { LogPart } from '@skylarkreach/core/ports';
+import type { RolloutBoard } from '@skylarkreach/core/rollouts';
+import { RolloutWriter } from '@skylarkreach/core/rollouts';
 
 import { Loop } from '../loops/index.js';
 import type { GatewayBase } from './gateway-base.js';
@@ -18,6 +20,7 @@
 const LEASE_STEP_MS = 250;
 const USAGE_STEP_MS = 300;
 const SCALING_STEP_MS = 500;
+const ROLLOUT_STEP_MS = 250;
 const MS_PER_SECOND = 1_000;
 /** Silence of a daemon after which its counts are taken to be missing. */
 const COUNTS_WITHIN_MS = 1_500; // three exchanges of hints
@@ -30,6 +33,7 @@
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
   readonly cluster: () => GatewayCluster;
+  readonly rollouts: RolloutBoard;
 }
 
 /** The duties towards the platform, which one daemon at a time carries out. */
@@ -77,6 +81,14 @@
       endpoints: () => subject.pool.endpoints(),
       runningIn: group => subject.pool.runningIn(group),
     });
+    const writer = new RolloutWriter({
+      clock,
+      log,
+      board: subject.rollouts,
+      status: platform.rolloutStatus,
+      runningElsewhere: (group, toVersion) =>
+        subject.pool.runningIn(group, toVersion),
+    });
     const proof = () => this.holder.current();
     const every = (
       name: string,
@@ -96,6 +108,10 @@
     this.loops = [
       every('duty lease', LEASE_STEP_MS, () => this.holder.step()),
       every('usage', USAGE_STEP_MS, () => reporter.step(proof)),
+      every('rollouts', ROLLOUT_STEP_MS, async () => {
+        subject.rollouts.tick();
+        await writer.step(() => proof() !== undefined);
+      }),
       every('scaling', SCALING_STEP_MS, () => scaler.step(proof)),
     ];
   }
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -3,6 +3,7 @@
   Configuration,
   EndpointListing,
   OperatorState,
+  RolloutOrder,
 } from '@skylarkreach/core/forwarding';
 import {
   AllowanceLedger,
@@ -13,6 +14,7 @@
 import type { DaemonHints } from '@skylarkreach/core/hints';
 import type { Clock } from '@skylarkreach/core/ports';
 import { LogPart, SeededRandom } from '@skylarkreach/core/ports';
+import { RolloutBoard } from '@skylarkreach/core/rollouts';
 import { RetryBudget } from '@skylarkreach/core/routing';
 import {
   DutyClient,
@@ -20,6 +22,7 @@
   StoreClient,
   StoreEndpointSource,
   StoreOperatorSource,
+  StoreRolloutStatus,
 } from '@skylarkreach/platform';
 
 import { HttpClient } from '../adapters/index.js';
@@ -56,6 +59,7 @@
 /** Keys of the values that daemons spread among themselves. */
 const CONFIGURATION_KEY = 'configuration';
 const ENDPOINTS_KEY = 'endpoints';
+const ROLLOUTS_KEY = 'rollouts';
 
 /** Everything that a daemon at a platform's entry runs. */
 export interface GatewayWiring extends GatewayBase {
@@ -83,9 +87,21 @@
   });
   const allowances = new AllowanceLedger();
   const endpointClient = new EndpointClient(platform.protocol);
+  const { exposureShare, exposureSlack } = settings.bounds;
+  const rollouts = new RolloutBoard({
+    log,
+    nowMs: () => clock.nowMs(),
+    optionsFor: group => ({
+      exposureShare,
+      exposureSlack,
+      daemons: () => cluster.size,
+      routes: routesTo(configuration.current, group),
+    }),
+  });
   const duties: GatewayDuties = new GatewayDuties(base, {
     configuration,
     pool,
+    rollouts,
     cluster: () => cluster,
   });
   const lifetime = `${settings.identity.daemonId}/${Math.round(clock.nowMs())}`;
@@ -106,6 +122,7 @@
       usage: duties.ledger.ownUsage(),
       endpointsVersion: spreadVersion(ENDPOINTS_KEY),
       ...(Number.isFinite(readAgeMs) ? { endpointReadAgeMs: readAgeMs } : {}),
+      rollouts: rollouts.hints(),
       holdsDuties: duties.holder.current() !== undefined,
     };
   };
@@ -116,6 +133,7 @@
     const isNew = hints.ageMs < nowMs - startedAtMs;
     allowances.applyPeer(hints.lifetime, hints.grantedTokens, isNew);
     allowances.keepPeers(cluster.board.lifetimes());
+    rollouts.applyPeer(hints.lifetime, hints.rollouts);
     pool.applyPeerWork(cluster.board.work(nowMs));
   };
   const cluster = new GatewayCluster(base, { ownHints, takeHints });
@@ -137,7 +155,7 @@
     pool,
     allowances,
     budgetOf: createBudgets(base, () => cluster.size),
-    versions: { versionFor: () => undefined, recordAnswer: () => undefined },
+    versions: rollouts,
     usage: duties.ledger,
   });
   const front = new FrontServer({
@@ -177,6 +195,10 @@
     if (key === CONFIGURATION_KEY) {
       applyConfiguration(JSON.parse(value) as Configuration, 'peer');
     }
+    if (key === ROLLOUTS_KEY) {
+      const orders = JSON.parse(value) as readonly RolloutOrder[];
+      for (const order of orders) rollouts.takeOrder(order);
+    }
     if (key === ENDPOINTS_KEY) {
       applyListing(JSON.parse(value) as EndpointListing, 'peer');
     }
@@ -190,6 +212,11 @@
         revision: state.revision,
       });
     }
+    for (const order of state.rollouts) rollouts.takeOrder(order);
+    for (const end of state.ended) rollouts.takeEnd(end);
+    const orders = rollouts.trials().map(trial => trial.order);
+    const newest = Math.max(0, ...orders.map(order => order.revision));
+    spread(ROLLOUTS_KEY, newest, orders);
     const next = state.configuration;
     if (next === undefined) return;
     applyConfiguration(next, 'store');
@@ -266,10 +293,22 @@
       operators: new StoreOperatorSource(store),
       endpoints: new StoreEndpointSource(store),
       duties: new DutyClient(http, platform.cloudAddress),
+      rolloutStatus: new StoreRolloutStatus(store),
     },
   };
 }
 
+/** Names of the routes that lead to a group. */
+function routesTo(
+  configuration: Configuration | undefined,
+  group: string,
+): readonly string[] {
+  const routes = configuration?.routes ?? [];
+  return routes
+    .filter(route => route.targets.some(target => target.group === group))
+    .map(route => route.name);
+}
+
 /** Repeats that this daemon may send to each group: its part of what all may. */
 function createBudgets(
   { settings }: GatewayBase,
