Follow the settings file instead of ending at SIGHUP; refuse by size fairly

A large request now needs up to 15% of the burst, the smaller a request the more of a reserve it has, and a third of what daemons may err by is granted.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -160,6 +160,8 @@
         console: 'readonly',
         URL: 'readonly',
         globalThis: 'readonly',
+        fetch: 'readonly',
+        performance: 'readonly',
       },
     },
   },
--- a/packages/core/src/forwarding/allowance-ledger.ts
+++ b/packages/core/src/forwarding/allowance-ledger.ts
@@ -13,11 +13,24 @@
 /** Tokens granted by one daemon to each workspace since its process started. */
 export type GrantedTokens = Readonly<Record<Workspace, number>>;
 
+/** What daemons together may grant beyond an allowance, as none knows of all grants at once. */
+export interface AllowanceTolerance {
+  /** Share of the rate. */
+  readonly rateShare: number;
+  readonly tokens: number;
+}
+
+const NO_TOLERANCE: AllowanceTolerance = { rateShare: 0, tokens: 0 };
+/** Part of the tolerance that is granted, so that callers are not refused what is theirs; the rest covers grants not yet heard of. */
+const TOLERANCE_USE = 0.35;
+
 /** Least time that a refused caller is told to wait. */
 const MIN_WAIT_MS = 100;
-/** Part of the burst below which a request counts as small. */
+/** Share of the burst that must be there for a larger request, which then overdraws the rest. */
+const NEEDED_SHARE = 0.15; // above most drafts; the largest ones would else wait for ever behind smaller ones
+/** Part of the burst from which a request is too large for the reserve. */
 const SMALL_PART = 50; // a look-up is about a thousandth, a draft a fifth
-/** Share of the burst that small requests may overdraw, so that large ones do not keep them out. */
+/** Share of the burst that the smallest requests may overdraw, so that larger ones do not keep them out. */
 const RESERVE_SHARE = 0.2; // below what the platform lets daemons err by
 
 /**
@@ -27,12 +40,15 @@
  */
 export class AllowanceLedger {
   private readonly byWorkspace = new Map<Workspace, Allowance>();
+
   private readonly grantedByPeer = new Map<string, Map<Workspace, number>>();
 
+  constructor(private readonly tolerance = NO_TOLERANCE) {}
+
   /**
    * Takes tokens; returns the time in milliseconds to wait where none are left.
-   * The last request may take more than there are, so that large requests are
-   * not kept out by small ones, and small ones have a reserve.
+   * A large request may take more than there are, so that small ones do not
+   * keep it out for ever, and small ones have a reserve.
    */
   take(
     workspace: Workspace,
@@ -41,15 +57,16 @@
     nowMs: number,
   ): number | undefined {
     const allowance = this.fill(workspace, rate, nowMs);
-    const isSmall = tokens * SMALL_PART <= rate.burstTokens;
-    const reserve = isSmall ? rate.burstTokens * RESERVE_SHARE : 0;
-    if (allowance.tokens + reserve > 0) {
+    const needed =
+      Math.min(tokens, rate.burstTokens * NEEDED_SHARE) -
+      reserveFor(tokens, rate);
+    if (allowance.tokens >= needed) {
       allowance.tokens -= tokens;
       allowance.granted += tokens;
       return undefined;
     }
-    const debt = -allowance.tokens;
-    return Math.max(MIN_WAIT_MS, (debt * 1_000) / rate.tokensPerSecond);
+    const missing = needed - allowance.tokens;
+    return Math.max(MIN_WAIT_MS, (missing * 1_000) / rate.tokensPerSecond);
   }
 
   /** Grants of this daemon, for its peers. */
@@ -111,11 +128,21 @@
       };
       this.byWorkspace.set(workspace, allowance);
     }
+    const { rateShare, tokens } = this.tolerance;
     const elapsedMs = Math.max(0, nowMs - allowance.filledAtMs);
-    const added = (elapsedMs * allowance.rate.tokensPerSecond) / 1_000;
-    allowance.tokens = Math.min(rate.burstTokens, allowance.tokens + added);
+    const refill =
+      allowance.rate.tokensPerSecond * (1 + rateShare * TOLERANCE_USE);
+    const added = (elapsedMs * refill) / 1_000;
+    const most = rate.burstTokens + tokens * TOLERANCE_USE;
+    allowance.tokens = Math.min(most, allowance.tokens + added);
     allowance.filledAtMs = nowMs;
     allowance.rate = rate;
     return allowance;
   }
 }
+
+/** Tokens that a request may overdraw: the smaller it is, the more. */
+function reserveFor(tokens: number, { burstTokens }: TokenRate): number {
+  const size = Math.min(1, (tokens * SMALL_PART) / burstTokens);
+  return burstTokens * RESERVE_SHARE * (1 - size);
+}
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -102,12 +102,8 @@
   /** Takes the request's tokens from its workspace's allowance. */
   private admit(request: ForwardRequest, { workspace }: IdentifiedForward) {
     if (workspace?.tokenRate === undefined) return;
-    const { usage } = request.traits;
     const { tokenRate } = workspace;
-    const tokens =
-      usage === undefined
-        ? tokenRate.plainTokens
-        : usage.promptTokens + usage.maxTokens;
+    const tokens = tokensOf(request) ?? tokenRate.plainTokens;
     const waitMs = this.parts.allowances.take(
       workspace.workspace,
       tokenRate,
@@ -162,6 +158,7 @@
       outcome,
       elapsedMs: Math.round(elapsedMs),
       workspace: identified?.workspace?.workspace ?? '',
+      tokens: tokensOf(request) ?? 0,
       configurationVersion: identified?.configurationVersion ?? 0,
       endpointRevision: this.parts.pool.revision,
       ...run?.summary(),
@@ -178,3 +175,9 @@
     }
   }
 }
+
+/** Tokens that a request states it uses; undefined where it states none. */
+function tokensOf({ traits }: ForwardRequest): number | undefined {
+  const { usage } = traits;
+  return usage && usage.promptTokens + usage.maxTokens;
+}
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -85,7 +85,10 @@
     dataCentre: settings.identity.dataCentre,
     prefillTokensPerMs: settings.routing.prefillTokensPerMs,
   });
-  const allowances = new AllowanceLedger();
+  const allowances = new AllowanceLedger({
+    rateShare: settings.bounds.allowanceRateShare,
+    tokens: settings.bounds.allowanceTokens,
+  });
   const endpointClient = new EndpointClient(platform.protocol);
   const { exposureShare, exposureSlack } = settings.bounds;
   const rollouts = new RolloutBoard({
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -15,6 +15,8 @@
 /** Least time for which a request is worth taking before the process ends. */
 const MIN_SERVE_MS = 2_500; // most requests take less
 const MS_PER_SECOND = 1_000;
+/** Sections that are read once, at the start. */
+const RESTART_SECTIONS = ['identity', 'listen', 'peerSecret'] as const;
 const READINESS_PATH = '/-/readiness';
 const METRICS_PATH = '/metrics';
 
@@ -75,6 +77,27 @@
     return { callers, readiness, metrics };
   }
 
+  /** Puts changed settings in force as far as that needs no restart, and says what does. */
+  applySettings(next: GatewaySettings): void {
+    const { log, settings } = this.wiring;
+    const needsRestart = RESTART_SECTIONS.filter(
+      section =>
+        JSON.stringify(next[section]) !== JSON.stringify(settings[section]),
+    );
+    settings.platform.seeds = next.platform.seeds;
+    Object.assign(settings.bounds, next.bounds);
+    log.info(LogPart.Daemon, 'The settings have changed.', {
+      needsRestart: needsRestart.join(','),
+    });
+  }
+
+  /** Notes settings that cannot be used; the last good ones stay. */
+  noteBadSettings(message: string): void {
+    const { log, metrics } = this.wiring;
+    metrics.increment('settings.faults');
+    log.warn(LogPart.Daemon, 'Changed settings cannot be used.', { message });
+  }
+
   /**
    * Stops gracefully: not ready at once, still serving what arrives, and gone
    * once the balancer has turned away and the last answer is out.
--- a/packages/daemon/src/http/read-body.ts
+++ b/packages/daemon/src/http/read-body.ts
@@ -69,6 +69,7 @@
       resolve(Buffer.concat(chunks));
     });
     const onCut = () => {
+      if (request.complete) return;
       fail(BodyErrorKind.CutOff, 'The connection closed within the body.');
     };
     request.on('error', onCut);
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -3,8 +3,12 @@
 
 import { Daemon } from './daemon.js';
 import { Gateway } from './gateway/index.js';
-import type { AnySettings } from './settings/index.js';
-import { loadAnySettings, SettingsError } from './settings/index.js';
+import type { AnySettings, GatewaySettings } from './settings/index.js';
+import {
+  loadAnySettings,
+  SettingsError,
+  SettingsFollower,
+} from './settings/index.js';
 
 const EXIT_BAD_SETTINGS = 2;
 
@@ -35,7 +39,7 @@
   if (settings === undefined) return;
   const daemon: Stoppable =
     'gateway' in settings
-      ? new Gateway(settings.gateway)
+      ? createGateway(file, settings.gateway)
       : new Daemon(settings.own);
   await daemon.start();
   const stop = () => void daemon.stop();
@@ -43,6 +47,23 @@
   process.once('SIGTERM', stop);
 }
 
+/** A gateway that takes up changes of its settings file, at a SIGHUP at once. */
+function createGateway(file: string, settings: GatewaySettings): Gateway {
+  const gateway = new Gateway(settings);
+  const follower = new SettingsFollower(file, {
+    onChange: next => {
+      gateway.applySettings(next);
+    },
+    onFault: message => {
+      gateway.noteBadSettings(message);
+    },
+  });
+  process.on('SIGHUP', () => {
+    follower.check();
+  });
+  return gateway;
+}
+
 function readSettings(file: string): AnySettings | undefined {
   try {
     return loadAnySettings(file);
--- a/packages/daemon/src/settings/gateway-settings.ts
+++ b/packages/daemon/src/settings/gateway-settings.ts
@@ -43,6 +43,9 @@
       repeatShare: z.number().nonnegative().default(0.2),
       /** Repeats that a group may get besides, over all daemons. */
       repeatSlack: z.number().nonnegative().default(50),
+      /** What daemons together may grant beyond a workspace's allowance: a share of its rate, and tokens. */
+      allowanceRateShare: z.number().nonnegative().default(0),
+      allowanceTokens: z.number().nonnegative().default(0),
       usageWindowSeconds: z.number().positive().default(5),
       /** Time from a window's end until its usage is due. */
       usageDueSeconds: z.number().positive().default(10),
