--- a/packages/core/src/duties/usage-ledger.ts
+++ b/packages/core/src/duties/usage-ledger.ts
@@ -38,7 +38,10 @@
   }
 
   /** Takes the counts of a peer's lifetime; they only rise. */
-  applyPeer({ lifetime, usage }: DaemonHints): void {
+  applyPeer({
+    lifetime,
+    usage,
+  }: Pick<DaemonHints, 'lifetime' | 'usage'>): void {
     for (const { counts, windowId } of usage) {
       const byLifetime = this.peers.get(windowId) ?? new Map<string, Counts>();
       const known = byLifetime.get(lifetime) ?? new Map<Workspace, number>();
--- a/scripts/smoke.mjs
+++ b/scripts/smoke.mjs
@@ -102,7 +102,10 @@
   const metrics = await fetch(`http://${listen.metrics}/metrics`);
   assert.match(await metrics.text(), /outcome="unknownRoute"\} 2/);
   program.kill('SIGTERM');
-  assert.equal(await Promise.race([exited, delay(LIMIT_MS, 'late', { ref: false })]), 0);
+  assert.equal(
+    await Promise.race([exited, delay(LIMIT_MS, 'late', { ref: false })]),
+    0,
+  );
   console.log('The built program starts, reloads and stops.');
 } finally {
   program.kill('SIGKILL');
