--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -72,6 +72,8 @@
 const REMOTE_COST_MS = 1;
 /** Age after which a report of load says nothing any more. */
 const REPORT_AGE_LIMIT_MS = 1_000;
+/** Weight of the tokens that a request makes an engine read: they delay all requests that come after it too. */
+const UNCACHED_WEIGHT = 6;
 /** Part of a shared prompt that is expected to be missing at its home. */
 const HOME_MISS_SHARE = 0.3;
 const JITTER_MS = 2;
@@ -241,7 +243,7 @@
     const tokens =
       member.backlogTokens +
       peerTokens +
-      expectedUncached(member, query, isHome);
+      expectedUncached(member, query, isHome) * UNCACHED_WEIGHT;
     const readMs = tokens / this.options.prefillTokensPerMs;
     const slotMs =
       (waiting / member.record.slots) * (member.answerMs ?? DEFAULT_ANSWER_MS);
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -11,7 +11,7 @@
 /** Time in which the balancer sees that this daemon is not ready any more: two probes a second apart, and the last one's answer. */
 const BALANCER_LAG_MS = 2_500;
 /** Time before the end of the grace period at which answers still in progress are cut off. */
-const LAST_CALL_MS = 700; // some timers' lateness on a busy instance
+const LAST_CALL_MS = 1_000; // some timers' lateness on a busy instance, and the end of the loops
 /** Least time for which a request is worth taking before the process ends. */
 const MIN_SERVE_MS = 2_500; // most requests take less
 const MS_PER_SECOND = 1_000;
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -12,6 +12,9 @@
 
 const EXIT_BAD_SETTINGS = 2;
 
+/** Time that connections have to close after a stop. */
+const EXIT_WITHIN_MS = 200; // with the gateway's last call, well inside the grace period
+
 interface DaemonArguments {
   readonly settings?: string;
 }
@@ -42,7 +45,12 @@
       ? createGateway(file, settings.gateway)
       : new Daemon(settings.own);
   await daemon.start();
-  const stop = () => void daemon.stop();
+  const stop = () => {
+    void daemon.stop().then(() => {
+      // A connection that is slow to close must not outlast the grace period.
+      setTimeout(() => process.exit(), EXIT_WITHIN_MS).unref();
+    });
+  };
   process.once('SIGINT', stop);
   process.once('SIGTERM', stop);
 }
