--- a/packages/daemon/src/callers/caller-headers.ts
+++ b/packages/daemon/src/callers/caller-headers.ts
@@ -27,16 +27,20 @@
     : randomUUID();
 }
 
-/** Reads what every request carries in its headers. Throws `RequestError`. */
+/**
+ * Reads what every request carries in its headers; one that names no deadline
+ * gets the one given. Throws `RequestError`.
+ */
 export function readCallerHeaders(
   request: IncomingMessage,
   requestId: string,
+  defaultDeadlineAtMs: number,
 ): CallerRequest {
   return {
     requestId,
     bearerToken: bearerToken(request),
     kind: headerOf(request, CallerHeader.Kind) ?? DEFAULT_KIND,
-    deadlineAtMs: readDeadline(request),
+    deadlineAtMs: readDeadline(request) ?? defaultDeadlineAtMs,
     idempotencyKey: readIdempotencyKey(request),
   };
 }
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -56,6 +56,16 @@
 
 /** HTTP interface for callers. */
 export class CallerServer {
+  private readHeaders(request: IncomingMessage): CallerRequest {
+    const { clock, limits } = this.parts;
+    const defaultDeadlineAtMs = clock.nowMs() + limits.defaultDeadlineMs;
+    return readCallerHeaders(
+      request,
+      requestIdOf(request),
+      defaultDeadlineAtMs,
+    );
+  }
+
   private readonly router = new HttpRouter();
   private readonly chat: ChatHandler;
   private readonly requests: RequestHandler;
@@ -112,7 +122,7 @@
   private async handleChat(exchange: HttpExchange): Promise<void> {
     const { request, response } = exchange;
     this.refuseWhileStopping();
-    const headers = readCallerHeaders(request, requestIdOf(request));
+    const headers = this.readHeaders(request);
     const text = await this.readBody(request);
     const body = parseChatBody(text, this.parts.limits.maxTokens);
     this.refuseWhileStopping();
@@ -150,7 +160,7 @@
   private async handleService(exchange: HttpExchange): Promise<void> {
     const { params, request, response, url } = exchange;
     this.refuseWhileStopping();
-    const headers = readCallerHeaders(request, requestIdOf(request));
+    const headers = this.readHeaders(request);
     const body = await this.readBody(request);
     this.refuseWhileStopping();
     const call = {
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -69,6 +69,8 @@
       bodyTimeoutMs: durationMs.default(10_000),
       maxHeaderBytes: z.int().positive().default(16_384),
       maxTokens: z.int().positive().default(32_768),
+      /** Deadline of a request that names none. */
+      defaultDeadlineMs: durationMs.default(60_000),
     })
     .prefault({}),
   claims: z
--- a/packages/stand-ins/src/deployment/local-deployment.test.ts
+++ b/packages/stand-ins/src/deployment/local-deployment.test.ts
@@ -98,6 +98,17 @@
     assert.equal(runs.length, 1);
   });
 
+  it('serves a request that names no deadline, as stock clients send it', async () => {
+    const answer = await request(`http://${callers()}/v1/chat/completions`, {
+      method: 'POST',
+      body: JSON.stringify({ messages: MESSAGES }),
+      headers: { authorization: `Bearer ${CALLER_TOKEN}` },
+    });
+    assert.equal(answer.statusCode, 200);
+    const completion = completionSchema.parse(await answer.body.json());
+    assert.equal(completion.choices[0]?.message.content, expected);
+  });
+
   it('refuses bad input and dispatches nothing', async () => {
     const path = '/v1/chat/completions';
     const body = JSON.stringify({ messages: MESSAGES });
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,6 +1,7 @@
 export * from './cloud/index.js';
 export * from './deployment/index.js';
 export * from './engine/index.js';
+export * from './gateway/index.js';
 export * from './key-value/index.js';
 export * from './scenarios/index.js';
 export * from './service/index.js';
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -1,13 +1,21 @@
+import { SAMPLE_HOST, SAMPLE_KEY } from '@skylarkreach/platform/stand-ins';
+
 import {
   CALLER_TOKEN,
   LocalDeployment,
   OPERATOR_TOKEN,
 } from './deployment/index.js';
+import { PlatformDeployment } from './gateway/index.js';
 
 const CURL_TIME_LIMIT_SECONDS = 60;
 
 const deployment = new LocalDeployment();
 await deployment.start();
+const platform = new PlatformDeployment();
+await platform.start();
+await platform.addWorker('ledger', 'ledger-1');
+await platform.addWorker('engines', 'engine-1');
+const gateway = await platform.addGateway('gateway-1');
 console.log(describe(deployment));
 process.once('SIGINT', stop);
 process.once('SIGTERM', stop);
@@ -15,6 +23,7 @@
 function stop(): void {
   console.log('Stopping; requests in flight end first.');
   void deployment.stop();
+  void gateway.gateway.stop().then(() => platform.destroy());
 }
 
 function describe(running: LocalDeployment): string {
@@ -37,6 +46,9 @@
     `  export SKYLARKREACH_TOKEN=${OPERATOR_TOKEN} SKYLARKREACH_ADDRESS=${running.daemons[0]?.addresses.operators ?? ''}`,
     '  npx skylarkreach status',
     '',
+    'Ask the entry for a platform, which forwards bodies unread:',
+    gatewayCurlLine(gateway.addresses.callers),
+    '',
     'Press Ctrl-C to stop.',
   ].join('\n');
 }
@@ -51,3 +63,14 @@
     `-d '{"stream":true,"messages":[{"role":"user","content":"Which account takes this entry?"}]}'`,
   ].join(' ');
 }
+
+function gatewayCurlLine(address: string): string {
+  return [
+    `curl -N http://${address}/drafts/1`,
+    `-H 'host: ${SAMPLE_HOST}'`,
+    `-H 'key: ${SAMPLE_KEY}'`,
+    "-H 'request-id: try-1'",
+    "-H 'model: m'",
+    "-d '{}'",
+  ].join(' ');
+}
