Keep endpoints whose entries lapsed while the store was away

Cause: after an outage in which leases run out, the first list has no entries; the platform says that those of live endpoints are back within about two seconds. Every request was refused meanwhile. Ready endpoints that the list lacks now stay in use for 2.2 s after an outage, by a test that failed before ('keeps endpoints whose entries lapsed'); one that drained, or whose address another endpoint has, does not.

--- /dev/null
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -0,0 +1,138 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { SeededRandom } from '../ports/index.js';
+import type { PoolQuery } from './endpoint-pool.js';
+import { AttemptVerdict, EndpointPool } from './endpoint-pool.js';
+import { EndpointState } from './endpoint-record.js';
+import { sampleEndpoint } from './fakes/index.js';
+
+const query: PoolQuery = {
+  group: 'ledger',
+  excluded: new Set(),
+  promptParts: [],
+  promptTokens: 0,
+};
+
+const draft: PoolQuery = {
+  ...query,
+  promptParts: [
+    { id: 'shared', tokens: 13_300 },
+    { id: 'own', tokens: 3_700 },
+  ],
+  promptTokens: 17_000,
+};
+
+function poolOf(ids: readonly string[], seed = 1): EndpointPool {
+  const pool = new EndpointPool(new SeededRandom(seed), {
+    dataCentre: 'north-1',
+    prefillTokensPerMs: 90,
+  });
+  pool.apply({ revision: 1, endpoints: ids.map(id => sampleEndpoint(id)) });
+  return pool;
+}
+
+function chosen(pool: EndpointPool, asked = query, nowMs = 0) {
+  return pool.take(asked, nowMs)?.endpoint.id;
+}
+
+describe('EndpointPool', () => {
+  it('spreads work that nothing tells apart', () => {
+    const pool = poolOf(['a', 'bb', 'ccc']);
+    const counts = new Map<string, number>();
+    for (let count = 0; count < 30; count += 1) {
+      const id = chosen(pool) ?? '';
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    for (const count of counts.values()) assert.ok(count >= 5);
+  });
+
+  it('never goes back to an older list', () => {
+    const pool = poolOf(['a']);
+    const endpoints = [sampleEndpoint('bb')];
+    assert.equal(pool.apply({ revision: 5, endpoints }), true);
+    const older = { revision: 4, endpoints: [sampleEndpoint('a')] };
+    assert.equal(pool.apply(older), false);
+    assert.equal(chosen(pool), 'bb');
+  });
+
+  it('sends nothing new to an endpoint that drains or is gone', () => {
+    const pool = poolOf(['a', 'bb']);
+    const draining = sampleEndpoint('a', { state: EndpointState.Draining });
+    const endpoints = [draining, sampleEndpoint('bb')];
+    pool.apply({ revision: 2, endpoints });
+    for (let count = 0; count < 9; count += 1) assert.equal(chosen(pool), 'bb');
+    pool.apply({ revision: 3, endpoints: [draining] });
+    assert.equal(chosen(pool), undefined);
+  });
+
+  it('keeps endpoints whose entries lapsed while the store was away, for a while', () => {
+    const pool = poolOf(['a', 'bb']);
+    pool.apply({ revision: 2, endpoints: [sampleEndpoint('bb')] }, 1_000);
+    const before = new Set(
+      Array.from({ length: 12 }, () => chosen(pool, query, 999)),
+    );
+    assert.deepEqual(before, new Set(['a', 'bb']));
+    assert.equal(chosen(pool, query, 1_000), 'bb');
+    pool.apply({ revision: 3, endpoints: [sampleEndpoint('bb')] });
+    assert.deepEqual(
+      pool.endpoints().map(each => each.id),
+      ['bb'],
+    );
+  });
+
+  it('does not keep a lapsed endpoint that drained, or whose address another has', () => {
+    const pool = poolOf(['a', 'bb']);
+    const draining = sampleEndpoint('a', { state: EndpointState.Draining });
+    pool.apply({ revision: 2, endpoints: [draining, sampleEndpoint('bb')] });
+    const { address } = sampleEndpoint('bb');
+    const other = sampleEndpoint('ccc', { address, group: 'other' });
+    pool.apply({ revision: 3, endpoints: [other] }, 1_000);
+    assert.equal(chosen(pool), undefined);
+  });
+
+  it('avoids an endpoint that fails, and asks it again later', () => {
+    const pool = poolOf(['a', 'bb']);
+    for (let count = 0; count < 8; count += 1) {
+      const ticket = pool.take(query, 0);
+      const isBad = ticket?.endpoint.id === 'a';
+      const verdict = isBad ? AttemptVerdict.Failed : AttemptVerdict.Succeeded;
+      ticket?.release(verdict, 0);
+    }
+    const ids = Array.from({ length: 5 }, () => {
+      const ticket = pool.take(query, 10);
+      ticket?.release(AttemptVerdict.Succeeded, 10);
+      return ticket?.endpoint.id;
+    });
+    assert.deepEqual(new Set(ids), new Set(['bb']));
+    const later = Array.from({ length: 20 }, () => chosen(pool, query, 60_000));
+    assert.ok(later.includes('a'));
+  });
+
+  it('has daemons agree on the home of a shared prompt without a word', () => {
+    const ids = ['a', 'bb', 'ccc', 'dddd'];
+    const homes = [1, 2, 3, 4, 5].map(seed => chosen(poolOf(ids, seed), draft));
+    assert.equal(new Set(homes).size, 1);
+  });
+
+  it('leaves a home that is far behind', () => {
+    const pool = poolOf(['a', 'bb', 'ccc', 'dddd']);
+    const home = chosen(pool, draft) ?? '';
+    pool.applyPeerWork(
+      new Map([[home, { running: 40, backlogTokens: 900_000 }]]),
+    );
+    assert.notEqual(chosen(pool, draft), home);
+  });
+
+  it('keeps to the versions that a request may use', () => {
+    const pool = poolOf([]);
+    const endpoints = [
+      sampleEndpoint('a', { version: 'v1' }),
+      sampleEndpoint('bb', { version: 'v2' }),
+    ];
+    pool.apply({ revision: 2, endpoints });
+    assert.equal(chosen(pool, { ...query, onlyVersion: 'v2' }), 'bb');
+    assert.equal(chosen(pool, { ...query, notVersion: 'v2' }), 'a');
+    assert.equal(chosen(pool, { ...query, onlyVersion: 'v3' }), undefined);
+  });
+});
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -58,6 +58,8 @@
   answerMs: number | undefined;
   readonly health: EndpointHealth;
   readonly cache: PromptCache;
+  /** Time until which it may be used though the newest listing lacks it. */
+  usableUntilMs: number;
 }
 
 /** Memory assumed for the cache of an endpoint. */
@@ -98,8 +100,11 @@
     return this.listedRevision;
   }
 
-  /** Takes a listing; false where it is not newer than the present one. */
-  apply(listing: EndpointListing): boolean {
+  /**
+   * Takes a listing; false where it is not newer than the present one. Ready
+   * endpoints that it lacks stay in use until `missingUntilMs`, where given.
+   */
+  apply(listing: EndpointListing, missingUntilMs = -Infinity): boolean {
     if (listing.revision <= this.listedRevision) return false;
     this.listedRevision = listing.revision;
     const next = new Map<string, PoolMember>();
@@ -109,7 +114,12 @@
         member?.record.address === record.address &&
         member.record.bornAtMs === record.bornAtMs;
       if (isSame) member.record = record;
-      next.set(record.id, isSame ? member : newMember(record));
+      const kept = isSame ? member : newMember(record);
+      kept.usableUntilMs = Infinity;
+      next.set(record.id, kept);
+    }
+    if (Number.isFinite(missingUntilMs)) {
+      this.keepMissing(next, missingUntilMs);
     }
     this.members = next;
     return true;
@@ -198,14 +208,26 @@
     }));
   }
 
+  private keepMissing(next: Map<string, PoolMember>, untilMs: number): void {
+    const taken = new Set([...next.values()].map(each => each.record.address));
+    for (const [id, member] of this.members) {
+      const { address, state } = member.record;
+      const isLeaving = state !== EndpointState.Ready || taken.has(address);
+      if (next.has(id) || isLeaving) continue;
+      member.usableUntilMs = Math.min(member.usableUntilMs, untilMs);
+      next.set(id, member);
+    }
+  }
+
   private isUsable(
-    { record }: PoolMember,
+    { record, usableUntilMs }: PoolMember,
     group: string,
     nowMs: number,
   ): boolean {
     return (
       record.group === group &&
       record.state === EndpointState.Ready &&
+      nowMs < usableUntilMs &&
       !this.isMisdirected(record.id, nowMs)
     );
   }
@@ -316,6 +338,7 @@
     answerMs: undefined,
     health: new EndpointHealth(),
     cache: new PromptCache(CACHE_TOKENS),
+    usableUntilMs: Infinity,
   };
 }
 
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -52,6 +52,10 @@
 };
 /** Part of the drain bound after which the list of endpoints is read again. */
 const LISTING_SHARE = 0.4; // leaves a second read within the bound where one is lost
+/** Time without any read of the list after which the store is taken to have been away. */
+const OUTAGE_MS = 2_500; // three intervals of reading
+/** Time after its return in which entries that lapsed meanwhile are back. */
+const LAPSED_BACK_MS = 2_200; // the platform names about two seconds
 /** Lines of one kind a second: some times the requests of one daemon at the size planned for. */
 const LOG_LINES_PER_SECOND = 50;
 /** Part of the repeats allowed that daemons use, which leaves room for their uneven shares. */
@@ -177,9 +181,18 @@
       source,
     });
   };
+  let missingUntilMs = -Infinity;
+  let confirmedAtMs = clock.nowMs();
   const applyListing = (listing: EndpointListing, source: string) => {
     const before = new Set(pool.endpoints().map(each => each.id));
-    if (!pool.apply(listing)) return;
+    const nowMs = clock.nowMs();
+    const othersReadAtMs = cluster.board.endpointReadAtMs(Infinity, nowMs);
+    if (nowMs - Math.max(confirmedAtMs, othersReadAtMs) > OUTAGE_MS) {
+      missingUntilMs = nowMs + LAPSED_BACK_MS;
+    }
+    confirmedAtMs = nowMs;
+    const isBack = nowMs >= missingUntilMs;
+    if (!pool.apply(listing, isBack ? undefined : missingUntilMs)) return;
     const after = new Set(pool.endpoints().map(each => each.id));
     endpointClient.keepOnly(after);
     metrics.gauge('endpoints.known', after.size);
