Split the gateway's wiring and the endpoint pool by job

What a daemon has learnt (configuration, list, rollouts) and the budgets of repeats have files of their own, as has the arithmetic of one endpoint's cost. Behaviour is unchanged; the gateway's tests pass as before.

--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -1,10 +1,16 @@
 import type { Address, DataCentre, Random } from '../ports/index.js';
-import { hash32 } from '../routing/index.js';
-import { EndpointHealth } from './endpoint-health.js';
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
 import { EndpointState } from './endpoint-record.js';
 import type { PromptPart, ReportedLoad } from './forward-request.js';
-import { PromptCache, sumTokens } from './prompt-cache.js';
+import type { PoolMember } from './pool-member.js';
+import {
+  DEFAULT_ANSWER_MS,
+  expectedUncached,
+  fitsVersion,
+  homeOf,
+  newMember,
+  serviceMs,
+} from './pool-member.js';
 
 export interface EndpointPoolOptions {
   readonly dataCentre: DataCentre;
@@ -47,25 +53,8 @@
   Failed = 'failed',
 }
 
-interface PoolMember {
-  record: EndpointRecord;
-  running: number;
-  backlogTokens: number;
-  reported: ReportedLoad | undefined;
-  reportedAtMs: number;
-  sentSinceReport: number;
-  /** Moving average of the time from sending to the answer. */
-  answerMs: number | undefined;
-  readonly health: EndpointHealth;
-  readonly cache: PromptCache;
-  /** Time until which it may be used though the newest listing lacks it. */
-  usableUntilMs: number;
-}
-
-/** Memory assumed for the cache of an endpoint. */
-const CACHE_TOKENS = 300_000; // two thirds of the memory on the users' sheet; the rest holds running requests
-const ANSWER_WEIGHT = 0.1;
-const DEFAULT_ANSWER_MS = 20;
+/** Weight of the newest answer in an endpoint's average. */
+const ANSWER_WEIGHT = 0.1; // the last ten or so count, a second of traffic
 /** Cost of a certain failure: about one lost attempt and its repeat. */
 const FAILURE_PENALTY_MS = 2_000;
 /** Time that each running request adds to the steps of an engine's answer. */
@@ -73,14 +62,13 @@
 /** Cost of sending to another data centre: twice the way there. */
 const REMOTE_COST_MS = 1;
 /** Age after which a report of load says nothing any more. */
-const REPORT_AGE_LIMIT_MS = 1_000;
+const REPORT_AGE_LIMIT_MS = 1_000; // most requests last less
 /** Weight of the tokens that a request makes an engine read: they delay all requests that come after it too. */
-const UNCACHED_WEIGHT = 6;
-/** Part of a shared prompt that is expected to be missing at its home. */
-const HOME_MISS_SHARE = 0.3;
-const JITTER_MS = 2;
+const UNCACHED_WEIGHT = 6; // docs/decisions/0010-platform.md, 'Weighed'
+/** Random part of a cost, so that daemons with equal views do not all choose alike. */
+const JITTER_MS = 2; // below the cost of one running request
 /** Time after which an address that another endpoint answered on is asked again. */
-const MISDIRECTED_MS = 10_000;
+const MISDIRECTED_MS = 10_000; // the list names the address's owner long before
 
 /** The endpoints that this daemon may use, and the choice among them. */
 export class EndpointPool {
@@ -326,66 +314,3 @@
     };
   }
 }
-
-function newMember(record: EndpointRecord): PoolMember {
-  return {
-    record,
-    running: 0,
-    backlogTokens: 0,
-    reported: undefined,
-    reportedAtMs: 0,
-    sentSinceReport: 0,
-    answerMs: undefined,
-    health: new EndpointHealth(),
-    cache: new PromptCache(CACHE_TOKENS),
-    usableUntilMs: Infinity,
-  };
-}
-
-function fitsVersion(
-  { version }: EndpointRecord,
-  { notVersion, onlyVersion }: PoolQuery,
-): boolean {
-  if (version === notVersion) return false;
-  return onlyVersion === undefined || version === onlyVersion;
-}
-
-function serviceMs(member: PoolMember, running: number): number {
-  const rounds = Math.max(1, (running + 1) / Math.max(1, member.record.slots));
-  const answerMs = member.answerMs ?? DEFAULT_ANSWER_MS;
-  return answerMs * rounds + running;
-}
-
-function expectedUncached(
-  member: PoolMember,
-  { promptParts, promptTokens }: PoolQuery,
-  isHome: boolean,
-): number {
-  if (promptParts.length === 0) return promptTokens;
-  const known = member.cache.uncachedTokens(promptParts);
-  if (!isHome) return known;
-  const shared = sumTokens(promptParts.slice(0, -1));
-  const own = promptParts.at(-1)?.tokens ?? 0;
-  return Math.min(known, own + shared * HOME_MISS_SHARE);
-}
-
-/**
- * The endpoint at which all daemons expect a prompt's shared parts: the highest
- * random weight (Thaler and Ravishankar, 1998) for its last shared part.
- */
-function homeOf(
-  members: readonly PoolMember[],
-  parts: readonly PromptPart[],
-): PoolMember | undefined {
-  const key = parts.at(-2)?.id;
-  if (key === undefined) return undefined;
-  let home: PoolMember | undefined;
-  let highest = -1;
-  for (const member of members) {
-    const weight = hash32(`${key} ${member.record.id}`);
-    if (weight <= highest) continue;
-    home = member;
-    highest = weight;
-  }
-  return home;
-}
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -13,6 +13,7 @@
 export * from './forwarder.js';
 export * from './identify-forward.js';
 export * from './patience.js';
+export * from './pool-member.js';
 export * from './prompt-cache.js';
 export * from './route-table.js';
 export * from './silence-watch.js';
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -1,9 +1,6 @@
 import type {
   CallerLimits,
   Configuration,
-  EndpointListing,
-  OperatorState,
-  RolloutOrder,
 } from '@skylarkreach/core/forwarding';
 import {
   AllowanceLedger,
@@ -15,7 +12,6 @@
 import type { Clock } from '@skylarkreach/core/ports';
 import { LogPart, SeededRandom } from '@skylarkreach/core/ports';
 import { RolloutBoard } from '@skylarkreach/core/rollouts';
-import { RetryBudget } from '@skylarkreach/core/routing';
 import {
   DutyClient,
   PlatformProtocol,
@@ -41,7 +37,9 @@
 import type { GatewayBase } from './gateway-base.js';
 import { GatewayCluster } from './gateway-cluster.js';
 import { GatewayDuties } from './gateway-duties.js';
+import { GatewayKnowledge } from './gateway-knowledge.js';
 import { OperatorWatch } from './operator-watch.js';
+import { RepeatBudgets } from './repeat-budgets.js';
 
 /** Limits in force until a configuration is known. */
 const DEFAULT_LIMITS: CallerLimits = {
@@ -52,18 +50,8 @@
 };
 /** Part of the drain bound after which the list of endpoints is read again. */
 const LISTING_SHARE = 0.4; // leaves a second read within the bound where one is lost
-/** Time without any read of the list after which the store is taken to have been away. */
-const OUTAGE_MS = 2_500; // three intervals of reading
-/** Time after its return in which entries that lapsed meanwhile are back. */
-const LAPSED_BACK_MS = 2_200; // the platform names about two seconds
 /** Lines of one kind a second: some times the requests of one daemon at the size planned for. */
 const LOG_LINES_PER_SECOND = 50;
-/** Part of the repeats allowed that daemons use, which leaves room for their uneven shares. */
-const REPEAT_USE = 0.8;
-/** Keys of the values that daemons spread among themselves. */
-const CONFIGURATION_KEY = 'configuration';
-const ENDPOINTS_KEY = 'endpoints';
-const ROLLOUTS_KEY = 'rollouts';
 
 /** Everything that a daemon at a platform's entry runs. */
 export interface GatewayWiring extends GatewayBase {
@@ -83,7 +71,7 @@
   seed: number,
 ): GatewayWiring {
   const base = createBase(settings, clock, seed);
-  const { log, metrics, platform } = base;
+  const { log, platform } = base;
   const configuration = new ConfigurationStore();
   const pool = new EndpointPool(base.random, {
     dataCentre: settings.identity.dataCentre,
@@ -127,7 +115,7 @@
       work: Object.fromEntries(pool.ownWork()),
       grantedTokens: allowances.granted(),
       usage: duties.ledger.ownUsage(),
-      endpointsVersion: spreadVersion(ENDPOINTS_KEY),
+      endpointsVersion: knowledge.endpointsVersion,
       ...(Number.isFinite(readAgeMs) ? { endpointReadAgeMs: readAgeMs } : {}),
       rollouts: rollouts.hints(),
       holdsDuties: duties.holder.current() !== undefined,
@@ -144,16 +132,7 @@
     pool.applyPeerWork(cluster.board.work(nowMs));
   };
   const cluster = new GatewayCluster(base, { ownHints, takeHints });
-  const spreadVersion = (key: string) => cluster.membership.store.version(key);
-  const spread = (key: string, version: number, value: unknown) => {
-    if (version <= spreadVersion(key)) return;
-    void cluster.membership.publish({
-      key,
-      version,
-      value: JSON.stringify(value),
-    });
-  };
-
+  const budgets = new RepeatBudgets(settings, () => cluster.size);
   const forwarder = new Forwarder({
     ...base,
     protocol: platform.protocol,
@@ -161,7 +140,7 @@
     configuration,
     pool,
     allowances,
-    budgetOf: createBudgets(base, () => cluster.size),
+    budgetOf: group => budgets.of(group),
     versions: rollouts,
     usage: duties.ledger,
   });
@@ -172,85 +151,23 @@
     limits: () => configuration.current?.limits ?? DEFAULT_LIMITS,
   });
 
-  const applyConfiguration = (next: Configuration, source: string) => {
-    if (!configuration.apply(next)) return;
-    front.applyLimits();
-    log.info(LogPart.Configuration, 'A configuration is in force.', {
-      version: next.version,
-      routes: next.routes.length,
-      source,
-    });
-  };
-  let missingUntilMs = -Infinity;
-  let confirmedAtMs = clock.nowMs();
-  const applyListing = (listing: EndpointListing, source: string) => {
-    const before = new Set(pool.endpoints().map(each => each.id));
-    const nowMs = clock.nowMs();
-    const othersReadAtMs = cluster.board.endpointReadAtMs(Infinity, nowMs);
-    if (nowMs - Math.max(confirmedAtMs, othersReadAtMs) > OUTAGE_MS) {
-      missingUntilMs = nowMs + LAPSED_BACK_MS;
-    }
-    confirmedAtMs = nowMs;
-    const isBack = nowMs >= missingUntilMs;
-    if (!pool.apply(listing, isBack ? undefined : missingUntilMs)) return;
-    const after = new Set(pool.endpoints().map(each => each.id));
-    endpointClient.keepOnly(after);
-    metrics.gauge('endpoints.known', after.size);
-    const added = [...after].filter(id => !before.has(id));
-    const removed = [...before].filter(id => !after.has(id));
-    if (added.length + removed.length === 0) return;
-    log.info(LogPart.Routing, 'The endpoints have changed.', {
-      revision: listing.revision,
-      added: added.join(','),
-      removed: removed.join(','),
-      source,
-    });
-  };
-  cluster.membership.onValue(({ key, value }) => {
-    // Peers seal what they send; each value was read from the store by one of them.
-    if (key === CONFIGURATION_KEY) {
-      applyConfiguration(JSON.parse(value) as Configuration, 'peer');
-    }
-    if (key === ROLLOUTS_KEY) {
-      const orders = JSON.parse(value) as readonly RolloutOrder[];
-      for (const order of orders) rollouts.takeOrder(order);
-    }
-    if (key === ENDPOINTS_KEY) {
-      applyListing(JSON.parse(value) as EndpointListing, 'peer');
-    }
+  const knowledge = new GatewayKnowledge(base, {
+    configuration,
+    pool,
+    rollouts,
+    endpointClient,
+    cluster,
+    onConfiguration: () => {
+      front.applyLimits();
+    },
   });
-
-  const takeOperatorState = (state: OperatorState) => {
-    if (state.malformed > 0) {
-      metrics.increment('configuration.malformed', state.malformed);
-      log.warn(LogPart.Configuration, 'Entries of operators cannot be read.', {
-        entries: state.malformed,
-        revision: state.revision,
-      });
-    }
-    for (const order of state.rollouts) rollouts.takeOrder(order);
-    for (const end of state.ended) rollouts.takeEnd(end);
-    const orders = rollouts.trials().map(trial => trial.order);
-    const newest = Math.max(0, ...orders.map(order => order.revision));
-    spread(ROLLOUTS_KEY, newest, orders);
-    const next = state.configuration;
-    if (next === undefined) return;
-    applyConfiguration(next, 'store');
-    spread(CONFIGURATION_KEY, next.version, next);
-  };
-  let listedText = '';
-  const takeListing = (listing: EndpointListing) => {
-    applyListing(listing, 'store');
-    const text = JSON.stringify(listing.endpoints);
-    if (text === listedText) return;
-    listedText = text;
-    spread(ENDPOINTS_KEY, listing.revision, listing);
-  };
   const operatorWatch = new OperatorWatch({
     ...base,
     source: platform.operators,
     dependency: dependency(base, 'operators', LogPart.Configuration),
-    take: takeOperatorState,
+    take: state => {
+      knowledge.takeOperatorState(state);
+    },
   });
   const endpointWatch: EndpointWatch = new EndpointWatch({
     ...base,
@@ -258,11 +175,10 @@
     dependency: dependency(base, 'endpoints', LogPart.Routing),
     intervalMs: settings.bounds.drainMs * LISTING_SHARE,
     lastReadAtMs: () =>
-      cluster.board.endpointReadAtMs(
-        spreadVersion(ENDPOINTS_KEY),
-        clock.nowMs(),
-      ),
-    take: takeListing,
+      cluster.board.endpointReadAtMs(knowledge.endpointsVersion, clock.nowMs()),
+    take: listing => {
+      knowledge.takeListing(listing);
+    },
   });
   const loops = [
     loopOf(base, 'operators', LogPart.Configuration, operatorWatch),
@@ -325,30 +241,6 @@
     .map(route => route.name);
 }
 
-/** Repeats that this daemon may send to each group: its part of what all may. */
-function createBudgets(
-  { settings }: GatewayBase,
-  daemons: () => number,
-): (group: string) => RetryBudget {
-  const { repeatShare, repeatSlack } = settings.bounds;
-  const budgets = new Map<string, RetryBudget>();
-  return group => {
-    let budget = budgets.get(group);
-    if (budget === undefined) {
-      const ownSlack = () => (repeatSlack * REPEAT_USE) / daemons();
-      budget = new RetryBudget({
-        share: repeatShare * REPEAT_USE,
-        initialSaved: ownSlack(),
-        get maxSaved() {
-          return ownSlack();
-        },
-      });
-      budgets.set(group, budget);
-    }
-    return budget;
-  };
-}
-
 function dependency(
   { log, metrics }: GatewayBase,
   name: string,
