--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -17,7 +17,6 @@
 const MS_PER_SECOND = 1_000;
 /** Sections that are read once, at the start. */
 const RESTART_SECTIONS = ['identity', 'listen', 'peerSecret'] as const;
-const READINESS_PATH = '/-/readiness';
 const METRICS_PATH = '/metrics';
 
 export interface GatewayOptions {
@@ -44,7 +43,7 @@
     const seed = options.seed ?? Math.floor(clock.nowMs()) ^ process.pid;
     this.wiring = wireGateway(settings, clock, seed);
     this.readiness = new TextServer({
-      [READINESS_PATH]: () => this.readinessAnswer(),
+      [settings.listen.readinessPath]: () => this.readinessAnswer(),
     });
     this.metricsServer = new TextServer({
       [METRICS_PATH]: async () => ({
--- a/packages/daemon/src/settings/gateway-settings.ts
+++ b/packages/daemon/src/settings/gateway-settings.ts
@@ -14,6 +14,7 @@
     callers: address,
     /** Where the balancer asks whether to send new connections. */
     readiness: address,
+    readinessPath: z.string().startsWith('/').default('/ready'),
     operators: address,
     peers: address,
     metrics: address,
--- a/packages/stand-ins/src/gateway/gateway.test.ts
+++ b/packages/stand-ins/src/gateway/gateway.test.ts
@@ -286,7 +286,7 @@
   it('is not ready once it leaves, and ends the answers in progress', async () => {
     const [running] = deployment.gateways;
     const readiness = running?.addresses.readiness ?? '';
-    const ready = await request(`http://${readiness}/-/readiness`);
+    const ready = await request(`http://${readiness}/ready`);
     await ready.body.dump();
     assert.equal(ready.statusCode, 200);
     const stream = await send('/drafts/a', {
@@ -296,7 +296,7 @@
       'deadline-ms': '8000',
     });
     const stopped = running?.gateway.stop();
-    const unready = await request(`http://${readiness}/-/readiness`);
+    const unready = await request(`http://${readiness}/ready`);
     await unready.body.dump();
     assert.equal(unready.statusCode, 503);
     assert.match(await stream.body.text(), /id: 4/);
--- a/packages/stand-ins/src/gateway/platform-deployment.ts
+++ b/packages/stand-ins/src/gateway/platform-deployment.ts
@@ -2,8 +2,6 @@
 import { Gateway, gatewaySettingsSchema, LogLevel } from '@skylarkreach/daemon';
 import {
   CloudServer,
-  sampleConfiguration,
-  sampleEntry,
   StoreServer,
   WorkerServer,
 } from '@skylarkreach/platform/stand-ins';
@@ -11,8 +9,6 @@
 import { ANY_PORT } from '../deployment/index.js';
 
 const POLL_INTERVAL_MS = 10;
-const CONFIGURATION_KEY = 'op/config';
-const ENTRY_PREFIX = 'servers/';
 
 /** A daemon at the platform's entry and the addresses that it is bound to. */
 export interface RunningGateway {
@@ -37,14 +33,13 @@
 
   /** Writes the sample configuration as an operator does. */
   configure(version: number): void {
-    this.store.state.put(CONFIGURATION_KEY, sampleConfiguration(version));
+    this.store.configure(version);
   }
 
   async addWorker(service: string, id: string): Promise<WorkerServer> {
     const worker = new WorkerServer({ id });
     const address = await worker.listen();
-    const entry = sampleEntry(service, address);
-    this.store.state.put(`${ENTRY_PREFIX}${id}`, entry);
+    this.store.register(id, service, address);
     this.workers.push(worker);
     return worker;
   }
--- a/scripts/smoke.mjs
+++ b/scripts/smoke.mjs
@@ -35,11 +35,8 @@
 const worker = new stand.WorkerServer({ id: 'ledger-1' });
 const storeAddress = await store.listen();
 const cloudAddress = await cloud.listen();
-store.state.put('op/config', stand.sampleConfiguration(1));
-store.state.put(
-  'servers/ledger-1',
-  stand.sampleEntry('ledger', await worker.listen()),
-);
+store.configure(1);
+store.register('ledger-1', 'ledger', await worker.listen());
 
 const address = async () => `127.0.0.1:${await freePort()}`;
 const listen = {
@@ -86,7 +83,7 @@
 
 try {
   await until(async () => {
-    const answer = fetch(`http://${listen.readiness}/-/readiness`);
+    const answer = fetch(`http://${listen.readiness}/ready`);
     return (await answer.catch(() => undefined))?.status === 200;
   }, 'the program is ready');
   // Fetch sends the address as the host, for which there is no route.
