Do not take a reset for the end of an answer without a length

Ruled out: the relay of streams, which holds back what has not ended. Resets are now counted for each endpoint, and one during such an answer makes it a failed one. The new test gives 200 instead of 502 without the change.

--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -1,4 +1,4 @@
-import { Pool } from 'undici';
+import { buildConnector, Pool } from 'undici';
 
 import type {
   EndpointAnswer,
@@ -18,17 +18,31 @@
 /** Time before the stated end of an idle connection at which it is given up. */
 const KEEP_ALIVE_MARGIN_MS = 1_000; // endpoints state whole seconds
 const MAX_HEADER_BYTES = 65_536;
+/** Errors of the system by which a connection ends otherwise than by its endpoint's wish. */
+const RESET_CODES: ReadonlySet<string> = new Set([
+  'ECONNRESET',
+  'EPIPE',
+  'ETIMEDOUT',
+]);
+
+/** Connections to one endpoint. */
+interface EndpointConnections {
+  readonly pool: Pool;
+  /** Connections that the endpoint has reset so far. */
+  resets: number;
+}
 
 /** Sends requests to endpoints, over connections that are kept for each lifetime of an endpoint. */
 export class EndpointClient implements Upstream {
-  private readonly pools = new Map<string, Pool>();
+  private readonly connections = new Map<string, EndpointConnections>();
 
   constructor(private readonly protocol: ForwardProtocol) {}
 
   async send(call: EndpointCall, signal: AbortSignal): Promise<EndpointAnswer> {
     const { endpoint } = call;
+    const connections = this.connectionsTo(endpoint);
     try {
-      const response = await this.poolOf(endpoint).request({
+      const response = await connections.pool.request({
         method: call.method,
         path: call.target,
         headers: [...call.headers],
@@ -41,7 +55,9 @@
         status: response.statusCode,
         headers,
         traits: this.protocol.readAnswer(response.statusCode, headers),
-        body: response.body,
+        body: isFramed(headers)
+          ? response.body
+          : wholeUnlessReset(response.body, connections),
       };
     } catch (error) {
       const message = `${endpoint.id} gave no answer (${String(error)}).`;
@@ -53,38 +69,72 @@
 
   /** Gives up the connections to endpoints that are gone; requests in flight end first. */
   keepOnly(ids: ReadonlySet<string>): void {
-    for (const [key, pool] of this.pools) {
-      if (ids.has(key)) continue;
-      this.pools.delete(key);
+    for (const [id, { pool }] of this.connections) {
+      if (ids.has(id)) continue;
+      this.connections.delete(id);
       // A connection that was broken off needs no second report.
       void pool.close().catch(() => undefined);
     }
   }
 
   async close(): Promise<void> {
-    const pools = [...this.pools.values()];
-    this.pools.clear();
+    const pools = [...this.connections.values()].map(each => each.pool);
+    this.connections.clear();
     await Promise.all(pools.map(pool => pool.destroy()));
   }
 
-  private poolOf(endpoint: EndpointRecord): Pool {
-    let pool = this.pools.get(endpoint.id);
-    if (pool === undefined) {
-      pool = new Pool(`http://${endpoint.address}`, {
-        connect: { timeout: CONNECT_TIMEOUT_MS },
-        pipelining: 1,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-        keepAliveTimeout: KEEP_ALIVE_MS,
-        keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-        maxHeaderSize: MAX_HEADER_BYTES,
-      });
-      this.pools.set(endpoint.id, pool);
-    }
-    return pool;
+  private connectionsTo(endpoint: EndpointRecord): EndpointConnections {
+    const known = this.connections.get(endpoint.id);
+    if (known !== undefined) return known;
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    const pool = new Pool(`http://${endpoint.address}`, {
+      connect: (options, callback) => {
+        connect(options, (...result) => {
+          const [, socket] = result;
+          socket?.on('error', (error: NodeJS.ErrnoException) => {
+            // An orderly end is an error of undici's own.
+            if (RESET_CODES.has(error.code ?? '')) connections.resets += 1;
+          });
+          callback(...result);
+        });
+      },
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+    });
+    const connections: EndpointConnections = { pool, resets: 0 };
+    this.connections.set(endpoint.id, connections);
+    return connections;
   }
 }
 
+/** Whether an answer tells its end itself; another one ends with its connection. */
+function isFramed(headers: readonly string[]): boolean {
+  return headers.some(
+    (name, index) =>
+      index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(name),
+  );
+}
+
+/**
+ * The body of an answer that ends with its connection. undici takes a reset for
+ * such an end; a reset on any connection to the endpoint makes it doubtful.
+ */
+async function* wholeUnlessReset(
+  body: AsyncIterable<Uint8Array>,
+  connections: EndpointConnections,
+): AsyncGenerator<Uint8Array> {
+  const resetsBefore = connections.resets;
+  yield* body;
+  if (connections.resets === resetsBefore) return;
+  throw new AnswerLostError(
+    'The connection was reset within an answer without a length.',
+  );
+}
+
 /** With `responseHeaders: 'raw'` undici gives names and values in turn. */
 function rawHeaders(headers: unknown): readonly string[] {
   if (!Array.isArray(headers)) return [];
--- a/packages/stand-ins/src/gateway/gateway.test.ts
+++ b/packages/stand-ins/src/gateway/gateway.test.ts
@@ -184,6 +184,21 @@
     assert.equal(answer.statusCode, 502);
   });
 
+  it('takes an answer without a length for whole only where its connection is not reset', async () => {
+    for (const worker of deployment.workers) {
+      worker.mode = WorkerMode.EndsUnframed;
+    }
+    const whole = await send('/postings/a', {}, { body: '{}' });
+    assert.equal(whole.statusCode, 200);
+    assert.equal(await whole.body.text(), 'first part and the rest');
+    for (const worker of deployment.workers) {
+      worker.mode = WorkerMode.ResetsUnframed;
+    }
+    const cut = await send('/postings/b', {}, { body: '{}' });
+    assert.equal(cut.statusCode, 502);
+    await cut.body.dump();
+  });
+
   it('gives the final answer at the route’s timeout', async () => {
     for (const worker of deployment.workers) worker.mode = WorkerMode.Hangs;
     const answer = await send(
