--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -41,6 +41,8 @@
   async send(call: EndpointCall, signal: AbortSignal): Promise<EndpointAnswer> {
     const { endpoint } = call;
     const connections = this.connectionsTo(endpoint);
+    // Read before the send: the head of an answer and a reset may arrive together.
+    const resetsBefore = connections.resets;
     try {
       const response = await connections.pool.request({
         method: call.method,
@@ -57,7 +59,7 @@
         traits: this.protocol.readAnswer(response.statusCode, headers),
         body: isFramed(headers)
           ? response.body
-          : wholeUnlessReset(response.body, connections),
+          : wholeUnlessReset(response.body, connections, resetsBefore),
       };
     } catch (error) {
       const message = `${endpoint.id} gave no answer (${String(error)}).`;
@@ -126,8 +128,8 @@
 async function* wholeUnlessReset(
   body: AsyncIterable<Uint8Array>,
   connections: EndpointConnections,
+  resetsBefore: number,
 ): AsyncGenerator<Uint8Array> {
-  const resetsBefore = connections.resets;
   yield* body;
   if (connections.resets === resetsBefore) return;
   throw new AnswerLostError(
