--- a/packages/stand-ins/src/gateway/gateway.test.ts
+++ b/packages/stand-ins/src/gateway/gateway.test.ts
@@ -130,6 +130,23 @@
     assert.match(text, /^HTTP\/1\.1 408 /);
   });
 
+  it('answers 408 to a body that takes too long, and sends none of it on', async () => {
+    const text = await exchange(
+      [
+        'POST /postings/a HTTP/1.1',
+        `Host: ${SAMPLE_HOST}`,
+        'Request-Id: slow',
+        `Key: ${SAMPLE_KEY}`,
+        'Content-Length: 10',
+        '',
+        'half',
+      ].join('\r\n'),
+    );
+    assert.match(text, /^HTTP\/1\.1 408 /);
+    assert.match(text, /connection: close/i);
+    assert.equal(runs().length, 0);
+  });
+
   it('refuses framing that could smuggle a request and closes the connection', async () => {
     const text = await exchange(
       [
