Hand an answer that ends with its connection on in the same way

Seen in a log of the connection's events (trial on a scratch copy): end without a reset. Ruled out: a reset that was not counted. Such an answer now has no length here either and ends with the caller's connection.

--- a/packages/core/src/forwarding/fakes/scripted-upstream.ts
+++ b/packages/core/src/forwarding/fakes/scripted-upstream.ts
@@ -40,6 +40,7 @@
       status: step.status ?? 200,
       headers: ['Request-Id', requestId, 'Endpoint', call.endpoint.id],
       traits: answerTraits(requestId, step.traits),
+      isFramed: true,
       body: this.body(step, signal),
     };
   }
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -29,6 +29,7 @@
   readonly status: number;
   readonly headers: RawHeaders;
   readonly body: Uint8Array;
+  readonly isFramed: boolean;
 }
 
 export interface AttemptEnd {
@@ -157,10 +158,10 @@
       chunks.push(chunk);
     }
     this.ticket.recordFirstEvent(this.parts.clock.nowMs());
-    const { headers, status } = answer;
+    const { headers, isFramed, status } = answer;
     return {
       kind: AttemptEndKind.Answered,
-      answer: { status, headers, body: Buffer.concat(chunks) },
+      answer: { status, headers, isFramed, body: Buffer.concat(chunks) },
     };
   }
 
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -271,7 +271,8 @@
       answer.status >= MIN_FAILURE_STATUS
         ? RunOutcome.EndpointError
         : RunOutcome.Answered;
-    this.sink.begin(answer.status, protocol.answerHeaders(answer.headers));
+    const headers = protocol.answerHeaders(answer.headers);
+    this.sink.begin(answer.status, headers, answer.isFramed);
     void this.sink.write(answer.body);
     this.sink.end();
   }
--- a/packages/core/src/forwarding/stream-relay.ts
+++ b/packages/core/src/forwarding/stream-relay.ts
@@ -60,7 +60,7 @@
   private beginAnswer(): void {
     if (this.hasBegunAnswer || this.head === undefined) return;
     this.hasBegunAnswer = true;
-    this.sink.begin(this.head.status, this.head.headers);
+    this.sink.begin(this.head.status, this.head.headers, true);
     this.onFirstEvent();
   }
 
--- a/packages/core/src/forwarding/upstream.ts
+++ b/packages/core/src/forwarding/upstream.ts
@@ -15,6 +15,8 @@
   readonly status: number;
   readonly headers: RawHeaders;
   readonly traits: AnswerTraits;
+  /** The answer tells its end itself; another one ends with its connection. */
+  readonly isFramed: boolean;
   /** Throws where the body ends before it is whole. */
   readonly body: AsyncIterable<Uint8Array>;
 }
@@ -30,7 +32,8 @@
 
 /** Where the answer to a caller goes. */
 export interface AnswerSink {
-  begin(status: number, headers: RawHeaders): void;
+  /** An answer that is not framed ends with the caller's connection too, so that it looks no more whole than it was. */
+  begin(status: number, headers: RawHeaders, isFramed: boolean): void;
   /** Resolves once the caller's connection takes more, or is gone. */
   write(bytes: Uint8Array): Promise<void>;
   end(): void;
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -57,6 +57,7 @@
         status: response.statusCode,
         headers,
         traits: this.protocol.readAnswer(response.statusCode, headers),
+        isFramed: isFramed(headers),
         body: isFramed(headers)
           ? response.body
           : wholeUnlessReset(response.body, connections, resetsBefore),
--- a/packages/daemon/src/gateway/response-sink.ts
+++ b/packages/daemon/src/gateway/response-sink.ts
@@ -14,10 +14,12 @@
     return this.response.headersSent;
   }
 
-  begin(status: number, headers: RawHeaders): void {
+  begin(status: number, headers: RawHeaders, isFramed: boolean): void {
     const { response } = this;
     response.sendDate = false;
-    const ending = this.closes() ? ['connection', 'close'] : [];
+    response.useChunkedEncodingByDefault = isFramed;
+    const isLast = this.closes() || !isFramed;
+    const ending = isLast ? ['connection', 'close'] : [];
     response.writeHead(status, [...headers, ...ending]);
   }
 
--- a/packages/stand-ins/src/gateway/gateway.test.ts
+++ b/packages/stand-ins/src/gateway/gateway.test.ts
@@ -208,6 +208,10 @@
     const whole = await send('/postings/a', {}, { body: '{}' });
     assert.equal(whole.statusCode, 200);
     assert.equal(await whole.body.text(), 'first part and the rest');
+    // It ends with the connection here too: nobody can tell whether it is whole.
+    assert.equal(whole.headers['transfer-encoding'], undefined);
+    assert.equal(whole.headers['content-length'], undefined);
+    assert.equal(whole.headers.connection, 'close');
     for (const worker of deployment.workers) {
       worker.mode = WorkerMode.ResetsUnframed;
     }
