Call one piece where the gateway wrote several, and drop what nothing calls

Loops of a fixed interval were made in three places by the same code; all use everyInterval. What counts as an endpoint's own failure was tested in four places with two copies of the limit; isEndpointError is the one test. The framing of an answer was worked out twice a request. Nothing read the trait 'closes', EndpointPool.addresses, Dependency.isLost, nor the configuration's look-ups by workspace and group.

Behaviour is unchanged and no test's assertion is touched.

--- a/packages/core/src/forwarding/configuration-store.ts
+++ b/packages/core/src/forwarding/configuration-store.ts
@@ -1,7 +1,5 @@
-import type { Workspace } from '../ports/index.js';
 import type {
   Configuration,
-  ForwardGroup,
   ForwardRoute,
   ForwardWorkspace,
 } from './configuration.js';
@@ -12,8 +10,6 @@
   private configuration: Configuration | undefined;
   private routeTable = new RouteTable([]);
   private workspacesByKey = new Map<string, ForwardWorkspace>();
-  private workspacesByName = new Map<Workspace, ForwardWorkspace>();
-  private groupsByName = new Map<string, ForwardGroup>();
 
   get current(): Configuration | undefined {
     return this.configuration;
@@ -33,10 +29,6 @@
     this.workspacesByKey = new Map(
       workspaces.flatMap(each => each.apiKeys.map(key => [key, each] as const)),
     );
-    this.workspacesByName = new Map(
-      workspaces.map(each => [each.workspace, each]),
-    );
-    this.groupsByName = new Map(next.groups.map(each => [each.name, each]));
     return true;
   }
 
@@ -47,12 +39,4 @@
   findByKey(apiKey: string): ForwardWorkspace | undefined {
     return this.workspacesByKey.get(apiKey);
   }
-
-  findWorkspace(workspace: Workspace): ForwardWorkspace | undefined {
-    return this.workspacesByName.get(workspace);
-  }
-
-  findGroup(name: string): ForwardGroup | undefined {
-    return this.groupsByName.get(name);
-  }
 }
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -1,4 +1,4 @@
-import type { Address, DataCentre, Random } from '../ports/index.js';
+import type { DataCentre, Random } from '../ports/index.js';
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
 import { EndpointState } from './endpoint-record.js';
 import type { PromptPart, ReportedLoad } from './forward-request.js';
@@ -117,11 +117,6 @@
     return [...this.members.values()].map(each => each.record);
   }
 
-  /** Addresses of all endpoints, those that leave included. */
-  addresses(): ReadonlySet<Address> {
-    return new Set(this.endpoints().map(each => each.address));
-  }
-
   /** Takes what the peers together have at each endpoint. */
   applyPeerWork(work: ReadonlyMap<string, EndpointWork>): void {
     this.peerWork = new Map(work);
--- a/packages/core/src/forwarding/fakes/samples.ts
+++ b/packages/core/src/forwarding/fakes/samples.ts
@@ -86,7 +86,6 @@
     isSigned: true,
     isEncoded: false,
     isEventStream: false,
-    closes: false,
     load: undefined,
     ...changes,
   };
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -65,6 +65,7 @@
 
 /** Statuses that promise that the request has not run; without the endpoint's own statement they prove nothing. */
 const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Least status by which an endpoint states that it failed. */
 const MIN_FAILURE_STATUS = 500;
 /** Largest answer that is held whole before it goes on. */
 const MAX_WHOLE_BYTES = 4_194_304; // the users' largest body
@@ -193,6 +194,11 @@
   }
 }
 
+/** Whether a whole answer is the endpoint's own failure. */
+export function isEndpointError(answer: WholeAnswer | undefined): boolean {
+  return answer !== undefined && answer.status >= MIN_FAILURE_STATUS;
+}
+
 async function discard(body: AsyncIterable<Uint8Array>): Promise<void> {
   let bytes = 0;
   for await (const chunk of body) {
@@ -208,7 +214,7 @@
 function verdictOf({ kind, answer }: AttemptEnd): AttemptVerdict | undefined {
   switch (kind) {
     case AttemptEndKind.Answered:
-      return (answer?.status ?? 0) >= MIN_FAILURE_STATUS
+      return isEndpointError(answer)
         ? AttemptVerdict.Failed
         : AttemptVerdict.Succeeded;
     case AttemptEndKind.NotSent:
--- a/packages/core/src/forwarding/forward-request.ts
+++ b/packages/core/src/forwarding/forward-request.ts
@@ -50,8 +50,6 @@
   readonly isSigned: boolean;
   readonly isEncoded: boolean;
   readonly isEventStream: boolean;
-  /** The endpoint closes the connection after the answer. */
-  readonly closes: boolean;
   readonly load: ReportedLoad | undefined;
 }
 
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -4,7 +4,11 @@
 import { RouteType } from './configuration.js';
 import type { PoolQuery, PoolTicket } from './endpoint-pool.js';
 import type { AttemptEnd, WholeAnswer } from './forward-attempt.js';
-import { AttemptEndKind, ForwardAttempt } from './forward-attempt.js';
+import {
+  AttemptEndKind,
+  ForwardAttempt,
+  isEndpointError,
+} from './forward-attempt.js';
 import { ForwardError, ForwardErrorKind } from './forward-error.js';
 import type { ForwardRequest } from './forward-request.js';
 import type { ForwarderParts } from './forwarder.js';
@@ -39,7 +43,6 @@
 const REFUSED_RETRY_MS = 300;
 /** Time after which a group without endpoints may have some. */
 const NO_ENDPOINT_RETRY_MS = 500;
-const MIN_FAILURE_STATUS = 500;
 
 /** Serves one request by one or more attempts at endpoints. */
 export class ForwardRun {
@@ -221,10 +224,9 @@
       case AttemptEndKind.Misdirected:
       case AttemptEndKind.NotRun:
         return hasAttempts && budget.tryTake();
-      case AttemptEndKind.Answered: {
-        const hasFailed = (end.answer?.status ?? 0) >= MIN_FAILURE_STATUS;
-        return hasFailed && this.mayRepeat() && hasAttempts && budget.tryTake();
-      }
+      case AttemptEndKind.Answered:
+        if (!isEndpointError(end.answer)) return false;
+        return this.mayRepeat() && hasAttempts && budget.tryTake();
       case AttemptEndKind.Failed:
       case AttemptEndKind.Silent:
         return this.mayRepeat() && hasAttempts && budget.tryTake();
@@ -267,10 +269,9 @@
 
   private deliver(answer: WholeAnswer): void {
     const { protocol } = this.parts;
-    this.outcome =
-      answer.status >= MIN_FAILURE_STATUS
-        ? RunOutcome.EndpointError
-        : RunOutcome.Answered;
+    this.outcome = isEndpointError(answer)
+      ? RunOutcome.EndpointError
+      : RunOutcome.Answered;
     const headers = protocol.answerHeaders(answer.headers);
     this.sink.begin(answer.status, headers, answer.isFramed);
     void this.sink.write(answer.body);
@@ -349,7 +350,7 @@
 function isFailure({ answer, kind }: AttemptEnd): boolean {
   switch (kind) {
     case AttemptEndKind.Answered:
-      return (answer?.status ?? 0) >= MIN_FAILURE_STATUS;
+      return isEndpointError(answer);
     case AttemptEndKind.Failed:
     case AttemptEndKind.Silent:
       return true;
--- a/packages/daemon/src/gateway/dependency.ts
+++ b/packages/daemon/src/gateway/dependency.ts
@@ -11,10 +11,6 @@
     private readonly metrics: Metrics,
   ) {}
 
-  get isLost(): boolean {
-    return this.lostAtMs !== undefined;
-  }
-
   failed(error: unknown, nowMs: number): void {
     const { name } = this;
     this.metrics.increment('dependency.failures', 1, { name });
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -53,12 +53,13 @@
         responseHeaders: 'raw',
       });
       const headers = rawHeaders(response.headers);
+      const isFramed = hasFraming(headers);
       return {
         status: response.statusCode,
         headers,
         traits: this.protocol.readAnswer(response.statusCode, headers),
-        isFramed: isFramed(headers),
-        body: isFramed(headers)
+        isFramed,
+        body: isFramed
           ? response.body
           : wholeUnlessReset(response.body, connections, resetsBefore),
       };
@@ -115,7 +116,7 @@
 }
 
 /** Whether an answer tells its end itself; another one ends with its connection. */
-function isFramed(headers: readonly string[]): boolean {
+function hasFraming(headers: readonly string[]): boolean {
   return headers.some(
     (name, index) =>
       index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(name),
--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -5,7 +5,8 @@
 import { LogPart } from '@skylarkreach/core/ports';
 
 import { HttpListener } from '../http/index.js';
-import { Loop } from '../loops/index.js';
+import type { Loop } from '../loops/index.js';
+import { everyInterval } from '../loops/index.js';
 import { MembershipService } from '../membership/index.js';
 import { HttpPeer, PeerServer } from '../peers/index.js';
 import { DaemonRegistry } from './daemon-registry.js';
@@ -73,17 +74,7 @@
       name: string,
       intervalMs: number,
       step: () => Promise<void>,
-    ) =>
-      new Loop(
-        {
-          name,
-          part: LogPart.Membership,
-          nextAtMs: nowMs => nowMs + intervalMs,
-          step,
-        },
-        clock,
-        log,
-      );
+    ) => everyInterval(base, LogPart.Membership, name, intervalMs, step);
     this.loops = [
       ...this.membership.loops,
       every('hints', HINT_INTERVAL_MS, () => exchange.step()),
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -13,7 +13,8 @@
 import type { RolloutBoard } from '@skylarkreach/core/rollouts';
 import { RolloutWriter } from '@skylarkreach/core/rollouts';
 
-import { Loop } from '../loops/index.js';
+import type { Loop } from '../loops/index.js';
+import { everyInterval } from '../loops/index.js';
 import type { GatewayBase } from './gateway-base.js';
 import type { GatewayCluster } from './gateway-cluster.js';
 
@@ -94,17 +95,7 @@
       name: string,
       intervalMs: number,
       step: () => Promise<void>,
-    ) =>
-      new Loop(
-        {
-          name,
-          part: LogPart.Duties,
-          nextAtMs: nowMs => nowMs + intervalMs,
-          step,
-        },
-        clock,
-        log,
-      );
+    ) => everyInterval(base, LogPart.Duties, name, intervalMs, step);
     this.loops = [
       every('duty lease', LEASE_STEP_MS, () => this.holder.step()),
       every('usage', USAGE_STEP_MS, () => reporter.step(proof)),
--- a/packages/daemon/src/loops/loop.ts
+++ b/packages/daemon/src/loops/loop.ts
@@ -1,6 +1,24 @@
 import type { Clock, Log } from '@skylarkreach/core/ports';
 import type { LogPart } from '@skylarkreach/core/ports';
 
+/** What every loop is made with. */
+export interface LoopBase {
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** Repeats a step, each time after the same pause. */
+export function everyInterval(
+  { clock, log }: LoopBase,
+  part: LogPart,
+  name: string,
+  intervalMs: number,
+  step: () => Promise<void>,
+): Loop {
+  const nextAtMs = (nowMs: number) => nowMs + intervalMs;
+  return new Loop({ name, part, step, nextAtMs }, clock, log);
+}
+
 export interface LoopOptions {
   readonly name: string;
   readonly part: LogPart;
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -44,7 +44,8 @@
 import { wireFleet } from './fleet/index.js';
 import type { Survival } from './hand-off/index.js';
 import { createSurvival } from './hand-off/index.js';
-import { EndpointPoll, Loop } from './loops/index.js';
+import type { Loop } from './loops/index.js';
+import { EndpointPoll, everyInterval } from './loops/index.js';
 import {
   BoundIdentity,
   CloudSeedSource,
@@ -317,14 +318,8 @@
   moves: MoveWiring,
   poll: EndpointPoll,
 ): readonly Loop[] {
-  const { clock, log } = base;
-  const part = LogPart.Routing;
   const every = (name: string, intervalMs: number, step: () => Promise<void>) =>
-    new Loop(
-      { name, part, step, nextAtMs: nowMs => nowMs + intervalMs },
-      clock,
-      log,
-    );
+    everyInterval(base, LogPart.Routing, name, intervalMs, step);
   return [
     survival.loop,
     ...cluster.membership.loops,
