Judge kinds of few requests, and let cautious ones begin in time

Cause, by a trace of each share: postings waited for the other kinds to be proved and began after 123 to 158 of 240 s; and at 0.6 requests a second on the new version over half of the one-second blocks held none, which threw the block away. What was left was too little for the finding.

Blocks with requests of one version only are now joined to the next ones, eight at most, and cautious kinds begin after a third of the time though others are not proved. The two tests failed before.

--- a/packages/core/src/moves/evidence-pool.ts
+++ b/packages/core/src/moves/evidence-pool.ts
@@ -1,6 +1,6 @@
 import type { EvidenceReport, KindEvidence } from './evidence.js';
-import { addBlocks } from './evidence.js';
 import { Signal } from './move.js';
+import { addBlocks } from './sample-block.js';
 import type { KindRates } from './share-plan.js';
 
 /** How reports are put into blocks. */
--- a/packages/core/src/moves/evidence.ts
+++ b/packages/core/src/moves/evidence.ts
@@ -1,7 +1,8 @@
 import { z } from 'zod';
 
 import { brakeSchema, Signal, SIGNALS } from './move.js';
-import type { SampleBlock } from './two-sample-test.js';
+import type { MutableBlock } from './sample-block.js';
+import { EMPTY_BLOCK, emptyBlock } from './sample-block.js';
 
 const blockSchema = z.object({
   newCount: z.int().nonnegative(),
@@ -74,8 +75,6 @@
   readonly tokenGap: QuantileEstimate;
 }
 
-type MutableBlock = { -readonly [Name in keyof SampleBlock]: number };
-
 /** Counts the requests of one daemon between its reports. */
 export class EvidenceCounter {
   private readonly byKind = new Map<string, KindCounter>();
@@ -133,28 +132,6 @@
   }
 }
 
-/** Sum of two blocks. */
-export function addBlocks(left: SampleBlock, right: SampleBlock): SampleBlock {
-  return {
-    newCount: left.newCount + right.newCount,
-    newEvents: left.newEvents + right.newEvents,
-    oldCount: left.oldCount + right.oldCount,
-    oldEvents: left.oldEvents + right.oldEvents,
-  };
-}
-
-/** A block without requests. */
-export function emptyBlock(): MutableBlock {
-  return { ...EMPTY_BLOCK };
-}
-
-const EMPTY_BLOCK: SampleBlock = {
-  newCount: 0,
-  newEvents: 0,
-  oldCount: 0,
-  oldEvents: 0,
-};
-
 function count(
   block: MutableBlock,
   result: RequestResult,
--- a/packages/core/src/moves/index.ts
+++ b/packages/core/src/moves/index.ts
@@ -10,6 +10,7 @@
 export * from './move-runner.js';
 export * from './move-starter.js';
 export * from './peer-methods.js';
+export * from './sample-block.js';
 export * from './share-plan.js';
 export * from './two-sample-test.js';
 export * from './version-choice.js';
--- a/packages/core/src/moves/share-plan.test.ts
+++ b/packages/core/src/moves/share-plan.test.ts
@@ -50,6 +50,14 @@
     assert.equal(posting?.share, FIRST_SHARE);
   });
 
+  it('lets cautious kinds begin in time to be judged where the others are never proved', () => {
+    const progress = progressOf(FULL_SHARE, PROVED_COUNT - 1, 0);
+    const startAt = (nowMs: number) =>
+      nextProgress(SPEC, progress, rates, nowMs)[1]?.share;
+    assert.equal(startAt(endFromMs(SPEC) * 0.2), 0);
+    assert.equal(startAt(endFromMs(SPEC) * 0.5), FIRST_SHARE);
+  });
+
   it('never lowers a share, never doubles it twice and leaves some of the old version', () => {
     const count = fc.integer({ min: 0, max: 5_000 });
     const share = fc.double({ min: FIRST_SHARE, max: FULL_SHARE, noNaN: true });
--- a/packages/core/src/moves/share-plan.ts
+++ b/packages/core/src/moves/share-plan.ts
@@ -30,6 +30,9 @@
 /** Part of the time to the deadline by which the evidence should be there. */
 const EVIDENCE_TIME_FRACTION = 0.6;
 
+/** Part of the time to the end after which cautious kinds begin though others are not proved. */
+const CAUTIOUS_WAIT_FRACTION = 0.33; // leaves twice as long to judge them
+
 /** Part of a move's time kept for its last write. */
 const END_MARGIN_FRACTION = 0.2;
 const MIN_END_MARGIN_MS = 15_000;
@@ -44,10 +47,16 @@
   return spec.deadlineAtMs - Math.min(marginMs, timeMs / 2);
 }
 
+function cautiousFromMs(spec: MoveSpec): number {
+  const timeMs = endFromMs(spec) - spec.startedAtMs;
+  return spec.startedAtMs + timeMs * CAUTIOUS_WAIT_FRACTION;
+}
+
 /**
  * Next share of every kind. A share is bounded by the fault that the evidence
  * so far could hide; kinds with few requests get a share that brings enough
- * evidence by the deadline, within a limit; cautious kinds wait for the others.
+ * evidence by the deadline, within a limit; cautious kinds wait for the others
+ * as long as there is time to judge them afterwards.
  */
 export function nextProgress(
   spec: MoveSpec,
@@ -59,10 +68,11 @@
   const othersProved = progress
     .filter(each => !spec.cautiousKinds.includes(each.kind))
     .every(each => isProved(each) || isRare(each, rates, spec, nowMs));
+  const mayBegin = othersProved || nowMs >= cautiousFromMs(spec);
   return progress.map(each => {
     const isCautious = spec.cautiousKinds.includes(each.kind);
     const share =
-      isCautious && !othersProved
+      isCautious && !mayBegin
         ? 0
         : nextShare(spec, each, total, rates.get(each.kind) ?? 0, nowMs);
     return { ...each, share: Math.max(each.share, share) };
--- a/packages/core/src/moves/two-sample-test.test.ts
+++ b/packages/core/src/moves/two-sample-test.test.ts
@@ -64,6 +64,25 @@
     }
   });
 
+  it('finds a fault of a kind that has less than one request a block on the new version', () => {
+    const postingsEach = 2;
+    const newShare = 0.3;
+    for (let seed = 1; seed <= 100; seed += 1) {
+      const random = new SeededRandom(seed);
+      const test = new TwoSampleTest(BLOCKS);
+      for (let block = 0; block < 100; block += 1) {
+        const newCount = events(postingsEach, newShare, random);
+        test.add({
+          newCount,
+          newEvents: events(newCount, 0.35, random),
+          oldCount: postingsEach - newCount,
+          oldEvents: 0,
+        });
+      }
+      assert.ok(test.reaches(Math.log(1_000)), `seed ${seed}`);
+    }
+  });
+
   it('learns nothing from a block that one version has no request in', () => {
     const test = new TwoSampleTest(BLOCKS);
     test.add({ newCount: 50, newEvents: 50, oldCount: 0, oldEvents: 0 });
--- a/packages/core/src/moves/two-sample-test.ts
+++ b/packages/core/src/moves/two-sample-test.ts
@@ -1,17 +1,15 @@
-/** Requests of both versions in one span of time, and those that showed an event. */
-export interface SampleBlock {
-  readonly newCount: number;
-  readonly newEvents: number;
-  readonly oldCount: number;
-  readonly oldEvents: number;
-}
+import type { SampleBlock } from './sample-block.js';
+import { addBlocks, EMPTY_BLOCK } from './sample-block.js';
 
 /** Parts of the requests without an event that the alternatives turn into events. */
 const EXCESS_RATES = [0.05, 0.15, 0.4, 0.9];
 
-/** Answer for a block in which one version has no request: it shows nothing. */
+/** Answer for a block in which one version has no request: it shows nothing yet. */
 const NO_FACTORS: readonly number[] = [];
 
+/** Blocks that are put together until both versions have a request. */
+const MAX_JOINED_BLOCKS = 8; // shorter than the time in which a share doubles twice
+
 /** Weight of the past in the estimate of the old version's rate, a block. */
 const RATE_DECAY = 0.98;
 const PRIOR_COUNT = 50;
@@ -35,9 +33,11 @@
   private readonly logMixtures = EXCESS_RATES.map(() => -Infinity);
   private readonly logStartWeight: number;
   /** All requests so far. */
-  readonly total = { newCount: 0, newEvents: 0, oldCount: 0, oldEvents: 0 };
+  total: SampleBlock = EMPTY_BLOCK;
   private pastCount = 0;
   private pastEvents = 0;
+  private joined: SampleBlock = EMPTY_BLOCK;
+  private joinedBlocks = 0;
 
   /** `plannedBlocks` bounds the blocks over which a fault may begin. */
   constructor(plannedBlocks: number) {
@@ -58,12 +58,19 @@
 
   /**
    * Adds a block and returns the logarithm of its e-value for each alternative.
+   * A block with requests of one version only is joined to the next ones.
    * The old version's rate is estimated from earlier blocks only.
    */
-  add(block: SampleBlock): readonly number[] {
-    addInto(this.total, block);
+  add(newest: SampleBlock): readonly number[] {
+    this.total = addBlocks(this.total, newest);
+    const block = addBlocks(this.joined, newest);
+    this.joinedBlocks += 1;
     if (block.newCount === 0 || block.oldCount === 0) {
-      this.learn(block);
+      if (this.joinedBlocks < MAX_JOINED_BLOCKS) {
+        this.joined = block;
+      } else {
+        this.learn(block);
+      }
       return NO_FACTORS;
     }
     const oldRate = this.oldRate();
@@ -84,8 +91,10 @@
     });
   }
 
-  /** Updates the estimate of the old version's rate. */
+  /** Updates the estimate of the old version's rate and begins a new block. */
   private learn(block: SampleBlock): void {
+    this.joined = EMPTY_BLOCK;
+    this.joinedBlocks = 0;
     this.pastCount = this.pastCount * RATE_DECAY + block.oldCount;
     this.pastEvents = this.pastEvents * RATE_DECAY + block.oldEvents;
   }
@@ -113,16 +122,6 @@
   );
 }
 
-function addInto(
-  total: { -readonly [Name in keyof SampleBlock]: number },
-  block: SampleBlock,
-): void {
-  total.newCount += block.newCount;
-  total.newEvents += block.newEvents;
-  total.oldCount += block.oldCount;
-  total.oldEvents += block.oldEvents;
-}
-
 /** Logarithm of the sum of two numbers given by their logarithms. */
 function logAdd(left: number, right: number): number {
   const larger = Math.max(left, right);
--- a/packages/core/src/moves/version-judge.ts
+++ b/packages/core/src/moves/version-judge.ts
@@ -1,7 +1,7 @@
 import type { KindEvidence } from './evidence.js';
-import { addBlocks, emptyBlock } from './evidence.js';
 import type { Finding, Signal } from './move.js';
 import { SIGNALS } from './move.js';
+import { addBlocks, EMPTY_BLOCK } from './sample-block.js';
 import { TwoSampleTest } from './two-sample-test.js';
 
 export interface VersionJudgeOptions {
@@ -50,7 +50,7 @@
 
   private findingOf(test: TwoSampleTest, kind: string | undefined): Finding {
     const tests = kind === undefined ? [...this.byKind.values()] : [test];
-    const total = tests.map(each => each.total).reduce(addBlocks, emptyBlock());
+    const total = tests.map(each => each.total).reduce(addBlocks, EMPTY_BLOCK);
     const { logEvidence } = test;
     return { kind, signal: this.signal, logEvidence, ...total };
   }
