--- a/packages/measure/src/moves/moves-experiment.ts
+++ b/packages/measure/src/moves/moves-experiment.ts
@@ -1,4 +1,5 @@
 import { MoveState } from '@skylarkreach/core/moves';
+import { SeededRandom } from '@skylarkreach/core/ports';
 
 import type {
   Experiment,
@@ -17,7 +18,7 @@
 const FULL_MOVES = 1_000;
 /** Baselines run this part of the moves. */
 const BASELINE_FRACTION = 0.25;
-const SEED_STRIDE = 1_000_003;
+const SEED_LIMIT = 2 ** 31;
 
 /** Version moves of each kind, side by side with two baselines. */
 export const movesExperiment: Experiment = {
@@ -28,15 +29,12 @@
 
 function runMoves(options: ExperimentOptions): ExperimentReport {
   const moves = options.full ? FULL_MOVES : DEFAULT_MOVES;
+  const seedsByCase = drawSeeds(options.seed);
   const run = (createSource: ShareSourceFactory, count: number) =>
-    Object.values(MoveCase).flatMap((moveCase, caseIndex) =>
-      Array.from({ length: count }, (_, index) =>
-        simulateMove(
-          moveCase,
-          options.seed * SEED_STRIDE + caseIndex * FULL_MOVES + index,
-          createSource,
-        ),
-      ),
+    Object.values(MoveCase).flatMap(moveCase =>
+      (seedsByCase.get(moveCase) ?? [])
+        .slice(0, count)
+        .map(seed => simulateMove(moveCase, seed, createSource)),
     );
   const baselineMoves = Math.ceil(moves * BASELINE_FRACTION);
   const outcomes = run(controllerSource, moves);
@@ -50,6 +48,17 @@
   };
 }
 
+/** Seeds of the moves of each case; generators of neighbouring seeds begin alike. */
+function drawSeeds(seed: number): ReadonlyMap<MoveCase, readonly number[]> {
+  const random = new SeededRandom(seed);
+  return new Map(
+    Object.values(MoveCase).map(moveCase => [
+      moveCase,
+      Array.from({ length: FULL_MOVES }, () => random.nextInteger(SEED_LIMIT)),
+    ]),
+  );
+}
+
 function rowsOf(way: string, outcomes: readonly MoveOutcome[]): ReportRow[] {
   return Object.values(MoveCase).map(moveCase => {
     const ofCase = outcomes.filter(each => each.moveCase === moveCase);
