--- /dev/null
+++ b/packages/core/src/duties/fakes/index.ts
@@ -0,0 +1,1 @@
+export * from './reclaimable-endpoint.js';
