Take an engine's memory from the configuration, not from one sheet

EndpointPool took every engine to keep 300,000 tokens of prompts, although the configuration states the memory of each group. The test, of an engine of 30,000 tokens, failed before.

--- a/packages/core/src/forwarding/endpoint-pool.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -23,10 +23,23 @@
   promptTokens: 17_000,
 };
 
-function poolOf(ids: readonly string[], seed = 1): EndpointPool {
+const otherDraft: PoolQuery = {
+  ...draft,
+  promptParts: [
+    { id: 'shared elsewhere', tokens: 13_300 },
+    { id: 'own elsewhere', tokens: 3_700 },
+  ],
+};
+
+function poolOf(
+  ids: readonly string[],
+  seed = 1,
+  memoryTokens?: number,
+): EndpointPool {
   const pool = new EndpointPool(new SeededRandom(seed), {
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
+    memoryTokensIn: () => memoryTokens,
   });
   pool.apply({ revision: 1, endpoints: ids.map(id => sampleEndpoint(id)) });
   return pool;
@@ -47,6 +60,18 @@
     for (const count of counts.values()) assert.ok(count >= 5);
   });
 
+  it('expects a prompt to be read again once others have filled the memory of its engine', () => {
+    const reads = (memoryTokens: number) => {
+      const pool = poolOf(['a'], 1, memoryTokens);
+      pool.take(draft, 0);
+      pool.take(otherDraft, 0);
+      pool.take(draft, 0);
+      return pool.ownWork().get('a')?.backlogTokens;
+    };
+    assert.equal(reads(450_000), 34_000);
+    assert.equal(reads(30_000), 51_000);
+  });
+
   it('never goes back to an older list', () => {
     const pool = poolOf(['a']);
     const endpoints = [sampleEndpoint('bb')];
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -16,6 +16,8 @@
   readonly dataCentre: DataCentre;
   /** Prompt tokens that an engine reads in a millisecond. */
   readonly prefillTokensPerMs: number;
+  /** Tokens that the engines of a group hold; undefined where it has none or is not known. */
+  readonly memoryTokensIn: (group: string) => number | undefined;
 }
 
 /** What the choice of an endpoint depends on. */
@@ -102,7 +104,9 @@
         member?.record.address === record.address &&
         member.record.bornAtMs === record.bornAtMs;
       if (isSame) member.record = record;
-      const kept = isSame ? member : newMember(record);
+      const kept = isSame
+        ? member
+        : newMember(record, this.options.memoryTokensIn(record.group));
       kept.usableUntilMs = Infinity;
       next.set(record.id, kept);
     }
--- a/packages/core/src/forwarding/forwarder.test.ts
+++ b/packages/core/src/forwarding/forwarder.test.ts
@@ -39,6 +39,7 @@
   readonly pool = new EndpointPool(new SeededRandom(1), {
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
+    memoryTokensIn: () => undefined,
   });
   private readonly forwarder: Forwarder;
 
--- a/packages/core/src/forwarding/pool-member.ts
+++ b/packages/core/src/forwarding/pool-member.ts
@@ -21,15 +21,20 @@
   usableUntilMs: number;
 }
 
-/** Memory assumed for the cache of an endpoint. */
-const CACHE_TOKENS = 300_000; // two thirds of the memory on the users' sheet; the rest holds running requests
+/** Part of an engine's memory that keeps prompts; the rest holds running requests. */
+const CACHE_SHARE = 2 / 3; // 8 running requests of 17,000 tokens take a third of the 444,000 of the users' sheet
+/** Memory of an engine whose configuration is not known yet. */
+const DEFAULT_MEMORY_TOKENS = 450_000; // the users' sheet
 /** Time to an answer that is assumed before the first one. */
 export const DEFAULT_ANSWER_MS = 20; // work of a plain request on the users' sheet
 /** Part of a shared prompt that is expected to be missing at its home. */
 const HOME_MISS_SHARE = 0.3; // shared tokens read again against all shared tokens in the journal's runs of quiet-1
 
-/** A member that nothing is known of but its record. */
-export function newMember(record: EndpointRecord): PoolMember {
+/** A member that nothing is known of but its record and its engine's memory. */
+export function newMember(
+  record: EndpointRecord,
+  memoryTokens = DEFAULT_MEMORY_TOKENS,
+): PoolMember {
   return {
     record,
     running: 0,
@@ -39,7 +44,7 @@
     sentSinceReport: 0,
     answerMs: undefined,
     health: new EndpointHealth(),
-    cache: new PromptCache(CACHE_TOKENS),
+    cache: new PromptCache(memoryTokens * CACHE_SHARE),
     usableUntilMs: Infinity,
   };
 }
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -76,6 +76,9 @@
   const pool = new EndpointPool(base.random, {
     dataCentre: settings.identity.dataCentre,
     prefillTokensPerMs: settings.routing.prefillTokensPerMs,
+    memoryTokensIn: group =>
+      configuration.current?.groups.find(each => each.name === group)?.engine
+        ?.cacheTokens,
   });
   const allowances = new AllowanceLedger({
     rateShare: settings.bounds.allowanceRateShare,
