Dial anew after a failed call in one place

HttpClient keeps the mark now, by address, and the setting for a single call stays for calls that must not share a connection.

--- a/packages/core/src/ports/json-http.ts
+++ b/packages/core/src/ports/json-http.ts
@@ -8,8 +8,6 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: unknown;
   readonly deadlineAtMs: number;
-  /** Dial a connection for this call alone. */
-  readonly freshConnection?: boolean;
 }
 
 export interface JsonAnswer {
--- a/packages/daemon/src/adapters/http-client.ts
+++ b/packages/daemon/src/adapters/http-client.ts
@@ -18,6 +18,8 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const MIN_TIMEOUT_MS = 1;
 const MAX_TIMEOUT_MS = 2_147_483_647;
+/** Most addresses whose next call dials anew. */
+const MAX_SUSPECTS = 4_096; // bounds memory; more than the daemons of the planned size
 
 /** Errors of the connect phase, in which no byte of a request is written. */
 const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
@@ -41,7 +43,11 @@
 
 export type HttpResponse = Dispatcher.ResponseData;
 
-/** HTTP calls with a deadline, whose failures tell whether a byte was sent. */
+/**
+ * HTTP calls with a deadline, whose failures tell whether a byte was sent.
+ * After a failed call the next one to the address dials anew, since a
+ * connection that went silent shows no other sign.
+ */
 export class HttpClient implements JsonHttp {
   private readonly shared = new Agent({
     connect: { timeout: CONNECT_TIMEOUT_MS },
@@ -57,6 +63,7 @@
   });
 
   private readonly waiting = new Set<AbortController>();
+  private readonly suspects = new Set<Address>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -74,6 +81,8 @@
     const signal = AbortSignal.any(
       call.signal === undefined ? signals : [...signals, call.signal],
     );
+    const isSuspect = this.suspects.delete(call.address);
+    const isFresh = isSuspect || call.freshConnection === true;
     this.waiting.add(closing);
     try {
       return await request(`http://${call.address}${call.path}`, {
@@ -81,9 +90,10 @@
         headers: { 'content-type': 'application/json', ...call.headers },
         body: call.body,
         signal,
-        dispatcher: call.freshConnection === true ? this.fresh : this.shared,
+        dispatcher: isFresh ? this.fresh : this.shared,
       });
     } catch (error) {
+      this.suspect(call.address);
       throw toPlatformError(call.address, error);
     } finally {
       this.waiting.delete(closing);
@@ -97,6 +107,7 @@
     try {
       return await response.body.json();
     } catch (error) {
+      this.suspect(call.address);
       throw new AnswerLostError(
         `The answer of ${call.address} was cut off or is not JSON.`,
         { cause: error },
@@ -115,6 +126,7 @@
       const answer: unknown = text === '' ? undefined : JSON.parse(text);
       return { status: response.statusCode, body: answer };
     } catch (error) {
+      this.suspect(call.address);
       throw new AnswerLostError(
         `The answer of ${call.address} was cut off or is not JSON.`,
         { cause: error },
@@ -122,6 +134,11 @@
     }
   }
 
+  private suspect(address: Address): void {
+    if (this.suspects.size >= MAX_SUSPECTS) this.suspects.clear();
+    this.suspects.add(address);
+  }
+
   /** Ends every call; an agent by itself leaves calls on fresh connections waiting. */
   async close(): Promise<void> {
     for (const closing of this.waiting) closing.abort();
--- a/packages/daemon/src/peers/http-peer.ts
+++ b/packages/daemon/src/peers/http-peer.ts
@@ -12,9 +12,6 @@
 import type { HttpClient } from '../adapters/index.js';
 import { MessageSealer } from './message-seal.js';
 
-/** Most addresses whose next call dials anew. */
-const MAX_SUSPECTS = 4_096;
-
 const responseSchema = z.object({
   jsonrpc: z.literal('2.0'),
   id: z.number(),
@@ -22,11 +19,10 @@
   error: z.object({ code: z.number(), message: z.string() }).optional(),
 });
 
-/** Calls other daemons by JSON-RPC 2.0 over HTTP. After a failed call the next one dials anew. */
+/** Calls other daemons by JSON-RPC 2.0 over HTTP. */
 export class HttpPeer implements Peer {
   private nextId = 1;
   private readonly sealer: MessageSealer;
-  private readonly suspectAddresses = new Set<Address>();
 
   constructor(
     private readonly http: HttpClient,
@@ -45,34 +41,17 @@
     const id = this.nextId;
     this.nextId += 1;
     const rpc = createJSONRPCRequest(id, method.name, params);
-    const answer = await this.send(address, JSON.stringify(rpc), deadlineAtMs);
+    const body = JSON.stringify(rpc);
+    const answer = await this.http.sendJson({
+      address,
+      method: 'POST',
+      path: '/rpc',
+      headers: this.sealer.seal(address, body),
+      body,
+      deadlineAtMs,
+    });
     return readResult(address, method, id, answer);
   }
-
-  private async send(
-    address: Address,
-    body: string,
-    deadlineAtMs: number,
-  ): Promise<unknown> {
-    const wasSuspect = this.suspectAddresses.delete(address);
-    try {
-      return await this.http.sendJson({
-        address,
-        method: 'POST',
-        path: '/rpc',
-        headers: this.sealer.seal(address, body),
-        body,
-        deadlineAtMs,
-        freshConnection: wasSuspect,
-      });
-    } catch (error) {
-      if (this.suspectAddresses.size >= MAX_SUSPECTS) {
-        this.suspectAddresses.clear();
-      }
-      this.suspectAddresses.add(address);
-      throw error;
-    }
-  }
 }
 
 function readResult<Params, Result>(
