Move the daemon's hints out of the wiring

wireGateway built what a daemon tells its peers, and spread what they tell, in two closures. GatewayHints does so now; the order of calls is as before.

--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -18,8 +18,8 @@
 const SEED_INTERVAL_MS = 1_000;
 
 export interface ClusterHooks {
-  readonly ownHints: () => DaemonHints;
-  readonly takeHints: (hints: DaemonHints) => void;
+  ownHints(): DaemonHints;
+  takeHints(hints: DaemonHints): void;
 }
 
 /** The other daemons, as this one knows them. */
@@ -67,8 +67,10 @@
       registry,
       board: this.board,
       live: () => this.membership.live(),
-      ownHints: hooks.ownHints,
-      take: hooks.takeHints,
+      ownHints: () => hooks.ownHints(),
+      take: hints => {
+        hooks.takeHints(hints);
+      },
     });
     const every = (
       name: string,
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -8,7 +8,6 @@
   EndpointPool,
   Forwarder,
 } from '@skylarkreach/core/forwarding';
-import type { DaemonHints } from '@skylarkreach/core/hints';
 import type { Clock } from '@skylarkreach/core/ports';
 import { LogPart, SeededRandom } from '@skylarkreach/core/ports';
 import { RolloutBoard } from '@skylarkreach/core/rollouts';
@@ -37,6 +36,7 @@
 import type { GatewayBase } from './gateway-base.js';
 import { GatewayCluster } from './gateway-cluster.js';
 import { GatewayDuties } from './gateway-duties.js';
+import { GatewayHints } from './gateway-hints.js';
 import { GatewayKnowledge } from './gateway-knowledge.js';
 import { OperatorWatch } from './operator-watch.js';
 import { RepeatBudgets } from './repeat-budgets.js';
@@ -102,39 +102,16 @@
     rollouts,
     cluster: () => cluster,
   });
-  const lifetime = `${settings.identity.daemonId}/${Math.round(clock.nowMs())}`;
-  const startedAtMs = clock.nowMs();
-  let sequence = 0;
-  const ownHints = (): DaemonHints => {
-    sequence += 1;
-    const nowMs = clock.nowMs();
-    const readAgeMs = nowMs - endpointWatch.lastOwnReadAtMs;
-    return {
-      daemonId: settings.identity.daemonId,
-      lifetime,
-      sequence,
-      ageMs: nowMs - startedAtMs,
-      wallMs: Date.now(),
-      work: Object.fromEntries(pool.ownWork()),
-      grantedTokens: allowances.granted(),
-      usage: duties.ledger.ownUsage(),
-      endpointsVersion: knowledge.endpointsVersion,
-      ...(Number.isFinite(readAgeMs) ? { endpointReadAgeMs: readAgeMs } : {}),
-      rollouts: rollouts.hints(),
-      holdsDuties: duties.holder.current() !== undefined,
-    };
-  };
-  const takeHints = (hints: DaemonHints) => {
-    const nowMs = clock.nowMs();
-    duties.trueTime.observe(hints.daemonId, hints.wallMs);
-    duties.ledger.applyPeer(hints);
-    const isNew = hints.ageMs < nowMs - startedAtMs;
-    allowances.applyPeer(hints.lifetime, hints.grantedTokens, isNew);
-    allowances.keepPeers(cluster.board.lifetimes());
-    rollouts.applyPeer(hints.lifetime, hints.rollouts);
-    pool.applyPeerWork(cluster.board.work(nowMs));
-  };
-  const cluster = new GatewayCluster(base, { ownHints, takeHints });
+  const hints = new GatewayHints(base, {
+    pool,
+    allowances,
+    rollouts,
+    duties,
+    cluster: () => cluster,
+    endpointsVersion: () => knowledge.endpointsVersion,
+    endpointReadAtMs: () => endpointWatch.lastOwnReadAtMs,
+  });
+  const cluster: GatewayCluster = new GatewayCluster(base, hints);
   const budgets = new RepeatBudgets(settings, () => cluster.size);
   const forwarder = new Forwarder({
     ...base,
--- a/packages/daemon/src/gateway/index.ts
+++ b/packages/daemon/src/gateway/index.ts
@@ -7,6 +7,7 @@
 export * from './gateway-base.js';
 export * from './gateway-cluster.js';
 export * from './gateway-duties.js';
+export * from './gateway-hints.js';
 export * from './gateway-knowledge.js';
 export * from './gateway-wiring.js';
 export * from './hint-exchange.js';
