Keep the rule file compressed in the key-value service

CompressedKeyValue packs values from 1 KB on and reads plain ones as before; only the rule file and its history go through it, as journals of claims are written too often to be packed. The experiment's rules were too regular to measure that: each line now has a workspace and a remark of its own (random hexadecimal names, less compressible than words), which leaves 4.5 of 16 KB.

--- a/packages/daemon/src/adapters/index.ts
+++ b/packages/daemon/src/adapters/index.ts
@@ -1,3 +1,4 @@
+export * from './compressed-key-value.js';
 export * from './http-client.js';
 export * from './http-cloud.js';
 export * from './http-engine.js';
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -33,6 +33,7 @@
 } from '@skylarkreach/core/rules';
 
 import {
+  CompressedKeyValue,
   HttpClient,
   HttpCloud,
   HttpEngine,
@@ -92,6 +93,8 @@
   readonly metrics: Metrics;
   readonly http: HttpClient;
   readonly keyValue: KeyValue;
+  /** The same service, for the rule file and its history. */
+  readonly ruleKeyValue: KeyValue;
   readonly cloud: Cloud;
   readonly engine: Engine;
   readonly rules: RuleStore;
@@ -165,14 +168,17 @@
   const { cloudAddress, keyValueAddress, token } = platform;
   const metrics = createMetrics(telemetry.statsdAddress, identity.dataCentre);
   const http = new HttpClient(clock);
+  const log = new PinoLog(telemetry.logLevel, identity.daemonId);
+  const keyValue = new HttpKeyValue(http, keyValueAddress, token);
   return {
     settings,
     clock,
     metrics,
     http,
     random: new SeededRandom(seed),
-    log: new PinoLog(telemetry.logLevel, identity.daemonId),
-    keyValue: new HttpKeyValue(http, keyValueAddress, token),
+    log,
+    keyValue,
+    ruleKeyValue: new CompressedKeyValue(keyValue, log),
     cloud: new HttpCloud(http, cloudAddress, token),
     engine: new HttpEngine(http),
     rules: new RuleStore(),
@@ -183,11 +189,11 @@
 }
 
 function createCluster(base: Base): Cluster {
-  const { cloud, identity, keyValue, rules } = base;
+  const { cloud, identity, ruleKeyValue, rules } = base;
   const membership = new MembershipService(identity, {
     ...base,
     seeds: new CloudSeedSource(cloud),
-    rules: { keyValue, store: rules },
+    rules: { keyValue: ruleKeyValue, store: rules },
   });
   return {
     membership,
@@ -264,7 +270,8 @@
   { router }: PipelineParts,
   state: ProcessState,
 ): OperatorServer {
-  const { clock, identity, keyValue, peer, registry, rules, settings } = base;
+  const { clock, identity, peer, registry, ruleKeyValue, rules, settings } =
+    base;
   const { credentials } = settings;
   const operators = new OperatorServer({
     operators: credentials.operators,
@@ -289,7 +296,7 @@
   addRuleCalls(operators, {
     rules,
     clock,
-    editor: new RuleEditor(keyValue, clock),
+    editor: new RuleEditor(ruleKeyValue, clock),
     survey: new RevisionSurvey(peer, liveDaemons),
     knownNames: () => ({
       workspaces: credentials.workspaces.map(token => token.workspace),
--- a/packages/measure/src/config/simulated-fleet.ts
+++ b/packages/measure/src/config/simulated-fleet.ts
@@ -14,7 +14,11 @@
   silentMetrics,
 } from '@skylarkreach/core/ports';
 import { RULES_KEY, rulesEntry, RuleStore } from '@skylarkreach/core/rules';
-import { CloudSeedSource, MembershipService } from '@skylarkreach/daemon';
+import {
+  CloudSeedSource,
+  CompressedKeyValue,
+  MembershipService,
+} from '@skylarkreach/daemon';
 import { MemoryCloud } from '@skylarkreach/stand-ins';
 
 import { CountingKeyValue } from './counting-key-value.js';
@@ -104,7 +108,8 @@
 
   /** Writes the rules to the key-value service; returns the new revision. */
   async write(text: string, expectedVersion: number): Promise<number> {
-    const result = await this.keyValue.put({
+    const keyValue = new CompressedKeyValue(this.keyValue, silentLog);
+    const result = await keyValue.put({
       key: RULES_KEY,
       value: rulesEntry(text, expectedVersion + 1).value,
       expectedVersion,
@@ -161,10 +166,9 @@
       registry: this.network.registry(peerAddress),
       seeds: new CloudSeedSource(this.cloud),
       rules: {
-        keyValue: new CountingKeyValue(
-          this.keyValue,
-          peerAddress,
-          this.traffic,
+        keyValue: new CompressedKeyValue(
+          new CountingKeyValue(this.keyValue, peerAddress, this.traffic),
+          silentLog,
         ),
         store: rules,
       },
--- a/packages/measure/src/control/control-experiment.ts
+++ b/packages/measure/src/control/control-experiment.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { MAX_CELL_MEMBERS } from '@skylarkreach/core/membership';
+import { SeededRandom } from '@skylarkreach/core/ports';
 import { rulesEntry } from '@skylarkreach/core/rules';
 
 import type { SimulatedDaemon } from '../config/index.js';
@@ -37,6 +38,7 @@
 
 const MEMORY_SIZES: readonly number[] = [300, 1_200, FULL_SIZE_DAEMONS];
 const RULE_LINES = 200;
+const RULES_SEED = 11;
 
 const MAX_CORE_PERCENT = 1.1;
 const MAX_MEGABYTES = 128;
@@ -258,11 +260,14 @@
   return figure;
 }
 
+/** Rules as operators write them: no two lines share a workspace or a remark. */
 function rulesText(revision: number): string {
+  const random = new SeededRandom(RULES_SEED);
+  const name = () => random.nextInteger(2 ** 32).toString(16);
   const lines = Array.from(
     { length: RULE_LINES },
-    (_, index) =>
-      `workspace=w-${index} kind=* target=ruling-model deadline=2m # operations, line ${index}`,
+    () =>
+      `workspace=w-${name()} kind=* target=ruling-model deadline=2m # ${name()} ${name()}`,
   );
   return [...lines, `# revision ${revision}`, ''].join('\n');
 }
