Let the second standby of the relays send half of the heartbeats

The second one acts only where two of the three daemons before it are gone, so every 2 s is enough: it acts within 3 s, against the 5 s in which a change has to be in force.

--- a/packages/core/src/membership/relay-role.test.ts
+++ b/packages/core/src/membership/relay-role.test.ts
@@ -25,9 +25,9 @@
   return role;
 }
 
-function standby(): DaemonIdentity {
+function standby(place = 0): DaemonIdentity {
   const ranked = rankDaemons('relay/dc-0', DAEMONS);
-  const found = ranked[RELAYS_PER_DATA_CENTRE];
+  const found = ranked[RELAYS_PER_DATA_CENTRE + place];
   assert.ok(found);
   return found;
 }
@@ -50,6 +50,25 @@
     assert.ok(failedAtMs <= 2_000);
   });
 
+  it('lets the second standby act within three seconds of both relays going silent, for half of the heartbeats', () => {
+    const sentIn = (role: RelayRole) =>
+      Array.from(
+        { length: 40 },
+        (_, step) => role.tick(step * 250).length,
+      ).reduce((sum, count) => sum + count, 0);
+    assert.equal(sentIn(roleOf(standby(1))) * 2, sentIn(roleOf(standby(0))));
+    const role = roleOf(standby(1));
+    let failedAtMs = 0;
+    for (let nowMs = 0; nowMs <= 3_000 && !role.isActing(); nowMs += 250) {
+      failedAtMs = nowMs + 400;
+      for (const { target } of role.tick(nowMs)) {
+        role.failed(target.id, failedAtMs);
+      }
+    }
+    assert.equal(role.isActing(), true);
+    assert.ok(failedAtMs <= 3_000);
+  });
+
   it('lets the standby rest again once the relay answers', () => {
     const role = roleOf(standby());
     const relay = role.tick(0)[0]?.target;
--- a/packages/core/src/membership/relay-role.ts
+++ b/packages/core/src/membership/relay-role.ts
@@ -5,7 +5,8 @@
 export const RELAYS_PER_DATA_CENTRE = 2;
 const STANDBYS = 2;
 
-const HEARTBEAT_INTERVAL_MS = 1_000;
+/** Time between the heartbeats of the first standby; the next one sends half as many. */
+const HEARTBEAT_INTERVAL_MS = 1_000; // a lost relay is replaced within 2 s
 const HEARTBEAT_RETRY_MS = 100;
 const HEARTBEAT_TIMEOUT_MS = 400;
 /** Failed heartbeats in a row after which a relay counts as lost. */
@@ -44,12 +45,14 @@
   /** Heartbeats that a standby sends now. */
   tick(nowMs: number): readonly HeartbeatAction[] {
     const relays = this.watchedRelays();
+    const intervalMs =
+      HEARTBEAT_INTERVAL_MS * (this.ownRank() - RELAYS_PER_DATA_CENTRE + 1);
     const ids = new Set(relays.map(each => each.id));
     for (const id of this.links.keys()) if (!ids.has(id)) this.links.delete(id);
     return relays
       .filter(relay => this.linkTo(relay, nowMs).nextAtMs <= nowMs)
       .map(target => {
-        this.linkTo(target, nowMs).nextAtMs = nowMs + HEARTBEAT_INTERVAL_MS;
+        this.linkTo(target, nowMs).nextAtMs = nowMs + intervalMs;
         return { target, deadlineAtMs: nowMs + HEARTBEAT_TIMEOUT_MS };
       });
   }
