Measure the gateway's own slopes

measure slopes covered the product's own interface only. Five slopes of the gateway join it: a request and an event forwarded, the choice of an endpoint, the size of hints and the work of taking them.

--- a/packages/measure/src/control/control-experiment.ts
+++ b/packages/measure/src/control/control-experiment.ts
@@ -12,9 +12,8 @@
   ExperimentReport,
   ReportRow,
 } from '../experiment/index.js';
-import { atMost } from '../experiment/index.js';
+import { atMost, fitLine } from '../experiment/index.js';
 import { listedDaemons, measureMembershipBytes } from './footprint.js';
-import { fitLine } from './line.js';
 import { SocketGroup } from './socket-group.js';
 
 const FULL_SIZE_DAEMONS = 2_300;
--- a/packages/measure/src/slopes/fit-line.ts
+++ b/packages/measure/src/experiment/fit-line.ts
@@ -12,7 +12,7 @@
   readonly slopeError: number;
 }
 
-/** Least-squares line through at least three points. */
+/** Least-squares line through at least three points of different x. */
 export function fitLine(points: readonly Point[]): Line {
   const count = points.length;
   const meanX = mean(points.map(point => point.x));
--- a/packages/measure/src/experiment/index.ts
+++ b/packages/measure/src/experiment/index.ts
@@ -1,1 +1,2 @@
 export * from './experiment.js';
+export * from './fit-line.js';
--- /dev/null
+++ b/packages/measure/src/slopes/gateway-probes.ts
@@ -0,0 +1,226 @@
+import type { Dispatcher } from 'undici';
+import { request } from 'undici';
+
+import type { EndpointRecord, PoolQuery } from '@skylarkreach/core/forwarding';
+import {
+  AttemptVerdict,
+  EndpointPool,
+  EndpointState,
+} from '@skylarkreach/core/forwarding';
+import type { DaemonHints } from '@skylarkreach/core/hints';
+import { HintBoard } from '@skylarkreach/core/hints';
+import { SeededRandom } from '@skylarkreach/core/ports';
+import { PlatformDeployment, sampleCall } from '@skylarkreach/stand-ins';
+
+import type { Point } from '../experiment/index.js';
+import type { Send } from './added-micros.js';
+import { addedMicros } from './added-micros.js';
+import type { Probe } from './probe.js';
+import { stepMicros } from './probe.js';
+
+const REQUEST_COUNTS = [200, 400, 600, 800];
+const STREAM_COUNTS = [20, 40, 60, 80];
+const STREAM_EVENTS = 50;
+const ENDPOINT_COUNTS = [16, 64, 256, 1_024];
+const DAEMON_COUNTS = [9, 50, 150, 300];
+/** Endpoints that one daemon has work at. */
+const BUSY_ENDPOINTS = 8;
+const CHOICES = 200;
+const DEADLINE_MS = 10_000;
+const GROUP = 'engines';
+
+/** Processor time that the gateway adds to a plain request, over a direct one. */
+export const gatewayRequestProbe: Probe = {
+  name: 'gateway request',
+  unit: 'µs a request',
+  sizeName: 'requests',
+  run: () =>
+    withPlatform(
+      (worker, gateway) =>
+        addedMicros(REQUEST_COUNTS, plainTo(worker), plainTo(gateway)),
+      'ledger',
+    ),
+};
+
+/** Processor time that the gateway adds to an event of a stream, over a direct stream. */
+export const gatewayEventProbe: Probe = {
+  name: 'gateway event',
+  unit: 'µs an event',
+  sizeName: 'events',
+  run: () =>
+    withPlatform(
+      (worker, gateway) =>
+        addedMicros(STREAM_COUNTS, streamFrom(worker), streamFrom(gateway)),
+      GROUP,
+    ),
+};
+
+/** Processor time of the choice of an endpoint, by endpoints of the group. */
+export const endpointChoiceProbe: Probe = {
+  name: 'endpoint choice',
+  unit: 'µs a request an endpoint',
+  sizeName: 'endpoints',
+  run: seed =>
+    Promise.resolve(
+      ENDPOINT_COUNTS.map(x => ({ x, y: choiceMicros(x, seed) })),
+    ),
+};
+
+/** Bytes of the hints that a daemon tells, by endpoints that it has work at. */
+export const hintSizeProbe: Probe = {
+  name: 'hint size',
+  unit: 'bytes a message a busy endpoint',
+  sizeName: 'busy endpoints',
+  run: () =>
+    Promise.resolve(
+      ENDPOINT_COUNTS.map(x => {
+        const message = JSON.stringify(hintsOf(1, x));
+        return { x, y: Buffer.byteLength(message) };
+      }),
+    ),
+};
+
+/** Processor time of taking one daemon's hints, by daemons heard of lately. */
+export const hintTakeProbe: Probe = {
+  name: 'hint take',
+  unit: 'µs a message a daemon',
+  sizeName: 'daemons',
+  run: () => Promise.resolve(DAEMON_COUNTS.map(x => ({ x, y: takeMicros(x) }))),
+};
+
+async function withPlatform(
+  probe: (worker: string, gateway: string) => Promise<readonly Point[]>,
+  service: string,
+): Promise<readonly Point[]> {
+  const deployment = new PlatformDeployment();
+  await deployment.start();
+  try {
+    const worker = await deployment.addWorker(service, 'worker-1', {
+      events: STREAM_EVENTS,
+      eventGapMs: 1,
+    });
+    const { addresses } = await deployment.addGateway('daemon-1');
+    return await probe(worker.address, addresses.callers);
+  } finally {
+    await deployment.destroy();
+  }
+}
+
+function plainTo(address: string): Send {
+  return async (dispatcher, index) => {
+    await textOf(address, dispatcher, `plain-${index}`, false);
+    return 1;
+  };
+}
+
+function streamFrom(address: string): Send {
+  return async (dispatcher, index) => {
+    const text = await textOf(address, dispatcher, `stream-${index}`, true);
+    return text.split('\n\n').length - 1;
+  };
+}
+
+async function textOf(
+  address: string,
+  dispatcher: Dispatcher,
+  requestId: string,
+  isStream: boolean,
+): Promise<string> {
+  const { headers, path } = sampleCall(requestId, DEADLINE_MS, isStream);
+  const { body, statusCode } = await request(`http://${address}${path}`, {
+    headers,
+    dispatcher,
+  });
+  const text = await body.text();
+  if (statusCode === 200) return text;
+  throw new Error(`${path} answered ${statusCode}; is its route configured?`);
+}
+
+function choiceMicros(endpoints: number, seed: number): number {
+  const pool = new EndpointPool(new SeededRandom(seed), {
+    dataCentre: 'dc-0',
+    prefillTokensPerMs: 90,
+    memoryTokensIn: () => undefined,
+  });
+  pool.apply({
+    revision: 1,
+    endpoints: Array.from({ length: endpoints }, (_, index) =>
+      endpointAt(index),
+    ),
+  });
+  let request = 0;
+  const micros = stepMicros(() => {
+    for (let choice = 0; choice < CHOICES; choice += 1) {
+      request += 1;
+      const ticket = pool.take(queryOf(request), request);
+      ticket?.release(AttemptVerdict.Succeeded, request);
+    }
+  }, 5);
+  return micros / CHOICES;
+}
+
+function queryOf(request: number): PoolQuery {
+  return {
+    group: GROUP,
+    excluded: new Set(),
+    promptParts: [
+      { id: `shared-${request % 50}`, tokens: 4_000 },
+      { id: `own-${request}`, tokens: 300 },
+    ],
+    promptTokens: 4_300,
+  };
+}
+
+function endpointAt(index: number): EndpointRecord {
+  return {
+    id: `endpoint-${index}`,
+    address: `10.0.${index >> 8}.${index & 255}:80`,
+    group: GROUP,
+    dataCentre: `dc-${index % 16}`,
+    version: 'v1',
+    slots: 48,
+    state: EndpointState.Ready,
+    coldRemainingMs: 0,
+    isReclaimable: true,
+    leavesInMs: undefined,
+    bornAtMs: undefined,
+  };
+}
+
+function takeMicros(daemons: number): number {
+  const board = new HintBoard();
+  let sequence = 0;
+  const takeFrom = (daemon: number) => {
+    sequence += 1;
+    board.take(
+      { ...hintsOf(daemon, BUSY_ENDPOINTS), sequence },
+      sequence / daemons,
+    );
+  };
+  for (let daemon = 0; daemon < daemons; daemon += 1) takeFrom(daemon);
+  return stepMicros(() => {
+    takeFrom(sequence % daemons);
+    board.work(sequence / daemons);
+  }, 200);
+}
+
+function hintsOf(daemon: number, busyEndpoints: number): DaemonHints {
+  const work = Array.from({ length: busyEndpoints }, (_, index) => {
+    const id = (daemon * busyEndpoints + index).toString(16).padStart(10, '0');
+    return [`i-${id}`, { running: 3, backlogTokens: 4_300 }] as const;
+  });
+  return {
+    daemonId: `daemon-${daemon}`,
+    lifetime: `daemon-${daemon}/1`,
+    sequence: 1,
+    ageMs: 60_000,
+    wallMs: 1_777_645_740_000,
+    work: Object.fromEntries(work),
+    grantedTokens: { 'workspace-1': 120_000, 'workspace-2': 80_000 },
+    usage: [{ windowId: 355_529_148, counts: { 'workspace-1': 412 } }],
+    endpointReadAgeMs: 400,
+    endpointsVersion: 812,
+    rollouts: [],
+    holdsDuties: false,
+  };
+}
--- a/packages/measure/src/slopes/path-probes.ts
+++ b/packages/measure/src/slopes/path-probes.ts
@@ -1,18 +1,17 @@
-import { Agent, request } from 'undici';
+import { request } from 'undici';
 
 import { CALLER_TOKEN, LocalDeployment } from '@skylarkreach/stand-ins';
 
-import type { Point } from './fit-line.js';
+import type { Point } from '../experiment/index.js';
+import type { Send } from './added-micros.js';
+import { addedMicros } from './added-micros.js';
 import type { Probe } from './probe.js';
 
 const REQUEST_COUNTS = [200, 400, 600, 800];
 const STREAM_COUNTS = [20, 40, 60, 80];
-const WARM_UP = 100;
 const FAR_DEADLINE = '2100-01-01T00:00:00Z';
 const STEP_MS = 1;
 
-type Send = (agent: Agent, index: number) => Promise<number>;
-
 /** Processor time that the daemon adds to a plain-service call, over a direct one. */
 export const requestProbe: Probe = {
   name: 'request',
@@ -55,38 +54,6 @@
   }
 }
 
-/** Added processor time by the units that the sends report: requests or tokens. */
-async function addedMicros(
-  counts: readonly number[],
-  direct: Send,
-  through: Send,
-): Promise<readonly Point[]> {
-  const agent = new Agent({ connections: 1 });
-  try {
-    await sendMany(agent, through, WARM_UP);
-    await sendMany(agent, direct, WARM_UP);
-    const points: Point[] = [];
-    for (const count of counts) {
-      const without = await sendMany(agent, direct, count);
-      const added = await sendMany(agent, through, count);
-      points.push({ x: added.units, y: added.cpuMicros - without.cpuMicros });
-    }
-    return points;
-  } finally {
-    await agent.destroy();
-  }
-}
-
-async function sendMany(agent: Agent, send: Send, count: number) {
-  const before = process.cpuUsage();
-  let units = 0;
-  for (let index = 0; index < count; index += 1) {
-    units += await send(agent, index);
-  }
-  const used = process.cpuUsage(before);
-  return { units, cpuMicros: used.user + used.system };
-}
-
 function directService(deployment: LocalDeployment): Send {
   return async (dispatcher, index) => {
     const { body } = await request(
--- a/packages/measure/src/slopes/probe.ts
+++ b/packages/measure/src/slopes/probe.ts
@@ -1,4 +1,4 @@
-import type { Point } from './fit-line.js';
+import type { Point } from '../experiment/index.js';
 
 /** Measures one cost at several sizes. */
 export interface Probe {
--- a/packages/measure/src/slopes/slopes-experiment.ts
+++ b/packages/measure/src/slopes/slopes-experiment.ts
@@ -7,7 +7,14 @@
   ReportRow,
   TargetResult,
 } from '../experiment/index.js';
-import { fitLine } from './fit-line.js';
+import { fitLine } from '../experiment/index.js';
+import {
+  endpointChoiceProbe,
+  gatewayEventProbe,
+  gatewayRequestProbe,
+  hintSizeProbe,
+  hintTakeProbe,
+} from './gateway-probes.js';
 import { moveCoordinatorProbe, moveReportProbe } from './move-probes.js';
 import { requestProbe, tokenProbe } from './path-probes.js';
 import type { Probe } from './probe.js';
@@ -32,6 +39,11 @@
   ruleSizeProbe,
   moveCoordinatorProbe,
   moveReportProbe,
+  gatewayRequestProbe,
+  gatewayEventProbe,
+  endpointChoiceProbe,
+  hintSizeProbe,
+  hintTakeProbe,
 ];
 
 /** Cost slopes that the capacity page works with. */
--- a/packages/stand-ins/src/gateway/platform-deployment.ts
+++ b/packages/stand-ins/src/gateway/platform-deployment.ts
@@ -1,5 +1,6 @@
 import type { GatewayAddresses, GatewaySettings } from '@skylarkreach/daemon';
 import { Gateway, gatewaySettingsSchema, LogLevel } from '@skylarkreach/daemon';
+import type { WorkerOptions } from '@skylarkreach/platform/stand-ins';
 import {
   CloudServer,
   StoreServer,
@@ -36,8 +37,12 @@
     this.store.configure(version);
   }
 
-  async addWorker(service: string, id: string): Promise<WorkerServer> {
-    const worker = new WorkerServer({ id });
+  async addWorker(
+    service: string,
+    id: string,
+    options: Partial<WorkerOptions> = {},
+  ): Promise<WorkerServer> {
+    const worker = new WorkerServer({ ...options, id });
     const address = await worker.listen();
     this.store.register(id, service, address);
     this.workers.push(worker);
