--- /dev/null
+++ b/packages/core/src/pipeline/fakes/index.ts
@@ -0,0 +1,1 @@
+export * from './pipeline-bench.js';
