Check the order of configurations and lists over any order of news

Property tests: whatever the order and number of arrivals, the newest version is in force whole, and no route or key of an older one comes back.

--- /dev/null
+++ b/packages/core/src/forwarding/configuration-order.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import fc from 'fast-check';
+
+import { SeededRandom } from '../ports/index.js';
+import type { Configuration } from './configuration.js';
+import { ConfigurationStore } from './configuration-store.js';
+import { EndpointPool } from './endpoint-pool.js';
+import {
+  SAMPLE_HOST,
+  sampleConfigurationOf,
+  sampleEndpoint,
+  sampleRoute,
+} from './fakes/index.js';
+
+const SEED = 20_261_205;
+const WORKSPACE = sampleConfigurationOf([]).workspaces?.[0];
+
+/** Versions as several sources bring them: late, twice and out of order. */
+const arrivals = fc.array(fc.integer({ min: 1, max: 12 }), {
+  minLength: 1,
+  maxLength: 40,
+});
+
+/** Each version has a route and a key of its own, and lacks those of all others. */
+function configurationAt(version: number): Configuration {
+  assert.ok(WORKSPACE);
+  const route = sampleRoute({
+    name: `route-${version}`,
+    pathPrefix: `/v${version}/`,
+  });
+  const workspaces = [{ ...WORKSPACE, apiKeys: [`key-${version}`] }];
+  return sampleConfigurationOf([route], { version, workspaces });
+}
+
+describe('news from several sources', () => {
+  it('leaves the newest configuration whole in force, whatever its order', () => {
+    fc.assert(
+      fc.property(arrivals, versions => {
+        const store = new ConfigurationStore();
+        let newest = 0;
+        for (const version of versions) {
+          const isNewer = version > newest;
+          assert.equal(store.apply(configurationAt(version)), isNewer);
+          newest = Math.max(newest, version);
+          assert.equal(store.version, newest);
+          for (const each of new Set(versions)) {
+            const isInForce = each === newest;
+            const route = store.findRoute(SAMPLE_HOST, `/v${each}/a`);
+            assert.equal(route?.name === `route-${each}`, isInForce);
+            const found = store.findByKey(`key-${each}`);
+            assert.equal(found !== undefined, isInForce);
+          }
+        }
+      }),
+      { seed: SEED },
+    );
+  });
+
+  it('leaves the newest list of endpoints in use, whatever its order', () => {
+    fc.assert(
+      fc.property(arrivals, revisions => {
+        const pool = new EndpointPool(new SeededRandom(1), {
+          dataCentre: 'north-1',
+          prefillTokensPerMs: 90,
+          memoryTokensIn: () => undefined,
+        });
+        let newest = 0;
+        for (const revision of revisions) {
+          const endpoints = [sampleEndpoint(`e-${revision}`)];
+          const isNewer = revision > newest;
+          assert.equal(pool.apply({ revision, endpoints }), isNewer);
+          newest = Math.max(newest, revision);
+          assert.equal(pool.revision, newest);
+          assert.deepEqual(
+            pool.endpoints().map(each => each.id),
+            [`e-${newest}`],
+          );
+        }
+      }),
+      { seed: SEED },
+    );
+  });
+});
