Check the fleet plan in any situation

A property test over endpoints, reclaims, orders and load: counts stay within the limits of each data centre, and on-demand endpoints carry the load where no reclaimable one is there or coming.

--- a/packages/core/src/duties/fleet-plan.test.ts
+++ b/packages/core/src/duties/fleet-plan.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
+import fc from 'fast-check';
+
 import type { EndpointRecord } from '../forwarding/index.js';
 import { EndpointState } from '../forwarding/index.js';
 import { reclaimableAt } from './fakes/index.js';
@@ -51,6 +53,17 @@
 }
 
 const ALL = ['a', 'b', 'c', 'd'];
+const SEED = 20_261_206;
+const anyOrder = fc.record({
+  count: fc.integer({ min: 0, max: 4 }),
+  isAccepted: fc.boolean(),
+  isRecent: fc.boolean(),
+});
+
+function repeat<Item>(count: number, create: () => Item): readonly Item[] {
+  return Array.from({ length: count }, create);
+}
+
 const eight = [...ALL, ...ALL];
 
 describe('planFleet', () => {
@@ -154,6 +167,59 @@
     }
   });
 
+  it('keeps to the limits and carries the load in any situation', () => {
+    const place = fc.record({
+      ready: fc.integer({ min: 0, max: 4 }),
+      draining: fc.integer({ min: 0, max: 4 }),
+      reclaimableOrder: fc.option(anyOrder, { nil: undefined }),
+      onDemandOrder: fc.option(anyOrder, { nil: undefined }),
+    });
+    fc.assert(
+      fc.property(
+        fc.tuple(place, place, place, place),
+        fc.integer({ min: 0, max: 200 }),
+        (places, running) => {
+          const endpoints = places.flatMap(({ draining, ready }, index) => [
+            ...repeat(ready, () => reclaimableAt(ALL[index] ?? '')),
+            ...repeat(draining, () =>
+              reclaimableAt(ALL[index] ?? '', EndpointState.Draining),
+            ),
+          ]);
+          const ordersOf = (pick: 'reclaimableOrder' | 'onDemandOrder') =>
+            new Map(
+              places.flatMap((each, index) => {
+                const last = each[pick];
+                return last === undefined
+                  ? []
+                  : [[ALL[index] ?? '', last] as const];
+              }),
+            );
+          const { onDemand, plan } = totals(endpoints, running, {
+            reclaimableOrders: ordersOf('reclaimableOrder'),
+            onDemandOrders: ordersOf('onDemandOrder'),
+          });
+          for (const dataCentre of ALL) {
+            const here = plan.filter(each => each.dataCentre === dataCentre);
+            const counts = here.map(each => each.count);
+            assert.ok(counts.every(count => count >= 0));
+            assert.ok((counts[0] ?? 0) + (counts[1] ?? 0) <= 4);
+          }
+          const isAnyThere = endpoints.length > 0;
+          const mayCome = places.some(
+            ({ reclaimableOrder: last }) =>
+              last === undefined || (last.isAccepted && last.isRecent),
+          );
+          const needed = Math.max(3, Math.ceil(running / 8) + 1);
+          const room = 3 * ALL.length;
+          if (!isAnyThere && !mayCome) {
+            assert.ok(onDemand >= Math.min(needed, room));
+          }
+        },
+      ),
+      { seed: SEED },
+    );
+  });
+
   it('orders on demand alone where nothing can be reclaimed', () => {
     const plan = planFleet({
       scaling: { ...scaling, reclaimablePrice: undefined },
