Log a dispatch's delay and list age, and endpoints that begin to drain

The end of a request now names the age of the endpoint list at its last dispatch and the time from arrival to that dispatch; a change of the list names the endpoints that began to drain and those that are retained although the list lacks them.

--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -218,6 +218,22 @@
   return response !== undefined && response.status >= MIN_SERVER_ERROR_STATUS;
 }
 
+/** Returns whether the attempt counts as a failure of the endpoint's version. */
+export function isFailure({ response, kind }: AttemptOutcome): boolean {
+  switch (kind) {
+    case AttemptEndKind.Answered:
+      return isEndpointError(response);
+    case AttemptEndKind.Failed:
+    case AttemptEndKind.Silent:
+      return true;
+    case AttemptEndKind.NotSent:
+    case AttemptEndKind.NotRun:
+    case AttemptEndKind.Misdirected:
+    case AttemptEndKind.Cancelled:
+      return false;
+  }
+}
+
 async function discard(body: AsyncIterable<Uint8Array>): Promise<void> {
   let bytes = 0;
   for await (const chunk of body) {
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -9,6 +9,7 @@
   AttemptEndKind,
   ForwardAttempt,
   isEndpointError,
+  isFailure,
 } from './forward-attempt.js';
 import { ForwardError, ForwardErrorKind } from './forward-error.js';
 import type { ForwardRequest } from './forward-request.js';
@@ -59,6 +60,10 @@
   private isUsageCounted = false;
   private firstResponseAtMs: number | undefined;
   private lastEndpointId = '';
+  /** Time from the request's arrival to the dispatch of its last attempt. */
+  private dispatchedAfterMs = 0;
+  /** Age of the endpoint list at the dispatch of the last attempt. */
+  private endpointListAgeMs = 0;
 
   constructor(
     private readonly deps: ForwarderDependencies,
@@ -104,6 +109,8 @@
       endpoint: this.lastEndpointId,
       attempts: this.attempts,
       mayHaveRun: this.mayHaveRun,
+      dispatchedAfterMs: Math.round(this.dispatchedAfterMs),
+      endpointListAgeMs: Math.round(this.endpointListAgeMs),
     };
     if (this.firstResponseAtMs === undefined) return fields;
     const firstAnswerMs = this.firstResponseAtMs - request.receivedAtMs;
@@ -142,6 +149,8 @@
     const { clock, protocol, versions } = this.deps;
     const sentAtMs = clock.nowMs();
     this.lastEndpointId = endpoint.id;
+    this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
+    this.endpointListAgeMs = this.deps.endpointListAgeMs();
     this.attempts += 1;
     const attempt = new ForwardAttempt(this.deps, reservation, {
       ...attemptTimeouts(resolved.route, this.isRepeatable()),
@@ -347,18 +356,3 @@
     return timerAbort;
   }
 }
-
-function isFailure({ response, kind }: AttemptOutcome): boolean {
-  switch (kind) {
-    case AttemptEndKind.Answered:
-      return isEndpointError(response);
-    case AttemptEndKind.Failed:
-    case AttemptEndKind.Silent:
-      return true;
-    case AttemptEndKind.NotSent:
-    case AttemptEndKind.NotRun:
-    case AttemptEndKind.Misdirected:
-    case AttemptEndKind.Cancelled:
-      return false;
-  }
-}
--- a/packages/core/src/forwarding/forwarder.test.ts
+++ b/packages/core/src/forwarding/forwarder.test.ts
@@ -68,6 +68,7 @@
       upstream: this.upstream,
       configuration,
       pool: this.pool,
+      endpointListAgeMs: () => 0,
       tokenBuckets: new TokenBucketLedger(),
       retryBudgetOf: () => budget,
       versions: {
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -60,6 +60,8 @@
   readonly upstream: Upstream;
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
+  /** Returns the time since the endpoint list in use was last known to be current. */
+  readonly endpointListAgeMs: () => number;
   readonly tokenBuckets: TokenBucketLedger;
   readonly retryBudgetOf: (group: string) => RetryBudget;
   readonly versions: VersionSelector;
--- a/packages/daemon/src/gateway/endpoint-list-poller.ts
+++ b/packages/daemon/src/gateway/endpoint-list-poller.ts
@@ -52,6 +52,11 @@
     return Math.max(nowMs + 1, this.dueAtMs());
   }
 
+  /** Returns the start time of the last read that confirms the list in use, by this daemon or a peer; -Infinity before the first. */
+  lastReadAtMs(): number {
+    return Math.max(this.lastOwnReadAtMs, this.deps.lastPeerReadAtMs());
+  }
+
   /** Reads the list, whether or not a read is due. */
   async readNow(): Promise<void> {
     const { clock, monitor, metrics, random, source, onListing } = this.deps;
@@ -72,11 +77,7 @@
   }
 
   private dueAtMs(): number {
-    const lastReadAtMs = Math.max(
-      this.lastOwnReadAtMs,
-      this.deps.lastPeerReadAtMs(),
-    );
-    return lastReadAtMs + this.deps.intervalMs + this.jitterMs;
+    return this.lastReadAtMs() + this.deps.intervalMs + this.jitterMs;
   }
 
   private reportMalformed(entries: number): void {
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -119,6 +119,7 @@
     upstream: endpointClient,
     configuration,
     pool,
+    endpointListAgeMs: () => clock.nowMs() - endpointListPoller.lastReadAtMs(),
     tokenBuckets,
     retryBudgetOf: group => retryBudgets.forGroup(group),
     versions: rollouts,
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -6,6 +6,7 @@
   OperatorState,
   RolloutOrder,
 } from '@skylarkreach/core/forwarding';
+import { EndpointState } from '@skylarkreach/core/forwarding';
 import type { ReplicatedValue } from '@skylarkreach/core/membership';
 import { LogComponent } from '@skylarkreach/core/ports';
 import type { RolloutRegistry } from '@skylarkreach/core/rollouts';
@@ -127,18 +128,29 @@
 
   private applyListing(listing: EndpointListing, source: UpdateSource): void {
     const { endpointClient, pool } = this.deps;
-    const before = new Set(pool.endpoints().map(each => each.id));
-    if (!pool.apply(listing, this.updateGraceUntilMs())) return;
-    const after = new Set(pool.endpoints().map(each => each.id));
-    endpointClient.retainEndpoints(after);
+    const before = statesById(pool);
+    const graceUntilMs = this.updateGraceUntilMs();
+    if (!pool.apply(listing, graceUntilMs)) return;
+    const after = statesById(pool);
+    endpointClient.retainEndpoints(new Set(after.keys()));
     this.context.metrics.gauge('endpoints.known', after.size);
-    const added = [...after].filter(id => !before.has(id));
-    const removed = [...before].filter(id => !after.has(id));
-    if (added.length + removed.length === 0) return;
+    const added = [...after.keys()].filter(id => !before.has(id));
+    const removed = [...before.keys()].filter(id => !after.has(id));
+    const draining = [...after.keys()].filter(
+      id =>
+        after.get(id) === EndpointState.Draining &&
+        before.get(id) !== EndpointState.Draining,
+    );
+    const listed = new Set(listing.endpoints.map(each => each.id));
+    const retained = [...after.keys()].filter(id => !listed.has(id));
+    if (added.length + removed.length + draining.length + retained.length === 0)
+      return;
     this.context.log.info(LogComponent.Routing, 'The endpoints have changed.', {
       revision: listing.revision,
       added: added.join(','),
       removed: removed.join(','),
+      draining: draining.join(','),
+      retained: retained.join(','),
       source,
     });
   }
@@ -182,3 +194,7 @@
     void this.deps.cluster.membership.publish({ key, version, value: text });
   }
 }
+
+function statesById(pool: EndpointPool): ReadonlyMap<string, EndpointState> {
+  return new Map(pool.endpoints().map(each => [each.id, each.state]));
+}
