Compare the time between a stream's events in a gateway's rollouts

Cause: a gateway gave its rollouts the failure and the time to the first event of an attempt, never the time between events, although the evidence has a signal for it.

Ruled out: that the new version got no requests during the canary phase (25 answers until the decision); that a finding came and was not followed (no daemon logged one).

Now an attempt is observed from its dispatch on: arrivals of events are recorded, and its end. The new test of CanaryRollout fails with the recording of gaps taken out, on its first seed.

--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -3,6 +3,7 @@
 import type { PoolReservation } from './endpoint-pool.js';
 import { AttemptVerdict } from './endpoint-pool.js';
 import type { RawHeaders, ResponseMetadata } from './forward-request.js';
+import type { AttemptObservation } from './forwarder.js';
 import { IdleTimer } from './idle-timer.js';
 import type {
   EndpointRequest,
@@ -42,10 +43,13 @@
   readonly response?: BufferedResponse;
 }
 
-/** Consumer of a streamed response; `write` resolves once the bytes are forwarded. */
+/** Consumer of a streamed response. */
 export interface StreamConsumer {
   begin(response: EndpointResponse): void;
-  write(chunk: Uint8Array): Promise<void>;
+  /** Adds bytes and returns the number of events that they complete. */
+  add(chunk: Uint8Array): number;
+  /** Forwards the events added; resolves once the caller's connection accepts more. */
+  flush(): Promise<void>;
   /** Ends the stream; returns false if its last event is incomplete. */
   finish(): boolean;
 }
@@ -63,6 +67,7 @@
   readonly chunkGapTimeoutMs: number;
   /** Consumes the body if it is an event stream. */
   readonly stream: StreamConsumer | undefined;
+  readonly observation: AttemptObservation;
   /** Aborted once the request has ended. */
   readonly signal: AbortSignal;
 }
@@ -175,7 +180,9 @@
       if (bytes > MAX_BUFFERED_BYTES) return failed('the answer is too large');
       chunks.push(chunk);
     }
-    this.reservation.recordFirstEvent(this.deps.clock.nowMs());
+    const nowMs = this.deps.clock.nowMs();
+    this.reservation.recordFirstEvent(nowMs);
+    this.options.observation.recordEvents(1, nowMs);
     const { headers, isFramed, status } = response;
     return {
       kind: AttemptEndKind.Answered,
@@ -191,9 +198,11 @@
     let isFirst = true;
     for await (const chunk of response.body) {
       this.idleTimer.reset(this.options.chunkGapTimeoutMs);
-      if (isFirst) this.reservation.recordFirstEvent(this.deps.clock.nowMs());
+      const nowMs = this.deps.clock.nowMs();
+      if (isFirst) this.reservation.recordFirstEvent(nowMs);
       isFirst = false;
-      await stream.write(chunk);
+      this.options.observation.recordEvents(stream.add(chunk), nowMs);
+      await stream.flush();
     }
     return stream.finish()
       ? { kind: AttemptEndKind.Answered }
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -152,8 +152,14 @@
     this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
     this.endpointListAgeMs = this.deps.endpointListAgeMs();
     this.attempts += 1;
+    const observation = versions.observe({
+      group: endpoint.group,
+      version: endpoint.version,
+      route: resolved.route.name,
+    });
     const attempt = new ForwardAttempt(this.deps, reservation, {
       ...attemptTimeouts(resolved.route, this.isRepeatable()),
+      observation,
       requestId: request.requestId,
       stream: this.relay,
       signal: this.runAbort.signal,
@@ -172,13 +178,7 @@
       }),
     });
     this.recordResult(result, reservation, sentAtMs);
-    versions.recordAttempt({
-      group: endpoint.group,
-      version: endpoint.version,
-      route: resolved.route.name,
-      failed: isFailure(result),
-      responseMs: this.responseMsSince(sentAtMs, result),
-    });
+    observation.end(isFailure(result));
     return result;
   }
 
@@ -333,16 +333,6 @@
     this.deps.usageCounter.count(workspace.workspace, startedAgoMs);
   }
 
-  private responseMsSince(
-    sentAtMs: number,
-    { kind }: AttemptOutcome,
-  ): number | undefined {
-    const atMs = this.firstResponseAtMs;
-    if (kind !== AttemptEndKind.Answered || atMs === undefined)
-      return undefined;
-    return atMs >= sentAtMs ? atMs - sentAtMs : undefined;
-  }
-
   /** Aborts the run at its deadline. Aborting the returned controller cancels the timer. */
   private startTimer(): AbortController {
     const timerAbort = new AbortController();
--- a/packages/core/src/forwarding/forwarder.test.ts
+++ b/packages/core/src/forwarding/forwarder.test.ts
@@ -74,7 +74,10 @@
       versions: {
         choose: () => ANY_VERSION,
         chooseForRetry: () => ANY_VERSION,
-        recordAttempt: () => undefined,
+        observe: () => ({
+          recordEvents: () => undefined,
+          end: () => undefined,
+        }),
       },
       usageCounter: {
         count: workspace => {
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -32,18 +32,23 @@
   choose(group: string): VersionConstraint;
   /** Returns the constraint for each retry. */
   chooseForRetry(group: string): VersionConstraint;
-  /** Records the result of an attempt. */
-  recordAttempt(attempt: VersionedAttempt): void;
+  /** Starts the observation of an attempt that is sent now. */
+  observe(attempt: VersionedAttempt): AttemptObservation;
 }
 
-/** Result of one attempt, by which its endpoint's version is assessed. */
+/** One attempt, by which its endpoint's version is assessed. */
 export interface VersionedAttempt {
   readonly group: string;
   readonly version: string;
   readonly route: string;
-  readonly failed: boolean;
-  /** Time to the response or to its first event; undefined if the attempt got no response or the response had started before it. */
-  readonly responseMs: number | undefined;
+}
+
+/** Receives the progress of one attempt. */
+export interface AttemptObservation {
+  /** Records events of a stream that arrived at `nowMs`; a complete plain response counts as one event. */
+  recordEvents(count: number, nowMs: number): void;
+  /** Ends the observation of an attempt whose result says something about its endpoint. */
+  end(failed: boolean): void;
 }
 
 /** Counter of the requests that endpoints have started. */
--- a/packages/core/src/forwarding/stream-relay.ts
+++ b/packages/core/src/forwarding/stream-relay.ts
@@ -14,6 +14,8 @@
   private splitter = new EventSplitter();
   private responseHead: { status: number; headers: RawHeaders } | undefined;
   private isResponseStarted = false;
+  /** Complete events that are not forwarded yet. */
+  private unsent: Uint8Array[] = [];
 
   /** `onFirstEvent` is called once, when the response to the caller starts. */
   constructor(
@@ -36,19 +38,25 @@
     this.responseHead = { status, headers: this.filterHeaders(headers) };
   }
 
-  async write(chunk: Uint8Array): Promise<void> {
-    const newEvents = this.splitter
-      .push(chunk)
-      .filter(event => this.isNew(event.id))
-      .map(event => {
-        this.lastEventId = event.id ?? this.lastEventId;
-        return event.bytes;
-      });
-    if (newEvents.length === 0) return;
+  add(chunk: Uint8Array): number {
+    const events = this.splitter.push(chunk);
+    for (const { bytes, id } of events) {
+      if (!this.isNew(id)) continue;
+      this.lastEventId = id ?? this.lastEventId;
+      this.unsent.push(bytes);
+    }
+    return events.length;
+  }
+
+  async flush(): Promise<void> {
+    const events = this.unsent;
+    const [firstEvent] = events;
+    if (firstEvent === undefined) return;
+    this.unsent = [];
     this.startResponse();
-    const [firstEvent] = newEvents;
-    const isSingle = newEvents.length === 1 && firstEvent !== undefined;
-    await this.sink.write(isSingle ? firstEvent : Buffer.concat(newEvents));
+    await this.sink.write(
+      events.length === 1 ? firstEvent : Buffer.concat(events),
+    );
   }
 
   finish(): boolean {
--- a/packages/core/src/moves/evidence.ts
+++ b/packages/core/src/moves/evidence.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
 import { rollbackDecisionSchema, Signal, SIGNALS } from './move.js';
-import type { MutableSampleBlock } from './sample-block.js';
+import type { MutableSampleBlock, SampleBlock } from './sample-block.js';
 import { createSampleBlock, EMPTY_BLOCK } from './sample-block.js';
 
 const blockSchema = z.object({
@@ -36,10 +36,17 @@
 
 export type EvidenceReport = Readonly<z.output<typeof evidenceReportSchema>>;
 
-/** Result of one request, as observed by the daemon that served it. */
-export interface RequestResult {
+/** Signals that compare a latency. */
+export type LatencySignal = Signal.SlowFirstToken | Signal.SlowTokens;
+
+/** Kind of a request, and which of the two versions served it. */
+export interface RequestVersion {
   readonly kind: string;
   readonly isNewVersion: boolean;
+}
+
+/** Result of one request, as observed by the daemon that served it. */
+export interface RequestResult extends RequestVersion {
   readonly failed: boolean;
   /** Time to first token in milliseconds, if there was one. */
   readonly firstTokenMs?: number;
@@ -72,8 +79,7 @@
 
 interface KindCounter {
   readonly blocks: Record<Signal, MutableSampleBlock>;
-  readonly firstToken: QuantileEstimate;
-  readonly tokenGap: QuantileEstimate;
+  readonly quantiles: Readonly<Record<LatencySignal, QuantileEstimate>>;
 }
 
 /** Counter of one daemon's request results between its reports. */
@@ -81,29 +87,38 @@
   private readonly byKind = new Map<string, KindCounter>();
 
   record(result: RequestResult): void {
-    const counter = this.getOrCreateCounter(result.kind);
-    const { blocks, firstToken, tokenGap } = counter;
     const { firstTokenMs, tokenGapMs } = result;
-    countRequest(blocks[Signal.Failure], result, result.failed);
+    this.recordEnd(result, result.failed);
     if (firstTokenMs !== undefined) {
-      const isSlow = firstToken.isAbove(firstTokenMs);
-      countRequest(blocks[Signal.SlowFirstToken], result, isSlow);
+      this.recordLatency(Signal.SlowFirstToken, result, firstTokenMs);
     }
     if (tokenGapMs !== undefined) {
-      const isSlow = tokenGap.isAbove(tokenGapMs);
-      countRequest(blocks[Signal.SlowTokens], result, isSlow);
+      this.recordLatency(Signal.SlowTokens, result, tokenGapMs);
     }
-    if (result.isNewVersion) return;
-    if (firstTokenMs !== undefined) firstToken.add(firstTokenMs);
-    if (tokenGapMs !== undefined) tokenGap.add(tokenGapMs);
+  }
+
+  recordEnd(request: RequestVersion, failed: boolean): void {
+    const { blocks } = this.getOrCreateCounter(request.kind);
+    countRequest(blocks[Signal.Failure], request, failed);
+  }
+
+  /** Records a latency in milliseconds, and counts it as slow if most responses of the old version were faster. */
+  recordLatency(
+    signal: LatencySignal,
+    request: RequestVersion,
+    latencyMs: number,
+  ): void {
+    const { blocks, quantiles } = this.getOrCreateCounter(request.kind);
+    const quantile = quantiles[signal];
+    countRequest(blocks[signal], request, quantile.isAbove(latencyMs));
+    if (!request.isNewVersion) quantile.add(latencyMs);
   }
 
   /** Returns and resets the counts since the last call, for kinds that had requests. */
   drain(): readonly KindEvidence[] {
     const evidence: KindEvidence[] = [];
     for (const [kind, { blocks }] of this.byKind) {
-      const { newCount, oldCount } = blocks[Signal.Failure];
-      if (newCount + oldCount === 0) continue;
+      if (SIGNALS.every(signal => isEmpty(blocks[signal]))) continue;
       evidence.push({
         kind,
         [Signal.Failure]: { ...blocks.failure },
@@ -124,8 +139,10 @@
           [Signal.SlowFirstToken]: createSampleBlock(),
           [Signal.SlowTokens]: createSampleBlock(),
         },
-        firstToken: new QuantileEstimate(),
-        tokenGap: new QuantileEstimate(),
+        quantiles: {
+          [Signal.SlowFirstToken]: new QuantileEstimate(),
+          [Signal.SlowTokens]: new QuantileEstimate(),
+        },
       };
       this.byKind.set(kind, counter);
     }
@@ -133,9 +150,13 @@
   }
 }
 
+function isEmpty({ newCount, oldCount }: SampleBlock): boolean {
+  return newCount + oldCount === 0;
+}
+
 function countRequest(
   block: MutableSampleBlock,
-  result: RequestResult,
+  result: RequestVersion,
   isEvent: boolean,
 ): void {
   const events = isEvent ? 1 : 0;
--- a/packages/core/src/rollouts/canary-rollout.test.ts
+++ b/packages/core/src/rollouts/canary-rollout.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
+import type { AttemptObservation } from '../forwarding/index.js';
 import { SeededRandom } from '../ports/index.js';
 import { CanaryRollout } from './canary-rollout.js';
 import { RolloutPhase } from './rollout-hints.js';
@@ -10,10 +11,14 @@
 const STEP_MS = 20;
 const EXCHANGE_MS = 500;
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+const EVENTS_PER_ANSWER = 10;
 
 interface VersionBehaviour {
   readonly failureShare: number;
+  /** Mean time to the first event. */
   readonly answerMs: number;
+  /** Mean time between two events. */
+  readonly gapMs: number;
   /** Time since the start at which the version begins to misbehave. */
   readonly badFromMs?: number;
   /** The only route on which the version misbehaves. */
@@ -27,9 +32,32 @@
   readonly endedAtMs: number;
 }
 
-const GOOD: VersionBehaviour = { failureShare: 0.01, answerMs: 100 };
+const GOOD: VersionBehaviour = {
+  failureShare: 0.01,
+  answerMs: 100,
+  gapMs: 20,
+};
 const ROUTES = ['drafts', 'checks'];
 
+/** Answer of an endpoint whose events are still to arrive. */
+interface Answer {
+  readonly observation: AttemptObservation;
+  readonly failed: boolean;
+  readonly eventsAtMs: readonly number[];
+  arrived: number;
+}
+
+/** Delivers the events that are due; returns false once the answer has ended. */
+function deliverEvents(answer: Answer, nowMs: number): boolean {
+  const due = answer.eventsAtMs.filter(atMs => atMs <= nowMs).length;
+  const lastAtMs = answer.eventsAtMs[due - 1] ?? nowMs;
+  answer.observation.recordEvents(due - answer.arrived, lastAtMs);
+  answer.arrived = due;
+  if (due < answer.eventsAtMs.length) return true;
+  answer.observation.end(answer.failed);
+  return false;
+}
+
 /** Simulates a rollout over daemons that exchange hints and together serve 30 requests a second. */
 function simulateRollout(
   candidate: VersionBehaviour,
@@ -55,6 +83,7 @@
   let requests = 0;
   let newRequests = 0;
   let endedAtMs = DURATION_MS;
+  let answers: Answer[] = [];
   for (let nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
     for (const rollout of rollouts) {
       if (random.nextFloat() < 0.2) {
@@ -66,17 +95,26 @@
         const isBad =
           nowMs >= (version.badFromMs ?? 0) &&
           (version.badRoute ?? route) === route;
-        const { answerMs, failureShare } = isBad ? version : GOOD;
-        rollout.recordAnswer({
-          group: 'engines',
-          version: isCanary ? 'v2' : 'v1',
-          route,
-          failed: random.nextFloat() < failureShare,
-          responseMs: answerMs * (0.5 + random.nextFloat()),
+        const { answerMs, failureShare, gapMs } = isBad ? version : GOOD;
+        const failed = random.nextFloat() < failureShare;
+        const firstAtMs = nowMs + answerMs * (0.5 + random.nextFloat());
+        const meanGapMs = gapMs * (0.5 + random.nextFloat());
+        answers.push({
+          observation: rollout.observe(
+            { group: 'engines', version: isCanary ? 'v2' : 'v1', route },
+            nowMs,
+          ),
+          failed,
+          eventsAtMs: Array.from(
+            { length: EVENTS_PER_ANSWER },
+            (_, index) => firstAtMs + index * meanGapMs,
+          ),
+          arrived: 0,
         });
       }
       rollout.tick(nowMs);
     }
+    answers = answers.filter(answer => deliverEvents(answer, nowMs));
     rollouts[0]?.decide(nowMs);
     if (nowMs % EXCHANGE_MS === 0) exchangeHints(rollouts, nowMs);
     const [first] = rollouts;
@@ -110,10 +148,7 @@
 
   it('rolls back a version that fails at once, within the allowed exposure', () => {
     for (const seed of SEEDS) {
-      const outcome = simulateRollout(
-        { failureShare: 0.5, answerMs: 100 },
-        seed,
-      );
+      const outcome = simulateRollout({ ...GOOD, failureShare: 0.5 }, seed);
       assert.equal(outcome.phase, RolloutPhase.RolledBack, `seed ${seed}`);
       assert.ok(outcome.newRequests <= outcome.requests * 0.1 + 50);
     }
@@ -121,18 +156,22 @@
 
   it('rolls back a version that is several times slower', () => {
     for (const seed of SEEDS) {
-      const outcome = simulateRollout(
-        { failureShare: 0.01, answerMs: 500 },
-        seed,
-      );
+      const outcome = simulateRollout({ ...GOOD, answerMs: 500 }, seed);
       assert.equal(outcome.phase, RolloutPhase.RolledBack, `seed ${seed}`);
     }
   });
 
+  it('rolls back a version whose streams are several times slower after a prompt first event', () => {
+    for (const seed of SEEDS) {
+      const { phase } = simulateRollout({ ...GOOD, gapMs: 100 }, seed);
+      assert.equal(phase, RolloutPhase.RolledBack, `seed ${seed}`);
+    }
+  });
+
   it('rolls back a version that fails late or on one route only, within the allowed exposure', () => {
     for (const seed of SEEDS) {
       for (const fault of [{ badFromMs: 5_000 }, { badRoute: 'drafts' }]) {
-        const version = { failureShare: 0.6, answerMs: 100, ...fault };
+        const version = { ...GOOD, failureShare: 0.6, ...fault };
         const outcome = simulateRollout(version, seed);
         assert.equal(outcome.phase, RolloutPhase.RolledBack, `seed ${seed}`);
         assert.ok(outcome.newRequests <= outcome.requests * 0.1 + 50);
--- a/packages/core/src/rollouts/canary-rollout.ts
+++ b/packages/core/src/rollouts/canary-rollout.ts
@@ -1,10 +1,12 @@
 import type {
+  AttemptObservation,
   RolloutOrder,
   VersionConstraint,
   VersionedAttempt,
 } from '../forwarding/index.js';
 import type { Finding, KindEvidence } from '../moves/index.js';
-import { EvidenceCounter, RegressionDetector, Signal } from '../moves/index.js';
+import { RegressionDetector, Signal } from '../moves/index.js';
+import { AttemptCollector } from './attempt-collector.js';
 import { EvidenceAccumulator } from './evidence-accumulator.js';
 import type { RolloutHints } from './rollout-hints.js';
 import { mergePhases, RolloutPhase } from './rollout-hints.js';
@@ -44,7 +46,7 @@
 export class CanaryRollout {
   phase = RolloutPhase.Canary;
   finding: Finding | undefined;
-  private readonly counter = new EvidenceCounter();
+  private readonly collector = new AttemptCollector();
   private readonly ownEvidence = new EvidenceAccumulator();
   /** Evidence of this daemon and its peers that is not evaluated yet. */
   private readonly pendingEvidence = new EvidenceAccumulator();
@@ -99,22 +101,17 @@
     }
   }
 
-  recordAnswer(answer: VersionedAttempt): void {
-    this.counter.record({
-      kind: answer.route,
-      isNewVersion: answer.version === this.order.toVersion,
-      failed: answer.failed,
-      ...(answer.responseMs === undefined
-        ? {}
-        : { firstTokenMs: answer.responseMs }),
-    });
+  /** Starts the observation of an attempt that is sent now. */
+  observe(attempt: VersionedAttempt, nowMs: number): AttemptObservation {
+    const isNewVersion = attempt.version === this.order.toVersion;
+    return this.collector.observe({ kind: attempt.route, isNewVersion }, nowMs);
   }
 
   /** Evaluates the evidence since the last block and rolls back on a finding; does nothing until a block is over. */
   tick(nowMs: number): void {
     if (nowMs < this.nextBlockAtMs) return;
     this.nextBlockAtMs = nowMs + BLOCK_MS;
-    const evidence = this.counter.drain();
+    const evidence = this.collector.drain();
     this.ownEvidence.add(evidence);
     this.pendingEvidence.add(evidence);
     const block = this.pendingEvidence.drain();
--- a/packages/core/src/rollouts/index.ts
+++ b/packages/core/src/rollouts/index.ts
@@ -1,3 +1,4 @@
+export * from './attempt-collector.js';
 export * from './canary-rollout.js';
 export * from './evidence-accumulator.js';
 export * from './rollout-hints.js';
--- a/packages/core/src/rollouts/rollout-registry.ts
+++ b/packages/core/src/rollouts/rollout-registry.ts
@@ -1,4 +1,5 @@
 import type {
+  AttemptObservation,
   EndedRollout,
   RolloutOrder,
   VersionConstraint,
@@ -19,6 +20,12 @@
   readonly optionsFor: (group: string) => CanaryOptions;
 }
 
+/** Observation of an attempt in a group without a rollout. */
+const NO_OBSERVATION: AttemptObservation = {
+  recordEvents: () => undefined,
+  end: () => undefined,
+};
+
 /** Latest rollout of each group that this daemon has read. */
 export class RolloutRegistry implements VersionSelector {
   private readonly rolloutsByGroup = new Map<string, CanaryRollout>();
@@ -59,8 +66,9 @@
     return { not: rollout.order.toVersion };
   }
 
-  recordAttempt(answer: VersionedAttempt): void {
-    this.rolloutsByGroup.get(answer.group)?.recordAnswer(answer);
+  observe(attempt: VersionedAttempt): AttemptObservation {
+    const rollout = this.rolloutsByGroup.get(attempt.group);
+    return rollout?.observe(attempt, this.deps.nowMs()) ?? NO_OBSERVATION;
   }
 
   /** Evaluates the new evidence of every rollout and logs those that it rolls back. */
