Record slow answers of a rollout while they are in flight

Cause: an attempt's latencies became evidence when the attempt ended, so that a slow version's slowest answers were missing from the evidence for the longest time, and for good where the decision came first. A version that is slow on a share of its answers looked healthy, as only the others had ended.

Now the time to the first event is recorded when the event arrives, a stream's speed after eight gaps or at its end, and each block also records the attempts in flight that have already taken longer than most answers of the old version. Both versions are treated alike, so the test's error rate holds.

--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -47,8 +47,8 @@
 export interface AttemptObservation {
   /** Records events of a stream that arrived at `nowMs`; a complete plain response counts as one event. */
   recordEvents(count: number, nowMs: number): void;
-  /** Ends the observation of an attempt whose result says something about its endpoint. */
-  end(failed: boolean): void;
+  /** Ends the observation. `failed` is undefined if the result says nothing about the endpoint. */
+  end(failed: boolean | undefined): void;
 }
 
 /** Counter of the requests that endpoints have started. */
--- a/packages/core/src/moves/evidence.ts
+++ b/packages/core/src/moves/evidence.ts
@@ -109,9 +109,18 @@
     latencyMs: number,
   ): void {
     const { blocks, quantiles } = this.getOrCreateCounter(request.kind);
-    const quantile = quantiles[signal];
-    countRequest(blocks[signal], request, quantile.isAbove(latencyMs));
-    if (!request.isNewVersion) quantile.add(latencyMs);
+    const isSlow = this.isSlow(signal, request, latencyMs);
+    countRequest(blocks[signal], request, isSlow);
+    if (!request.isNewVersion) quantiles[signal].add(latencyMs);
+  }
+
+  /** Returns whether most responses of the old version were faster. */
+  isSlow(
+    signal: LatencySignal,
+    { kind }: RequestVersion,
+    latencyMs: number,
+  ): boolean {
+    return this.getOrCreateCounter(kind).quantiles[signal].isAbove(latencyMs);
   }
 
   /** Returns and resets the counts since the last call, for kinds that had requests. */
--- a/packages/core/src/rollouts/canary-rollout.test.ts
+++ b/packages/core/src/rollouts/canary-rollout.test.ts
@@ -23,6 +23,8 @@
   readonly badFromMs?: number;
   /** The only route on which the version misbehaves. */
   readonly badRoute?: string;
+  /** Share of the requests on which the version misbehaves; all if absent. */
+  readonly badShare?: number;
 }
 
 interface SimulationResult {
@@ -94,7 +96,8 @@
         const version = isCanary ? candidate : GOOD;
         const isBad =
           nowMs >= (version.badFromMs ?? 0) &&
-          (version.badRoute ?? route) === route;
+          (version.badRoute ?? route) === route &&
+          random.nextFloat() < (version.badShare ?? 1);
         const { answerMs, failureShare, gapMs } = isBad ? version : GOOD;
         const failed = random.nextFloat() < failureShare;
         const firstAtMs = nowMs + answerMs * (0.5 + random.nextFloat());
@@ -168,6 +171,16 @@
     }
   });
 
+  it('rolls back a version whose slow answers have not ended when the rollout is decided', () => {
+    for (const seed of SEEDS) {
+      for (const slow of [{ answerMs: 20_000 }, { gapMs: 2_000 }]) {
+        const version = { ...GOOD, ...slow, badShare: 0.6 };
+        const { phase } = simulateRollout(version, seed);
+        assert.equal(phase, RolloutPhase.RolledBack, `seed ${seed}`);
+      }
+    }
+  });
+
   it('rolls back a version that fails late or on one route only, within the allowed exposure', () => {
     for (const seed of SEEDS) {
       for (const fault of [{ badFromMs: 5_000 }, { badRoute: 'drafts' }]) {
--- a/packages/core/src/rollouts/canary-rollout.ts
+++ b/packages/core/src/rollouts/canary-rollout.ts
@@ -111,7 +111,7 @@
   tick(nowMs: number): void {
     if (nowMs < this.nextBlockAtMs) return;
     this.nextBlockAtMs = nowMs + BLOCK_MS;
-    const evidence = this.collector.drain();
+    const evidence = this.collector.drain(nowMs);
     this.ownEvidence.add(evidence);
     this.pendingEvidence.add(evidence);
     const block = this.pendingEvidence.drain();
