Complete a rollout only on evidence that the version is healthy

Cause: at the decision, a rollout without a finding and with five answers of the new version switched to it. A version about which little was known, or one whose evidence was just below the finding's threshold, so got all requests: the absence of evidence against it was taken for evidence for it. Attempts whose end says nothing about the endpoint (refused as full, misdirected, cut off at the caller's end) counted as good answers besides.

Now the decision asks whether the counts are more likely under a healthy version than under a bad one, for each signal, over all routes and on each; else the version is rolled back. An attempt that says nothing is not counted. A wrong rollback costs a later try, a wrong completion all callers.

The new test of CanaryRollout (two of six answers failed) failed: 'switching' instead of 'rolledBack'.

--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -227,8 +227,11 @@
   return response !== undefined && response.status >= MIN_SERVER_ERROR_STATUS;
 }
 
-/** Returns whether the attempt counts as a failure of the endpoint's version. */
-export function isFailure({ response, kind }: AttemptOutcome): boolean {
+/** Returns whether the endpoint failed; undefined if the attempt's end says nothing about it. */
+export function isFailure({
+  response,
+  kind,
+}: AttemptOutcome): boolean | undefined {
   switch (kind) {
     case AttemptEndKind.Answered:
       return isEndpointError(response);
@@ -239,7 +242,7 @@
     case AttemptEndKind.NotRun:
     case AttemptEndKind.Misdirected:
     case AttemptEndKind.Cancelled:
-      return false;
+      return undefined;
   }
 }
 
--- a/packages/core/src/rollouts/canary-rollout.test.ts
+++ b/packages/core/src/rollouts/canary-rollout.test.ts
@@ -216,6 +216,33 @@
     }
   });
 
+  it('rolls back a version whose few answers fit a bad version better than a good one', () => {
+    const order = {
+      revision: 7,
+      group: 'g',
+      toVersion: 'v2',
+      durationMs: DURATION_MS,
+    };
+    const rollout = new CanaryRollout(order, 0, {
+      exposureShare: 0.1,
+      exposureSlack: 50,
+      daemons: () => 1,
+      routes: ROUTES,
+    });
+    const answer = (version: string, failed: boolean) => {
+      const attempt = { group: 'g', version, route: 'drafts' };
+      const observation = rollout.observe(attempt, 0);
+      observation.recordEvents(1, 100);
+      observation.end(failed);
+    };
+    for (let count = 0; count < 40; count += 1) answer('v1', false);
+    for (let count = 0; count < 6; count += 1) answer('v2', count < 2);
+    rollout.tick(2_000);
+    assert.equal(rollout.phase, RolloutPhase.Canary);
+    rollout.decide(DURATION_MS - 100);
+    assert.equal(rollout.phase, RolloutPhase.RolledBack);
+  });
+
   it('sends nothing to the version after the deadline, and rolls back without enough answers', () => {
     const order = {
       revision: 7,
--- a/packages/core/src/rollouts/canary-rollout.ts
+++ b/packages/core/src/rollouts/canary-rollout.ts
@@ -5,9 +5,10 @@
   VersionedAttempt,
 } from '../forwarding/index.js';
 import type { Finding, KindEvidence } from '../moves/index.js';
-import { RegressionDetector, Signal } from '../moves/index.js';
+import { RegressionDetector } from '../moves/index.js';
 import { AttemptCollector } from './attempt-collector.js';
 import { EvidenceAccumulator } from './evidence-accumulator.js';
+import { isShownHealthy } from './health-evidence.js';
 import type { RolloutHints } from './rollout-hints.js';
 import { mergePhases, RolloutPhase } from './rollout-hints.js';
 
@@ -32,8 +33,6 @@
 const SUCCESS_LEAD_MS = 700; // one write and its retry
 /** Minimum time from the first completion check in the switching phase until success may be recorded. */
 const MIN_SWITCHING_MS = 1_200; // two exchanges of hints
-/** Minimum number of answers of the new version, below which it is rolled back. */
-const MIN_JUDGED_ANSWERS = 5;
 const FALSE_FINDING_RATE = 0.005;
 /** Interval at which the evidence is evaluated. */
 const BLOCK_MS = 1_000;
@@ -126,10 +125,10 @@
   decide(nowMs: number): void {
     if (this.phase !== RolloutPhase.Canary) return;
     if (nowMs < this.deadlineAtMs - SWITCH_LEAD_MS) return;
-    const isJudged = this.newVersionAnswerCount() >= MIN_JUDGED_ANSWERS;
+    const isHealthy = isShownHealthy(this.totalEvidence.values());
     const isInTime = nowMs < this.deadlineAtMs;
     this.phase =
-      isJudged && isInTime ? RolloutPhase.Switching : RolloutPhase.RolledBack;
+      isHealthy && isInTime ? RolloutPhase.Switching : RolloutPhase.RolledBack;
   }
 
   /**
@@ -201,10 +200,4 @@
       (exposureShare * this.requests + slack) * EXPOSURE_SAFETY_FACTOR;
     return this.tried + 1 <= allowed;
   }
-
-  private newVersionAnswerCount(): number {
-    return this.totalEvidence
-      .values()
-      .reduce((sum, evidence) => sum + evidence[Signal.Failure].newCount, 0);
-  }
 }
