--- a/packages/core/src/rollouts/canary-rollout.ts
+++ b/packages/core/src/rollouts/canary-rollout.ts
@@ -125,7 +125,7 @@
   decide(nowMs: number): void {
     if (this.phase !== RolloutPhase.Canary) return;
     if (nowMs < this.deadlineAtMs - SWITCH_LEAD_MS) return;
-    const isHealthy = isShownHealthy(this.totalEvidence.values());
+    const isHealthy = isShownHealthy(this.evidence());
     const isInTime = nowMs < this.deadlineAtMs;
     this.phase =
       isHealthy && isInTime ? RolloutPhase.Switching : RolloutPhase.RolledBack;
@@ -168,16 +168,21 @@
     this.lastPeerEvidence.set(lifetime, hints.evidence);
   }
 
+  /** Returns the evidence of all daemons that has been evaluated. */
+  evidence(): readonly KindEvidence[] {
+    return this.totalEvidence.values();
+  }
+
   /** Returns the state for the operators' state dump. */
   dumpState(): unknown {
-    const { finding, order, phase, requests, totalEvidence, tried } = this;
+    const { finding, order, phase, requests, tried } = this;
     return {
       order,
       phase,
       finding,
       requests,
       tried,
-      seen: totalEvidence.values(),
+      seen: this.evidence(),
     };
   }
 
--- a/packages/core/src/rollouts/rollout-writer.ts
+++ b/packages/core/src/rollouts/rollout-writer.ts
@@ -1,3 +1,5 @@
+import type { KindEvidence, Signal } from '../moves/index.js';
+import { addBlocks, EMPTY_BLOCK, SIGNALS } from '../moves/index.js';
 import type { Clock, Log } from '../ports/index.js';
 import { LogComponent, PlatformError } from '../ports/index.js';
 import type { CanaryRollout } from './canary-rollout.js';
@@ -40,7 +42,9 @@
     const { registry, clock } = this.deps;
     for (const rollout of registry.rollouts()) {
       if (!isHolding()) return;
+      const previousPhase = rollout.phase;
       rollout.decide(clock.nowMs());
+      if (rollout.phase !== previousPhase) this.logDecision(rollout);
       const { group, toVersion } = rollout.order;
       const oldInFlight = this.deps.inFlightOnOtherVersions(group, toVersion);
       if (rollout.mayComplete(oldInFlight, clock.nowMs())) {
@@ -51,6 +55,19 @@
     }
   }
 
+  private logDecision(rollout: CanaryRollout): void {
+    const { group, toVersion } = rollout.order;
+    const evidence = rollout.evidence();
+    this.deps.log.info(LogComponent.Moves, 'A rollout is decided.', {
+      group,
+      toVersion,
+      phase: rollout.phase,
+      ...Object.fromEntries(
+        SIGNALS.map(signal => [signal, describeCounts(evidence, signal)]),
+      ),
+    });
+  }
+
   private async write(
     rollout: CanaryRollout,
     phase: RolloutPhase,
@@ -78,3 +95,14 @@
     }
   }
 }
+
+/** Returns the events and requests of both versions over all routes, as text. */
+function describeCounts(
+  evidence: readonly KindEvidence[],
+  signal: Signal,
+): string {
+  const { newCount, newEvents, oldCount, oldEvents } = evidence
+    .map(kind => kind[signal])
+    .reduce(addBlocks, EMPTY_BLOCK);
+  return `new ${newEvents}/${newCount}, old ${oldEvents}/${oldCount}`;
+}
