Connect to the new address of an endpoint that starts again under its id

Callers got 503, or lost the endpoint's share of the capacity, after an endpoint had started again under its id at another address. Cause: the connection pools were kept by id alone, and so went on to the old address, which may by then belong to another endpoint. Found by the test for endpoints that send without end, which registers one id twice.

--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -7,6 +7,7 @@
   ForwardProtocol,
   Upstream,
 } from '@skylarkreach/core/forwarding';
+import type { Address } from '@skylarkreach/core/ports';
 import { AnswerLostError, NotSentError } from '@skylarkreach/core/ports';
 
 import { isConnectError } from '../adapters/index.js';
@@ -27,6 +28,7 @@
 
 /** Connection pool of one endpoint. */
 interface EndpointConnections {
+  readonly address: Address;
   readonly pool: Pool;
   /** Number of connections that have been reset so far. */
   resetCount: number;
@@ -80,11 +82,10 @@
 
   /** Closes the connections to all endpoints but those given, after their requests in flight. */
   retainEndpoints(ids: ReadonlySet<string>): void {
-    for (const [id, { pool }] of this.connections) {
+    for (const [id, connections] of this.connections) {
       if (ids.has(id)) continue;
       this.connections.delete(id);
-      // The requests of a broken connection have already failed with its error.
-      void pool.close().catch(() => undefined);
+      closeGracefully(connections);
     }
   }
 
@@ -99,7 +100,9 @@
 
   private connectionsFor(endpoint: EndpointRecord): EndpointConnections {
     const known = this.connections.get(endpoint.id);
-    if (known !== undefined) return known;
+    if (known?.address === endpoint.address) return known;
+    // An endpoint may start again under its id at another address.
+    if (known !== undefined) closeGracefully(known);
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     const pool = new Pool(`http://${endpoint.address}`, {
       connect: (options, callback) => {
@@ -119,12 +122,21 @@
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       maxHeaderSize: MAX_HEADER_BYTES,
     });
-    const connections: EndpointConnections = { pool, resetCount: 0 };
+    const connections: EndpointConnections = {
+      address: endpoint.address,
+      pool,
+      resetCount: 0,
+    };
     this.connections.set(endpoint.id, connections);
     return connections;
   }
 }
 
+function closeGracefully({ pool }: EndpointConnections): void {
+  // The requests of a broken connection have already failed with its error.
+  void pool.close().catch(() => undefined);
+}
+
 /** Whether the headers delimit the body; without them the body ends when the connection closes. */
 function hasBodyFraming(headers: readonly string[]): boolean {
   return headers.some(
--- a/packages/stand-ins/src/gateway/gateway-platform.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-platform.test.ts
@@ -52,6 +52,28 @@
     assert.equal(draining?.runs.length, runsBefore);
   });
 
+  it('sends to the new address of an endpoint that starts again under its id', async () => {
+    const { deployment } = fixture;
+    const paths = Array.from({ length: 8 }, (_, index) => `/lookups/${index}`);
+    await Promise.all(paths.map(path => fixture.statusOf(path)));
+    for (const id of ['ledger-1', 'ledger-2']) {
+      await deployment.addEndpoint('ledger', id);
+    }
+    const [first, second, , , ...restarted] = deployment.endpoints;
+    first?.destroy();
+    second?.destroy();
+    const pool = deployment.gateways[0]?.gateway.wiring.pool;
+    await waitUntil(
+      () =>
+        pool
+          ?.endpoints()
+          .some(({ address }) => address === restarted[1]?.address) === true,
+    );
+    const response = await fixture.send('/postings/a', {}, { body: '{}' });
+    await response.body.dump();
+    assert.equal(response.statusCode, 200);
+  });
+
   it('keeps serving during a store outage and applies updates from peers', async () => {
     const other = await fixture.deployment.addGateway('daemon-2');
     const first = fixture.deployment.gateways[0];
