Bound what a gateway takes of an endpoint that sends bytes without end

Of eleven tests on the code before, five failed: - a status text, informational responses and a chunk extension without end were read until the request's deadline, at the speed of the link: the HTTP parser has no limit of its own for them; - a refusal whose body has no end, sent slowly, held the request until its deadline although it was known not to have run; - bytes that complete no event, or repeat events that the caller has, kept a stream's attempt alive.

Now each connection counts what it receives for a response and is destroyed once that exceeds what head, framing and body can need; a refusal's body is read for 20 ms at most, and how it ends no longer decides whether the request may have run; only events that the caller does not have keep a stream's attempt alive. Already bounded, by tests that passed before: header values, headers, bodies, trailers, bytes after a response.

A limit on all bytes of a connection was ruled out: a stream may be long. So was undici's diagnostics channel, which is shared by the whole process.

--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -46,7 +46,7 @@
 /** Consumer of a streamed response. */
 export interface StreamConsumer {
   begin(response: EndpointResponse): void;
-  /** Adds bytes and returns the number of events that they complete. */
+  /** Adds bytes and returns the number of events that they complete and that the caller does not have. */
   add(chunk: Uint8Array): number;
   /** Forwards the events added; resolves once the caller's connection accepts more. */
   flush(): Promise<void>;
@@ -61,9 +61,9 @@
 
 export interface AttemptOptions {
   readonly requestId: string;
-  /** Maximum time from sending the request to the first chunk of the response body. */
+  /** Maximum time from sending the request to the first chunk of the response body, or to the first event of a stream. */
   readonly firstChunkTimeoutMs: number;
-  /** Maximum gap between two chunks of the body. */
+  /** Maximum gap between two chunks of the body, or between two events of a stream. */
   readonly chunkGapTimeoutMs: number;
   /** Consumes the body if it is an event stream. */
   readonly stream: StreamConsumer | undefined;
@@ -83,6 +83,8 @@
 
 /** Maximum bytes of a refusal's body that are read so that its connection can be reused. */
 const MAX_DISCARDED_BYTES = 65_536; // reading them costs less than a new connection
+/** Maximum time for which a refusal's body is read. */
+const MAX_DISCARD_MS = 20; // a few round trips; the caller waits for it
 
 /** Sends a request to one endpoint and reads its response. */
 export class ForwardAttempt {
@@ -138,7 +140,9 @@
     const fault = this.findFault(response, metadata);
     if (fault !== undefined) {
       // A refusal that is read to its end leaves its connection reusable.
-      if (fault.kind !== AttemptEndKind.Failed) await discard(response.body);
+      if (fault.kind !== AttemptEndKind.Failed) {
+        await this.discard(response.body);
+      }
       return fault;
     }
     const { stream } = this.options;
@@ -197,11 +201,14 @@
     stream.begin(response);
     let isFirst = true;
     for await (const chunk of response.body) {
-      this.idleTimer.reset(this.options.chunkGapTimeoutMs);
       const nowMs = this.deps.clock.nowMs();
+      const newEvents = stream.add(chunk);
+      // Bytes that are no event for the caller do not keep the attempt alive.
+      if (newEvents === 0) continue;
+      this.idleTimer.reset(this.options.chunkGapTimeoutMs);
       if (isFirst) this.reservation.recordFirstEvent(nowMs);
       isFirst = false;
-      this.options.observation.recordEvents(stream.add(chunk), nowMs);
+      this.options.observation.recordEvents(newEvents, nowMs);
       await stream.flush();
     }
     return stream.finish()
@@ -209,6 +216,19 @@
       : failed('the stream ended within an event');
   }
 
+  /** Reads a body that is not needed, as far as that is cheaper than a new connection. */
+  private async discard(body: AsyncIterable<Uint8Array>): Promise<void> {
+    const { clock } = this.deps;
+    const timer = new AbortController();
+    const timeout = clock
+      .waitUntil(clock.nowMs() + MAX_DISCARD_MS, timer.signal)
+      .catch(() => undefined); // the body ended first
+    // A refusal holds whether or not its body is complete.
+    const bodyEnd = readAll(body).catch(() => undefined);
+    await Promise.race([bodyEnd, timeout]);
+    timer.abort();
+  }
+
   private resultOfError(error: unknown): AttemptOutcome {
     if (this.options.signal.aborted) return { kind: AttemptEndKind.Cancelled };
     if (this.hasTimedOut) return { kind: AttemptEndKind.Silent };
@@ -246,7 +266,7 @@
   }
 }
 
-async function discard(body: AsyncIterable<Uint8Array>): Promise<void> {
+async function readAll(body: AsyncIterable<Uint8Array>): Promise<void> {
   let bytes = 0;
   for await (const chunk of body) {
     bytes += chunk.length;
--- a/packages/core/src/forwarding/stream-relay.ts
+++ b/packages/core/src/forwarding/stream-relay.ts
@@ -39,13 +39,12 @@
   }
 
   add(chunk: Uint8Array): number {
-    const events = this.splitter.push(chunk);
-    for (const { bytes, id } of events) {
+    for (const { bytes, id } of this.splitter.push(chunk)) {
       if (!this.isNew(id)) continue;
       this.lastEventId = id ?? this.lastEventId;
       this.unsent.push(bytes);
     }
-    return events.length;
+    return this.unsent.length;
   }
 
   async flush(): Promise<void> {
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -1,3 +1,4 @@
+import type { Dispatcher } from 'undici';
 import { buildConnector, Pool } from 'undici';
 
 import type {
@@ -11,6 +12,8 @@
 import { AnswerLostError, NotSentError } from '@skylarkreach/core/ports';
 
 import { isConnectError } from '../adapters/index.js';
+import type { ResponseMeter } from './metered-client.js';
+import { MeteredClient } from './metered-client.js';
 
 /** Time within which an endpoint on the same network accepts a connection. */
 const CONNECT_TIMEOUT_MS = 1_000; // the same as callers allow for a new connection
@@ -37,6 +40,8 @@
 /** HTTP client for endpoints, with one connection pool for each lifetime of an endpoint. */
 export class EndpointClient implements Upstream {
   private readonly connections = new Map<string, EndpointConnections>();
+  /** Meters of the connections that serve requests, by the options of the request. */
+  private readonly metersByRequest = new WeakMap<object, ResponseMeter>();
 
   constructor(private readonly protocol: ForwardProtocol) {}
 
@@ -53,14 +58,17 @@
     // Read before sending: a response head and a reset may arrive together.
     const resetsBefore = connections.resetCount;
     try {
-      const response = await connections.pool.request({
+      const options: Dispatcher.RequestOptions = {
         method: call.method,
         path: call.target,
         headers: [...call.headers],
         body: call.body ?? null,
         signal,
         responseHeaders: 'raw',
-      });
+      };
+      const response = await connections.pool.request(options);
+      const meter = this.metersByRequest.get(options);
+      const body = meteredBody(response.body, meter);
       const headers = toRawHeaders(response.headers);
       const isFramed = hasBodyFraming(headers);
       return {
@@ -68,9 +76,7 @@
         headers,
         metadata: this.protocol.readResponse(response.statusCode, headers),
         isFramed,
-        body: isFramed
-          ? response.body
-          : failOnReset(response.body, connections, resetsBefore),
+        body: isFramed ? body : failOnReset(body, connections, resetsBefore),
       };
     } catch (error) {
       const message = `Endpoint ${endpoint.id} did not respond (${String(error)}).`;
@@ -104,17 +110,27 @@
     // An endpoint may start again under its id at another address.
     if (known !== undefined) closeGracefully(known);
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-    const pool = new Pool(`http://${endpoint.address}`, {
-      connect: (options, callback) => {
-        connect(options, (...result) => {
-          const [, socket] = result;
-          socket?.on('error', (error: NodeJS.ErrnoException) => {
-            // undici reports an orderly close with an error code of its own.
-            if (RESET_CODES.has(error.code ?? '')) connections.resetCount += 1;
-          });
-          callback(...result);
+    const connectAndCountResets: buildConnector.connector = (
+      options,
+      callback,
+    ) => {
+      connect(options, (...result) => {
+        const [, socket] = result;
+        socket?.on('error', (error: NodeJS.ErrnoException) => {
+          // undici reports an orderly close with an error code of its own.
+          if (RESET_CODES.has(error.code ?? '')) connections.resetCount += 1;
         });
-      },
+        callback(...result);
+      });
+    };
+    const pool = new Pool(`http://${endpoint.address}`, {
+      factory: (origin, options) =>
+        new MeteredClient(
+          origin,
+          options,
+          connectAndCountResets,
+          this.metersByRequest,
+        ),
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -162,6 +178,17 @@
   );
 }
 
+/** Passes on a body and records its bytes. */
+async function* meteredBody(
+  body: AsyncIterable<Uint8Array>,
+  meter: ResponseMeter | undefined,
+): AsyncGenerator<Uint8Array> {
+  for await (const chunk of body) {
+    meter?.recordBody(chunk.length);
+    yield chunk;
+  }
+}
+
 /** Returns undici's raw headers, in which names and values alternate. */
 function toRawHeaders(headers: unknown): readonly string[] {
   if (!Array.isArray(headers)) return [];
