Publish an endpoint list that differs from the one that peers hold

Callers' requests went on to an endpoint that had left, at daemons that had heard of it from a peer. Cause: a daemon published a list when it differed from the one that it had read last itself. If the list had changed and changed back between two of its own reads, and a peer had published the change, the daemon kept the correction to itself, while its hints told the peers that their list had just been read. They skipped their own reads, so the endpoint stayed in use for as long as that daemon was the one that read.

Now the list is compared with the one that the peers hold. The new test of two gateways' state failed before: no newer list was published within 5 s.

--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -48,7 +48,8 @@
  * from peers, and publishes to peers what this daemon read from the store.
  */
 export class StateReplicator {
-  private lastEndpointsJson = '';
+  /** Endpoints of the list that this daemon and its peers hold. */
+  private sharedEndpointsJson = '';
   private lastConfirmedAtMs: number;
   private graceUntilMs = -Infinity;
 
@@ -82,12 +83,11 @@
     this.publish(GossipKey.Configuration, next.version, next);
   }
 
-  /** Applies an endpoint list read from the store and publishes it if its endpoints changed. */
+  /** Applies an endpoint list read from the store and publishes it if its endpoints differ from those that peers hold. */
   handleListing(listing: EndpointListing): void {
     this.applyListing(listing, UpdateSource.Store);
     const endpointsJson = JSON.stringify(listing.endpoints);
-    if (endpointsJson === this.lastEndpointsJson) return;
-    this.lastEndpointsJson = endpointsJson;
+    if (endpointsJson === this.sharedEndpointsJson) return;
     this.publish(GossipKey.Endpoints, listing.revision, listing);
   }
 
@@ -105,10 +105,9 @@
       for (const order of orders) this.deps.rollouts.applyOrder(order);
     }
     if (key === GossipKey.Endpoints.valueOf()) {
-      this.applyListing(
-        JSON.parse(value) as EndpointListing,
-        UpdateSource.Peer,
-      );
+      const listing = JSON.parse(value) as EndpointListing;
+      this.sharedEndpointsJson = JSON.stringify(listing.endpoints);
+      this.applyListing(listing, UpdateSource.Peer);
     }
   }
 
--- a/packages/stand-ins/src/gateway/gateway-platform.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-platform.test.ts
@@ -92,6 +92,32 @@
     await waitUntil(() => first?.gateway.wiring.configuration.version === 9);
   });
 
+  it('withdraws an endpoint from its peers that left before this daemon read the list again', async () => {
+    const { store } = fixture.deployment;
+    const [running] = fixture.deployment.gateways;
+    assert.ok(running);
+    const { cluster, pool } = running.gateway.wiring;
+    const [known] = pool.endpoints();
+    assert.ok(known);
+    // A peer has read a list with one more endpoint, which has left since.
+    const revision = store.state.revision + 1;
+    store.state.put('servers/left', 'not an entry');
+    const endpoints = [...pool.endpoints(), { ...known, id: 'left' }];
+    void cluster.membership.publish({
+      key: 'endpoints',
+      version: revision,
+      value: JSON.stringify({ revision, endpoints }),
+    });
+    store.state.delete('servers/left');
+    await waitUntil(
+      () => cluster.membership.store.version('endpoints') > revision,
+    );
+    assert.deepEqual(
+      pool.endpoints().filter(each => each.id === 'left'),
+      [],
+    );
+  });
+
   it('reports usage once per window and orders endpoints as the only holder', async () => {
     assert.equal(await fixture.statusOf('/lookups/a'), 200);
     await waitUntil(() =>
