--- a/packages/core/src/rollouts/canary-rollout.test.ts
+++ b/packages/core/src/rollouts/canary-rollout.test.ts
@@ -129,6 +129,22 @@
   return { phase, requests, newRequests, endedAtMs };
 }
 
+/** Creates a rollout of group 'g' on the only daemon. */
+function createLoneRollout(): CanaryRollout {
+  const order = {
+    revision: 7,
+    group: 'g',
+    toVersion: 'v2',
+    durationMs: DURATION_MS,
+  };
+  return new CanaryRollout(order, 0, {
+    exposureShare: 0.1,
+    exposureSlack: 50,
+    daemons: () => 1,
+    routes: ROUTES,
+  });
+}
+
 function exchangeHints(
   rollouts: readonly CanaryRollout[],
   nowMs: number,
@@ -193,20 +209,8 @@
   });
 
   it('stays rolled back after a peer’s rollback and sends no more requests to the version', () => {
-    const order = {
-      revision: 7,
-      group: 'g',
-      toVersion: 'v2',
-      durationMs: DURATION_MS,
-    };
-    const options = {
-      exposureShare: 0.1,
-      exposureSlack: 50,
-      daemons: () => 1,
-      routes: ROUTES,
-    };
-    const rollout = new CanaryRollout(order, 0, options);
-    const peer = new CanaryRollout(order, 0, options);
+    const rollout = createLoneRollout();
+    const peer = createLoneRollout();
     peer.phase = RolloutPhase.RolledBack;
     rollout.applyPeer('d1', peer.hints(100), 100);
     peer.phase = RolloutPhase.Canary;
@@ -217,18 +221,7 @@
   });
 
   it('rolls back a version whose few answers fit a bad version better than a good one', () => {
-    const order = {
-      revision: 7,
-      group: 'g',
-      toVersion: 'v2',
-      durationMs: DURATION_MS,
-    };
-    const rollout = new CanaryRollout(order, 0, {
-      exposureShare: 0.1,
-      exposureSlack: 50,
-      daemons: () => 1,
-      routes: ROUTES,
-    });
+    const rollout = createLoneRollout();
     const answer = (version: string, failed: boolean) => {
       const attempt = { group: 'g', version, route: 'drafts' };
       const observation = rollout.observe(attempt, 0);
@@ -244,18 +237,7 @@
   });
 
   it('sends nothing to the version after the deadline, and rolls back without enough answers', () => {
-    const order = {
-      revision: 7,
-      group: 'g',
-      toVersion: 'v2',
-      durationMs: DURATION_MS,
-    };
-    const rollout = new CanaryRollout(order, 0, {
-      exposureShare: 0.1,
-      exposureSlack: 50,
-      daemons: () => 1,
-      routes: ROUTES,
-    });
+    const rollout = createLoneRollout();
     assert.deepEqual(rollout.choose(DURATION_MS), { not: 'v2' });
     rollout.decide(DURATION_MS - 100);
     assert.equal(rollout.phase, RolloutPhase.RolledBack);
