--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -32,6 +32,20 @@
   .action((options: DaemonArguments) => runDaemon(options.settings))
   .parse(process.argv);
 
+// Node.js prints the source line first, which in a bundle fills what log collectors keep of a line.
+process.on('uncaughtExceptionMonitor', (error, origin) => {
+  const { message, stack } = error;
+  console.error(
+    JSON.stringify({
+      level: 'fatal',
+      origin,
+      message,
+      stack,
+      msg: 'daemon: An unexpected error ends the process.',
+    }),
+  );
+});
+
 async function runDaemon(file: string | undefined): Promise<void> {
   if (file === undefined) {
     console.error('The settings file is missing; add --settings FILE.');
