Do not take a delayed hint about a read of the endpoint list for a recent one

Callers' requests were sent to an endpoint over 3 s after the store had taken that it leaves, by a daemon that held its list for fresh.

Hints carry the age of the sender's last read, and the receiver counted it back from their arrival. With 48 daemons losing the store at that time, hints took seconds, so an old read looked recent, and as its version was not above the receiver's, the receiver put off its own read.

The class: a relative age in a message, turned into a time with the time of arrival. Looked for elsewhere: the ages of rollouts only lower their start and so err to the safe side; those of processes decide which of two is newer.

A read is now dated back from before the peer can have built the hints: the sending of the call that they answer. Pushed hints say nothing about reads. The steps of the new test of HintStore gave on the code before: 4900 instead of -Infinity, 4900 instead of 4600, and 8900 instead of 4600 (the read counted as new at each arrival).

--- a/packages/core/src/hints/hint-store.test.ts
+++ b/packages/core/src/hints/hint-store.test.ts
@@ -65,10 +65,23 @@
 
   it('counts a peer’s read of the endpoints only if its list is no newer', () => {
     const store = new HintStore();
-    store.add(hints('a', 1, { endpointReadAgeMs: 100 }), 1_000);
+    store.add(hints('a', 1, { endpointReadAgeMs: 100 }), 1_000, 1_000);
     const newer = { endpointReadAgeMs: 10, endpointsVersion: 5 };
-    store.add(hints('b', 1, newer), 1_000);
-    assert.equal(store.endpointReadAtMs(1, 1_000), 900);
-    assert.equal(store.endpointReadAtMs(5, 1_000), 990);
+    store.add(hints('b', 1, newer), 1_000, 1_000);
+    assert.equal(store.endpointReadAtMs(1), 900);
+    assert.equal(store.endpointReadAtMs(5), 990);
+  });
+
+  it('does not take a read in hints that were delayed in transit for a recent one', () => {
+    const store = new HintStore();
+    const read = { endpointReadAgeMs: 100 };
+    // Pushed by the peer at an unknown time.
+    store.add(hints('a', 1, read), 5_000);
+    assert.equal(store.endpointReadAtMs(1), -Infinity);
+    // Answer to a call that was sent at 4,700.
+    store.add(hints('a', 2, read), 5_000, 4_700);
+    assert.equal(store.endpointReadAtMs(1), 4_600);
+    store.add(hints('a', 3, read), 9_000);
+    assert.equal(store.endpointReadAtMs(1), 4_600);
   });
 });
--- a/packages/core/src/hints/hint-store.ts
+++ b/packages/core/src/hints/hint-store.ts
@@ -12,19 +12,35 @@
   readonly receivedAtMs: number;
 }
 
+/** Read of the endpoints that a peer has reported. */
+interface PeerRead {
+  readonly endpointsVersion: number;
+  /** Earliest time at which the read may have begun. */
+  readonly atMs: number;
+}
+
 /** Latest hints of each peer daemon. */
 export class HintStore {
   private readonly byLifetime = new Map<string, ReceivedHints>();
+  private readonly readsByLifetime = new Map<string, PeerRead>();
 
-  /** Stores hints. Returns false where hints of the same lifetime with the same or a higher sequence are stored. */
-  add(hints: DaemonHints, nowMs: number): boolean {
+  /**
+   * Stores hints. Returns false where hints of the same lifetime with the same or
+   * a higher sequence are stored. `builtAfterMs` is a time before which the peer
+   * cannot have built them; without it they may have been in transit for long,
+   * and ages in them are not trusted.
+   */
+  add(hints: DaemonHints, nowMs: number, builtAfterMs = -Infinity): boolean {
     const stored = this.byLifetime.get(hints.lifetime);
     if (stored !== undefined && stored.hints.sequence >= hints.sequence) {
       return false;
     }
     this.byLifetime.set(hints.lifetime, { hints, receivedAtMs: nowMs });
+    this.recordRead(hints, builtAfterMs);
     for (const [lifetime, { receivedAtMs }] of this.byLifetime) {
-      if (nowMs - receivedAtMs > RETENTION_MS) this.byLifetime.delete(lifetime);
+      if (nowMs - receivedAtMs <= RETENTION_MS) continue;
+      this.byLifetime.delete(lifetime);
+      this.readsByLifetime.delete(lifetime);
     }
     return true;
   }
@@ -69,14 +85,10 @@
    * endpoints, among the peers whose list is no newer than `version`;
    * -Infinity where there is none.
    */
-  endpointReadAtMs(version: number, nowMs: number): number {
-    const timesMs = this.freshHints(nowMs)
-      .filter(({ hints }) => hints.endpointsVersion <= version)
-      .map(({ hints, receivedAtMs }) =>
-        hints.endpointReadAgeMs === undefined
-          ? -Infinity
-          : receivedAtMs - hints.endpointReadAgeMs,
-      );
+  endpointReadAtMs(version: number): number {
+    const timesMs = [...this.readsByLifetime.values()]
+      .filter(read => read.endpointsVersion <= version)
+      .map(read => read.atMs);
     return Math.max(-Infinity, ...timesMs);
   }
 
@@ -92,4 +104,15 @@
       silentForMs: Math.round(nowMs - receivedAtMs),
     }));
   }
+
+  private recordRead(
+    { endpointReadAgeMs, endpointsVersion, lifetime }: DaemonHints,
+    builtAfterMs: number,
+  ): void {
+    if (endpointReadAgeMs === undefined) return;
+    const atMs = builtAfterMs - endpointReadAgeMs;
+    const known = this.readsByLifetime.get(lifetime);
+    if (known !== undefined && known.atMs >= atMs) return;
+    this.readsByLifetime.set(lifetime, { endpointsVersion, atMs });
+  }
 }
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -156,10 +156,7 @@
     monitor: createMonitor(context, 'endpoints', LogComponent.Routing),
     intervalMs: settings.bounds.drainMs * LISTING_INTERVAL_SHARE,
     lastPeerReadAtMs: () =>
-      cluster.hintBoard.endpointReadAtMs(
-        replicator.endpointsVersion,
-        clock.nowMs(),
-      ),
+      cluster.hintBoard.endpointReadAtMs(replicator.endpointsVersion),
     onListing: listing => {
       replicator.handleListing(listing);
     },
--- a/packages/daemon/src/gateway/hint-exchange.ts
+++ b/packages/daemon/src/gateway/hint-exchange.ts
@@ -56,23 +56,23 @@
     hints: DaemonHints,
   ): Promise<void> {
     const { clock, peer } = this.deps;
-    const deadlineAtMs = clock.nowMs() + CALL_TIMEOUT_MS;
+    const sentAtMs = clock.nowMs();
     try {
       const peerHints = await peer.call(
         target.peerAddress,
         exchangeHintsMethod,
         hints,
-        deadlineAtMs,
+        sentAtMs + CALL_TIMEOUT_MS,
       );
-      this.receive(peerHints);
+      this.receive(peerHints, sentAtMs);
     } catch (error) {
       // The membership protocol detects whether the daemon has failed.
       if (!(error instanceof PlatformError)) throw error;
     }
   }
 
-  private receive(hints: DaemonHints): void {
+  private receive(hints: DaemonHints, builtAfterMs?: number): void {
     const { hintBoard, clock, onHints } = this.deps;
-    if (hintBoard.add(hints, clock.nowMs())) onHints(hints);
+    if (hintBoard.add(hints, clock.nowMs(), builtAfterMs)) onHints(hints);
   }
 }
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -161,7 +161,7 @@
   private updateGraceUntilMs(): number | undefined {
     const nowMs = this.context.clock.nowMs();
     const { hintBoard } = this.deps.cluster;
-    const peersReadAtMs = hintBoard.endpointReadAtMs(Infinity, nowMs);
+    const peersReadAtMs = hintBoard.endpointReadAtMs(Infinity);
     const lastReadAtMs = Math.max(this.lastConfirmedAtMs, peersReadAtMs);
     if (nowMs - lastReadAtMs > OUTAGE_THRESHOLD_MS) {
       this.graceUntilMs = nowMs + REREGISTRATION_GRACE_MS;
