Retain endpoints after an outage only where most of their group is missing

Cause: a daemon without a list for 2.5 s takes that for an outage of the store, in which entries expire, and goes on using endpoints that the next list lacks for 2.2 s. A daemon that is alone cut off or slow cannot tell the two apart by time, so it uses endpoints that have left for longest just when it hears of their leaving last. The class: a local failure taken for a global one.

What tells them apart is the list: an outage makes most entries expire, and leaving concerns some. Now a group's missing endpoints are retained only if they are at least as many as those listed. After an outage in which fewer expire, the others carry the load for the two seconds until they are back. A threshold in intervals of reading was ruled out: it only moves the time from which a cut-off daemon errs.

The new test of EndpointPool failed before: the unlisted endpoint was chosen.

--- a/packages/core/src/forwarding/endpoint-pool.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -107,6 +107,14 @@
     );
   });
 
+  it('does not retain an unlisted endpoint while most of its group is listed, as a daemon that was cut off alone would', () => {
+    const pool = createPool(['a', 'bb', 'ccc']);
+    const endpoints = [sampleEndpoint('bb'), sampleEndpoint('ccc')];
+    pool.apply({ revision: 2, endpoints }, 1_000);
+    for (let count = 0; count < 12; count += 1)
+      assert.notEqual(chooseEndpoint(pool, query, 999), 'a');
+  });
+
   it('does not retain an unlisted endpoint that was draining or whose address is reused', () => {
     const pool = createPool(['a', 'bb']);
     const draining = sampleEndpoint('a', { state: EndpointState.Draining });
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -92,7 +92,9 @@
 
   /**
    * Applies a listing; returns false if it is not newer than the current one.
-   * Ready endpoints that it lacks stay in use until `retainUntilMs`, if given.
+   * Ready endpoints that it lacks stay in use until `retainUntilMs`, if given, in
+   * groups that lack at least as many as are listed: an outage of the store makes
+   * most entries expire, whereas a few that are missing have left.
    */
   apply(listing: EndpointListing, retainUntilMs = -Infinity): boolean {
     if (listing.revision <= this.listedRevision) return false;
@@ -211,11 +213,17 @@
     const usedAddresses = new Set(
       [...next.values()].map(each => each.record.address),
     );
-    for (const [id, member] of this.membersById) {
-      const { address, state } = member.record;
+    const missing = [...this.membersById].filter(([id, { record }]) => {
       const isLeaving =
-        state !== EndpointState.Ready || usedAddresses.has(address);
-      if (next.has(id) || isLeaving) continue;
+        record.state !== EndpointState.Ready ||
+        usedAddresses.has(record.address);
+      return !next.has(id) && !isLeaving;
+    });
+    const listed = countReadyByGroup(next.values());
+    const lacking = countReadyByGroup(missing.map(([, member]) => member));
+    for (const [id, member] of missing) {
+      const { group } = member.record;
+      if ((lacking.get(group) ?? 0) < (listed.get(group) ?? 0)) continue;
       member.usableUntilMs = Math.min(member.usableUntilMs, untilMs);
       next.set(id, member);
     }
@@ -336,3 +344,14 @@
     };
   }
 }
+
+function countReadyByGroup(
+  members: Iterable<PoolMember>,
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const { record } of members) {
+    if (record.state !== EndpointState.Ready) continue;
+    counts.set(record.group, (counts.get(record.group) ?? 0) + 1);
+  }
+  return counts;
+}
