--- a/packages/daemon/src/gateway/endpoint-list-poller.ts
+++ b/packages/daemon/src/gateway/endpoint-list-poller.ts
@@ -8,8 +8,6 @@
 import type { DependencyMonitor } from './dependency-monitor.js';
 
 const READ_TIMEOUT_MS = 700;
-/** Timeout after several reads in a row have failed, so that a slow path still yields a list. */
-const MAX_READ_TIMEOUT_MS = 2_800;
 const RETRY_MS = 200;
 
 export interface EndpointListPollerDependencies {
@@ -35,8 +33,7 @@
 export class EndpointListPoller {
   /** Start time of this daemon's last successful read; -Infinity before the first. */
   lastOwnReadAtMs = -Infinity;
-  /** Number of reads that have failed since the last successful one. */
-  private failures = 0;
+  private hasFailed = false;
   private jitterMs = 0;
 
   constructor(private readonly deps: EndpointListPollerDependencies) {}
@@ -49,7 +46,7 @@
   }
 
   nextAtMs(nowMs: number): number {
-    if (this.failures > 0) {
+    if (this.hasFailed) {
       return nowMs + RETRY_MS + this.deps.random.nextInteger(RETRY_MS);
     }
     return Math.max(nowMs + 1, this.dueAtMs());
@@ -66,23 +63,19 @@
     const readAtMs = clock.nowMs();
     this.jitterMs = random.nextInteger(this.deps.intervalMs / 2);
     try {
-      const listing = await source.readNow(readAtMs + this.timeoutMs());
+      const listing = await source.readNow(readAtMs + READ_TIMEOUT_MS);
       this.lastOwnReadAtMs = readAtMs;
-      this.failures = 0;
+      this.hasFailed = false;
       monitor.recordSuccess(clock.nowMs());
       metrics.increment('endpoints.reads');
       if (listing.malformed > 0) this.reportMalformed(listing.malformed);
       onListing(listing, readAtMs);
     } catch (error) {
-      this.failures += 1;
+      this.hasFailed = true;
       monitor.recordFailure(error, clock.nowMs());
     }
   }
 
-  private timeoutMs(): number {
-    return Math.min(MAX_READ_TIMEOUT_MS, READ_TIMEOUT_MS * 2 ** this.failures);
-  }
-
   private dueAtMs(): number {
     return this.lastReadAtMs() + this.deps.intervalMs + this.jitterMs;
   }
