Log the framing and the number of events of a stream's last response

The ORDER incident has three hypotheses that no log line tells apart: a stream without length or chunks, a stream without events, and a reset taken for an orderly end.

--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -111,6 +111,10 @@
       mayHaveRun: this.mayHaveRun,
       dispatchedAfterMs: Math.round(this.dispatchedAfterMs),
       endpointListAgeMs: Math.round(this.endpointListAgeMs),
+      ...(this.relay && {
+        events: this.relay.attemptEvents,
+        isFramed: this.relay.isAttemptFramed,
+      }),
     };
     if (this.firstResponseAtMs === undefined) return fields;
     const firstAnswerMs = this.firstResponseAtMs - request.receivedAtMs;
--- a/packages/core/src/forwarding/stream-relay.ts
+++ b/packages/core/src/forwarding/stream-relay.ts
@@ -11,6 +11,10 @@
 export class StreamRelay implements StreamConsumer {
   /** Id of the last event forwarded, or of the last one that the caller already had. */
   lastEventId: string | undefined;
+  /** Number of events in the response of the current attempt. */
+  attemptEvents = 0;
+  /** Whether the response of the current attempt has a length or chunks. */
+  isAttemptFramed = true;
   private splitter = new EventSplitter();
   private responseHead: { status: number; headers: RawHeaders } | undefined;
   private isResponseStarted = false;
@@ -32,14 +36,17 @@
     return this.isResponseStarted;
   }
 
-  begin({ headers, status }: EndpointResponse): void {
+  begin({ headers, isFramed, status }: EndpointResponse): void {
     this.splitter = new EventSplitter();
+    this.attemptEvents = 0;
+    this.isAttemptFramed = isFramed;
     if (this.isResponseStarted) return;
     this.responseHead = { status, headers: this.filterHeaders(headers) };
   }
 
   add(chunk: Uint8Array): number {
     for (const { bytes, id } of this.splitter.push(chunk)) {
+      this.attemptEvents += 1;
       if (!this.isNew(id)) continue;
       this.lastEventId = id ?? this.lastEventId;
       this.unsent.push(bytes);
