--- /dev/null
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+
+import {
+  ManualClock,
+  noopLog,
+  noopMetrics,
+  SeededRandom,
+} from '../../ports/index.js';
+import { RetryBudget } from '../../routing/index.js';
+import type { ForwardRoute, RequestMetadata } from '../index.js';
+import {
+  ANY_VERSION,
+  ConfigurationStore,
+  EndpointPool,
+  Forwarder,
+  ForwardError,
+  TokenBucketLedger,
+} from '../index.js';
+import { PlainProtocol } from './plain-protocol.js';
+import { RecordingSink } from './recording-sink.js';
+import { SAMPLE_HOST, sampleConfiguration, sampleEndpoint } from './samples.js';
+import type { ScriptedResponse } from './scripted-upstream.js';
+import { ScriptedUpstream } from './scripted-upstream.js';
+
+const ENDPOINTS = ['e1', 'e2', 'e3'];
+
+/** Harness for the forwarder of one daemon, with scripted endpoints. */
+export class ForwarderHarness {
+  readonly clock = new ManualClock(1_000);
+  readonly sink = new RecordingSink();
+  readonly callerAbort = new AbortController();
+  readonly upstream: ScriptedUpstream;
+  readonly usageWorkspaces: string[] = [];
+  readonly pool = new EndpointPool(new SeededRandom(1), {
+    dataCentre: 'north-1',
+    prefillTokensPerMs: 90,
+    engineMemoryTokens: () => undefined,
+  });
+  private readonly forwarder: Forwarder;
+
+  constructor(
+    script: readonly ScriptedResponse[],
+    private readonly route: ForwardRoute,
+    { endpoints = ENDPOINTS, retries = 10 } = {},
+  ) {
+    this.upstream = new ScriptedUpstream(script);
+    const configuration = new ConfigurationStore();
+    configuration.apply(sampleConfiguration([route]));
+    this.pool.apply({
+      revision: 1,
+      endpoints: endpoints.map(id => sampleEndpoint(id)),
+    });
+    const budget = new RetryBudget({
+      refillPerFirstAttempt: 0,
+      capacity: retries,
+      initialBalance: retries,
+    });
+    this.forwarder = new Forwarder({
+      clock: this.clock,
+      log: noopLog,
+      metrics: noopMetrics,
+      protocol: new PlainProtocol(),
+      upstream: this.upstream,
+      configuration,
+      pool: this.pool,
+      endpointListAgeMs: () => 0,
+      tokenBuckets: new TokenBucketLedger(),
+      retryBudgetOf: () => budget,
+      versions: {
+        choose: () => ANY_VERSION,
+        chooseForRetry: () => ANY_VERSION,
+        observe: () => ({
+          recordEvents: () => undefined,
+          end: () => undefined,
+        }),
+      },
+      usageCounter: {
+        count: workspace => {
+          this.usageWorkspaces.push(workspace);
+        },
+      },
+    });
+  }
+
+  /** Serves one request; resolves with the `ForwardError`, if one was thrown. */
+  async serve(
+    metadata: Partial<RequestMetadata> = {},
+  ): Promise<ForwardError | undefined> {
+    const served = this.forwarder.handle(
+      {
+        requestId: 'r1',
+        method: 'GET',
+        target: `${this.route.pathPrefix}a`,
+        headers: ['Request-Id', 'r1'],
+        body: undefined,
+        metadata: {
+          requestId: 'r1',
+          host: SAMPLE_HOST,
+          apiKey: 'key-1',
+          callerTimeoutMs: 5_000,
+          usage: undefined,
+          promptParts: [],
+          lastEventId: undefined,
+          ...metadata,
+        },
+        receivedAtMs: this.clock.nowMs(),
+      },
+      this.sink,
+      this.callerAbort.signal,
+    );
+    try {
+      await served;
+      return undefined;
+    } catch (error) {
+      assert.ok(error instanceof ForwardError);
+      return error;
+    }
+  }
+}
--- a/packages/core/src/forwarding/fakes/index.ts
+++ b/packages/core/src/forwarding/fakes/index.ts
@@ -1,3 +1,4 @@
+export * from './forwarder-harness.js';
 export * from './plain-protocol.js';
 export * from './recording-sink.js';
 export * from './samples.js';
--- /dev/null
+++ b/packages/core/src/forwarding/forward-streams.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { RouteType } from './configuration.js';
+import type { ScriptedResponse } from './fakes/index.js';
+import { ForwarderHarness, sampleRoute } from './fakes/index.js';
+
+const draftRoute = sampleRoute({
+  name: 'drafts',
+  pathPrefix: '/drafts/',
+  type: RouteType.Streaming,
+  isResumable: true,
+  timeoutMs: 8_000,
+  latencyObjectiveMs: 800,
+});
+
+function eventText(...ids: readonly number[]): string {
+  return ids.map(id => `id: ${id}\ndata: x\n\n`).join('');
+}
+
+const streamMetadata = { isEventStream: true };
+
+describe('a stream through the forwarder', () => {
+  it('joins the attempts of a stream without lost or duplicate events', async () => {
+    const script: readonly ScriptedResponse[] = [
+      {
+        metadata: streamMetadata,
+        chunks: [eventText(1, 2), 'id: 3\nda'],
+        isTruncated: true,
+      },
+      { metadata: streamMetadata, chunks: [eventText(2, 3), eventText(4)] },
+    ];
+    const harness = new ForwarderHarness(script, draftRoute);
+    assert.equal(await harness.serve(), undefined);
+    assert.equal(harness.sink.text, eventText(1, 2, 3, 4));
+    assert.ok(harness.sink.isEnded);
+    const [first, second] = harness.upstream.calls;
+    assert.ok(second?.headers.includes('2'));
+    assert.ok(harness.sink.headers.includes(first?.endpoint.id ?? ''));
+    assert.deepEqual(harness.usageWorkspaces, ['kowhai']);
+  });
+
+  it('aborts a broken stream that is not resumable', async () => {
+    const script = [
+      { metadata: streamMetadata, chunks: [eventText(1)], isTruncated: true },
+    ];
+    const harness = new ForwarderHarness(script, {
+      ...draftRoute,
+      isResumable: false,
+    });
+    assert.equal(await harness.serve(), undefined);
+    assert.ok(harness.sink.isDestroyed);
+    assert.equal(harness.sink.isEnded, false);
+    assert.equal(harness.upstream.calls.length, 1);
+  });
+
+  it('aborts a stream that ends within an event', async () => {
+    const script = [
+      { metadata: streamMetadata, chunks: [`${eventText(1)}id: 2`] },
+    ];
+    const harness = new ForwarderHarness(script, {
+      ...draftRoute,
+      isResumable: false,
+    });
+    await harness.serve();
+    assert.ok(harness.sink.isDestroyed);
+    assert.equal(harness.sink.text, eventText(1));
+  });
+
+  it('resumes a stream at another endpoint when it stalls', async () => {
+    const script: readonly ScriptedResponse[] = [
+      { metadata: streamMetadata, chunks: [eventText(1)], isHanging: true },
+      { metadata: streamMetadata, chunks: [eventText(2)] },
+    ];
+    const harness = new ForwarderHarness(script, draftRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(2_500);
+    assert.equal(await served, undefined);
+    assert.equal(harness.upstream.abortedCalls, 1);
+    assert.equal(harness.sink.text, eventText(1, 2));
+  });
+
+  it('resumes after the last event that the caller already had', async () => {
+    const script = [{ metadata: streamMetadata, chunks: [eventText(4, 5, 6)] }];
+    const harness = new ForwarderHarness(script, draftRoute);
+    await harness.serve({ lastEventId: '5' });
+    assert.equal(harness.sink.text, eventText(6));
+    assert.ok(harness.upstream.calls[0]?.headers.includes('5'));
+  });
+});
