--- a/packages/core/src/forwarding/fakes/recording-sink.ts
+++ b/packages/core/src/forwarding/fakes/recording-sink.ts
@@ -5,13 +5,15 @@
 export class RecordingSink implements ResponseWriter {
   status: number | undefined;
   headers: RawHeaders = [];
+  isFramed: boolean | undefined;
   text = '';
   isEnded = false;
   isDestroyed = false;
 
-  begin(status: number, headers: RawHeaders): void {
+  begin(status: number, headers: RawHeaders, isFramed: boolean): void {
     this.status = status;
     this.headers = headers;
+    this.isFramed = isFramed;
   }
 
   write(bytes: Uint8Array): Promise<void> {
--- a/packages/core/src/forwarding/fakes/scripted-upstream.ts
+++ b/packages/core/src/forwarding/fakes/scripted-upstream.ts
@@ -8,6 +8,8 @@
   readonly status?: number;
   readonly metadata?: Partial<ResponseMetadata>;
   readonly chunks?: readonly string[];
+  /** The body has neither a length nor chunks and ends with its connection. */
+  readonly isCloseDelimited?: boolean;
   /** The body fails after the chunks. */
   readonly isTruncated?: boolean;
   /** The body, or the whole response if there are no chunks, stalls until the call is aborted. */
@@ -43,7 +45,7 @@
       status: step.status ?? 200,
       headers: ['Request-Id', requestId, 'Endpoint', call.endpoint.id],
       metadata: sampleResponseMetadata(requestId, step.metadata),
-      isFramed: true,
+      isFramed: step.isCloseDelimited !== true,
       body: this.streamBody(step, signal),
     };
   }
--- a/packages/core/src/forwarding/forward-streams.test.ts
+++ b/packages/core/src/forwarding/forward-streams.test.ts
@@ -67,6 +67,48 @@
     assert.equal(harness.sink.text, eventText(1));
   });
 
+  it('does not frame a stream whose end is marked only by its connection', async () => {
+    const script: readonly ScriptedResponse[] = [
+      {
+        metadata: streamMetadata,
+        chunks: [eventText(1, 2)],
+        isCloseDelimited: true,
+      },
+    ];
+    const harness = new ForwarderHarness(script, draftRoute);
+    assert.equal(await harness.serve(), undefined);
+    assert.equal(harness.sink.text, eventText(1, 2));
+    assert.equal(harness.sink.isFramed, false);
+    assert.ok(harness.sink.isEnded);
+  });
+
+  it('retries a close-delimited stream that ends before its first event', async () => {
+    const script: readonly ScriptedResponse[] = [
+      { metadata: streamMetadata, chunks: [], isCloseDelimited: true },
+      { metadata: streamMetadata, chunks: [eventText(1, 2)] },
+    ];
+    const harness = new ForwarderHarness(script, draftRoute);
+    assert.equal(await harness.serve(), undefined);
+    assert.equal(harness.sink.text, eventText(1, 2));
+    assert.equal(harness.sink.isFramed, true);
+  });
+
+  it('does not complete a framed response with a resumed stream that is close-delimited', async () => {
+    const script: readonly ScriptedResponse[] = [
+      { metadata: streamMetadata, chunks: [eventText(1)], isTruncated: true },
+      {
+        metadata: streamMetadata,
+        chunks: [eventText(2)],
+        isCloseDelimited: true,
+      },
+    ];
+    const harness = new ForwarderHarness(script, draftRoute);
+    assert.equal(await harness.serve(), undefined);
+    assert.equal(harness.sink.text, eventText(1, 2));
+    assert.ok(harness.sink.isDestroyed);
+    assert.equal(harness.sink.isEnded, false);
+  });
+
   it('resumes a stream at another endpoint when it stalls', async () => {
     const script: readonly ScriptedResponse[] = [
       { metadata: streamMetadata, chunks: [eventText(1)], isHanging: true },
--- a/packages/stand-ins/src/gateway/gateway-attempts.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-attempts.test.ts
@@ -5,6 +5,17 @@
 
 import { GatewayFixture, waitUntil } from './gateway-fixture.js';
 
+const draftHeaders = {
+  model: 'm',
+  'token-usage': '100,20',
+  'prompt-prefix': 'aa:60,bb:40',
+  'deadline-ms': '8000',
+};
+
+function eventIds(text: string): number[] {
+  return [...text.matchAll(/id: (\d+)/g)].map(match => Number(match[1]));
+}
+
 describe('gateway attempts', () => {
   let fixture: GatewayFixture;
 
@@ -105,20 +116,29 @@
     const [, , first, second] = fixture.deployment.endpoints;
     if (first !== undefined) first.mode = EndpointMode.AbortsStreams;
     if (second !== undefined) second.mode = EndpointMode.AbortsStreams;
-    const { body, statusCode } = await fixture.send('/drafts/a', {
-      model: 'm',
-      'token-usage': '100,20',
-      'prompt-prefix': 'aa:60,bb:40',
-      'deadline-ms': '8000',
-    });
+    const { body, statusCode } = await fixture.send('/drafts/a', draftHeaders);
     assert.equal(statusCode, 200);
-    const ids = [...(await body.text()).matchAll(/id: (\d+)/g)].map(match =>
-      Number(match[1]),
-    );
-    assert.deepEqual(ids, [1, 2, 3, 4]);
+    assert.deepEqual(eventIds(await body.text()), [1, 2, 3, 4]);
     const resumedAfter = fixture
       .runs()
       .map(run => run.headers['last-event-id']);
     assert.deepEqual(resumedAfter.sort(), ['2', undefined]);
   });
+
+  it('does not frame a stream whose end is marked only by its connection', async () => {
+    for (const endpoint of fixture.deployment.endpoints)
+      endpoint.mode = EndpointMode.EndsCloseDelimited;
+    const { body, headers } = await fixture.send('/drafts/a', draftHeaders);
+    assert.equal(headers['transfer-encoding'], undefined);
+    assert.equal(headers.connection, 'close');
+    assert.deepEqual(eventIds(await body.text()), [1, 2, 3, 4]);
+  });
+
+  it('does not complete a close-delimited stream that ends before its first event', async () => {
+    for (const endpoint of fixture.deployment.endpoints)
+      endpoint.mode = EndpointMode.EndsWithoutEvent;
+    const { body, statusCode } = await fixture.send('/drafts/a', draftHeaders);
+    assert.equal(statusCode, 502);
+    await body.dump();
+  });
 });
