Reset the connection of a response that is cut and has no framing

ORDER: a response that has neither a length nor chunks, to an HTTP/1.0 caller or because the endpoint's has none, is complete once its connection ends. A response that the daemon cut, by a broken stream or at the end of a stop, closed the connection in order and so looked complete. Found by reading, not in the users' record.

Such a response is now cut by a reset, in one place for all three callers. A killed process cannot do that: the system closes its connections in order. Also, chunks are no longer forced on HTTP/1.0 callers.

--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -18,7 +18,7 @@
   listenOn,
   readBytes,
 } from '../http/index.js';
-import { ResponseSink } from './response-sink.js';
+import { abortResponse, ResponseSink } from './response-sink.js';
 
 export interface IngressServerDependencies {
   readonly forwarder: Forwarder;
@@ -118,6 +118,9 @@
   /** Stops listening and closes all connections. */
   destroy(): void {
     this.server.close();
+    for (const responses of this.responsesBySocket.values()) {
+      for (const response of responses) abortResponse(response);
+    }
     this.server.closeAllConnections();
   }
 
@@ -210,7 +213,7 @@
     requestId: string | undefined,
   ): void {
     if (response.headersSent || response.destroyed) {
-      response.destroy();
+      abortResponse(response);
       return;
     }
     const forwardError = toForwardError(error);
--- a/packages/daemon/src/gateway/response-sink.ts
+++ b/packages/daemon/src/gateway/response-sink.ts
@@ -17,7 +17,7 @@
   begin(status: number, headers: RawHeaders, isFramed: boolean): void {
     const { response } = this;
     response.sendDate = false;
-    response.useChunkedEncodingByDefault = isFramed;
+    if (!isFramed) response.useChunkedEncodingByDefault = false;
     const closesConnection = this.mustClose() || !isFramed;
     const connectionHeaders = closesConnection ? ['connection', 'close'] : [];
     response.writeHead(status, [...headers, ...connectionHeaders]);
@@ -43,6 +43,13 @@
   }
 
   destroy(): void {
-    this.response.destroy();
+    abortResponse(this.response);
   }
 }
+
+/** Aborts a response so that its caller sees that it is truncated. */
+export function abortResponse(response: ServerResponse): void {
+  // An orderly close is what completes a response that has no chunks.
+  if (!response.useChunkedEncodingByDefault) response.socket?.resetAndDestroy();
+  response.destroy();
+}
