Log the prompt parts of a request under which an endpoint crashed

Where a response was lost as it began, the endpoint is tried for a connection; if it refuses one, a line names the request, the endpoint and the parts. An attempt now says what it shows about the prompt.

--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -11,6 +11,7 @@
 import {
   ANY_VERSION,
   ConfigurationStore,
+  CrashDetector,
   EndpointPool,
   Forwarder,
   ForwardError,
@@ -61,6 +62,10 @@
       metrics: noopMetrics,
       protocol: new PlainProtocol(),
       upstream: this.upstream,
+      crashDetector: new CrashDetector({
+        log: noopLog,
+        upstream: this.upstream,
+      }),
       configuration,
       pool: this.pool,
       endpointListAgeMs: () => 0,
--- a/packages/core/src/forwarding/fakes/scripted-upstream.ts
+++ b/packages/core/src/forwarding/fakes/scripted-upstream.ts
@@ -1,6 +1,11 @@
 import { AnswerLostError, NotSentError } from '../../ports/index.js';
-import type { ResponseMetadata } from '../index.js';
-import type { EndpointRequest, EndpointResponse, Upstream } from '../index.js';
+import type {
+  EndpointRecord,
+  EndpointRequest,
+  EndpointResponse,
+  ResponseMetadata,
+  Upstream,
+} from '../index.js';
 import { sampleResponseMetadata } from './samples.js';
 
 /** Scripted behaviour for one call. */
@@ -23,6 +28,8 @@
 /** Fake upstream that follows a script, one entry per call; the last entry is used for all further calls. */
 export class ScriptedUpstream implements Upstream {
   readonly calls: EndpointRequest[] = [];
+  /** Endpoints that refuse connections. */
+  readonly crashedIds = new Set<string>();
   /** Number of calls aborted before the end of their response. */
   abortedCalls = 0;
 
@@ -50,6 +57,10 @@
     };
   }
 
+  refusesConnections({ id }: EndpointRecord): Promise<boolean> {
+    return Promise.resolve(this.crashedIds.has(id));
+  }
+
   private async *streamBody(
     step: ScriptedResponse,
     signal: AbortSignal,
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -37,8 +37,18 @@
   readonly isFramed: boolean;
 }
 
+/** What an attempt shows about the effect of its prompt on the endpoint. */
+export enum PromptEffect {
+  /** The response is complete, as its framing confirms. */
+  Completed = 'completed',
+  /** The connection was lost as the endpoint began to respond. */
+  MayHaveCrashed = 'mayHaveCrashed',
+  Unknown = 'unknown',
+}
+
 export interface AttemptOutcome {
   readonly kind: AttemptEndKind;
+  readonly promptEffect: PromptEffect;
   readonly reason?: string;
   readonly response?: BufferedResponse;
 }
@@ -85,6 +95,7 @@
 const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([
   408, 421, 429, 503,
 ]);
+const MIN_ERROR_STATUS = 400;
 /** Lowest status that counts as an endpoint's own failure. */
 const MIN_SERVER_ERROR_STATUS = 500;
 /** Maximum size of a response that is buffered before it is forwarded. */
@@ -92,6 +103,8 @@
 
 /** Maximum bytes of a refusal's body that are read so that its connection can be reused. */
 const MAX_DISCARDED_BYTES = 65_536; // reading them costs less than a new connection
+/** Time from the first event of a response within which a crash may be due to the prompt. */
+const MAX_CRASH_DELAY_MS = 300; // a crash that is due to the prompt follows within a few steps of the engine
 /** Maximum time for which a refusal's body is read. */
 const MAX_DISCARD_MS = 20; // a few round trips; the caller waits for it
 
@@ -99,6 +112,8 @@
 export class ForwardAttempt {
   private readonly upstreamAbort = new AbortController();
   private hasTimedOut = false;
+  private hasResponseBegun = false;
+  private firstEventAtMs: number | undefined;
   private readonly idleTimer: IdleTimer;
 
   constructor(
@@ -126,6 +141,7 @@
         call,
         this.upstreamAbort.signal,
       );
+      this.hasResponseBegun = true;
       result = await this.readResponse(response);
     } catch (error) {
       result = this.resultOfError(error);
@@ -166,8 +182,8 @@
     { status }: EndpointResponse,
     metadata: ResponseMetadata,
   ): AttemptOutcome | undefined {
-    if (metadata.isMisdirected) return { kind: AttemptEndKind.Misdirected };
-    if (metadata.isNotRun) return { kind: AttemptEndKind.NotRun };
+    if (metadata.isMisdirected) return endedAs(AttemptEndKind.Misdirected);
+    if (metadata.isNotRun) return endedAs(AttemptEndKind.NotRun);
     if (metadata.requestId !== this.options.requestId) {
       return failed('the answer belongs to another request');
     }
@@ -199,6 +215,7 @@
     const { headers, isFramed, status } = response;
     return {
       kind: AttemptEndKind.Answered,
+      promptEffect: effectOfEnd(isFramed && status < MIN_ERROR_STATUS),
       response: { status, headers, isFramed, body: Buffer.concat(chunks) },
     };
   }
@@ -208,22 +225,24 @@
     stream: StreamConsumer,
   ): Promise<AttemptOutcome> {
     stream.begin(response);
-    let isFirst = true;
     for await (const chunk of response.body) {
       const nowMs = this.deps.clock.nowMs();
       const newEvents = stream.add(chunk);
       // Bytes that are no event for the caller do not keep the attempt alive.
       if (newEvents === 0) continue;
       this.idleTimer.reset(this.options.chunkGapTimeoutMs);
-      if (isFirst) this.reservation.recordFirstEvent(nowMs);
-      isFirst = false;
+      if (this.firstEventAtMs === undefined)
+        this.reservation.recordFirstEvent(nowMs);
+      this.firstEventAtMs ??= nowMs;
       this.options.observation.recordEvents(newEvents, nowMs);
       await stream.flush();
     }
     const end = stream.finish();
-    return end === StreamEnd.Complete
-      ? { kind: AttemptEndKind.Answered }
-      : failed(end);
+    if (end !== StreamEnd.Complete) return this.lost(end);
+    return {
+      kind: AttemptEndKind.Answered,
+      promptEffect: effectOfEnd(response.isFramed),
+    };
   }
 
   /** Reads a body that is not needed, as far as that is cheaper than a new connection. */
@@ -240,13 +259,25 @@
   }
 
   private resultOfError(error: unknown): AttemptOutcome {
-    if (this.options.signal.aborted) return { kind: AttemptEndKind.Cancelled };
-    if (this.hasTimedOut) return { kind: AttemptEndKind.Silent };
-    const kind =
-      error instanceof NotSentError
-        ? AttemptEndKind.NotSent
-        : AttemptEndKind.Failed;
-    return { kind, reason: String(error) };
+    if (this.options.signal.aborted) return endedAs(AttemptEndKind.Cancelled);
+    if (this.hasTimedOut) return endedAs(AttemptEndKind.Silent);
+    const reason = String(error);
+    return error instanceof NotSentError
+      ? { ...endedAs(AttemptEndKind.NotSent), reason }
+      : this.lost(reason);
+  }
+
+  /** Returns the result of an attempt whose response was lost. */
+  private lost(reason: string): AttemptOutcome {
+    const nowMs = this.deps.clock.nowMs();
+    const writtenForMs = nowMs - (this.firstEventAtMs ?? nowMs);
+    const isEarly = this.hasResponseBegun && writtenForMs <= MAX_CRASH_DELAY_MS;
+    return {
+      ...failed(reason),
+      promptEffect: isEarly
+        ? PromptEffect.MayHaveCrashed
+        : PromptEffect.Unknown,
+    };
   }
 }
 
@@ -284,8 +315,17 @@
   }
 }
 
+function endedAs(kind: AttemptEndKind): AttemptOutcome {
+  return { kind, promptEffect: PromptEffect.Unknown };
+}
+
 function failed(reason: string): AttemptOutcome {
-  return { kind: AttemptEndKind.Failed, reason };
+  return { ...endedAs(AttemptEndKind.Failed), reason };
+}
+
+/** Neither a close-delimited response nor an error shows that the endpoint survives the prompt. */
+function effectOfEnd(isProof: boolean): PromptEffect {
+  return isProof ? PromptEffect.Completed : PromptEffect.Unknown;
 }
 
 function verdictOfResult({
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -182,6 +182,7 @@
       }),
     });
     this.recordResult(result, reservation, sentAtMs);
+    void this.deps.crashDetector.inspect(request, endpoint, result);
     observation.end(isFailure(result));
     return result;
   }
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -9,6 +9,7 @@
 import type { RetryBudget } from '../routing/index.js';
 import { chooseGroup } from './choose-group.js';
 import type { ConfigurationStore } from './configuration-store.js';
+import type { CrashDetector } from './crash-detector.js';
 import type { EndpointPool } from './endpoint-pool.js';
 import { ForwardError, ForwardErrorKind } from './forward-error.js';
 import type { ForwardProtocol, ForwardRequest } from './forward-request.js';
@@ -63,6 +64,7 @@
   readonly metrics: Metrics;
   readonly protocol: ForwardProtocol;
   readonly upstream: Upstream;
+  readonly crashDetector: CrashDetector;
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
   /** Returns the time since the endpoint list in use was last known to be current. */
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -2,6 +2,7 @@
 export * from './choose-group.js';
 export * from './configuration.js';
 export * from './configuration-store.js';
+export * from './crash-detector.js';
 export * from './endpoint-health.js';
 export * from './endpoint-pool.js';
 export * from './endpoint-record.js';
--- a/packages/core/src/forwarding/upstream.ts
+++ b/packages/core/src/forwarding/upstream.ts
@@ -28,6 +28,8 @@
    * endpoint may have executed the request.
    */
   send(call: EndpointRequest, signal: AbortSignal): Promise<EndpointResponse>;
+  /** Whether nothing listens on the endpoint's address; false if that cannot be determined. */
+  refusesConnections(endpoint: EndpointRecord): Promise<boolean>;
 }
 
 /** Writer of the response to a caller. */
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -1,3 +1,5 @@
+import { connect } from 'node:net';
+
 import type { Dispatcher } from 'undici';
 import { buildConnector, Pool } from 'undici';
 
@@ -86,6 +88,28 @@
     }
   }
 
+  refusesConnections({ address }: EndpointRecord): Promise<boolean> {
+    const { hostname, port } = new URL(`http://${address}`);
+    const socket = connect({
+      host: hostname,
+      port: Number(port),
+      timeout: CONNECT_TIMEOUT_MS,
+    });
+    return new Promise(resolve => {
+      const settle = (error?: NodeJS.ErrnoException) => {
+        socket.destroy();
+        resolve(error?.code === 'ECONNREFUSED');
+      };
+      socket.once('error', settle);
+      socket.once('connect', () => {
+        settle();
+      });
+      socket.once('timeout', () => {
+        settle();
+      });
+    });
+  }
+
   /** Closes the connections to all endpoints but those given, after their requests in flight. */
   retainEndpoints(ids: ReadonlySet<string>): void {
     for (const [id, connections] of this.connections) {
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -4,6 +4,7 @@
 } from '@skylarkreach/core/forwarding';
 import {
   ConfigurationStore,
+  CrashDetector,
   EndpointPool,
   Forwarder,
   TokenBucketLedger,
@@ -117,6 +118,7 @@
     ...context,
     protocol: platform.protocol,
     upstream: endpointClient,
+    crashDetector: new CrashDetector({ log, upstream: endpointClient }),
     configuration,
     pool,
     endpointListAgeMs: () => clock.nowMs() - endpointListPoller.lastReadAtMs(),
