Reject requests with a prompt part under which endpoints crash one after the other

Failures counted against endpoints and versions only, and each daemon sees a ninth of them, so that nobody connected the requests.

Each daemon records which parts the requests had under which an endpoint crashed as it began to respond, and which parts completed. Both go to peers with the hints, on to further ones, so that evidence from all daemons adds up. A part is blocked for ten minutes if at least three endpoints have crashed under it at different moments since a request with it was last completed, and more than under any other; from five on also if it ties, the later part of the prompt first. Crashes that a blocked part explains count against no other part. Evidence is judged once it is 700 ms old, as requests beside the guilty one are known by then. Blocks are passed on too. Rejected are new requests (503 with the time left, before their tokens are taken) and further attempts.

What keeps sound parts out: the crash must be confirmed by a refused connection, must fall into the first 300 ms of events, and a rack that fails counts once.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,7 +28,8 @@
   fleet: ['ports', 'leases', 'membership', 'routing'],
   forwarding: ['ports', 'routing'],
   rollouts: ['ports', 'moves', 'forwarding'],
-  hints: ['ports', 'forwarding', 'rollouts'],
+  quarantine: ['ports', 'forwarding'],
+  hints: ['ports', 'forwarding', 'quarantine', 'rollouts'],
   duties: ['ports', 'leases', 'forwarding', 'hints'],
   pipeline: [
     'ports',
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -18,6 +18,7 @@
   TokenBucketLedger,
 } from '../index.js';
 import { PlainProtocol } from './plain-protocol.js';
+import { RecordingPromptGuard } from './recording-prompt-guard.js';
 import { RecordingSink } from './recording-sink.js';
 import { SAMPLE_HOST, sampleConfiguration, sampleEndpoint } from './samples.js';
 import type { ScriptedResponse } from './scripted-upstream.js';
@@ -31,6 +32,7 @@
   readonly sink = new RecordingSink();
   readonly callerAbort = new AbortController();
   readonly upstream: ScriptedUpstream;
+  readonly promptGuard = new RecordingPromptGuard();
   readonly usageWorkspaces: string[] = [];
   readonly pool = new EndpointPool(new SeededRandom(1), {
     dataCentre: 'north-1',
@@ -65,7 +67,9 @@
       crashDetector: new CrashDetector({
         log: noopLog,
         upstream: this.upstream,
+        promptGuard: this.promptGuard,
       }),
+      promptGuard: this.promptGuard,
       configuration,
       pool: this.pool,
       endpointListAgeMs: () => 0,
--- a/packages/core/src/forwarding/forward-error.ts
+++ b/packages/core/src/forwarding/forward-error.ts
@@ -8,6 +8,8 @@
   HeadersTooLarge = 'headersTooLarge',
   CallerTooSlow = 'callerTooSlow',
   AllowanceSpent = 'allowanceSpent',
+  /** A part of the prompt crashes endpoints. */
+  PromptBlocked = 'promptBlocked',
   Overloaded = 'overloaded',
   NoEndpoint = 'noEndpoint',
   /** The daemon is shutting down. */
@@ -29,6 +31,7 @@
   [ForwardErrorKind.HeadersTooLarge]: 431,
   [ForwardErrorKind.CallerTooSlow]: 408,
   [ForwardErrorKind.AllowanceSpent]: 429,
+  [ForwardErrorKind.PromptBlocked]: 503,
   [ForwardErrorKind.Overloaded]: 503,
   [ForwardErrorKind.NoEndpoint]: 503,
   [ForwardErrorKind.Stopping]: 503,
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -228,8 +228,11 @@
 
   private mayRetry(result: AttemptOutcome): boolean {
     const { budget, resolved } = this.context;
+    const { promptParts } = this.context.request.metadata;
     const remainingMs = this.deadlineAtMs - this.deps.clock.nowMs();
     if (this.isTimedOut || remainingMs < MIN_TIME_FOR_ATTEMPT_MS) return false;
+    if (this.deps.promptGuard.blockedForMs(promptParts) !== undefined)
+      return false;
     const hasAttemptsLeft = this.attempts < resolved.route.maxAttempts;
     switch (result.kind) {
       case AttemptEndKind.NotSent:
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -14,6 +14,7 @@
 import { ForwardError, ForwardErrorKind } from './forward-error.js';
 import type { ForwardProtocol, ForwardRequest } from './forward-request.js';
 import { ForwardRun } from './forward-run.js';
+import type { PromptGuard } from './prompt-guard.js';
 import type { ResolvedRequest } from './resolve-request.js';
 import { resolveRequest } from './resolve-request.js';
 import type { TokenBucketLedger } from './token-bucket-ledger.js';
@@ -65,6 +66,7 @@
   readonly protocol: ForwardProtocol;
   readonly upstream: Upstream;
   readonly crashDetector: CrashDetector;
+  readonly promptGuard: PromptGuard;
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
   /** Returns the time since the endpoint list in use was last known to be current. */
@@ -92,6 +94,7 @@
     let run: ForwardRun | undefined;
     try {
       resolved = this.resolve(request);
+      this.rejectBlockedPrompt(request);
       this.admit(request, resolved);
       run = this.createRun(request, resolved, sink);
       await run.serve(signal);
@@ -108,6 +111,18 @@
     return resolveRequest(configuration, request.metadata, request.target);
   }
 
+  /** Throws `ForwardError` if a part of the prompt crashes endpoints. */
+  private rejectBlockedPrompt({ metadata }: ForwardRequest): void {
+    const { promptGuard } = this.deps;
+    const blockedForMs = promptGuard.blockedForMs(metadata.promptParts);
+    if (blockedForMs === undefined) return;
+    throw new ForwardError(
+      ForwardErrorKind.PromptBlocked,
+      'A part of the prompt has crashed several endpoints; leave it out, or send the request again much later.',
+      blockedForMs,
+    );
+  }
+
   /** Deducts the request's tokens from its workspace's token bucket. Throws `ForwardError` if the rate limit is exceeded. */
   private admit(request: ForwardRequest, { workspace }: ResolvedRequest) {
     if (workspace?.tokenRate === undefined) return;
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -15,6 +15,7 @@
 export * from './idle-timer.js';
 export * from './pool-member.js';
 export * from './prompt-cache.js';
+export * from './prompt-guard.js';
 export * from './resolve-request.js';
 export * from './route-table.js';
 export * from './sources.js';
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -2,6 +2,7 @@
 
 import type { EndpointLoad } from '../forwarding/index.js';
 import { definePeerMethod } from '../ports/index.js';
+import { quarantineHintsSchema } from '../quarantine/index.js';
 import { rolloutHintsSchema } from '../rollouts/index.js';
 
 const MAX_TEXT_LENGTH = 256;
@@ -39,6 +40,8 @@
   /** Version of the sender's list of endpoints. */
   endpointsVersion: count,
   rollouts: z.array(rolloutHintsSchema),
+  /** Absent in hints of daemons that do not know it. */
+  quarantine: quarantineHintsSchema.optional(),
   /** Whether the sender holds the lease for the duties towards the platform. */
   holdsDuties: z.boolean(),
 });
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -3,6 +3,7 @@
   TokenBucketLedger,
 } from '@skylarkreach/core/forwarding';
 import type { DaemonHints } from '@skylarkreach/core/hints';
+import type { PromptQuarantine } from '@skylarkreach/core/quarantine';
 import type { RolloutRegistry } from '@skylarkreach/core/rollouts';
 
 import type { ClusterHooks, GatewayCluster } from './gateway-cluster.js';
@@ -13,6 +14,7 @@
   readonly pool: EndpointPool;
   readonly tokenBuckets: TokenBucketLedger;
   readonly rollouts: RolloutRegistry;
+  readonly quarantine: PromptQuarantine;
   readonly duties: GatewayDuties;
   readonly cluster: () => GatewayCluster;
   /** Version of the endpoint list in use. */
@@ -37,7 +39,8 @@
   }
 
   ownHints(): DaemonHints {
-    const { tokenBuckets, duties, pool, rollouts, ...listingState } = this.deps;
+    const { tokenBuckets, duties, pool, rollouts, ...rest } = this.deps;
+    const { quarantine, ...listingState } = rest;
     this.sequence += 1;
     const nowMs = this.context.clock.nowMs();
     const readAgeMs = nowMs - listingState.endpointReadAtMs();
@@ -53,12 +56,13 @@
       endpointsVersion: listingState.endpointsVersion(),
       ...(Number.isFinite(readAgeMs) ? { endpointReadAgeMs: readAgeMs } : {}),
       rollouts: rollouts.hints(),
+      quarantine: quarantine.hints(),
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
   }
 
   applyHints(hints: DaemonHints): void {
-    const { tokenBuckets, duties, pool, rollouts } = this.deps;
+    const { tokenBuckets, duties, pool, quarantine, rollouts } = this.deps;
     const { hintBoard } = this.deps.cluster();
     const nowMs = this.context.clock.nowMs();
     duties.trueTime.observe(hints.daemonId, hints.wallMs);
@@ -71,6 +75,7 @@
     );
     tokenBuckets.retainPeers(hintBoard.lifetimes());
     rollouts.applyPeer(hints.lifetime, hints.rollouts);
+    if (hints.quarantine !== undefined) quarantine.applyPeer(hints.quarantine);
     pool.applyPeerLoad(hintBoard.work(nowMs));
   }
 }
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -11,6 +11,7 @@
 } from '@skylarkreach/core/forwarding';
 import type { Clock } from '@skylarkreach/core/ports';
 import { LogComponent, SeededRandom } from '@skylarkreach/core/ports';
+import { PromptQuarantine } from '@skylarkreach/core/quarantine';
 import { RolloutRegistry } from '@skylarkreach/core/rollouts';
 import {
   DutyClient,
@@ -97,6 +98,10 @@
       routes: routeNamesFor(configuration.current, group),
     }),
   });
+  const quarantine = new PromptQuarantine({
+    ...context,
+    nowMs: () => clock.nowMs(),
+  });
   const duties: GatewayDuties = new GatewayDuties(context, {
     configuration,
     pool,
@@ -107,6 +112,7 @@
     pool,
     tokenBuckets,
     rollouts,
+    quarantine,
     duties,
     cluster: () => cluster,
     endpointsVersion: () => replicator.endpointsVersion,
@@ -118,7 +124,12 @@
     ...context,
     protocol: platform.protocol,
     upstream: endpointClient,
-    crashDetector: new CrashDetector({ log, upstream: endpointClient }),
+    crashDetector: new CrashDetector({
+      log,
+      upstream: endpointClient,
+      promptGuard: quarantine,
+    }),
+    promptGuard: quarantine,
     configuration,
     pool,
     endpointListAgeMs: () => clock.nowMs() - endpointListPoller.lastReadAtMs(),
