Do not send a request to an endpoint that left while the request waited for a connection

A choice was not looked at again.

When a new connection is established the client asks whether the endpoint still accepts new requests. If not, it closes the connection and the request, of which no byte was sent, goes to another endpoint.

--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -166,15 +166,22 @@
   /** Returns the endpoints of a group that accept new requests. */
   readyEndpoints(group: string, nowMs: number): readonly EndpointRecord[] {
     return [...this.membersById.values()]
-      .filter(each => this.isUsable(each, group, nowMs))
+      .filter(each => each.record.group === group && this.isUsable(each, nowMs))
       .map(each => each.record);
   }
 
+  /** Returns whether an endpoint accepts new requests. */
+  isReady(id: string, nowMs: number): boolean {
+    const member = this.membersById.get(id);
+    return member !== undefined && this.isUsable(member, nowMs);
+  }
+
   /** Reserves the endpoint with the lowest expected latency; returns undefined if none is usable. */
   reserve(query: PoolQuery, nowMs: number): PoolReservation | undefined {
     const usable = [...this.membersById.values()].filter(
       member =>
-        this.isUsable(member, query.group, nowMs) &&
+        member.record.group === query.group &&
+        this.isUsable(member, nowMs) &&
         !query.excluded.has(member.record.id) &&
         matchesVersion(member.record, query),
     );
@@ -231,11 +238,9 @@
 
   private isUsable(
     { record, usableUntilMs }: PoolMember,
-    group: string,
     nowMs: number,
   ): boolean {
     return (
-      record.group === group &&
       record.state === EndpointState.Ready &&
       nowMs < usableUntilMs &&
       !this.isMisdirected(record.id, nowMs)
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -150,7 +150,7 @@
   private async attempt(reservation: PoolReservation): Promise<AttemptOutcome> {
     const { resolved, request } = this.context;
     const { endpoint } = reservation;
-    const { clock, protocol, versions } = this.deps;
+    const { clock, pool, protocol, versions } = this.deps;
     const sentAtMs = clock.nowMs();
     this.lastEndpointId = endpoint.id;
     this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
@@ -173,6 +173,7 @@
       method: request.method,
       target: request.target,
       body: request.body,
+      isEndpointUsable: () => pool.isReady(endpoint.id, clock.nowMs()),
       headers: protocol.dispatchHeaders(request.headers, {
         remainingMs: Math.max(1, Math.floor(this.deadlineAtMs - sentAtMs)),
         endpointId: endpoint.id,
--- a/packages/core/src/forwarding/forwarder.test.ts
+++ b/packages/core/src/forwarding/forwarder.test.ts
@@ -145,6 +145,19 @@
     assert.equal(harness.upstream.calls.length, 2);
   });
 
+  it('tells that the chosen endpoint has left while the request waits for a connection', async () => {
+    const harness = new ForwarderHarness([{}], lookupRoute);
+    await harness.serve();
+    const [call] = harness.upstream.calls;
+    assert.ok(call);
+    assert.equal(call.isEndpointUsable(), true);
+    const others = harness.pool
+      .endpoints()
+      .filter(endpoint => endpoint.id !== call.endpoint.id);
+    harness.pool.apply({ revision: 2, endpoints: others });
+    assert.equal(call.isEndpointUsable(), false);
+  });
+
   it('cancels the attempt and does not retry when the caller disconnects', async () => {
     const harness = new ForwarderHarness([{ isHanging: true }], lookupRoute);
     const served = harness.serve();
--- a/packages/core/src/forwarding/upstream.ts
+++ b/packages/core/src/forwarding/upstream.ts
@@ -8,6 +8,8 @@
   readonly target: string;
   readonly headers: RawHeaders;
   readonly body: Uint8Array | undefined;
+  /** Whether the endpoint still accepts new requests; asked when a new connection is established. */
+  readonly isEndpointUsable: () => boolean;
 }
 
 /** Response of an endpoint: status, headers and a streamed body. */
@@ -24,7 +26,8 @@
 /** Client that sends requests to endpoints. Aborting the signal closes the connection. */
 export interface Upstream {
   /**
-   * Throws `NotSentError` if no byte was sent, and `AnswerLostError` if the
+   * Throws `NotSentError` if no byte was sent, also where the endpoint is no
+   * longer usable once a connection to it is established, and `AnswerLostError` if the
    * endpoint may have executed the request.
    */
   send(call: EndpointRequest, signal: AbortSignal): Promise<EndpointResponse>;
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -14,8 +14,8 @@
 import { AnswerLostError, NotSentError } from '@skylarkreach/core/ports';
 
 import { isConnectError } from '../adapters/index.js';
-import type { ResponseMeter } from './metered-client.js';
-import { MeteredClient } from './metered-client.js';
+import type { RequestContext, ResponseMeter } from './metered-client.js';
+import { EndpointWithdrawnError, MeteredClient } from './metered-client.js';
 
 /** Time within which an endpoint on the same network accepts a connection. */
 const CONNECT_TIMEOUT_MS = 1_000; // the same as callers allow for a new connection
@@ -42,8 +42,8 @@
 /** HTTP client for endpoints, with one connection pool for each lifetime of an endpoint. */
 export class EndpointClient implements Upstream {
   private readonly connections = new Map<string, EndpointConnections>();
-  /** Meters of the connections that serve requests, by the options of the request. */
-  private readonly metersByRequest = new WeakMap<object, ResponseMeter>();
+  /** Contexts of requests, by the options of the request. */
+  private readonly contexts = new WeakMap<object, RequestContext>();
 
   constructor(private readonly protocol: ForwardProtocol) {}
 
@@ -68,9 +68,11 @@
         signal,
         responseHeaders: 'raw',
       };
+      const { isEndpointUsable } = call;
+      const context: RequestContext = { isEndpointUsable };
+      this.contexts.set(options, context);
       const response = await connections.pool.request(options);
-      const meter = this.metersByRequest.get(options);
-      const body = meteredBody(response.body, meter);
+      const body = meteredBody(response.body, context.meter);
       const headers = toRawHeaders(response.headers);
       const isFramed = hasBodyFraming(headers);
       return {
@@ -82,7 +84,7 @@
       };
     } catch (error) {
       const message = `Endpoint ${endpoint.id} did not respond (${String(error)}).`;
-      throw isConnectError(error)
+      throw isConnectError(error) || error instanceof EndpointWithdrawnError
         ? new NotSentError(message, { cause: error })
         : new AnswerLostError(message, { cause: error });
     }
@@ -153,7 +155,7 @@
           origin,
           options,
           connectAndCountResets,
-          this.metersByRequest,
+          this.contexts,
         ),
       pipelining: 1,
       headersTimeout: 0,
--- /dev/null
+++ b/packages/daemon/src/gateway/metered-client.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+
+import { buildConnector } from 'undici';
+
+import type { RequestContext } from './metered-client.js';
+import { EndpointWithdrawnError, MeteredClient } from './metered-client.js';
+
+describe('MeteredClient', () => {
+  let requestCount: number;
+  let openConnection: () => void;
+  let client: MeteredClient;
+  const contexts = new WeakMap<object, RequestContext>();
+  const server = createServer(
+    (_request: IncomingMessage, response: ServerResponse) => {
+      requestCount += 1;
+      response.end('answer');
+    },
+  );
+
+  beforeEach(async () => {
+    requestCount = 0;
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    const connect = buildConnector({});
+    const opened = new Promise<void>(resolve => {
+      openConnection = resolve;
+    });
+    const connectLate: buildConnector.connector = (options, callback) => {
+      void opened.then(() => {
+        connect(options, callback);
+      });
+    };
+    const origin = `http://127.0.0.1:${port}`;
+    client = new MeteredClient(origin, {}, connectLate, contexts);
+  });
+
+  afterEach(async () => {
+    await client.destroy();
+    server.close();
+  });
+
+  it('does not send a request that waited for a connection to an endpoint that has left meanwhile', async () => {
+    let isEndpointUsable = true;
+    const options = { path: '/', method: 'GET' } as const;
+    contexts.set(options, { isEndpointUsable: () => isEndpointUsable });
+    const response = client.request(options);
+    isEndpointUsable = false;
+    openConnection();
+    await assert.rejects(response, EndpointWithdrawnError);
+    assert.equal(requestCount, 0);
+  });
+
+  it('sends a request whose endpoint is usable when the connection is established', async () => {
+    const options = { path: '/', method: 'GET' } as const;
+    contexts.set(options, { isEndpointUsable: () => true });
+    const response = client.request(options);
+    openConnection();
+    const { body, statusCode } = await response;
+    assert.equal(statusCode, 200);
+    assert.equal(await body.text(), 'answer');
+  });
+});
--- a/packages/daemon/src/gateway/metered-client.ts
+++ b/packages/daemon/src/gateway/metered-client.ts
@@ -51,20 +51,43 @@
   }
 }
 
-/** HTTP client with one connection, whose responses are metered. */
+/** Thrown where a connection is established to an endpoint that no longer accepts new requests. */
+export class EndpointWithdrawnError extends Error {
+  override readonly name = 'EndpointWithdrawnError';
+}
+
+/** What a connection needs to know of a request, and the request of its connection. */
+export interface RequestContext {
+  readonly isEndpointUsable: () => boolean;
+  /** Meter of the connection that serves the request. */
+  meter?: ResponseMeter;
+}
+
+/**
+ * HTTP client with one connection, whose responses are metered. A request that
+ * waits for the connection fails where its endpoint is no longer usable by then.
+ */
 export class MeteredClient extends Client {
   constructor(
     origin: string | URL,
     options: Client.Options,
     connect: buildConnector.connector,
-    private readonly metersByRequest: WeakMap<object, ResponseMeter>,
+    /** Contexts by the options of the request. */
+    private readonly contexts: WeakMap<object, RequestContext>,
     private readonly meter = new ResponseMeter(),
+    /** Context of the request that was dispatched last. */
+    private readonly last: { context?: RequestContext } = {},
   ) {
     super(origin, {
       ...options,
       connect: (target, callback) => {
         connect(target, (...result) => {
           const [, socket] = result;
+          if (socket && last.context?.isEndpointUsable() === false) {
+            socket.destroy();
+            callback(new EndpointWithdrawnError('The endpoint leaves.'), null);
+            return;
+          }
           if (socket) meter.attach(socket);
           callback(...result);
         });
@@ -77,7 +100,11 @@
     handler: Dispatcher.DispatchHandler,
   ): boolean {
     this.meter.start();
-    this.metersByRequest.set(options, this.meter);
+    const context = this.contexts.get(options);
+    if (context !== undefined) {
+      context.meter = this.meter;
+      this.last.context = context;
+    }
     return super.dispatch(options, handler);
   }
 }
