Start another read of the endpoint list beside a slow one instead of aborting it

Doubling the limit was tried and reverted: it stayed longer on dead connections.

After 700 ms another read starts on a new connection, and the slow one goes on for up to 4 s, at most four at a time. The first that ends counts. The test of a path that takes 1.5 s failed with the old limit, as did that of a read that hangs.

--- a/packages/core/src/forwarding/sources.ts
+++ b/packages/core/src/forwarding/sources.ts
@@ -39,7 +39,9 @@
 
 /** Source of the endpoint listing. Throws `PlatformError`. */
 export interface EndpointSource {
+  /** Uses a new connection if `freshConnection` is set. */
   readNow(
     deadlineAtMs: number,
+    freshConnection: boolean,
   ): Promise<EndpointListing & { readonly malformed: number }>;
 }
--- a/packages/core/src/ports/json-http.ts
+++ b/packages/core/src/ports/json-http.ts
@@ -9,6 +9,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: unknown;
   readonly deadlineAtMs: number;
+  /** Whether to open a new connection that serves this call alone. */
+  readonly freshConnection?: boolean;
 }
 
 /** HTTP response with its parsed JSON body. */
--- a/packages/core/src/ports/key-value.ts
+++ b/packages/core/src/ports/key-value.ts
@@ -87,6 +87,14 @@
 
 /** Reader of consistent snapshots: all entries under a prefix at one revision. */
 export interface SnapshotReader {
-  /** Returns all entries under the prefix and their revision. Throws the same errors as the calls of the key-value service. */
-  readPrefix(prefix: string, deadlineAtMs: number): Promise<WatchResult>;
+  /**
+   * Returns all entries under the prefix and their revision, on a new connection
+   * if `freshConnection` is set. Throws the same errors as the calls of the
+   * key-value service.
+   */
+  readPrefix(
+    prefix: string,
+    deadlineAtMs: number,
+    freshConnection?: boolean,
+  ): Promise<WatchResult>;
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/endpoint-list-poller.test.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import type {
+  EndpointListing,
+  EndpointSource,
+} from '@skylarkreach/core/forwarding';
+import {
+  KeyValueUnavailableError,
+  LogComponent,
+  ManualClock,
+  noopLog,
+  noopMetrics,
+  SeededRandom,
+} from '@skylarkreach/core/ports';
+
+import { DependencyMonitor } from './dependency-monitor.js';
+import { EndpointListPoller } from './endpoint-list-poller.js';
+
+const INTERVAL_MS = 1_200;
+
+/** Source whose reads take as long as `readMs` returns for each read, 0 for the first. */
+class SlowSource implements EndpointSource {
+  /** Whether each read was asked to use a new connection, in order. */
+  readonly freshConnections: boolean[] = [];
+
+  constructor(
+    private readonly clock: ManualClock,
+    private readonly readMs: (readIndex: number) => number,
+  ) {}
+
+  async readNow(
+    deadlineAtMs: number,
+    freshConnection: boolean,
+  ): Promise<EndpointListing & { readonly malformed: number }> {
+    const endAtMs =
+      this.clock.nowMs() + this.readMs(this.freshConnections.length);
+    this.freshConnections.push(freshConnection);
+    await this.clock.waitUntil(Math.min(endAtMs, deadlineAtMs));
+    if (endAtMs > deadlineAtMs) throw new KeyValueUnavailableError('too late');
+    return { revision: 1, endpoints: [], malformed: 0 };
+  }
+}
+
+/** Runs the poller as its loop does; returns the ages of its list, observed every 100 ms after the first second. */
+async function observeAges(
+  readMs: (readIndex: number) => number,
+  untilMs: number,
+): Promise<{ agesMs: number[]; source: SlowSource }> {
+  const clock = new ManualClock(0);
+  const source = new SlowSource(clock, readMs);
+  const poller = new EndpointListPoller({
+    source,
+    clock,
+    random: new SeededRandom(1),
+    log: noopLog,
+    metrics: noopMetrics,
+    monitor: new DependencyMonitor(
+      'endpoints',
+      LogComponent.Routing,
+      noopLog,
+      noopMetrics,
+    ),
+    intervalMs: INTERVAL_MS,
+    lastPeerReadAtMs: () => -Infinity,
+    onListing: () => undefined,
+  });
+  const stop = new AbortController();
+  const run = async () => {
+    while (!stop.signal.aborted) {
+      await poller.step();
+      await clock.waitUntil(poller.nextAtMs(clock.nowMs()));
+    }
+  };
+  void run();
+  const agesMs: number[] = [];
+  for (let atMs = 100; atMs <= untilMs; atMs += 100) {
+    await clock.advanceTo(atMs);
+    if (atMs > 1_000) agesMs.push(atMs - poller.lastReadAtMs());
+  }
+  stop.abort();
+  return { agesMs, source };
+}
+
+describe('EndpointListPoller', () => {
+  it('reads the list over a path that is slower than its patience', async () => {
+    const { agesMs } = await observeAges(() => 1_500, 10_000);
+    // A read takes 1.5 s, and the next one succeeds at most an interval, its jitter and a read later.
+    const limitMs = 1_500 + INTERVAL_MS * 1.5 + 1_500;
+    assert.ok(agesMs.slice(10).every(ageMs => ageMs <= limitMs));
+  });
+
+  it('does not wait for a read that hangs before it reads on a new connection', async () => {
+    const { agesMs, source } = await observeAges(
+      index => (index === 0 ? Infinity : 10),
+      3_000,
+    );
+    assert.ok(agesMs.slice(2).every(ageMs => ageMs <= INTERVAL_MS * 2));
+    assert.deepEqual(source.freshConnections.slice(0, 2), [false, true]);
+  });
+
+  it('has few reads in flight while none ends', async () => {
+    const { source } = await observeAges(() => Infinity, 4_000);
+    assert.ok(source.freshConnections.length <= 4);
+  });
+});
--- a/packages/daemon/src/gateway/endpoint-list-poller.ts
+++ b/packages/daemon/src/gateway/endpoint-list-poller.ts
@@ -7,7 +7,11 @@
 
 import type { DependencyMonitor } from './dependency-monitor.js';
 
-const READ_TIMEOUT_MS = 700;
+/** Time after which another read is started beside one that has not ended, on a new connection. */
+const PATIENCE_MS = 700; // the store answers within a few ms; a dead connection shows no other sign
+/** Time after which a read is abandoned. */
+const READ_TIMEOUT_MS = 4_000; // a list of two pages on a link that other traffic holds up for seconds
+const MAX_READS_IN_FLIGHT = 4;
 const RETRY_MS = 200;
 
 export interface EndpointListPollerDependencies {
@@ -33,7 +37,9 @@
 export class EndpointListPoller {
   /** Start time of this daemon's last successful read; -Infinity before the first. */
   lastOwnReadAtMs = -Infinity;
-  private hasFailed = false;
+  /** Whether the last read failed or has not ended in time. */
+  private isOverdue = false;
+  private readsInFlight = 0;
   private jitterMs = 0;
 
   constructor(private readonly deps: EndpointListPollerDependencies) {}
@@ -46,7 +52,7 @@
   }
 
   nextAtMs(nowMs: number): number {
-    if (this.hasFailed) {
+    if (this.isOverdue) {
       return nowMs + RETRY_MS + this.deps.random.nextInteger(RETRY_MS);
     }
     return Math.max(nowMs + 1, this.dueAtMs());
@@ -57,22 +63,50 @@
     return Math.max(this.lastOwnReadAtMs, this.deps.lastPeerReadAtMs());
   }
 
-  /** Reads the list, whether or not a read is due. */
+  /**
+   * Reads the list, whether or not a read is due. Resolves once the read ends or
+   * `PATIENCE_MS` have passed; a slow read goes on, and the next one runs beside it.
+   */
   async readNow(): Promise<void> {
-    const { clock, monitor, metrics, random, source, onListing } = this.deps;
+    if (this.readsInFlight >= MAX_READS_IN_FLIGHT) return;
+    const { clock, random } = this.deps;
     const readAtMs = clock.nowMs();
     this.jitterMs = random.nextInteger(this.deps.intervalMs / 2);
+    const readEnd = new AbortController();
+    const patience = clock
+      .waitUntil(readAtMs + PATIENCE_MS, readEnd.signal)
+      .then(
+        () => {
+          this.isOverdue = true;
+        },
+        () => undefined, // the read ended first
+      );
+    const read = this.read(readAtMs).finally(() => {
+      readEnd.abort();
+    });
+    await Promise.race([read, patience]);
+  }
+
+  private async read(readAtMs: number): Promise<void> {
+    const { clock, monitor, metrics, source, onListing } = this.deps;
+    const deadlineAtMs = readAtMs + READ_TIMEOUT_MS;
+    const isBesideAnother = this.readsInFlight > 0;
+    this.readsInFlight += 1;
     try {
-      const listing = await source.readNow(readAtMs + READ_TIMEOUT_MS);
-      this.lastOwnReadAtMs = readAtMs;
-      this.hasFailed = false;
+      const listing = await source.readNow(deadlineAtMs, isBesideAnother);
+      this.lastOwnReadAtMs = Math.max(this.lastOwnReadAtMs, readAtMs);
+      this.isOverdue = false;
       monitor.recordSuccess(clock.nowMs());
       metrics.increment('endpoints.reads');
       if (listing.malformed > 0) this.reportMalformed(listing.malformed);
       onListing(listing, readAtMs);
     } catch (error) {
-      this.hasFailed = true;
+      // A later read may have succeeded beside this one.
+      if (this.lastOwnReadAtMs > readAtMs) return;
+      this.isOverdue = true;
       monitor.recordFailure(error, clock.nowMs());
+    } finally {
+      this.readsInFlight -= 1;
     }
   }
 
