Offer large values to peers before sending them, and let one daemon broadcast what all read

A watch brings each of 64 daemons the whole configuration at the same moment, and each broadcast it to all others, over links of 10 Mbit/s.

A value that daemons read by themselves is broadcast after a random wait of up to 200 ms, unless another one has broadcast it by then. A patch of 4,096 characters or more is offered first, and sent to those that lack it. A daemon that holds an offered version without having passed it on passes the offer on, so that those below it in the tree are reached.

--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -97,11 +97,16 @@
   z.object({}),
 );
 
-/** Pushes changed values as patches. The answer lists the keys to be sent in full. */
+/**
+ * Pushes changed values as patches, and offers versions that are sent if wanted.
+ * The answer lists the offered keys to be sent, and those to be sent in full.
+ */
 export const pushMethod = definePeerMethod(
   'spread.push',
   z.object({
     patches: z.array(patchSchema).max(MAX_PATCHES_PER_MESSAGE),
+    /** Absent in messages of daemons that do not know it. */
+    offers: digestSchema.optional(),
     /**
      * Whether the receiver is the entry point of its cell and has to propagate
      * the values within it.
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -190,7 +190,8 @@
   private publish(key: GossipKey, version: number, value: unknown): void {
     if (version <= this.gossipVersion(key)) return;
     const text = JSON.stringify(value);
-    void this.deps.cluster.membership.publish({ key, version, value: text });
+    const { membership } = this.deps.cluster;
+    void membership.publishShared({ key, version, value: text });
   }
 }
 
--- a/packages/daemon/src/membership/membership-service.ts
+++ b/packages/daemon/src/membership/membership-service.ts
@@ -124,6 +124,11 @@
     return this.broadcaster.publish(value);
   }
 
+  /** Broadcasts a value that other daemons read by themselves too, unless one of them does. */
+  publishShared(value: ReplicatedValue): Promise<void> {
+    return this.broadcaster.publishShared(value);
+  }
+
   /** Registers a listener for newer versions of any value. */
   onValue(listener: ValueListener): void {
     this.store.onValue(listener);
--- a/packages/daemon/src/membership/value-broadcaster.ts
+++ b/packages/daemon/src/membership/value-broadcaster.ts
@@ -24,6 +24,10 @@
 
 const PUSH_TIMEOUT_MS = 500;
 const PULL_TIMEOUT_MS = 1_000;
+/** Size of patches from which a receiver is first asked whether it lacks them, in UTF-16 code units. */
+const MIN_OFFERED_LENGTH = 4_096; // an offer costs a round trip
+/** Longest wait before a value is broadcast that other daemons read too. */
+const MAX_SHARED_WAIT_MS = 200; // an offer reaches most daemons within some tens of ms
 /** Daemons in each other data centre that receive a value accepted by this daemon directly. */
 const ENTRY_POINTS_PER_DATA_CENTRE = 2;
 /** Daemons in other data centres that a relay sends a watched value to directly. */
@@ -33,6 +37,8 @@
 export class ValueBroadcaster {
   /** Number of values received from peers in an older version than the one held. */
   staleReceived = 0;
+  /** Versions that this daemon has broadcast or forwarded, by key. */
+  private readonly passedOn = new Map<string, number>();
 
   constructor(
     private readonly store: ReplicatedValueStore,
@@ -49,6 +55,20 @@
     await this.broadcast([value.key], entryPoints);
   }
 
+  /**
+   * Stores a value that daemons read by themselves, and broadcasts it unless
+   * another one does so within a random wait.
+   */
+  async publishShared(value: ReplicatedValue): Promise<void> {
+    if (!this.store.apply(value)) return;
+    const waitMs = this.random.nextInteger(MAX_SHARED_WAIT_MS);
+    await this.clock.waitUntil(this.clock.nowMs() + waitMs);
+    const { key, version } = value;
+    const isSuperseded = this.store.version(key) > version;
+    if (isSuperseded || this.isPassedOn(value)) return;
+    await this.broadcast([key], this.entryPointsOfAllDataCentres());
+  }
+
   /**
    * Stores and broadcasts a value that this daemon, as a relay, has read from
    * the key-value service.
@@ -64,10 +84,12 @@
   }
 
   /**
-   * Applies pushed patches and forwards those that were applied, without waiting
-   * for the forwards. Returns the keys whose whole values are needed.
+   * Applies pushed patches. Forwards the versions that are new to this daemon, or
+   * that it holds and has not passed on yet, without waiting for the forwards.
+   * Returns the offered keys that it lacks and those whose whole values it needs.
    */
   handlePush(message: PushMessage): { wanted: string[] } {
+    const offers = message.offers ?? [];
     const outcomes = message.patches.map(patch => ({
       key: patch.key,
       outcome: this.applyPatch(patch),
@@ -76,13 +98,22 @@
       outcomes
         .filter(result => result.outcome === outcome)
         .map(result => result.key);
-    const appliedKeys = keysWith(PatchOutcome.Applied);
-    if (appliedKeys.length > 0) {
+    const heldKeys = [...message.patches, ...offers]
+      .filter(sent => this.store.version(sent.key) === sent.version)
+      .filter(sent => !this.isPassedOn(sent))
+      .map(sent => sent.key);
+    if (heldKeys.length > 0) {
       void (message.entersCell
-        ? this.broadcast(appliedKeys, this.otherCellsInDataCentre())
-        : this.sendToBranches(appliedKeys, this.tree().childBranches()));
+        ? this.broadcast(heldKeys, this.otherCellsInDataCentre())
+        : this.sendToBranches(heldKeys, this.tree().childBranches()));
     }
-    return { wanted: keysWith(PatchOutcome.NeedsFullValue) };
+    const lacking = this.store.outdatedVersions(offers);
+    return {
+      wanted: [
+        ...keysWith(PatchOutcome.NeedsFullValue),
+        ...lacking.map(({ key }) => key),
+      ],
+    };
   }
 
   /**
@@ -151,6 +182,7 @@
     branches: readonly TreeBranch[],
   ): Promise<void> {
     if (keys.length === 0) return;
+    for (const key of keys) this.passedOn.set(key, this.store.version(key));
     await Promise.all(branches.map(branch => this.sendToBranch(keys, branch)));
   }
 
@@ -171,8 +203,10 @@
     keys: readonly string[],
     entersCell: boolean,
   ): Promise<boolean> {
-    const patches = keys.flatMap(key => this.store.incrementalPatch(key) ?? []);
     try {
+      const lackingKeys = await this.keysLackingAt(target, keys, entersCell);
+      if (lackingKeys.length === 0) return true;
+      const patches = this.incrementalPatches(lackingKeys);
       const wanted = await this.sendPatches(target, patches, entersCell);
       if (wanted.length === 0) return true;
       const wholeValues = wanted.flatMap(
@@ -186,15 +220,38 @@
     }
   }
 
+  /** Returns the keys that a daemon lacks; all of them, without asking, where their patches are small. */
+  private async keysLackingAt(
+    target: DaemonIdentity,
+    keys: readonly string[],
+    entersCell: boolean,
+  ): Promise<readonly string[]> {
+    const length = this.incrementalPatches(keys)
+      .map(patch => patch.inserted.length)
+      .reduce((sum, each) => sum + each, 0);
+    if (length < MIN_OFFERED_LENGTH) return keys;
+    const offers = keys.map(key => ({ key, version: this.store.version(key) }));
+    return this.sendPatches(target, [], entersCell, offers);
+  }
+
+  private incrementalPatches(keys: readonly string[]): ValuePatch[] {
+    return keys.flatMap(key => this.store.incrementalPatch(key) ?? []);
+  }
+
+  private isPassedOn({ key, version }: KeyVersion): boolean {
+    return (this.passedOn.get(key) ?? 0) >= version;
+  }
+
   private async sendPatches(
     target: DaemonIdentity,
     patches: ValuePatch[],
     entersCell: boolean,
+    offers: KeyVersion[] = [],
   ): Promise<readonly string[]> {
     const response = await this.peer.call(
       target.peerAddress,
       pushMethod,
-      { patches, entersCell },
+      { patches, entersCell, offers },
       this.clock.nowMs() + PUSH_TIMEOUT_MS,
     );
     return response.wanted;
