--- a/packages/core/src/quarantine/prompt-quarantine.test.ts
+++ b/packages/core/src/quarantine/prompt-quarantine.test.ts
@@ -4,13 +4,25 @@
 import fc from 'fast-check';
 
 import type { PromptPart } from '../forwarding/index.js';
-import { noopLog, noopMetrics } from '../ports/index.js';
+import { noopLog, noopMetrics, SeededRandom } from '../ports/index.js';
 import { PromptQuarantine } from './prompt-quarantine.js';
 
 const SEED = 20_261_204;
 /** Time after which crashes are judged. */
 const SETTLED_MS = 1_000;
 
+/** Spread over a large deployment, as the users bound it. */
+const LARGE = {
+  daemons: 64,
+  contactMs: 4_000,
+  crashes: 5,
+  /** Requests that may reach endpoints later than `contactMs` after these crashes. */
+  maxLateRequests: 3,
+};
+/** Exchange of hints between daemons. */
+const EXCHANGE_INTERVAL_MS = 500;
+const EXCHANGE_FAN_OUT = 4;
+
 function prompt(...ids: readonly string[]): PromptPart[] {
   return [...ids, 'own'].map(id => ({ id, tokens: 100 }));
 }
@@ -123,6 +135,41 @@
     assert.deepEqual(harness.isBlocked('common'), [false]);
   });
 
+  it('keeps the part from all endpoints within the contact time where 64 daemons exchange hints with few peers', () => {
+    for (const requestsPerSecond of [2, 20]) {
+      const harness = new QuarantineHarness(LARGE.daemons);
+      const random = new SeededRandom(SEED);
+      const anyDaemon = () => harness.at(random.nextInteger(LARGE.daemons));
+      const crashedAtMs: number[] = [];
+      let lateRequests = 0;
+      for (let step = 0; step < 1_000; step += 1) {
+        harness.nowMs += 10;
+        harness.daemons.forEach((daemon, index) => {
+          if ((step * 10 + index * 7) % EXCHANGE_INTERVAL_MS >= 10) return;
+          for (let sent = 0; sent < EXCHANGE_FAN_OUT; sent += 1) {
+            const peer = anyDaemon();
+            peer.applyPeer(daemon.hints());
+            daemon.applyPeer(peer.hints());
+          }
+        });
+        anyDaemon().recordCompleted(prompt('common', 'sound'));
+        if (random.nextFloat() * 100 >= requestsPerSecond) continue;
+        const daemon = anyDaemon();
+        const bad = prompt('common', 'bad');
+        if (daemon.blockedForMs(bad) !== undefined) continue;
+        const fifthAtMs = crashedAtMs[LARGE.crashes - 1] ?? Infinity;
+        if (harness.nowMs > fifthAtMs + LARGE.contactMs) lateRequests += 1;
+        const endpointId = `e${crashedAtMs.length}`;
+        crashedAtMs.push(harness.nowMs);
+        daemon.recordCrash(endpointId, bad);
+        anyDaemon().recordCrash(endpointId, prompt('common', 'sound'));
+      }
+      assert.ok(lateRequests <= LARGE.maxLateRequests);
+      assert.ok(harness.isBlocked('bad').every(isBlocked => isBlocked));
+      assert.ok(harness.isBlocked('common', 'sound').every(each => !each));
+    }
+  });
+
   it('accepts requests again when the block ends', () => {
     const harness = new QuarantineHarness(2);
     for (let index = 0; index < 3; index += 1) {
