--- a/packages/core/src/ports/json-http.ts
+++ b/packages/core/src/ports/json-http.ts
@@ -16,6 +16,8 @@
 /** HTTP response with its parsed JSON body. */
 export interface JsonResponse {
   readonly status: number;
+  /** Values by lower-case name. */
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   /** Undefined where the response has no body. */
   readonly body: unknown;
 }
--- a/packages/daemon/src/adapters/http-client.ts
+++ b/packages/daemon/src/adapters/http-client.ts
@@ -125,7 +125,8 @@
     try {
       const text = await response.body.text();
       const parsedBody: unknown = text === '' ? undefined : JSON.parse(text);
-      return { status: response.statusCode, body: parsedBody };
+      const { headers, statusCode: status } = response;
+      return { status, headers, body: parsedBody };
     } catch (error) {
       this.markSuspect(call.address);
       throw new AnswerLostError(
--- a/packages/stand-ins/src/gateway/gateway-platform.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-platform.test.ts
@@ -118,6 +118,25 @@
     );
   });
 
+  it('follows the endpoints and the configuration of a store that was restored from an older copy', async () => {
+    const { deployment } = fixture;
+    const { store } = deployment;
+    const wiring = deployment.gateways[0]?.gateway.wiring;
+    const restore = store.state.copy();
+    for (let change = 0; change < 20; change += 1) {
+      store.state.put('other', String(change));
+    }
+    await waitUntil(() => (wiring?.pool.revision ?? 0) > 20);
+    restore();
+    store.state.delete('servers/ledger-1');
+    await waitUntil(
+      () =>
+        wiring?.pool.endpoints().every(each => each.id !== 'ledger-1') === true,
+    );
+    deployment.writeConfiguration(7);
+    await waitUntil(() => wiring?.configuration.version === 7);
+  });
+
   it('reports usage once per window and orders endpoints as the only holder', async () => {
     assert.equal(await fixture.statusOf('/lookups/a'), 200);
     await waitUntil(() =>
