--- a/packages/daemon/src/gateway/daemon-registry.ts
+++ b/packages/daemon/src/gateway/daemon-registry.ts
@@ -28,11 +28,11 @@
     private readonly log: Log,
   ) {}
 
-  /** Returns all registered daemons, and registers this one if it isn't yet. */
+  /** Returns all registered daemons, and registers this one if it isn't, or no longer. */
   async daemons(deadlineAtMs: number): Promise<readonly DaemonIdentity[]> {
     const entries = await this.keyValue.list(KEY_PREFIX, deadlineAtMs);
     const ownEntry = entries.find(entry => entry.key === this.ownKey());
-    if (!this.isRegistered) {
+    if (!this.isRegistered || ownEntry === undefined) {
       await this.register(ownEntry?.version ?? 0, deadlineAtMs);
     }
     return entries
