--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -39,11 +39,10 @@
   }
 
   ownHints(): DaemonHints {
-    const { tokenBuckets, duties, pool, rollouts, ...rest } = this.deps;
-    const { quarantine, ...listingState } = rest;
+    const { duties, pool, quarantine, rollouts, tokenBuckets } = this.deps;
     this.sequence += 1;
     const nowMs = this.context.clock.nowMs();
-    const readAgeMs = nowMs - listingState.endpointReadAtMs();
+    const readAgeMs = nowMs - this.deps.endpointReadAtMs();
     return {
       daemonId: this.context.settings.identity.daemonId,
       lifetime: this.lifetime,
@@ -53,7 +52,7 @@
       work: Object.fromEntries(pool.ownLoad()),
       grantedTokens: tokenBuckets.grantedTotals(),
       usage: duties.usageLedger.ownUsage(),
-      endpointsVersion: listingState.endpointsVersion(),
+      endpointsVersion: this.deps.endpointsVersion(),
       ...(Number.isFinite(readAgeMs) ? { endpointReadAgeMs: readAgeMs } : {}),
       rollouts: rollouts.hints(),
       quarantine: quarantine.hints(),
--- a/packages/daemon/src/membership/value-broadcaster.ts
+++ b/packages/daemon/src/membership/value-broadcaster.ts
@@ -90,14 +90,9 @@
    */
   handlePush(message: PushMessage): { wanted: string[] } {
     const offers = message.offers ?? [];
-    const outcomes = message.patches.map(patch => ({
-      key: patch.key,
-      outcome: this.applyPatch(patch),
-    }));
-    const keysWith = (outcome: PatchOutcome) =>
-      outcomes
-        .filter(result => result.outcome === outcome)
-        .map(result => result.key);
+    const needingFull = message.patches.filter(
+      patch => this.applyPatch(patch) === PatchOutcome.NeedsFullValue,
+    );
     const heldKeys = [...message.patches, ...offers]
       .filter(sent => this.store.version(sent.key) === sent.version)
       .filter(sent => !this.isPassedOn(sent))
@@ -108,12 +103,7 @@
         : this.sendToBranches(heldKeys, this.tree().childBranches()));
     }
     const lacking = this.store.outdatedVersions(offers);
-    return {
-      wanted: [
-        ...keysWith(PatchOutcome.NeedsFullValue),
-        ...lacking.map(({ key }) => key),
-      ],
-    };
+    return { wanted: [...needingFull, ...lacking].map(({ key }) => key) };
   }
 
   /**
