End a connection after a response that began before a stop and ends after it

A stopping daemon closes idle connections 2.5 s after SIGTERM and each connection after a response whose head it sends from then on. A connection whose response had begun before, and ended later than 2.5 s after SIGTERM, stayed open for the next request. Which connection the request came on is not in the log; the rest is read from the code.

The server now ends each connection after the response in progress, and leaves a request alone that crosses this.

--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -86,7 +86,7 @@
     this.server.keepAliveTimeout = idleTimeoutMs;
   }
 
-  /** From now on, closes each connection after its next response. */
+  /** From now on, closes each connection after its next response, also after one whose head does not say so. */
   startDraining(): void {
     this.isDraining = true;
   }
@@ -128,6 +128,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    // The request crossed the end of its connection and could not be answered.
+    if (!request.socket.writable) return;
     const receivedAtMs = this.deps.clock.nowMs();
     const disconnected = this.trackResponse(request.socket, response);
     const sink = new ResponseSink(response, () => this.isDraining);
@@ -167,7 +169,10 @@
     response.once('close', () => {
       if (!response.writableFinished) disconnect.abort();
       responses.delete(response);
-      if (responses.size === 0) this.responsesBySocket.delete(socket);
+      if (responses.size === 0) {
+        this.responsesBySocket.delete(socket);
+        if (this.isDraining) socket.end();
+      }
       this.openResponseCount -= 1;
       if (this.openResponseCount === 0) this.onIdle?.();
     });
