Take a refusal only for the request that it names

A copy of the request's own first refusal, on its second attempt at the same endpoint, has the same id. Change: the id is compared first; a refusal without the id proves nothing. A request that may not be repeated never returns to an endpoint that it reached. The second copy of an answer was already rejected. An error of the next endpoint after a broken stream was already kept out of the stream; a test of it is added.

--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -196,11 +196,12 @@
     { status }: EndpointResponse,
     metadata: ResponseMetadata,
   ): AttemptOutcome | undefined {
-    if (metadata.isMisdirected) return endedAs(AttemptEndKind.Misdirected);
-    if (metadata.isNotRun) return endedAs(AttemptEndKind.NotRun);
+    // A refusal of an earlier request may arrive once more on a kept connection.
     if (metadata.requestId !== this.options.requestId) {
       return failed('the answer belongs to another request');
     }
+    if (metadata.isMisdirected) return endedAs(AttemptEndKind.Misdirected);
+    if (metadata.isNotRun) return endedAs(AttemptEndKind.NotRun);
     if (metadata.isEncoded) return failed('the answer is encoded');
     if (!metadata.isSigned && status < 300)
       return failed('the answer is unsigned');
--- /dev/null
+++ b/packages/core/src/forwarding/forward-refusals.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { RouteType } from './configuration.js';
+import type { ScriptedResponse } from './fakes/index.js';
+import { ForwarderHarness, sampleRoute } from './fakes/index.js';
+import { ForwardErrorKind } from './forward-error.js';
+
+const postingRoute = sampleRoute({
+  name: 'postings',
+  pathPrefix: '/postings/',
+  type: RouteType.NonIdempotent,
+  maxAttempts: 3,
+});
+const refusal: ScriptedResponse = { status: 503, metadata: { isNotRun: true } };
+
+describe('a refusal through the forwarder', () => {
+  it('does not take the refusal of another request for one of a non-idempotent request', async () => {
+    for (const requestId of ['another', undefined]) {
+      const misleading: readonly ScriptedResponse[] = [
+        { status: 503, metadata: { isNotRun: true, requestId } },
+        { status: 421, metadata: { isMisdirected: true, requestId } },
+      ];
+      for (const step of misleading) {
+        const harness = new ForwarderHarness([step, {}], postingRoute);
+        const error = await harness.serve();
+        assert.equal(error?.kind, ForwardErrorKind.EndpointFailed);
+        assert.equal(error.retryInMs, undefined);
+        assert.equal(harness.upstream.calls.length, 1);
+      }
+    }
+  });
+
+  it('does not exclude an endpoint for a redirection that belongs to another request', async () => {
+    const step: ScriptedResponse = {
+      status: 421,
+      metadata: { isMisdirected: true, requestId: 'another' },
+    };
+    const harness = new ForwarderHarness([step], postingRoute);
+    await harness.serve();
+    const ready = harness.pool.readyEndpoints('ledger', harness.clock.nowMs());
+    assert.equal(ready.length, 3);
+  });
+
+  it('sends a non-idempotent request to an endpoint once, as a copy of the first refusal may answer the second attempt', async () => {
+    const harness = new ForwarderHarness([refusal], postingRoute, {
+      endpoints: ['e1'],
+    });
+    const error = await harness.serve();
+    assert.equal(error?.kind, ForwardErrorKind.Overloaded);
+    assert.equal(harness.upstream.calls.length, 1);
+  });
+
+  it('sends a non-idempotent request again to an endpoint that it did not reach', async () => {
+    const harness = new ForwarderHarness(
+      [{ isNotSent: true }, {}],
+      postingRoute,
+      { endpoints: ['e1'] },
+    );
+    assert.equal(await harness.serve(), undefined);
+    assert.equal(harness.upstream.calls.length, 2);
+  });
+});
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -50,6 +50,8 @@
   private readonly deadlineAtMs: number;
   private readonly runAbort = new AbortController();
   private readonly excluded = new Set<string>();
+  /** Endpoints to which the request may have been written. */
+  private readonly reached = new Set<string>();
   private readonly relay: StreamRelay | undefined;
   /** Number of attempts that reached their endpoint; unsent and misdirected ones do not count. */
   private attempts = 0;
@@ -206,6 +208,7 @@
     const { clock, log, metrics, pool } = this.deps;
     const nowMs = clock.nowMs();
     this.excluded.add(endpoint.id);
+    if (result.kind !== AttemptEndKind.NotSent) this.reached.add(endpoint.id);
     switch (result.kind) {
       case AttemptEndKind.NotSent:
         this.attempts -= 1;
@@ -266,7 +269,11 @@
     return type === RouteType.Idempotent || isResumable;
   }
 
-  /** Reserves an endpoint that was not tried, or any if all were tried. */
+  /**
+   * Reserves an endpoint that was not tried, or any if all were tried. A request
+   * that may not be repeated never returns to an endpoint that it reached: a copy
+   * of the endpoint's refusal could be taken for the answer to the second attempt.
+   */
   private reserveEndpoint(): PoolReservation | undefined {
     const { clock, pool, versions } = this.deps;
     const { group, request } = this.context;
@@ -288,13 +295,18 @@
       pool.reserve(query, nowMs) ??
       (isFirst
         ? undefined
-        : pool.reserve({ ...query, excluded: new Set() }, nowMs));
+        : pool.reserve({ ...query, excluded: this.barred() }, nowMs));
     if (reserved !== undefined || rule.only === undefined) return reserved;
     // The version on trial has no usable endpoint; fall back to any other version.
     const { onlyVersion, ...rest } = query;
     return pool.reserve({ ...rest, notVersion: onlyVersion ?? '' }, nowMs);
   }
 
+  /** Returns the endpoints that the request must not be sent to again. */
+  private barred(): ReadonlySet<string> {
+    return this.isRepeatable() ? new Set() : this.reached;
+  }
+
   private sendResponse(response: BufferedResponse): void {
     const { protocol } = this.deps;
     this.outcome = isEndpointError(response)
--- a/packages/core/src/forwarding/forward-streams.test.ts
+++ b/packages/core/src/forwarding/forward-streams.test.ts
@@ -54,6 +54,21 @@
     assert.equal(harness.upstream.calls.length, 1);
   });
 
+  it('aborts a stream whose next endpoint answers with an error, without the text of it', async () => {
+    for (const status of [404, 500]) {
+      const script: readonly ScriptedResponse[] = [
+        { metadata: streamMetadata, chunks: [eventText(1)], isTruncated: true },
+        { status, chunks: ['HTTP/1.1 500 failed'] },
+      ];
+      const harness = new ForwarderHarness(script, draftRoute);
+      assert.equal(await harness.serve(), undefined);
+      assert.equal(harness.upstream.calls.length, 2);
+      assert.equal(harness.sink.text, eventText(1));
+      assert.ok(harness.sink.isDestroyed);
+      assert.equal(harness.sink.isEnded, false);
+    }
+  });
+
   it('aborts a stream that ends within an event', async () => {
     const script = [
       { metadata: streamMetadata, chunks: [`${eventText(1)}id: 2`] },
--- a/packages/stand-ins/src/gateway/gateway-deployment.ts
+++ b/packages/stand-ins/src/gateway/gateway-deployment.ts
@@ -51,6 +51,14 @@
     return endpoint;
   }
 
+  /** Replaces all registered endpoints by one of a service. */
+  replaceEndpoints(id: string, service: string, address: string): void {
+    for (const { Key: key } of this.store.state.listPrefix('servers/')) {
+      this.store.state.delete(key);
+    }
+    this.store.register(id, service, address);
+  }
+
   /** Starts a gateway daemon and waits until it is ready. Daemons with another peer secret are cut off from the rest. */
   async addGateway(
     daemonId: string,
--- a/packages/stand-ins/src/gateway/gateway-floods.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-floods.test.ts
@@ -49,11 +49,7 @@
   ): Promise<FloodingEndpoint> {
     flooding = new FloodingEndpoint(kind, intervalMs);
     const address = await flooding.listen();
-    const { store } = fixture.deployment;
-    for (const { Key: key } of store.state.listPrefix('servers/')) {
-      store.state.delete(key);
-    }
-    store.register('flooding', service, address);
+    fixture.deployment.replaceEndpoints('flooding', service, address);
     const pool = fixture.deployment.gateways[0]?.gateway.wiring.pool;
     await waitUntil(() => pool?.endpoints()[0]?.address === address);
     return flooding;
