Drop requests whose callers left before a delayed daemon read them

Cause: a daemon that is behind (a twelfth of a core, just restarted after a loss of power) reads a request out of the connection's buffer and dispatches it in the same turn of the event loop, before it reads the end of the connection that waits behind it. Change: one further poll of all connections between reading a request and dispatching it. Reading the caller's headers moves into the same try block, so that no request can reject outside it.

--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -8,7 +8,11 @@
   ForwardProtocol,
   ForwardRequest,
 } from '@skylarkreach/core/forwarding';
-import { ForwardError, ForwardErrorKind } from '@skylarkreach/core/forwarding';
+import {
+  ForwardError,
+  ForwardErrorKind,
+  RunOutcome,
+} from '@skylarkreach/core/forwarding';
 import type { Address, Clock, Log, Metrics } from '@skylarkreach/core/ports';
 import { LogComponent } from '@skylarkreach/core/ports';
 
@@ -133,14 +137,19 @@
     const receivedAtMs = this.deps.clock.nowMs();
     const disconnected = this.trackResponse(request.socket, response);
     const sink = new ResponseSink(response, () => this.isDraining);
-    const { protocol } = this.deps;
-    const metadata = protocol.readRequest(request.rawHeaders);
+    let requestId: string | undefined;
     try {
+      const metadata = this.deps.protocol.readRequest(request.rawHeaders);
+      ({ requestId } = metadata);
       if (this.isRejectingRequests) throw daemonStoppingError();
       this.checkHeaders(request);
       const body = await this.readBody(request);
-      const { requestId } = metadata;
       if (requestId === undefined) throw missingRequestIdError();
+      await nextPoll();
+      if (!request.socket.writable) {
+        this.recordEarlyDeparture(request.socket, requestId);
+        return;
+      }
       const forwardRequest: ForwardRequest = {
         requestId,
         method: request.method ?? 'GET',
@@ -152,10 +161,22 @@
       };
       await this.deps.forwarder.handle(forwardRequest, sink, disconnected);
     } catch (error) {
-      this.sendError(error, request, response, metadata.requestId);
+      this.sendError(error, request, response, requestId);
     }
   }
 
+  /** Records a request that a delayed daemon reads after its caller has left. */
+  private recordEarlyDeparture(socket: Duplex, requestId: string): void {
+    socket.destroy();
+    const outcome = RunOutcome.CallerDisconnected;
+    this.deps.metrics.increment('requests', 1, { outcome });
+    this.deps.log.info(
+      LogComponent.Forwarding,
+      'A request was dropped, as its caller had left before it was read.',
+      { requestId, outcome },
+    );
+  }
+
   /**
    * Tracks a response until it closes. Returns a signal that is aborted if the
    * caller disconnects first.
@@ -302,6 +323,17 @@
   }
 }
 
+/**
+ * Resolves after the event loop has polled all connections once more. A daemon
+ * that is behind reads a request and the end of its connection in this order.
+ */
+function nextPoll(): Promise<void> {
+  return new Promise(resolve => {
+    // The first callback runs before the next poll, the second one after it.
+    setImmediate(() => setImmediate(resolve));
+  });
+}
+
 function daemonStoppingError(): ForwardError {
   return new ForwardError(
     ForwardErrorKind.Stopping,
--- a/packages/stand-ins/src/gateway/gateway-fixture.ts
+++ b/packages/stand-ins/src/gateway/gateway-fixture.ts
@@ -2,6 +2,7 @@
 
 import { Agent, request } from 'undici';
 
+import type { SampleCall } from '@skylarkreach/platform/stand-ins';
 import { SAMPLE_HOST, SAMPLE_KEY } from '@skylarkreach/platform/stand-ins';
 
 import { GatewayDeployment } from './gateway-deployment.js';
@@ -109,6 +110,14 @@
   }
 }
 
+/** Returns the text of a GET request. */
+export function rawRequest({ headers, path }: SampleCall): string {
+  const lines = Object.entries(headers).map(
+    ([name, value]) => `${name}: ${value}\r\n`,
+  );
+  return `GET ${path} HTTP/1.1\r\n${lines.join('')}\r\n`;
+}
+
 /** Polls until the condition holds. Throws an `Error` after 5 s. */
 export async function waitUntil(condition: () => boolean): Promise<void> {
   const deadlineAtMs = performance.now() + WAIT_TIMEOUT_MS;
--- a/packages/stand-ins/src/gateway/gateway-stop.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-stop.test.ts
@@ -9,6 +9,7 @@
 
 import type { RunningGateway } from './gateway-deployment.js';
 import { GatewayDeployment } from './gateway-deployment.js';
+import { rawRequest } from './gateway-fixture.js';
 
 /** Streams of 3.6 s, longer than a stopping daemon accepts connections. */
 const STREAM = { events: 6, eventGapMs: 600 };
@@ -34,14 +35,11 @@
 
   /** Starts a stream on a new connection; resolves when the response has begun. */
   async function startStream(requestId: string): Promise<Socket> {
-    const { headers, path } = sampleCall(requestId, 8_000, true);
+    const call = sampleCall(requestId, 8_000, true);
     const [host, port] = running.addresses.callers.split(':');
     const socket = connect(Number(port), host);
     sockets.push(socket);
-    const lines = Object.entries(headers).map(
-      ([name, value]) => `${name}: ${value}\r\n`,
-    );
-    socket.write(`GET ${path} HTTP/1.1\r\n${lines.join('')}\r\n`);
+    socket.write(rawRequest(call));
     await once(socket, 'data');
     return socket;
   }
