Survive malformed values, failing pages and failures of work that nobody waits for

Cause: a malformed value from a peer threw out of the handler of a push, or as a rejection that nobody caught and that ends the process; a malformed configuration or list had by then replaced the version in force, so that later ones were left out. Change: configurations and lists are taken over only once all of them could be read; values that cannot be applied are logged and counted; pages answer 500; a peer's call that fails closes its connection; other rejections are logged and counted.

--- a/packages/core/src/forwarding/configuration-store.ts
+++ b/packages/core/src/forwarding/configuration-store.ts
@@ -23,14 +23,17 @@
   /** Replaces the current configuration; returns false if the new one is not newer. */
   apply(next: Configuration): boolean {
     if (next.version <= this.version) return false;
-    this.configuration = next;
-    this.routeTable = new RouteTable(next.routes);
+    // What can throw comes first, so that a malformed one changes nothing.
+    const routeTable = new RouteTable(next.routes);
     const workspaces = next.workspaces ?? [];
-    this.workspacesByKey = new Map(
+    const workspacesByKey = new Map(
       workspaces.flatMap(workspace =>
         workspace.apiKeys.map(key => [key, workspace] as const),
       ),
     );
+    this.configuration = next;
+    this.routeTable = routeTable;
+    this.workspacesByKey = workspacesByKey;
     return true;
   }
 
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -103,7 +103,6 @@
    */
   apply(listing: EndpointListing, retainUntilMs = -Infinity): boolean {
     if (listing.revision <= this.listedRevision) return false;
-    this.listedRevision = listing.revision;
     const next = new Map<string, PoolMember>();
     for (const record of listing.endpoints) {
       const member = this.membersById.get(record.id);
@@ -127,6 +126,7 @@
       }
     }
     this.membersById = next;
+    this.listedRevision = listing.revision;
     return true;
   }
 
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -133,7 +133,7 @@
     response: ServerResponse,
   ): Promise<void> {
     // The request crossed the end of its connection and could not be answered.
-    if (!request.socket.writable) return;
+    if (!isOpen(request.socket)) return;
     const receivedAtMs = this.deps.clock.nowMs();
     const disconnected = this.trackResponse(request.socket, response);
     const sink = new ResponseSink(response, () => this.isDraining);
@@ -146,7 +146,7 @@
       const body = await this.readBody(request);
       if (requestId === undefined) throw missingRequestIdError();
       await nextPoll();
-      if (!request.socket.writable) {
+      if (!isOpen(request.socket)) {
         this.recordEarlyDeparture(request.socket, requestId);
         return;
       }
@@ -334,6 +334,11 @@
   });
 }
 
+/** Returns whether a response can still be sent on a connection. */
+function isOpen(socket: Duplex): boolean {
+  return socket.writable;
+}
+
 function daemonStoppingError(): ForwardError {
   return new ForwardError(
     ForwardErrorKind.Stopping,
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -59,7 +59,7 @@
   ) {
     this.lastConfirmedAtMs = context.clock.nowMs();
     deps.cluster.membership.onValue(value => {
-      this.applyGossip(value);
+      this.tryApplyGossip(value);
     });
   }
 
@@ -91,6 +91,22 @@
     this.publish(GossipKey.Endpoints, listing.revision, listing);
   }
 
+  /** Applies a value received from a peer; one that cannot be applied is logged and left out. */
+  private tryApplyGossip(value: ReplicatedValue): void {
+    try {
+      this.applyGossip(value);
+    } catch (error) {
+      const { log, metrics } = this.context;
+      const { key, version } = value;
+      metrics.increment('peers.malformedValues', 1, { key });
+      log.warn(
+        LogComponent.Membership,
+        'A value from a peer could not be applied.',
+        { key, version, error: String(error) },
+      );
+    }
+  }
+
   /**
    * Applies a value received from a peer. It isn't validated again: peers
    * authenticate their messages, and one of them read the value from the store.
--- a/packages/daemon/src/gateway/text-server.ts
+++ b/packages/daemon/src/gateway/text-server.ts
@@ -10,23 +10,17 @@
   readonly text: string;
 }
 
+/** Builds the text of a page; if it throws, the page is answered with 500. */
+export type TextHandler = () => TextResponse | Promise<TextResponse>;
+
 /** HTTP server that serves plain text by path, such as readiness and metrics, to the platform's probes. */
 export class TextServer {
   private readonly server: Server;
 
-  constructor(
-    handlers: Readonly<
-      Record<string, () => TextResponse | Promise<TextResponse>>
-    >,
-  ) {
+  constructor(handlers: Readonly<Record<string, TextHandler>>) {
     this.server = createServer((request, response) => {
       const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
-      const handler = handlers[path];
-      const result = handler?.() ?? {
-        status: 404,
-        text: 'There is no such page.',
-      };
-      void Promise.resolve(result).then(({ status, text }) => {
+      void responseOf(handlers[path]).then(({ status, text }) => {
         response.writeHead(status, {
           'content-type': 'text/plain; charset=utf-8',
           'content-length': Buffer.byteLength(text),
@@ -46,3 +40,15 @@
     this.server.closeAllConnections();
   }
 }
+
+async function responseOf(
+  handler: TextHandler | undefined,
+): Promise<TextResponse> {
+  if (handler === undefined)
+    return { status: 404, text: 'There is no such page.' };
+  try {
+    return await handler();
+  } catch (error) {
+    return { status: 500, text: `The page failed: ${String(error)}.` };
+  }
+}
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -9,6 +9,7 @@
   SettingsError,
   SettingsWatcher,
 } from './settings/index.js';
+import { surviveUnhandledRejections } from './telemetry/index.js';
 
 const EXIT_INVALID_SETTINGS = 2;
 
@@ -72,6 +73,8 @@
 /** Creates a gateway that applies changes of its settings file; SIGHUP triggers an immediate check. */
 function createGateway(file: string, settings: GatewaySettings): Gateway {
   const gateway = new Gateway(settings);
+  const { log, metrics } = gateway.wiring;
+  surviveUnhandledRejections(process, log, metrics);
   const watcher = new SettingsWatcher(file, {
     onChange: changedSettings => {
       gateway.applySettings(changedSettings);
--- a/packages/daemon/src/peers/peer-server.test.ts
+++ b/packages/daemon/src/peers/peer-server.test.ts
@@ -99,6 +99,16 @@
     assert.deepEqual(result, { text: 'b' });
   });
 
+  it('survives a method whose result cannot be sent', async () => {
+    const cycle = definePeerMethod('test.cycle', z.unknown(), z.unknown());
+    const result: Record<string, unknown> = {};
+    result.self = result;
+    server.handle(cycle, () => Promise.resolve(result));
+    const body = BODY.replace('test.echo', 'test.cycle');
+    assert.equal(await statusOf(sign(body), body), undefined);
+    assert.equal(await statusOf(sign(BODY), BODY), 200);
+  });
+
   it('refuses unsigned messages, a wrong secret and altered bodies', async () => {
     await expectRefused(PeerRefusal.Unauthenticated, {}, BODY);
     const wrongSigner = new MessageSigner('another-secret-text', clock);
--- a/packages/daemon/src/peers/peer-server.ts
+++ b/packages/daemon/src/peers/peer-server.ts
@@ -103,7 +103,7 @@
     );
   }
 
-  /** Answers one HTTP request; invalid messages are refused and counted. */
+  /** Answers one HTTP request; invalid messages are refused and counted. An unexpected error closes the connection. Never rejects. */
   async serve(
     request: IncomingMessage,
     response: ServerResponse,
@@ -117,8 +117,12 @@
       });
       response.end(responseBody);
     } catch (error) {
-      if (!(error instanceof RefusedMessageError)) throw error;
-      this.refuse(response, error.refusal);
+      if (error instanceof RefusedMessageError) {
+        this.refuse(response, error.refusal);
+        return;
+      }
+      this.metrics.increment('peers.failed');
+      response.destroy();
     }
   }
 
