Read the store for others, and pass on the news of it

Cause: each daemon watched the operators' state for itself and learned of a read of the endpoint list or of the holder of the duties only from the peer that did it, which it meets about once in 12 s among 195, so that calls to the store grew with the daemons. Change: hints pass on the latest read that their sender knows of, and the newest lease for the duties; one reader in each data centre, by rendezvous hashing, polls and watches, and others only where the news grows too old for the bounds; daemons exchange hints with the holder of the duties at an interval that keeps its load bounded. Ages still count from the start of a call only. Calls are counted by purpose (metric store.calls).

--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -5,6 +5,7 @@
 import { definePeerMethod } from '../ports/index.js';
 import { quarantineHintsSchema } from '../quarantine/index.js';
 import { rolloutHintsSchema } from '../rollouts/index.js';
+import { dutyLeaseHintSchema } from './duty-lease-news.js';
 
 const MAX_TEXT_LENGTH = 256;
 const text = z.string().min(1).max(MAX_TEXT_LENGTH);
@@ -36,10 +37,16 @@
   work: z.record(text, workSchema),
   grantedTokens: z.record(text, count),
   usage: z.array(windowUsageSchema),
-  /** Time since the sender began its last successful read of the endpoints. */
+  /** Time since the sender, or a daemon that it heard of, began its last successful read of the endpoints. */
   endpointReadAgeMs: count.optional(),
   /** Version of the sender's list of endpoints. */
   endpointsVersion: count,
+  /** Time since the sender, or a daemon that it heard of, last confirmed the operators' state. */
+  operatorReadAgeMs: count.optional(),
+  /** Version of the sender's configuration. Absent in hints of daemons that do not know it. */
+  configurationVersion: count.optional(),
+  /** Newest lease for the duties that the sender knows of. */
+  dutyLease: dutyLeaseHintSchema.optional(),
   rollouts: z.array(rolloutHintsSchema),
   /** Absent in hints of daemons that do not know it. */
   quarantine: quarantineHintsSchema.optional(),
--- /dev/null
+++ b/packages/core/src/hints/duty-lease-news.test.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { DutyLeaseNews } from './duty-lease-news.js';
+
+function held(fencingNumber: number, ageMs: number) {
+  return { fencingNumber, holderId: `d${fencingNumber}`, isHeld: true, ageMs };
+}
+
+describe('DutyLeaseNews', () => {
+  it('names the holder while the news of it is fresh', () => {
+    const news = new DutyLeaseNews();
+    news.record(held(1, 1_000), 5_000);
+    assert.equal(news.holderId(6_900), 'd1');
+    assert.equal(news.holderId(7_100), undefined);
+    assert.equal(news.hint(6_000)?.ageMs, 2_000);
+  });
+
+  it('takes an ended lease for ended, whatever older news says later', () => {
+    const news = new DutyLeaseNews();
+    news.record(held(1, 0), 1_000);
+    news.record({ ...held(1, 0), isHeld: false }, 1_100);
+    news.record(held(1, 0), 1_200);
+    assert.equal(news.holderId(1_200), undefined);
+    news.record(held(2, 0), 1_300);
+    news.record(held(1, 0), 1_400);
+    assert.equal(news.holderId(1_400), 'd2');
+  });
+
+  it('does not pass on old news', () => {
+    const news = new DutyLeaseNews();
+    news.record(held(1, 0), 0);
+    assert.equal(news.hint(31_000), undefined);
+  });
+});
--- /dev/null
+++ b/packages/core/src/hints/duty-lease-news.ts
@@ -0,0 +1,54 @@
+import { z } from 'zod';
+
+/** Age at which news of a held lease no longer counts. */
+const FRESHNESS_MS = 3_000; // six exchanges
+/** Age at which news is no longer passed on. */
+const RETENTION_MS = 30_000;
+
+/** What daemons tell one another of the lease for the duties towards the platform. */
+export const dutyLeaseHintSchema = z.object({
+  /** Rises with each holder. */
+  fencingNumber: z.number().nonnegative(),
+  holderId: z.string().min(1),
+  /** False once the holder has given the lease up or lost it. */
+  isHeld: z.boolean(),
+  /** Time since the holder said so. */
+  ageMs: z.number().nonnegative(),
+});
+
+export type DutyLeaseHint = Readonly<z.output<typeof dutyLeaseHintSchema>>;
+
+type KnownLease = Omit<DutyLeaseHint, 'ageMs'> & { readonly atMs: number };
+
+/** Newest known state of the lease for the duties, from the holder or passed on by others. */
+export class DutyLeaseNews {
+  private known: KnownLease | undefined;
+
+  /** Applies news that arrived at `nowMs`. News of an earlier lease, or that an ended lease is held, is ignored. */
+  record({ ageMs, ...lease }: DutyLeaseHint, nowMs: number): void {
+    const atMs = nowMs - ageMs;
+    const { known } = this;
+    if (known !== undefined) {
+      if (lease.fencingNumber < known.fencingNumber) return;
+      const isSame = lease.fencingNumber === known.fencingNumber;
+      if (isSame && !known.isHeld) return;
+      if (isSame && lease.isHeld && atMs <= known.atMs) return;
+    }
+    this.known = { ...lease, atMs };
+  }
+
+  /** Returns the id of the daemon that recently held the lease; undefined if none did. */
+  holderId(nowMs: number): string | undefined {
+    const { known } = this;
+    const isFresh = known?.isHeld === true && nowMs - known.atMs < FRESHNESS_MS;
+    return isFresh ? known.holderId : undefined;
+  }
+
+  /** Returns what to pass on to peers. */
+  hint(nowMs: number): DutyLeaseHint | undefined {
+    if (this.known === undefined) return undefined;
+    const { atMs, ...lease } = this.known;
+    const ageMs = Math.max(0, nowMs - atMs);
+    return ageMs < RETENTION_MS ? { ...lease, ageMs } : undefined;
+  }
+}
--- a/packages/core/src/hints/hint-store.ts
+++ b/packages/core/src/hints/hint-store.ts
@@ -1,5 +1,7 @@
 import type { EndpointLoad } from '../forwarding/index.js';
 import type { DaemonHints } from './daemon-hints.js';
+import { DutyLeaseNews } from './duty-lease-news.js';
+import { PeerReads } from './peer-reads.js';
 
 /** Age at which a daemon's hints no longer count towards the totals. */
 const FRESHNESS_MS = 3_000; // six exchanges
@@ -12,17 +14,12 @@
   readonly receivedAtMs: number;
 }
 
-/** Read of the endpoints that a peer has reported. */
-interface PeerRead {
-  readonly endpointsVersion: number;
-  /** Earliest time at which the read may have begun. */
-  readonly atMs: number;
-}
-
 /** Latest hints of each peer daemon. */
 export class HintStore {
   private readonly byLifetime = new Map<string, ReceivedHints>();
-  private readonly readsByLifetime = new Map<string, PeerRead>();
+  private readonly endpointReads = new PeerReads();
+  private readonly operatorReads = new PeerReads();
+  readonly dutyLease = new DutyLeaseNews();
 
   /**
    * Stores hints. Returns false where hints of the same lifetime with the same or
@@ -36,11 +33,14 @@
       return false;
     }
     this.byLifetime.set(hints.lifetime, { hints, receivedAtMs: nowMs });
-    this.recordRead(hints, builtAfterMs);
+    this.recordReads(hints, builtAfterMs);
+    if (hints.dutyLease !== undefined)
+      this.dutyLease.record(hints.dutyLease, nowMs);
     for (const [lifetime, { receivedAtMs }] of this.byLifetime) {
       if (nowMs - receivedAtMs <= RETENTION_MS) continue;
       this.byLifetime.delete(lifetime);
-      this.readsByLifetime.delete(lifetime);
+      this.endpointReads.delete(lifetime);
+      this.operatorReads.delete(lifetime);
     }
     return true;
   }
@@ -81,19 +81,22 @@
   }
 
   /**
-   * Returns the latest time at which a peer began a successful read of the
-   * endpoints, among the peers whose list is no newer than `version`;
-   * -Infinity where there is none.
+   * Returns the latest time at which a daemon began a successful read of the
+   * endpoints, as told by peers whose list is no newer than `version`; -Infinity
+   * where there is none.
    */
   endpointReadAtMs(version: number): number {
-    const timesMs = [...this.readsByLifetime.values()]
-      .filter(read => read.endpointsVersion <= version)
-      .map(read => read.atMs);
-    return Math.max(-Infinity, ...timesMs);
+    return this.endpointReads.latestAtMs(version);
+  }
+
+  /** Returns the same for the operators' state, by the version of its configuration. */
+  operatorReadAtMs(configurationVersion: number): number {
+    return this.operatorReads.latestAtMs(configurationVersion);
   }
 
-  /** Returns whether a peer with fresh hints holds the lease for the duties. */
+  /** Returns whether a peer recently held the lease for the duties. */
   hasHolder(nowMs: number): boolean {
+    if (this.dutyLease.holderId(nowMs) !== undefined) return true;
     return this.freshHints(nowMs).some(({ hints }) => hints.holdsDuties);
   }
 
@@ -105,14 +108,16 @@
     }));
   }
 
-  private recordRead(
-    { endpointReadAgeMs, endpointsVersion, lifetime }: DaemonHints,
-    builtAfterMs: number,
-  ): void {
-    if (endpointReadAgeMs === undefined) return;
-    const atMs = builtAfterMs - endpointReadAgeMs;
-    const known = this.readsByLifetime.get(lifetime);
-    if (known !== undefined && known.atMs >= atMs) return;
-    this.readsByLifetime.set(lifetime, { endpointsVersion, atMs });
+  private recordReads(hints: DaemonHints, builtAfterMs: number): void {
+    const { configurationVersion, endpointsVersion, lifetime } = hints;
+    const { endpointReadAgeMs, operatorReadAgeMs } = hints;
+    if (endpointReadAgeMs !== undefined) {
+      const atMs = builtAfterMs - endpointReadAgeMs;
+      this.endpointReads.record(lifetime, endpointsVersion, atMs);
+    }
+    if (operatorReadAgeMs !== undefined && configurationVersion !== undefined) {
+      const atMs = builtAfterMs - operatorReadAgeMs;
+      this.operatorReads.record(lifetime, configurationVersion, atMs);
+    }
   }
 }
--- a/packages/core/src/hints/index.ts
+++ b/packages/core/src/hints/index.ts
@@ -1,3 +1,5 @@
 export * from './cluster-time.js';
 export * from './daemon-hints.js';
+export * from './duty-lease-news.js';
 export * from './hint-store.js';
+export * from './peer-reads.js';
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -5,6 +5,7 @@
 export * from './member-table.js';
 export * from './membership.js';
 export * from './messages.js';
+export * from './reader-role.js';
 export * from './relay-role.js';
 export * from './rendezvous.js';
 export * from './replicated-value.js';
--- a/packages/daemon/src/gateway/endpoint-list-poller.test.ts
+++ b/packages/daemon/src/gateway/endpoint-list-poller.test.ts
@@ -18,6 +18,9 @@
 import { EndpointListPoller } from './endpoint-list-poller.js';
 
 const INTERVAL_MS = 1_200;
+const MAX_FOLLOWED_AGE_MS = 1_800;
+/** Longest that the jitter of a poll lets a list age beyond its interval. */
+const MAX_JITTER_MS = 600;
 
 /** Source whose reads take as long as `readMs` returns for each read, 0 for the first. */
 class SlowSource implements EndpointSource {
@@ -46,6 +49,8 @@
 async function observeAges(
   readMs: (readIndex: number) => number,
   untilMs: number,
+  /** Returns when a reader was last known to have read the list; without it this daemon is the reader. */
+  peers?: (nowMs: number) => number,
 ): Promise<{ agesMs: number[]; source: SlowSource }> {
   const clock = new ManualClock(0);
   const source = new SlowSource(clock, readMs);
@@ -62,7 +67,9 @@
       noopMetrics,
     ),
     intervalMs: INTERVAL_MS,
-    lastPeerReadAtMs: () => -Infinity,
+    maxFollowedAgeMs: MAX_FOLLOWED_AGE_MS,
+    isReader: () => peers === undefined,
+    lastPeerReadAtMs: () => peers?.(clock.nowMs()) ?? -Infinity,
     onListing: () => undefined,
   });
   const stop = new AbortController();
@@ -103,4 +110,24 @@
     const { source } = await observeAges(() => Infinity, 4_000);
     assert.ok(source.freshConnections.length <= 4);
   });
+
+  it('does not read while it hears of recent reads by a reader', async () => {
+    const { source } = await observeAges(
+      () => 5,
+      20_000,
+      nowMs => nowMs - 900,
+    );
+    assert.equal(source.freshConnections.length, 0);
+  });
+
+  it('reads the list itself once the readers have gone silent', async () => {
+    const silentFromMs = 5_000;
+    const { agesMs, source } = await observeAges(
+      () => 5,
+      20_000,
+      nowMs => Math.min(nowMs, silentFromMs),
+    );
+    assert.ok(source.freshConnections.length > 0);
+    assert.ok(Math.max(...agesMs) <= MAX_FOLLOWED_AGE_MS + MAX_JITTER_MS + 100);
+  });
 });
--- a/packages/daemon/src/gateway/endpoint-list-poller.ts
+++ b/packages/daemon/src/gateway/endpoint-list-poller.ts
@@ -12,6 +12,8 @@
 /** Time after which a read is abandoned. */
 const READ_TIMEOUT_MS = 4_000; // a list of two pages on a link that other traffic holds up for seconds
 const MAX_READS_IN_FLIGHT = 4;
+/** Maximum jitter as a share of the interval. */
+const JITTER_SHARE = 0.5;
 const RETRY_MS = 200;
 
 export interface EndpointListPollerDependencies {
@@ -23,7 +25,11 @@
   readonly monitor: DependencyMonitor;
   /** Time between two reads of the list by all daemons together. */
   readonly intervalMs: number;
-  /** Start time of the last successful read by a peer. */
+  /** Time from which a daemon that is no reader reads the list itself. */
+  readonly maxFollowedAgeMs: number;
+  /** Whether this daemon reads the store for others. */
+  readonly isReader: () => boolean;
+  /** Latest start of a successful read by a peer. */
   readonly lastPeerReadAtMs: () => number;
   /** Called with each list that was read and the time at which the read began. */
   readonly onListing: (listing: EndpointListing, readAtMs: number) => void;
@@ -31,7 +37,7 @@
 
 /**
  * Polls the list of endpoints, and skips a poll if another daemon has read the
- * list recently. The random jitter added to each wait leaves most reads to one
+ * list recently; readers poll before the others. The random jitter added to each wait leaves most reads to one
  * daemon (Trickle: Levis, Patel, Culler and Shenker, 2004).
  */
 export class EndpointListPoller {
@@ -55,7 +61,9 @@
     if (this.isOverdue) {
       return nowMs + RETRY_MS + this.deps.random.nextInteger(RETRY_MS);
     }
-    return Math.max(nowMs + 1, this.dueAtMs());
+    // The role may change meanwhile.
+    const checkAtMs = nowMs + this.deps.intervalMs / 2;
+    return Math.max(nowMs + 1, Math.min(this.dueAtMs(), checkAtMs));
   }
 
   /** Returns the start time of the last read that confirms the list in use, by this daemon or a peer; -Infinity before the first. */
@@ -71,7 +79,7 @@
     if (this.readsInFlight >= MAX_READS_IN_FLIGHT) return;
     const { clock, random } = this.deps;
     const readAtMs = clock.nowMs();
-    this.jitterMs = random.nextInteger(this.deps.intervalMs / 2);
+    this.jitterMs = random.nextInteger(this.deps.intervalMs * JITTER_SHARE);
     const readEnd = new AbortController();
     const patience = clock
       .waitUntil(readAtMs + PATIENCE_MS, readEnd.signal)
@@ -111,7 +119,9 @@
   }
 
   private dueAtMs(): number {
-    return this.lastReadAtMs() + this.deps.intervalMs + this.jitterMs;
+    const { intervalMs, isReader, maxFollowedAgeMs } = this.deps;
+    const maxAgeMs = isReader() ? intervalMs : maxFollowedAgeMs;
+    return this.lastReadAtMs() + maxAgeMs + this.jitterMs;
   }
 
   private reportMalformed(entries: number): void {
--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -1,6 +1,6 @@
 import type { DaemonHints } from '@skylarkreach/core/hints';
 import { HintStore } from '@skylarkreach/core/hints';
-import { rankDaemons } from '@skylarkreach/core/membership';
+import { rankDaemons, ReaderRole } from '@skylarkreach/core/membership';
 import type { DaemonIdentity } from '@skylarkreach/core/ports';
 import { LogComponent } from '@skylarkreach/core/ports';
 
@@ -29,6 +29,7 @@
   readonly identity: { -readonly [Name in keyof DaemonIdentity]: string };
   readonly membership: MembershipService;
   readonly hintBoard = new HintStore();
+  readonly readerRole: ReaderRole;
   private readonly listener: HttpListener;
   private readonly peerServer: PeerServer;
   readonly loops: readonly Loop[];
@@ -68,12 +69,18 @@
         onDaemonsListed,
       ),
     });
+    this.readerRole = new ReaderRole({
+      self: this.identity,
+      nowMs: () => clock.nowMs(),
+      livePeers: () => this.membership.live(),
+    });
     const hintExchange = new HintExchange({
       ...context,
       peer: httpPeer,
       registry: peerServer,
       hintBoard: this.hintBoard,
       livePeers: () => this.membership.live(),
+      dutyHolderId: () => this.hintBoard.dutyLease.holderId(clock.nowMs()),
       ownHints: () => hooks.ownHints(),
       onHints: hints => {
         hooks.applyHints(hints);
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -1,3 +1,4 @@
+import type { FencingToken } from '@skylarkreach/core/duties';
 import type { EndpointLimits } from '@skylarkreach/core/endpoint-limits';
 import type {
   EndpointPool,
@@ -21,8 +22,11 @@
   readonly cluster: () => GatewayCluster;
   /** Version of the endpoint list in use. */
   readonly endpointsVersion: () => number;
-  /** Start time of this daemon's last successful read of the endpoint list; -Infinity before the first. */
+  /** Latest start of a successful read of the endpoint list by a daemon that this one knows of; -Infinity before the first. */
   readonly endpointReadAtMs: () => number;
+  /** Latest time at which the operators' state was confirmed, likewise. */
+  readonly operatorReadAtMs: () => number;
+  readonly configurationVersion: () => number;
 }
 
 /** Builds the hints that this daemon sends to peers, and applies those it receives. */
@@ -30,6 +34,8 @@
   private readonly startedAtMs: number;
   private readonly lifetime: string;
   private sequence = 0;
+  /** Lease for the duties that this daemon held last. */
+  private heldLease: FencingToken | undefined;
 
   constructor(
     private readonly context: GatewayContext,
@@ -45,7 +51,10 @@
       this.deps;
     this.sequence += 1;
     const nowMs = this.context.clock.nowMs();
-    const readAgeMs = nowMs - this.deps.endpointReadAtMs();
+    this.recordOwnLease(nowMs);
+    const endpointReadAgeMs = ageMs(nowMs, this.deps.endpointReadAtMs());
+    const operatorReadAgeMs = ageMs(nowMs, this.deps.operatorReadAtMs());
+    const dutyLease = this.deps.cluster().hintBoard.dutyLease.hint(nowMs);
     return {
       daemonId: this.context.settings.identity.daemonId,
       lifetime: this.lifetime,
@@ -56,7 +65,10 @@
       grantedTokens: tokenBuckets.grantedTotals(),
       usage: duties.usageLedger.ownUsage(),
       endpointsVersion: this.deps.endpointsVersion(),
-      ...(Number.isFinite(readAgeMs) ? { endpointReadAgeMs: readAgeMs } : {}),
+      ...(Number.isFinite(endpointReadAgeMs) && { endpointReadAgeMs }),
+      configurationVersion: this.deps.configurationVersion(),
+      ...(Number.isFinite(operatorReadAgeMs) && { operatorReadAgeMs }),
+      ...(dutyLease && { dutyLease }),
       rollouts: rollouts.hints(),
       quarantine: quarantine.hints(),
       endpointLimits: endpointLimits.hints(),
@@ -83,4 +95,22 @@
     endpointLimits.applyPeer(hints.endpointLimits ?? []);
     pool.applyPeerLoad(hintBoard.work(nowMs));
   }
+
+  /** Records whether this daemon holds the lease for the duties, or no longer holds the one that it had. */
+  private recordOwnLease(nowMs: number): void {
+    const { cluster, duties } = this.deps;
+    const token = duties.dutyHolder.currentToken();
+    this.heldLease = token ?? this.heldLease;
+    if (this.heldLease === undefined) return;
+    const { fencingNumber, holder: holderId } = this.heldLease;
+    const isHeld = token !== undefined;
+    const news = { fencingNumber, holderId, isHeld, ageMs: 0 };
+    cluster().hintBoard.dutyLease.record(news, nowMs);
+    if (!isHeld) this.heldLease = undefined;
+  }
+}
+
+/** Returns the age of something that may have happened since `nowMs` was read. */
+function ageMs(nowMs: number, atMs: number): number {
+  return Math.max(0, nowMs - atMs);
 }
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -54,6 +54,10 @@
 };
 /** Interval between reads of the endpoint list, as a fraction of the drain bound. */
 const LISTING_INTERVAL_SHARE = 0.4; // a second read fits within the bound if one fails
+/** Age of the endpoint list from which a daemon that is no reader reads it, as a fraction of the drain bound. */
+const LISTING_FOLLOWED_SHARE = 0.6; // with the jitter, a read still fits within the bound
+/** Age of the operators' state from which a daemon that is no reader reads it, as a fraction of the bound on its application. */
+const CONFIGURATION_FOLLOWED_SHARE = 0.7; // a read still fits within the bound
 /** Maximum log lines per second of one kind: several times the request rate of one daemon at the planned size. */
 const LOG_LINES_PER_SECOND = 50;
 
@@ -131,7 +135,9 @@
     duties,
     cluster: () => cluster,
     endpointsVersion: () => replicator.endpointsVersion,
-    endpointReadAtMs: () => endpointListPoller.lastOwnReadAtMs,
+    endpointReadAtMs: () => endpointListPoller.lastReadAtMs(),
+    operatorReadAtMs: () => operatorWatch.confirmedAtMs(),
+    configurationVersion: () => configuration.version,
   });
   const cluster: GatewayCluster = new GatewayCluster(context, hints, ids => {
     knownDaemons.recordListed(ids);
@@ -173,8 +179,14 @@
       ingress.applyLimits();
     },
   });
-  const operatorWatch = new OperatorWatch({
+  const isReader = () => cluster.readerRole.isReader();
+  const operatorWatch: OperatorWatch = new OperatorWatch({
     ...context,
+    isReader,
+    lastPeerReadAtMs: () =>
+      cluster.hintBoard.operatorReadAtMs(configuration.version),
+    maxFollowedAgeMs:
+      settings.bounds.configurationMs * CONFIGURATION_FOLLOWED_SHARE,
     source: platform.operators,
     monitor: createMonitor(context, 'operators', LogComponent.Configuration),
     onState: state => {
@@ -186,6 +198,8 @@
     source: platform.endpoints,
     monitor: createMonitor(context, 'endpoints', LogComponent.Routing),
     intervalMs: settings.bounds.drainMs * LISTING_INTERVAL_SHARE,
+    maxFollowedAgeMs: settings.bounds.drainMs * LISTING_FOLLOWED_SHARE,
+    isReader,
     lastPeerReadAtMs: () =>
       cluster.hintBoard.endpointReadAtMs(replicator.endpointsVersion),
     onListing: listing => {
@@ -223,14 +237,15 @@
   );
   const rate = { linesPerSecond: LOG_LINES_PER_SECOND };
   const http = new HttpClient(clock);
-  const store = new StoreClient(http, clock, platform.storeAddress);
+  const metrics = new PromMetrics();
+  const store = new StoreClient(http, clock, platform.storeAddress, metrics);
   return {
     settings,
     clock,
     http,
     random: new SeededRandom(seed),
     log: new RateLimitedLog(output, clock, rate),
-    metrics: new PromMetrics(),
+    metrics,
     platform: {
       protocol: new PlatformProtocol(),
       keyValue: store,
--- a/packages/daemon/src/gateway/hint-exchange.ts
+++ b/packages/daemon/src/gateway/hint-exchange.ts
@@ -13,6 +13,8 @@
 export const HINT_INTERVAL_MS = 500; // with the fan-out, any two of 9 daemons exchange hints about twice a second
 /** Number of peers contacted in each round. */
 const FAN_OUT = 4; // bounds the load per daemon, whatever the number of daemons
+/** Interval of exchanges with the holder of the duties, for each peer, so that its load does not grow with their number. */
+const HOLDER_INTERVAL_PER_PEER_MS = 25;
 const CALL_TIMEOUT_MS = 400;
 
 export interface HintExchangeDependencies {
@@ -22,6 +24,8 @@
   readonly registry: PeerRegistry;
   readonly hintBoard: HintStore;
   readonly livePeers: () => readonly DaemonIdentity[];
+  /** Returns the id of the daemon that holds the duties, which needs the counts of all; undefined if it is not known. */
+  readonly dutyHolderId: () => string | undefined;
   /** Builds this daemon's current hints. */
   readonly ownHints: () => DaemonHints;
   /** Called with hints newer than those known from the same lifetime of a daemon. */
@@ -30,6 +34,8 @@
 
 /** Gossips hints: each call to a peer sends this daemon's hints and returns the peer's. */
 export class HintExchange {
+  private nextHolderExchangeAtMs = 0;
+
   constructor(private readonly deps: HintExchangeDependencies) {
     deps.registry.handle(exchangeHintsMethod, hints => {
       this.receive(hints);
@@ -37,13 +43,16 @@
     });
   }
 
-  /** Starts exchanges with up to `FAN_OUT` random peers and doesn't wait for their responses. */
+  /** Starts exchanges with up to `FAN_OUT` random peers, and with the holder of the duties if that is due. Doesn't wait for their responses. */
   step(): Promise<void> {
     const { livePeers, ownHints, random } = this.deps;
     const peers = [...livePeers()];
+    if (peers.length === 0) return Promise.resolve();
+    const hints = ownHints();
+    const holder = this.dueHolder(peers);
+    if (holder !== undefined) void this.exchangeWith(holder, hints);
     const count = Math.min(FAN_OUT, peers.length);
-    const hints = count === 0 ? undefined : ownHints();
-    for (let sent = 0; sent < count && hints !== undefined; sent += 1) {
+    for (let sent = 0; sent < count; sent += 1) {
       const index = random.nextInteger(peers.length);
       const [target] = peers.splice(index, 1);
       if (target !== undefined) void this.exchangeWith(target, hints);
@@ -51,6 +60,21 @@
     return Promise.resolve();
   }
 
+  /** Returns the holder of the duties if an exchange with it is due; among few daemons it is met often enough. */
+  private dueHolder(
+    peers: readonly DaemonIdentity[],
+  ): DaemonIdentity | undefined {
+    if (peers.length <= FAN_OUT * 2) return undefined;
+    const nowMs = this.deps.clock.nowMs();
+    if (nowMs < this.nextHolderExchangeAtMs) return undefined;
+    const holderId = this.deps.dutyHolderId();
+    const holder = peers.find(peer => peer.id === holderId);
+    if (holder === undefined) return undefined;
+    this.nextHolderExchangeAtMs =
+      nowMs + peers.length * HOLDER_INTERVAL_PER_PEER_MS;
+    return holder;
+  }
+
   private async exchangeWith(
     target: DaemonIdentity,
     hints: DaemonHints,
