Give an idle endpoint whose first responses were slow a trial

Change: two seconds after the last response, an idle endpoint is taken to answer as any other; the response to that one request replaces the average.

--- a/packages/core/src/forwarding/endpoint-pool.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -178,4 +178,43 @@
       undefined,
     );
   });
+
+  it('gives an endpoint whose first response was slow a trial within 3 s, and its share after it', () => {
+    const pool = createPool(['a', 'bb']);
+    const slow = pool.reserve(query, 0);
+    slow?.recordFirstEvent(900);
+    slow?.release(AttemptVerdict.Succeeded, 900);
+    const chosenAtMs: number[] = [];
+    for (let nowMs = 900; nowMs < 9_000; nowMs += 50) {
+      const reservation = pool.reserve(query, nowMs);
+      if (reservation?.endpoint.id === slow?.endpoint.id)
+        chosenAtMs.push(nowMs);
+      reservation?.recordFirstEvent(nowMs + 25);
+      reservation?.release(AttemptVerdict.Succeeded, nowMs + 25);
+    }
+    assert.ok((chosenAtMs[0] ?? Infinity) <= 3_900);
+    const later = chosenAtMs.filter(atMs => atMs > 4_000);
+    assert.ok(later.length >= 20, `chosen ${later.length} times`);
+  });
+
+  it('sends one request at a time to an endpoint on trial that is still slow', () => {
+    const pool = createPool(['a', 'bb']);
+    const slow = pool.reserve(query, 0);
+    slow?.recordFirstEvent(900);
+    slow?.release(AttemptVerdict.Succeeded, 900);
+    const other = pool.reserve(query, 900);
+    other?.recordFirstEvent(925);
+    other?.release(AttemptVerdict.Succeeded, 925);
+    let trials = 0;
+    for (let nowMs = 3_000; nowMs < 4_000; nowMs += 50) {
+      const reservation = pool.reserve(query, nowMs);
+      if (reservation?.endpoint.id === slow?.endpoint.id) {
+        trials += 1;
+        continue;
+      }
+      reservation?.recordFirstEvent(nowMs + 25);
+      reservation?.release(AttemptVerdict.Succeeded, nowMs + 25);
+    }
+    assert.equal(trials, 1);
+  });
 });
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -7,11 +7,13 @@
 import type { PoolMember } from './pool-member.js';
 import {
   createPoolMember,
-  DEFAULT_RESPONSE_MS,
+  expectedResponseMs,
   expectedServiceMs,
   expectedUncachedTokens,
   findPreferredMember,
+  isOnTrial,
   matchesVersion,
+  recordResponse,
 } from './pool-member.js';
 
 export interface EndpointPoolOptions {
@@ -60,8 +62,6 @@
   Failed = 'failed',
 }
 
-/** Weight of the newest response in an endpoint's moving average. */
-const RESPONSE_AVERAGE_WEIGHT = 0.1; // averages about the last ten responses, a second of traffic
 /** Cost at a failure share of 1: about one failed attempt and its retry. */
 const FAILURE_PENALTY_MS = 2_000;
 /** Time that each running request adds to the decoding steps of an engine's response. */
@@ -273,8 +273,9 @@
       this.random.nextFloat() * JITTER_MS;
     const running = this.runningAt(member, nowMs);
     return query.promptTokens > 0
-      ? penaltyMs + this.expectedEngineMs(member, query, isPreferred, running)
-      : penaltyMs + expectedServiceMs(member, running);
+      ? penaltyMs +
+          this.expectedEngineMs(member, query, isPreferred, running, nowMs)
+      : penaltyMs + expectedServiceMs(member, running, nowMs);
   }
 
   private expectedEngineMs(
@@ -282,6 +283,7 @@
     query: PoolQuery,
     isPreferred: boolean,
     running: number,
+    nowMs: number,
   ): number {
     const peerBacklogTokens =
       this.peerWorkById.get(member.record.id)?.backlogTokens ?? 0;
@@ -294,7 +296,7 @@
     const prefillMs = prefillTokens / this.options.prefillTokensPerMs;
     const slotWaitMs =
       (queuedRequests / member.record.slots) *
-      (member.averageResponseMs ?? DEFAULT_RESPONSE_MS);
+      expectedResponseMs(member, nowMs);
     return prefillMs + running * RUNNING_REQUEST_COST_MS + slotWaitMs;
   }
 
@@ -320,6 +322,7 @@
       query.promptTokens > 0
         ? member.promptCache.uncachedTokens(query.promptParts)
         : 0;
+    const wasOnTrial = isOnTrial(member, nowMs);
     member.running += 1;
     member.sentSinceLoadReport += 1;
     member.backlogTokens += uncachedTokens;
@@ -335,10 +338,7 @@
       endpoint: member.record,
       recordFirstEvent: atMs => {
         clearBacklog();
-        const responseMs = atMs - nowMs;
-        const average = member.averageResponseMs ?? responseMs;
-        member.averageResponseMs =
-          average + RESPONSE_AVERAGE_WEIGHT * (responseMs - average);
+        recordResponse(member, atMs - nowMs, wasOnTrial, atMs);
       },
       recordLoad: (load, atMs) => {
         member.reportedLoad = load;
--- a/packages/core/src/forwarding/pool-member.ts
+++ b/packages/core/src/forwarding/pool-member.ts
@@ -15,6 +15,8 @@
   sentSinceLoadReport: number;
   /** Moving average of the time from sending a request to its response or first event. */
   averageResponseMs: number | undefined;
+  /** Time of the last response or first event. */
+  respondedAtMs: number;
   readonly health: EndpointHealth;
   readonly promptCache: PromptCache;
   /** Time until which the endpoint may be used although the newest listing lacks it. */
@@ -26,7 +28,11 @@
 /** KV cache capacity assumed for an engine whose configuration is not known yet. */
 const DEFAULT_ENGINE_MEMORY_TOKENS = 450_000; // as the users specify
 /** Response time assumed before the first response. */
-export const DEFAULT_RESPONSE_MS = 20; // service time of a plain request, as the users specify
+const DEFAULT_RESPONSE_MS = 20; // service time of a plain request, as the users specify
+/** Weight of the newest response in an endpoint's moving average. */
+const RESPONSE_AVERAGE_WEIGHT = 0.1; // averages about the last ten responses, a second of traffic
+/** Time without a response after which the average of an idle endpoint no longer counts, so that it gets a trial. */
+const AVERAGE_TTL_MS = 2_000;
 /** Share of the shared parts of a prompt that is expected to be uncached at their preferred endpoint. */
 const PREFERRED_MISS_SHARE = 0.3; // tokens of shared parts that engines read again, relative to all tokens of shared parts, under light load
 
@@ -43,6 +49,7 @@
     loadReportedAtMs: 0,
     sentSinceLoadReport: 0,
     averageResponseMs: undefined,
+    respondedAtMs: -Infinity,
     health: new EndpointHealth(),
     promptCache: new PromptCache(memoryTokens * PROMPT_CACHE_SHARE),
     usableUntilMs: Infinity,
@@ -58,14 +65,44 @@
   return onlyVersion === undefined || version === onlyVersion;
 }
 
+/** Returns whether the endpoint is idle and its average response time too old to count. */
+export function isOnTrial(member: PoolMember, nowMs: number): boolean {
+  return member.running === 0 && nowMs - member.respondedAtMs >= AVERAGE_TTL_MS;
+}
+
+/** Returns the response time to expect of an endpoint without waiting requests, in milliseconds. */
+export function expectedResponseMs(member: PoolMember, nowMs: number): number {
+  const averageMs = member.averageResponseMs ?? DEFAULT_RESPONSE_MS;
+  return isOnTrial(member, nowMs)
+    ? Math.min(averageMs, DEFAULT_RESPONSE_MS)
+    : averageMs;
+}
+
+/** Adds a response to the average; the response to a trial replaces it. */
+export function recordResponse(
+  member: PoolMember,
+  responseMs: number,
+  wasOnTrial: boolean,
+  nowMs: number,
+): void {
+  const averageMs = wasOnTrial ? undefined : member.averageResponseMs;
+  const previousMs = averageMs ?? responseMs;
+  member.averageResponseMs =
+    previousMs + RESPONSE_AVERAGE_WEIGHT * (responseMs - previousMs);
+  member.respondedAtMs = nowMs;
+}
+
 /** Returns the expected response time of a plain service in milliseconds. */
-export function expectedServiceMs(member: PoolMember, running: number): number {
+export function expectedServiceMs(
+  member: PoolMember,
+  running: number,
+  nowMs: number,
+): number {
   const slotRounds = Math.max(
     1,
     (running + 1) / Math.max(1, member.record.slots),
   );
-  const responseMs = member.averageResponseMs ?? DEFAULT_RESPONSE_MS;
-  return responseMs * slotRounds + running;
+  return expectedResponseMs(member, nowMs) * slotRounds + running;
 }
 
 /** Returns the prompt tokens that are expected to be missing from an engine's cache. */
