--- a/packages/core/src/duties/duty-api.ts
+++ b/packages/core/src/duties/duty-api.ts
@@ -27,6 +27,12 @@
   Unavailable = 'unavailable',
 }
 
+export enum ReportOutcome {
+  Accepted = 'accepted',
+  /** The platform does not take the report, also not if it is sent again. */
+  Rejected = 'rejected',
+}
+
 /**
  * Calls to the platform that only the daemon that holds the lease for the
  * duties may make. Throws `PlatformError`.
@@ -37,7 +43,7 @@
     report: UsageReport,
     token: FencingToken,
     deadlineAtMs: number,
-  ): Promise<void>;
+  ): Promise<ReportOutcome>;
   /** Sets the desired number of endpoints of one kind in a data centre. */
   orderEndpoints(
     order: ScalingOrder,
--- a/packages/core/src/duties/fleet-scaler.test.ts
+++ b/packages/core/src/duties/fleet-scaler.test.ts
@@ -4,7 +4,7 @@
 import type { EndpointRecord } from '../forwarding/index.js';
 import { ManualClock, noopLog, RefusedError } from '../ports/index.js';
 import type { DutyApi, FencingToken, ScalingOrder } from './duty-api.js';
-import { ScalingOutcome } from './duty-api.js';
+import { ReportOutcome, ScalingOutcome } from './duty-api.js';
 import { reclaimableEndpointIn } from './fakes/index.js';
 import { FleetScaler } from './fleet-scaler.js';
 
@@ -36,8 +36,8 @@
   hasNoReclaimable = false;
   isDown = false;
 
-  reportUsage(): Promise<void> {
-    return Promise.resolve();
+  reportUsage(): Promise<ReportOutcome> {
+    return Promise.resolve(ReportOutcome.Accepted);
   }
 
   orderEndpoints(order: ScalingOrder): Promise<ScalingOutcome> {
--- a/packages/core/src/duties/usage-reporter.ts
+++ b/packages/core/src/duties/usage-reporter.ts
@@ -3,6 +3,7 @@
 import type { Clock, KeyValueStore, Log } from '../ports/index.js';
 import { LogComponent, PlatformError, PutOutcome } from '../ports/index.js';
 import type { DutyApi, FencingToken, UsageReport } from './duty-api.js';
+import { ReportOutcome } from './duty-api.js';
 import type { UsageLedger } from './usage-ledger.js';
 
 const USAGE_KEY = 'skylarkreach/usage';
@@ -37,6 +38,8 @@
   /** Reports in the key-value service, oldest first. */
   private storedReports: readonly UsageReport[] = [];
   private storedVersion = 0;
+  /** Windows before this one are not reported. */
+  private firstWindowId = -Infinity;
   private readonly sentWindowIds = new Set<number>();
   /** Fencing number under which the stored reports were read; undefined where they must be read again. */
   private loadedFencingNumber: number | undefined;
@@ -65,9 +68,10 @@
   private dueWindowIds(): readonly number[] {
     const { isComplete, maxWaitMs, ledger } = this.deps;
     const lastStoredId = this.storedReports.at(-1)?.windowId ?? -Infinity;
+    const firstId = Math.max(this.firstWindowId, lastStoredId + 1);
     return ledger
       .endedWindows(SETTLE_MS)
-      .filter(windowId => windowId > lastStoredId)
+      .filter(windowId => windowId >= firstId)
       .filter(
         windowId => isComplete() || ledger.endedAgoMs(windowId) >= maxWaitMs,
       );
@@ -82,7 +86,9 @@
         clock.nowMs() + CALL_TIMEOUT_MS,
       );
       this.storedVersion = entry?.version ?? 0;
-      this.storedReports = entry === undefined ? [] : parseReports(entry.value);
+      const reports = entry === undefined ? [] : parseReports(entry.value);
+      if (reports === undefined) this.skipEndedWindows();
+      this.storedReports = reports ?? [];
       return true;
     } catch (error) {
       if (!(error instanceof PlatformError)) throw error;
@@ -97,6 +103,17 @@
     }
   }
 
+  /** Leaves out the windows that have ended, which may have been reported with other counts than those known here. */
+  private skipEndedWindows(): void {
+    const { ledger, log } = this.deps;
+    this.firstWindowId = Math.max(...ledger.endedWindows(0), -1) + 1;
+    log.error(
+      LogComponent.Duties,
+      'The stored usage reports cannot be read; the windows until now are not reported.',
+      { firstWindowId: this.firstWindowId },
+    );
+  }
+
   /** Stores the report of a window by compare-and-swap. Returns false where that fails. */
   private async storeReport(windowId: number): Promise<boolean> {
     const { clock, keyValue, ledger, log } = this.deps;
@@ -137,8 +154,16 @@
     const { windowId } = report;
     try {
       const deadlineAtMs = clock.nowMs() + CALL_TIMEOUT_MS;
-      await dutyApi.reportUsage(report, token, deadlineAtMs);
+      const outcome = await dutyApi.reportUsage(report, token, deadlineAtMs);
       this.sentWindowIds.add(windowId);
+      if (outcome === ReportOutcome.Rejected) {
+        log.error(
+          LogComponent.Duties,
+          'The platform has rejected a usage report; compare it with what the platform holds.',
+          { windowId },
+        );
+        return true;
+      }
       const requests = Object.values(report.counts).reduce((a, b) => a + b, 0);
       log.info(LogComponent.Duties, 'Usage is reported.', {
         windowId,
@@ -156,6 +181,11 @@
   }
 }
 
-function parseReports(value: string): readonly UsageReport[] {
-  return reportsSchema.parse(JSON.parse(value));
+/** Returns undefined if the text is not a list of reports. */
+function parseReports(value: string): readonly UsageReport[] | undefined {
+  try {
+    return reportsSchema.safeParse(JSON.parse(value)).data;
+  } catch {
+    return undefined;
+  }
 }
--- a/packages/core/src/duties/usage.test.ts
+++ b/packages/core/src/duties/usage.test.ts
@@ -5,7 +5,7 @@
 import type { KeyValueStore } from '../ports/index.js';
 import { ManualClock, noopLog, RefusedError } from '../ports/index.js';
 import type { DutyApi, FencingToken, UsageReport } from './duty-api.js';
-import { ScalingOutcome } from './duty-api.js';
+import { ReportOutcome, ScalingOutcome } from './duty-api.js';
 import { UsageLedger } from './usage-ledger.js';
 import { UsageReporter } from './usage-reporter.js';
 
@@ -15,11 +15,15 @@
 class FakePlatform implements DutyApi {
   readonly reports: UsageReport[] = [];
   isDown = false;
+  /** Number of reports received, whether or not they were accepted. */
+  received = 0;
+  outcome = ReportOutcome.Accepted;
 
-  reportUsage(report: UsageReport): Promise<void> {
+  reportUsage(report: UsageReport): Promise<ReportOutcome> {
     if (this.isDown) return Promise.reject(new RefusedError('down', false));
-    this.reports.push(report);
-    return Promise.resolve();
+    this.received += 1;
+    if (this.outcome === ReportOutcome.Accepted) this.reports.push(report);
+    return Promise.resolve(this.outcome);
   }
 
   orderEndpoints(): Promise<ScalingOutcome> {
@@ -50,6 +54,47 @@
 }
 
 describe('usage', () => {
+  it('goes on with later windows after a stored value that cannot be read, and leaves out those before', async () => {
+    for (const value of ['{', '[{"windowId":"x"}]', 'null']) {
+      const clock = new ManualClock(10_000);
+      const ledger = new UsageLedger(WINDOW_MS, () => clock.nowMs());
+      const platform = new FakePlatform();
+      const store = new MemoryKeyValue(clock);
+      await store.put({
+        key: 'skylarkreach/usage',
+        value,
+        expectedVersion: 0,
+        deadlineAtMs: 11_000,
+      });
+      const reporter = createReporter(clock, store, platform, ledger);
+      ledger.count('kowhai', 0);
+      await clock.advanceTo(16_500);
+      await reporter.step(tokenOf('a', 1));
+      assert.deepEqual(platform.reports, []);
+      ledger.count('kowhai', 0);
+      await clock.advanceTo(21_600);
+      await reporter.step(tokenOf('a', 1));
+      assert.deepEqual(platform.reports, [
+        { windowId: 3, counts: { kowhai: 1 } },
+      ]);
+    }
+  });
+
+  it('is not sent again once the platform has rejected it', async () => {
+    const clock = new ManualClock(10_000);
+    const ledger = new UsageLedger(WINDOW_MS, () => clock.nowMs());
+    const platform = new FakePlatform();
+    platform.outcome = ReportOutcome.Rejected;
+    const store = new MemoryKeyValue(clock);
+    const reporter = createReporter(clock, store, platform, ledger);
+    ledger.count('kowhai', 0);
+    await clock.advanceTo(16_500);
+    await reporter.step(tokenOf('a', 1));
+    const { received } = platform;
+    await reporter.step(tokenOf('a', 1));
+    assert.equal(platform.received, received);
+  });
+
   it('is reported once for each window, with the counts of all daemons', async () => {
     const clock = new ManualClock(10_000);
     const ledger = new UsageLedger(WINDOW_MS, () => clock.nowMs());
