Do not take the duties before the peers are known

Change: a daemon that knows no peer waits a second. A wait after each failed attempt was tried and reverted, as the exhaustive test of two candidates then plays no hand-over.

--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -27,6 +27,8 @@
 const PEER_SILENCE_LIMIT_MS = 1_500; // three hint exchanges
 /** Fraction of the time until a usage report is due after which it is sent without missing counts. */
 const REPORT_CUTOFF_SHARE = 0.6;
+/** Time after the start in which a daemon gets to know its peers. */
+const SETTLE_MS = 1_000;
 const RANKING_PURPOSE = 'duties';
 
 export interface GatewayDutiesDependencies {
@@ -54,13 +56,20 @@
       bounds.usageWindowSeconds * MS_PER_SECOND,
       () => this.trueTime.nowMs(),
     );
+    const settledAtMs = clock.nowMs() + SETTLE_MS;
+    const rankAfterStart = () => {
+      const cluster = deps.cluster();
+      const mayKnowNoPeerYet =
+        cluster.size === 1 && clock.nowMs() < settledAtMs;
+      return mayKnowNoPeerYet ? Infinity : cluster.rankFor(RANKING_PURPOSE);
+    };
     this.dutyHolder = new DutyHolder(
       platform.keyValue,
       clock,
       () => Date.now(),
       {
         hasHolder: () => deps.cluster().hintBoard.hasHolder(clock.nowMs()),
-        rank: () => deps.cluster().rankFor(RANKING_PURPOSE),
+        rank: rankAfterStart,
       },
       { ...identity, leaseMs: bounds.leaseMs },
     );
