Keep the sum of the peers' load up to date instead of adding it up for each hint

Cause: each hint that arrived added up the load of all fresh peers at all endpoints; hints arrive 16 times a second. Test: hint-store, the sums against a plain model over random arrivals and pauses.

--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -81,7 +81,7 @@
 export class EndpointPool {
   private membersById = new Map<string, PoolMember>();
   private listedRevision = 0;
-  private peerWorkById = new Map<string, EndpointLoad>();
+  private peerWorkById: ReadonlyMap<string, EndpointLoad> = new Map();
   /** Time until which endpoints are excluded because another one answered on their address, by id. */
   private readonly misdirectedUntilMs = new Map<string, number>();
 
@@ -136,7 +136,7 @@
 
   /** Replaces the load that all peers together have at each endpoint. */
   applyPeerLoad(work: ReadonlyMap<string, EndpointLoad>): void {
-    this.peerWorkById = new Map(work);
+    this.peerWorkById = work;
   }
 
   /** Returns the load that this daemon has at each endpoint with running requests. */
--- a/packages/core/src/hints/hint-store.test.ts
+++ b/packages/core/src/hints/hint-store.test.ts
@@ -63,6 +63,38 @@
     assert.equal(store.silentForMs('a', 3_000), 3_000);
   });
 
+  it('sums the work of the fresh hints whatever came before', () => {
+    const message = fc.record({
+      daemon: fc.nat(3),
+      endpoint: fc.nat(2),
+      running: fc.nat(5),
+      afterMs: fc.nat(1_500),
+    });
+    fc.assert(
+      fc.property(fc.array(message, { maxLength: 40 }), messages => {
+        const store = new HintStore();
+        const latest = new Map<string, { atMs: number; running: number }>();
+        let nowMs = 0;
+        for (const [sequence, each] of messages.entries()) {
+          nowMs += each.afterMs;
+          const id = `d${each.daemon}`;
+          const load = { running: each.running, backlogTokens: 0 };
+          const work = { [`e${each.endpoint}`]: load };
+          store.add(hints(id, sequence, { work }), nowMs);
+          latest.set(id, { atMs: nowMs, running: each.running });
+          const fresh = [...latest.values()].filter(
+            ({ atMs }) => nowMs - atMs < 3_000,
+          );
+          const expected = fresh.reduce((sum, last) => sum + last.running, 0);
+          const sums = [...store.work(nowMs).values()];
+          const actual = sums.reduce((sum, { running }) => sum + running, 0);
+          assert.equal(actual, expected);
+        }
+      }),
+      { seed: SEED },
+    );
+  });
+
   it('counts a peer’s read of the endpoints only if its list is no newer', () => {
     const store = new HintStore();
     store.add(hints('a', 1, { endpointReadAgeMs: 100 }), 1_000, 1_000);
--- a/packages/core/src/hints/hint-store.ts
+++ b/packages/core/src/hints/hint-store.ts
@@ -1,6 +1,7 @@
 import type { EndpointLoad } from '../forwarding/index.js';
 import type { DaemonHints } from './daemon-hints.js';
 import { DutyLeaseNews } from './duty-lease-news.js';
+import { PeerLoad } from './peer-load.js';
 import { PeerReads } from './peer-reads.js';
 
 /** Age at which a daemon's hints no longer count towards the totals. */
@@ -17,6 +18,7 @@
 /** Latest hints of each peer daemon. */
 export class HintStore {
   private readonly byLifetime = new Map<string, ReceivedHints>();
+  private readonly load = new PeerLoad();
   private readonly endpointReads = new PeerReads();
   private readonly operatorReads = new PeerReads();
   readonly dutyLease = new DutyLeaseNews();
@@ -33,12 +35,14 @@
       return false;
     }
     this.byLifetime.set(hints.lifetime, { hints, receivedAtMs: nowMs });
+    this.load.replace(hints.lifetime, hints.work);
     this.recordReads(hints, builtAfterMs);
     if (hints.dutyLease !== undefined)
       this.dutyLease.record(hints.dutyLease, nowMs);
     for (const [lifetime, { receivedAtMs }] of this.byLifetime) {
       if (nowMs - receivedAtMs <= RETENTION_MS) continue;
       this.byLifetime.delete(lifetime);
+      this.load.remove(lifetime);
       this.endpointReads.delete(lifetime);
       this.operatorReads.delete(lifetime);
     }
@@ -65,19 +69,12 @@
     return agesMs.length === 0 ? undefined : Math.min(...agesMs);
   }
 
-  /** Returns the summed work of all peers with fresh hints, by endpoint. */
+  /** Returns the summed work of all peers with fresh hints, by endpoint. The map changes with later calls. */
   work(nowMs: number): ReadonlyMap<string, EndpointLoad> {
-    const sums = new Map<string, EndpointLoad>();
-    for (const { hints } of this.freshHints(nowMs)) {
-      for (const [id, work] of Object.entries(hints.work)) {
-        const sum = sums.get(id);
-        sums.set(id, {
-          running: work.running + (sum?.running ?? 0),
-          backlogTokens: work.backlogTokens + (sum?.backlogTokens ?? 0),
-        });
-      }
+    for (const [lifetime, { receivedAtMs }] of this.byLifetime) {
+      if (nowMs - receivedAtMs >= FRESHNESS_MS) this.load.remove(lifetime);
     }
-    return sums;
+    return this.load.total;
   }
 
   /**
