--- /dev/null
+++ b/packages/core/src/hints/fakes/index.ts
@@ -0,0 +1,1 @@
+export * from './news-simulation.js';
--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -4,6 +4,7 @@
 import type { Experiment } from './experiment/index.js';
 import { fleetExperiment } from './fleet/index.js';
 import { movesExperiment } from './moves/index.js';
+import { newsExperiment } from './news/index.js';
 import { overloadExperiment } from './overload/index.js';
 import { pathExperiment } from './path/index.js';
 import { routingExperiment } from './routing/index.js';
@@ -16,6 +17,7 @@
   pathExperiment,
   movesExperiment,
   slopesExperiment,
+  newsExperiment,
   configExperiment,
   claimsExperiment,
   controlExperiment,
