Do not say 'not run' of a request that an engine took, and keep rollback decisions within a message

Causes: whether a request may have run was recorded with its first event, so that a request which the engine took and lost without one ended as not run; the decisions of a daemon's own moves were added to the hundred that a message may contain, so that the exchange failed from then on. Change: an attempt counts from its dispatch, unless the engine refused it or was not reached; the decisions of own moves count as the latest ones, and the oldest is dropped.

--- a/packages/core/src/moves/move-registry.ts
+++ b/packages/core/src/moves/move-registry.ts
@@ -1,7 +1,12 @@
 import type { Endpoint, KeyValueEntry } from '../ports/index.js';
 import type { EvidenceReport, RequestResult } from './evidence.js';
 import type { MoveRecord, RollbackDecision } from './move.js';
-import { decodeMoveRecord, moveKey, MoveState } from './move.js';
+import {
+  decodeMoveRecord,
+  MAX_EXCHANGED_ROLLBACKS,
+  moveKey,
+  MoveState,
+} from './move.js';
 import { MoveController } from './move-controller.js';
 import { excludedNewEndpoints, usesNewVersion } from './version-hashing.js';
 import type {
@@ -11,9 +16,6 @@
 } from './version-policy.js';
 import { ANY_VERSION } from './version-policy.js';
 
-/** Rollback decisions stored for peers that ask for them; the oldest is dropped first. */
-const MAX_STORED_ROLLBACKS = 100;
-
 /** Result of a request, with the group and the version that served it. */
 export interface VersionedResult extends Omit<RequestResult, 'isNewVersion'> {
   readonly group: string;
@@ -44,11 +46,7 @@
 
   /** Applies a rollback decision of any daemon. */
   applyRollback(decision: RollbackDecision): void {
-    this.knownRollbacks.set(decision.moveId, decision);
-    for (const moveId of this.knownRollbacks.keys()) {
-      if (this.knownRollbacks.size <= MAX_STORED_ROLLBACKS) break;
-      this.knownRollbacks.delete(moveId);
-    }
+    this.storeRollback(decision);
     this.byGroup.get(decision.group)?.applyRollback(decision);
   }
 
@@ -79,11 +77,10 @@
       : record.state === MoveState.RolledBack;
   }
 
-  /** Returns the rollback decisions that this daemon knows. */
+  /** Returns the latest rollback decisions that this daemon knows, as many as one message may contain. */
   rollbackDecisions(): readonly RollbackDecision[] {
-    for (const { rollbackDecision: decision } of this.byGroup.values()) {
-      if (decision !== undefined)
-        this.knownRollbacks.set(decision.moveId, decision);
+    for (const { rollbackDecision } of this.byGroup.values()) {
+      if (rollbackDecision !== undefined) this.storeRollback(rollbackDecision);
     }
     return [...this.knownRollbacks.values()];
   }
@@ -148,6 +145,16 @@
     controller.recordResult({ ...result, isNewVersion });
   }
 
+  /** Stores a decision as the latest one; the oldest is dropped first. */
+  private storeRollback(decision: RollbackDecision): void {
+    this.knownRollbacks.delete(decision.moveId);
+    this.knownRollbacks.set(decision.moveId, decision);
+    for (const moveId of this.knownRollbacks.keys()) {
+      if (this.knownRollbacks.size <= MAX_EXCHANGED_ROLLBACKS) break;
+      this.knownRollbacks.delete(moveId);
+    }
+  }
+
   private add(record: MoveRecord, version: number, nowMs: number): void {
     const controller = new MoveController(
       this.daemonId,
--- a/packages/core/src/moves/move.ts
+++ b/packages/core/src/moves/move.ts
@@ -73,6 +73,9 @@
 
 export type Finding = Readonly<z.output<typeof findingSchema>>;
 
+/** Number of rollback decisions that one message between daemons may contain. */
+export const MAX_EXCHANGED_ROLLBACKS = 100;
+
 /** Decision to roll a move back; final for that move. Appears as `brake` in messages and metrics. */
 export const rollbackDecisionSchema = z.object({
   moveId: z.string(),
--- a/packages/core/src/moves/peer-methods.ts
+++ b/packages/core/src/moves/peer-methods.ts
@@ -2,7 +2,7 @@
 
 import { definePeerMethod } from '../ports/index.js';
 import { evidenceReportSchema } from './evidence.js';
-import { rollbackDecisionSchema } from './move.js';
+import { MAX_EXCHANGED_ROLLBACKS, rollbackDecisionSchema } from './move.js';
 
 const entrySchema = z.object({
   key: z.string(),
@@ -10,6 +10,10 @@
   version: z.number(),
 });
 
+const rollbacksSchema = z.object({
+  brakes: z.array(rollbackDecisionSchema).max(MAX_EXCHANGED_ROLLBACKS),
+});
+
 /**
  * Reports a daemon's evidence to a coordinator. The response contains the
  * rollback decision, if one is known, and the record if it is newer than the
@@ -28,8 +32,8 @@
 /** Sends the known rollback decisions to a daemon; the response contains those that it knows. */
 export const exchangeRollbacksMethod = definePeerMethod(
   'moves.brakes',
-  z.object({ brakes: z.array(rollbackDecisionSchema).max(100) }),
-  z.object({ brakes: z.array(rollbackDecisionSchema).max(100) }),
+  rollbacksSchema,
+  rollbacksSchema,
 );
 
 /** Sends the record of a move that has just started to a daemon. */
--- a/packages/core/src/pipeline/attempt-series.ts
+++ b/packages/core/src/pipeline/attempt-series.ts
@@ -2,6 +2,7 @@
 import {
   EngineEventKind,
   LogComponent,
+  NotSentError,
   PlatformError,
   RefusedError,
 } from '../ports/index.js';
@@ -41,6 +42,8 @@
   private dispatchCount = 0;
   private dispatchesWithoutProgress = 0;
   private mayHaveRun: boolean;
+  /** Whether the current attempt was sent and nothing shows that it was not run. */
+  private isSent = false;
   /** End to report to the router if the current attempt does not succeed. */
   private failureEnd: AttemptEnd = AttemptEnd.Failed;
   private readonly selector: EndpointSelector;
@@ -61,7 +64,9 @@
 
   /** Whether the work may have run, for the error if the request ends without an answer. */
   get outcome(): RequestOutcome {
-    return this.mayHaveRun ? RequestOutcome.Unknown : RequestOutcome.NotRun;
+    return this.mayHaveRun || this.isSent
+      ? RequestOutcome.Unknown
+      : RequestOutcome.NotRun;
   }
 
   /** Adopts the work and version loaded from a record. */
@@ -112,6 +117,7 @@
       priority,
       deadlineAtMs,
     };
+    this.isSent = true;
     return engine.generate(address, request, signal);
   }
 
@@ -165,6 +171,9 @@
   /** Logs a failure of the current attempt and reports a leaving endpoint to the router. */
   recordFailure(error: unknown): void {
     if (!(error instanceof PlatformError)) return;
+    const isNotRun =
+      error instanceof RefusedError || error instanceof NotSentError;
+    if (isNotRun) this.isSent = false;
     const { clock, log, router } = this.deps;
     const address = this.target?.address ?? '';
     log.warn(LogComponent.Pipeline, 'An attempt failed.', {
@@ -189,6 +198,8 @@
 
   private startAttempt(endpoint: Endpoint, assembler: AnswerAssembler): void {
     const { clock, random, router } = this.deps;
+    this.mayHaveRun ||= this.isSent;
+    this.isSent = false;
     this.dispatchCount += 1;
     this.dispatchesWithoutProgress += 1;
     const suffix = random.nextInteger(Number.MAX_SAFE_INTEGER).toString(36);
--- a/packages/core/src/pipeline/model-pipeline.test.ts
+++ b/packages/core/src/pipeline/model-pipeline.test.ts
@@ -162,6 +162,27 @@
     assert.notEqual(fixture.error.retryAtMs, undefined);
   });
 
+  it('does not say "not run" where the only engine took the request and no event arrived', async () => {
+    for (const fault of [StreamFault.Broken, StreamFault.Silent]) {
+      const plan = { fault, afterTokens: 0 };
+      const plans = Array.from({ length: 40 }, () => plan);
+      const fixture = new PipelineFixture(plans, [
+        createEndpoint(1, 'north-1'),
+      ]);
+      await fixture.run();
+      assert.ok(fixture.error instanceof RequestError);
+      assert.equal(fixture.error.outcome, RequestOutcome.Unknown);
+    }
+  });
+
+  it('says "not run" where the only engine refused the request', async () => {
+    const fixture = new PipelineFixture([], [createEndpoint(1, 'north-1')]);
+    fixture.engine.terminatedAddresses.add('10.0.0.1:80');
+    await fixture.run();
+    assert.ok(fixture.error instanceof RequestError);
+    assert.equal(fixture.error.outcome, RequestOutcome.NotRun);
+  });
+
   it('continues from a record that another daemon handed off', async () => {
     const first = new PipelineFixture();
     const abortController = new AbortController();
