Give attempts at services ids of their own, and let a malformed engine answer fail its own call only

Causes: the id of an attempt was made of the number of endpoints tried, which is set back when all have been tried; a load report that does not match the schema threw an error that failed the whole step, with the reports of sound engines; a query for an outcome passed the caller's bearer token on with the call's name.

--- a/packages/core/src/pipeline/service-dispatcher.ts
+++ b/packages/core/src/pipeline/service-dispatcher.ts
@@ -19,6 +19,8 @@
 /** Dispatches calls to endpoints of plain services. */
 export class ServiceDispatcher {
   private readonly repeatable: RepeatableDispatcher;
+  /** Makes the ids of attempts unique, also of those at an endpoint that is used again. */
+  private attemptCount = 0;
 
   constructor(private readonly deps: PipelineDependencies) {
     const budget = new RetryBudget();
@@ -65,8 +67,9 @@
       );
     }
     excluded.add(endpoint.address);
+    this.attemptCount += 1;
     const attempt: Attempt = {
-      attemptId: `${request.requestId}.${excluded.size}`,
+      attemptId: `${request.requestId}.${this.attemptCount}`,
       address: endpoint.address,
       request: createRouteRequest(call, request, excluded),
     };
--- a/packages/core/src/pipeline/service-outcomes.ts
+++ b/packages/core/src/pipeline/service-outcomes.ts
@@ -45,7 +45,8 @@
   /** Returns the recorded outcome, or the one that the service reports if the record leaves it open. Throws `RequestError`. */
   async find(request: OutcomeRequest): Promise<CallOutcome> {
     const workspace = workspaceOf(request, this.deps.tokens);
-    const call = { ...request, workspace };
+    const { idempotencyKey, service } = request;
+    const call: ServiceCallName = { idempotencyKey, service, workspace };
     const deadlineAtMs = this.deps.clock.nowMs() + QUERY_TIMEOUT_MS;
     const record = await this.findRecord(call, deadlineAtMs);
     if (record === undefined) throw noRecordError(call);
--- a/packages/daemon/src/adapters/http-engine.ts
+++ b/packages/daemon/src/adapters/http-engine.ts
@@ -13,6 +13,7 @@
   ResumeRequest,
 } from '@skylarkreach/core/ports';
 import {
+  AnswerLostError,
   CacheEventKind,
   EngineEventKind,
   FinishReason,
@@ -118,7 +119,8 @@
   }
 
   async load(address: Address, deadlineAtMs: number): Promise<LoadReport> {
-    return loadSchema.parse(await this.get(address, '/v1/load', deadlineAtMs));
+    const response = await this.get(address, '/v1/load', deadlineAtMs);
+    return parseAnswer(address, loadSchema, response);
   }
 
   async cacheEvents(
@@ -128,7 +130,7 @@
   ): Promise<readonly CacheEvent[]> {
     const path = `/v1/cache-events?afterSequence=${afterSequence}`;
     const response = await this.get(address, path, deadlineAtMs);
-    return cacheEventsSchema.parse(response).events;
+    return parseAnswer(address, cacheEventsSchema, response).events;
   }
 
   async moveCache(
@@ -154,7 +156,7 @@
       body: JSON.stringify(order),
       deadlineAtMs: order.deadlineAtMs,
     });
-    return orderSchema.parse(response).outcome;
+    return parseAnswer(address, orderSchema, response).outcome;
   }
 
   async inventory(
@@ -162,7 +164,7 @@
     deadlineAtMs: number,
   ): Promise<EngineInventory> {
     const response = await this.get(address, '/v1/inventory', deadlineAtMs);
-    return inventorySchema.parse(response);
+    return parseAnswer(address, inventorySchema, response);
   }
 
   private get(
@@ -174,6 +176,19 @@
   }
 }
 
+/** Returns an engine's answer. Throws `AnswerLostError` if it does not match the schema, so that one faulty engine fails only its own call. */
+function parseAnswer<Output>(
+  address: Address,
+  schema: z.ZodType<Output>,
+  response: unknown,
+): Output {
+  const parsed = schema.safeParse(response);
+  if (parsed.success) return parsed.data;
+  throw new AnswerLostError(`${address} sent a malformed answer.`, {
+    cause: parsed.error,
+  });
+}
+
 function streamPath(streamId: string): string {
   return `/v1/streams/${encodeURIComponent(streamId)}`;
 }
