Log why no attempt followed the last one of a request

The hypotheses on the lost answers could not be told apart by the logs: a stream that was cut showed its attempts, but not whether attempts, budget or endpoints had run out, nor whether this daemon itself was held up when it found the endpoint silent. The end of a request now says how the last attempt ended and what kept it from another one, the line of a silent attempt how late its timer ran. Callers' connections that are closed as idle, and requests that arrive on a connection which this daemon has ended, are counted; the latter were dropped without a line.

The decision on a retry moves out of ForwardRun as a pure function; what it decides is unchanged.

--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -50,6 +50,8 @@
   readonly kind: AttemptEndKind;
   readonly crashEvidence: CrashEvidence;
   readonly reason?: string;
+  /** Delay of the timer that found the endpoint silent: the time for which this daemon itself was held up. */
+  readonly noticedLateMs?: number;
   readonly response?: BufferedResponse;
 }
 
@@ -113,7 +115,8 @@
   /** Rate limit that the endpoint named in its response. */
   limitPerSecond: number | undefined;
   private readonly upstreamAbort = new AbortController();
-  private hasTimedOut = false;
+  /** Delay with which the timeout was noticed; undefined if there was none. */
+  private noticedLateMs: number | undefined;
   private firstEventAtMs: number | undefined;
   private readonly idleTimer: IdleTimer;
 
@@ -122,8 +125,8 @@
     private readonly reservation: PoolReservation,
     private readonly options: AttemptOptions,
   ) {
-    this.idleTimer = new IdleTimer(deps.clock, () => {
-      this.hasTimedOut = true;
+    this.idleTimer = new IdleTimer(deps.clock, lateMs => {
+      this.noticedLateMs = lateMs;
       this.upstreamAbort.abort();
     });
   }
@@ -275,7 +278,9 @@
 
   private resultOfError(error: unknown): AttemptOutcome {
     if (this.options.signal.aborted) return endedAs(AttemptEndKind.Cancelled);
-    if (this.hasTimedOut) return endedAs(AttemptEndKind.Silent);
+    const { noticedLateMs } = this;
+    if (noticedLateMs !== undefined)
+      return { ...endedAs(AttemptEndKind.Silent), noticedLateMs };
     const reason = String(error);
     return error instanceof NotSentError
       ? { ...endedAs(AttemptEndKind.NotSent), reason }
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -15,6 +15,8 @@
 import type { ForwardRequest } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
 import type { ResolvedRequest } from './resolve-request.js';
+import type { RetryState } from './retry-obstacle.js';
+import { findRetryObstacle, RetryObstacle } from './retry-obstacle.js';
 import { toForwardError } from './run-failure.js';
 import { StreamRelay } from './stream-relay.js';
 import type { ResponseWriter } from './upstream.js';
@@ -59,6 +61,8 @@
   private isTimedOut = false;
   private mayHaveRun = false;
   private isUsageCounted = false;
+  private obstacle: RetryObstacle | undefined;
+  private lastEnd: AttemptEndKind | undefined;
   private firstResponseAtMs: number | undefined;
   private lastEndpointId = '';
   /** Time from the request's arrival to the dispatch of its last attempt. */
@@ -112,6 +116,8 @@
       endpoint: this.lastEndpointId,
       attempts: this.attempts,
       mayHaveRun: this.mayHaveRun,
+      ...(this.lastEnd !== undefined && { lastEnd: this.lastEnd }),
+      ...(this.obstacle !== undefined && { notRetried: this.obstacle }),
       dispatchedAfterMs: Math.round(this.dispatchedAfterMs),
       endpointListAgeMs: Math.round(this.endpointListAgeMs),
       ...(this.relay && {
@@ -132,14 +138,18 @@
     let last: AttemptOutcome | undefined;
     do {
       const reservation = this.reserveEndpoint();
-      if (reservation === undefined) break;
+      if (reservation === undefined) {
+        this.obstacle = RetryObstacle.NoEndpoint;
+        break;
+      }
       last = await this.attempt(reservation);
       if (signal.aborted) {
         this.outcome = RunOutcome.CallerDisconnected;
         return;
       }
       response = last.response ?? response;
-    } while (this.mayRetry(last));
+      this.obstacle = this.acquireRetry(last);
+    } while (this.obstacle === undefined);
     if (last?.kind === AttemptEndKind.Answered && last.response === undefined) {
       this.outcome = RunOutcome.Answered;
       return;
@@ -207,6 +217,7 @@
   ): void {
     const { clock, log, metrics, pool } = this.deps;
     const nowMs = clock.nowMs();
+    this.lastEnd = result.kind;
     this.excluded.add(endpoint.id);
     if (result.kind !== AttemptEndKind.NotSent) this.reached.add(endpoint.id);
     switch (result.kind) {
@@ -235,33 +246,35 @@
       endpoint: endpoint.id,
       end: result.kind,
       reason: result.reason ?? '',
+      ...(result.noticedLateMs !== undefined && {
+        noticedLateMs: Math.round(result.noticedLateMs),
+      }),
       elapsedMs: Math.round(nowMs - sentAtMs),
       attempts: this.attempts,
     });
   }
 
-  private mayRetry(result: AttemptOutcome): boolean {
-    const { budget, resolved, suspectIds } = this.context;
-    const remainingMs = this.deadlineAtMs - this.deps.clock.nowMs();
-    if (this.isTimedOut || remainingMs < MIN_TIME_FOR_ATTEMPT_MS) return false;
-    if (this.deps.crashGuard.blockedForMs(suspectIds) !== undefined)
-      return false;
-    const hasAttemptsLeft = this.attempts < resolved.route.maxAttempts;
-    switch (result.kind) {
-      case AttemptEndKind.NotSent:
-        return this.unsentAttempts < MAX_UNSENT_ATTEMPTS;
-      case AttemptEndKind.Misdirected:
-      case AttemptEndKind.NotRun:
-        return hasAttemptsLeft && budget.tryAcquire();
-      case AttemptEndKind.Answered:
-        if (!isEndpointError(result.response)) return false;
-        return this.isRepeatable() && hasAttemptsLeft && budget.tryAcquire();
-      case AttemptEndKind.Failed:
-      case AttemptEndKind.Silent:
-        return this.isRepeatable() && hasAttemptsLeft && budget.tryAcquire();
-      case AttemptEndKind.Cancelled:
-        return false;
-    }
+  /** Returns what keeps the request from another attempt; if nothing does, one retry is taken from the budget. */
+  private acquireRetry(result: AttemptOutcome): RetryObstacle | undefined {
+    const obstacle = findRetryObstacle(result, this.retryState());
+    if (obstacle !== undefined) return obstacle;
+    if (result.kind === AttemptEndKind.NotSent) return undefined;
+    return this.context.budget.tryAcquire()
+      ? undefined
+      : RetryObstacle.BudgetSpent;
+  }
+
+  private retryState(): RetryState {
+    const { resolved, suspectIds } = this.context;
+    const { clock, crashGuard } = this.deps;
+    const remainingMs = this.deadlineAtMs - clock.nowMs();
+    return {
+      isDeadlineNear: this.isTimedOut || remainingMs < MIN_TIME_FOR_ATTEMPT_MS,
+      isBlocked: crashGuard.blockedForMs(suspectIds) !== undefined,
+      isRepeatable: this.isRepeatable(),
+      hasAttemptsLeft: this.attempts < resolved.route.maxAttempts,
+      hasUnsentAttemptsLeft: this.unsentAttempts < MAX_UNSENT_ATTEMPTS,
+    };
   }
 
   private isRepeatable(): boolean {
--- a/packages/core/src/forwarding/idle-timer.ts
+++ b/packages/core/src/forwarding/idle-timer.ts
@@ -9,7 +9,8 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly onIdle: () => void,
+    /** `lateMs` is the time since the timeout. */
+    private readonly onIdle: (lateMs: number) => void,
   ) {}
 
   /** Restarts the timer: `onIdle` is called unless it is reset again within `timeoutMs`. */
@@ -36,6 +37,6 @@
         .catch(() => undefined);
       if (signal.aborted) return;
     } while (this.clock.nowMs() < this.idleAtMs);
-    this.onIdle();
+    this.onIdle(this.clock.nowMs() - this.idleAtMs);
   }
 }
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -22,6 +22,7 @@
   listenOn,
   readBytes,
 } from '../http/index.js';
+import { closeIdleConnections, recordLateRequest } from './idle-connections.js';
 import { abortResponse, ResponseSink } from './response-sink.js';
 
 export interface IngressServerDependencies {
@@ -76,6 +77,7 @@
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.handleClientError(error, socket);
     });
+    closeIdleConnections(this.server, this.deps.metrics);
     this.applyLimits();
   }
 
@@ -133,7 +135,10 @@
     response: ServerResponse,
   ): Promise<void> {
     // The request crossed the end of its connection and could not be answered.
-    if (!isOpen(request.socket)) return;
+    if (!isOpen(request.socket)) {
+      recordLateRequest(this.deps);
+      return;
+    }
     const receivedAtMs = this.deps.clock.nowMs();
     const disconnected = this.trackResponse(request.socket, response);
     const sink = new ResponseSink(response, () => this.isDraining);
