--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -42,19 +42,17 @@
     limiter: UNLIMITED,
   });
   private readonly forwarder: Forwarder;
+  private revision = 0;
 
   constructor(
     script: readonly ScriptedResponse[],
     private readonly route: ForwardRoute,
     { endpoints = ENDPOINTS, retries = 10 } = {},
   ) {
-    this.upstream = new ScriptedUpstream(script);
+    this.upstream = new ScriptedUpstream(script, this.clock);
     const configuration = new ConfigurationStore();
     configuration.apply(sampleConfiguration([route]));
-    this.pool.apply({
-      revision: 1,
-      endpoints: endpoints.map(id => sampleEndpoint(id)),
-    });
+    this.listEndpoints(endpoints);
     const budget = new RetryBudget({
       refillPerFirstAttempt: 0,
       capacity: retries,
@@ -94,6 +92,15 @@
     });
   }
 
+  /** Replaces the endpoints that are listed. */
+  listEndpoints(ids: readonly string[]): void {
+    this.revision += 1;
+    this.pool.apply({
+      revision: this.revision,
+      endpoints: ids.map(id => sampleEndpoint(id)),
+    });
+  }
+
   /** Serves one request; resolves with the `ForwardError`, if one was thrown. */
   async serve(
     metadata: Partial<RequestMetadata> = {},
--- a/packages/core/src/forwarding/fakes/recording-crash-guard.ts
+++ b/packages/core/src/forwarding/fakes/recording-crash-guard.ts
@@ -3,12 +3,16 @@
 /** Fake guard that blocks the given ids and records what it is told. */
 export class RecordingCrashGuard implements CrashGuard {
   readonly blockedIds = new Set<string>();
+  /** Blocks every request. */
+  blockAll = false;
   readonly crashes: EndpointCrash[] = [];
   /** Number of completed requests. */
   completed = 0;
 
   blockedForMs(suspectIds: readonly string[]): number | undefined {
-    return suspectIds.some(id => this.blockedIds.has(id)) ? 60_000 : undefined;
+    const isBlocked =
+      this.blockAll || suspectIds.some(id => this.blockedIds.has(id));
+    return isBlocked ? 60_000 : undefined;
   }
 
   recordCrash(crash: EndpointCrash): void {
--- a/packages/core/src/forwarding/fakes/scripted-upstream.ts
+++ b/packages/core/src/forwarding/fakes/scripted-upstream.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '../../ports/index.js';
 import { AnswerLostError, NotSentError } from '../../ports/index.js';
 import type {
   EndpointRecord,
@@ -19,6 +20,9 @@
   readonly isTruncated?: boolean;
   /** The body, or the whole response if there are no chunks, stalls until the call is aborted. */
   readonly isHanging?: boolean;
+  /** The endpoint is silent after the chunks, or before the response if there are none, and then sends `lateChunks`. */
+  readonly silentForMs?: number;
+  readonly lateChunks?: readonly string[];
   /** The call fails before any byte is sent. */
   readonly isNotSent?: boolean;
   /** The call fails after the endpoint may have executed the request. */
@@ -33,7 +37,10 @@
   /** Number of calls aborted before the end of their response. */
   abortedCalls = 0;
 
-  constructor(private readonly script: readonly ScriptedResponse[]) {}
+  constructor(
+    private readonly script: readonly ScriptedResponse[],
+    private readonly clock: Clock,
+  ) {}
 
   async send(
     call: EndpointRequest,
@@ -47,6 +54,7 @@
     if (step.isHanging === true && step.chunks === undefined) {
       await this.waitForAbort(signal);
     }
+    if (step.chunks === undefined) await this.waitSilently(step, signal);
     const requestId = requestIdOf(call);
     return {
       status: step.status ?? 200,
@@ -67,9 +75,25 @@
   ): AsyncGenerator<Uint8Array> {
     for (const chunk of step.chunks ?? ['answer']) yield Buffer.from(chunk);
     if (step.isHanging === true) await this.waitForAbort(signal);
+    if (step.chunks !== undefined) await this.waitSilently(step, signal);
+    for (const chunk of step.lateChunks ?? []) yield Buffer.from(chunk);
     if (step.isTruncated === true) throw new Error('cut off');
   }
 
+  private async waitSilently(
+    { silentForMs }: ScriptedResponse,
+    signal: AbortSignal,
+  ): Promise<void> {
+    if (silentForMs === undefined) return;
+    const endsAtMs = this.clock.nowMs() + silentForMs;
+    try {
+      await this.clock.waitUntil(endsAtMs, signal);
+    } catch (error) {
+      this.abortedCalls += 1;
+      throw error;
+    }
+  }
+
   private waitForAbort(signal: AbortSignal): Promise<never> {
     return new Promise((_, reject) => {
       signal.addEventListener('abort', () => {
--- /dev/null
+++ b/packages/core/src/forwarding/forward-silence.test.ts
@@ -0,0 +1,157 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { RouteType } from './configuration.js';
+import type { ScriptedResponse } from './fakes/index.js';
+import { ForwarderHarness, sampleRoute } from './fakes/index.js';
+
+const START_MS = 1_000;
+
+const draftRoute = sampleRoute({
+  name: 'drafts',
+  pathPrefix: '/drafts/',
+  type: RouteType.Streaming,
+  isResumable: true,
+  timeoutMs: 8_000,
+  latencyObjectiveMs: 800,
+});
+const lookupRoute = sampleRoute();
+
+function eventText(...ids: readonly number[]): string {
+  return ids.map(id => `id: ${id}\ndata: x\n\n`).join('');
+}
+
+const metadata = { isEventStream: true };
+
+/** Stream that pauses for longer than the gap after which it is continued at another endpoint. */
+const pausingStream: ScriptedResponse = {
+  metadata,
+  chunks: [eventText(1)],
+  silentForMs: 2_500,
+  lateChunks: [eventText(2, 3)],
+};
+
+describe('a silent endpoint', () => {
+  it('is not abandoned within a stream when the retry budget is spent', async () => {
+    const harness = new ForwarderHarness([pausingStream], draftRoute, {
+      retries: 0,
+    });
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 3_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.upstream.calls.length, 1);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+    assert.ok(harness.sink.isEnded);
+  });
+
+  it('is not abandoned within a stream by the last attempt of the route', async () => {
+    const script: readonly ScriptedResponse[] = [
+      { metadata, chunks: [eventText(1)], isTruncated: true },
+      {
+        metadata,
+        chunks: [eventText(2)],
+        silentForMs: 2_500,
+        lateChunks: [eventText(3)],
+      },
+    ];
+    const harness = new ForwarderHarness(script, draftRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 3_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+    assert.ok(harness.sink.isEnded);
+  });
+
+  it('is not abandoned within a stream when no other endpoint is usable', async () => {
+    const harness = new ForwarderHarness([pausingStream], draftRoute, {
+      endpoints: ['e1'],
+    });
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 3_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.upstream.calls.length, 1);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+  });
+
+  it('is not abandoned within a stream whose request is blocked meanwhile', async () => {
+    const harness = new ForwarderHarness([pausingStream], draftRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 500);
+    harness.crashGuard.blockAll = true;
+    await harness.clock.advanceTo(START_MS + 3_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+  });
+
+  it('is not abandoned before the first event when the retry budget is spent', async () => {
+    const script = [
+      { metadata, silentForMs: 2_500, lateChunks: [eventText(1)] },
+    ];
+    const harness = new ForwarderHarness(
+      script.map(step => ({ ...step, chunks: [] })),
+      draftRoute,
+      { retries: 0 },
+    );
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 3_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.text, eventText(1));
+    assert.ok(harness.sink.isEnded);
+  });
+
+  it('is not abandoned before a plain response when the retry budget is spent', async () => {
+    const harness = new ForwarderHarness([{ silentForMs: 600 }], lookupRoute, {
+      retries: 0,
+    });
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 900);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.status, 200);
+  });
+
+  it('is left for an endpoint that becomes usable during the silence', async () => {
+    const script: readonly ScriptedResponse[] = [
+      { metadata, chunks: [eventText(1)], isHanging: true },
+      { metadata, chunks: [eventText(2)] },
+    ];
+    const harness = new ForwarderHarness(script, draftRoute, {
+      endpoints: ['e1'],
+    });
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 2_000);
+    harness.listEndpoints(['e1', 'e2']);
+    await harness.clock.advanceTo(START_MS + 2_500);
+    assert.equal(await served, undefined);
+    assert.equal(harness.upstream.abortedCalls, 1);
+    assert.deepEqual(
+      harness.upstream.calls.map(call => call.endpoint.id),
+      ['e1', 'e2'],
+    );
+    assert.equal(harness.sink.text, eventText(1, 2));
+  });
+
+  it('does not end the response to a posting before its deadline', async () => {
+    const postingRoute = sampleRoute({
+      type: RouteType.NonIdempotent,
+      maxAttempts: 3,
+    });
+    const harness = new ForwarderHarness([{ silentForMs: 900 }], postingRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 950);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.status, 200);
+    assert.equal(harness.upstream.calls.length, 1);
+  });
+
+  it('does not end a stream that cannot be resumed', async () => {
+    const harness = new ForwarderHarness([pausingStream], {
+      ...draftRoute,
+      isResumable: false,
+    });
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 3_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+    assert.equal(harness.upstream.calls.length, 1);
+  });
+});
--- a/packages/stand-ins/src/gateway/gateway-fixture.ts
+++ b/packages/stand-ins/src/gateway/gateway-fixture.ts
@@ -30,19 +30,27 @@
   }
 }
 
-/** One gateway daemon with two plain services and two engines as endpoints, and an HTTP client as the caller. */
+async function addDefaultEndpoints(
+  deployment: GatewayDeployment,
+): Promise<void> {
+  await deployment.addEndpoint('ledger', 'ledger-1');
+  await deployment.addEndpoint('ledger', 'ledger-2');
+  await deployment.addEndpoint('engines', 'engine-1');
+  await deployment.addEndpoint('engines', 'engine-2');
+}
+
+/** One gateway daemon with endpoints, by default two plain services and two engines, and an HTTP client as the caller. */
 export class GatewayFixture {
   readonly deployment = new GatewayDeployment();
   private readonly agent = new Agent();
   private address = '';
   private nextRequestNumber = 1;
 
+  constructor(private readonly addEndpoints = addDefaultEndpoints) {}
+
   async start(): Promise<void> {
     await this.deployment.start();
-    await this.deployment.addEndpoint('ledger', 'ledger-1');
-    await this.deployment.addEndpoint('ledger', 'ledger-2');
-    await this.deployment.addEndpoint('engines', 'engine-1');
-    await this.deployment.addEndpoint('engines', 'engine-2');
+    await this.addEndpoints(this.deployment);
     const { addresses } = await this.deployment.addGateway('daemon-1');
     this.address = addresses.callers;
   }
