Leave a silent endpoint only for an attempt that can follow

Callers saw streams end in the middle, and lookups answered 502, while their endpoint was sound and only silent for a second or two.

Cause: the timeout of an attempt ended it whether or not another attempt could follow. With the attempts of the route or the retry budget used up, no other endpoint usable or the request blocked, the run then ended: a stream that had begun was cut. The class of fault: a decision to give something up is taken before it is known that there is something better.

Now the endpoint that takes over is reserved, and its retry taken from the budget, before the silent one is left; where that is not possible the attempt waits on until the request's deadline and asks again every 100 ms. A silent endpoint is never left for itself. Bytes that complete no event are no silence: if they keep coming for longer than a silence may last, the attempt ends as before (gateway-floods holds that). The choice of endpoints moves out of ForwardRun into EndpointChoice.

--- /dev/null
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -0,0 +1,84 @@
+import type {
+  EndpointPool,
+  PoolQuery,
+  PoolReservation,
+} from './endpoint-pool.js';
+import type { ForwardRequest } from './forward-request.js';
+import type { VersionSelector } from './forwarder.js';
+
+export interface EndpointChoiceOptions {
+  readonly group: string;
+  readonly request: ForwardRequest;
+  /** Whether the request may be sent again to an endpoint that it reached. */
+  readonly isRepeatable: boolean;
+  readonly pool: EndpointPool;
+  readonly versions: VersionSelector;
+}
+
+/** Chooses the endpoints of one request's attempts. */
+export class EndpointChoice {
+  private readonly tried = new Set<string>();
+  /** Endpoints to which the request may have been written. */
+  private readonly reached = new Set<string>();
+
+  constructor(private readonly options: EndpointChoiceOptions) {}
+
+  recordDispatch(id: string): void {
+    this.tried.add(id);
+  }
+
+  recordReached(id: string): void {
+    this.reached.add(id);
+  }
+
+  /**
+   * Reserves an endpoint that was not tried, or any if all were tried. A request
+   * that may not be repeated never returns to an endpoint that it reached: a copy
+   * of the endpoint's refusal could be taken for the answer to the second attempt.
+   */
+  reserve(nowMs: number): PoolReservation | undefined {
+    const { isRepeatable } = this.options;
+    const barred = isRepeatable ? new Set<string>() : this.reached;
+    const isFirst = this.tried.size === 0;
+    return this.reserveOutside(
+      isFirst ? [this.tried] : [this.tried, barred],
+      nowMs,
+    );
+  }
+
+  /** Reserves an endpoint that was not tried. */
+  reserveUntried(nowMs: number): PoolReservation | undefined {
+    return this.reserveOutside([this.tried], nowMs);
+  }
+
+  /** Reserves an endpoint outside the first of the sets that leaves one. */
+  private reserveOutside(
+    exclusions: readonly ReadonlySet<string>[],
+    nowMs: number,
+  ): PoolReservation | undefined {
+    const { group, pool, request, versions } = this.options;
+    const { promptParts, usage } = request.metadata;
+    const rule =
+      this.tried.size === 0
+        ? versions.choose(group)
+        : versions.chooseForRetry(group);
+    const query: Omit<PoolQuery, 'excluded'> = {
+      group,
+      promptParts,
+      promptTokens: usage?.promptTokens ?? 0,
+      ...(rule.only === undefined ? {} : { onlyVersion: rule.only }),
+      ...(rule.not === undefined ? {} : { notVersion: rule.not }),
+    };
+    for (const excluded of exclusions) {
+      const reserved = pool.reserve({ ...query, excluded }, nowMs);
+      if (reserved !== undefined) return reserved;
+    }
+    if (rule.only === undefined) return undefined;
+    // The version on trial has no usable endpoint; fall back to any other version.
+    const { onlyVersion, ...rest } = query;
+    return pool.reserve(
+      { ...rest, excluded: this.tried, notVersion: onlyVersion ?? '' },
+      nowMs,
+    );
+  }
+}
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -4,7 +4,8 @@
 import { AttemptVerdict } from './endpoint-pool.js';
 import type { RawHeaders, ResponseMetadata } from './forward-request.js';
 import type { AttemptObservation } from './forwarder.js';
-import { IdleTimer } from './idle-timer.js';
+import type { SilenceOptions } from './silence-detector.js';
+import { SilenceDetector } from './silence-detector.js';
 import type {
   EndpointRequest,
   EndpointResponse,
@@ -23,7 +24,10 @@
   Misdirected = 'misdirected',
   /** The response is lost, invalid or truncated; the request may have been executed. */
   Failed = 'failed',
-  /** No data arrived within the attempt's timeout; the request may have been executed. */
+  /**
+   * The endpoint was silent and another attempt takes over, or it only sent bytes
+   * that complete no event; the request may have been executed.
+   */
   Silent = 'silent',
   /** The request itself has ended: its caller disconnected or its deadline passed. */
   Cancelled = 'cancelled',
@@ -80,12 +84,8 @@
   readonly upstream: Upstream;
 }
 
-export interface AttemptOptions {
+export interface AttemptOptions extends SilenceOptions {
   readonly requestId: string;
-  /** Maximum time from sending the request to the first chunk of the response body, or to the first event of a stream. */
-  readonly firstChunkTimeoutMs: number;
-  /** Maximum gap between two chunks of the body, or between two events of a stream. */
-  readonly chunkGapTimeoutMs: number;
   /** Consumes the body if it is an event stream. */
   readonly stream: StreamConsumer | undefined;
   readonly observation: AttemptObservation;
@@ -115,18 +115,15 @@
   /** Rate limit that the endpoint named in its response. */
   limitPerSecond: number | undefined;
   private readonly upstreamAbort = new AbortController();
-  /** Delay with which the timeout was noticed; undefined if there was none. */
-  private noticedLateMs: number | undefined;
   private firstEventAtMs: number | undefined;
-  private readonly idleTimer: IdleTimer;
+  private readonly silence: SilenceDetector;
 
   constructor(
     private readonly deps: AttemptDependencies,
     private readonly reservation: PoolReservation,
     private readonly options: AttemptOptions,
   ) {
-    this.idleTimer = new IdleTimer(deps.clock, lateMs => {
-      this.noticedLateMs = lateMs;
+    this.silence = new SilenceDetector(deps.clock, options, () => {
       this.upstreamAbort.abort();
     });
   }
@@ -137,7 +134,7 @@
       this.upstreamAbort.abort();
     };
     signal.addEventListener('abort', onRequestEnd, { once: true });
-    this.idleTimer.reset(this.options.firstChunkTimeoutMs);
+    this.silence.start();
     let result: AttemptOutcome;
     try {
       signal.throwIfAborted();
@@ -150,7 +147,7 @@
       result = this.resultOfError(error);
     } finally {
       signal.removeEventListener('abort', onRequestEnd);
-      this.idleTimer.stop();
+      this.silence.stop();
       // Closes the connection unless the response was read to its end.
       this.upstreamAbort.abort();
     }
@@ -222,7 +219,7 @@
     const chunks: Uint8Array[] = [];
     let bytes = 0;
     for await (const chunk of response.body) {
-      this.idleTimer.reset(this.options.chunkGapTimeoutMs);
+      this.silence.recordProgress();
       bytes += chunk.length;
       if (bytes > MAX_BUFFERED_BYTES) return failed('the answer is too large');
       chunks.push(chunk);
@@ -246,9 +243,11 @@
     for await (const chunk of response.body) {
       const nowMs = this.deps.clock.nowMs();
       const newEvents = stream.add(chunk);
-      // Bytes that are no event for the caller do not keep the attempt alive.
-      if (newEvents === 0) continue;
-      this.idleTimer.reset(this.options.chunkGapTimeoutMs);
+      if (newEvents === 0) {
+        this.silence.recordFruitless();
+        continue;
+      }
+      this.silence.recordProgress();
       if (this.firstEventAtMs === undefined)
         this.reservation.recordFirstEvent(nowMs);
       this.firstEventAtMs ??= nowMs;
@@ -278,7 +277,7 @@
 
   private resultOfError(error: unknown): AttemptOutcome {
     if (this.options.signal.aborted) return endedAs(AttemptEndKind.Cancelled);
-    const { noticedLateMs } = this;
+    const { noticedLateMs } = this.silence;
     if (noticedLateMs !== undefined)
       return { ...endedAs(AttemptEndKind.Silent), noticedLateMs };
     const reason = String(error);
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -3,7 +3,8 @@
 import type { RetryBudget } from '../routing/index.js';
 import { attemptTimeouts } from './attempt-timeouts.js';
 import { RouteType } from './configuration.js';
-import type { PoolQuery, PoolReservation } from './endpoint-pool.js';
+import { EndpointChoice } from './endpoint-choice.js';
+import type { PoolReservation } from './endpoint-pool.js';
 import type { AttemptOutcome, BufferedResponse } from './forward-attempt.js';
 import {
   AttemptEndKind,
@@ -51,9 +52,7 @@
   outcome = RunOutcome.Pending;
   private readonly deadlineAtMs: number;
   private readonly runAbort = new AbortController();
-  private readonly excluded = new Set<string>();
-  /** Endpoints to which the request may have been written. */
-  private readonly reached = new Set<string>();
+  private readonly endpoints: EndpointChoice;
   private readonly relay: StreamRelay | undefined;
   /** Number of attempts that reached their endpoint; unsent and misdirected ones do not count. */
   private attempts = 0;
@@ -61,6 +60,8 @@
   private isTimedOut = false;
   private mayHaveRun = false;
   private isUsageCounted = false;
+  /** Endpoint that takes over from the one of the current attempt, which is silent. */
+  private replacement: PoolReservation | undefined;
   private obstacle: RetryObstacle | undefined;
   private lastEnd: AttemptEndKind | undefined;
   private firstResponseAtMs: number | undefined;
@@ -82,6 +83,13 @@
     const callerTimeoutMs = request.metadata.callerTimeoutMs ?? Infinity;
     this.deadlineAtMs =
       request.receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
+    this.endpoints = new EndpointChoice({
+      group: context.group,
+      request,
+      isRepeatable: this.isRepeatable(),
+      pool: deps.pool,
+      versions: deps.versions,
+    });
     if (route.type !== RouteType.Streaming) return;
     this.relay = new StreamRelay(
       sink,
@@ -106,6 +114,7 @@
     } finally {
       signal.removeEventListener('abort', onCallerDisconnect);
       timer.abort();
+      this.replacement?.release(undefined, this.deps.clock.nowMs());
     }
   }
 
@@ -136,20 +145,17 @@
   private async runAttempts(signal: AbortSignal): Promise<void> {
     let response: BufferedResponse | undefined;
     let last: AttemptOutcome | undefined;
-    do {
-      const reservation = this.reserveEndpoint();
-      if (reservation === undefined) {
-        this.obstacle = RetryObstacle.NoEndpoint;
-        break;
-      }
+    let reservation = this.endpoints.reserve(this.deps.clock.nowMs());
+    if (reservation === undefined) this.obstacle = RetryObstacle.NoEndpoint;
+    while (reservation !== undefined) {
       last = await this.attempt(reservation);
       if (signal.aborted) {
         this.outcome = RunOutcome.CallerDisconnected;
         return;
       }
       response = last.response ?? response;
-      this.obstacle = this.acquireRetry(last);
-    } while (this.obstacle === undefined);
+      reservation = this.takeReplacement(last) ?? this.reserveRetry(last);
+    }
     if (last?.kind === AttemptEndKind.Answered && last.response === undefined) {
       this.outcome = RunOutcome.Answered;
       return;
@@ -172,6 +178,7 @@
     this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
     this.endpointListAgeMs = this.deps.endpointListAgeMs();
     this.attempts += 1;
+    this.endpoints.recordDispatch(endpoint.id);
     const observation = versions.observe({
       group: endpoint.group,
       version: endpoint.version,
@@ -180,6 +187,7 @@
     const attempt = new ForwardAttempt(this.deps, reservation, {
       ...attemptTimeouts(resolved.route, this.isRepeatable()),
       observation,
+      onSilence: () => this.tryReserveReplacement(),
       requestId: request.requestId,
       stream: this.relay,
       signal: this.runAbort.signal,
@@ -218,8 +226,8 @@
     const { clock, log, metrics, pool } = this.deps;
     const nowMs = clock.nowMs();
     this.lastEnd = result.kind;
-    this.excluded.add(endpoint.id);
-    if (result.kind !== AttemptEndKind.NotSent) this.reached.add(endpoint.id);
+    if (result.kind !== AttemptEndKind.NotSent)
+      this.endpoints.recordReached(endpoint.id);
     switch (result.kind) {
       case AttemptEndKind.NotSent:
         this.attempts -= 1;
@@ -254,6 +262,35 @@
     });
   }
 
+  /** Reserves the endpoint of the next attempt, if the last one may be repeated. */
+  private reserveRetry(last: AttemptOutcome): PoolReservation | undefined {
+    this.obstacle = this.acquireRetry(last);
+    if (this.obstacle !== undefined) return undefined;
+    const reservation = this.endpoints.reserve(this.deps.clock.nowMs());
+    if (reservation === undefined) this.obstacle = RetryObstacle.NoEndpoint;
+    return reservation;
+  }
+
+  /** Reserves an endpoint that takes over from a silent one; returns false if the request must wait on. */
+  private tryReserveReplacement(): boolean {
+    const { budget } = this.context;
+    const silence = { kind: AttemptEndKind.Silent };
+    if (findRetryObstacle(silence, this.retryState()) !== undefined)
+      return false;
+    if (!budget.isAvailable) return false;
+    const nowMs = this.deps.clock.nowMs();
+    this.replacement = this.endpoints.reserveUntried(nowMs);
+    return this.replacement !== undefined && budget.tryAcquire();
+  }
+
+  /** Returns the endpoint that takes over after an attempt that was abandoned for it. */
+  private takeReplacement(last: AttemptOutcome): PoolReservation | undefined {
+    const { replacement } = this;
+    if (last.kind !== AttemptEndKind.Silent) return undefined;
+    this.replacement = undefined;
+    return replacement;
+  }
+
   /** Returns what keeps the request from another attempt; if nothing does, one retry is taken from the budget. */
   private acquireRetry(result: AttemptOutcome): RetryObstacle | undefined {
     const obstacle = findRetryObstacle(result, this.retryState());
@@ -282,44 +319,6 @@
     return type === RouteType.Idempotent || isResumable;
   }
 
-  /**
-   * Reserves an endpoint that was not tried, or any if all were tried. A request
-   * that may not be repeated never returns to an endpoint that it reached: a copy
-   * of the endpoint's refusal could be taken for the answer to the second attempt.
-   */
-  private reserveEndpoint(): PoolReservation | undefined {
-    const { clock, pool, versions } = this.deps;
-    const { group, request } = this.context;
-    const { promptParts, usage } = request.metadata;
-    const isFirst = this.excluded.size === 0;
-    const rule = isFirst
-      ? versions.choose(group)
-      : versions.chooseForRetry(group);
-    const query: PoolQuery = {
-      group,
-      excluded: this.excluded,
-      promptParts,
-      promptTokens: usage?.promptTokens ?? 0,
-      ...(rule.only === undefined ? {} : { onlyVersion: rule.only }),
-      ...(rule.not === undefined ? {} : { notVersion: rule.not }),
-    };
-    const nowMs = clock.nowMs();
-    const reserved =
-      pool.reserve(query, nowMs) ??
-      (isFirst
-        ? undefined
-        : pool.reserve({ ...query, excluded: this.barred() }, nowMs));
-    if (reserved !== undefined || rule.only === undefined) return reserved;
-    // The version on trial has no usable endpoint; fall back to any other version.
-    const { onlyVersion, ...rest } = query;
-    return pool.reserve({ ...rest, notVersion: onlyVersion ?? '' }, nowMs);
-  }
-
-  /** Returns the endpoints that the request must not be sent to again. */
-  private barred(): ReadonlySet<string> {
-    return this.isRepeatable() ? new Set() : this.reached;
-  }
-
   private sendResponse(response: BufferedResponse): void {
     const { protocol } = this.deps;
     this.outcome = isEndpointError(response)
--- a/packages/core/src/forwarding/forward-silence.test.ts
+++ b/packages/core/src/forwarding/forward-silence.test.ts
@@ -128,6 +128,18 @@
       ['e1', 'e2'],
     );
     assert.equal(harness.sink.text, eventText(1, 2));
+    assert.equal(harness.pool.ownLoad().size, 0);
+  });
+
+  it('is not abandoned within an event', async () => {
+    const script: readonly ScriptedResponse[] = [
+      { ...pausingStream, chunks: ['id: 1\nda'], lateChunks: ['ta: x\n\n'] },
+    ];
+    const harness = new ForwarderHarness(script, draftRoute, { retries: 0 });
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 3_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.text, eventText(1));
   });
 
   it('does not end the response to a posting before its deadline', async () => {
--- a/packages/core/src/forwarding/idle-timer.ts
+++ b/packages/core/src/forwarding/idle-timer.ts
@@ -1,16 +1,19 @@
 import type { Clock } from '../ports/index.js';
 
-/** Timer that calls back once if it is not reset before its timeout. */
+/** Interval at which a consumer that wants to wait on is asked again. */
+const RECHECK_INTERVAL_MS = 100;
+
+/** Timer that reports each timeout without a reset, until its consumer takes it as the end. */
 export class IdleTimer {
   private idleAtMs = Infinity;
   private waitingUntilMs = Infinity;
   private waitAbort = new AbortController();
   private isStopped = false;
 
+  /** `onIdle` is called with the time since the timeout; it returns whether the timer ends, and is called again soon if not. */
   constructor(
     private readonly clock: Clock,
-    /** `lateMs` is the time since the timeout. */
-    private readonly onIdle: (lateMs: number) => void,
+    private readonly onIdle: (lateMs: number) => boolean,
   ) {}
 
   /** Restarts the timer: `onIdle` is called unless it is reset again within `timeoutMs`. */
@@ -29,14 +32,18 @@
   }
 
   private async waitForIdle(signal: AbortSignal): Promise<void> {
-    do {
+    let hasEnded = false;
+    while (!hasEnded) {
       this.waitingUntilMs = this.idleAtMs;
       // Only `reset` and `stop` abort the wait.
       await this.clock
         .waitUntil(this.waitingUntilMs, signal)
         .catch(() => undefined);
       if (signal.aborted) return;
-    } while (this.clock.nowMs() < this.idleAtMs);
-    this.onIdle(this.clock.nowMs() - this.idleAtMs);
+      const lateMs = this.clock.nowMs() - this.idleAtMs;
+      if (lateMs < 0) continue;
+      hasEnded = this.onIdle(lateMs);
+      this.idleAtMs = this.clock.nowMs() + RECHECK_INTERVAL_MS;
+    }
   }
 }
--- /dev/null
+++ b/packages/core/src/forwarding/silence-detector.ts
@@ -0,0 +1,56 @@
+import type { Clock } from '../ports/index.js';
+import { FruitlessBytes } from './fruitless-bytes.js';
+import { IdleTimer } from './idle-timer.js';
+
+export interface SilenceOptions {
+  /** Time from sending the request to the first chunk of the response body, or to the first event of a stream, after which the endpoint is silent. */
+  readonly firstChunkTimeoutMs: number;
+  /** Gap between two chunks of the body, or between two events of a stream, after which the endpoint is silent. */
+  readonly chunkGapTimeoutMs: number;
+  /** Returns whether another attempt takes over from an endpoint that is silent; the attempt waits on if not. */
+  readonly onSilence: () => boolean;
+}
+
+/** Decides when an attempt abandons an endpoint that makes no progress. */
+export class SilenceDetector {
+  /** Delay with which the endpoint was found to be silent; undefined if it is not abandoned. */
+  noticedLateMs: number | undefined;
+  private readonly fruitless: FruitlessBytes;
+  private readonly timer: IdleTimer;
+
+  /** `abandon` is called once at most. */
+  constructor(
+    private readonly clock: Clock,
+    private readonly options: SilenceOptions,
+    private readonly abandon: () => void,
+  ) {
+    this.fruitless = new FruitlessBytes(options.chunkGapTimeoutMs);
+    this.timer = new IdleTimer(clock, lateMs => this.handleIdle(lateMs));
+  }
+
+  start(): void {
+    this.timer.reset(this.options.firstChunkTimeoutMs);
+  }
+
+  stop(): void {
+    this.timer.stop();
+  }
+
+  recordProgress(): void {
+    this.fruitless.recordProgress();
+    this.timer.reset(this.options.chunkGapTimeoutMs);
+  }
+
+  /** Records bytes that complete no event for the caller; they do not keep the attempt alive. */
+  recordFruitless(): void {
+    this.fruitless.record(this.clock.nowMs());
+  }
+
+  private handleIdle(lateMs: number): boolean {
+    const isAbandoned = this.options.onSilence() || this.fruitless.isEndless;
+    if (!isAbandoned) return false;
+    this.noticedLateMs = lateMs;
+    this.abandon();
+    return true;
+  }
+}
--- a/packages/core/src/routing/retry-budget.ts
+++ b/packages/core/src/routing/retry-budget.ts
@@ -28,9 +28,14 @@
     this.balance = Math.min(capacity, this.balance + refillPerFirstAttempt);
   }
 
+  /** Whether one retry or hedge can be acquired. */
+  get isAvailable(): boolean {
+    return this.balance >= 1;
+  }
+
   /** Acquires one retry or hedge from the budget; returns false if the budget is exhausted. */
   tryAcquire(): boolean {
-    if (this.balance < 1) return false;
+    if (!this.isAvailable) return false;
     this.balance -= 1;
     return true;
   }
