Show that a stalled event loop takes unread bytes for silence

gateway-stalls holds the event loop up within a stream, whose endpoint is then left for another one (2 runs in place of 1), and while a caller's next request lies unread in a kept connection, which is then closed as idle ('read ECONNRESET': neither an answer nor a refusal).

--- a/packages/stand-ins/src/gateway/gateway-fixture.ts
+++ b/packages/stand-ins/src/gateway/gateway-fixture.ts
@@ -60,6 +60,11 @@
     await this.deployment.destroy();
   }
 
+  /** Address at which the gateway serves callers. */
+  get callersAddress(): string {
+    return this.address;
+  }
+
   /** Sends a request with sample credentials; a request with a body is a POST. */
   send(
     path: string,
--- /dev/null
+++ b/packages/stand-ins/src/gateway/gateway-stalls.test.ts
@@ -0,0 +1,72 @@
+import assert from 'node:assert/strict';
+import { connect } from 'node:net';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { sampleCall } from '@skylarkreach/platform/stand-ins';
+
+import { GatewayFixture, rawRequest, waitUntil } from './gateway-fixture.js';
+
+const IDLE_TIMEOUT_MS = 1_000;
+const EVENTS = 10;
+const EVENT_GAP_MS = 100;
+const streamHeaders = {
+  model: 'm',
+  'token-usage': '100,20',
+  'prompt-prefix': 'aa:60,bb:40',
+  'deadline-ms': '8000',
+};
+
+/** Holds up the event loop, as a slow processor does. */
+function stall(forMs: number): void {
+  const endsAtMs = performance.now() + forMs;
+  while (performance.now() < endsAtMs);
+}
+
+describe('a gateway whose event loop is held up', () => {
+  let fixture: GatewayFixture;
+
+  beforeEach(async () => {
+    fixture = new GatewayFixture(async deployment => {
+      for (const id of ['engine-1', 'engine-2']) {
+        await deployment.addEndpoint('engines', id, {
+          events: EVENTS,
+          eventGapMs: EVENT_GAP_MS,
+        });
+      }
+      await deployment.addEndpoint('ledger', 'ledger-1');
+    });
+    await fixture.start();
+  });
+
+  afterEach(async () => {
+    await fixture.stop();
+  });
+
+  it('does not leave an endpoint whose events it has not read yet', async () => {
+    const { body, statusCode } = await fixture.send('/drafts/a', streamHeaders);
+    assert.equal(statusCode, 200);
+    const text = body.text();
+    await delay(2.5 * EVENT_GAP_MS);
+    stall(1_500);
+    assert.equal((await text).match(/^id:/gm)?.length, EVENTS);
+    assert.equal(fixture.runs().length, 1);
+  });
+
+  it('does not close a connection whose next request it has not read yet', async () => {
+    const [host = '', port] = fixture.callersAddress.split(':');
+    const socket = connect(Number(port), host);
+    let received = '';
+    socket.on('data', chunk => {
+      received += chunk.toString('latin1');
+    });
+    const answers = () => received.match(/HTTP\/1\.1 200/g)?.length ?? 0;
+    socket.write(rawRequest(sampleCall('request-1', 1_500, false)));
+    await waitUntil(() => answers() === 1);
+    await delay(0.8 * IDLE_TIMEOUT_MS);
+    socket.write(rawRequest(sampleCall('request-2', 4_000, false)));
+    stall(2 * IDLE_TIMEOUT_MS);
+    await waitUntil(() => answers() === 2);
+    socket.destroy();
+  });
+});
