Read what has arrived before a timeout is taken for silence

After a stall of its event loop a daemon left an endpoint whose events lay unread in the connection, answered 504 at a deadline though the response had arrived, and reset a caller's kept connection as idle while the whole next request lay in it: neither an answer nor a refusal.

Cause: timers run before connections are read, so that the time for which this daemon itself was held up counted as silence of the other side.

Not covered: the timeouts for a caller's headers and body answer 408 after a stall, which is a refusal.

--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -60,6 +60,7 @@
     });
     this.forwarder = new Forwarder({
       clock: this.clock,
+      nextPoll: () => Promise.resolve(),
       log: noopLog,
       metrics: noopMetrics,
       protocol: new PlainProtocol(),
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -1,9 +1,9 @@
-import type { Clock } from '../ports/index.js';
 import { NotSentError } from '../ports/index.js';
 import type { PoolReservation } from './endpoint-pool.js';
 import { AttemptVerdict } from './endpoint-pool.js';
 import type { RawHeaders, ResponseMetadata } from './forward-request.js';
 import type { AttemptObservation } from './forwarder.js';
+import type { IdleTimerDependencies } from './idle-timer.js';
 import type { SilenceOptions } from './silence-detector.js';
 import { SilenceDetector } from './silence-detector.js';
 import type {
@@ -79,8 +79,7 @@
   finish(): StreamEnd;
 }
 
-export interface AttemptDependencies {
-  readonly clock: Clock;
+export interface AttemptDependencies extends IdleTimerDependencies {
   readonly upstream: Upstream;
 }
 
@@ -123,7 +122,7 @@
     private readonly reservation: PoolReservation,
     private readonly options: AttemptOptions,
   ) {
-    this.silence = new SilenceDetector(deps.clock, options, () => {
+    this.silence = new SilenceDetector(deps, options, () => {
       this.upstreamAbort.abort();
     });
   }
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -19,20 +19,10 @@
 import type { RetryState } from './retry-obstacle.js';
 import { findRetryObstacle, RetryObstacle } from './retry-obstacle.js';
 import { toForwardError } from './run-failure.js';
+import { RunOutcome } from './run-outcome.js';
 import { StreamRelay } from './stream-relay.js';
 import type { ResponseWriter } from './upstream.js';
 
-/** Outcome of a request that an endpoint answered or whose caller disconnected. */
-export enum RunOutcome {
-  Pending = 'pending',
-  Answered = 'answered',
-  /** The endpoint's own error response was forwarded to the caller. */
-  EndpointError = 'endpointError',
-  CallerDisconnected = 'callerGone',
-  /** The response was aborted after its start. */
-  Truncated = 'brokenOff',
-}
-
 export interface RunContext {
   readonly request: ForwardRequest;
   readonly resolved: ResolvedRequest;
@@ -355,14 +345,17 @@
 
   /** Aborts the run at its deadline. Aborting the returned controller cancels the timer. */
   private startTimer(): AbortController {
+    const { clock, nextPoll } = this.deps;
     const timerAbort = new AbortController();
-    this.deps.clock.waitUntil(this.deadlineAtMs, timerAbort.signal).then(
-      () => {
-        this.isTimedOut = true;
-        this.runAbort.abort();
-      },
-      () => undefined, // the run ended before its deadline
-    );
+    const { signal } = timerAbort;
+    const expire = () => {
+      if (signal.aborted) return;
+      this.isTimedOut = true;
+      this.runAbort.abort();
+    };
+    const ignore = () => undefined; // the run ended before its deadline
+    const deadline = clock.waitUntil(this.deadlineAtMs, signal);
+    deadline.then(nextPoll).then(expire, ignore);
     return timerAbort;
   }
 }
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -62,6 +62,8 @@
 
 export interface ForwarderDependencies {
   readonly clock: Clock;
+  /** Resolves after all connections have been polled once more. */
+  readonly nextPoll: () => Promise<void>;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly protocol: ForwardProtocol;
--- a/packages/core/src/forwarding/silence-detector.ts
+++ b/packages/core/src/forwarding/silence-detector.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '../ports/index.js';
 import { FruitlessBytes } from './fruitless-bytes.js';
+import type { IdleTimerDependencies } from './idle-timer.js';
 import { IdleTimer } from './idle-timer.js';
 
 export interface SilenceOptions {
@@ -20,12 +20,12 @@
 
   /** `abandon` is called once at most. */
   constructor(
-    private readonly clock: Clock,
+    private readonly deps: IdleTimerDependencies,
     private readonly options: SilenceOptions,
     private readonly abandon: () => void,
   ) {
     this.fruitless = new FruitlessBytes(options.chunkGapTimeoutMs);
-    this.timer = new IdleTimer(clock, lateMs => this.handleIdle(lateMs));
+    this.timer = new IdleTimer(deps, lateMs => this.handleIdle(lateMs));
   }
 
   start(): void {
@@ -43,7 +43,7 @@
 
   /** Records bytes that complete no event for the caller; they do not keep the attempt alive. */
   recordFruitless(): void {
-    this.fruitless.record(this.clock.nowMs());
+    this.fruitless.record(this.deps.clock.nowMs());
   }
 
   private handleIdle(lateMs: number): boolean {
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -25,6 +25,7 @@
 } from '@skylarkreach/platform';
 
 import { HttpClient } from '../adapters/index.js';
+import { nextPoll } from '../http/index.js';
 import { Loop } from '../loops/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import {
@@ -145,6 +146,7 @@
   const retryBudgets = new RetryBudgets(settings, () => cluster.size);
   const forwarder = new Forwarder({
     ...context,
+    nextPoll,
     protocol: platform.protocol,
     upstream: endpointClient,
     crashDetector: new CrashDetector({
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -20,6 +20,7 @@
   BodyError,
   BodyErrorKind,
   listenOn,
+  nextPoll,
   readBytes,
 } from '../http/index.js';
 import { closeIdleConnections, recordLateRequest } from './idle-connections.js';
@@ -150,6 +151,7 @@
       this.checkHeaders(request);
       const body = await this.readBody(request);
       if (requestId === undefined) throw missingRequestIdError();
+      // A daemon that is behind reads a request before the end of its connection.
       await nextPoll();
       if (!isOpen(request.socket)) {
         this.recordEarlyDeparture(request.socket, requestId);
@@ -328,17 +330,6 @@
   }
 }
 
-/**
- * Resolves after the event loop has polled all connections once more. A daemon
- * that is behind reads a request and the end of its connection in this order.
- */
-function nextPoll(): Promise<void> {
-  return new Promise(resolve => {
-    // The first callback runs before the next poll, the second one after it.
-    setImmediate(() => setImmediate(resolve));
-  });
-}
-
 /** Returns whether a response can still be sent on a connection. */
 function isOpen(socket: Duplex): boolean {
   return socket.writable;
--- a/packages/stand-ins/src/gateway/gateway-stalls.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-stalls.test.ts
@@ -3,13 +3,14 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { sampleCall } from '@skylarkreach/platform/stand-ins';
+import { EndpointMode, sampleCall } from '@skylarkreach/platform/stand-ins';
 
 import { GatewayFixture, rawRequest, waitUntil } from './gateway-fixture.js';
 
 const IDLE_TIMEOUT_MS = 1_000;
 const EVENTS = 10;
 const EVENT_GAP_MS = 100;
+const RESPONSE_MS = 50;
 const streamHeaders = {
   model: 'm',
   'token-usage': '100,20',
@@ -34,7 +35,10 @@
           eventGapMs: EVENT_GAP_MS,
         });
       }
-      await deployment.addEndpoint('ledger', 'ledger-1');
+      const ledger = await deployment.addEndpoint('ledger', 'ledger-1', {
+        silentForMs: RESPONSE_MS,
+      });
+      ledger.mode = EndpointMode.FallsSilent;
     });
     await fixture.start();
   });
@@ -53,6 +57,16 @@
     assert.equal(fixture.runs().length, 1);
   });
 
+  it('does not time out a posting whose response it has not read yet', async () => {
+    const headers = { 'deadline-ms': '300' };
+    const sent = fixture.send('/postings/a', headers, { body: '{}' });
+    await waitUntil(() => fixture.runs().length === 1);
+    stall(500);
+    const response = await sent;
+    assert.equal(response.statusCode, 200);
+    await response.body.dump();
+  });
+
   it('does not close a connection whose next request it has not read yet', async () => {
     const [host = '', port] = fixture.callersAddress.split(':');
     const socket = connect(Number(port), host);
