--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -1,10 +1,11 @@
-import type { Clock } from '../ports/index.js';
 import { NotSentError } from '../ports/index.js';
 import type { PoolReservation } from './endpoint-pool.js';
 import { AttemptVerdict } from './endpoint-pool.js';
 import type { RawHeaders, ResponseMetadata } from './forward-request.js';
 import type { AttemptObservation } from './forwarder.js';
-import { IdleTimer } from './idle-timer.js';
+import type { IdleTimerDependencies } from './idle-timer.js';
+import type { SilenceOptions } from './silence-detector.js';
+import { SilenceDetector } from './silence-detector.js';
 import type {
   EndpointRequest,
   EndpointResponse,
@@ -23,7 +24,10 @@
   Misdirected = 'misdirected',
   /** The response is lost, invalid or truncated; the request may have been executed. */
   Failed = 'failed',
-  /** No data arrived within the attempt's timeout; the request may have been executed. */
+  /**
+   * The endpoint was silent and another attempt takes over, or it only sent bytes
+   * that complete no event; the request may have been executed.
+   */
   Silent = 'silent',
   /** The request itself has ended: its caller disconnected or its deadline passed. */
   Cancelled = 'cancelled',
@@ -50,6 +54,8 @@
   readonly kind: AttemptEndKind;
   readonly crashEvidence: CrashEvidence;
   readonly reason?: string;
+  /** Delay of the timer that found the endpoint silent: the time for which this daemon itself was held up. */
+  readonly noticedLateMs?: number;
   readonly response?: BufferedResponse;
 }
 
@@ -73,17 +79,12 @@
   finish(): StreamEnd;
 }
 
-export interface AttemptDependencies {
-  readonly clock: Clock;
+export interface AttemptDependencies extends IdleTimerDependencies {
   readonly upstream: Upstream;
 }
 
-export interface AttemptOptions {
+export interface AttemptOptions extends SilenceOptions {
   readonly requestId: string;
-  /** Maximum time from sending the request to the first chunk of the response body, or to the first event of a stream. */
-  readonly firstChunkTimeoutMs: number;
-  /** Maximum gap between two chunks of the body, or between two events of a stream. */
-  readonly chunkGapTimeoutMs: number;
   /** Consumes the body if it is an event stream. */
   readonly stream: StreamConsumer | undefined;
   readonly observation: AttemptObservation;
@@ -113,17 +114,15 @@
   /** Rate limit that the endpoint named in its response. */
   limitPerSecond: number | undefined;
   private readonly upstreamAbort = new AbortController();
-  private hasTimedOut = false;
   private firstEventAtMs: number | undefined;
-  private readonly idleTimer: IdleTimer;
+  private readonly silence: SilenceDetector;
 
   constructor(
     private readonly deps: AttemptDependencies,
     private readonly reservation: PoolReservation,
     private readonly options: AttemptOptions,
   ) {
-    this.idleTimer = new IdleTimer(deps.clock, () => {
-      this.hasTimedOut = true;
+    this.silence = new SilenceDetector(deps, options, () => {
       this.upstreamAbort.abort();
     });
   }
@@ -134,7 +133,7 @@
       this.upstreamAbort.abort();
     };
     signal.addEventListener('abort', onRequestEnd, { once: true });
-    this.idleTimer.reset(this.options.firstChunkTimeoutMs);
+    this.silence.start();
     let result: AttemptOutcome;
     try {
       signal.throwIfAborted();
@@ -147,7 +146,7 @@
       result = this.resultOfError(error);
     } finally {
       signal.removeEventListener('abort', onRequestEnd);
-      this.idleTimer.stop();
+      this.silence.stop();
       // Closes the connection unless the response was read to its end.
       this.upstreamAbort.abort();
     }
@@ -219,7 +218,7 @@
     const chunks: Uint8Array[] = [];
     let bytes = 0;
     for await (const chunk of response.body) {
-      this.idleTimer.reset(this.options.chunkGapTimeoutMs);
+      this.silence.recordProgress();
       bytes += chunk.length;
       if (bytes > MAX_BUFFERED_BYTES) return failed('the answer is too large');
       chunks.push(chunk);
@@ -243,9 +242,11 @@
     for await (const chunk of response.body) {
       const nowMs = this.deps.clock.nowMs();
       const newEvents = stream.add(chunk);
-      // Bytes that are no event for the caller do not keep the attempt alive.
-      if (newEvents === 0) continue;
-      this.idleTimer.reset(this.options.chunkGapTimeoutMs);
+      if (newEvents === 0) {
+        this.silence.recordFruitless();
+        continue;
+      }
+      this.silence.recordProgress();
       if (this.firstEventAtMs === undefined)
         this.reservation.recordFirstEvent(nowMs);
       this.firstEventAtMs ??= nowMs;
@@ -275,7 +276,9 @@
 
   private resultOfError(error: unknown): AttemptOutcome {
     if (this.options.signal.aborted) return endedAs(AttemptEndKind.Cancelled);
-    if (this.hasTimedOut) return endedAs(AttemptEndKind.Silent);
+    const { noticedLateMs } = this.silence;
+    if (noticedLateMs !== undefined)
+      return { ...endedAs(AttemptEndKind.Silent), noticedLateMs };
     const reason = String(error);
     return error instanceof NotSentError
       ? { ...endedAs(AttemptEndKind.NotSent), reason }
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -3,7 +3,8 @@
 import type { RetryBudget } from '../routing/index.js';
 import { attemptTimeouts } from './attempt-timeouts.js';
 import { RouteType } from './configuration.js';
-import type { PoolQuery, PoolReservation } from './endpoint-pool.js';
+import { EndpointChoice } from './endpoint-choice.js';
+import type { PoolReservation } from './endpoint-pool.js';
 import type { AttemptOutcome, BufferedResponse } from './forward-attempt.js';
 import {
   AttemptEndKind,
@@ -15,21 +16,13 @@
 import type { ForwardRequest } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
 import type { ResolvedRequest } from './resolve-request.js';
+import type { RetryState } from './retry-obstacle.js';
+import { findRetryObstacle, RetryObstacle } from './retry-obstacle.js';
 import { toForwardError } from './run-failure.js';
+import { RunOutcome } from './run-outcome.js';
 import { StreamRelay } from './stream-relay.js';
 import type { ResponseWriter } from './upstream.js';
 
-/** Outcome of a request that an endpoint answered or whose caller disconnected. */
-export enum RunOutcome {
-  Pending = 'pending',
-  Answered = 'answered',
-  /** The endpoint's own error response was forwarded to the caller. */
-  EndpointError = 'endpointError',
-  CallerDisconnected = 'callerGone',
-  /** The response was aborted after its start. */
-  Truncated = 'brokenOff',
-}
-
 export interface RunContext {
   readonly request: ForwardRequest;
   readonly resolved: ResolvedRequest;
@@ -49,9 +42,7 @@
   outcome = RunOutcome.Pending;
   private readonly deadlineAtMs: number;
   private readonly runAbort = new AbortController();
-  private readonly excluded = new Set<string>();
-  /** Endpoints to which the request may have been written. */
-  private readonly reached = new Set<string>();
+  private readonly endpoints: EndpointChoice;
   private readonly relay: StreamRelay | undefined;
   /** Number of attempts that reached their endpoint; unsent and misdirected ones do not count. */
   private attempts = 0;
@@ -59,6 +50,10 @@
   private isTimedOut = false;
   private mayHaveRun = false;
   private isUsageCounted = false;
+  /** Endpoint that takes over from the one of the current attempt, which is silent. */
+  private replacement: PoolReservation | undefined;
+  private obstacle: RetryObstacle | undefined;
+  private lastEnd: AttemptEndKind | undefined;
   private firstResponseAtMs: number | undefined;
   private lastEndpointId = '';
   /** Time from the request's arrival to the dispatch of its last attempt. */
@@ -78,6 +73,13 @@
     const callerTimeoutMs = request.metadata.callerTimeoutMs ?? Infinity;
     this.deadlineAtMs =
       request.receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
+    this.endpoints = new EndpointChoice({
+      group: context.group,
+      request,
+      isRepeatable: this.isRepeatable(),
+      pool: deps.pool,
+      versions: deps.versions,
+    });
     if (route.type !== RouteType.Streaming) return;
     this.relay = new StreamRelay(
       sink,
@@ -102,6 +104,7 @@
     } finally {
       signal.removeEventListener('abort', onCallerDisconnect);
       timer.abort();
+      this.replacement?.release(undefined, this.deps.clock.nowMs());
     }
   }
 
@@ -112,6 +115,8 @@
       endpoint: this.lastEndpointId,
       attempts: this.attempts,
       mayHaveRun: this.mayHaveRun,
+      ...(this.lastEnd !== undefined && { lastEnd: this.lastEnd }),
+      ...(this.obstacle !== undefined && { notRetried: this.obstacle }),
       dispatchedAfterMs: Math.round(this.dispatchedAfterMs),
       endpointListAgeMs: Math.round(this.endpointListAgeMs),
       ...(this.relay && {
@@ -130,16 +135,17 @@
   private async runAttempts(signal: AbortSignal): Promise<void> {
     let response: BufferedResponse | undefined;
     let last: AttemptOutcome | undefined;
-    do {
-      const reservation = this.reserveEndpoint();
-      if (reservation === undefined) break;
+    let reservation = this.endpoints.reserve(this.deps.clock.nowMs());
+    if (reservation === undefined) this.obstacle = RetryObstacle.NoEndpoint;
+    while (reservation !== undefined) {
       last = await this.attempt(reservation);
       if (signal.aborted) {
         this.outcome = RunOutcome.CallerDisconnected;
         return;
       }
       response = last.response ?? response;
-    } while (this.mayRetry(last));
+      reservation = this.takeReplacement(last) ?? this.reserveRetry(last);
+    }
     if (last?.kind === AttemptEndKind.Answered && last.response === undefined) {
       this.outcome = RunOutcome.Answered;
       return;
@@ -162,6 +168,7 @@
     this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
     this.endpointListAgeMs = this.deps.endpointListAgeMs();
     this.attempts += 1;
+    this.endpoints.recordDispatch(endpoint.id);
     const observation = versions.observe({
       group: endpoint.group,
       version: endpoint.version,
@@ -170,6 +177,7 @@
     const attempt = new ForwardAttempt(this.deps, reservation, {
       ...attemptTimeouts(resolved.route, this.isRepeatable()),
       observation,
+      onSilence: () => this.tryReserveReplacement(),
       requestId: request.requestId,
       stream: this.relay,
       signal: this.runAbort.signal,
@@ -207,8 +215,9 @@
   ): void {
     const { clock, log, metrics, pool } = this.deps;
     const nowMs = clock.nowMs();
-    this.excluded.add(endpoint.id);
-    if (result.kind !== AttemptEndKind.NotSent) this.reached.add(endpoint.id);
+    this.lastEnd = result.kind;
+    if (result.kind !== AttemptEndKind.NotSent)
+      this.endpoints.recordReached(endpoint.id);
     switch (result.kind) {
       case AttemptEndKind.NotSent:
         this.attempts -= 1;
@@ -235,76 +244,69 @@
       endpoint: endpoint.id,
       end: result.kind,
       reason: result.reason ?? '',
+      ...(result.noticedLateMs !== undefined && {
+        noticedLateMs: Math.round(result.noticedLateMs),
+      }),
       elapsedMs: Math.round(nowMs - sentAtMs),
       attempts: this.attempts,
     });
   }
 
-  private mayRetry(result: AttemptOutcome): boolean {
-    const { budget, resolved, suspectIds } = this.context;
-    const remainingMs = this.deadlineAtMs - this.deps.clock.nowMs();
-    if (this.isTimedOut || remainingMs < MIN_TIME_FOR_ATTEMPT_MS) return false;
-    if (this.deps.crashGuard.blockedForMs(suspectIds) !== undefined)
+  /** Reserves the endpoint of the next attempt, if the last one may be repeated. */
+  private reserveRetry(last: AttemptOutcome): PoolReservation | undefined {
+    this.obstacle = this.acquireRetry(last);
+    if (this.obstacle !== undefined) return undefined;
+    const reservation = this.endpoints.reserve(this.deps.clock.nowMs());
+    if (reservation === undefined) this.obstacle = RetryObstacle.NoEndpoint;
+    return reservation;
+  }
+
+  /** Reserves an endpoint that takes over from a silent one; returns false if the request must wait on. */
+  private tryReserveReplacement(): boolean {
+    const { budget } = this.context;
+    const silence = { kind: AttemptEndKind.Silent };
+    if (findRetryObstacle(silence, this.retryState()) !== undefined)
       return false;
-    const hasAttemptsLeft = this.attempts < resolved.route.maxAttempts;
-    switch (result.kind) {
-      case AttemptEndKind.NotSent:
-        return this.unsentAttempts < MAX_UNSENT_ATTEMPTS;
-      case AttemptEndKind.Misdirected:
-      case AttemptEndKind.NotRun:
-        return hasAttemptsLeft && budget.tryAcquire();
-      case AttemptEndKind.Answered:
-        if (!isEndpointError(result.response)) return false;
-        return this.isRepeatable() && hasAttemptsLeft && budget.tryAcquire();
-      case AttemptEndKind.Failed:
-      case AttemptEndKind.Silent:
-        return this.isRepeatable() && hasAttemptsLeft && budget.tryAcquire();
-      case AttemptEndKind.Cancelled:
-        return false;
-    }
+    if (!budget.isAvailable) return false;
+    const nowMs = this.deps.clock.nowMs();
+    this.replacement = this.endpoints.reserveUntried(nowMs);
+    return this.replacement !== undefined && budget.tryAcquire();
   }
 
-  private isRepeatable(): boolean {
-    const { isResumable, type } = this.context.resolved.route;
-    return type === RouteType.Idempotent || isResumable;
+  /** Returns the endpoint that takes over after an attempt that was abandoned for it. */
+  private takeReplacement(last: AttemptOutcome): PoolReservation | undefined {
+    const { replacement } = this;
+    if (last.kind !== AttemptEndKind.Silent) return undefined;
+    this.replacement = undefined;
+    return replacement;
   }
 
-  /**
-   * Reserves an endpoint that was not tried, or any if all were tried. A request
-   * that may not be repeated never returns to an endpoint that it reached: a copy
-   * of the endpoint's refusal could be taken for the answer to the second attempt.
-   */
-  private reserveEndpoint(): PoolReservation | undefined {
-    const { clock, pool, versions } = this.deps;
-    const { group, request } = this.context;
-    const { promptParts, usage } = request.metadata;
-    const isFirst = this.excluded.size === 0;
-    const rule = isFirst
-      ? versions.choose(group)
-      : versions.chooseForRetry(group);
-    const query: PoolQuery = {
-      group,
-      excluded: this.excluded,
-      promptParts,
-      promptTokens: usage?.promptTokens ?? 0,
-      ...(rule.only === undefined ? {} : { onlyVersion: rule.only }),
-      ...(rule.not === undefined ? {} : { notVersion: rule.not }),
+  /** Returns what keeps the request from another attempt; if nothing does, one retry is taken from the budget. */
+  private acquireRetry(result: AttemptOutcome): RetryObstacle | undefined {
+    const obstacle = findRetryObstacle(result, this.retryState());
+    if (obstacle !== undefined) return obstacle;
+    if (result.kind === AttemptEndKind.NotSent) return undefined;
+    return this.context.budget.tryAcquire()
+      ? undefined
+      : RetryObstacle.BudgetSpent;
+  }
+
+  private retryState(): RetryState {
+    const { resolved, suspectIds } = this.context;
+    const { clock, crashGuard } = this.deps;
+    const remainingMs = this.deadlineAtMs - clock.nowMs();
+    return {
+      isDeadlineNear: this.isTimedOut || remainingMs < MIN_TIME_FOR_ATTEMPT_MS,
+      isBlocked: crashGuard.blockedForMs(suspectIds) !== undefined,
+      isRepeatable: this.isRepeatable(),
+      hasAttemptsLeft: this.attempts < resolved.route.maxAttempts,
+      hasUnsentAttemptsLeft: this.unsentAttempts < MAX_UNSENT_ATTEMPTS,
     };
-    const nowMs = clock.nowMs();
-    const reserved =
-      pool.reserve(query, nowMs) ??
-      (isFirst
-        ? undefined
-        : pool.reserve({ ...query, excluded: this.barred() }, nowMs));
-    if (reserved !== undefined || rule.only === undefined) return reserved;
-    // The version on trial has no usable endpoint; fall back to any other version.
-    const { onlyVersion, ...rest } = query;
-    return pool.reserve({ ...rest, notVersion: onlyVersion ?? '' }, nowMs);
   }
 
-  /** Returns the endpoints that the request must not be sent to again. */
-  private barred(): ReadonlySet<string> {
-    return this.isRepeatable() ? new Set() : this.reached;
+  private isRepeatable(): boolean {
+    const { isResumable, type } = this.context.resolved.route;
+    return type === RouteType.Idempotent || isResumable;
   }
 
   private sendResponse(response: BufferedResponse): void {
@@ -343,14 +345,17 @@
 
   /** Aborts the run at its deadline. Aborting the returned controller cancels the timer. */
   private startTimer(): AbortController {
+    const { clock, nextPoll } = this.deps;
     const timerAbort = new AbortController();
-    this.deps.clock.waitUntil(this.deadlineAtMs, timerAbort.signal).then(
-      () => {
-        this.isTimedOut = true;
-        this.runAbort.abort();
-      },
-      () => undefined, // the run ended before its deadline
-    );
+    const { signal } = timerAbort;
+    const expire = () => {
+      if (signal.aborted) return;
+      this.isTimedOut = true;
+      this.runAbort.abort();
+    };
+    const ignore = () => undefined; // the run ended before its deadline
+    const deadline = clock.waitUntil(this.deadlineAtMs, signal);
+    deadline.then(nextPoll).then(expire, ignore);
     return timerAbort;
   }
 }
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -20,8 +20,10 @@
   BodyError,
   BodyErrorKind,
   listenOn,
+  nextPoll,
   readBytes,
 } from '../http/index.js';
+import { closeIdleConnections, recordLateRequest } from './idle-connections.js';
 import { abortResponse, ResponseSink } from './response-sink.js';
 
 export interface IngressServerDependencies {
@@ -76,6 +78,7 @@
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.handleClientError(error, socket);
     });
+    closeIdleConnections(this.server, this.deps.metrics);
     this.applyLimits();
   }
 
@@ -133,7 +136,10 @@
     response: ServerResponse,
   ): Promise<void> {
     // The request crossed the end of its connection and could not be answered.
-    if (!isOpen(request.socket)) return;
+    if (!isOpen(request.socket)) {
+      recordLateRequest(this.deps);
+      return;
+    }
     const receivedAtMs = this.deps.clock.nowMs();
     const disconnected = this.trackResponse(request.socket, response);
     const sink = new ResponseSink(response, () => this.isDraining);
@@ -145,6 +151,7 @@
       this.checkHeaders(request);
       const body = await this.readBody(request);
       if (requestId === undefined) throw missingRequestIdError();
+      // A daemon that is behind reads a request before the end of its connection.
       await nextPoll();
       if (!isOpen(request.socket)) {
         this.recordEarlyDeparture(request.socket, requestId);
@@ -323,17 +330,6 @@
   }
 }
 
-/**
- * Resolves after the event loop has polled all connections once more. A daemon
- * that is behind reads a request and the end of its connection in this order.
- */
-function nextPoll(): Promise<void> {
-  return new Promise(resolve => {
-    // The first callback runs before the next poll, the second one after it.
-    setImmediate(() => setImmediate(resolve));
-  });
-}
-
 /** Returns whether a response can still be sent on a connection. */
 function isOpen(socket: Duplex): boolean {
   return socket.writable;
