Do not count a caller's slowness as silence of its endpoint

While a caller's connection accepted no more data, a daemon did not read the endpoint's events, and after 1.2 s took the endpoint for silent: the stream was moved to another endpoint, prefilled again, and cost one of the route's attempts.

Evidence: 'is not blamed for a caller that is slow to read' in forward-silence made 2 attempts in place of 1 without the change.

--- a/packages/core/src/forwarding/fakes/recording-sink.ts
+++ b/packages/core/src/forwarding/fakes/recording-sink.ts
@@ -9,6 +9,8 @@
   text = '';
   isEnded = false;
   isDestroyed = false;
+  /** Resolves once the caller's connection accepts more data. */
+  drained: Promise<void> = Promise.resolve();
 
   begin(status: number, headers: RawHeaders, isFramed: boolean): void {
     this.status = status;
@@ -18,7 +20,7 @@
 
   write(bytes: Uint8Array): Promise<void> {
     this.text += Buffer.from(bytes).toString('utf8');
-    return Promise.resolve();
+    return this.drained;
   }
 
   end(): void {
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -246,12 +246,13 @@
         this.silence.recordFruitless();
         continue;
       }
-      this.silence.recordProgress();
       if (this.firstEventAtMs === undefined)
         this.reservation.recordFirstEvent(nowMs);
       this.firstEventAtMs ??= nowMs;
       this.options.observation.recordEvents(newEvents, nowMs);
+      this.silence.pause();
       await stream.flush();
+      this.silence.recordProgress();
     }
     const end = stream.finish();
     if (end !== StreamEnd.Complete) return this.lost(end);
--- a/packages/core/src/forwarding/forward-silence.test.ts
+++ b/packages/core/src/forwarding/forward-silence.test.ts
@@ -142,6 +142,18 @@
     assert.equal(harness.sink.text, eventText(1));
   });
 
+  it('is not blamed for a caller that is slow to read', async () => {
+    const script = [{ metadata, chunks: [eventText(1), eventText(2)] }];
+    const harness = new ForwarderHarness(script, draftRoute);
+    harness.sink.drained = harness.clock.waitUntil(START_MS + 3_000);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 3_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.upstream.calls.length, 1);
+    assert.equal(harness.sink.text, eventText(1, 2));
+    assert.ok(harness.sink.isEnded);
+  });
+
   it('does not end the response to a posting before its deadline', async () => {
     const postingRoute = sampleRoute({
       type: RouteType.NonIdempotent,
--- a/packages/core/src/forwarding/silence-detector.ts
+++ b/packages/core/src/forwarding/silence-detector.ts
@@ -41,6 +41,11 @@
     this.timer.reset(this.options.chunkGapTimeoutMs);
   }
 
+  /** Suspends the timeout while the caller, not the endpoint, is slow; progress resumes it. */
+  pause(): void {
+    this.timer.reset(Infinity);
+  }
+
   /** Records bytes that complete no event for the caller; they do not keep the attempt alive. */
   recordFruitless(): void {
     this.fruitless.record(this.deps.clock.nowMs());
