Return a request to the silent endpoint that it left if the next one refuses

A stream whose endpoint fell silent was moved to another endpoint. If that one was full and refused, the route's attempts were used up and the stream was cut, although the endpoint it had left was sound.

Cause: a refusal ended the run where no new endpoint may be added. The limit of attempts is one of endpoints, and the request had run on one only, so that it may go back there: once, with a retry from the budget, and for requests that may be repeated only. What decides which attempt follows another moves out of ForwardRun into AttemptSequence.

Evidence: two tests of forward-silence and one of gateway-silence were seen failing (2 calls in place of 3; 'other side closed') and pass. Not covered: with the retry budget spent the stream is still cut.

--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -3,6 +3,7 @@
   PoolQuery,
   PoolReservation,
 } from './endpoint-pool.js';
+import { AttemptEndKind } from './forward-attempt.js';
 import type { ForwardRequest } from './forward-request.js';
 import type { VersionSelector } from './forwarder.js';
 
@@ -20,6 +21,8 @@
   private readonly tried = new Set<string>();
   /** Endpoints to which the request may have been written. */
   private readonly reached = new Set<string>();
+  /** Endpoints that were left as they were silent. */
+  private readonly left = new Set<string>();
 
   constructor(private readonly options: EndpointChoiceOptions) {}
 
@@ -27,8 +30,10 @@
     this.tried.add(id);
   }
 
-  recordReached(id: string): void {
-    this.reached.add(id);
+  recordEnd(id: string, kind: AttemptEndKind): void {
+    if (kind !== AttemptEndKind.NotSent) this.reached.add(id);
+    if (kind === AttemptEndKind.Silent) this.left.add(id);
+    else this.left.delete(id);
   }
 
   /**
@@ -51,21 +56,28 @@
     return this.reserveOutside([this.tried], nowMs);
   }
 
+  /** Reserves an endpoint that was left for another one. */
+  reserveLeft(nowMs: number): PoolReservation | undefined {
+    const { group, pool } = this.options;
+    const others = pool
+      .readyEndpoints(group, nowMs)
+      .map(({ id }) => id)
+      .filter(id => !this.left.has(id));
+    return pool.reserve({ ...this.query(), excluded: new Set(others) }, nowMs);
+  }
+
   /** Reserves an endpoint outside the first of the sets that leaves one. */
   private reserveOutside(
     exclusions: readonly ReadonlySet<string>[],
     nowMs: number,
   ): PoolReservation | undefined {
-    const { group, pool, request, versions } = this.options;
-    const { promptParts, usage } = request.metadata;
+    const { group, pool, versions } = this.options;
     const rule =
       this.tried.size === 0
         ? versions.choose(group)
         : versions.chooseForRetry(group);
     const query: Omit<PoolQuery, 'excluded'> = {
-      group,
-      promptParts,
-      promptTokens: usage?.promptTokens ?? 0,
+      ...this.query(),
       ...(rule.only === undefined ? {} : { onlyVersion: rule.only }),
       ...(rule.not === undefined ? {} : { notVersion: rule.not }),
     };
@@ -81,4 +93,10 @@
       nowMs,
     );
   }
+
+  private query(): Omit<PoolQuery, 'excluded'> {
+    const { group, request } = this.options;
+    const { promptParts, usage } = request.metadata;
+    return { group, promptParts, promptTokens: usage?.promptTokens ?? 0 };
+  }
 }
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -1,6 +1,7 @@
 import type { LogFields } from '../ports/index.js';
 import { LogComponent } from '../ports/index.js';
 import type { RetryBudget } from '../routing/index.js';
+import { AttemptSequence } from './attempt-sequence.js';
 import { attemptTimeouts } from './attempt-timeouts.js';
 import { RouteType } from './configuration.js';
 import { EndpointChoice } from './endpoint-choice.js';
@@ -16,8 +17,6 @@
 import type { ForwardRequest } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
 import type { ResolvedRequest } from './resolve-request.js';
-import type { RetryState } from './retry-obstacle.js';
-import { findRetryObstacle, RetryObstacle } from './retry-obstacle.js';
 import { toForwardError } from './run-failure.js';
 import { RunOutcome } from './run-outcome.js';
 import { StreamRelay } from './stream-relay.js';
@@ -32,27 +31,16 @@
   readonly budget: RetryBudget;
 }
 
-/** Number of unreachable endpoints after which the request fails. */
-const MAX_UNSENT_ATTEMPTS = 3;
-/** Minimum time before the deadline for which another attempt is worth its cost. */
-const MIN_TIME_FOR_ATTEMPT_MS = 20;
-
 /** Execution of one request by one or more attempts at endpoints. */
 export class ForwardRun {
   outcome = RunOutcome.Pending;
   private readonly deadlineAtMs: number;
   private readonly runAbort = new AbortController();
-  private readonly endpoints: EndpointChoice;
+  private readonly sequence: AttemptSequence;
   private readonly relay: StreamRelay | undefined;
-  /** Number of attempts that reached their endpoint; unsent and misdirected ones do not count. */
-  private attempts = 0;
-  private unsentAttempts = 0;
   private isTimedOut = false;
   private mayHaveRun = false;
   private isUsageCounted = false;
-  /** Endpoint that takes over from the one of the current attempt, which is silent. */
-  private replacement: PoolReservation | undefined;
-  private obstacle: RetryObstacle | undefined;
   private lastEnd: AttemptEndKind | undefined;
   private firstResponseAtMs: number | undefined;
   private lastEndpointId = '';
@@ -73,13 +61,7 @@
     const callerTimeoutMs = request.metadata.callerTimeoutMs ?? Infinity;
     this.deadlineAtMs =
       request.receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
-    this.endpoints = new EndpointChoice({
-      group: context.group,
-      request,
-      isRepeatable: this.isRepeatable(),
-      pool: deps.pool,
-      versions: deps.versions,
-    });
+    this.sequence = this.createSequence();
     if (route.type !== RouteType.Streaming) return;
     this.relay = new StreamRelay(
       sink,
@@ -104,7 +86,7 @@
     } finally {
       signal.removeEventListener('abort', onCallerDisconnect);
       timer.abort();
-      this.replacement?.release(undefined, this.deps.clock.nowMs());
+      this.sequence.close();
     }
   }
 
@@ -113,10 +95,12 @@
     const fields = {
       group: this.context.group,
       endpoint: this.lastEndpointId,
-      attempts: this.attempts,
+      attempts: this.sequence.attempts,
       mayHaveRun: this.mayHaveRun,
       ...(this.lastEnd !== undefined && { lastEnd: this.lastEnd }),
-      ...(this.obstacle !== undefined && { notRetried: this.obstacle }),
+      ...(this.sequence.obstacle !== undefined && {
+        notRetried: this.sequence.obstacle,
+      }),
       dispatchedAfterMs: Math.round(this.dispatchedAfterMs),
       endpointListAgeMs: Math.round(this.endpointListAgeMs),
       ...(this.relay && {
@@ -135,8 +119,7 @@
   private async runAttempts(signal: AbortSignal): Promise<void> {
     let response: BufferedResponse | undefined;
     let last: AttemptOutcome | undefined;
-    let reservation = this.endpoints.reserve(this.deps.clock.nowMs());
-    if (reservation === undefined) this.obstacle = RetryObstacle.NoEndpoint;
+    let reservation = this.sequence.first();
     while (reservation !== undefined) {
       last = await this.attempt(reservation);
       if (signal.aborted) {
@@ -144,7 +127,7 @@
         return;
       }
       response = last.response ?? response;
-      reservation = this.takeReplacement(last) ?? this.reserveRetry(last);
+      reservation = this.sequence.next(last);
     }
     if (last?.kind === AttemptEndKind.Answered && last.response === undefined) {
       this.outcome = RunOutcome.Answered;
@@ -167,8 +150,7 @@
     this.lastEndpointId = endpoint.id;
     this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
     this.endpointListAgeMs = this.deps.endpointListAgeMs();
-    this.attempts += 1;
-    this.endpoints.recordDispatch(endpoint.id);
+    this.sequence.recordDispatch(endpoint.id);
     const observation = versions.observe({
       group: endpoint.group,
       version: endpoint.version,
@@ -177,7 +159,7 @@
     const attempt = new ForwardAttempt(this.deps, reservation, {
       ...attemptTimeouts(resolved.route, this.isRepeatable()),
       observation,
-      onSilence: () => this.tryReserveReplacement(),
+      onSilence: () => this.sequence.tryReserveReplacement(),
       requestId: request.requestId,
       stream: this.relay,
       signal: this.runAbort.signal,
@@ -216,17 +198,12 @@
     const { clock, log, metrics, pool } = this.deps;
     const nowMs = clock.nowMs();
     this.lastEnd = result.kind;
-    if (result.kind !== AttemptEndKind.NotSent)
-      this.endpoints.recordReached(endpoint.id);
+    this.sequence.recordEnd(endpoint.id, result.kind);
     switch (result.kind) {
-      case AttemptEndKind.NotSent:
-        this.attempts -= 1;
-        this.unsentAttempts += 1;
-        break;
       case AttemptEndKind.Misdirected:
-        this.attempts -= 1;
         pool.recordMisdirected(endpoint.id, nowMs);
         break;
+      case AttemptEndKind.NotSent:
       case AttemptEndKind.NotRun:
         break;
       case AttemptEndKind.Answered:
@@ -248,60 +225,30 @@
         noticedLateMs: Math.round(result.noticedLateMs),
       }),
       elapsedMs: Math.round(nowMs - sentAtMs),
-      attempts: this.attempts,
+      attempts: this.sequence.attempts,
     });
   }
 
-  /** Reserves the endpoint of the next attempt, if the last one may be repeated. */
-  private reserveRetry(last: AttemptOutcome): PoolReservation | undefined {
-    this.obstacle = this.acquireRetry(last);
-    if (this.obstacle !== undefined) return undefined;
-    const reservation = this.endpoints.reserve(this.deps.clock.nowMs());
-    if (reservation === undefined) this.obstacle = RetryObstacle.NoEndpoint;
-    return reservation;
-  }
-
-  /** Reserves an endpoint that takes over from a silent one; returns false if the request must wait on. */
-  private tryReserveReplacement(): boolean {
-    const { budget } = this.context;
-    const silence = { kind: AttemptEndKind.Silent };
-    if (findRetryObstacle(silence, this.retryState()) !== undefined)
-      return false;
-    if (!budget.isAvailable) return false;
-    const nowMs = this.deps.clock.nowMs();
-    this.replacement = this.endpoints.reserveUntried(nowMs);
-    return this.replacement !== undefined && budget.tryAcquire();
-  }
-
-  /** Returns the endpoint that takes over after an attempt that was abandoned for it. */
-  private takeReplacement(last: AttemptOutcome): PoolReservation | undefined {
-    const { replacement } = this;
-    if (last.kind !== AttemptEndKind.Silent) return undefined;
-    this.replacement = undefined;
-    return replacement;
-  }
-
-  /** Returns what keeps the request from another attempt; if nothing does, one retry is taken from the budget. */
-  private acquireRetry(result: AttemptOutcome): RetryObstacle | undefined {
-    const obstacle = findRetryObstacle(result, this.retryState());
-    if (obstacle !== undefined) return obstacle;
-    if (result.kind === AttemptEndKind.NotSent) return undefined;
-    return this.context.budget.tryAcquire()
-      ? undefined
-      : RetryObstacle.BudgetSpent;
-  }
-
-  private retryState(): RetryState {
-    const { resolved, suspectIds } = this.context;
-    const { clock, crashGuard } = this.deps;
-    const remainingMs = this.deadlineAtMs - clock.nowMs();
-    return {
-      isDeadlineNear: this.isTimedOut || remainingMs < MIN_TIME_FOR_ATTEMPT_MS,
-      isBlocked: crashGuard.blockedForMs(suspectIds) !== undefined,
-      isRepeatable: this.isRepeatable(),
-      hasAttemptsLeft: this.attempts < resolved.route.maxAttempts,
-      hasUnsentAttemptsLeft: this.unsentAttempts < MAX_UNSENT_ATTEMPTS,
-    };
+  private createSequence(): AttemptSequence {
+    const { clock, crashGuard, pool, versions } = this.deps;
+    const { budget, group, request, resolved, suspectIds } = this.context;
+    const isRepeatable = this.isRepeatable();
+    return new AttemptSequence({
+      clock,
+      crashGuard,
+      budget,
+      endpoints: new EndpointChoice({
+        group,
+        request,
+        isRepeatable,
+        pool,
+        versions,
+      }),
+      suspectIds,
+      deadlineAtMs: this.deadlineAtMs,
+      isRepeatable,
+      maxAttempts: resolved.route.maxAttempts,
+    });
   }
 
   private isRepeatable(): boolean {
--- a/packages/core/src/forwarding/forward-silence.test.ts
+++ b/packages/core/src/forwarding/forward-silence.test.ts
@@ -142,6 +142,48 @@
     assert.equal(harness.sink.text, eventText(1));
   });
 
+  it('gets a request back that the endpoint which took over refuses', async () => {
+    const refusal: ScriptedResponse = {
+      status: 503,
+      metadata: { isNotRun: true },
+    };
+    const script: readonly ScriptedResponse[] = [
+      { metadata, chunks: [eventText(1)], isHanging: true },
+      refusal,
+      pausingStream,
+    ];
+    const harness = new ForwarderHarness(script, draftRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 4_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+    const [first, second, third] = harness.upstream.calls.map(
+      call => call.endpoint.id,
+    );
+    assert.notEqual(second, first);
+    assert.equal(third, first);
+    assert.equal(harness.upstream.calls.length, 3);
+  });
+
+  it('gets a request back once at most', async () => {
+    const refusal: ScriptedResponse = {
+      status: 503,
+      metadata: { isNotRun: true },
+    };
+    const script: readonly ScriptedResponse[] = [
+      { metadata, chunks: [eventText(1)], isHanging: true },
+      refusal,
+      refusal,
+      {},
+    ];
+    const harness = new ForwarderHarness(script, draftRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 4_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.upstream.calls.length, 3);
+    assert.ok(harness.sink.isDestroyed);
+  });
+
   it('is not blamed for a caller that is slow to read', async () => {
     const script = [{ metadata, chunks: [eventText(1), eventText(2)] }];
     const harness = new ForwarderHarness(script, draftRoute);
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,3 +1,4 @@
+export * from './attempt-sequence.js';
 export * from './attempt-timeouts.js';
 export * from './choose-group.js';
 export * from './configuration.js';
--- a/packages/stand-ins/src/gateway/gateway-silence.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-silence.test.ts
@@ -76,6 +76,19 @@
     await changed;
   });
 
+  it('does not cut a stream that the other endpoint refuses', async () => {
+    const sent = await fixture.send('/drafts/a', streamHeaders);
+    const [run] = fixture.runs();
+    assert.ok(run);
+    const busy = fixture.deployment.endpoints.find(
+      endpoint =>
+        endpoint.id.startsWith('engine') && !endpoint.runs.includes(run),
+    );
+    assert.ok(busy);
+    busy.mode = EndpointMode.ShedsLoad;
+    assert.deepEqual(eventIds(await sent.body.text()), [1, 2, 3, 4]);
+  });
+
   it('answers a lookup', async () => {
     const changed = changeConfiguration();
     assert.equal(await fixture.statusOf('/lookups/a'), 200);
