Show that changes of list and routes cut no stream in progress

The fourth hypothesis on the lost answers: a stream goes on to its end while its silent endpoint leaves the list and while its route is removed. Both tests pass on the code as it is, which rules the hypothesis out for requests that were passed on.

--- a/packages/stand-ins/src/gateway/gateway-silence.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-silence.test.ts
@@ -2,7 +2,10 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { EndpointMode } from '@skylarkreach/platform/stand-ins';
+import {
+  EndpointMode,
+  sampleConfiguration,
+} from '@skylarkreach/platform/stand-ins';
 
 import type { GatewayDeployment } from './gateway-deployment.js';
 import { GatewayFixture } from './gateway-fixture.js';
@@ -56,6 +59,12 @@
     fixture.deployment.writeConfiguration(configurationVersion);
   }
 
+  async function waitForStatus(status: number): Promise<void> {
+    const headers = { 'deadline-ms': '100' };
+    while ((await fixture.statusOf('/lookups/b', headers)) !== status)
+      await delay(20);
+  }
+
   it('does not cut a stream that may be resumed', async () => {
     const changed = changeConfiguration();
     const { body, statusCode } = await fixture.send('/drafts/a', streamHeaders);
@@ -89,6 +98,29 @@
     assert.deepEqual(eventIds(await sent.body.text()), [1, 2, 3, 4]);
   });
 
+  it('does not cut a stream whose endpoint leaves the list', async () => {
+    const { store } = fixture.deployment;
+    const { body } = await fixture.send('/answers/a', streamHeaders);
+    const text = body.text();
+    for (const { Key: key } of store.state.listPrefix('servers/')) {
+      store.state.delete(key);
+    }
+    assert.deepEqual(eventIds(await text), [1, 2, 3, 4]);
+  });
+
+  it('does not cut a stream whose route is removed', async () => {
+    const { store } = fixture.deployment;
+    const { body } = await fixture.send('/answers/a', streamHeaders);
+    const text = body.text();
+    const configuration = JSON.parse(sampleConfiguration(2)) as object;
+    store.state.put(
+      'op/config',
+      JSON.stringify({ ...configuration, Routes: [] }),
+    );
+    await waitForStatus(404);
+    assert.deepEqual(eventIds(await text), [1, 2, 3, 4]);
+  });
+
   it('answers a lookup', async () => {
     const changed = changeConfiguration();
     assert.equal(await fixture.statusOf('/lookups/a'), 200);
