Reject requests late in a stop that may last beyond its end

What callers saw: in a planned stop a request that came later than 3 s after SIGTERM, on a connection that was open, was taken and passed on, and at 7 s of the 8 s grace period it was cut without an answer. Among them could be requests that must not be repeated.

Cause: until 4.5 s after SIGTERM every request was taken, whatever its time limit: a stream of up to 8 s or a posting with a limit of 6 s had 2.5 s left. That was asked only when the head arrived, not once the body was read, and not before a second attempt. After 4.5 s every request was rejected, also those with a limit of a second, for which there was time.

Now a stopping daemon has a schedule: while the load balancer may still route requests here (2.5 s) all are served as before. After that a request is sent only if its own limit, the lower one of its route's and its caller's, ends it before the cutoff. Else it gets a 503 at once: not run, Retry-After 0, Connection: close. This is asked when the head arrives, right before the dispatch, and before a second attempt of a request that must not be repeated. Those that may be repeated and were taken in time are retried as before.

Ruled out: an estimate of the time that a request takes. It can be wrong, and callers of a refused request reach another daemon at once.

Evidence: `gateway-late-requests`, on real sockets, seen failing before: the stream of 3.2 s got 'HTTP/1.1 200 OK' and two events and was cut at 7 s ("The input did not match the regular expression /^HTTP\/1.1 503 /"), the posting of 5 s with a limit of 1.5 s got a 503 ("... /^HTTP\/1.1 200 /"). Passes after. `forward-stops` holds the same for the forwarder alone.

--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -35,6 +35,8 @@
   readonly upstream: ScriptedUpstream;
   readonly crashGuard = new RecordingCrashGuard();
   readonly usageWorkspaces: string[] = [];
+  /** Latest deadline of requests that may be sent. */
+  latestDeadlineAtMs = Infinity;
   readonly pool = new EndpointPool(new SeededRandom(1), {
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
@@ -91,6 +93,9 @@
           this.usageWorkspaces.push(workspace);
         },
       },
+      dispatchWindow: {
+        isOpenUntil: deadlineAtMs => deadlineAtMs <= this.latestDeadlineAtMs,
+      },
     });
   }
 
--- a/packages/core/src/forwarding/forward-error.ts
+++ b/packages/core/src/forwarding/forward-error.ts
@@ -63,3 +63,12 @@
     return HTTP_STATUS[this.kind];
   }
 }
+
+/** Returns the error for a request that was not executed, as the daemon is stopping. */
+export function daemonStoppingError(): ForwardError {
+  return new ForwardError(
+    ForwardErrorKind.Stopping,
+    'This daemon is stopping; send the request again to reach another one.',
+    0,
+  );
+}
--- a/packages/core/src/forwarding/forward-request.ts
+++ b/packages/core/src/forwarding/forward-request.ts
@@ -1,3 +1,5 @@
+import type { ForwardRoute } from './configuration.js';
+
 /** Alternating header names and values, as received. */
 export type RawHeaders = readonly string[];
 
@@ -38,6 +40,21 @@
   readonly receivedAtMs: number;
 }
 
+/** What is known of a request once its headers are read. */
+export type RequestHead = Pick<
+  ForwardRequest,
+  'metadata' | 'receivedAtMs' | 'target'
+>;
+
+/** Returns the time at which the request times out. */
+export function deadlineOf(
+  { metadata, receivedAtMs }: RequestHead,
+  { timeoutMs }: ForwardRoute,
+): number {
+  const callerTimeoutMs = metadata.callerTimeoutMs ?? Infinity;
+  return receivedAtMs + Math.min(callerTimeoutMs, timeoutMs);
+}
+
 /** Metadata that the protocol reads from an endpoint's response. */
 export interface ResponseMetadata {
   /** Id of the request that the response belongs to. */
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -12,7 +12,9 @@
   isFailure,
 } from './forward-attempt.js';
 import type { ForwardError } from './forward-error.js';
+import { daemonStoppingError } from './forward-error.js';
 import type { ForwardRequest } from './forward-request.js';
+import { deadlineOf } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
 import type { ResolvedRequest } from './resolve-request.js';
 import { toForwardError } from './run-failure.js';
@@ -75,9 +77,7 @@
   ) {
     const { resolved, request } = context;
     const { route } = resolved;
-    const callerTimeoutMs = request.metadata.callerTimeoutMs ?? Infinity;
-    this.deadlineAtMs =
-      request.receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
+    this.deadlineAtMs = deadlineOf(request, route);
     if (route.type !== RouteType.Streaming) return;
     this.relay = new StreamRelay(
       sink,
@@ -131,6 +131,7 @@
     let response: BufferedResponse | undefined;
     let last: AttemptOutcome | undefined;
     do {
+      if (last !== undefined) this.rejectLateRetry();
       const reservation = this.reserveEndpoint();
       if (reservation === undefined) break;
       last = await this.attempt(reservation);
@@ -153,6 +154,13 @@
     this.sendResponse(response);
   }
 
+  /** Throws `ForwardError` if a request that must not be repeated may last beyond the end of this stopping daemon. */
+  private rejectLateRetry(): void {
+    if (this.isRepeatable()) return;
+    if (this.deps.dispatchWindow.isOpenUntil(this.deadlineAtMs)) return;
+    throw daemonStoppingError();
+  }
+
   private async attempt(reservation: PoolReservation): Promise<AttemptOutcome> {
     const { resolved, request } = this.context;
     const { endpoint } = reservation;
--- /dev/null
+++ b/packages/core/src/forwarding/forward-stops.test.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { RouteType } from './configuration.js';
+import type { ScriptedResponse } from './fakes/index.js';
+import { ForwarderHarness, sampleRoute } from './fakes/index.js';
+import { ForwardErrorKind } from './forward-error.js';
+
+const postingRoute = sampleRoute({
+  name: 'postings',
+  pathPrefix: '/postings/',
+  type: RouteType.NonIdempotent,
+  maxAttempts: 3,
+});
+const refusal: ScriptedResponse = { status: 503, metadata: { isNotRun: true } };
+
+describe('a request of a daemon that stops', () => {
+  it('is not sent if it may last beyond the end of the daemon', async () => {
+    const harness = new ForwarderHarness([{}], postingRoute);
+    harness.latestDeadlineAtMs = harness.clock.nowMs();
+    const error = await harness.serve();
+    assert.equal(error?.kind, ForwardErrorKind.Stopping);
+    assert.equal(error.retryInMs, 0);
+    assert.equal(harness.upstream.calls.length, 0);
+  });
+
+  it('is not sent a second time after the stop if it must not be repeated', async () => {
+    const harness = new ForwarderHarness([refusal, {}], postingRoute);
+    const served = harness.serve();
+    harness.latestDeadlineAtMs = harness.clock.nowMs();
+    const error = await served;
+    assert.equal(error?.kind, ForwardErrorKind.Stopping);
+    assert.equal(harness.upstream.calls.length, 1);
+  });
+
+  it('is sent a second time after the stop if it may be repeated', async () => {
+    const harness = new ForwarderHarness([refusal, {}], sampleRoute());
+    const served = harness.serve();
+    harness.latestDeadlineAtMs = harness.clock.nowMs();
+    assert.equal(await served, undefined);
+    assert.equal(harness.upstream.calls.length, 2);
+  });
+});
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -11,9 +11,19 @@
 import type { ConfigurationStore } from './configuration-store.js';
 import type { CrashDetector } from './crash-detector.js';
 import type { CrashGuard } from './crash-guard.js';
+import type { DispatchWindow } from './dispatch-window.js';
 import type { EndpointPool } from './endpoint-pool.js';
-import { ForwardError, ForwardErrorKind } from './forward-error.js';
-import type { ForwardProtocol, ForwardRequest } from './forward-request.js';
+import {
+  daemonStoppingError,
+  ForwardError,
+  ForwardErrorKind,
+} from './forward-error.js';
+import type {
+  ForwardProtocol,
+  ForwardRequest,
+  RequestHead,
+} from './forward-request.js';
+import { deadlineOf } from './forward-request.js';
 import { ForwardRun } from './forward-run.js';
 import { fingerprintOf, suspectIdsOf } from './request-fingerprint.js';
 import type { ResolvedRequest } from './resolve-request.js';
@@ -76,6 +86,7 @@
   readonly retryBudgetOf: (group: string) => RetryBudget;
   readonly versions: VersionSelector;
   readonly usageCounter: UsageCounter;
+  readonly dispatchWindow: DispatchWindow;
 }
 
 /** Request with its route, its workspace and what identifies repetitions of it. */
@@ -101,6 +112,7 @@
     let run: ForwardRun | undefined;
     try {
       resolved = this.resolve(request);
+      this.rejectLate(request);
       this.rejectBlocked(resolved);
       this.admit(request, resolved);
       run = this.createRun(request, resolved, sink);
@@ -113,6 +125,16 @@
     }
   }
 
+  /** Throws `ForwardError` if the request may last beyond the end of this stopping daemon. */
+  rejectLate(head: RequestHead): void {
+    const { configuration, dispatchWindow } = this.deps;
+    const { metadata, target } = head;
+    const route = configuration.findRoute(metadata.host, target);
+    if (route === undefined) return;
+    if (dispatchWindow.isOpenUntil(deadlineOf(head, route))) return;
+    throw daemonStoppingError();
+  }
+
   private resolve(request: ForwardRequest): IdentifiedRequest {
     const { configuration } = this.deps;
     const { metadata, target } = request;
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -4,6 +4,7 @@
 export * from './configuration-store.js';
 export * from './crash-detector.js';
 export * from './crash-guard.js';
+export * from './dispatch-window.js';
 export * from './endpoint-health.js';
 export * from './endpoint-limiter.js';
 export * from './endpoint-pool.js';
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -44,6 +44,7 @@
 import { OperatorWatch } from './operator-watch.js';
 import { RetryBudgets } from './retry-budgets.js';
 import { StateReplicator } from './state-replicator.js';
+import { StopSchedule } from './stop-schedule.js';
 
 /** Limits that apply until the first configuration arrives. */
 const DEFAULT_LIMITS: CallerLimits = {
@@ -66,6 +67,7 @@
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
   readonly ingress: IngressServer;
+  readonly stopSchedule: StopSchedule;
   readonly endpointClient: EndpointClient;
   readonly cluster: GatewayCluster;
   readonly duties: GatewayDuties;
@@ -143,6 +145,7 @@
     knownDaemons.recordListed(ids);
   });
   const retryBudgets = new RetryBudgets(settings, () => cluster.size);
+  const stopSchedule = new StopSchedule(clock);
   const forwarder = new Forwarder({
     ...context,
     protocol: platform.protocol,
@@ -161,6 +164,7 @@
     retryBudgetOf: group => retryBudgets.forGroup(group),
     versions: rollouts,
     usageCounter: duties.usageLedger,
+    dispatchWindow: stopSchedule,
   });
   const ingress = new IngressServer({
     ...context,
@@ -217,6 +221,7 @@
     configuration,
     pool,
     ingress,
+    stopSchedule,
     endpointClient,
     cluster,
     duties,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -8,12 +8,6 @@
 import type { TextResponse } from './text-server.js';
 import { TextServer } from './text-server.js';
 
-/** Time in which the load balancer detects that this daemon is not ready: two probes one second apart, plus the response to the last. */
-const BALANCER_DETECTION_MS = 2_500;
-/** Time before the end of the grace period at which responses still in progress are cut off. */
-const CUTOFF_MARGIN_MS = 1_000; // covers late timers on a busy instance and the stop of the loops
-/** Minimum time left before the cutoff at which a request is still accepted. */
-const MIN_SERVE_MS = 2_500; // most requests take less
 const MS_PER_SECOND = 1_000;
 /** Settings sections that are read only at start, so that a change needs a restart. */
 const RESTART_SECTIONS = ['identity', 'listen', 'peerSecret'] as const;
@@ -103,13 +97,15 @@
   /**
    * Stops gracefully: reports not ready at once and keeps serving requests until
    * the load balancer has stopped routing to this daemon and all responses have
-   * ended, or until the grace period is nearly over.
+   * ended, or until the grace period is nearly over. Requests that may last beyond
+   * that are rejected.
    */
   async stop(): Promise<void> {
     if (this.isStopping) return;
     this.isStopping = true;
-    const { clock, ingress, log, settings } = this.wiring;
-    const stopRequestedAtMs = clock.nowMs();
+    const { clock, ingress, log, settings, stopSchedule } = this.wiring;
+    const { gracePeriodSeconds } = settings.bounds;
+    stopSchedule.start(gracePeriodSeconds * MS_PER_SECOND);
     log.info(LogComponent.Daemon, 'The daemon is leaving.', {
       answersInProgress: ingress.answersInProgress,
     });
@@ -117,16 +113,10 @@
     const { cluster, duties } = this.wiring;
     void duties.dutyHolder.release();
     void cluster.membership.leave();
-    const graceMs = settings.bounds.gracePeriodSeconds * MS_PER_SECOND;
-    await clock.waitUntil(
-      stopRequestedAtMs + Math.min(BALANCER_DETECTION_MS, graceMs / 2),
-    );
+    await clock.waitUntil(stopSchedule.routedUntilMs);
     ingress.stopAccepting();
-    const endsAtMs = stopRequestedAtMs + graceMs - CUTOFF_MARGIN_MS;
     const idle = ingress.whenIdle();
-    await Promise.race([idle, clock.waitUntil(endsAtMs - MIN_SERVE_MS)]);
-    ingress.rejectNewRequests();
-    await Promise.race([idle, clock.waitUntil(endsAtMs)]);
+    await Promise.race([idle, clock.waitUntil(stopSchedule.cutoffAtMs)]);
     const { answersInProgress } = ingress;
     await this.terminate();
     log.info(LogComponent.Daemon, 'The daemon has stopped.', {
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -53,6 +53,15 @@
   [BodyErrorKind.CutOff]: ForwardErrorKind.BadRequest,
 };
 
+/** Request with its response. */
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  requestId?: string | undefined;
+  /** The forwarder records the outcome. */
+  isForwarded: boolean;
+}
+
 /** HTTP server for callers: reads whole requests, forwards them and writes the responses. */
 export class IngressServer {
   private readonly server: Server;
@@ -60,7 +69,6 @@
   private readonly responsesBySocket = new Map<Duplex, Set<ServerResponse>>();
   private openResponseCount = 0;
   private isDraining = false;
-  private isRejectingRequests = false;
   private onIdle: (() => void) | undefined;
 
   constructor(private readonly deps: IngressServerDependencies) {
@@ -114,11 +122,6 @@
     this.server.closeIdleConnections();
   }
 
-  /** Rejects further requests on open connections, since no time is left to serve them. */
-  rejectNewRequests(): void {
-    this.isRejectingRequests = true;
-  }
-
   /** Stops listening and closes all connections. */
   destroy(): void {
     this.server.close();
@@ -137,11 +140,13 @@
     const receivedAtMs = this.deps.clock.nowMs();
     const disconnected = this.trackResponse(request.socket, response);
     const sink = new ResponseSink(response, () => this.isDraining);
-    let requestId: string | undefined;
+    const exchange: Exchange = { request, response, isForwarded: false };
     try {
       const metadata = this.deps.protocol.readRequest(request.rawHeaders);
-      ({ requestId } = metadata);
-      if (this.isRejectingRequests) throw daemonStoppingError();
+      const { requestId } = metadata;
+      exchange.requestId = requestId;
+      const head = { metadata, target: request.url ?? '/', receivedAtMs };
+      this.deps.forwarder.rejectLate(head);
       this.checkHeaders(request);
       const body = await this.readBody(request);
       if (requestId === undefined) throw missingRequestIdError();
@@ -151,17 +156,16 @@
         return;
       }
       const forwardRequest: ForwardRequest = {
+        ...head,
         requestId,
         method: request.method ?? 'GET',
-        target: request.url ?? '/',
         headers: request.rawHeaders,
         body,
-        metadata,
-        receivedAtMs,
       };
+      exchange.isForwarded = true;
       await this.deps.forwarder.handle(forwardRequest, sink, disconnected);
     } catch (error) {
-      this.sendError(error, request, response, requestId);
+      this.sendError(error, exchange);
     }
   }
 
@@ -234,9 +238,7 @@
 
   private sendError(
     error: unknown,
-    request: IncomingMessage,
-    response: ServerResponse,
-    requestId: string | undefined,
+    { request, response, requestId, isForwarded }: Exchange,
   ): void {
     if (response.headersSent || response.destroyed) {
       abortResponse(response);
@@ -245,7 +247,7 @@
     const forwardError = toForwardError(error);
     // Unread bytes of the body must not be parsed as the next request.
     const mustClose = this.isDraining || !request.complete;
-    this.reportEarlyRejection(forwardError, requestId);
+    if (!isForwarded) this.reportEarlyRejection(forwardError, requestId);
     const text = JSON.stringify({
       kind: forwardError.kind,
       title: forwardError.message,
@@ -339,14 +341,6 @@
   return socket.writable;
 }
 
-function daemonStoppingError(): ForwardError {
-  return new ForwardError(
-    ForwardErrorKind.Stopping,
-    'This daemon is stopping; send the request again to reach another one.',
-    0,
-  );
-}
-
 function missingRequestIdError(): ForwardError {
   return new ForwardError(
     ForwardErrorKind.BadRequest,
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -14,7 +14,7 @@
 const EXIT_INVALID_SETTINGS = 2;
 
 /** Time that open connections have to close after the daemon has stopped. */
-const CONNECTION_CLOSE_TIMEOUT_MS = 200; // shorter than CUTOFF_MARGIN_MS of gateway.ts, so the process exits within the grace period
+const CONNECTION_CLOSE_TIMEOUT_MS = 200; // shorter than CUTOFF_MARGIN_MS of stop-schedule.ts, so the process exits within the grace period
 
 interface DaemonArguments {
   readonly settings?: string;
--- a/packages/stand-ins/src/gateway/gateway-deployment.ts
+++ b/packages/stand-ins/src/gateway/gateway-deployment.ts
@@ -1,6 +1,9 @@
 import type { GatewayAddresses, GatewaySettings } from '@skylarkreach/daemon';
 import { Gateway, gatewaySettingsSchema, LogLevel } from '@skylarkreach/daemon';
-import type { EndpointServerOptions } from '@skylarkreach/platform/stand-ins';
+import type {
+  EndpointServerOptions,
+  SampleConfigurationOptions,
+} from '@skylarkreach/platform/stand-ins';
 import {
   CloudServer,
   EndpointServer,
@@ -34,8 +37,11 @@
   }
 
   /** Writes the sample configuration with the given version to the store, as an operator does. */
-  writeConfiguration(version: number): void {
-    this.store.configure(version);
+  writeConfiguration(
+    version: number,
+    options?: SampleConfigurationOptions,
+  ): void {
+    this.store.configure(version, options);
   }
 
   /** Starts an endpoint and registers it with the store as an instance of a service. */
