Answer requests at the end of a stop instead of cutting them

What callers saw: a request whose endpoint was still at work 1 s before the end of the grace period lost its connection without an answer, though nothing of the answer had been sent and a second was left. So did one whose body was not read to its end yet, and which surely had not run.

Cause: the daemon closed all connections at the cutoff. The forwarder knew one reason to end a request early, that its caller had left, and wrote nothing then.

Now the ingress ends each request in progress with a ForwardError as the reason of its signal. The run ends as at its time limit: 502 if an endpoint may have run it, the stopping 503 if none has or if its body was not read, the answer of an earlier attempt if there is one. A stream that has begun is cut visibly as before and logged as brokenOff, no longer as callerGone. The answers have 200 ms to go out before the process closes its connections; it waits no longer than the last one takes. A run that is ended starts no further attempt. The responses in progress move to a class of their own, ResponseTracker.

--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -11,8 +11,7 @@
   isEndpointError,
   isFailure,
 } from './forward-attempt.js';
-import type { ForwardError } from './forward-error.js';
-import { daemonStoppingError } from './forward-error.js';
+import { daemonStoppingError, ForwardError } from './forward-error.js';
 import type { ForwardRequest } from './forward-request.js';
 import { deadlineOf } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
@@ -89,18 +88,18 @@
     );
   }
 
-  /** Resolves once the response is sent or the caller has disconnected. Throws `ForwardError` only before any part of the response is sent. */
+  /** Resolves once the response is sent or the caller has disconnected; the signal is aborted then, or with a `ForwardError` that ends the request. Throws `ForwardError` only before any part of the response is sent. */
   async serve(signal: AbortSignal): Promise<void> {
     this.context.budget.recordFirstAttempt();
-    const onCallerDisconnect = () => {
+    const onAbort = () => {
       this.runAbort.abort();
     };
-    signal.addEventListener('abort', onCallerDisconnect, { once: true });
+    signal.addEventListener('abort', onAbort, { once: true });
     const timer = this.startTimer();
     try {
       await this.runAttempts(signal);
     } finally {
-      signal.removeEventListener('abort', onCallerDisconnect);
+      signal.removeEventListener('abort', onAbort);
       timer.abort();
     }
   }
@@ -135,7 +134,7 @@
       const reservation = this.reserveEndpoint();
       if (reservation === undefined) break;
       last = await this.attempt(reservation);
-      if (signal.aborted) {
+      if (signal.aborted && !(signal.reason instanceof ForwardError)) {
         this.outcome = RunOutcome.CallerDisconnected;
         return;
       }
@@ -150,7 +149,7 @@
       this.sink.destroy();
       return;
     }
-    if (response === undefined) throw this.createError(last);
+    if (response === undefined) throw this.createError(last, signal);
     this.sendResponse(response);
   }
 
@@ -251,7 +250,8 @@
   private mayRetry(result: AttemptOutcome): boolean {
     const { budget, resolved, suspectIds } = this.context;
     const remainingMs = this.deadlineAtMs - this.deps.clock.nowMs();
-    if (this.isTimedOut || remainingMs < MIN_TIME_FOR_ATTEMPT_MS) return false;
+    if (this.runAbort.signal.aborted) return false;
+    if (remainingMs < MIN_TIME_FOR_ATTEMPT_MS) return false;
     if (this.deps.crashGuard.blockedForMs(suspectIds) !== undefined)
       return false;
     const hasAttemptsLeft = this.attempts < resolved.route.maxAttempts;
@@ -326,8 +326,12 @@
     this.sink.end();
   }
 
-  private createError(last: AttemptOutcome | undefined): ForwardError {
+  private createError(
+    last: AttemptOutcome | undefined,
+    { reason }: AbortSignal,
+  ): ForwardError {
     const { isTimedOut, mayHaveRun } = this;
+    if (reason instanceof ForwardError && !mayHaveRun) return reason;
     const { clock, pool } = this.deps;
     const { group } = this.context;
     return toForwardError({
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -100,8 +100,9 @@
   constructor(private readonly deps: ForwarderDependencies) {}
 
   /**
-   * Handles one request. Abort the signal when the caller disconnects. Throws
-   * `ForwardError` if the daemon itself has to answer with an error.
+   * Handles one request. Abort the signal when the caller disconnects, or with a
+   * `ForwardError` to end the request. Throws `ForwardError` if the daemon itself
+   * has to answer with an error.
    */
   async handle(
     request: ForwardRequest,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -8,6 +8,8 @@
 import type { TextResponse } from './text-server.js';
 import { TextServer } from './text-server.js';
 
+/** Time in which the last answers are sent after the cutoff. */
+const FLUSH_MS = 200; // a part of CUTOFF_MARGIN_MS of stop-schedule.ts
 const MS_PER_SECOND = 1_000;
 /** Settings sections that are read only at start, so that a change needs a restart. */
 const RESTART_SECTIONS = ['identity', 'listen', 'peerSecret'] as const;
@@ -98,7 +100,7 @@
    * Stops gracefully: reports not ready at once and keeps serving requests until
    * the load balancer has stopped routing to this daemon and all responses have
    * ended, or until the grace period is nearly over. Requests that may last beyond
-   * that are rejected.
+   * that are rejected; those that do get an error.
    */
   async stop(): Promise<void> {
     if (this.isStopping) return;
@@ -116,8 +118,11 @@
     await clock.waitUntil(stopSchedule.routedUntilMs);
     ingress.stopAccepting();
     const idle = ingress.whenIdle();
-    await Promise.race([idle, clock.waitUntil(stopSchedule.cutoffAtMs)]);
+    const { cutoffAtMs } = stopSchedule;
+    await Promise.race([idle, clock.waitUntil(cutoffAtMs)]);
     const { answersInProgress } = ingress;
+    ingress.endResponses();
+    await Promise.race([idle, clock.waitUntil(cutoffAtMs + FLUSH_MS)]);
     await this.terminate();
     log.info(LogComponent.Daemon, 'The daemon has stopped.', {
       answersInProgress,
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -23,6 +23,7 @@
   readBytes,
 } from '../http/index.js';
 import { abortResponse, ResponseSink } from './response-sink.js';
+import { ResponseTracker } from './response-tracker.js';
 
 export interface IngressServerDependencies {
   readonly forwarder: Forwarder;
@@ -65,11 +66,8 @@
 /** HTTP server for callers: reads whole requests, forwards them and writes the responses. */
 export class IngressServer {
   private readonly server: Server;
-  /** Responses in progress on each connection. */
-  private readonly responsesBySocket = new Map<Duplex, Set<ServerResponse>>();
-  private openResponseCount = 0;
+  private readonly responses = new ResponseTracker();
   private isDraining = false;
-  private onIdle: (() => void) | undefined;
 
   constructor(private readonly deps: IngressServerDependencies) {
     this.server = createServer(
@@ -101,19 +99,17 @@
   /** From now on, closes each connection after its next response, also after one whose head does not say so. */
   startDraining(): void {
     this.isDraining = true;
+    this.responses.startDraining();
   }
 
   /** Number of responses in progress. */
   get answersInProgress(): number {
-    return this.openResponseCount;
+    return this.responses.count;
   }
 
   /** Resolves once no response is in progress. */
   whenIdle(): Promise<void> {
-    if (this.openResponseCount === 0) return Promise.resolve();
-    return new Promise(resolve => {
-      this.onIdle = resolve;
-    });
+    return this.responses.whenIdle();
   }
 
   /** Stops accepting connections and closes idle ones. */
@@ -122,12 +118,15 @@
     this.server.closeIdleConnections();
   }
 
+  /** Ends all requests in progress: those without a response get an error. */
+  endResponses(): void {
+    this.responses.endAll();
+  }
+
   /** Stops listening and closes all connections. */
   destroy(): void {
     this.server.close();
-    for (const responses of this.responsesBySocket.values()) {
-      for (const response of responses) abortResponse(response);
-    }
+    this.responses.destroyAll();
     this.server.closeAllConnections();
   }
 
@@ -138,7 +137,7 @@
     // The request crossed the end of its connection and could not be answered.
     if (!isOpen(request.socket)) return;
     const receivedAtMs = this.deps.clock.nowMs();
-    const disconnected = this.trackResponse(request.socket, response);
+    const signal = this.responses.track(request.socket, response);
     const sink = new ResponseSink(response, () => this.isDraining);
     const exchange: Exchange = { request, response, isForwarded: false };
     try {
@@ -148,13 +147,17 @@
       const head = { metadata, target: request.url ?? '/', receivedAtMs };
       this.deps.forwarder.rejectLate(head);
       this.checkHeaders(request);
-      const body = await this.readBody(request);
+      const body = await Promise.race([
+        this.readBody(request),
+        whenAborted(signal),
+      ]);
       if (requestId === undefined) throw missingRequestIdError();
       await nextPoll();
       if (!isOpen(request.socket)) {
         this.recordEarlyDeparture(request.socket, requestId);
         return;
       }
+      signal.throwIfAborted();
       const forwardRequest: ForwardRequest = {
         ...head,
         requestId,
@@ -163,7 +166,7 @@
         body,
       };
       exchange.isForwarded = true;
-      await this.deps.forwarder.handle(forwardRequest, sink, disconnected);
+      await this.deps.forwarder.handle(forwardRequest, sink, signal);
     } catch (error) {
       this.sendError(error, exchange);
     }
@@ -181,29 +184,6 @@
     );
   }
 
-  /**
-   * Tracks a response until it closes. Returns a signal that is aborted if the
-   * caller disconnects first.
-   */
-  private trackResponse(socket: Duplex, response: ServerResponse): AbortSignal {
-    const disconnect = new AbortController();
-    const responses =
-      this.responsesBySocket.get(socket) ?? new Set<ServerResponse>();
-    this.responsesBySocket.set(socket, responses.add(response));
-    this.openResponseCount += 1;
-    response.once('close', () => {
-      if (!response.writableFinished) disconnect.abort();
-      responses.delete(response);
-      if (responses.size === 0) {
-        this.responsesBySocket.delete(socket);
-        if (this.isDraining) socket.end();
-      }
-      this.openResponseCount -= 1;
-      if (this.openResponseCount === 0) this.onIdle?.();
-    });
-    return disconnect.signal;
-  }
-
   private checkHeaders(request: IncomingMessage): void {
     const { maxHeaderBytes } = this.deps.limits();
     let bytes = 0;
@@ -305,15 +285,13 @@
         undefined,
       );
     }
-    const responses = this.responsesBySocket.get(socket);
-    if (responses !== undefined) {
-      for (const response of responses) {
-        response.once('finish', () => {
-          socket.end();
-        });
-      }
-      return;
+    const responses = this.responses.of(socket);
+    for (const response of responses) {
+      response.once('finish', () => {
+        socket.end();
+      });
     }
+    if (responses.length > 0) return;
     if (!socket.writable || code === 'ECONNRESET') {
       socket.destroy();
       return;
@@ -341,6 +319,18 @@
   return socket.writable;
 }
 
+/** Rejects with the signal's reason once it is aborted. */
+function whenAborted(signal: AbortSignal): Promise<never> {
+  return new Promise((_, reject) => {
+    const onAbort = () => {
+      reject(
+        signal.reason instanceof Error ? signal.reason : new Error('aborted'),
+      );
+    };
+    signal.addEventListener('abort', onAbort, { once: true });
+  });
+}
+
 function missingRequestIdError(): ForwardError {
   return new ForwardError(
     ForwardErrorKind.BadRequest,
--- a/packages/stand-ins/src/gateway/gateway-late-requests.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-late-requests.test.ts
@@ -160,4 +160,24 @@
       stream.assertStatus(200);
       assert.match(stream.text, /id: 10/);
     }));
+
+  it('gets a complete answer at the end of the grace period if an endpoint is still at work on it', () =>
+    withGateway(
+      { runMs: 20_000, plainTimeoutMs: 9_000 },
+      async (running, runsOf) => {
+        const [posting, stream, upload] = await openMany(running, 3);
+        assert.ok(posting && stream && upload);
+        const stopped = running.gateway.stop();
+        await delay(1_000);
+        posting.request('posting', 9_000);
+        upload.beginUpload('upload', 9_000);
+        await Promise.all([posting.closed, upload.closed]);
+        await stopped;
+        posting.assertStatus(502);
+        assert.doesNotMatch(posting.text, /retry-after/i);
+        assert.match(posting.text, /\}$/);
+        upload.assertRefused();
+        assert.deepEqual(['posting', 'upload'].map(runsOf), [1, 0]);
+      },
+    ));
 });
