Serve the requests on one connection in turn

What callers saw: of two requests sent one after the other on one connection, without waiting for the answer, the second was passed on and ran, and in a planned stop its connection was closed with the first answer: cut without an answer, also if it must not be repeated. The stop then lasted until the end of the grace period. A caller that left a connection with a second request on it, at any time, was not noticed: the request ran to its end.

Cause: the HTTP server hands out such a request at once and queues its response behind the first. The daemon forwarded it at once as well, though the first answer may end the connection: with Connection: close in a stop, or where the endpoint's answer has no length. A queued response has no event when its connection closes, so its request never counted as ended.

Now a request is forwarded when the response before it has ended, and not at all if the connection has ended with that. In a stop only the last response in progress on a connection announces its end. The end of a connection ends all requests on it.

Ruled out: forwarding them at once and keeping the connection open for the later answers only. The answer of an endpoint without a length ends the connection whatever the daemon announces.

--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -137,8 +137,11 @@
     // The request crossed the end of its connection and could not be answered.
     if (!isOpen(request.socket)) return;
     const receivedAtMs = this.deps.clock.nowMs();
-    const signal = this.responses.track(request.socket, response);
-    const sink = new ResponseSink(response, () => this.isDraining);
+    const { signal, turn } = this.responses.track(request.socket, response);
+    const sink = new ResponseSink(
+      response,
+      () => this.isDraining && this.isLast(request.socket, response),
+    );
     const exchange: Exchange = { request, response, isForwarded: false };
     try {
       const metadata = this.deps.protocol.readRequest(request.rawHeaders);
@@ -152,6 +155,9 @@
         whenAborted(signal),
       ]);
       if (requestId === undefined) throw missingRequestIdError();
+      await turn;
+      // The connection may have ended with the response before this one.
+      if (turn !== undefined && !isOpen(request.socket)) return;
       await nextPoll();
       if (!isOpen(request.socket)) {
         this.recordEarlyDeparture(request.socket, requestId);
@@ -184,6 +190,11 @@
     );
   }
 
+  /** Whether no further request has arrived on the response's connection. */
+  private isLast(socket: Duplex, response: ServerResponse): boolean {
+    return this.responses.of(socket).at(-1) === response;
+  }
+
   private checkHeaders(request: IncomingMessage): void {
     const { maxHeaderBytes } = this.deps.limits();
     let bytes = 0;
@@ -226,7 +237,9 @@
     }
     const forwardError = toForwardError(error);
     // Unread bytes of the body must not be parsed as the next request.
-    const mustClose = this.isDraining || !request.complete;
+    const mustClose =
+      !request.complete ||
+      (this.isDraining && this.isLast(request.socket, response));
     if (!isForwarded) this.reportEarlyRejection(forwardError, requestId);
     const text = JSON.stringify({
       kind: forwardError.kind,
--- a/packages/stand-ins/src/gateway/gateway-late-requests.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-late-requests.test.ts
@@ -69,6 +69,21 @@
     this.send(`${asPost}content-length: 4\r\n\r\nab`);
   }
 
+  destroy(): void {
+    this.socket.destroy();
+  }
+
+  /** Asserts complete answers to requests with these ids, in this order. */
+  assertAnswered(ids: readonly string[]): void {
+    const answers = this.text.matchAll(
+      /HTTP\/1.1 200 OK\r\nrequest-id: (\w+)\r\n.*?answer of ledger-1/gs,
+    );
+    assert.deepEqual(
+      Array.from(answers, ([, id]) => id),
+      ids,
+    );
+  }
+
   assertStatus(status: number): void {
     assert.match(this.text, new RegExp(`^HTTP/1.1 ${status} `));
   }
@@ -180,4 +195,44 @@
         assert.deepEqual(['posting', 'upload'].map(runsOf), [1, 0]);
       },
     ));
+
+  it('is answered if it follows another one on its connection', () =>
+    withGateway({ runMs: 400 }, async (running, runsOf) => {
+      const [before, across, after] = await openMany(running, 3);
+      assert.ok(before && across && after);
+      before.request('first', SHORT_MS);
+      before.request('second', SHORT_MS);
+      across.request('third', SHORT_MS);
+      await delay(100);
+      const stopped = running.gateway.stop();
+      after.request('fifth', SHORT_MS);
+      await delay(100);
+      across.request('fourth', SHORT_MS);
+      after.request('sixth', SHORT_MS);
+      await Promise.all([before.closed, across.closed, after.closed]);
+      await stopped;
+      before.assertAnswered(['first', 'second']);
+      across.assertAnswered(['third', 'fourth']);
+      after.assertAnswered(['fifth', 'sixth']);
+      const ids = ['first', 'second', 'third', 'fourth', 'fifth', 'sixth'];
+      assert.deepEqual(ids.map(runsOf), [1, 1, 1, 1, 1, 1]);
+    }));
+
+  it('is not passed on if its caller left while it waited for another one on its connection', () =>
+    withGateway({ runMs: 600 }, async (running, runsOf) => {
+      const [connection] = await openMany(running, 1);
+      assert.ok(connection);
+      connection.request('first', SHORT_MS);
+      connection.request('second', SHORT_MS);
+      await delay(200);
+      connection.destroy();
+      const stopRequestedAtMs = performance.now();
+      await running.gateway.stop();
+      const stoppedAfterMs = performance.now() - stopRequestedAtMs;
+      assert.equal(runsOf('second'), 0);
+      assert.ok(
+        stoppedAfterMs < ROUTED_MS,
+        `stopped after ${stoppedAfterMs} ms`,
+      );
+    }));
 });
