Do not send requests whose time limit has passed

What callers saw: a request whose body arrived slowly, or which waited for an earlier one on its connection until its time limit had passed, was still passed on, and the connection to the endpoint was closed at once. The caller got a 504, which promises nothing, and a request that must not be repeated may have run for nobody.

Cause: the time left is checked before a second attempt only; the timer that ends the run starts with the first one and fires after it was sent.

Now the forwarder rejects it: 503, not run, as for a request that times out without an attempt.

Evidence: `forwarder` seen failing before: "does not send a request whose time limit passed before it was read: 1 !== 0" calls to an endpoint. Found by reading for the stop of a daemon; no caller has reported it.

--- a/packages/core/src/forwarding/forward-error.ts
+++ b/packages/core/src/forwarding/forward-error.ts
@@ -64,6 +64,15 @@
   }
 }
 
+/** Returns the error for a request that timed out before it was executed. */
+export function timedOutNotRunError(): ForwardError {
+  return new ForwardError(
+    ForwardErrorKind.TimedOutNotRun,
+    'The request timed out before it was executed; send it again.',
+    0,
+  );
+}
+
 /** Returns the error for a request that was not executed, as the daemon is stopping. */
 export function daemonStoppingError(): ForwardError {
   return new ForwardError(
--- a/packages/core/src/forwarding/forwarder.test.ts
+++ b/packages/core/src/forwarding/forwarder.test.ts
@@ -31,6 +31,13 @@
     assert.ok(bounded.upstream.calls[0]?.headers.includes('1000'));
   });
 
+  it('does not send a request whose time limit passed before it was read', async () => {
+    const harness = new ForwarderHarness([{}], postingRoute);
+    const error = await harness.serve({ callerTimeoutMs: 0 });
+    assert.equal(harness.upstream.calls.length, 0);
+    assert.equal(error?.kind, ForwardErrorKind.TimedOutNotRun);
+  });
+
   it('retries an idempotent request at another endpoint after a lost response or a server error', async () => {
     const script = [{ isLost: true }, {}];
     const harness = new ForwarderHarness(script, lookupRoute);
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -17,6 +17,7 @@
   daemonStoppingError,
   ForwardError,
   ForwardErrorKind,
+  timedOutNotRunError,
 } from './forward-error.js';
 import type {
   ForwardProtocol,
@@ -126,14 +127,15 @@
     }
   }
 
-  /** Throws `ForwardError` if the request may last beyond the end of this stopping daemon. */
+  /** Throws `ForwardError` if the request has timed out, or may last beyond the end of this stopping daemon. */
   rejectLate(head: RequestHead): void {
-    const { configuration, dispatchWindow } = this.deps;
+    const { clock, configuration, dispatchWindow } = this.deps;
     const { metadata, target } = head;
     const route = configuration.findRoute(metadata.host, target);
     if (route === undefined) return;
-    if (dispatchWindow.isOpenUntil(deadlineOf(head, route))) return;
-    throw daemonStoppingError();
+    const deadlineAtMs = deadlineOf(head, route);
+    if (deadlineAtMs <= clock.nowMs()) throw timedOutNotRunError();
+    if (!dispatchWindow.isOpenUntil(deadlineAtMs)) throw daemonStoppingError();
   }
 
   private resolve(request: ForwardRequest): IdentifiedRequest {
--- a/packages/core/src/forwarding/run-failure.ts
+++ b/packages/core/src/forwarding/run-failure.ts
@@ -1,5 +1,9 @@
 import { AttemptEndKind } from './forward-attempt.js';
-import { ForwardError, ForwardErrorKind } from './forward-error.js';
+import {
+  ForwardError,
+  ForwardErrorKind,
+  timedOutNotRunError,
+} from './forward-error.js';
 
 /** State of a run that ended without a response. */
 export interface RunFailure {
@@ -37,13 +41,7 @@
       'The endpoint returned no valid response; the request may have been executed.',
     );
   }
-  if (isTimedOut) {
-    return new ForwardError(
-      ForwardErrorKind.TimedOutNotRun,
-      'The request timed out before it was executed; send it again.',
-      0,
-    );
-  }
+  if (isTimedOut) return timedOutNotRunError();
   const returnInMs = limitedForMs();
   if (returnInMs !== undefined) {
     return new ForwardError(
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -265,6 +265,7 @@
     const isEarly =
       kind === ForwardErrorKind.BadRequest ||
       kind === ForwardErrorKind.Stopping ||
+      kind === ForwardErrorKind.TimedOutNotRun ||
       kind === ForwardErrorKind.BodyTooLarge ||
       kind === ForwardErrorKind.HeadersTooLarge ||
       kind === ForwardErrorKind.CallerTooSlow;
