Test requests at each part of the grace period of a stop

75 requests, one each 100 ms from SIGTERM on, on connections that were open before: streams with a limit of 8 s, postings with limits of 6 s and 1.5 s. Each one has to be whole, or not run, or a stream that was sent within 3 s of SIGTERM and is cut in the last sixth of the grace period.

--- a/packages/stand-ins/src/gateway/gateway-late-requests.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-late-requests.test.ts
@@ -20,6 +20,12 @@
 /** Time for which a stopping daemon may still get new requests from the load balancer. */
 const ROUTED_MS = 3_000;
 
+/** Start of the last sixth of the grace period, in which streams may be cut. */
+const LAST_SIXTH_MS = 6_667;
+const SWEEP_REQUESTS = 75;
+const SWEEP_GAP_MS = 100;
+const SWEEP_LIMITS_MS = [STREAM_MS, LONG_MS, SHORT_MS];
+
 /** Time for which callers may hold a connection without a request. */
 const CALLER_TIMEOUTS = { headerTimeoutMs: 15_000, idleTimeoutMs: 15_000 };
 
@@ -31,14 +37,17 @@
 /** Connection of a caller, and what was received on it. */
 class CallerConnection {
   text = '';
-  readonly closed: Promise<unknown>;
+  closedAtMs = Infinity;
+  readonly closed: Promise<void>;
 
   private constructor(private readonly socket: Socket) {
     socket.on('data', chunk => {
       this.text += chunk.toString('latin1');
     });
     socket.on('error', () => undefined); // a reset shows in what is missing
-    this.closed = once(socket, 'close');
+    this.closed = once(socket, 'close').then(() => {
+      this.closedAtMs = performance.now();
+    });
   }
 
   static async open(address: string): Promise<CallerConnection> {
@@ -196,6 +205,37 @@
       },
     ));
 
+  it('is whole, not run, or a stream of the first seconds, whenever it arrives', () =>
+    withGateway(
+      { runMs: 600, plainTimeoutMs: LONG_MS },
+      async (running, runsOf) => {
+        const connections = await openMany(running, SWEEP_REQUESTS);
+        const stopAtMs = performance.now();
+        const stopped = running.gateway.stop();
+        for (const [index, connection] of connections.entries()) {
+          await delay(stopAtMs + index * SWEEP_GAP_MS - performance.now());
+          const limitMs = SWEEP_LIMITS_MS[index % SWEEP_LIMITS_MS.length];
+          connection.request(`sent-${index}`, limitMs ?? SHORT_MS);
+        }
+        await stopped;
+        await Promise.all(connections.map(({ closed }) => closed));
+        const statuses = connections.map(({ text }) => text.slice(9, 12));
+        for (const [index, { closedAtMs, text }] of connections.entries()) {
+          const runs = runsOf(`sent-${index}`);
+          const isWhole = /(answer of ledger-1|id: 10\n|\}$)/.test(text);
+          const mayBeCut =
+            index * SWEEP_GAP_MS <= ROUTED_MS &&
+            closedAtMs - stopAtMs >= LAST_SIXTH_MS;
+          assert.equal(runs, text.startsWith('HTTP/1.1 200') ? 1 : 0);
+          assert.ok(
+            runs === 0 || isWhole || mayBeCut,
+            `sent-${index}: ${text}`,
+          );
+        }
+        assert.ok(statuses.includes('200') && statuses.includes('503'));
+      },
+    ));
+
   it('is answered if it follows another one on its connection', () =>
     withGateway({ runMs: 400 }, async (running, runsOf) => {
       const [before, across, after] = await openMany(running, 3);
