--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../ports/index.js';
 import type { RetryBudget } from '../routing/index.js';
 import type { CrashGuard } from './crash-guard.js';
+import type { DispatchWindow } from './dispatch-window.js';
 import type { EndpointChoice } from './endpoint-choice.js';
 import type { PoolReservation } from './endpoint-pool.js';
 import type { AttemptOutcome } from './forward-attempt.js';
@@ -11,10 +12,13 @@
 export interface AttemptSequenceOptions {
   readonly clock: Clock;
   readonly crashGuard: CrashGuard;
+  readonly dispatchWindow: DispatchWindow;
   readonly budget: RetryBudget;
   readonly endpoints: EndpointChoice;
   /** Ids of what may be at fault if an endpoint crashes. */
   readonly suspectIds: readonly string[];
+  /** Aborted once the request has ended. */
+  readonly signal: AbortSignal;
   readonly deadlineAtMs: number;
   readonly isRepeatable: boolean;
   readonly maxAttempts: number;
@@ -117,10 +121,12 @@
   }
 
   private state(): RetryState {
-    const { clock, crashGuard, deadlineAtMs } = this.options;
-    const { isRepeatable, maxAttempts, suspectIds } = this.options;
+    const { clock, crashGuard, deadlineAtMs, dispatchWindow } = this.options;
+    const { isRepeatable, maxAttempts, signal, suspectIds } = this.options;
     const remainingMs = deadlineAtMs - clock.nowMs();
     return {
+      hasEnded: signal.aborted,
+      isStopping: !isRepeatable && !dispatchWindow.isOpenUntil(deadlineAtMs),
       isDeadlineNear: remainingMs < MIN_TIME_FOR_ATTEMPT_MS,
       isBlocked: crashGuard.blockedForMs(suspectIds) !== undefined,
       isRepeatable,
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -13,10 +13,12 @@
   isEndpointError,
   isFailure,
 } from './forward-attempt.js';
-import type { ForwardError } from './forward-error.js';
+import { daemonStoppingError, ForwardError } from './forward-error.js';
 import type { ForwardRequest } from './forward-request.js';
+import { deadlineOf } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
 import type { ResolvedRequest } from './resolve-request.js';
+import { RetryObstacle } from './retry-obstacle.js';
 import { toForwardError } from './run-failure.js';
 import { RunOutcome } from './run-outcome.js';
 import { StreamRelay } from './stream-relay.js';
@@ -58,9 +60,7 @@
   ) {
     const { resolved, request } = context;
     const { route } = resolved;
-    const callerTimeoutMs = request.metadata.callerTimeoutMs ?? Infinity;
-    this.deadlineAtMs =
-      request.receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
+    this.deadlineAtMs = deadlineOf(request, route);
     this.sequence = this.createSequence();
     if (route.type !== RouteType.Streaming) return;
     this.relay = new StreamRelay(
@@ -73,18 +73,18 @@
     );
   }
 
-  /** Resolves once the response is sent or the caller has disconnected. Throws `ForwardError` only before any part of the response is sent. */
+  /** Resolves once the response is sent or the caller has disconnected; the signal is aborted then, or with a `ForwardError` that ends the request. Throws `ForwardError` only before any part of the response is sent. */
   async serve(signal: AbortSignal): Promise<void> {
     this.context.budget.recordFirstAttempt();
-    const onCallerDisconnect = () => {
+    const onAbort = () => {
       this.runAbort.abort();
     };
-    signal.addEventListener('abort', onCallerDisconnect, { once: true });
+    signal.addEventListener('abort', onAbort, { once: true });
     const timer = this.startTimer();
     try {
       await this.runAttempts(signal);
     } finally {
-      signal.removeEventListener('abort', onCallerDisconnect);
+      signal.removeEventListener('abort', onAbort);
       timer.abort();
       this.sequence.close();
     }
@@ -122,7 +122,7 @@
     let reservation = this.sequence.first();
     while (reservation !== undefined) {
       last = await this.attempt(reservation);
-      if (signal.aborted) {
+      if (signal.aborted && !(signal.reason instanceof ForwardError)) {
         this.outcome = RunOutcome.CallerDisconnected;
         return;
       }
@@ -138,7 +138,7 @@
       this.sink.destroy();
       return;
     }
-    if (response === undefined) throw this.createError(last);
+    if (response === undefined) throw this.createError(last, signal);
     this.sendResponse(response);
   }
 
@@ -230,12 +230,13 @@
   }
 
   private createSequence(): AttemptSequence {
-    const { clock, crashGuard, pool, versions } = this.deps;
+    const { clock, crashGuard, dispatchWindow, pool, versions } = this.deps;
     const { budget, group, request, resolved, suspectIds } = this.context;
     const isRepeatable = this.isRepeatable();
     return new AttemptSequence({
       clock,
       crashGuard,
+      dispatchWindow,
       budget,
       endpoints: new EndpointChoice({
         group,
@@ -245,6 +246,7 @@
         versions,
       }),
       suspectIds,
+      signal: this.runAbort.signal,
       deadlineAtMs: this.deadlineAtMs,
       isRepeatable,
       maxAttempts: resolved.route.maxAttempts,
@@ -267,8 +269,14 @@
     this.sink.end();
   }
 
-  private createError(last: AttemptOutcome | undefined): ForwardError {
+  private createError(
+    last: AttemptOutcome | undefined,
+    { reason }: AbortSignal,
+  ): ForwardError {
     const { isTimedOut, mayHaveRun } = this;
+    if (reason instanceof ForwardError && !mayHaveRun) return reason;
+    if (this.sequence.obstacle === RetryObstacle.Stopping && !mayHaveRun)
+      return daemonStoppingError();
     const { clock, pool } = this.deps;
     const { group } = this.context;
     return toForwardError({
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -11,9 +11,20 @@
 import type { ConfigurationStore } from './configuration-store.js';
 import type { CrashDetector } from './crash-detector.js';
 import type { CrashGuard } from './crash-guard.js';
+import type { DispatchWindow } from './dispatch-window.js';
 import type { EndpointPool } from './endpoint-pool.js';
-import { ForwardError, ForwardErrorKind } from './forward-error.js';
-import type { ForwardProtocol, ForwardRequest } from './forward-request.js';
+import {
+  daemonStoppingError,
+  ForwardError,
+  ForwardErrorKind,
+  timedOutNotRunError,
+} from './forward-error.js';
+import type {
+  ForwardProtocol,
+  ForwardRequest,
+  RequestHead,
+} from './forward-request.js';
+import { deadlineOf } from './forward-request.js';
 import { ForwardRun } from './forward-run.js';
 import { fingerprintOf, suspectIdsOf } from './request-fingerprint.js';
 import type { ResolvedRequest } from './resolve-request.js';
@@ -78,6 +89,7 @@
   readonly retryBudgetOf: (group: string) => RetryBudget;
   readonly versions: VersionSelector;
   readonly usageCounter: UsageCounter;
+  readonly dispatchWindow: DispatchWindow;
 }
 
 /** Request with its route, its workspace and what identifies repetitions of it. */
@@ -91,8 +103,9 @@
   constructor(private readonly deps: ForwarderDependencies) {}
 
   /**
-   * Handles one request. Abort the signal when the caller disconnects. Throws
-   * `ForwardError` if the daemon itself has to answer with an error.
+   * Handles one request. Abort the signal when the caller disconnects, or with a
+   * `ForwardError` to end the request. Throws `ForwardError` if the daemon itself
+   * has to answer with an error.
    */
   async handle(
     request: ForwardRequest,
@@ -103,6 +116,7 @@
     let run: ForwardRun | undefined;
     try {
       resolved = this.resolve(request);
+      this.rejectLate(request);
       this.rejectBlocked(resolved);
       this.admit(request, resolved);
       run = this.createRun(request, resolved, sink);
@@ -115,6 +129,17 @@
     }
   }
 
+  /** Throws `ForwardError` if the request has timed out, or may last beyond the end of this stopping daemon. */
+  rejectLate(head: RequestHead): void {
+    const { clock, configuration, dispatchWindow } = this.deps;
+    const { metadata, target } = head;
+    const route = configuration.findRoute(metadata.host, target);
+    if (route === undefined) return;
+    const deadlineAtMs = deadlineOf(head, route);
+    if (deadlineAtMs <= clock.nowMs()) throw timedOutNotRunError();
+    if (!dispatchWindow.isOpenUntil(deadlineAtMs)) throw daemonStoppingError();
+  }
+
   private resolve(request: ForwardRequest): IdentifiedRequest {
     const { configuration } = this.deps;
     const { metadata, target } = request;
--- a/packages/core/src/forwarding/retry-obstacle.ts
+++ b/packages/core/src/forwarding/retry-obstacle.ts
@@ -15,12 +15,17 @@
   AttemptsUsed = 'attemptsUsed',
   /** Too many endpoints could not be reached. */
   Unreachable = 'unreachable',
+  /** The request must not be repeated and may last beyond the end of this stopping daemon. */
+  Stopping = 'stopping',
   BudgetSpent = 'budgetSpent',
   NoEndpoint = 'noEndpoint',
 }
 
 /** What a request still allows after an attempt. */
 export interface RetryState {
+  readonly hasEnded: boolean;
+  /** Whether another attempt may last beyond the end of this stopping daemon and must not be cut then. */
+  readonly isStopping: boolean;
   readonly isDeadlineNear: boolean;
   readonly isBlocked: boolean;
   readonly isRepeatable: boolean;
@@ -33,16 +38,20 @@
   { kind, response }: Pick<AttemptOutcome, 'kind' | 'response'>,
   state: RetryState,
 ): RetryObstacle | undefined {
-  if (kind === AttemptEndKind.Cancelled) return RetryObstacle.Cancelled;
   if (kind === AttemptEndKind.Answered && !isEndpointError(response))
     return RetryObstacle.Answered;
+  if (kind === AttemptEndKind.Cancelled || state.hasEnded)
+    return RetryObstacle.Cancelled;
   if (state.isDeadlineNear) return RetryObstacle.DeadlineNear;
   if (state.isBlocked) return RetryObstacle.Blocked;
-  if (kind === AttemptEndKind.NotSent) {
-    return state.hasUnsentAttemptsLeft ? undefined : RetryObstacle.Unreachable;
-  }
+  const isUnsent = kind === AttemptEndKind.NotSent;
   const isNotRun =
-    kind === AttemptEndKind.Misdirected || kind === AttemptEndKind.NotRun;
+    isUnsent ||
+    kind === AttemptEndKind.Misdirected ||
+    kind === AttemptEndKind.NotRun;
   if (!isNotRun && !state.isRepeatable) return RetryObstacle.NotRepeatable;
+  if (state.isStopping) return RetryObstacle.Stopping;
+  if (isUnsent)
+    return state.hasUnsentAttemptsLeft ? undefined : RetryObstacle.Unreachable;
   return state.hasAttemptsLeft ? undefined : RetryObstacle.AttemptsUsed;
 }
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -45,6 +45,7 @@
 import { OperatorWatch } from './operator-watch.js';
 import { RetryBudgets } from './retry-budgets.js';
 import { StateReplicator } from './state-replicator.js';
+import { StopSchedule } from './stop-schedule.js';
 
 /** Limits that apply until the first configuration arrives. */
 const DEFAULT_LIMITS: CallerLimits = {
@@ -67,6 +68,7 @@
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
   readonly ingress: IngressServer;
+  readonly stopSchedule: StopSchedule;
   readonly endpointClient: EndpointClient;
   readonly cluster: GatewayCluster;
   readonly duties: GatewayDuties;
@@ -144,6 +146,7 @@
     knownDaemons.recordListed(ids);
   });
   const retryBudgets = new RetryBudgets(settings, () => cluster.size);
+  const stopSchedule = new StopSchedule(clock);
   const forwarder = new Forwarder({
     ...context,
     nextPoll,
@@ -163,6 +166,7 @@
     retryBudgetOf: group => retryBudgets.forGroup(group),
     versions: rollouts,
     usageCounter: duties.usageLedger,
+    dispatchWindow: stopSchedule,
   });
   const ingress = new IngressServer({
     ...context,
@@ -219,6 +223,7 @@
     configuration,
     pool,
     ingress,
+    stopSchedule,
     endpointClient,
     cluster,
     duties,
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -25,6 +25,7 @@
 } from '../http/index.js';
 import { closeIdleConnections, recordLateRequest } from './idle-connections.js';
 import { abortResponse, ResponseSink } from './response-sink.js';
+import { ResponseTracker } from './response-tracker.js';
 
 export interface IngressServerDependencies {
   readonly forwarder: Forwarder;
@@ -55,15 +56,20 @@
   [BodyErrorKind.CutOff]: ForwardErrorKind.BadRequest,
 };
 
+/** Request with its response. */
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  requestId?: string | undefined;
+  /** The forwarder records the outcome. */
+  isForwarded: boolean;
+}
+
 /** HTTP server for callers: reads whole requests, forwards them and writes the responses. */
 export class IngressServer {
   private readonly server: Server;
-  /** Responses in progress on each connection. */
-  private readonly responsesBySocket = new Map<Duplex, Set<ServerResponse>>();
-  private openResponseCount = 0;
+  private readonly responses = new ResponseTracker();
   private isDraining = false;
-  private isRejectingRequests = false;
-  private onIdle: (() => void) | undefined;
 
   constructor(private readonly deps: IngressServerDependencies) {
     this.server = createServer(
@@ -96,19 +102,17 @@
   /** From now on, closes each connection after its next response, also after one whose head does not say so. */
   startDraining(): void {
     this.isDraining = true;
+    this.responses.startDraining();
   }
 
   /** Number of responses in progress. */
   get answersInProgress(): number {
-    return this.openResponseCount;
+    return this.responses.count;
   }
 
   /** Resolves once no response is in progress. */
   whenIdle(): Promise<void> {
-    if (this.openResponseCount === 0) return Promise.resolve();
-    return new Promise(resolve => {
-      this.onIdle = resolve;
-    });
+    return this.responses.whenIdle();
   }
 
   /** Stops accepting connections and closes idle ones. */
@@ -117,17 +121,15 @@
     this.server.closeIdleConnections();
   }
 
-  /** Rejects further requests on open connections, since no time is left to serve them. */
-  rejectNewRequests(): void {
-    this.isRejectingRequests = true;
+  /** Ends all requests in progress: those without a response get an error. */
+  endResponses(): void {
+    this.responses.endAll();
   }
 
   /** Stops listening and closes all connections. */
   destroy(): void {
     this.server.close();
-    for (const responses of this.responsesBySocket.values()) {
-      for (const response of responses) abortResponse(response);
-    }
+    this.responses.destroyAll();
     this.server.closeAllConnections();
   }
 
@@ -141,34 +143,45 @@
       return;
     }
     const receivedAtMs = this.deps.clock.nowMs();
-    const disconnected = this.trackResponse(request.socket, response);
-    const sink = new ResponseSink(response, () => this.isDraining);
-    let requestId: string | undefined;
+    const { signal, turn } = this.responses.track(request.socket, response);
+    const sink = new ResponseSink(
+      response,
+      () => this.isDraining && this.isLast(request.socket, response),
+    );
+    const exchange: Exchange = { request, response, isForwarded: false };
     try {
       const metadata = this.deps.protocol.readRequest(request.rawHeaders);
-      ({ requestId } = metadata);
-      if (this.isRejectingRequests) throw daemonStoppingError();
+      const { requestId } = metadata;
+      exchange.requestId = requestId;
+      const head = { metadata, target: request.url ?? '/', receivedAtMs };
+      this.deps.forwarder.rejectLate(head);
       this.checkHeaders(request);
-      const body = await this.readBody(request);
+      const body = await Promise.race([
+        this.readBody(request),
+        whenAborted(signal),
+      ]);
       if (requestId === undefined) throw missingRequestIdError();
+      await turn;
+      // The connection may have ended with the response before this one.
+      if (turn !== undefined && !isOpen(request.socket)) return;
       // A daemon that is behind reads a request before the end of its connection.
       await nextPoll();
       if (!isOpen(request.socket)) {
         this.recordEarlyDeparture(request.socket, requestId);
         return;
       }
+      signal.throwIfAborted();
       const forwardRequest: ForwardRequest = {
+        ...head,
         requestId,
         method: request.method ?? 'GET',
-        target: request.url ?? '/',
         headers: request.rawHeaders,
         body,
-        metadata,
-        receivedAtMs,
       };
-      await this.deps.forwarder.handle(forwardRequest, sink, disconnected);
+      exchange.isForwarded = true;
+      await this.deps.forwarder.handle(forwardRequest, sink, signal);
     } catch (error) {
-      this.sendError(error, request, response, requestId);
+      this.sendError(error, exchange);
     }
   }
 
@@ -184,27 +197,9 @@
     );
   }
 
-  /**
-   * Tracks a response until it closes. Returns a signal that is aborted if the
-   * caller disconnects first.
-   */
-  private trackResponse(socket: Duplex, response: ServerResponse): AbortSignal {
-    const disconnect = new AbortController();
-    const responses =
-      this.responsesBySocket.get(socket) ?? new Set<ServerResponse>();
-    this.responsesBySocket.set(socket, responses.add(response));
-    this.openResponseCount += 1;
-    response.once('close', () => {
-      if (!response.writableFinished) disconnect.abort();
-      responses.delete(response);
-      if (responses.size === 0) {
-        this.responsesBySocket.delete(socket);
-        if (this.isDraining) socket.end();
-      }
-      this.openResponseCount -= 1;
-      if (this.openResponseCount === 0) this.onIdle?.();
-    });
-    return disconnect.signal;
+  /** Whether no further request has arrived on the response's connection. */
+  private isLast(socket: Duplex, response: ServerResponse): boolean {
+    return this.responses.of(socket).at(-1) === response;
   }
 
   private checkHeaders(request: IncomingMessage): void {
@@ -241,9 +236,7 @@
 
   private sendError(
     error: unknown,
-    request: IncomingMessage,
-    response: ServerResponse,
-    requestId: string | undefined,
+    { request, response, requestId, isForwarded }: Exchange,
   ): void {
     if (response.headersSent || response.destroyed) {
       abortResponse(response);
@@ -251,8 +244,10 @@
     }
     const forwardError = toForwardError(error);
     // Unread bytes of the body must not be parsed as the next request.
-    const mustClose = this.isDraining || !request.complete;
-    this.reportEarlyRejection(forwardError, requestId);
+    const mustClose =
+      !request.complete ||
+      (this.isDraining && this.isLast(request.socket, response));
+    if (!isForwarded) this.reportEarlyRejection(forwardError, requestId);
     const text = JSON.stringify({
       kind: forwardError.kind,
       title: forwardError.message,
@@ -277,6 +272,7 @@
     const isEarly =
       kind === ForwardErrorKind.BadRequest ||
       kind === ForwardErrorKind.Stopping ||
+      kind === ForwardErrorKind.TimedOutNotRun ||
       kind === ForwardErrorKind.BodyTooLarge ||
       kind === ForwardErrorKind.HeadersTooLarge ||
       kind === ForwardErrorKind.CallerTooSlow;
@@ -310,15 +306,13 @@
         undefined,
       );
     }
-    const responses = this.responsesBySocket.get(socket);
-    if (responses !== undefined) {
-      for (const response of responses) {
-        response.once('finish', () => {
-          socket.end();
-        });
-      }
-      return;
+    const responses = this.responses.of(socket);
+    for (const response of responses) {
+      response.once('finish', () => {
+        socket.end();
+      });
     }
+    if (responses.length > 0) return;
     if (!socket.writable || code === 'ECONNRESET') {
       socket.destroy();
       return;
@@ -335,12 +329,16 @@
   return socket.writable;
 }
 
-function daemonStoppingError(): ForwardError {
-  return new ForwardError(
-    ForwardErrorKind.Stopping,
-    'This daemon is stopping; send the request again to reach another one.',
-    0,
-  );
+/** Rejects with the signal's reason once it is aborted. */
+function whenAborted(signal: AbortSignal): Promise<never> {
+  return new Promise((_, reject) => {
+    const onAbort = () => {
+      reject(
+        signal.reason instanceof Error ? signal.reason : new Error('aborted'),
+      );
+    };
+    signal.addEventListener('abort', onAbort, { once: true });
+  });
 }
 
 function missingRequestIdError(): ForwardError {
