Count a silence as a failure of its endpoint although the request waits

Since a request waits for a silent endpoint that no other can replace, its attempt ends at the deadline and said nothing about the endpoint: it went on getting requests as if healthy, and a version under test whose answers hang looked sound. The silence is now recorded when it begins, and an attempt that the request's end cuts short within a silence counts as failed for its version.

Evidence: 'counts as failed while a request waits for it' failed before (no failure recorded a second into the silence) and passes.

--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -53,6 +53,8 @@
   recordLoad(load: ReportedLoad, nowMs: number): void;
   /** Records the rate limit that the response names, or that it names none. */
   recordLimit(limitPerSecond: number | undefined): void;
+  /** Records that the endpoint has fallen silent, which counts as a failed attempt. */
+  recordSilence(nowMs: number): void;
   /** Ends the reservation. `verdict` is undefined if the result says nothing about the endpoint. */
   release(verdict: AttemptVerdict | undefined, nowMs: number): void;
 }
@@ -349,6 +351,9 @@
         const { limiter } = this.options;
         limiter.recordResponse(member.record, limitPerSecond, nowMs);
       },
+      recordSilence: atMs => {
+        member.health.record(true, atMs);
+      },
       release: (verdict, atMs) => {
         if (!isActive) return;
         isActive = false;
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -35,6 +35,8 @@
   readonly upstream: ScriptedUpstream;
   readonly crashGuard = new RecordingCrashGuard();
   readonly usageWorkspaces: string[] = [];
+  /** Whether each attempt that has ended counts as a failure of its endpoint's version. */
+  readonly observedEnds: (boolean | undefined)[] = [];
   readonly pool = new EndpointPool(new SeededRandom(1), {
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
@@ -82,7 +84,9 @@
         chooseForRetry: () => ANY_VERSION,
         observe: () => ({
           recordEvents: () => undefined,
-          end: () => undefined,
+          end: hasFailed => {
+            this.observedEnds.push(hasFailed);
+          },
         }),
       },
       usageCounter: {
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -6,6 +6,8 @@
 import type { IdleTimerDependencies } from './idle-timer.js';
 import type { SilenceOptions } from './silence-detector.js';
 import { SilenceDetector } from './silence-detector.js';
+import type { StreamConsumer } from './stream-consumer.js';
+import { StreamEnd } from './stream-consumer.js';
 import type {
   EndpointRequest,
   EndpointResponse,
@@ -54,31 +56,13 @@
   readonly kind: AttemptEndKind;
   readonly crashEvidence: CrashEvidence;
   readonly reason?: string;
+  /** Whether the endpoint was silent when the request itself ended. */
+  readonly wasSilent?: boolean;
   /** Delay of the timer that found the endpoint silent: the time for which this daemon itself was held up. */
   readonly noticedLateMs?: number;
   readonly response?: BufferedResponse;
 }
 
-/** How the body of a streamed response ended; the values are log texts. */
-export enum StreamEnd {
-  Complete = 'the stream is complete',
-  WithinEvent = 'the stream ended within an event',
-  WithoutEvent = 'the stream ended with its connection before its first event',
-  /** A close-delimited body cannot complete a response that promises an explicit end. */
-  Unconfirmed = 'the stream ended with its connection, which does not confirm that it is complete',
-}
-
-/** Consumer of a streamed response. */
-export interface StreamConsumer {
-  begin(response: EndpointResponse): void;
-  /** Adds bytes and returns the number of events that they complete and that the caller does not have. */
-  add(chunk: Uint8Array): number;
-  /** Forwards the events added; resolves once the caller's connection accepts more. */
-  flush(): Promise<void>;
-  /** Ends the stream if its response is complete. */
-  finish(): StreamEnd;
-}
-
 export interface AttemptDependencies extends IdleTimerDependencies {
   readonly upstream: Upstream;
 }
@@ -122,8 +106,13 @@
     private readonly reservation: PoolReservation,
     private readonly options: AttemptOptions,
   ) {
-    this.silence = new SilenceDetector(deps, options, () => {
-      this.upstreamAbort.abort();
+    this.silence = new SilenceDetector(deps, options, {
+      onSilent: () => {
+        reservation.recordSilence(deps.clock.nowMs());
+      },
+      onAbandoned: () => {
+        this.upstreamAbort.abort();
+      },
     });
   }
 
@@ -276,8 +265,9 @@
   }
 
   private resultOfError(error: unknown): AttemptOutcome {
-    if (this.options.signal.aborted) return endedAs(AttemptEndKind.Cancelled);
-    const { noticedLateMs } = this.silence;
+    const { isSilent, noticedLateMs } = this.silence;
+    if (this.options.signal.aborted)
+      return { ...endedAs(AttemptEndKind.Cancelled), wasSilent: isSilent };
     if (noticedLateMs !== undefined)
       return { ...endedAs(AttemptEndKind.Silent), noticedLateMs };
     const reason = String(error);
@@ -311,6 +301,7 @@
 export function isFailure({
   response,
   kind,
+  wasSilent,
 }: AttemptOutcome): boolean | undefined {
   switch (kind) {
     case AttemptEndKind.Answered:
@@ -321,8 +312,9 @@
     case AttemptEndKind.NotSent:
     case AttemptEndKind.NotRun:
     case AttemptEndKind.Misdirected:
-    case AttemptEndKind.Cancelled:
       return undefined;
+    case AttemptEndKind.Cancelled:
+      return wasSilent === true ? true : undefined;
   }
 }
 
@@ -359,8 +351,9 @@
     case AttemptEndKind.NotSent:
     case AttemptEndKind.NotRun:
     case AttemptEndKind.Failed:
-    case AttemptEndKind.Silent:
       return AttemptVerdict.Failed;
+    // A silence is recorded when it begins.
+    case AttemptEndKind.Silent:
     case AttemptEndKind.Misdirected:
     case AttemptEndKind.Cancelled:
       return undefined;
--- a/packages/core/src/forwarding/forward-silence.test.ts
+++ b/packages/core/src/forwarding/forward-silence.test.ts
@@ -184,6 +184,29 @@
     assert.ok(harness.sink.isDestroyed);
   });
 
+  it('counts as failed while a request waits for it', async () => {
+    const harness = new ForwarderHarness(
+      [{ metadata, chunks: [eventText(1)], isHanging: true }],
+      draftRoute,
+      { endpoints: ['e1'] },
+    );
+    const served = harness.serve();
+    const failureShare = () => {
+      const [state] = harness.pool.dumpState(harness.clock.nowMs()) as [
+        { readonly failureShare: number },
+      ];
+      return state.failureShare;
+    };
+    await harness.clock.advanceTo(START_MS + 1_000);
+    assert.equal(failureShare(), 0);
+    await harness.clock.advanceTo(START_MS + 2_000);
+    assert.ok(failureShare() > 0);
+    assert.deepEqual(harness.observedEnds, []);
+    await harness.clock.advanceTo(START_MS + 5_000);
+    assert.equal(await served, undefined);
+    assert.deepEqual(harness.observedEnds, [true]);
+  });
+
   it('is not blamed for a caller that is slow to read', async () => {
     const script = [{ metadata, chunks: [eventText(1), eventText(2)] }];
     const harness = new ForwarderHarness(script, draftRoute);
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -29,6 +29,7 @@
 export * from './run-outcome.js';
 export * from './silence-detector.js';
 export * from './sources.js';
+export * from './stream-consumer.js';
 export * from './stream-relay.js';
 export * from './token-bucket-ledger.js';
 export * from './upstream.js';
--- a/packages/core/src/forwarding/silence-detector.ts
+++ b/packages/core/src/forwarding/silence-detector.ts
@@ -11,18 +11,25 @@
   readonly onSilence: () => boolean;
 }
 
+export interface SilenceListener {
+  /** Called at the start of each silence. */
+  readonly onSilent: () => void;
+  /** Called once at most, when the endpoint is left. */
+  readonly onAbandoned: () => void;
+}
+
 /** Decides when an attempt abandons an endpoint that makes no progress. */
 export class SilenceDetector {
   /** Delay with which the endpoint was found to be silent; undefined if it is not abandoned. */
   noticedLateMs: number | undefined;
+  isSilent = false;
   private readonly fruitless: FruitlessBytes;
   private readonly timer: IdleTimer;
 
-  /** `abandon` is called once at most. */
   constructor(
     private readonly deps: IdleTimerDependencies,
     private readonly options: SilenceOptions,
-    private readonly abandon: () => void,
+    private readonly listener: SilenceListener,
   ) {
     this.fruitless = new FruitlessBytes(options.chunkGapTimeoutMs);
     this.timer = new IdleTimer(deps, lateMs => this.handleIdle(lateMs));
@@ -37,6 +44,7 @@
   }
 
   recordProgress(): void {
+    this.isSilent = false;
     this.fruitless.recordProgress();
     this.timer.reset(this.options.chunkGapTimeoutMs);
   }
@@ -52,10 +60,12 @@
   }
 
   private handleIdle(lateMs: number): boolean {
+    if (!this.isSilent) this.listener.onSilent();
+    this.isSilent = true;
     const isAbandoned = this.options.onSilence() || this.fruitless.isEndless;
     if (!isAbandoned) return false;
     this.noticedLateMs = lateMs;
-    this.abandon();
+    this.listener.onAbandoned();
     return true;
   }
 }
--- /dev/null
+++ b/packages/core/src/forwarding/stream-consumer.ts
@@ -0,0 +1,21 @@
+import type { EndpointResponse } from './upstream.js';
+
+/** How the body of a streamed response ended; the values are log texts. */
+export enum StreamEnd {
+  Complete = 'the stream is complete',
+  WithinEvent = 'the stream ended within an event',
+  WithoutEvent = 'the stream ended with its connection before its first event',
+  /** A close-delimited body cannot complete a response that promises an explicit end. */
+  Unconfirmed = 'the stream ended with its connection, which does not confirm that it is complete',
+}
+
+/** Consumer of a streamed response. */
+export interface StreamConsumer {
+  begin(response: EndpointResponse): void;
+  /** Adds bytes and returns the number of events that they complete and that the caller does not have. */
+  add(chunk: Uint8Array): number;
+  /** Forwards the events added; resolves once the caller's connection accepts more. */
+  flush(): Promise<void>;
+  /** Ends the stream if its response is complete. */
+  finish(): StreamEnd;
+}
--- a/packages/core/src/forwarding/stream-relay.ts
+++ b/packages/core/src/forwarding/stream-relay.ts
@@ -1,7 +1,7 @@
 import { EventSplitter } from './event-splitter.js';
-import type { StreamConsumer } from './forward-attempt.js';
-import { StreamEnd } from './forward-attempt.js';
 import type { RawHeaders } from './forward-request.js';
+import type { StreamConsumer } from './stream-consumer.js';
+import { StreamEnd } from './stream-consumer.js';
 import type { EndpointResponse, ResponseWriter } from './upstream.js';
 
 interface ResponseHead {
