Return to a silent endpoint only if retries may use its version

A stream that is returned to the silent endpoint that it had left was sent there whatever the state of the rollout. An endpoint of a version that was rolled back in the meantime, or is still on trial, got one more request, which every other retry is kept from. The return now follows the rule for retries.

Evidence: the test of EndpointChoice was seen failing before (a reservation of e1 in place of undefined) and passes; the 78 tests of core/forwarding pass.

--- /dev/null
+++ b/packages/core/src/forwarding/endpoint-choice.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { SeededRandom } from '../ports/index.js';
+import { EndpointChoice } from './endpoint-choice.js';
+import { UNLIMITED } from './endpoint-limiter.js';
+import { EndpointPool } from './endpoint-pool.js';
+import { SAMPLE_HOST, sampleEndpoint } from './fakes/index.js';
+import { AttemptEndKind } from './forward-attempt.js';
+import type { VersionConstraint } from './forwarder.js';
+import { ANY_VERSION } from './forwarder.js';
+
+describe('the choice of endpoints of a request', () => {
+  it('does not return to an endpoint whose version was rolled back meanwhile', () => {
+    const pool = new EndpointPool(new SeededRandom(1), {
+      dataCentre: 'north-1',
+      prefillTokensPerMs: 90,
+      engineMemoryTokens: () => undefined,
+      limiter: UNLIMITED,
+    });
+    pool.apply({
+      revision: 1,
+      endpoints: [
+        sampleEndpoint('e1', { version: 'v2' }),
+        sampleEndpoint('e2', { version: 'v1' }),
+      ],
+    });
+    let rule: VersionConstraint = { only: 'v2' };
+    const choice = new EndpointChoice({
+      group: 'ledger',
+      request: {
+        requestId: 'r1',
+        method: 'GET',
+        target: '/drafts/a',
+        headers: [],
+        body: undefined,
+        receivedAtMs: 0,
+        metadata: {
+          requestId: 'r1',
+          host: SAMPLE_HOST,
+          apiKey: undefined,
+          callerTimeoutMs: undefined,
+          usage: undefined,
+          promptParts: [],
+          lastEventId: undefined,
+        },
+      },
+      isRepeatable: true,
+      pool,
+      versions: {
+        choose: () => rule,
+        chooseForRetry: () => rule,
+        observe: () => ({
+          recordEvents: () => undefined,
+          end: () => undefined,
+        }),
+      },
+    });
+    assert.equal(choice.reserve(0)?.endpoint.id, 'e1');
+    choice.recordDispatch('e1');
+    choice.recordEnd('e1', AttemptEndKind.Silent);
+    assert.equal(choice.reserveUntried(0)?.endpoint.id, 'e2');
+    choice.recordDispatch('e2');
+    choice.recordEnd('e2', AttemptEndKind.NotRun);
+    rule = { not: 'v2' };
+    assert.equal(choice.reserveLeft(0), undefined);
+    rule = ANY_VERSION;
+    assert.equal(choice.reserveLeft(0)?.endpoint.id, 'e1');
+  });
+});
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -5,7 +5,7 @@
 } from './endpoint-pool.js';
 import { AttemptEndKind } from './forward-attempt.js';
 import type { ForwardRequest } from './forward-request.js';
-import type { VersionSelector } from './forwarder.js';
+import type { VersionConstraint, VersionSelector } from './forwarder.js';
 
 export interface EndpointChoiceOptions {
   readonly group: string;
@@ -56,14 +56,15 @@
     return this.reserveOutside([this.tried], nowMs);
   }
 
-  /** Reserves an endpoint that was left for another one. */
+  /** Reserves an endpoint that was left for another one, if retries may still use its version. */
   reserveLeft(nowMs: number): PoolReservation | undefined {
-    const { group, pool } = this.options;
+    const { group, pool, versions } = this.options;
     const others = pool
       .readyEndpoints(group, nowMs)
       .map(({ id }) => id)
       .filter(id => !this.left.has(id));
-    return pool.reserve({ ...this.query(), excluded: new Set(others) }, nowMs);
+    const query = this.queryFor(versions.chooseForRetry(group));
+    return pool.reserve({ ...query, excluded: new Set(others) }, nowMs);
   }
 
   /** Reserves an endpoint outside the first of the sets that leaves one. */
@@ -76,11 +77,7 @@
       this.tried.size === 0
         ? versions.choose(group)
         : versions.chooseForRetry(group);
-    const query: Omit<PoolQuery, 'excluded'> = {
-      ...this.query(),
-      ...(rule.only === undefined ? {} : { onlyVersion: rule.only }),
-      ...(rule.not === undefined ? {} : { notVersion: rule.not }),
-    };
+    const query = this.queryFor(rule);
     for (const excluded of exclusions) {
       const reserved = pool.reserve({ ...query, excluded }, nowMs);
       if (reserved !== undefined) return reserved;
@@ -94,9 +91,18 @@
     );
   }
 
-  private query(): Omit<PoolQuery, 'excluded'> {
+  private queryFor({
+    not,
+    only,
+  }: VersionConstraint): Omit<PoolQuery, 'excluded'> {
     const { group, request } = this.options;
     const { promptParts, usage } = request.metadata;
-    return { group, promptParts, promptTokens: usage?.promptTokens ?? 0 };
+    return {
+      group,
+      promptParts,
+      promptTokens: usage?.promptTokens ?? 0,
+      ...(only === undefined ? {} : { onlyVersion: only }),
+      ...(not === undefined ? {} : { notVersion: not }),
+    };
   }
 }
