--- a/packages/core/src/forwarding/fakes/scripted-upstream.ts
+++ b/packages/core/src/forwarding/fakes/scripted-upstream.ts
@@ -34,6 +34,8 @@
   readonly calls: EndpointRequest[] = [];
   /** Endpoints that refuse connections. */
   readonly crashedIds = new Set<string>();
+  /** Endpoints to which no connection can be established. */
+  readonly unreachableIds = new Set<string>();
   /** Number of calls aborted before the end of their response. */
   abortedCalls = 0;
 
@@ -49,7 +51,9 @@
     const index = Math.min(this.calls.length, this.script.length - 1);
     const step = this.script[index] ?? {};
     this.calls.push(call);
-    if (step.isNotSent === true) throw new NotSentError('refused');
+    const isUnreachable = this.unreachableIds.has(call.endpoint.id);
+    if (step.isNotSent === true || isUnreachable)
+      throw new NotSentError('refused');
     if (step.isLost === true) throw new AnswerLostError('lost');
     if (step.isHanging === true && step.chunks === undefined) {
       await this.waitForAbort(signal);
--- a/packages/core/src/forwarding/forward-silence.test.ts
+++ b/packages/core/src/forwarding/forward-silence.test.ts
@@ -207,6 +207,25 @@
     assert.deepEqual(harness.observedEnds, [true]);
   });
 
+  it('gets a request back if no other endpoint can be reached', async () => {
+    const endpoints = ['e1', 'e2', 'e3', 'e4', 'e5'];
+    const script: readonly ScriptedResponse[] = [
+      { metadata, chunks: [eventText(1)], isHanging: true },
+      pausingStream,
+    ];
+    const harness = new ForwarderHarness(script, draftRoute, { endpoints });
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 100);
+    const first = harness.upstream.calls[0]?.endpoint.id;
+    for (const id of endpoints) {
+      if (id !== first) harness.upstream.unreachableIds.add(id);
+    }
+    await harness.clock.advanceTo(START_MS + 4_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+    assert.equal(harness.upstream.calls.at(-1)?.endpoint.id, first);
+  });
+
   it('is not blamed for a caller that is slow to read', async () => {
     const script = [{ metadata, chunks: [eventText(1), eventText(2)] }];
     const harness = new ForwarderHarness(script, draftRoute);
