Use no endpoint whose address no connection can be opened to

Reported by operators of similar systems: one odd entry among those of the endpoints, for one with a port out of range, and the machines that read the list ended or stopped following it.

What callers saw: the process does not end here and the list goes on being followed. But an entry with `127.0.0.1:99999` or `127.0.0.256:80` counted as an endpoint. A posting that was sent to it got 502 ("may have run") although nothing was sent, and was not sent to another endpoint; each such attempt left an unhandled rejection. An entry with 0.0.0.0 led to whatever listens on the machine itself.

Cause: the schema of an entry checked the form of the address only. `new Pool` and `new URL` throw on such an address; in the client's `send` that happened outside the translation of errors, so the attempt counted as lost, and the look whether the endpoint still listens threw the same error again.

Ruled out: deep nesting. JSON.parse takes 400,000 levels (0.2 s), and the schema leaves unknown fields alone. A number that JSON cannot hold (1e400) makes an entry malformed already.

The client takes a request to an address that it cannot use for not sent, wherever the address came from.

--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -49,7 +49,8 @@
 
   /**
    * Sends a request and resolves with the response head. Throws `NotSentError`
-   * if no connection was established, `AnswerLostError` on any other failure.
+   * if no connection was or can be established, `AnswerLostError` on any other
+   * failure.
    */
   async send(
     call: EndpointRequest,
@@ -91,7 +92,9 @@
   }
 
   refusesConnections({ address }: EndpointRecord): Promise<boolean> {
-    const { hostname, port } = new URL(`http://${address}`);
+    const origin = originOf(address);
+    if (origin === undefined) return Promise.resolve(false);
+    const { hostname, port } = origin;
     const socket = connect({
       host: hostname,
       port: Number(port),
@@ -133,6 +136,11 @@
   private connectionsFor(endpoint: EndpointRecord): EndpointConnections {
     const known = this.connections.get(endpoint.id);
     if (known?.address === endpoint.address) return known;
+    const origin = originOf(endpoint.address);
+    if (origin === undefined)
+      throw new NotSentError(
+        `Endpoint ${endpoint.id} has the address '${endpoint.address}', which cannot be used.`,
+      );
     // An endpoint may start again under its id at another address.
     if (known !== undefined) closeGracefully(known);
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
@@ -149,10 +157,10 @@
         callback(...result);
       });
     };
-    const pool = new Pool(`http://${endpoint.address}`, {
-      factory: (origin, options) =>
+    const pool = new Pool(origin, {
+      factory: (poolOrigin, options) =>
         new MeteredClient(
-          origin,
+          poolOrigin,
           options,
           connectAndCountResets,
           this.contexts,
@@ -174,6 +182,14 @@
   }
 }
 
+/** Returns the origin of an address; undefined unless it consists of a host and a port. */
+function originOf(address: Address): URL | undefined {
+  const text = `http://${address}`;
+  if (!URL.canParse(text)) return undefined;
+  const url = new URL(text);
+  return url.href === `${url.origin}/` ? url : undefined;
+}
+
 function closeGracefully({ pool }: EndpointConnections): void {
   // The requests of a broken connection have already failed with its error.
   void pool.close().catch(() => undefined);
