Take an endpoint entry for malformed whose numbers are out of range

Reported by operators of similar systems: a number too large in one entry.

Cause: the schema of an entry took any number that JSON can hold.

--- a/packages/stand-ins/src/gateway/gateway-entries.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-entries.test.ts
@@ -13,7 +13,7 @@
 const REQUESTS = 40;
 
 function entryWith(overrides: Readonly<Record<string, unknown>>): string {
-  return sampleEndpointEntry('ledger', '10.255.255.1:80', overrides);
+  return sampleEndpointEntry('ledger', '127.0.0.1:1', overrides);
 }
 
 /** Returns an entry with a field whose value is given as JSON. */
@@ -39,6 +39,11 @@
   'an IPv6 address': entryWith({ Address: '[::1]:80' }),
   'a host name': entryWith({ Address: 'localhost:80' }),
   'infinite slots': entryWithJson('Slots', '1e400'),
+  'slots too large': entryWithJson('Slots', '1e300'),
+  'fractional slots': entryWithJson('Slots', '5e-324'),
+  'a start too large': entryWithJson('born', '1e300'),
+  'a start before the epoch': entryWithJson('born', '-1'),
+  'a remaining time too large': entryWithJson('ColdRemainingMs', '1e308'),
 };
 
 describe('a gateway that reads malformed endpoint entries', () => {
