--- a/packages/stand-ins/src/gateway/gateway-entries.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-entries.test.ts
@@ -44,6 +44,8 @@
   'a start too large': entryWithJson('born', '1e300'),
   'a start before the epoch': entryWithJson('born', '-1'),
   'a remaining time too large': entryWithJson('ColdRemainingMs', '1e308'),
+  'a sequence of another type': entryWithJson('Sequence', '"1"'),
+  'a missing field': entryWith({ Version: undefined }),
 };
 
 describe('a gateway that reads malformed endpoint entries', () => {
