Use no endpoint whose id cannot be sent in a header

An entry of another writer under a key with a line end, a NUL or a character beyond Latin-1 counted as an endpoint. Each request names its endpoint in Expect-Instance; undici refuses such a header, and the attempt counted as lost: a posting got 502 ("may have run") although nothing was sent.

Cause: the id is taken from the key as it is, and errors of the arguments of a request were not told from errors of its connection.

The client takes a request whose headers cannot be written for not sent.

--- a/packages/daemon/src/gateway/endpoint-client.test.ts
+++ b/packages/daemon/src/gateway/endpoint-client.test.ts
@@ -47,6 +47,16 @@
     });
   }
 
+  it('takes a request whose headers cannot be written for not sent', async () => {
+    const endpoint = sampleEndpoint('odd', { address: '127.0.0.1:1' });
+    const headers = ['Expect-Instance', 'line\nend'];
+    const request = { ...requestTo(endpoint), headers };
+    await assert.rejects(client.send(request, signal), (error: Error) => {
+      assert.match(error.message, /invalid Expect-Instance header/);
+      return error instanceof NotSentError;
+    });
+  });
+
   it('does not count an endpoint as crashed whose address cannot be used', async () => {
     for (const address of ['127.0.0.1:65536', '127.0.0.256:80', '']) {
       const endpoint = sampleEndpoint('odd', { address });
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -1,7 +1,7 @@
 import { connect } from 'node:net';
 
 import type { Dispatcher } from 'undici';
-import { buildConnector, Pool } from 'undici';
+import { buildConnector, errors, Pool } from 'undici';
 
 import type {
   EndpointRecord,
@@ -85,7 +85,7 @@
       };
     } catch (error) {
       const message = `Endpoint ${endpoint.id} did not respond (${String(error)}).`;
-      throw isConnectError(error) || error instanceof EndpointWithdrawnError
+      throw isUnsent(error)
         ? new NotSentError(message, { cause: error })
         : new AnswerLostError(message, { cause: error });
     }
@@ -182,6 +182,16 @@
   }
 }
 
+/** Returns whether the error shows that no byte of the request was sent. */
+function isUnsent(error: unknown): boolean {
+  return (
+    isConnectError(error) ||
+    error instanceof EndpointWithdrawnError ||
+    // undici checks the arguments of a request before it connects.
+    error instanceof errors.InvalidArgumentError
+  );
+}
+
 /** Returns the origin of an address; undefined unless it consists of a host and a port. */
 function originOf(address: Address): URL | undefined {
   const text = `http://${address}`;
--- a/packages/stand-ins/src/gateway/gateway-entries.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-entries.test.ts
@@ -101,6 +101,22 @@
     });
   }
 
+  it('uses no endpoint whose id cannot be sent in a header', async () => {
+    const entry = entryWith({});
+    for (const id of ['', 'two words', 'line\nend', 'naïve', '\u0000']) {
+      fixture.deployment.store.state.put(`servers/${id}`, entry);
+    }
+    await assertListIsFollowed();
+    await assertRequestsAreServed();
+    assert.deepEqual(knownIds(), [
+      'engine-1',
+      'engine-2',
+      'ledger-1',
+      'ledger-2',
+      'ledger-3',
+    ]);
+  });
+
   it('follows the list across pages of malformed entries and bytes that are no text', async () => {
     const { state } = fixture.deployment.store;
     const texts = Object.values(MALFORMED_ENTRIES);
