Fail an answer without framing that is reset together with its last bytes

Reported by operators of similar systems: a worker stopped within its answer and closed, and clients got a 200 with an empty or short body.

What callers saw: an endpoint answers a posting with neither a length nor chunks, writes part of the body and resets the connection at once.

Cause: libuv. If a poll reports data and a hang-up together and the read fills less than its buffer, libuv reports the end of the stream without another read, and the pending ECONNRESET is never seen. Node then emits 'end' and no 'error', so the count of resets stays as it was.

Ruled out: the head. Cut after each of its bytes, by an end and by a reset, on a new and on a kept connection, also after a 103, with a length, with chunks (sizes, extensions, trailer, last line end) and with neither, a posting got 502 in 4,000 of 4,184 cases and ran once in each. The other 184: a body without framing, 92 cut by a reset (this fault), 92 by an end, which nobody can tell from a whole answer and which goes on without framing.

Change: at the end of a connection the client asks whether it still has a peer; a connection that was reset has none.

Evidence: `gateway-cut-answers`, 'answers a posting with 502 when its answer without framing is reset', seen failing before ('{"framing":"connectionEnd","close":"resets","isInformed":false,"bytes":115}', actual: 200, from the first byte after the head on); passes after.

--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 
 import type { Dispatcher } from 'undici';
@@ -150,10 +151,11 @@
     ) => {
       connect(options, (...result) => {
         const [, socket] = result;
-        socket?.on('error', (error: NodeJS.ErrnoException) => {
-          // undici reports an orderly close with an error code of its own.
-          if (RESET_CODES.has(error.code ?? '')) connections.resetCount += 1;
-        });
+        if (socket !== null) {
+          onReset(socket, () => {
+            connections.resetCount += 1;
+          });
+        }
         callback(...result);
       });
     };
@@ -200,6 +202,18 @@
   return url.href === `${url.origin}/` ? url : undefined;
 }
 
+/** Calls `listener` before undici takes notice of a reset of the connection. */
+function onReset(socket: Socket, listener: () => void): void {
+  socket.on('error', (error: NodeJS.ErrnoException) => {
+    // undici reports an orderly close with an error code of its own.
+    if (RESET_CODES.has(error.code ?? '')) listener();
+  });
+  socket.on('end', () => {
+    // libuv reports a reset that arrives together with data as an end; only a connection that is reset has no peer by then.
+    if (socket.remoteAddress === undefined) listener();
+  });
+}
+
 function closeGracefully({ pool }: EndpointConnections): void {
   // The requests of a broken connection have already failed with its error.
   void pool.close().catch(() => undefined);
