Keep a connection that closes under a slow reader from ending the process

Found while looking for the reported answers that are cut in their head, and for the reported processes that end by themselves.

What callers saw: an endpoint closes or resets the connection of an answer that is delimited by it, or that says `Connection: close`, while the daemon reads the body more slowly than it arrives (a caller of a stream that reads slowly). The process ends by itself, with all its requests, or, where the error is held off, the answer never ends.

A reader that is behind pauses its HTTP parser. At the end of the connection, and at ECONNRESET, undici finishes the parser if the response allows no further one, and asserts that it is not paused. The assertion fails in an event listener, where nobody catches it: 'uncaughtException'. The end comes while the parser is paused because Node.js ends a socket as its last data are taken, and by reads of its own.

Ruled out: bodies of kept connections; undici fails these without finishing the parser (trial, all sizes).

Change: the daemon's connections, to endpoints and to all else, do not end while undici's parser is paused, and fail with an error of their own where they are reset. A reset answer is then lost, as before.

Evidence: seen failing before. `endpoint-client`, 'survives a response that is read slowly ...': 3 by an end ('assert(!this.paused)', failureType 'uncaughtException', Socket.onHttpSocketEnd) with the errors replaced only, 3 by a reset (2 in Socket.onHttpSocketError) with the end delayed only; `http-client`, 'reads a response slowly whose connection ends before it is read', 2 of 3 sizes. All pass after.

--- /dev/null
+++ b/packages/daemon/src/adapters/connector.ts
@@ -0,0 +1,67 @@
+import type { Socket } from 'node:net';
+
+import { buildConnector } from 'undici';
+
+/** Error of a connection that was reset. */
+export class ConnectionResetError extends Error {
+  override readonly name = 'ConnectionResetError';
+}
+
+/**
+ * Returns a connector for clients of undici. Where a connection ends, or fails
+ * with ECONNRESET, undici completes a response that its connection delimits; it
+ * asserts then that its parser is not paused, although a slow reader of the body
+ * pauses it, and the failed assertion ends the process. The sockets of this
+ * connector end only once their data are parsed, and fail with
+ * `ConnectionResetError` instead.
+ */
+export function createConnector(
+  options: buildConnector.BuildOptions,
+): buildConnector.connector {
+  const connect = buildConnector(options);
+  return (target, callback) => {
+    connect(target, (...result) => {
+      const [, socket] = result;
+      if (socket !== null) {
+        delayEnd(socket);
+        replaceResetErrors(socket);
+      }
+      callback(...result);
+    });
+  };
+}
+
+/** Keeps the socket from ending while undici's parser is paused. */
+function delayEnd(socket: Socket): void {
+  const read = socket.read.bind(socket);
+  const unshift = socket.unshift.bind(socket);
+  let isPaused = false;
+  // A parser that pauses returns what it has not parsed, also if that is nothing.
+  socket.unshift = (data, encoding) => {
+    isPaused = true;
+    unshift(data, encoding);
+  };
+  socket.read = (size?: number) => {
+    const { readableHighWaterMark, readableLength } = socket;
+    // A read ends a socket that has no data left. Node.js reads by itself, and a resumed parser may pause again after its first read.
+    const isEndDelayed = isPaused && readableLength === 0;
+    if (size === undefined) isPaused = false;
+    if (isEndDelayed) return null;
+    // A read without a size ends the socket with its last data; a size above the mark raises the mark.
+    const allData = Math.min(readableLength, readableHighWaterMark);
+    const data: unknown = read(allData === 0 ? size : (size ?? allData));
+    return data;
+  };
+}
+
+function replaceResetErrors(socket: Socket): void {
+  const destroy = socket.destroy.bind(socket);
+  socket.destroy = (error?: NodeJS.ErrnoException) =>
+    destroy(
+      error?.code === 'ECONNRESET'
+        ? new ConnectionResetError('The connection was reset.', {
+            cause: error,
+          })
+        : error,
+    );
+}
--- a/packages/daemon/src/adapters/http-client.test.ts
+++ b/packages/daemon/src/adapters/http-client.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { createServer } from 'node:http';
-import type { Socket } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { createServer as createTcpServer } from 'node:net';
 import { after, before, describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { setFlagsFromString } from 'node:v8';
@@ -82,6 +83,30 @@
     );
   });
 
+  for (const bytes of [200_000, 400_000, 1_000_000]) {
+    it(`reads a response slowly whose connection ends before it is read: ${bytes} bytes`, async () => {
+      const closing = createTcpServer(socket => {
+        socket.once('data', () => {
+          socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n');
+          socket.write(Buffer.alloc(bytes), () => socket.end());
+        });
+      });
+      await once(closing.listen(0, '127.0.0.1'), 'listening');
+      const { port } = closing.address() as AddressInfo;
+      const { body } = await http.send({
+        ...callOptions(LONG_TIMEOUT_MS),
+        address: `127.0.0.1:${port}`,
+      });
+      let received = 0;
+      for await (const chunk of body) {
+        received += (chunk as Uint8Array).length;
+        await delay(RESPONSE_DELAY_MS);
+      }
+      assert.equal(received, bytes);
+      closing.close();
+    });
+  }
+
   it('times out after a garbage collection too, before and within a response', async () => {
     setFlagsFromString('--expose-gc');
     const collectGarbage = runInNewContext('gc') as () => void;
--- a/packages/daemon/src/adapters/http-client.ts
+++ b/packages/daemon/src/adapters/http-client.ts
@@ -15,6 +15,8 @@
   RefusedError,
 } from '@skylarkreach/core/ports';
 
+import { createConnector } from './connector.js';
+
 const CONNECT_TIMEOUT_MS = 1_000;
 const MIN_TIMEOUT_MS = 1;
 const MAX_TIMEOUT_MS = 2_147_483_647;
@@ -50,13 +52,13 @@
  */
 export class HttpClient implements JsonHttpClient {
   private readonly sharedAgent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: createConnector({ timeout: CONNECT_TIMEOUT_MS }),
     headersTimeout: 0,
     bodyTimeout: 0,
   });
   /** Agent whose connections close after each response. */
   private readonly singleUseAgent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: createConnector({ timeout: CONNECT_TIMEOUT_MS }),
     headersTimeout: 0,
     bodyTimeout: 0,
     pipelining: 0,
--- a/packages/daemon/src/adapters/index.ts
+++ b/packages/daemon/src/adapters/index.ts
@@ -1,4 +1,5 @@
 export * from './compressed-key-value.js';
+export * from './connector.js';
 export * from './http-client.js';
 export * from './http-cloud.js';
 export * from './http-engine.js';
--- a/packages/daemon/src/gateway/endpoint-client.test.ts
+++ b/packages/daemon/src/gateway/endpoint-client.test.ts
@@ -1,5 +1,9 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
 import { after, describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import type {
   EndpointRecord,
@@ -13,6 +17,22 @@
 
 import { EndpointClient } from './endpoint-client.js';
 
+/** Sizes of bodies around those of the buffers that they pass. */
+const BODY_BYTES = [60_000, 70_000, 130_000, 200_000, 400_000, 1_000_000];
+/** Time from the last bytes of a body to a reset, in which the reader pauses the connection. */
+const RESET_DELAY_MS = 5;
+/** Pause of a slow reader between two chunks. */
+const PAUSE_MS = 20;
+
+const UNFRAMED = 'the end of its connection';
+const SHORT = 'a length that it does not reach';
+/** Header that delimits a body of the given size, by name of the framing. */
+const HEADERS: Readonly<Record<string, (bytes: number) => string>> = {
+  [UNFRAMED]: () => 'connection: close',
+  'its length': bytes => `connection: close\r\ncontent-length: ${bytes}`,
+  [SHORT]: bytes => `connection: close\r\ncontent-length: ${bytes + 1}`,
+};
+
 function requestTo(endpoint: EndpointRecord): EndpointRequest {
   return {
     endpoint,
@@ -57,6 +77,35 @@
     });
   });
 
+  for (const [framing, header] of Object.entries(HEADERS)) {
+    for (const isReset of [false, true]) {
+      it(`survives a response that is read slowly and ends with ${isReset ? 'a reset' : 'its connection'}: body delimited by ${framing}`, async () => {
+        for (const bytes of BODY_BYTES) {
+          const server = createServer(socket => {
+            socket.on('error', () => undefined);
+            socket.once('data', () => {
+              socket.write(`HTTP/1.1 200 OK\r\n${header(bytes)}\r\n\r\n`);
+              socket.write(Buffer.alloc(bytes), () => {
+                if (!isReset) socket.end();
+                else setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+              });
+            });
+          });
+          await once(server.listen(0, '127.0.0.1'), 'listening');
+          const { port } = server.address() as AddressInfo;
+          const address = `127.0.0.1:${port}`;
+          const endpoint = sampleEndpoint(address, { address });
+          const received = readSlowly(client, endpoint);
+          if (framing === SHORT || (isReset && framing === UNFRAMED))
+            await assert.rejects(received);
+          else if (isReset) await received.catch(() => undefined);
+          else assert.equal(await received, bytes);
+          server.close();
+        }
+      });
+    }
+  }
+
   it('does not count an endpoint as crashed whose address cannot be used', async () => {
     for (const address of ['127.0.0.1:65536', '127.0.0.256:80', '']) {
       const endpoint = sampleEndpoint('odd', { address });
@@ -64,3 +113,18 @@
     }
   });
 });
+
+/** Returns the number of bytes of the body. */
+async function readSlowly(
+  client: EndpointClient,
+  endpoint: EndpointRecord,
+): Promise<number> {
+  const { signal } = new AbortController();
+  const { body } = await client.send(requestTo(endpoint), signal);
+  let bytes = 0;
+  for await (const chunk of body) {
+    bytes += chunk.length;
+    await delay(PAUSE_MS);
+  }
+  return bytes;
+}
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -1,8 +1,8 @@
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 
-import type { Dispatcher } from 'undici';
-import { buildConnector, errors, Pool } from 'undici';
+import type { buildConnector, Dispatcher } from 'undici';
+import { errors, Pool } from 'undici';
 
 import type {
   EndpointRecord,
@@ -14,7 +14,11 @@
 import type { Address } from '@skylarkreach/core/ports';
 import { AnswerLostError, NotSentError } from '@skylarkreach/core/ports';
 
-import { isConnectError } from '../adapters/index.js';
+import {
+  ConnectionResetError,
+  createConnector,
+  isConnectError,
+} from '../adapters/index.js';
 import type { RequestContext, ResponseMeter } from './metered-client.js';
 import { EndpointWithdrawnError, MeteredClient } from './metered-client.js';
 
@@ -26,11 +30,7 @@
 const KEEP_ALIVE_MARGIN_MS = 1_000; // endpoints state the timeout in whole seconds
 const MAX_HEADER_BYTES = 65_536;
 /** System error codes of a connection that broke instead of being closed by its endpoint. */
-const RESET_CODES: ReadonlySet<string> = new Set([
-  'ECONNRESET',
-  'EPIPE',
-  'ETIMEDOUT',
-]);
+const RESET_CODES: ReadonlySet<string> = new Set(['EPIPE', 'ETIMEDOUT']);
 
 /** Connection pool of one endpoint. */
 interface EndpointConnections {
@@ -144,7 +144,7 @@
       );
     // An endpoint may start again under its id at another address.
     if (known !== undefined) closeGracefully(known);
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    const connect = createConnector({ timeout: CONNECT_TIMEOUT_MS });
     const connectAndCountResets: buildConnector.connector = (
       options,
       callback,
@@ -206,7 +206,10 @@
 function onReset(socket: Socket, listener: () => void): void {
   socket.on('error', (error: NodeJS.ErrnoException) => {
     // undici reports an orderly close with an error code of its own.
-    if (RESET_CODES.has(error.code ?? '')) listener();
+    const isReset =
+      error instanceof ConnectionResetError ||
+      RESET_CODES.has(error.code ?? '');
+    if (isReset) listener();
   });
   socket.on('end', () => {
     // libuv reports a reset that arrives together with data as an end; only a connection that is reset has no peer by then.
