Take a connection that fails for one without a socket

What callers would see: the process ends where a connection is refused.

`endpoint-client`, 'takes a request to an address where nothing listens for not sent', seen failing before with that message; passes after.

--- a/packages/daemon/src/adapters/connector.ts
+++ b/packages/daemon/src/adapters/connector.ts
@@ -22,7 +22,7 @@
   return (target, callback) => {
     connect(target, (...result) => {
       const [, socket] = result;
-      if (socket !== null) {
+      if (socket) {
         delayEnd(socket);
         replaceResetErrors(socket);
       }
--- a/packages/daemon/src/gateway/endpoint-client.test.ts
+++ b/packages/daemon/src/gateway/endpoint-client.test.ts
@@ -67,6 +67,15 @@
     });
   }
 
+  it('takes a request to an address where nothing listens for not sent', async () => {
+    const endpoint = sampleEndpoint('gone', { address: '127.0.0.1:1' });
+    await assert.rejects(
+      client.send(requestTo(endpoint), signal),
+      NotSentError,
+    );
+    assert.equal(await client.refusesConnections(endpoint), true);
+  });
+
   it('takes a request whose headers cannot be written for not sent', async () => {
     const endpoint = sampleEndpoint('odd', { address: '127.0.0.1:1' });
     const headers = ['Expect-Instance', 'line\nend'];
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -151,7 +151,7 @@
     ) => {
       connect(options, (...result) => {
         const [, socket] = result;
-        if (socket !== null) {
+        if (socket) {
           onReset(socket, () => {
             connections.resetCount += 1;
           });
