Keep endpoints that say that they are brittle from falling over

Callers of a group whose endpoints are brittle lost all of it: such an endpoint says in its responses that it fails if it has to reject more than N requests in a second for want of room, and nobody read that. Each daemon sent every request to the endpoint with the least expected time, full or not, so that under twice the load of a group each endpoint rejected hundreds a second, also after it had started again.

The statement is read and travels with the hints. What no endpoint has room for is rejected at once with Retry-After. An endpoint without a response yet counts as brittle if others of its group are: without that, an endpoint that was back was overrun before its first response. A response that belongs to another request says nothing.

--- /dev/null
+++ b/packages/core/src/brittle-endpoints/fakes/index.ts
@@ -0,0 +1,2 @@
+export * from './brittle-simulation.js';
+export * from './simulated-endpoint.js';
--- a/packages/core/src/forwarding/configuration-order.test.ts
+++ b/packages/core/src/forwarding/configuration-order.test.ts
@@ -14,6 +14,7 @@
   sampleEndpoint,
   sampleRoute,
 } from './fakes/index.js';
+import { UNGUARDED } from './overload-guard.js';
 
 const SEED = 20_261_205;
 const WORKSPACE = sampleConfiguration([]).workspaces?.[0];
@@ -67,6 +68,7 @@
           prefillTokensPerMs: 90,
           engineMemoryTokens: () => undefined,
           limiter: UNLIMITED,
+          overloadGuard: UNGUARDED,
         });
         let newest = 0;
         for (const revision of revisions) {
--- a/packages/core/src/forwarding/endpoint-pool.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -3,10 +3,13 @@
 
 import { SeededRandom } from '../ports/index.js';
 import { UNLIMITED } from './endpoint-limiter.js';
-import type { PoolQuery } from './endpoint-pool.js';
-import { AttemptVerdict, EndpointPool } from './endpoint-pool.js';
+import { EndpointPool } from './endpoint-pool.js';
 import { EndpointState } from './endpoint-record.js';
 import { sampleEndpoint } from './fakes/index.js';
+import type { OverloadGuard } from './overload-guard.js';
+import { UNGUARDED } from './overload-guard.js';
+import type { PoolQuery } from './pool-query.js';
+import { AttemptVerdict } from './pool-reservation.js';
 
 const query: PoolQuery = {
   group: 'ledger',
@@ -36,12 +39,14 @@
   ids: readonly string[],
   seed = 1,
   memoryTokens?: number,
+  overloadGuard: OverloadGuard = UNGUARDED,
 ): EndpointPool {
   const pool = new EndpointPool(new SeededRandom(seed), {
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
     engineMemoryTokens: () => memoryTokens,
     limiter: UNLIMITED,
+    overloadGuard,
   });
   pool.apply({ revision: 1, endpoints: ids.map(id => sampleEndpoint(id)) });
   return pool;
@@ -52,6 +57,24 @@
 }
 
 describe('EndpointPool', () => {
+  it('sends nothing to an endpoint that its guard withholds, and knows for how long', () => {
+    const waits = new Map([
+      ['a', 300],
+      ['bb', 0],
+    ]);
+    const pool = createPool(['a', 'bb'], 1, undefined, {
+      ...UNGUARDED,
+      waitMs: ({ id }) => waits.get(id) ?? 0,
+    });
+    assert.equal(pool.busyForMs('ledger', 0), undefined);
+    for (let count = 0; count < 10; count += 1) {
+      assert.equal(chooseEndpoint(pool), 'bb');
+    }
+    waits.set('bb', 200);
+    assert.equal(chooseEndpoint(pool), undefined);
+    assert.equal(pool.busyForMs('ledger', 0), 200);
+  });
+
   it('spreads requests over equivalent endpoints', () => {
     const pool = createPool(['a', 'bb', 'ccc']);
     const counts = new Map<string, number>();
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -3,7 +3,7 @@
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
 import { EndpointState } from './endpoint-record.js';
 import { findRetainable } from './endpoint-retention.js';
-import type { PromptPart, ReportedLoad } from './forward-request.js';
+import type { OverloadGuard } from './overload-guard.js';
 import type { PoolMember } from './pool-member.js';
 import {
   createPoolMember,
@@ -15,6 +15,9 @@
   matchesVersion,
   recordResponse,
 } from './pool-member.js';
+import type { PoolQuery } from './pool-query.js';
+import type { PoolReservation } from './pool-reservation.js';
+import { AttemptVerdict } from './pool-reservation.js';
 
 export interface EndpointPoolOptions {
   readonly dataCentre: DataCentre;
@@ -23,19 +26,7 @@
   /** Returns the KV cache capacity in tokens of each engine of a group; undefined if the group has no engines or is not known. */
   readonly engineMemoryTokens: (group: string) => number | undefined;
   readonly limiter: EndpointLimiter;
-}
-
-/** Criteria for choosing an endpoint. */
-export interface PoolQuery {
-  readonly group: string;
-  /** The only version allowed; any if absent. */
-  readonly onlyVersion?: string;
-  /** Version that is excluded. */
-  readonly notVersion?: string;
-  /** Ids of the endpoints already tried. */
-  readonly excluded: ReadonlySet<string>;
-  readonly promptParts: readonly PromptPart[];
-  readonly promptTokens: number;
+  readonly overloadGuard: OverloadGuard;
 }
 
 /** Load that one daemon has at an endpoint, as sent to its peers. */
@@ -45,23 +36,6 @@
   readonly backlogTokens: number;
 }
 
-/** Reservation of an endpoint for one attempt, held until it is released. */
-export interface PoolReservation {
-  readonly endpoint: EndpointRecord;
-  /** Records that the first event of a stream or a complete response has arrived, so that its prompt is prefilled. */
-  recordFirstEvent(nowMs: number): void;
-  recordLoad(load: ReportedLoad, nowMs: number): void;
-  /** Records the rate limit that the response names, or that it names none. */
-  recordLimit(limitPerSecond: number | undefined): void;
-  /** Ends the reservation. `verdict` is undefined if the result says nothing about the endpoint. */
-  release(verdict: AttemptVerdict | undefined, nowMs: number): void;
-}
-
-export enum AttemptVerdict {
-  Succeeded = 'succeeded',
-  Failed = 'failed',
-}
-
 /** Cost at a failure share of 1: about one failed attempt and its retry. */
 const FAILURE_PENALTY_MS = 2_000;
 /** Time that each running request adds to the decoding steps of an engine's response. */
@@ -193,7 +167,7 @@
         this.isUsable(member, nowMs) &&
         !query.excluded.has(member.record.id) &&
         matchesVersion(member.record, query) &&
-        (limiter.waitMs(member.record) ?? 0) === 0,
+        this.waitMs(member, nowMs) === 0,
     );
     const unlimited = usable.filter(
       member => limiter.waitMs(member.record) === undefined,
@@ -230,6 +204,18 @@
     return limiter.scheduleReturnMs(ready);
   }
 
+  /**
+   * Returns the milliseconds until one of a group's endpoints may be sent a request;
+   * undefined if one may be now, or none accepts new requests.
+   */
+  busyForMs(group: string, nowMs: number): number | undefined {
+    const waitsMs = [...this.membersById.values()]
+      .filter(each => each.record.group === group && this.isUsable(each, nowMs))
+      .map(each => this.waitMs(each, nowMs));
+    const waitMs = Math.min(...waitsMs);
+    return waitMs > 0 && Number.isFinite(waitMs) ? waitMs : undefined;
+  }
+
   /** Returns the endpoints with the state that their selection depends on, for the operators. */
   dumpState(nowMs: number): unknown {
     return [...this.membersById.values()].map(member => ({
@@ -253,6 +239,19 @@
     );
   }
 
+  /** Returns the milliseconds until this daemon may send an endpoint a request. */
+  private waitMs(member: PoolMember, nowMs: number): number {
+    const { limiter, overloadGuard } = this.options;
+    const load = {
+      running: this.runningAt(member, nowMs),
+      expectedResponseMs: expectedResponseMs(member, nowMs),
+    };
+    return Math.max(
+      limiter.waitMs(member.record) ?? 0,
+      overloadGuard.waitMs(member.record, load),
+    );
+  }
+
   private isMisdirected(id: string, nowMs: number): boolean {
     return nowMs < (this.misdirectedUntilMs.get(id) ?? 0);
   }
@@ -327,7 +326,9 @@
     member.sentSinceLoadReport += 1;
     member.backlogTokens += uncachedTokens;
     member.promptCache.add(query.promptParts);
-    this.options.limiter.recordDispatch(member.record);
+    const { limiter, overloadGuard } = this.options;
+    limiter.recordDispatch(member.record);
+    const dispatch = overloadGuard.recordDispatch(member.record);
     let ownBacklogTokens = uncachedTokens;
     let isActive = true;
     const clearBacklog = () => {
@@ -345,14 +346,17 @@
         member.loadReportedAtMs = atMs;
         member.sentSinceLoadReport = 0;
       },
-      recordLimit: limitPerSecond => {
-        const { limiter } = this.options;
-        limiter.recordResponse(member.record, limitPerSecond, nowMs);
+      recordStatements: (statements, isRejection) => {
+        const { limitPerSecond, maxRejectionsPerSecond } = statements;
+        if (!isRejection || limitPerSecond !== undefined)
+          limiter.recordResponse(member.record, limitPerSecond, nowMs);
+        dispatch.recordResponse({ isRejection, maxRejectionsPerSecond });
       },
       release: (verdict, atMs) => {
         if (!isActive) return;
         isActive = false;
         clearBacklog();
+        dispatch.end();
         member.running -= 1;
         if (verdict === undefined) return;
         member.health.record(verdict === AttemptVerdict.Failed, atMs);
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -7,7 +7,11 @@
   SeededRandom,
 } from '../../ports/index.js';
 import { RetryBudget } from '../../routing/index.js';
-import type { ForwardRoute, RequestMetadata } from '../index.js';
+import type {
+  ForwardRoute,
+  GuardedResponse,
+  RequestMetadata,
+} from '../index.js';
 import {
   ANY_VERSION,
   ConfigurationStore,
@@ -16,6 +20,7 @@
   Forwarder,
   ForwardError,
   TokenBucketLedger,
+  UNGUARDED,
   UNLIMITED,
 } from '../index.js';
 import { PlainProtocol } from './plain-protocol.js';
@@ -35,11 +40,22 @@
   readonly upstream: ScriptedUpstream;
   readonly crashGuard = new RecordingCrashGuard();
   readonly usageWorkspaces: string[] = [];
+  /** What responses told the guard of endpoints. */
+  readonly guardedResponses: GuardedResponse[] = [];
   readonly pool = new EndpointPool(new SeededRandom(1), {
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
     engineMemoryTokens: () => undefined,
     limiter: UNLIMITED,
+    overloadGuard: {
+      ...UNGUARDED,
+      recordDispatch: () => ({
+        recordResponse: response => {
+          this.guardedResponses.push(response);
+        },
+        end: () => undefined,
+      }),
+    },
   });
   private readonly forwarder: Forwarder;
 
--- a/packages/core/src/forwarding/fakes/samples.ts
+++ b/packages/core/src/forwarding/fakes/samples.ts
@@ -90,6 +90,7 @@
     isEventStream: false,
     load: undefined,
     limitPerSecond: undefined,
+    maxRejectionsPerSecond: undefined,
     ...overrides,
   };
 }
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -1,10 +1,14 @@
 import type { Clock } from '../ports/index.js';
 import { NotSentError } from '../ports/index.js';
-import type { PoolReservation } from './endpoint-pool.js';
-import { AttemptVerdict } from './endpoint-pool.js';
-import type { RawHeaders, ResponseMetadata } from './forward-request.js';
+import type {
+  EndpointStatements,
+  RawHeaders,
+  ResponseMetadata,
+} from './forward-request.js';
 import type { AttemptObservation } from './forwarder.js';
 import { IdleTimer } from './idle-timer.js';
+import type { PoolReservation } from './pool-reservation.js';
+import { AttemptVerdict } from './pool-reservation.js';
 import type {
   EndpointRequest,
   EndpointResponse,
@@ -164,7 +168,7 @@
     if (metadata.load !== undefined)
       this.reservation.recordLoad(metadata.load, nowMs);
     const fault = this.findFault(response, metadata);
-    this.recordLimit(metadata, fault);
+    this.recordStatements(metadata, fault);
     if (fault !== undefined) {
       // A refusal that is read to its end leaves its connection reusable.
       if (fault.kind !== AttemptEndKind.Failed) {
@@ -179,16 +183,14 @@
     return this.readStream(response, stream);
   }
 
-  /** Records the endpoint's rate limit; only a valid response without one shows that there is none. */
-  private recordLimit(
-    { limitPerSecond }: ResponseMetadata,
+  /** Records what the endpoint says of itself, if the response is one of the endpoint to this request. */
+  private recordStatements(
+    statements: EndpointStatements,
     fault: AttemptOutcome | undefined,
   ): void {
-    const isFromEndpoint =
-      fault === undefined || fault.kind === AttemptEndKind.NotRun;
-    if (!isFromEndpoint) return;
-    if (fault !== undefined && limitPerSecond === undefined) return;
-    this.reservation.recordLimit(limitPerSecond);
+    const isRejection = fault?.kind === AttemptEndKind.NotRun;
+    if (fault !== undefined && !isRejection) return;
+    this.reservation.recordStatements(statements, isRejection);
   }
 
   /** Returns the result of an attempt whose response must not be forwarded; undefined if the response is valid. */
--- a/packages/core/src/forwarding/forward-refusals.test.ts
+++ b/packages/core/src/forwarding/forward-refusals.test.ts
@@ -42,6 +42,24 @@
     assert.equal(ready.length, 3);
   });
 
+  it('tells the guard of a rejection, and of nothing that another request was answered', async () => {
+    const maxRejectionsPerSecond = 4;
+    const metadata = { isNotRun: true, maxRejectionsPerSecond };
+    const own = new ForwarderHarness([{ status: 503, metadata }], postingRoute);
+    await own.serve();
+    assert.deepEqual(own.guardedResponses[0], {
+      isRejection: true,
+      maxRejectionsPerSecond,
+    });
+    const other = { ...metadata, requestId: 'another' };
+    const copied = new ForwarderHarness(
+      [{ status: 503, metadata: other }],
+      postingRoute,
+    );
+    await copied.serve();
+    assert.deepEqual(copied.guardedResponses, []);
+  });
+
   it('sends a non-idempotent request to an endpoint once, as a copy of the first refusal may answer the second attempt', async () => {
     const harness = new ForwarderHarness([refusal], postingRoute, {
       endpoints: ['e1'],
--- a/packages/core/src/forwarding/forward-request.ts
+++ b/packages/core/src/forwarding/forward-request.ts
@@ -38,8 +38,16 @@
   readonly receivedAtMs: number;
 }
 
+/** What an endpoint says of itself in a response. */
+export interface EndpointStatements {
+  /** Requests per second that it accepts from all daemons together; undefined if it names no limit. */
+  readonly limitPerSecond: number | undefined;
+  /** Rejections per second from which it fails; undefined if it bears any number. */
+  readonly maxRejectionsPerSecond: number | undefined;
+}
+
 /** Metadata that the protocol reads from an endpoint's response. */
-export interface ResponseMetadata {
+export interface ResponseMetadata extends EndpointStatements {
   /** Id of the request that the response belongs to. */
   readonly requestId: string | undefined;
   /** The endpoint states that it did not execute the request. */
@@ -52,8 +60,6 @@
   readonly isEncoded: boolean;
   readonly isEventStream: boolean;
   readonly load: ReportedLoad | undefined;
-  /** Requests per second that the endpoint accepts from all daemons together; undefined if it names no limit. */
-  readonly limitPerSecond: number | undefined;
 }
 
 /** Load that an endpoint reports of itself. */
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -3,7 +3,6 @@
 import type { RetryBudget } from '../routing/index.js';
 import { attemptTimeouts } from './attempt-timeouts.js';
 import { RouteType } from './configuration.js';
-import type { PoolQuery, PoolReservation } from './endpoint-pool.js';
 import type { AttemptOutcome, BufferedResponse } from './forward-attempt.js';
 import {
   AttemptEndKind,
@@ -14,6 +13,8 @@
 import type { ForwardError } from './forward-error.js';
 import type { ForwardRequest } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
+import type { PoolQuery } from './pool-query.js';
+import type { PoolReservation } from './pool-reservation.js';
 import type { ResolvedRequest } from './resolve-request.js';
 import { toForwardError } from './run-failure.js';
 import { StreamRelay } from './stream-relay.js';
@@ -328,6 +329,7 @@
       mayHaveRun,
       last: last?.kind,
       limitedForMs: () => pool.scheduleReturnMs(group, clock.nowMs()),
+      busyForMs: () => pool.busyForMs(group, clock.nowMs()),
     });
   }
 
--- a/packages/core/src/forwarding/pool-member.ts
+++ b/packages/core/src/forwarding/pool-member.ts
@@ -1,8 +1,8 @@
 import { hash32 } from '../routing/index.js';
 import { EndpointHealth } from './endpoint-health.js';
-import type { PoolQuery } from './endpoint-pool.js';
 import type { EndpointRecord } from './endpoint-record.js';
 import type { PromptPart, ReportedLoad } from './forward-request.js';
+import type { PoolQuery } from './pool-query.js';
 import { PromptCache, sumTokens } from './prompt-cache.js';
 
 /** Endpoint with this daemon's statistics on it. */
--- /dev/null
+++ b/packages/core/src/forwarding/pool-query.ts
@@ -0,0 +1,14 @@
+import type { PromptPart } from './forward-request.js';
+
+/** Criteria for choosing an endpoint. */
+export interface PoolQuery {
+  readonly group: string;
+  /** The only version allowed; any if absent. */
+  readonly onlyVersion?: string;
+  /** Version that is excluded. */
+  readonly notVersion?: string;
+  /** Ids of the endpoints already tried. */
+  readonly excluded: ReadonlySet<string>;
+  readonly promptParts: readonly PromptPart[];
+  readonly promptTokens: number;
+}
--- /dev/null
+++ b/packages/core/src/forwarding/pool-reservation.ts
@@ -0,0 +1,19 @@
+import type { EndpointRecord } from './endpoint-record.js';
+import type { EndpointStatements, ReportedLoad } from './forward-request.js';
+
+/** Reservation of an endpoint for one attempt, held until it is released. */
+export interface PoolReservation {
+  readonly endpoint: EndpointRecord;
+  /** Records that the first event of a stream or a complete response has arrived, so that its prompt is prefilled. */
+  recordFirstEvent(nowMs: number): void;
+  recordLoad(load: ReportedLoad, nowMs: number): void;
+  /** Records what the head of a valid response, or of a rejection of the request, says of the endpoint. */
+  recordStatements(statements: EndpointStatements, isRejection: boolean): void;
+  /** Ends the reservation. `verdict` is undefined if the result says nothing about the endpoint. */
+  release(verdict: AttemptVerdict | undefined, nowMs: number): void;
+}
+
+export enum AttemptVerdict {
+  Succeeded = 'succeeded',
+  Failed = 'failed',
+}
--- a/packages/core/src/forwarding/run-failure.ts
+++ b/packages/core/src/forwarding/run-failure.ts
@@ -10,6 +10,8 @@
   readonly last: AttemptEndKind | undefined;
   /** Returns the milliseconds after which the caller may return if all endpoints have reached their rate limits; undefined if they have not. */
   readonly limitedForMs: () => number | undefined;
+  /** Returns the milliseconds until one of the endpoints may be sent a request; undefined if one may be now. */
+  readonly busyForMs: () => number | undefined;
 }
 
 /** Retry delay after endpoints refused a request. */
@@ -20,6 +22,7 @@
 /** Returns the error by which the daemon itself answers the request. */
 export function toForwardError({
   group,
+  busyForMs,
   isTimedOut,
   last,
   limitedForMs,
@@ -52,7 +55,9 @@
       returnInMs,
     );
   }
-  if (last === undefined || last === AttemptEndKind.NotSent) {
+  const roomInMs = busyForMs();
+  const isUnreached = last === undefined || last === AttemptEndKind.NotSent;
+  if (isUnreached && roomInMs === undefined) {
     return new ForwardError(
       ForwardErrorKind.NoEndpoint,
       `No endpoint of group ${group} is reachable; send the request again later.`,
@@ -62,6 +67,6 @@
   return new ForwardError(
     ForwardErrorKind.Overloaded,
     `The endpoints of group ${group} are overloaded; send the request again later.`,
-    OVERLOADED_RETRY_MS,
+    Math.max(OVERLOADED_RETRY_MS, roomInMs ?? 0),
   );
 }
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 
+import { brittleEndpointHintsSchema } from '../brittle-endpoints/index.js';
 import { endpointLimitHintsSchema } from '../endpoint-limits/index.js';
 import type { EndpointLoad } from '../forwarding/index.js';
 import { definePeerMethod } from '../ports/index.js';
@@ -52,6 +53,8 @@
   quarantine: quarantineHintsSchema.optional(),
   /** Absent in hints of daemons that do not know it. */
   endpointLimits: endpointLimitHintsSchema.optional(),
+  /** Absent in hints of daemons that do not know it. */
+  brittleEndpoints: brittleEndpointHintsSchema.optional(),
   /** Whether the sender holds the lease for the duties towards the platform. */
   holdsDuties: z.boolean(),
 });
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -1,3 +1,4 @@
+import type { BrittleEndpoints } from '@skylarkreach/core/brittle-endpoints';
 import type { FencingToken } from '@skylarkreach/core/duties';
 import type { EndpointLimits } from '@skylarkreach/core/endpoint-limits';
 import type {
@@ -18,6 +19,7 @@
   readonly rollouts: RolloutRegistry;
   readonly quarantine: RequestQuarantine;
   readonly endpointLimits: EndpointLimits;
+  readonly brittleEndpoints: BrittleEndpoints;
   readonly duties: GatewayDuties;
   readonly cluster: () => GatewayCluster;
   /** Version of the endpoint list in use. */
@@ -47,8 +49,15 @@
   }
 
   ownHints(): DaemonHints {
-    const { duties, endpointLimits, pool, quarantine, rollouts, tokenBuckets } =
-      this.deps;
+    const {
+      brittleEndpoints,
+      duties,
+      endpointLimits,
+      pool,
+      quarantine,
+      rollouts,
+      tokenBuckets,
+    } = this.deps;
     this.sequence += 1;
     const nowMs = this.context.clock.nowMs();
     this.recordOwnLease(nowMs);
@@ -72,13 +81,21 @@
       rollouts: rollouts.hints(),
       quarantine: quarantine.hints(),
       endpointLimits: endpointLimits.hints(),
+      brittleEndpoints: brittleEndpoints.hints(),
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
   }
 
   applyHints(hints: DaemonHints): void {
-    const { tokenBuckets, duties, endpointLimits, pool, quarantine, rollouts } =
-      this.deps;
+    const {
+      brittleEndpoints,
+      duties,
+      endpointLimits,
+      pool,
+      quarantine,
+      rollouts,
+      tokenBuckets,
+    } = this.deps;
     const { hintBoard } = this.deps.cluster();
     const nowMs = this.context.clock.nowMs();
     duties.trueTime.observe(hints.daemonId, hints.wallMs);
@@ -93,6 +110,7 @@
     rollouts.applyPeer(hints.lifetime, hints.rollouts);
     if (hints.quarantine !== undefined) quarantine.applyPeer(hints.quarantine);
     endpointLimits.applyPeer(hints.endpointLimits ?? []);
+    brittleEndpoints.applyPeer(hints.brittleEndpoints ?? []);
     pool.applyPeerLoad(hintBoard.work(nowMs));
   }
 
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -1,3 +1,4 @@
+import { BrittleEndpoints } from '@skylarkreach/core/brittle-endpoints';
 import { EndpointLimits } from '@skylarkreach/core/endpoint-limits';
 import type {
   CallerLimits,
@@ -86,12 +87,14 @@
     nowMs: () => clock.nowMs(),
     livePeers: () => cluster.membership.live(),
   });
-  const endpointLimits = new EndpointLimits({
+  const sharing = {
     ...context,
     ownId: settings.identity.daemonId,
     nowMs: () => clock.nowMs(),
     daemons: knownDaemons,
-  });
+  };
+  const endpointLimits = new EndpointLimits(sharing);
+  const brittleEndpoints = new BrittleEndpoints(sharing);
   const pool = new EndpointPool(context.random, {
     dataCentre: settings.identity.dataCentre,
     prefillTokensPerMs: settings.routing.prefillTokensPerMs,
@@ -99,6 +102,7 @@
       configuration.current?.groups.find(candidate => candidate.name === group)
         ?.engine?.cacheTokens,
     limiter: endpointLimits,
+    overloadGuard: brittleEndpoints,
   });
   const tokenBuckets = new TokenBucketLedger({
     rateShare: settings.bounds.allowanceRateShare,
@@ -132,6 +136,7 @@
     rollouts,
     quarantine,
     endpointLimits,
+    brittleEndpoints,
     duties,
     cluster: () => cluster,
     endpointsVersion: () => replicator.endpointsVersion,
--- a/packages/measure/src/slopes/gateway-probes.ts
+++ b/packages/measure/src/slopes/gateway-probes.ts
@@ -6,6 +6,7 @@
   AttemptVerdict,
   EndpointPool,
   EndpointState,
+  UNGUARDED,
   UNLIMITED,
 } from '@skylarkreach/core/forwarding';
 import type { DaemonHints } from '@skylarkreach/core/hints';
@@ -154,6 +155,7 @@
     prefillTokensPerMs: 90,
     engineMemoryTokens: () => undefined,
     limiter: UNLIMITED,
+    overloadGuard: UNGUARDED,
   });
   pool.apply({
     revision: 1,
--- a/packages/stand-ins/src/gateway/gateway-deployment.ts
+++ b/packages/stand-ins/src/gateway/gateway-deployment.ts
@@ -38,15 +38,16 @@
     this.store.configure(version);
   }
 
-  /** Starts an endpoint and registers it with the store as an instance of a service. */
+  /** Starts an endpoint and registers it with the store as an instance of a service; `entry` replaces fields of its entry. */
   async addEndpoint(
     service: string,
     id: string,
     options: Partial<EndpointServerOptions> = {},
+    entry: Readonly<Record<string, unknown>> = {},
   ): Promise<EndpointServer> {
     const endpoint = new EndpointServer({ ...options, id });
     const address = await endpoint.listen();
-    this.store.register(id, service, address);
+    this.store.register(id, service, address, entry);
     this.endpoints.push(endpoint);
     return endpoint;
   }
