Send nothing more to endpoints that say that they are leaving

An endpoint that is about to end can say so in its responses (Server-Leaving: 1). Nobody read it, so daemons went on to send it requests until the list of endpoints named it as draining or lacked it, which may be later than the drain bound after the first such response, and never where the list cannot be read.

Any response to the request itself counts: answers, heads of streams, errors and rejections. One that belongs to another request or to another endpoint on the address does not. The daemon takes the incarnation (id, address, start) out of use at once and tells its peers with the hints. An endpoint that starts again under its id is used.

--- a/packages/core/src/brittle-endpoints/fakes/brittle-simulation.ts
+++ b/packages/core/src/brittle-endpoints/fakes/brittle-simulation.ts
@@ -2,6 +2,7 @@
 import {
   AttemptVerdict,
   EndpointPool,
+  LeavingEndpoints,
   UNLIMITED,
 } from '../../forwarding/index.js';
 import { KnownDaemons } from '../../membership/index.js';
@@ -301,6 +302,11 @@
         prefillTokensPerMs: 90,
         engineMemoryTokens: () => undefined,
         limiter: UNLIMITED,
+        leaving: new LeavingEndpoints({
+          nowMs: () => 0,
+          log: noopLog,
+          metrics: noopMetrics,
+        }),
         overloadGuard: brittle,
       },
     );
--- a/packages/core/src/forwarding/configuration-order.test.ts
+++ b/packages/core/src/forwarding/configuration-order.test.ts
@@ -3,7 +3,7 @@
 
 import fc from 'fast-check';
 
-import { SeededRandom } from '../ports/index.js';
+import { noopLog, noopMetrics, SeededRandom } from '../ports/index.js';
 import type { Configuration } from './configuration.js';
 import { ConfigurationStore } from './configuration-store.js';
 import { UNLIMITED } from './endpoint-limiter.js';
@@ -14,6 +14,7 @@
   sampleEndpoint,
   sampleRoute,
 } from './fakes/index.js';
+import { LeavingEndpoints } from './leaving-endpoints.js';
 import { UNGUARDED } from './overload-guard.js';
 
 const SEED = 20_261_205;
@@ -68,6 +69,11 @@
           prefillTokensPerMs: 90,
           engineMemoryTokens: () => undefined,
           limiter: UNLIMITED,
+          leaving: new LeavingEndpoints({
+            nowMs: () => 0,
+            log: noopLog,
+            metrics: noopMetrics,
+          }),
           overloadGuard: UNGUARDED,
         });
         let newest = 0;
--- a/packages/core/src/forwarding/endpoint-pool.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -1,11 +1,12 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import { SeededRandom } from '../ports/index.js';
+import { noopLog, noopMetrics, SeededRandom } from '../ports/index.js';
 import { UNLIMITED } from './endpoint-limiter.js';
 import { EndpointPool } from './endpoint-pool.js';
 import { EndpointState } from './endpoint-record.js';
 import { sampleEndpoint } from './fakes/index.js';
+import { LeavingEndpoints } from './leaving-endpoints.js';
 import type { OverloadGuard } from './overload-guard.js';
 import { UNGUARDED } from './overload-guard.js';
 import type { PoolQuery } from './pool-query.js';
@@ -46,6 +47,11 @@
     prefillTokensPerMs: 90,
     engineMemoryTokens: () => memoryTokens,
     limiter: UNLIMITED,
+    leaving: new LeavingEndpoints({
+      nowMs: () => 0,
+      log: noopLog,
+      metrics: noopMetrics,
+    }),
     overloadGuard,
   });
   pool.apply({ revision: 1, endpoints: ids.map(id => sampleEndpoint(id)) });
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -3,6 +3,7 @@
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
 import { EndpointState } from './endpoint-record.js';
 import { findRetainable } from './endpoint-retention.js';
+import type { LeavingEndpoints } from './leaving-endpoints.js';
 import type { OverloadGuard } from './overload-guard.js';
 import type { PoolMember } from './pool-member.js';
 import {
@@ -27,6 +28,7 @@
   readonly engineMemoryTokens: (group: string) => number | undefined;
   readonly limiter: EndpointLimiter;
   readonly overloadGuard: OverloadGuard;
+  readonly leaving: LeavingEndpoints;
 }
 
 /** Load that one daemon has at an endpoint, as sent to its peers. */
@@ -225,6 +227,7 @@
       reported: member.reportedLoad,
       failureShare: member.health.failureShare(nowMs),
       isMisdirected: this.isMisdirected(member.record.id, nowMs),
+      isLeaving: this.options.leaving.has(member.record),
     }));
   }
 
@@ -235,6 +238,7 @@
     return (
       record.state === EndpointState.Ready &&
       nowMs < usableUntilMs &&
+      !this.options.leaving.has(record) &&
       !this.isMisdirected(record.id, nowMs)
     );
   }
@@ -346,6 +350,9 @@
         member.loadReportedAtMs = atMs;
         member.sentSinceLoadReport = 0;
       },
+      recordLeaving: () => {
+        this.options.leaving.record(member.record);
+      },
       recordStatements: (statements, isRejection) => {
         const { limitPerSecond, maxRejectionsPerSecond } = statements;
         if (!isRejection || limitPerSecond !== undefined)
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -19,6 +19,7 @@
   EndpointPool,
   Forwarder,
   ForwardError,
+  LeavingEndpoints,
   TokenBucketLedger,
   UNGUARDED,
   UNLIMITED,
@@ -47,6 +48,11 @@
     prefillTokensPerMs: 90,
     engineMemoryTokens: () => undefined,
     limiter: UNLIMITED,
+    leaving: new LeavingEndpoints({
+      nowMs: () => 0,
+      log: noopLog,
+      metrics: noopMetrics,
+    }),
     overloadGuard: {
       ...UNGUARDED,
       recordDispatch: () => ({
--- a/packages/core/src/forwarding/fakes/samples.ts
+++ b/packages/core/src/forwarding/fakes/samples.ts
@@ -88,6 +88,7 @@
     isSigned: true,
     isEncoded: false,
     isEventStream: false,
+    isLeaving: false,
     load: undefined,
     limitPerSecond: undefined,
     maxRejectionsPerSecond: undefined,
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -169,6 +169,8 @@
       this.reservation.recordLoad(metadata.load, nowMs);
     const fault = this.findFault(response, metadata);
     this.recordStatements(metadata, fault);
+    if (metadata.isLeaving && this.isFromEndpoint(metadata))
+      this.reservation.recordLeaving();
     if (fault !== undefined) {
       // A refusal that is read to its end leaves its connection reusable.
       if (fault.kind !== AttemptEndKind.Failed) {
@@ -193,6 +195,11 @@
     this.reservation.recordStatements(statements, isRejection);
   }
 
+  private isFromEndpoint(metadata: ResponseMetadata): boolean {
+    const { isMisdirected, requestId } = metadata;
+    return requestId === this.options.requestId && !isMisdirected;
+  }
+
   /** Returns the result of an attempt whose response must not be forwarded; undefined if the response is valid. */
   private findFault(
     { status }: EndpointResponse,
--- a/packages/core/src/forwarding/forward-refusals.test.ts
+++ b/packages/core/src/forwarding/forward-refusals.test.ts
@@ -60,6 +60,27 @@
     assert.deepEqual(copied.guardedResponses, []);
   });
 
+  it('sends nothing more to an endpoint that says that it is leaving, unless it answers another request', async () => {
+    const steps: readonly ScriptedResponse[] = [
+      { status: 503, metadata: { isNotRun: true, isLeaving: true } },
+      { status: 500, metadata: { isLeaving: true } },
+      { status: 503, metadata: { isLeaving: true } },
+      { metadata: { isLeaving: true } },
+    ];
+    for (const step of steps) {
+      const harness = new ForwarderHarness([step], postingRoute, {
+        endpoints: ['e1'],
+      });
+      await harness.serve();
+      assert.equal(harness.pool.isReady('e1', harness.clock.nowMs()), false);
+    }
+    const metadata = { isLeaving: true, requestId: 'another' };
+    const harness = new ForwarderHarness([{ metadata }], postingRoute);
+    await harness.serve();
+    const ready = harness.pool.readyEndpoints('ledger', harness.clock.nowMs());
+    assert.equal(ready.length, 3);
+  });
+
   it('sends a non-idempotent request to an endpoint once, as a copy of the first refusal may answer the second attempt', async () => {
     const harness = new ForwarderHarness([refusal], postingRoute, {
       endpoints: ['e1'],
--- a/packages/core/src/forwarding/forward-request.ts
+++ b/packages/core/src/forwarding/forward-request.ts
@@ -59,6 +59,8 @@
   /** The body has a content encoding. */
   readonly isEncoded: boolean;
   readonly isEventStream: boolean;
+  /** The endpoint is about to end, and wants no further requests. */
+  readonly isLeaving: boolean;
   readonly load: ReportedLoad | undefined;
 }
 
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -16,6 +16,7 @@
 export * from './forward-run.js';
 export * from './forwarder.js';
 export * from './idle-timer.js';
+export * from './leaving-endpoints.js';
 export * from './overload-guard.js';
 export * from './pool-member.js';
 export * from './pool-query.js';
--- a/packages/core/src/forwarding/pool-reservation.ts
+++ b/packages/core/src/forwarding/pool-reservation.ts
@@ -9,6 +9,8 @@
   recordLoad(load: ReportedLoad, nowMs: number): void;
   /** Records what the head of a valid response, or of a rejection of the request, says of the endpoint. */
   recordStatements(statements: EndpointStatements, isRejection: boolean): void;
+  /** Records that a response of the endpoint says that it is leaving. */
+  recordLeaving(): void;
   /** Ends the reservation. `verdict` is undefined if the result says nothing about the endpoint. */
   release(verdict: AttemptVerdict | undefined, nowMs: number): void;
 }
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -3,6 +3,7 @@
 import { brittleEndpointHintsSchema } from '../brittle-endpoints/index.js';
 import { endpointLimitHintsSchema } from '../endpoint-limits/index.js';
 import type { EndpointLoad } from '../forwarding/index.js';
+import { leavingEndpointHintsSchema } from '../forwarding/index.js';
 import { definePeerMethod } from '../ports/index.js';
 import { quarantineHintsSchema } from '../quarantine/index.js';
 import { rolloutHintsSchema } from '../rollouts/index.js';
@@ -55,6 +56,8 @@
   endpointLimits: endpointLimitHintsSchema.optional(),
   /** Absent in hints of daemons that do not know it. */
   brittleEndpoints: brittleEndpointHintsSchema.optional(),
+  /** Absent in hints of daemons that do not know it. */
+  leavingEndpoints: leavingEndpointHintsSchema.optional(),
   /** Whether the sender holds the lease for the duties towards the platform. */
   holdsDuties: z.boolean(),
 });
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -3,6 +3,7 @@
 import type { EndpointLimits } from '@skylarkreach/core/endpoint-limits';
 import type {
   EndpointPool,
+  LeavingEndpoints,
   TokenBucketLedger,
 } from '@skylarkreach/core/forwarding';
 import type { DaemonHints } from '@skylarkreach/core/hints';
@@ -20,6 +21,7 @@
   readonly quarantine: RequestQuarantine;
   readonly endpointLimits: EndpointLimits;
   readonly brittleEndpoints: BrittleEndpoints;
+  readonly leavingEndpoints: LeavingEndpoints;
   readonly duties: GatewayDuties;
   readonly cluster: () => GatewayCluster;
   /** Version of the endpoint list in use. */
@@ -53,6 +55,7 @@
       brittleEndpoints,
       duties,
       endpointLimits,
+      leavingEndpoints,
       pool,
       quarantine,
       rollouts,
@@ -82,6 +85,7 @@
       quarantine: quarantine.hints(),
       endpointLimits: endpointLimits.hints(),
       brittleEndpoints: brittleEndpoints.hints(),
+      leavingEndpoints: leavingEndpoints.hints(),
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
   }
@@ -91,6 +95,7 @@
       brittleEndpoints,
       duties,
       endpointLimits,
+      leavingEndpoints,
       pool,
       quarantine,
       rollouts,
@@ -111,6 +116,7 @@
     if (hints.quarantine !== undefined) quarantine.applyPeer(hints.quarantine);
     endpointLimits.applyPeer(hints.endpointLimits ?? []);
     brittleEndpoints.applyPeer(hints.brittleEndpoints ?? []);
+    leavingEndpoints.applyPeer(hints.leavingEndpoints ?? []);
     pool.applyPeerLoad(hintBoard.work(nowMs));
   }
 
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -9,6 +9,7 @@
   CrashDetector,
   EndpointPool,
   Forwarder,
+  LeavingEndpoints,
   TokenBucketLedger,
 } from '@skylarkreach/core/forwarding';
 import { KnownDaemons } from '@skylarkreach/core/membership';
@@ -95,6 +96,7 @@
   };
   const endpointLimits = new EndpointLimits(sharing);
   const brittleEndpoints = new BrittleEndpoints(sharing);
+  const leavingEndpoints = new LeavingEndpoints(sharing);
   const pool = new EndpointPool(context.random, {
     dataCentre: settings.identity.dataCentre,
     prefillTokensPerMs: settings.routing.prefillTokensPerMs,
@@ -103,6 +105,7 @@
         ?.engine?.cacheTokens,
     limiter: endpointLimits,
     overloadGuard: brittleEndpoints,
+    leaving: leavingEndpoints,
   });
   const tokenBuckets = new TokenBucketLedger({
     rateShare: settings.bounds.allowanceRateShare,
@@ -137,6 +140,7 @@
     quarantine,
     endpointLimits,
     brittleEndpoints,
+    leavingEndpoints,
     duties,
     cluster: () => cluster,
     endpointsVersion: () => replicator.endpointsVersion,
--- a/packages/measure/src/slopes/gateway-probes.ts
+++ b/packages/measure/src/slopes/gateway-probes.ts
@@ -6,12 +6,13 @@
   AttemptVerdict,
   EndpointPool,
   EndpointState,
+  LeavingEndpoints,
   UNGUARDED,
   UNLIMITED,
 } from '@skylarkreach/core/forwarding';
 import type { DaemonHints } from '@skylarkreach/core/hints';
 import { HintStore } from '@skylarkreach/core/hints';
-import { SeededRandom } from '@skylarkreach/core/ports';
+import { noopLog, noopMetrics, SeededRandom } from '@skylarkreach/core/ports';
 import { GatewayDeployment, sampleCall } from '@skylarkreach/stand-ins';
 
 import type { Point } from '../experiment/index.js';
@@ -155,6 +156,11 @@
     prefillTokensPerMs: 90,
     engineMemoryTokens: () => undefined,
     limiter: UNLIMITED,
+    leaving: new LeavingEndpoints({
+      nowMs: () => 0,
+      log: noopLog,
+      metrics: noopMetrics,
+    }),
     overloadGuard: UNGUARDED,
   });
   pool.apply({
