Send nothing to endpoints before the end of a pause that they ask for

An endpoint that turns a request away with 503 can add Retry-After: it wants nothing from that daemon for so long. Nobody read it. A daemon whose group had no other endpoint sent it every further request, each of which was rejected again.

The daemon stores the time until which the incarnation (id, address, start) of the endpoint wants nothing from it, and sends elsewhere until then. Where all endpoints of a group want none, it rejects at once, with the time until the first does. A response that belongs to another request or comes from another endpoint on the address does not count. The pause concerns one daemon only, so peers are not told.

--- a/packages/core/src/brittle-endpoints/fakes/brittle-simulation.ts
+++ b/packages/core/src/brittle-endpoints/fakes/brittle-simulation.ts
@@ -3,6 +3,7 @@
   AttemptVerdict,
   EndpointPool,
   LeavingEndpoints,
+  PausedEndpoints,
   UNLIMITED,
 } from '../../forwarding/index.js';
 import { KnownDaemons } from '../../membership/index.js';
@@ -302,6 +303,11 @@
         prefillTokensPerMs: 90,
         engineMemoryTokens: () => undefined,
         limiter: UNLIMITED,
+        paused: new PausedEndpoints({
+          nowMs: () => 0,
+          log: noopLog,
+          metrics: noopMetrics,
+        }),
         leaving: new LeavingEndpoints({
           nowMs: () => 0,
           log: noopLog,
--- a/packages/core/src/forwarding/configuration-order.test.ts
+++ b/packages/core/src/forwarding/configuration-order.test.ts
@@ -16,6 +16,7 @@
 } from './fakes/index.js';
 import { LeavingEndpoints } from './leaving-endpoints.js';
 import { UNGUARDED } from './overload-guard.js';
+import { PausedEndpoints } from './paused-endpoints.js';
 
 const SEED = 20_261_205;
 const WORKSPACE = sampleConfiguration([]).workspaces?.[0];
@@ -69,6 +70,11 @@
           prefillTokensPerMs: 90,
           engineMemoryTokens: () => undefined,
           limiter: UNLIMITED,
+          paused: new PausedEndpoints({
+            nowMs: () => 0,
+            log: noopLog,
+            metrics: noopMetrics,
+          }),
           leaving: new LeavingEndpoints({
             nowMs: () => 0,
             log: noopLog,
--- a/packages/core/src/forwarding/endpoint-pool.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -9,6 +9,7 @@
 import { LeavingEndpoints } from './leaving-endpoints.js';
 import type { OverloadGuard } from './overload-guard.js';
 import { UNGUARDED } from './overload-guard.js';
+import { PausedEndpoints } from './paused-endpoints.js';
 import type { PoolQuery } from './pool-query.js';
 import { AttemptVerdict } from './pool-reservation.js';
 
@@ -47,6 +48,11 @@
     prefillTokensPerMs: 90,
     engineMemoryTokens: () => memoryTokens,
     limiter: UNLIMITED,
+    paused: new PausedEndpoints({
+      nowMs: () => 0,
+      log: noopLog,
+      metrics: noopMetrics,
+    }),
     leaving: new LeavingEndpoints({
       nowMs: () => 0,
       log: noopLog,
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -1,10 +1,7 @@
-import type { DataCentre, Random } from '../ports/index.js';
-import type { EndpointLimiter } from './endpoint-limiter.js';
+import type { Random } from '../ports/index.js';
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
 import { EndpointState } from './endpoint-record.js';
 import { findRetainable } from './endpoint-retention.js';
-import type { LeavingEndpoints } from './leaving-endpoints.js';
-import type { OverloadGuard } from './overload-guard.js';
 import type { PoolMember } from './pool-member.js';
 import {
   createPoolMember,
@@ -16,21 +13,11 @@
   matchesVersion,
   recordResponse,
 } from './pool-member.js';
+import type { EndpointPoolOptions } from './pool-options.js';
 import type { PoolQuery } from './pool-query.js';
 import type { PoolReservation } from './pool-reservation.js';
 import { AttemptVerdict } from './pool-reservation.js';
 
-export interface EndpointPoolOptions {
-  readonly dataCentre: DataCentre;
-  /** Prompt tokens that an engine prefills per millisecond. */
-  readonly prefillTokensPerMs: number;
-  /** Returns the KV cache capacity in tokens of each engine of a group; undefined if the group has no engines or is not known. */
-  readonly engineMemoryTokens: (group: string) => number | undefined;
-  readonly limiter: EndpointLimiter;
-  readonly overloadGuard: OverloadGuard;
-  readonly leaving: LeavingEndpoints;
-}
-
 /** Load that one daemon has at an endpoint, as sent to its peers. */
 export interface EndpointLoad {
   readonly running: number;
@@ -157,7 +144,8 @@
   /** Returns whether an endpoint accepts new requests. */
   isReady(id: string, nowMs: number): boolean {
     const member = this.membersById.get(id);
-    return member !== undefined && this.isUsable(member, nowMs);
+    if (member === undefined || !this.isUsable(member, nowMs)) return false;
+    return this.options.paused.waitMs(member.record) === 0;
   }
 
   /** Reserves the endpoint with the lowest expected latency; returns undefined if none is usable. */
@@ -228,6 +216,7 @@
       failureShare: member.health.failureShare(nowMs),
       isMisdirected: this.isMisdirected(member.record.id, nowMs),
       isLeaving: this.options.leaving.has(member.record),
+      pausedForMs: this.options.paused.waitMs(member.record),
     }));
   }
 
@@ -245,12 +234,13 @@
 
   /** Returns the milliseconds until this daemon may send an endpoint a request. */
   private waitMs(member: PoolMember, nowMs: number): number {
-    const { limiter, overloadGuard } = this.options;
+    const { limiter, overloadGuard, paused } = this.options;
     const load = {
       running: this.runningAt(member, nowMs),
       expectedResponseMs: expectedResponseMs(member, nowMs),
     };
     return Math.max(
+      paused.waitMs(member.record),
       limiter.waitMs(member.record) ?? 0,
       overloadGuard.waitMs(member.record, load),
     );
@@ -353,6 +343,9 @@
       recordLeaving: () => {
         this.options.leaving.record(member.record);
       },
+      recordPause: pauseMs => {
+        this.options.paused.record(member.record, pauseMs);
+      },
       recordStatements: (statements, isRejection) => {
         const { limitPerSecond, maxRejectionsPerSecond } = statements;
         if (!isRejection || limitPerSecond !== undefined)
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -20,6 +20,7 @@
   Forwarder,
   ForwardError,
   LeavingEndpoints,
+  PausedEndpoints,
   TokenBucketLedger,
   UNGUARDED,
   UNLIMITED,
@@ -48,6 +49,11 @@
     prefillTokensPerMs: 90,
     engineMemoryTokens: () => undefined,
     limiter: UNLIMITED,
+    paused: new PausedEndpoints({
+      nowMs: () => this.clock.nowMs(),
+      log: noopLog,
+      metrics: noopMetrics,
+    }),
     leaving: new LeavingEndpoints({
       nowMs: () => 0,
       log: noopLog,
--- a/packages/core/src/forwarding/fakes/samples.ts
+++ b/packages/core/src/forwarding/fakes/samples.ts
@@ -89,6 +89,7 @@
     isEncoded: false,
     isEventStream: false,
     isLeaving: false,
+    pauseMs: undefined,
     load: undefined,
     limitPerSecond: undefined,
     maxRejectionsPerSecond: undefined,
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -169,8 +169,7 @@
       this.reservation.recordLoad(metadata.load, nowMs);
     const fault = this.findFault(response, metadata);
     this.recordStatements(metadata, fault);
-    if (metadata.isLeaving && this.isFromEndpoint(metadata))
-      this.reservation.recordLeaving();
+    this.recordWithdrawal(metadata);
     if (fault !== undefined) {
       // A refusal that is read to its end leaves its connection reusable.
       if (fault.kind !== AttemptEndKind.Failed) {
@@ -195,9 +194,12 @@
     this.reservation.recordStatements(statements, isRejection);
   }
 
-  private isFromEndpoint(metadata: ResponseMetadata): boolean {
-    const { isMisdirected, requestId } = metadata;
-    return requestId === this.options.requestId && !isMisdirected;
+  /** Records that the endpoint wants no further requests, now or at all, if the response is its own to this request. */
+  private recordWithdrawal(metadata: ResponseMetadata): void {
+    const { isLeaving, isMisdirected, pauseMs, requestId } = metadata;
+    if (requestId !== this.options.requestId || isMisdirected) return;
+    if (isLeaving) this.reservation.recordLeaving();
+    if (pauseMs !== undefined) this.reservation.recordPause(pauseMs);
   }
 
   /** Returns the result of an attempt whose response must not be forwarded; undefined if the response is valid. */
--- a/packages/core/src/forwarding/forward-refusals.test.ts
+++ b/packages/core/src/forwarding/forward-refusals.test.ts
@@ -81,6 +81,33 @@
     assert.equal(ready.length, 3);
   });
 
+  it('sends nothing to an endpoint before the end of a pause that it asks for, unless it answers another request', async () => {
+    const pauseMs = 700;
+    const steps: readonly ScriptedResponse[] = [
+      { status: 503, metadata: { isNotRun: true, pauseMs } },
+      { status: 503, metadata: { pauseMs } },
+    ];
+    for (const step of steps) {
+      const harness = new ForwarderHarness([step, {}], postingRoute, {
+        endpoints: ['e1'],
+      });
+      await harness.serve();
+      const error = await harness.serve();
+      assert.equal(error?.kind, ForwardErrorKind.Overloaded);
+      assert.equal(error.retryInMs, pauseMs);
+      assert.equal(harness.upstream.calls.length, 1);
+      await harness.clock.advanceTo(harness.clock.nowMs() + pauseMs);
+      assert.equal(await harness.serve(), undefined);
+    }
+    const metadata = { isNotRun: true, pauseMs, requestId: 'another' };
+    const harness = new ForwarderHarness(
+      [{ status: 503, metadata }],
+      postingRoute,
+    );
+    await harness.serve();
+    assert.equal(harness.pool.busyForMs('ledger', 0), undefined);
+  });
+
   it('sends a non-idempotent request to an endpoint once, as a copy of the first refusal may answer the second attempt', async () => {
     const harness = new ForwarderHarness([refusal], postingRoute, {
       endpoints: ['e1'],
--- a/packages/core/src/forwarding/forward-request.ts
+++ b/packages/core/src/forwarding/forward-request.ts
@@ -61,6 +61,8 @@
   readonly isEventStream: boolean;
   /** The endpoint is about to end, and wants no further requests. */
   readonly isLeaving: boolean;
+  /** Time for which the endpoint wants nothing from this daemon; undefined if it does not ask for a pause. */
+  readonly pauseMs: number | undefined;
   readonly load: ReportedLoad | undefined;
 }
 
--- /dev/null
+++ b/packages/core/src/forwarding/pool-options.ts
@@ -0,0 +1,17 @@
+import type { DataCentre } from '../ports/index.js';
+import type { EndpointLimiter } from './endpoint-limiter.js';
+import type { LeavingEndpoints } from './leaving-endpoints.js';
+import type { OverloadGuard } from './overload-guard.js';
+import type { PausedEndpoints } from './paused-endpoints.js';
+
+export interface EndpointPoolOptions {
+  readonly dataCentre: DataCentre;
+  /** Prompt tokens that an engine prefills per millisecond. */
+  readonly prefillTokensPerMs: number;
+  /** Returns the KV cache capacity in tokens of each engine of a group; undefined if the group has no engines or is not known. */
+  readonly engineMemoryTokens: (group: string) => number | undefined;
+  readonly limiter: EndpointLimiter;
+  readonly overloadGuard: OverloadGuard;
+  readonly leaving: LeavingEndpoints;
+  readonly paused: PausedEndpoints;
+}
--- a/packages/core/src/forwarding/pool-reservation.ts
+++ b/packages/core/src/forwarding/pool-reservation.ts
@@ -11,6 +11,8 @@
   recordStatements(statements: EndpointStatements, isRejection: boolean): void;
   /** Records that a response of the endpoint says that it is leaving. */
   recordLeaving(): void;
+  /** Records that a response of the endpoint asks this daemon to send nothing for a while. */
+  recordPause(pauseMs: number): void;
   /** Ends the reservation. `verdict` is undefined if the result says nothing about the endpoint. */
   release(verdict: AttemptVerdict | undefined, nowMs: number): void;
 }
--- a/packages/core/src/forwarding/run-failure.ts
+++ b/packages/core/src/forwarding/run-failure.ts
@@ -48,14 +48,14 @@
     );
   }
   const returnInMs = limitedForMs();
+  const roomInMs = busyForMs();
   if (returnInMs !== undefined) {
     return new ForwardError(
       ForwardErrorKind.RateLimited,
       `All endpoints of group ${group} have reached the rate limits that they name; send the request again later.`,
-      returnInMs,
+      Math.max(returnInMs, roomInMs ?? 0),
     );
   }
-  const roomInMs = busyForMs();
   const isUnreached = last === undefined || last === AttemptEndKind.NotSent;
   if (isUnreached && roomInMs === undefined) {
     return new ForwardError(
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -10,6 +10,7 @@
   EndpointPool,
   Forwarder,
   LeavingEndpoints,
+  PausedEndpoints,
   TokenBucketLedger,
 } from '@skylarkreach/core/forwarding';
 import { KnownDaemons } from '@skylarkreach/core/membership';
@@ -106,6 +107,7 @@
     limiter: endpointLimits,
     overloadGuard: brittleEndpoints,
     leaving: leavingEndpoints,
+    paused: new PausedEndpoints(sharing),
   });
   const tokenBuckets = new TokenBucketLedger({
     rateShare: settings.bounds.allowanceRateShare,
--- a/packages/measure/src/slopes/gateway-probes.ts
+++ b/packages/measure/src/slopes/gateway-probes.ts
@@ -7,6 +7,7 @@
   EndpointPool,
   EndpointState,
   LeavingEndpoints,
+  PausedEndpoints,
   UNGUARDED,
   UNLIMITED,
 } from '@skylarkreach/core/forwarding';
@@ -156,6 +157,11 @@
     prefillTokensPerMs: 90,
     engineMemoryTokens: () => undefined,
     limiter: UNLIMITED,
+    paused: new PausedEndpoints({
+      nowMs: () => 0,
+      log: noopLog,
+      metrics: noopMetrics,
+    }),
     leaving: new LeavingEndpoints({
       nowMs: () => 0,
       log: noopLog,
