--- a/packages/core/src/forwarding/endpoint-choice.test.ts
+++ b/packages/core/src/forwarding/endpoint-choice.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import { SeededRandom } from '../ports/index.js';
+import { noopLog, noopMetrics, SeededRandom } from '../ports/index.js';
 import { EndpointChoice } from './endpoint-choice.js';
 import { UNLIMITED } from './endpoint-limiter.js';
 import { EndpointPool } from './endpoint-pool.js';
@@ -9,14 +9,21 @@
 import { AttemptEndKind } from './forward-attempt.js';
 import type { VersionConstraint } from './forwarder.js';
 import { ANY_VERSION } from './forwarder.js';
+import { LeavingEndpoints } from './leaving-endpoints.js';
+import { UNGUARDED } from './overload-guard.js';
+import { PausedEndpoints } from './paused-endpoints.js';
 
 describe('the choice of endpoints of a request', () => {
   it('does not return to an endpoint whose version was rolled back meanwhile', () => {
+    const context = { nowMs: () => 0, log: noopLog, metrics: noopMetrics };
     const pool = new EndpointPool(new SeededRandom(1), {
       dataCentre: 'north-1',
       prefillTokensPerMs: 90,
       engineMemoryTokens: () => undefined,
       limiter: UNLIMITED,
+      paused: new PausedEndpoints(context),
+      leaving: new LeavingEndpoints(context),
+      overloadGuard: UNGUARDED,
     });
     pool.apply({
       revision: 1,
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -1,11 +1,9 @@
-import type {
-  EndpointPool,
-  PoolQuery,
-  PoolReservation,
-} from './endpoint-pool.js';
+import type { EndpointPool } from './endpoint-pool.js';
 import { AttemptEndKind } from './forward-attempt.js';
 import type { ForwardRequest } from './forward-request.js';
 import type { VersionConstraint, VersionSelector } from './forwarder.js';
+import type { PoolQuery } from './pool-query.js';
+import type { PoolReservation } from './pool-reservation.js';
 
 export interface EndpointChoiceOptions {
   readonly group: string;
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -1,9 +1,7 @@
-import type { DataCentre, Random } from '../ports/index.js';
-import type { EndpointLimiter } from './endpoint-limiter.js';
+import type { Random } from '../ports/index.js';
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
 import { EndpointState } from './endpoint-record.js';
 import { findRetainable } from './endpoint-retention.js';
-import type { PromptPart, ReportedLoad } from './forward-request.js';
 import type { PoolMember } from './pool-member.js';
 import {
   createPoolMember,
@@ -15,28 +13,10 @@
   matchesVersion,
   recordResponse,
 } from './pool-member.js';
-
-export interface EndpointPoolOptions {
-  readonly dataCentre: DataCentre;
-  /** Prompt tokens that an engine prefills per millisecond. */
-  readonly prefillTokensPerMs: number;
-  /** Returns the KV cache capacity in tokens of each engine of a group; undefined if the group has no engines or is not known. */
-  readonly engineMemoryTokens: (group: string) => number | undefined;
-  readonly limiter: EndpointLimiter;
-}
-
-/** Criteria for choosing an endpoint. */
-export interface PoolQuery {
-  readonly group: string;
-  /** The only version allowed; any if absent. */
-  readonly onlyVersion?: string;
-  /** Version that is excluded. */
-  readonly notVersion?: string;
-  /** Ids of the endpoints already tried. */
-  readonly excluded: ReadonlySet<string>;
-  readonly promptParts: readonly PromptPart[];
-  readonly promptTokens: number;
-}
+import type { EndpointPoolOptions } from './pool-options.js';
+import type { PoolQuery } from './pool-query.js';
+import type { PoolReservation } from './pool-reservation.js';
+import { AttemptVerdict } from './pool-reservation.js';
 
 /** Load that one daemon has at an endpoint, as sent to its peers. */
 export interface EndpointLoad {
@@ -45,25 +25,6 @@
   readonly backlogTokens: number;
 }
 
-/** Reservation of an endpoint for one attempt, held until it is released. */
-export interface PoolReservation {
-  readonly endpoint: EndpointRecord;
-  /** Records that the first event of a stream or a complete response has arrived, so that its prompt is prefilled. */
-  recordFirstEvent(nowMs: number): void;
-  recordLoad(load: ReportedLoad, nowMs: number): void;
-  /** Records the rate limit that the response names, or that it names none. */
-  recordLimit(limitPerSecond: number | undefined): void;
-  /** Records that the endpoint has fallen silent, which counts as a failed attempt. */
-  recordSilence(nowMs: number): void;
-  /** Ends the reservation. `verdict` is undefined if the result says nothing about the endpoint. */
-  release(verdict: AttemptVerdict | undefined, nowMs: number): void;
-}
-
-export enum AttemptVerdict {
-  Succeeded = 'succeeded',
-  Failed = 'failed',
-}
-
 /** Cost at a failure share of 1: about one failed attempt and its retry. */
 const FAILURE_PENALTY_MS = 2_000;
 /** Time that each running request adds to the decoding steps of an engine's response. */
@@ -183,7 +144,8 @@
   /** Returns whether an endpoint accepts new requests. */
   isReady(id: string, nowMs: number): boolean {
     const member = this.membersById.get(id);
-    return member !== undefined && this.isUsable(member, nowMs);
+    if (member === undefined || !this.isUsable(member, nowMs)) return false;
+    return this.options.paused.waitMs(member.record) === 0;
   }
 
   /** Reserves the endpoint with the lowest expected latency; returns undefined if none is usable. */
@@ -195,7 +157,7 @@
         this.isUsable(member, nowMs) &&
         !query.excluded.has(member.record.id) &&
         matchesVersion(member.record, query) &&
-        (limiter.waitMs(member.record) ?? 0) === 0,
+        this.waitMs(member, nowMs) === 0,
     );
     const unlimited = usable.filter(
       member => limiter.waitMs(member.record) === undefined,
@@ -232,6 +194,18 @@
     return limiter.scheduleReturnMs(ready);
   }
 
+  /**
+   * Returns the milliseconds until one of a group's endpoints may be sent a request;
+   * undefined if one may be now, or none accepts new requests.
+   */
+  busyForMs(group: string, nowMs: number): number | undefined {
+    const waitsMs = [...this.membersById.values()]
+      .filter(each => each.record.group === group && this.isUsable(each, nowMs))
+      .map(each => this.waitMs(each, nowMs));
+    const waitMs = Math.min(...waitsMs);
+    return waitMs > 0 && Number.isFinite(waitMs) ? waitMs : undefined;
+  }
+
   /** Returns the endpoints with the state that their selection depends on, for the operators. */
   dumpState(nowMs: number): unknown {
     return [...this.membersById.values()].map(member => ({
@@ -241,6 +215,8 @@
       reported: member.reportedLoad,
       failureShare: member.health.failureShare(nowMs),
       isMisdirected: this.isMisdirected(member.record.id, nowMs),
+      isLeaving: this.options.leaving.has(member.record),
+      pausedForMs: this.options.paused.waitMs(member.record),
     }));
   }
 
@@ -251,10 +227,25 @@
     return (
       record.state === EndpointState.Ready &&
       nowMs < usableUntilMs &&
+      !this.options.leaving.has(record) &&
       !this.isMisdirected(record.id, nowMs)
     );
   }
 
+  /** Returns the milliseconds until this daemon may send an endpoint a request. */
+  private waitMs(member: PoolMember, nowMs: number): number {
+    const { limiter, overloadGuard, paused } = this.options;
+    const load = {
+      running: this.runningAt(member, nowMs),
+      expectedResponseMs: expectedResponseMs(member, nowMs),
+    };
+    return Math.max(
+      paused.waitMs(member.record),
+      limiter.waitMs(member.record) ?? 0,
+      overloadGuard.waitMs(member.record, load),
+    );
+  }
+
   private isMisdirected(id: string, nowMs: number): boolean {
     return nowMs < (this.misdirectedUntilMs.get(id) ?? 0);
   }
@@ -329,7 +320,9 @@
     member.sentSinceLoadReport += 1;
     member.backlogTokens += uncachedTokens;
     member.promptCache.add(query.promptParts);
-    this.options.limiter.recordDispatch(member.record);
+    const { limiter, overloadGuard } = this.options;
+    limiter.recordDispatch(member.record);
+    const dispatch = overloadGuard.recordDispatch(member.record);
     let ownBacklogTokens = uncachedTokens;
     let isActive = true;
     const clearBacklog = () => {
@@ -347,9 +340,17 @@
         member.loadReportedAtMs = atMs;
         member.sentSinceLoadReport = 0;
       },
-      recordLimit: limitPerSecond => {
-        const { limiter } = this.options;
-        limiter.recordResponse(member.record, limitPerSecond, nowMs);
+      recordLeaving: () => {
+        this.options.leaving.record(member.record);
+      },
+      recordPause: pauseMs => {
+        this.options.paused.record(member.record, pauseMs);
+      },
+      recordStatements: (statements, isRejection) => {
+        const { limitPerSecond, maxRejectionsPerSecond } = statements;
+        if (!isRejection || limitPerSecond !== undefined)
+          limiter.recordResponse(member.record, limitPerSecond, nowMs);
+        dispatch.recordResponse({ isRejection, maxRejectionsPerSecond });
       },
       recordSilence: atMs => {
         member.health.record(true, atMs);
@@ -358,6 +359,7 @@
         if (!isActive) return;
         isActive = false;
         clearBacklog();
+        dispatch.end();
         member.running -= 1;
         if (verdict === undefined) return;
         member.health.record(verdict === AttemptVerdict.Failed, atMs);
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -7,7 +7,11 @@
   SeededRandom,
 } from '../../ports/index.js';
 import { RetryBudget } from '../../routing/index.js';
-import type { ForwardRoute, RequestMetadata } from '../index.js';
+import type {
+  ForwardRoute,
+  GuardedResponse,
+  RequestMetadata,
+} from '../index.js';
 import {
   ANY_VERSION,
   ConfigurationStore,
@@ -15,7 +19,10 @@
   EndpointPool,
   Forwarder,
   ForwardError,
+  LeavingEndpoints,
+  PausedEndpoints,
   TokenBucketLedger,
+  UNGUARDED,
   UNLIMITED,
 } from '../index.js';
 import { PlainProtocol } from './plain-protocol.js';
@@ -39,11 +46,32 @@
   latestDeadlineAtMs = Infinity;
   /** Whether each attempt that has ended counts as a failure of its endpoint's version. */
   readonly observedEnds: (boolean | undefined)[] = [];
+  /** What responses told the guard of endpoints. */
+  readonly guardedResponses: GuardedResponse[] = [];
   readonly pool = new EndpointPool(new SeededRandom(1), {
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
     engineMemoryTokens: () => undefined,
     limiter: UNLIMITED,
+    paused: new PausedEndpoints({
+      nowMs: () => this.clock.nowMs(),
+      log: noopLog,
+      metrics: noopMetrics,
+    }),
+    leaving: new LeavingEndpoints({
+      nowMs: () => 0,
+      log: noopLog,
+      metrics: noopMetrics,
+    }),
+    overloadGuard: {
+      ...UNGUARDED,
+      recordDispatch: () => ({
+        recordResponse: response => {
+          this.guardedResponses.push(response);
+        },
+        end: () => undefined,
+      }),
+    },
   });
   private readonly forwarder: Forwarder;
   private revision = 0;
--- a/packages/core/src/forwarding/fakes/samples.ts
+++ b/packages/core/src/forwarding/fakes/samples.ts
@@ -88,8 +88,11 @@
     isSigned: true,
     isEncoded: false,
     isEventStream: false,
+    isLeaving: false,
+    pauseMs: undefined,
     load: undefined,
     limitPerSecond: undefined,
+    maxRejectionsPerSecond: undefined,
     ...overrides,
   };
 }
--- a/packages/core/src/forwarding/forward-request.ts
+++ b/packages/core/src/forwarding/forward-request.ts
@@ -55,8 +55,16 @@
   return receivedAtMs + Math.min(callerTimeoutMs, timeoutMs);
 }
 
+/** What an endpoint says of itself in a response. */
+export interface EndpointStatements {
+  /** Requests per second that it accepts from all daemons together; undefined if it names no limit. */
+  readonly limitPerSecond: number | undefined;
+  /** Rejections per second from which it fails; undefined if it bears any number. */
+  readonly maxRejectionsPerSecond: number | undefined;
+}
+
 /** Metadata that the protocol reads from an endpoint's response. */
-export interface ResponseMetadata {
+export interface ResponseMetadata extends EndpointStatements {
   /** Id of the request that the response belongs to. */
   readonly requestId: string | undefined;
   /** The endpoint states that it did not execute the request. */
@@ -68,9 +76,11 @@
   /** The body has a content encoding. */
   readonly isEncoded: boolean;
   readonly isEventStream: boolean;
+  /** The endpoint is about to end, and wants no further requests. */
+  readonly isLeaving: boolean;
+  /** Time for which the endpoint wants nothing from this daemon; undefined if it does not ask for a pause. */
+  readonly pauseMs: number | undefined;
   readonly load: ReportedLoad | undefined;
-  /** Requests per second that the endpoint accepts from all daemons together; undefined if it names no limit. */
-  readonly limitPerSecond: number | undefined;
 }
 
 /** Load that an endpoint reports of itself. */
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -5,7 +5,6 @@
 import { attemptTimeouts } from './attempt-timeouts.js';
 import { RouteType } from './configuration.js';
 import { EndpointChoice } from './endpoint-choice.js';
-import type { PoolReservation } from './endpoint-pool.js';
 import type { AttemptOutcome, BufferedResponse } from './forward-attempt.js';
 import {
   AttemptEndKind,
@@ -17,6 +16,7 @@
 import type { ForwardRequest } from './forward-request.js';
 import { deadlineOf } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
+import type { PoolReservation } from './pool-reservation.js';
 import type { ResolvedRequest } from './resolve-request.js';
 import { RetryObstacle } from './retry-obstacle.js';
 import { toForwardError } from './run-failure.js';
@@ -285,6 +285,7 @@
       mayHaveRun,
       last: last?.kind,
       limitedForMs: () => pool.scheduleReturnMs(group, clock.nowMs()),
+      busyForMs: () => pool.busyForMs(group, clock.nowMs()),
     });
   }
 
--- a/packages/core/src/forwarding/run-failure.ts
+++ b/packages/core/src/forwarding/run-failure.ts
@@ -14,6 +14,8 @@
   readonly last: AttemptEndKind | undefined;
   /** Returns the milliseconds after which the caller may return if all endpoints have reached their rate limits; undefined if they have not. */
   readonly limitedForMs: () => number | undefined;
+  /** Returns the milliseconds until one of the endpoints may be sent a request; undefined if one may be now. */
+  readonly busyForMs: () => number | undefined;
 }
 
 /** Retry delay after endpoints refused a request. */
@@ -24,6 +26,7 @@
 /** Returns the error by which the daemon itself answers the request. */
 export function toForwardError({
   group,
+  busyForMs,
   isTimedOut,
   last,
   limitedForMs,
@@ -43,14 +46,16 @@
   }
   if (isTimedOut) return timedOutNotRunError();
   const returnInMs = limitedForMs();
+  const roomInMs = busyForMs();
   if (returnInMs !== undefined) {
     return new ForwardError(
       ForwardErrorKind.RateLimited,
       `All endpoints of group ${group} have reached the rate limits that they name; send the request again later.`,
-      returnInMs,
+      Math.max(returnInMs, roomInMs ?? 0),
     );
   }
-  if (last === undefined || last === AttemptEndKind.NotSent) {
+  const isUnreached = last === undefined || last === AttemptEndKind.NotSent;
+  if (isUnreached && roomInMs === undefined) {
     return new ForwardError(
       ForwardErrorKind.NoEndpoint,
       `No endpoint of group ${group} is reachable; send the request again later.`,
@@ -60,6 +65,6 @@
   return new ForwardError(
     ForwardErrorKind.Overloaded,
     `The endpoints of group ${group} are overloaded; send the request again later.`,
-    OVERLOADED_RETRY_MS,
+    Math.max(OVERLOADED_RETRY_MS, roomInMs ?? 0),
   );
 }
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -1,3 +1,4 @@
+import { BrittleEndpoints } from '@skylarkreach/core/brittle-endpoints';
 import { EndpointLimits } from '@skylarkreach/core/endpoint-limits';
 import type {
   CallerLimits,
@@ -8,6 +9,8 @@
   CrashDetector,
   EndpointPool,
   Forwarder,
+  LeavingEndpoints,
+  PausedEndpoints,
   TokenBucketLedger,
 } from '@skylarkreach/core/forwarding';
 import { KnownDaemons } from '@skylarkreach/core/membership';
@@ -89,12 +92,15 @@
     nowMs: () => clock.nowMs(),
     livePeers: () => cluster.membership.live(),
   });
-  const endpointLimits = new EndpointLimits({
+  const sharing = {
     ...context,
     ownId: settings.identity.daemonId,
     nowMs: () => clock.nowMs(),
     daemons: knownDaemons,
-  });
+  };
+  const endpointLimits = new EndpointLimits(sharing);
+  const brittleEndpoints = new BrittleEndpoints(sharing);
+  const leavingEndpoints = new LeavingEndpoints(sharing);
   const pool = new EndpointPool(context.random, {
     dataCentre: settings.identity.dataCentre,
     prefillTokensPerMs: settings.routing.prefillTokensPerMs,
@@ -102,6 +108,9 @@
       configuration.current?.groups.find(candidate => candidate.name === group)
         ?.engine?.cacheTokens,
     limiter: endpointLimits,
+    overloadGuard: brittleEndpoints,
+    leaving: leavingEndpoints,
+    paused: new PausedEndpoints(sharing),
   });
   const tokenBuckets = new TokenBucketLedger({
     rateShare: settings.bounds.allowanceRateShare,
@@ -135,6 +144,8 @@
     rollouts,
     quarantine,
     endpointLimits,
+    brittleEndpoints,
+    leavingEndpoints,
     duties,
     cluster: () => cluster,
     endpointsVersion: () => replicator.endpointsVersion,
