Lose a response whose transfer coding does not delimit it

What callers saw: an endpoint answers with `Transfer-Encoding: gzip`, `chunked, gzip`, an unknown or an empty coding. undici reads such a body up to the end of the connection; the client took any Transfer-Encoding for a framing, so a body that was cut went on in chunks, as whole, and a coded one as if it were not.

Change: `chunked` or a length is a framing, `identity` is none, and any other coding loses the response, since none was asked for.

--- /dev/null
+++ b/packages/daemon/src/gateway/body-framing.test.ts
@@ -0,0 +1,41 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { BodyFraming, bodyFraming } from './body-framing.js';
+
+describe('bodyFraming', () => {
+  it('is explicit with a length or chunks', () => {
+    const framed = [
+      ['Content-Length', '5'],
+      ['x', 'y', 'Transfer-Encoding', 'Chunked'],
+      ['content-length', '5', 'transfer-encoding', 'identity'],
+    ];
+    for (const headers of framed) {
+      assert.equal(bodyFraming(headers), BodyFraming.Explicit);
+    }
+  });
+
+  it('is the end of the connection without both', () => {
+    const unframed = [
+      [],
+      ['x', 'content-length'],
+      ['transfer-encoding', 'identity'],
+    ];
+    for (const headers of unframed) {
+      assert.equal(bodyFraming(headers), BodyFraming.ConnectionEnd);
+    }
+  });
+
+  it('is unknown with any other transfer coding', () => {
+    const codings = ['gzip', 'chunked, gzip', 'gzip, chunked', 'xchunked', ''];
+    for (const coding of codings) {
+      const headers = ['transfer-encoding', coding];
+      assert.equal(bodyFraming(headers), BodyFraming.Unknown, coding);
+    }
+    const repeated = ['chunked', 'identity'].flatMap(coding => [
+      'transfer-encoding',
+      coding,
+    ]);
+    assert.equal(bodyFraming(repeated), BodyFraming.Unknown);
+  });
+});
--- a/packages/daemon/src/gateway/endpoint-client.test.ts
+++ b/packages/daemon/src/gateway/endpoint-client.test.ts
@@ -13,7 +13,7 @@
   PlainProtocol,
   sampleEndpoint,
 } from '@skylarkreach/core/forwarding/fakes';
-import { NotSentError } from '@skylarkreach/core/ports';
+import { AnswerLostError, NotSentError } from '@skylarkreach/core/ports';
 
 import { EndpointClient } from './endpoint-client.js';
 
@@ -86,6 +86,24 @@
     });
   });
 
+  for (const coding of ['gzip', 'chunked, gzip', 'xchunked', '']) {
+    it(`loses a response with a transfer coding that does not delimit it: '${coding}'`, async () => {
+      const server = createServer(socket => {
+        socket.once('data', () => {
+          const head = `HTTP/1.1 200 OK\r\ntransfer-encoding: ${coding}`;
+          socket.end(`${head}\r\n\r\nshort`);
+        });
+      });
+      await once(server.listen(0, '127.0.0.1'), 'listening');
+      const { port } = server.address() as AddressInfo;
+      const address = `127.0.0.1:${port}`;
+      const endpoint = sampleEndpoint(address, { address });
+      const request = requestTo(endpoint);
+      await assert.rejects(client.send(request, signal), AnswerLostError);
+      server.close();
+    });
+  }
+
   for (const [framing, header] of Object.entries(HEADERS)) {
     for (const isReset of [false, true]) {
       it(`survives a response that is read slowly and ends with ${isReset ? 'a reset' : 'its connection'}: body delimited by ${framing}`, async () => {
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -19,6 +19,7 @@
   createConnector,
   isConnectError,
 } from '../adapters/index.js';
+import { BodyFraming, bodyFraming } from './body-framing.js';
 import type { RequestContext, ResponseMeter } from './metered-client.js';
 import { EndpointWithdrawnError, MeteredClient } from './metered-client.js';
 
@@ -76,7 +77,10 @@
       const response = await connections.pool.request(options);
       const body = meteredBody(response.body, context.meter);
       const headers = toRawHeaders(response.headers);
-      const isFramed = hasBodyFraming(headers);
+      const framing = bodyFraming(headers);
+      if (framing === BodyFraming.Unknown)
+        throw new Error('The response has an unknown transfer coding.');
+      const isFramed = framing === BodyFraming.Explicit;
       return {
         status: response.statusCode,
         headers,
@@ -222,14 +226,6 @@
   void pool.close().catch(() => undefined);
 }
 
-/** Whether the headers delimit the body; without them the body ends when the connection closes. */
-function hasBodyFraming(headers: readonly string[]): boolean {
-  return headers.some(
-    (name, index) =>
-      index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(name),
-  );
-}
-
 /**
  * Passes on a body that ends when its connection closes. undici treats a reset
  * as such an end, so a reset of any connection to the endpoint since the request
