Take an answer without framing and without a body for lost

Reported by operators of similar systems: a worker stopped and closed, and clients got a 200 with an empty body.

What callers saw: an endpoint writes the head of an answer that its connection delimits, and closes in order before the first byte of the body. The caller got 200 without a body, a lookup was not sent to another endpoint.

Cause: nobody can tell the end of such an answer from a crash, and the client believed it.

Change: a success without framing needs a body. Responses that never have one (to HEAD, 204, 304) count as framed, as RFC 9112 says, 6.3. Errors are passed on as before.

Ruled out: a body that ends after its first bytes; it goes on without framing, as it came.

Evidence: seen failing before, `forwarder` ('never retries a non-idempotent request that an endpoint may have executed') and `gateway-cut-answers` ('{"framing":"connectionEnd","close":"ends","isInformed":false,"bytes":115}', actual: 200); both pass after.

--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -95,6 +95,8 @@
 const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([
   408, 421, 429, 503,
 ]);
+/** Lowest status that does not count as a success. */
+const MIN_REDIRECT_STATUS = 300;
 const MIN_ERROR_STATUS = 400;
 /** Lowest status that counts as an endpoint's own failure. */
 const MIN_SERVER_ERROR_STATUS = 500;
@@ -203,7 +205,7 @@
     if (metadata.isMisdirected) return endedAs(AttemptEndKind.Misdirected);
     if (metadata.isNotRun) return endedAs(AttemptEndKind.NotRun);
     if (metadata.isEncoded) return failed('the answer is encoded');
-    if (!metadata.isSigned && status < 300)
+    if (!metadata.isSigned && status < MIN_REDIRECT_STATUS)
       return failed('the answer is unsigned');
     if (NOT_EXECUTED_STATUSES.has(status)) {
       return failed(
@@ -224,10 +226,13 @@
       if (bytes > MAX_BUFFERED_BYTES) return failed('the answer is too large');
       chunks.push(chunk);
     }
+    const { headers, isFramed, status } = response;
+    // An endpoint that crashes may close its connection in order.
+    if (bytes === 0 && !isFramed && status < MIN_REDIRECT_STATUS)
+      return this.lost('the answer ended with its connection before its body');
     const nowMs = this.deps.clock.nowMs();
     this.reservation.recordFirstEvent(nowMs);
     this.options.observation.recordEvents(1, nowMs);
-    const { headers, isFramed, status } = response;
     return {
       kind: AttemptEndKind.Answered,
       crashEvidence: effectOfEnd(isFramed && status < MIN_ERROR_STATUS),
--- a/packages/core/src/forwarding/forwarder.test.ts
+++ b/packages/core/src/forwarding/forwarder.test.ts
@@ -66,6 +66,7 @@
     const invalidResponses: readonly ScriptedResponse[] = [
       { isLost: true },
       { isTruncated: true },
+      { isCloseDelimited: true, chunks: [] },
       { metadata: { requestId: 'another' } },
       { metadata: { isEncoded: true } },
       { metadata: { isSigned: false } },
--- a/packages/daemon/src/gateway/body-framing.test.ts
+++ b/packages/daemon/src/gateway/body-framing.test.ts
@@ -11,7 +11,7 @@
       ['content-length', '5', 'transfer-encoding', 'identity'],
     ];
     for (const headers of framed) {
-      assert.equal(bodyFraming(headers), BodyFraming.Explicit);
+      assert.equal(bodyFraming('GET', 200, headers), BodyFraming.Explicit);
     }
   });
 
@@ -22,20 +22,30 @@
       ['transfer-encoding', 'identity'],
     ];
     for (const headers of unframed) {
-      assert.equal(bodyFraming(headers), BodyFraming.ConnectionEnd);
+      assert.equal(bodyFraming('GET', 200, headers), BodyFraming.ConnectionEnd);
     }
   });
 
+  it('is explicit for a response that has no body', () => {
+    assert.equal(bodyFraming('HEAD', 200, []), BodyFraming.Explicit);
+    assert.equal(bodyFraming('GET', 204, []), BodyFraming.Explicit);
+    assert.equal(bodyFraming('GET', 304, []), BodyFraming.Explicit);
+  });
+
   it('is unknown with any other transfer coding', () => {
     const codings = ['gzip', 'chunked, gzip', 'gzip, chunked', 'xchunked', ''];
     for (const coding of codings) {
       const headers = ['transfer-encoding', coding];
-      assert.equal(bodyFraming(headers), BodyFraming.Unknown, coding);
+      assert.equal(
+        bodyFraming('GET', 200, headers),
+        BodyFraming.Unknown,
+        coding,
+      );
     }
     const repeated = ['chunked', 'identity'].flatMap(coding => [
       'transfer-encoding',
       coding,
     ]);
-    assert.equal(bodyFraming(repeated), BodyFraming.Unknown);
+    assert.equal(bodyFraming('GET', 200, repeated), BodyFraming.Unknown);
   });
 });
--- a/packages/daemon/src/gateway/body-framing.ts
+++ b/packages/daemon/src/gateway/body-framing.ts
@@ -2,7 +2,7 @@
 
 /** What delimits the body of a response. */
 export enum BodyFraming {
-  /** Its length or its chunks. */
+  /** Its length, its chunks, or that there is none. */
   Explicit = 'explicit',
   /** The end of its connection, which does not confirm that it is complete. */
   ConnectionEnd = 'connectionEnd',
@@ -10,8 +10,17 @@
   Unknown = 'unknown',
 }
 
-/** Returns the framing that the headers of a response state (RFC 9112, 6.3). */
-export function bodyFraming(headers: RawHeaders): BodyFraming {
+/** Statuses of responses that have no body, whatever their headers state. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Returns the framing of the response to a request (RFC 9112, 6.3). */
+export function bodyFraming(
+  method: string,
+  status: number,
+  headers: RawHeaders,
+): BodyFraming {
+  if (method === 'HEAD' || BODILESS_STATUSES.has(status))
+    return BodyFraming.Explicit;
   const codings = valuesOf(headers, 'transfer-encoding')
     .flatMap(value => value.split(','))
     .map(coding => coding.trim().toLowerCase());
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -77,7 +77,7 @@
       const response = await connections.pool.request(options);
       const body = meteredBody(response.body, context.meter);
       const headers = toRawHeaders(response.headers);
-      const framing = bodyFraming(headers);
+      const framing = bodyFraming(call.method, response.statusCode, headers);
       if (framing === BodyFraming.Unknown)
         throw new Error('The response has an unknown transfer coding.');
       const isFramed = framing === BodyFraming.Explicit;
--- a/packages/stand-ins/src/gateway/gateway-cut-answers.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-cut-answers.test.ts
@@ -144,7 +144,7 @@
     await sendForEachCut('/postings/a', response, (answer, cut, whole) => {
       assertRunOnce(answer);
       const headBytes = whole.length - CUT_BODY.length;
-      if (cut.bytes < headBytes) {
+      if (cut.bytes <= headBytes) {
         assert.equal(answer.status, 502, JSON.stringify(cut));
         return;
       }
