--- a/packages/core/src/forwarding/forwarder.test.ts
+++ b/packages/core/src/forwarding/forwarder.test.ts
@@ -73,6 +73,7 @@
     const invalidResponses: readonly ScriptedResponse[] = [
       { isLost: true },
       { isTruncated: true },
+      { isCloseDelimited: true, chunks: [] },
       { metadata: { requestId: 'another' } },
       { metadata: { isEncoded: true } },
       { metadata: { isSigned: false } },
