Log and count when a daemon reaches no endpoint of a group

Nothing told an endpoint that is down from a daemon that has lost its links: the ends of many attempts had to be compared. Requests now give the evidence (bytes received, connections that failed, responses lost, silence), and test connections confirm a doubt. The result is logged and in the metrics; requests are served as before.

--- /dev/null
+++ b/packages/core/src/reachability/index.ts
@@ -0,0 +1,3 @@
+export * from './endpoint-reachability.js';
+export * from './group-reachability.js';
+export * from './observed-upstream.js';
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -12,6 +12,7 @@
 } from '@skylarkreach/core/forwarding';
 import type { Address } from '@skylarkreach/core/ports';
 import { AnswerLostError, NotSentError } from '@skylarkreach/core/ports';
+import type { ConnectionProbe } from '@skylarkreach/core/reachability';
 
 import { isConnectError } from '../adapters/index.js';
 import type { RequestContext, ResponseMeter } from './metered-client.js';
@@ -19,6 +20,8 @@
 
 /** Time within which an endpoint on the same network accepts a connection. */
 const CONNECT_TIMEOUT_MS = 1_000; // the same as callers allow for a new connection
+/** Time within which a probed endpoint has to accept a connection. */
+const PROBE_TIMEOUT_MS = 300; // a retransmitted opening packet comes after a second
 /** Time for which an idle connection is reused if the endpoint states no keep-alive timeout. */
 const KEEP_ALIVE_TIMEOUT_MS = 4_000; // the shortest idle timeout in common use is 5 s
 /** Time before the stated keep-alive timeout at which an idle connection is closed. */
@@ -31,6 +34,14 @@
   'ETIMEDOUT',
 ]);
 
+/** Result of an attempt to connect to an endpoint. */
+enum ConnectResult {
+  Accepted = 'accepted',
+  Refused = 'refused',
+  /** The connection failed in another way, or was not established in time. */
+  Failed = 'failed',
+}
+
 /** Connection pool of one endpoint. */
 interface EndpointConnections {
   readonly address: Address;
@@ -40,7 +51,7 @@
 }
 
 /** HTTP client for endpoints, with one connection pool for each lifetime of an endpoint. */
-export class EndpointClient implements Upstream {
+export class EndpointClient implements Upstream, ConnectionProbe {
   private readonly connections = new Map<string, EndpointConnections>();
   /** Contexts of requests, by the options of the request. */
   private readonly contexts = new WeakMap<object, RequestContext>();
@@ -90,26 +101,14 @@
     }
   }
 
-  refusesConnections({ address }: EndpointRecord): Promise<boolean> {
-    const { hostname, port } = new URL(`http://${address}`);
-    const socket = connect({
-      host: hostname,
-      port: Number(port),
-      timeout: CONNECT_TIMEOUT_MS,
-    });
-    return new Promise(resolve => {
-      const settle = (error?: NodeJS.ErrnoException) => {
-        socket.destroy();
-        resolve(error?.code === 'ECONNREFUSED');
-      };
-      socket.once('error', settle);
-      socket.once('connect', () => {
-        settle();
-      });
-      socket.once('timeout', () => {
-        settle();
-      });
-    });
+  async refusesConnections({ address }: EndpointRecord): Promise<boolean> {
+    const result = await tryConnect(address, CONNECT_TIMEOUT_MS);
+    return result === ConnectResult.Refused;
+  }
+
+  async acceptsConnections({ address }: EndpointRecord): Promise<boolean> {
+    const result = await tryConnect(address, PROBE_TIMEOUT_MS);
+    return result === ConnectResult.Accepted;
   }
 
   /** Closes the connections to all endpoints but those given, after their requests in flight. */
@@ -174,6 +173,32 @@
   }
 }
 
+/** Opens a connection and closes it at once. */
+function tryConnect(
+  address: Address,
+  timeoutMs: number,
+): Promise<ConnectResult> {
+  const { hostname, port } = new URL(`http://${address}`);
+  const socket = connect({ host: hostname, port: Number(port) });
+  return new Promise(resolve => {
+    const settle = (result: ConnectResult) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(result);
+    };
+    const timer = setTimeout(() => {
+      settle(ConnectResult.Failed);
+    }, timeoutMs);
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      const isRefused = error.code === 'ECONNREFUSED';
+      settle(isRefused ? ConnectResult.Refused : ConnectResult.Failed);
+    });
+    socket.once('connect', () => {
+      settle(ConnectResult.Accepted);
+    });
+  });
+}
+
 function closeGracefully({ pool }: EndpointConnections): void {
   // The requests of a broken connection have already failed with its error.
   void pool.close().catch(() => undefined);
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -14,6 +14,10 @@
 import type { Clock } from '@skylarkreach/core/ports';
 import { LogComponent, SeededRandom } from '@skylarkreach/core/ports';
 import { RequestQuarantine } from '@skylarkreach/core/quarantine';
+import {
+  EndpointReachability,
+  ObservedUpstream,
+} from '@skylarkreach/core/reachability';
 import { RolloutRegistry } from '@skylarkreach/core/rollouts';
 import {
   DutyClient,
@@ -25,7 +29,7 @@
 } from '@skylarkreach/platform';
 
 import { HttpClient } from '../adapters/index.js';
-import { Loop } from '../loops/index.js';
+import { createIntervalLoop, Loop } from '../loops/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import {
   createNonBlockingOutput,
@@ -58,6 +62,8 @@
 const LISTING_FOLLOWED_SHARE = 0.6; // with the jitter, a read still fits within the bound
 /** Age of the operators' state from which a daemon that is no reader reads it, as a fraction of the bound on its application. */
 const CONFIGURATION_FOLLOWED_SHARE = 0.7; // a read still fits within the bound
+/** Interval between checks of whether endpoints are to be probed. */
+const REACHABILITY_INTERVAL_MS = 200;
 /** Maximum log lines per second of one kind: several times the request rate of one daemon at the planned size. */
 const LOG_LINES_PER_SECOND = 50;
 
@@ -105,6 +111,12 @@
     tokens: settings.bounds.allowanceTokens,
   });
   const endpointClient = new EndpointClient(platform.protocol);
+  const reachability = new EndpointReachability({
+    ...context,
+    nowMs: () => clock.nowMs(),
+    probe: endpointClient,
+    endpoints: () => pool.endpoints(),
+  });
   const { exposureShare, exposureSlack } = settings.bounds;
   const rollouts = new RolloutRegistry({
     log,
@@ -146,7 +158,7 @@
   const forwarder = new Forwarder({
     ...context,
     protocol: platform.protocol,
-    upstream: endpointClient,
+    upstream: new ObservedUpstream(endpointClient, reachability, clock),
     crashDetector: new CrashDetector({
       clock,
       log,
@@ -209,6 +221,13 @@
   const loops = [
     createLoop(context, 'operators', LogComponent.Configuration, operatorWatch),
     createLoop(context, 'endpoints', LogComponent.Routing, endpointListPoller),
+    createIntervalLoop(
+      context,
+      LogComponent.Routing,
+      'reachability',
+      REACHABILITY_INTERVAL_MS,
+      () => reachability.step(),
+    ),
     ...cluster.loops,
     ...duties.loops,
   ];
