--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -1,5 +1,3 @@
-import { connect } from 'node:net';
-
 import type { Dispatcher } from 'undici';
 import { buildConnector, Pool } from 'undici';
 
@@ -42,6 +40,9 @@
   Failed = 'failed',
 }
 
+/** Opens connections to endpoints. */
+export type EndpointConnector = buildConnector.connector;
+
 /** Connection pool of one endpoint. */
 interface EndpointConnections {
   readonly address: Address;
@@ -56,7 +57,10 @@
   /** Contexts of requests, by the options of the request. */
   private readonly contexts = new WeakMap<object, RequestContext>();
 
-  constructor(private readonly protocol: ForwardProtocol) {}
+  constructor(
+    private readonly protocol: ForwardProtocol,
+    private readonly connect: EndpointConnector = createConnector(),
+  ) {}
 
   /**
    * Sends a request and resolves with the response head. Throws `NotSentError`
@@ -102,12 +106,12 @@
   }
 
   async refusesConnections({ address }: EndpointRecord): Promise<boolean> {
-    const result = await tryConnect(address, CONNECT_TIMEOUT_MS);
+    const result = await this.tryConnect(address, CONNECT_TIMEOUT_MS);
     return result === ConnectResult.Refused;
   }
 
   async acceptsConnections({ address }: EndpointRecord): Promise<boolean> {
-    const result = await tryConnect(address, PROBE_TIMEOUT_MS);
+    const result = await this.tryConnect(address, PROBE_TIMEOUT_MS);
     return result === ConnectResult.Accepted;
   }
 
@@ -129,17 +133,37 @@
     await Promise.all(pools.map(pool => pool.destroy()));
   }
 
+  /** Opens a connection and closes it at once. */
+  private tryConnect(
+    address: Address,
+    timeoutMs: number,
+  ): Promise<ConnectResult> {
+    const { hostname, port, protocol } = new URL(`http://${address}`);
+    return new Promise(resolve => {
+      const timer = setTimeout(() => {
+        resolve(ConnectResult.Failed);
+      }, timeoutMs);
+      this.connect({ hostname, port, protocol }, (...[error, socket]) => {
+        clearTimeout(timer);
+        socket?.destroy();
+        const { code } = (error ?? {}) as NodeJS.ErrnoException;
+        if (error === null) resolve(ConnectResult.Accepted);
+        else if (code === 'ECONNREFUSED') resolve(ConnectResult.Refused);
+        else resolve(ConnectResult.Failed);
+      });
+    });
+  }
+
   private connectionsFor(endpoint: EndpointRecord): EndpointConnections {
     const known = this.connections.get(endpoint.id);
     if (known?.address === endpoint.address) return known;
     // An endpoint may start again under its id at another address.
     if (known !== undefined) closeGracefully(known);
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     const connectAndCountResets: buildConnector.connector = (
       options,
       callback,
     ) => {
-      connect(options, (...result) => {
+      this.connect(options, (...result) => {
         const [, socket] = result;
         socket?.on('error', (error: NodeJS.ErrnoException) => {
           // undici reports an orderly close with an error code of its own.
@@ -173,30 +197,8 @@
   }
 }
 
-/** Opens a connection and closes it at once. */
-function tryConnect(
-  address: Address,
-  timeoutMs: number,
-): Promise<ConnectResult> {
-  const { hostname, port } = new URL(`http://${address}`);
-  const socket = connect({ host: hostname, port: Number(port) });
-  return new Promise(resolve => {
-    const settle = (result: ConnectResult) => {
-      clearTimeout(timer);
-      socket.destroy();
-      resolve(result);
-    };
-    const timer = setTimeout(() => {
-      settle(ConnectResult.Failed);
-    }, timeoutMs);
-    socket.once('error', (error: NodeJS.ErrnoException) => {
-      const isRefused = error.code === 'ECONNREFUSED';
-      settle(isRefused ? ConnectResult.Refused : ConnectResult.Failed);
-    });
-    socket.once('connect', () => {
-      settle(ConnectResult.Accepted);
-    });
-  });
+function createConnector(): EndpointConnector {
+  return buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 }
 
 function closeGracefully({ pool }: EndpointConnections): void {
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -38,6 +38,7 @@
   RateLimitedLog,
 } from '../telemetry/index.js';
 import { DependencyMonitor } from './dependency-monitor.js';
+import type { EndpointConnector } from './endpoint-client.js';
 import { EndpointClient } from './endpoint-client.js';
 import { EndpointListPoller } from './endpoint-list-poller.js';
 import { GatewayCluster } from './gateway-cluster.js';
@@ -83,6 +84,7 @@
   settings: GatewaySettings,
   clock: Clock,
   seed: number,
+  connectEndpoint?: EndpointConnector,
 ): GatewayWiring {
   const context = createContext(settings, clock, seed);
   const { log, platform } = context;
@@ -110,7 +112,7 @@
     rateShare: settings.bounds.allowanceRateShare,
     tokens: settings.bounds.allowanceTokens,
   });
-  const endpointClient = new EndpointClient(platform.protocol);
+  const endpointClient = new EndpointClient(platform.protocol, connectEndpoint);
   const reachability = new EndpointReachability({
     ...context,
     nowMs: () => clock.nowMs(),
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 
 import { SteadyClock } from '../adapters/index.js';
 import type { GatewaySettings } from '../settings/index.js';
+import type { EndpointConnector } from './endpoint-client.js';
 import type { GatewayWiring } from './gateway-wiring.js';
 import { wireGateway } from './gateway-wiring.js';
 import type { TextResponse } from './text-server.js';
@@ -22,6 +23,7 @@
 export interface GatewayOptions {
   readonly clock?: Clock;
   readonly seed?: number;
+  readonly connectEndpoint?: EndpointConnector;
 }
 
 /** Addresses that a running gateway is bound to. */
@@ -41,7 +43,7 @@
   constructor(settings: GatewaySettings, options: GatewayOptions = {}) {
     const clock = options.clock ?? new SteadyClock();
     const seed = options.seed ?? Math.floor(clock.nowMs()) ^ process.pid;
-    this.wiring = wireGateway(settings, clock, seed);
+    this.wiring = wireGateway(settings, clock, seed, options.connectEndpoint);
     this.readinessServer = new TextServer({
       [settings.listen.readinessPath]: () => this.readinessResponse(),
     });
--- a/packages/stand-ins/src/gateway/gateway-deployment.ts
+++ b/packages/stand-ins/src/gateway/gateway-deployment.ts
@@ -8,6 +8,7 @@
 } from '@skylarkreach/platform/stand-ins';
 
 import { ANY_PORT } from '../deployment/index.js';
+import { EndpointLinks } from './endpoint-links.js';
 
 const POLL_INTERVAL_MS = 10;
 const PEER_SECRET = 'a secret of the stand-ins';
@@ -16,6 +17,8 @@
 export interface RunningGateway {
   readonly gateway: Gateway;
   readonly addresses: GatewayAddresses;
+  /** Its network links to the endpoints. */
+  readonly links: EndpointLinks;
 }
 
 /** Gateway daemons and stand-ins for the platform's store, cloud and endpoints, in one process. */
@@ -64,9 +67,12 @@
     daemonId: string,
     peerSecret = PEER_SECRET,
   ): Promise<RunningGateway> {
-    const gateway = new Gateway(this.settings(daemonId, peerSecret));
+    const links = new EndpointLinks();
+    const gateway = new Gateway(this.settings(daemonId, peerSecret), {
+      connectEndpoint: links.connect,
+    });
     const addresses = await gateway.start();
-    const running = { gateway, addresses };
+    const running = { gateway, addresses, links };
     this.gateways.push(running);
     while (!gateway.isReady) {
       await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
