Pass requests on through peers where a daemon reaches no endpoint

A daemon could send requests to endpoints only, and each request found out anew that these are not reached.

A daemon now finds out within about a second that it reaches no endpoint of a group, and sends requests, first attempts and postings too, through a peer that does. The peer makes one attempt by its own routing and limits; the daemon that took the request follows the response as an endpoint's.

The test no longer counts lookups that run again after a reset as an error, as these may be repeated; postings are held to it as before.

--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -15,6 +15,7 @@
   EndpointPool,
   Forwarder,
   ForwardError,
+  NO_RELAY,
   TokenBucketLedger,
   UNLIMITED,
 } from '../index.js';
@@ -86,6 +87,7 @@
           end: () => undefined,
         }),
       },
+      requestRelay: NO_RELAY,
       usageCounter: {
         count: workspace => {
           this.usageWorkspaces.push(workspace);
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -75,7 +75,7 @@
 
 export interface AttemptDependencies {
   readonly clock: Clock;
-  readonly upstream: Upstream;
+  readonly upstream: Pick<Upstream, 'send'>;
 }
 
 export interface AttemptOptions {
@@ -123,11 +123,16 @@
     private readonly options: AttemptOptions,
   ) {
     this.idleTimer = new IdleTimer(deps.clock, () => {
-      this.hasTimedOut = true;
-      this.upstreamAbort.abort();
+      this.abandon();
     });
   }
 
+  /** Ends the attempt as one whose endpoint is silent. */
+  abandon(): void {
+    this.hasTimedOut = true;
+    this.upstreamAbort.abort();
+  }
+
   async run(call: EndpointRequest): Promise<AttemptOutcome> {
     const { signal } = this.options;
     const onRequestEnd = () => {
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -1,9 +1,9 @@
 import type { LogFields } from '../ports/index.js';
 import { LogComponent } from '../ports/index.js';
-import type { RetryBudget } from '../routing/index.js';
 import { attemptTimeouts } from './attempt-timeouts.js';
+import { callAt } from './call-at.js';
 import { RouteType } from './configuration.js';
-import type { PoolQuery, PoolReservation } from './endpoint-pool.js';
+import type { PoolReservation } from './endpoint-pool.js';
 import type { AttemptOutcome, BufferedResponse } from './forward-attempt.js';
 import {
   AttemptEndKind,
@@ -12,33 +12,16 @@
   isFailure,
 } from './forward-attempt.js';
 import type { ForwardError } from './forward-error.js';
-import type { ForwardRequest } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
-import type { ResolvedRequest } from './resolve-request.js';
+import { runPeerAttempt } from './peer-attempt.js';
+import { reserveEndpoint } from './reserve-endpoint.js';
+import type { RunContext } from './run-context.js';
+import { RunOutcome } from './run-context.js';
 import { toForwardError } from './run-failure.js';
+import { RunReport } from './run-report.js';
 import { StreamRelay } from './stream-relay.js';
 import type { ResponseWriter } from './upstream.js';
 
-/** Outcome of a request that an endpoint answered or whose caller disconnected. */
-export enum RunOutcome {
-  Pending = 'pending',
-  Answered = 'answered',
-  /** The endpoint's own error response was forwarded to the caller. */
-  EndpointError = 'endpointError',
-  CallerDisconnected = 'callerGone',
-  /** The response was aborted after its start. */
-  Truncated = 'brokenOff',
-}
-
-export interface RunContext {
-  readonly request: ForwardRequest;
-  readonly resolved: ResolvedRequest;
-  /** Ids of what may be at fault if an endpoint crashes. */
-  readonly suspectIds: readonly string[];
-  readonly group: string;
-  readonly budget: RetryBudget;
-}
-
 /** Number of unreachable endpoints after which the request fails. */
 const MAX_UNSENT_ATTEMPTS = 3;
 /** Minimum time before the deadline for which another attempt is worth its cost. */
@@ -59,14 +42,7 @@
   private isTimedOut = false;
   private mayHaveRun = false;
   private isUsageCounted = false;
-  private firstResponseAtMs: number | undefined;
-  private lastEndpointId = '';
-  /** Time from the request's arrival to the dispatch of its last attempt. */
-  private dispatchedAfterMs = 0;
-  /** Rate limit that the last attempt's endpoint named. */
-  private limitPerSecond: number | undefined;
-  /** Age of the endpoint list at the dispatch of the last attempt. */
-  private endpointListAgeMs = 0;
+  private readonly report = new RunReport();
 
   constructor(
     private readonly deps: ForwarderDependencies,
@@ -78,6 +54,10 @@
     const callerTimeoutMs = request.metadata.callerTimeoutMs ?? Infinity;
     this.deadlineAtMs =
       request.receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
+    for (const id of context.relayed?.excludedIds ?? []) {
+      this.excluded.add(id);
+      this.reached.add(id);
+    }
     if (route.type !== RouteType.Streaming) return;
     this.relay = new StreamRelay(
       sink,
@@ -91,12 +71,16 @@
 
   /** Resolves once the response is sent or the caller has disconnected. Throws `ForwardError` only before any part of the response is sent. */
   async serve(signal: AbortSignal): Promise<void> {
-    this.context.budget.recordFirstAttempt();
+    const { budget, relayed } = this.context;
+    if (relayed === undefined) budget.recordFirstAttempt();
     const onCallerDisconnect = () => {
       this.runAbort.abort();
     };
     signal.addEventListener('abort', onCallerDisconnect, { once: true });
-    const timer = this.startTimer();
+    const timer = callAt(this.deps.clock, this.deadlineAtMs, () => {
+      this.isTimedOut = true;
+      this.runAbort.abort();
+    });
     try {
       await this.runAttempts(signal);
     } finally {
@@ -106,34 +90,18 @@
   }
 
   summary(): LogFields {
-    const { request } = this.context;
-    const fields = {
-      group: this.context.group,
-      endpoint: this.lastEndpointId,
-      attempts: this.attempts,
-      mayHaveRun: this.mayHaveRun,
-      dispatchedAfterMs: Math.round(this.dispatchedAfterMs),
-      endpointListAgeMs: Math.round(this.endpointListAgeMs),
-      ...(this.relay && {
-        events: this.relay.attemptEvents,
-        isFramed: this.relay.isAttemptFramed,
-      }),
-      ...(this.limitPerSecond !== undefined && {
-        limitPerSecond: this.limitPerSecond,
-      }),
-    };
-    if (this.firstResponseAtMs === undefined) return fields;
-    const firstAnswerMs = this.firstResponseAtMs - request.receivedAtMs;
-    return { ...fields, firstAnswerMs: Math.round(firstAnswerMs) };
+    const { attempts, mayHaveRun } = this;
+    const { group } = this.context;
+    return { group, attempts, mayHaveRun, ...this.report.fields(this.relay) };
   }
 
   private async runAttempts(signal: AbortSignal): Promise<void> {
     let response: BufferedResponse | undefined;
     let last: AttemptOutcome | undefined;
     do {
-      const reservation = this.reserveEndpoint();
-      if (reservation === undefined) break;
-      last = await this.attempt(reservation);
+      const next = await this.attemptNext();
+      if (next === undefined) break;
+      last = next;
       if (signal.aborted) {
         this.outcome = RunOutcome.CallerDisconnected;
         return;
@@ -153,15 +121,63 @@
     this.sendResponse(response);
   }
 
+  /** Makes an attempt at an endpoint, or through a peer if this daemon reaches no endpoint. Resolves with undefined if there is no way to make one. */
+  private async attemptNext(): Promise<AttemptOutcome | undefined> {
+    const { clock, requestRelay } = this.deps;
+    const { group, relayed } = this.context;
+    if (requestRelay.isUnreachable(group)) {
+      if (relayed !== undefined) return undefined;
+      const peer = requestRelay.reserve(group, this.excluded, clock.nowMs());
+      if (peer !== undefined) return this.attemptThrough(peer);
+      const isExhausted = this.unsentAttempts >= MAX_UNSENT_ATTEMPTS;
+      if (isExhausted || this.report.peerId !== undefined) return undefined;
+    }
+    const reservation = this.reserveEndpoint();
+    return reservation && this.attempt(reservation);
+  }
+
+  private async attemptThrough(
+    reservation: PoolReservation,
+  ): Promise<AttemptOutcome> {
+    const { resolved, request } = this.context;
+    const sentAtMs = this.deps.clock.nowMs();
+    this.report.peerId = reservation.endpoint.id;
+    this.report.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
+    this.attempts += 1;
+    const result = await runPeerAttempt({
+      ...this.deps,
+      reservation,
+      relayed: {
+        request,
+        remainingMs: this.remainingMs(sentAtMs),
+        lastEventId: this.relay?.lastEventId,
+        excludedIds: [...this.excluded],
+      },
+      options: {
+        ...attemptTimeouts(resolved.route, this.isRepeatable()),
+        stream: this.relay,
+        signal: this.runAbort.signal,
+      },
+      onEndpoint: id => {
+        this.report.endpointId = id;
+        this.excluded.add(id);
+        this.reached.add(id);
+      },
+    });
+    this.recordResult(result, reservation, sentAtMs);
+    return result;
+  }
+
   private async attempt(reservation: PoolReservation): Promise<AttemptOutcome> {
     const { resolved, request } = this.context;
     const { endpoint } = reservation;
     const { clock, pool, protocol, versions } = this.deps;
     const sentAtMs = clock.nowMs();
-    this.lastEndpointId = endpoint.id;
-    this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
-    this.endpointListAgeMs = this.deps.endpointListAgeMs();
+    this.report.endpointId = endpoint.id;
+    this.report.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
+    this.report.endpointListAgeMs = this.deps.endpointListAgeMs();
     this.attempts += 1;
+    this.context.relayed?.onDispatch(endpoint.id);
     const observation = versions.observe({
       group: endpoint.group,
       version: endpoint.version,
@@ -174,6 +190,11 @@
       stream: this.relay,
       signal: this.runAbort.signal,
     });
+    const stopListening = this.isRepeatable()
+      ? this.deps.requestRelay.onSilence(endpoint.group, () => {
+          attempt.abandon();
+        })
+      : undefined;
     const result = await attempt.run({
       endpoint,
       method: request.method,
@@ -181,14 +202,15 @@
       body: request.body,
       isEndpointUsable: () => pool.isReady(endpoint.id, clock.nowMs()),
       headers: protocol.dispatchHeaders(request.headers, {
-        remainingMs: Math.max(1, Math.floor(this.deadlineAtMs - sentAtMs)),
+        remainingMs: this.remainingMs(sentAtMs),
         endpointId: endpoint.id,
         workspace: resolved.workspace?.workspace,
         lastEventId: this.relay?.lastEventId,
         urgency: undefined,
       }),
     });
-    this.limitPerSecond = attempt.limitPerSecond;
+    stopListening?.();
+    this.report.limitPerSecond = attempt.limitPerSecond;
     this.recordResult(result, reservation, sentAtMs);
     const { suspectIds } = this.context;
     const { requestId } = request;
@@ -241,15 +263,19 @@
   }
 
   private mayRetry(result: AttemptOutcome): boolean {
-    const { budget, resolved, suspectIds } = this.context;
+    const { budget, group, suspectIds } = this.context;
     const remainingMs = this.deadlineAtMs - this.deps.clock.nowMs();
     if (this.isTimedOut || remainingMs < MIN_TIME_FOR_ATTEMPT_MS) return false;
     if (this.deps.crashGuard.blockedForMs(suspectIds) !== undefined)
       return false;
-    const hasAttemptsLeft = this.attempts < resolved.route.maxAttempts;
+    const hasAttemptsLeft = this.attempts < this.maxAttempts();
     switch (result.kind) {
       case AttemptEndKind.NotSent:
-        return this.unsentAttempts < MAX_UNSENT_ATTEMPTS;
+        return (
+          this.unsentAttempts < MAX_UNSENT_ATTEMPTS ||
+          (this.unsentAttempts === MAX_UNSENT_ATTEMPTS &&
+            this.deps.requestRelay.isUnreachable(group))
+        );
       case AttemptEndKind.Misdirected:
       case AttemptEndKind.NotRun:
         return hasAttemptsLeft && budget.tryAcquire();
@@ -264,47 +290,32 @@
     }
   }
 
+  /** Returns the number of attempts that may reach an endpoint; a request that a peer passed on gets one. */
+  private maxAttempts(): number {
+    const { relayed, resolved } = this.context;
+    return relayed === undefined ? resolved.route.maxAttempts : 1;
+  }
+
+  private remainingMs(nowMs: number): number {
+    return Math.max(1, Math.floor(this.deadlineAtMs - nowMs));
+  }
+
   private isRepeatable(): boolean {
     const { isResumable, type } = this.context.resolved.route;
     return type === RouteType.Idempotent || isResumable;
   }
 
   /**
-   * Reserves an endpoint that was not tried, or any if all were tried. A request
-   * that may not be repeated never returns to an endpoint that it reached: a copy
-   * of the endpoint's refusal could be taken for the answer to the second attempt.
+   * A request that may not be repeated never returns to an endpoint that it
+   * reached: a copy of the endpoint's refusal could be taken for the answer to
+   * the second attempt.
    */
   private reserveEndpoint(): PoolReservation | undefined {
-    const { clock, pool, versions } = this.deps;
     const { group, request } = this.context;
-    const { promptParts, usage } = request.metadata;
-    const isFirst = this.excluded.size === 0;
-    const rule = isFirst
-      ? versions.choose(group)
-      : versions.chooseForRetry(group);
-    const query: PoolQuery = {
-      group,
-      excluded: this.excluded,
-      promptParts,
-      promptTokens: usage?.promptTokens ?? 0,
-      ...(rule.only === undefined ? {} : { onlyVersion: rule.only }),
-      ...(rule.not === undefined ? {} : { notVersion: rule.not }),
-    };
-    const nowMs = clock.nowMs();
-    const reserved =
-      pool.reserve(query, nowMs) ??
-      (isFirst
-        ? undefined
-        : pool.reserve({ ...query, excluded: this.barred() }, nowMs));
-    if (reserved !== undefined || rule.only === undefined) return reserved;
-    // The version on trial has no usable endpoint; fall back to any other version.
-    const { onlyVersion, ...rest } = query;
-    return pool.reserve({ ...rest, notVersion: onlyVersion ?? '' }, nowMs);
-  }
-
-  /** Returns the endpoints that the request must not be sent to again. */
-  private barred(): ReadonlySet<string> {
-    return this.isRepeatable() ? new Set() : this.reached;
+    const { excluded, reached } = this;
+    const barred = this.isRepeatable() ? new Set<string>() : reached;
+    const { metadata } = request;
+    return reserveEndpoint(this.deps, { group, metadata, excluded, barred });
   }
 
   private sendResponse(response: BufferedResponse): void {
@@ -333,24 +344,13 @@
 
   /** Records that an endpoint has started the request, and counts it once for its workspace. */
   private recordStarted(startedAgoMs: number): void {
-    this.firstResponseAtMs ??= this.deps.clock.nowMs();
-    if (this.isUsageCounted) return;
+    this.report.firstAnswerMs ??=
+      this.deps.clock.nowMs() - this.context.request.receivedAtMs;
+    // The daemon that took a request from its caller counts it.
+    if (this.isUsageCounted || this.context.relayed !== undefined) return;
     this.isUsageCounted = true;
     const { workspace } = this.context.resolved;
     if (workspace === undefined) return;
     this.deps.usageCounter.count(workspace.workspace, startedAgoMs);
   }
-
-  /** Aborts the run at its deadline. Aborting the returned controller cancels the timer. */
-  private startTimer(): AbortController {
-    const timerAbort = new AbortController();
-    this.deps.clock.waitUntil(this.deadlineAtMs, timerAbort.signal).then(
-      () => {
-        this.isTimedOut = true;
-        this.runAbort.abort();
-      },
-      () => undefined, // the run ended before its deadline
-    );
-    return timerAbort;
-  }
 }
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -16,6 +16,7 @@
 import type { ForwardProtocol, ForwardRequest } from './forward-request.js';
 import { ForwardRun } from './forward-run.js';
 import { fingerprintOf, suspectIdsOf } from './request-fingerprint.js';
+import type { RelayedPart, RequestRelay } from './request-relay.js';
 import type { ResolvedRequest } from './resolve-request.js';
 import { resolveRequest } from './resolve-request.js';
 import type { TokenBucketLedger } from './token-bucket-ledger.js';
@@ -76,6 +77,7 @@
   readonly retryBudgetOf: (group: string) => RetryBudget;
   readonly versions: VersionSelector;
   readonly usageCounter: UsageCounter;
+  readonly requestRelay: RequestRelay;
 }
 
 /** Request with its route, its workspace and what identifies repetitions of it. */
@@ -92,23 +94,43 @@
    * Handles one request. Abort the signal when the caller disconnects. Throws
    * `ForwardError` if the daemon itself has to answer with an error.
    */
-  async handle(
+  handle(
     request: ForwardRequest,
     sink: ResponseWriter,
     signal: AbortSignal,
   ): Promise<void> {
+    return this.serve(request, sink, signal);
+  }
+
+  /** Makes one attempt for a request that a peer has admitted and passed on. */
+  handleRelayed(
+    request: ForwardRequest,
+    relayed: RelayedPart,
+    sink: ResponseWriter,
+    signal: AbortSignal,
+  ): Promise<void> {
+    return this.serve(request, sink, signal, relayed);
+  }
+
+  private async serve(
+    request: ForwardRequest,
+    sink: ResponseWriter,
+    signal: AbortSignal,
+    relayed?: RelayedPart,
+  ): Promise<void> {
+    const requests = relayed === undefined ? 'requests' : 'relayedRequests';
     let resolved: IdentifiedRequest | undefined;
     let run: ForwardRun | undefined;
     try {
       resolved = this.resolve(request);
       this.rejectBlocked(resolved);
-      this.admit(request, resolved);
-      run = this.createRun(request, resolved, sink);
+      if (relayed === undefined) this.admit(request, resolved);
+      run = this.createRun(request, resolved, sink, relayed);
       await run.serve(signal);
-      this.recordOutcome(request, resolved, run, run.outcome);
+      this.recordOutcome(requests, request, resolved, run, run.outcome);
     } catch (error) {
       const outcome = error instanceof ForwardError ? error.kind : 'error';
-      this.recordOutcome(request, resolved, run, outcome, error);
+      this.recordOutcome(requests, request, resolved, run, outcome, error);
       throw error;
     }
   }
@@ -156,6 +178,7 @@
     request: ForwardRequest,
     resolved: IdentifiedRequest,
     sink: ResponseWriter,
+    relayed: RelayedPart | undefined,
   ): ForwardRun {
     const group = chooseGroup(resolved.route, request.requestId);
     if (group === undefined) {
@@ -168,14 +191,16 @@
     const { retryBudgetOf } = this.deps;
     const budget = retryBudgetOf(group);
     const { suspectIds } = resolved;
+    const context = { request, resolved, suspectIds, group, budget };
     return new ForwardRun(
       this.deps,
-      { request, resolved, suspectIds, group, budget },
+      relayed === undefined ? context : { ...context, relayed },
       sink,
     );
   }
 
   private recordOutcome(
+    requests: 'requests' | 'relayedRequests',
     request: ForwardRequest,
     resolved: IdentifiedRequest | undefined,
     run: ForwardRun | undefined,
@@ -185,8 +210,9 @@
     const { clock, log, metrics } = this.deps;
     const elapsedMs = clock.nowMs() - request.receivedAtMs;
     const route = resolved?.route.name ?? 'none';
-    metrics.increment('requests', 1, { outcome });
-    metrics.timingMs('request', elapsedMs, { outcome });
+    const isRelayed = requests === 'relayedRequests';
+    metrics.increment(requests, 1, { outcome });
+    if (!isRelayed) metrics.timingMs('request', elapsedMs, { outcome });
     const fields: LogFields = {
       requestId: request.requestId,
       route,
@@ -197,6 +223,7 @@
       tokens: requestedTokens(request) ?? 0,
       configurationVersion: resolved?.configurationVersion ?? 0,
       endpointRevision: this.deps.pool.revision,
+      ...(isRelayed && { isRelayed }),
       ...run?.summary(),
       ...(error instanceof Error ? { error: error.message } : {}),
     };
--- /dev/null
+++ b/packages/core/src/forwarding/peer-attempt.ts
@@ -0,0 +1,47 @@
+import type { Clock } from '../ports/index.js';
+import type { PoolReservation } from './endpoint-pool.js';
+import type { AttemptOptions, AttemptOutcome } from './forward-attempt.js';
+import { ForwardAttempt } from './forward-attempt.js';
+import type { AttemptObservation } from './forwarder.js';
+import type { RelayedRequest, RequestRelay } from './request-relay.js';
+import type { Upstream } from './upstream.js';
+
+export interface PeerAttempt {
+  readonly clock: Clock;
+  readonly requestRelay: RequestRelay;
+  readonly reservation: PoolReservation;
+  readonly relayed: RelayedRequest;
+  readonly options: Omit<AttemptOptions, 'observation' | 'requestId'>;
+  /** Called with the endpoint that the peer chose. */
+  readonly onEndpoint: (endpointId: string) => void;
+}
+
+/** The peer assesses the endpoint's version. */
+const NO_OBSERVATION: AttemptObservation = {
+  recordEvents: () => undefined,
+  end: () => undefined,
+};
+
+/** Makes one attempt through a peer, whose response is followed like that of an endpoint. */
+export function runPeerAttempt({
+  clock,
+  onEndpoint,
+  options,
+  relayed,
+  requestRelay,
+  reservation,
+}: PeerAttempt): Promise<AttemptOutcome> {
+  const upstream: Pick<Upstream, 'send'> = {
+    send: ({ endpoint }, signal) =>
+      requestRelay.send(endpoint, relayed, onEndpoint, signal),
+  };
+  const { requestId } = relayed.request;
+  const attempt = new ForwardAttempt({ clock, upstream }, reservation, {
+    ...options,
+    requestId,
+    observation: NO_OBSERVATION,
+  });
+  const isEndpointUsable = () => true;
+  const { endpoint } = reservation;
+  return attempt.run({ ...relayed.request, endpoint, isEndpointUsable });
+}
--- /dev/null
+++ b/packages/core/src/forwarding/run-context.ts
@@ -0,0 +1,26 @@
+import type { RetryBudget } from '../routing/index.js';
+import type { ForwardRequest } from './forward-request.js';
+import type { RelayedPart } from './request-relay.js';
+import type { ResolvedRequest } from './resolve-request.js';
+
+/** Outcome of a request that an endpoint answered or whose caller disconnected. */
+export enum RunOutcome {
+  Pending = 'pending',
+  Answered = 'answered',
+  /** The endpoint's own error response was forwarded to the caller. */
+  EndpointError = 'endpointError',
+  CallerDisconnected = 'callerGone',
+  /** The response was aborted after its start. */
+  Truncated = 'brokenOff',
+}
+
+export interface RunContext {
+  readonly request: ForwardRequest;
+  readonly resolved: ResolvedRequest;
+  /** Ids of what may be at fault if an endpoint crashes. */
+  readonly suspectIds: readonly string[];
+  readonly group: string;
+  readonly budget: RetryBudget;
+  /** Given if a peer passed the request on to this daemon for one attempt. */
+  readonly relayed?: RelayedPart;
+}
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -22,6 +22,13 @@
   counts: z.record(text, count),
 });
 
+/** Whether a daemon reaches the endpoints of a group. */
+const reachabilitySchema = z.object({
+  isUnreachable: z.boolean(),
+  /** Time since the daemon last received something from any of them; absent if it never did. */
+  heardAgeMs: count.optional(),
+});
+
 /** Gossip message with one daemon's state. It replaces every earlier message of the same `lifetime`. */
 const daemonHintsSchema = z.object({
   daemonId: text,
@@ -52,11 +59,14 @@
   quarantine: quarantineHintsSchema.optional(),
   /** Absent in hints of daemons that do not know it. */
   endpointLimits: endpointLimitHintsSchema.optional(),
+  /** By group. Absent in hints of daemons that cannot pass requests on. */
+  reachability: z.record(text, reachabilitySchema).optional(),
   /** Whether the sender holds the lease for the duties towards the platform. */
   holdsDuties: z.boolean(),
 });
 
 export type WindowUsage = Readonly<z.output<typeof windowUsageSchema>>;
+export type ReachabilityHint = Readonly<z.output<typeof reachabilitySchema>>;
 export type DaemonHints = Readonly<z.output<typeof daemonHintsSchema>>;
 
 /** Peer method by which two daemons exchange their hints. */
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -13,6 +13,7 @@
 import type { ConnectionProbe } from '@skylarkreach/core/reachability';
 
 import { isConnectError } from '../adapters/index.js';
+import { nextPoll } from '../http/index.js';
 import type { RequestContext, ResponseMeter } from './metered-client.js';
 import { EndpointWithdrawnError, MeteredClient } from './metered-client.js';
 
@@ -141,7 +142,10 @@
     const { hostname, port, protocol } = new URL(`http://${address}`);
     return new Promise(resolve => {
       const timer = setTimeout(() => {
-        resolve(ConnectResult.Failed);
+        // A daemon that was held up may have to read the result first.
+        void nextPoll().then(() => {
+          resolve(ConnectResult.Failed);
+        });
       }, timeoutMs);
       this.connect({ hostname, port, protocol }, (...[error, socket]) => {
         clearTimeout(timer);
--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -1,3 +1,5 @@
+import type { RequestListener } from 'node:http';
+
 import type { DaemonHints } from '@skylarkreach/core/hints';
 import { HintStore } from '@skylarkreach/core/hints';
 import { rankDaemons, ReaderRole } from '@skylarkreach/core/membership';
@@ -12,6 +14,7 @@
 import { DaemonRegistry } from './daemon-registry.js';
 import type { GatewayContext } from './gateway-context.js';
 import { HINT_INTERVAL_MS, HintExchange } from './hint-exchange.js';
+import { RELAY_PATH } from './relay-message.js';
 
 const MAX_HEADER_BYTES = 16_384;
 const HEADERS_TIMEOUT_MS = 2_000;
@@ -31,7 +34,8 @@
   readonly hintBoard = new HintStore();
   readonly readerRole: ReaderRole;
   private readonly listener: HttpListener;
-  private readonly peerServer: PeerServer;
+  readonly peerServer: PeerServer;
+  private serveRelay: RequestListener | undefined;
   readonly loops: readonly Loop[];
 
   constructor(
@@ -56,7 +60,13 @@
         maxHeaderBytes: MAX_HEADER_BYTES,
         headersTimeoutMs: HEADERS_TIMEOUT_MS,
       },
-      (request, response) => void peerServer.serve(request, response),
+      (request, response) => {
+        if (request.url === RELAY_PATH && this.serveRelay !== undefined) {
+          this.serveRelay(request, response);
+        } else {
+          void peerServer.serve(request, response);
+        }
+      },
     );
     this.membership = new MembershipService(this.identity, {
       ...context,
@@ -112,6 +122,11 @@
     this.peerServer.setOwnAddress(address);
   }
 
+  /** Sets the listener for requests that peers pass on. */
+  onRelay(listener: RequestListener): void {
+    this.serveRelay = listener;
+  }
+
   destroy(): void {
     this.listener.destroy();
   }
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -4,8 +4,9 @@
   EndpointPool,
   TokenBucketLedger,
 } from '@skylarkreach/core/forwarding';
-import type { DaemonHints } from '@skylarkreach/core/hints';
+import type { DaemonHints, ReachabilityHint } from '@skylarkreach/core/hints';
 import type { RequestQuarantine } from '@skylarkreach/core/quarantine';
+import type { EndpointReachability } from '@skylarkreach/core/reachability';
 import type { RolloutRegistry } from '@skylarkreach/core/rollouts';
 
 import type { ClusterHooks, GatewayCluster } from './gateway-cluster.js';
@@ -18,6 +19,7 @@
   readonly rollouts: RolloutRegistry;
   readonly quarantine: RequestQuarantine;
   readonly endpointLimits: EndpointLimits;
+  readonly reachability: EndpointReachability;
   readonly duties: GatewayDuties;
   readonly cluster: () => GatewayCluster;
   /** Version of the endpoint list in use. */
@@ -72,6 +74,7 @@
       rollouts: rollouts.hints(),
       quarantine: quarantine.hints(),
       endpointLimits: endpointLimits.hints(),
+      reachability: reachabilityHints(this.deps.reachability, nowMs),
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
   }
@@ -110,6 +113,21 @@
   }
 }
 
+function reachabilityHints(
+  reachability: EndpointReachability,
+  nowMs: number,
+): Readonly<Record<string, ReachabilityHint>> {
+  const hints: Record<string, ReachabilityHint> = {};
+  for (const [group, state] of reachability.groups()) {
+    const heardAgeMs = ageMs(nowMs, state.heardAtMs);
+    const isUnreachable = state.unreachableSinceMs !== undefined;
+    hints[group] = Number.isFinite(heardAgeMs)
+      ? { isUnreachable, heardAgeMs }
+      : { isUnreachable };
+  }
+  return hints;
+}
+
 /** Returns the age of something that may have happened since `nowMs` was read. */
 function ageMs(nowMs: number, atMs: number): number {
   return Math.max(0, nowMs - atMs);
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -17,6 +17,7 @@
 import {
   EndpointReachability,
   ObservedUpstream,
+  RelayPeers,
 } from '@skylarkreach/core/reachability';
 import { RolloutRegistry } from '@skylarkreach/core/rollouts';
 import {
@@ -30,6 +31,7 @@
 
 import { HttpClient } from '../adapters/index.js';
 import { createIntervalLoop, Loop } from '../loops/index.js';
+import { MessageSigner } from '../peers/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import {
   createNonBlockingOutput,
@@ -47,6 +49,8 @@
 import { GatewayHints } from './gateway-hints.js';
 import { IngressServer } from './ingress-server.js';
 import { OperatorWatch } from './operator-watch.js';
+import { RelayClient } from './relay-client.js';
+import { RelayServer } from './relay-server.js';
 import { RetryBudgets } from './retry-budgets.js';
 import { StateReplicator } from './state-replicator.js';
 
@@ -74,6 +78,9 @@
   readonly pool: EndpointPool;
   readonly ingress: IngressServer;
   readonly endpointClient: EndpointClient;
+  /** Connections to peers for requests that are passed on. */
+  readonly peerConnections: EndpointClient;
+  readonly relayServer: RelayServer;
   readonly cluster: GatewayCluster;
   readonly duties: GatewayDuties;
   readonly loops: readonly Loop[];
@@ -146,6 +153,7 @@
     rollouts,
     quarantine,
     endpointLimits,
+    reachability,
     duties,
     cluster: () => cluster,
     endpointsVersion: () => replicator.endpointsVersion,
@@ -156,6 +164,18 @@
   const cluster: GatewayCluster = new GatewayCluster(context, hints, ids => {
     knownDaemons.recordListed(ids);
   });
+  const peerConnections = new EndpointClient(platform.protocol);
+  const requestRelay = new RelayClient({
+    reachability,
+    upstream: peerConnections,
+    signer: new MessageSigner(settings.peerSecret, clock),
+    peers: new RelayPeers({
+      ...context,
+      reachability,
+      livePeers: () => cluster.membership.live(),
+      freshHints: nowMs => cluster.hintBoard.freshHints(nowMs),
+    }),
+  });
   const retryBudgets = new RetryBudgets(settings, () => cluster.size);
   const forwarder = new Forwarder({
     ...context,
@@ -175,12 +195,24 @@
     retryBudgetOf: group => retryBudgets.forGroup(group),
     versions: rollouts,
     usageCounter: duties.usageLedger,
+    requestRelay,
+  });
+  const limits = () => configuration.current?.limits ?? DEFAULT_LIMITS;
+  const relayServer = new RelayServer({
+    ...context,
+    forwarder,
+    limits,
+    protocol: platform.protocol,
+    peerServer: cluster.peerServer,
+  });
+  cluster.onRelay((request, response) => {
+    void relayServer.serve(request, response);
   });
   const ingress = new IngressServer({
     ...context,
     forwarder,
     protocol: platform.protocol,
-    limits: () => configuration.current?.limits ?? DEFAULT_LIMITS,
+    limits,
   });
 
   const replicator = new StateReplicator(context, {
@@ -239,6 +271,8 @@
     pool,
     ingress,
     endpointClient,
+    peerConnections,
+    relayServer,
     cluster,
     duties,
     loops,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -116,7 +116,7 @@
       answersInProgress: ingress.answersInProgress,
     });
     ingress.startDraining();
-    const { cluster, duties } = this.wiring;
+    const { cluster, duties, relayServer } = this.wiring;
     void duties.dutyHolder.release();
     void cluster.membership.leave();
     const graceMs = settings.bounds.gracePeriodSeconds * MS_PER_SECOND;
@@ -125,9 +125,10 @@
     );
     ingress.stopAccepting();
     const endsAtMs = stopRequestedAtMs + graceMs - CUTOFF_MARGIN_MS;
-    const idle = ingress.whenIdle();
+    const idle = Promise.all([ingress.whenIdle(), relayServer.whenIdle()]);
     await Promise.race([idle, clock.waitUntil(endsAtMs - MIN_SERVE_MS)]);
     ingress.rejectNewRequests();
+    relayServer.rejectNewRequests();
     await Promise.race([idle, clock.waitUntil(endsAtMs)]);
     const { answersInProgress } = ingress;
     await this.terminate();
@@ -139,13 +140,18 @@
   /** Stops at once and closes all connections, as a killed process does. */
   async terminate(): Promise<void> {
     this.isStopping = true;
-    const { cluster, endpointClient, ingress, http, loops } = this.wiring;
+    const { cluster, endpointClient, ingress, http, loops, peerConnections } =
+      this.wiring;
     ingress.destroy();
     cluster.destroy();
     this.readinessServer.destroy();
     this.metricsServer.destroy();
     const stopped = loops.map(loop => loop.stop());
-    await Promise.all([endpointClient.close(), http.close()]);
+    await Promise.all([
+      endpointClient.close(),
+      peerConnections.close(),
+      http.close(),
+    ]);
     await Promise.all(stopped);
   }
 
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -20,6 +20,7 @@
   BodyError,
   BodyErrorKind,
   listenOn,
+  nextPoll,
   readBytes,
 } from '../http/index.js';
 import { abortResponse, ResponseSink } from './response-sink.js';
@@ -323,17 +324,6 @@
   }
 }
 
-/**
- * Resolves after the event loop has polled all connections once more. A daemon
- * that is behind reads a request and the end of its connection in this order.
- */
-function nextPoll(): Promise<void> {
-  return new Promise(resolve => {
-    // The first callback runs before the next poll, the second one after it.
-    setImmediate(() => setImmediate(resolve));
-  });
-}
-
 /** Returns whether a response can still be sent on a connection. */
 function isOpen(socket: Duplex): boolean {
   return socket.writable;
--- /dev/null
+++ b/packages/daemon/src/gateway/relay-client.ts
@@ -0,0 +1,118 @@
+import type {
+  EndpointRecord,
+  EndpointResponse,
+  PoolReservation,
+  RelayedRequest,
+  RequestRelay,
+  Upstream,
+} from '@skylarkreach/core/forwarding';
+import { ForwardErrorKind } from '@skylarkreach/core/forwarding';
+import { NotSentError } from '@skylarkreach/core/ports';
+import type {
+  EndpointReachability,
+  RelayPeers,
+} from '@skylarkreach/core/reachability';
+
+import type { MessageSigner } from '../peers/index.js';
+import {
+  encodeRelayMessage,
+  RELAY_PATH,
+  RelayHeader,
+} from './relay-message.js';
+
+export interface RelayClientDependencies {
+  readonly reachability: EndpointReachability;
+  readonly peers: RelayPeers;
+  /** Client with the connections to peers. */
+  readonly upstream: Pick<Upstream, 'send'>;
+  readonly signer: MessageSigner;
+}
+
+/** Reasons after which the request was sent to an endpoint, which did not execute it. */
+const REFUSED_BY_ENDPOINT: ReadonlySet<string> = new Set([
+  ForwardErrorKind.Overloaded,
+  ForwardErrorKind.TimedOutNotRun,
+]);
+
+/** Sends requests through peers, over the server on which they exchange their messages. */
+export class RelayClient implements RequestRelay {
+  constructor(private readonly deps: RelayClientDependencies) {}
+
+  isUnreachable(group: string): boolean {
+    return this.deps.reachability.isUnreachable(group);
+  }
+
+  reserve(
+    group: string,
+    excludedIds: ReadonlySet<string>,
+    nowMs: number,
+  ): PoolReservation | undefined {
+    return this.deps.peers.reserve(group, excludedIds, nowMs);
+  }
+
+  onSilence(group: string, listener: () => void): () => void {
+    return this.deps.reachability.onSilence(group, listener);
+  }
+
+  async send(
+    peer: EndpointRecord,
+    relayed: RelayedRequest,
+    onEndpoint: (endpointId: string) => void,
+    signal: AbortSignal,
+  ): Promise<EndpointResponse> {
+    const { signer, upstream } = this.deps;
+    const body = encodeRelayMessage(relayed);
+    const signature = Object.entries(signer.sign(peer.address, body)).flat();
+    const response = await upstream.send(
+      {
+        endpoint: peer,
+        method: 'POST',
+        target: RELAY_PATH,
+        headers: signature,
+        body,
+        isEndpointUsable: () => true,
+      },
+      signal,
+    );
+    const added = splitHeaders(response.headers);
+    const endpointId = added.byName.get(RelayHeader.Endpoint);
+    if (endpointId !== undefined) onEndpoint(endpointId);
+    const notRun = added.byName.get(RelayHeader.NotRun);
+    if (notRun === undefined) return { ...response, headers: added.others };
+    if (REFUSED_BY_ENDPOINT.has(notRun)) {
+      const { requestId } = relayed.request;
+      const metadata = { ...response.metadata, requestId, isNotRun: true };
+      return { ...response, headers: added.others, metadata };
+    }
+    await readToEnd(response.body);
+    throw new NotSentError(
+      `Peer ${peer.id} sent the request on to no endpoint (${notRun}).`,
+    );
+  }
+}
+
+/** Reads an empty body, which leaves its connection reusable. */
+async function readToEnd(body: AsyncIterable<Uint8Array>): Promise<void> {
+  const chunks = body[Symbol.asyncIterator]();
+  let isDone = false;
+  while (!isDone) isDone = (await chunks.next()).done === true;
+}
+
+/** Separates the headers that a peer added from those of the endpoint. */
+function splitHeaders(headers: readonly string[]): {
+  readonly byName: ReadonlyMap<string, string>;
+  readonly others: readonly string[];
+} {
+  const names: ReadonlySet<string> = new Set(Object.values(RelayHeader));
+  const byName = new Map<string, string>();
+  const others: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index] ?? '';
+    const value = headers[index + 1] ?? '';
+    const lowerName = name.toLowerCase();
+    if (!names.has(lowerName)) others.push(name, value);
+    // The peer's own headers come first.
+    else if (!byName.has(lowerName)) byName.set(lowerName, value);
+  }
+  return { byName, others };
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/relay-server.ts
@@ -0,0 +1,166 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type {
+  CallerLimits,
+  Forwarder,
+  ForwardProtocol,
+  ForwardRequest,
+  RawHeaders,
+} from '@skylarkreach/core/forwarding';
+import { ForwardError, ForwardErrorKind } from '@skylarkreach/core/forwarding';
+import type { Clock, Metrics } from '@skylarkreach/core/ports';
+
+import { readBytes } from '../http/index.js';
+import type { PeerServer } from '../peers/index.js';
+import type { RelayMessage } from './relay-message.js';
+import {
+  decodeRelayMessage,
+  MAX_RELAY_HEAD_BYTES,
+  RelayHeader,
+} from './relay-message.js';
+import { abortResponse, ResponseSink } from './response-sink.js';
+
+export interface RelayServerDependencies {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly forwarder: Forwarder;
+  readonly protocol: ForwardProtocol;
+  readonly peerServer: PeerServer;
+  readonly limits: () => CallerLimits;
+}
+
+/** Time within which a peer sends the whole message. */
+const MESSAGE_TIMEOUT_MS = 5_000;
+/** Errors after which an endpoint may have executed the request. */
+const MAY_HAVE_RUN: ReadonlySet<ForwardErrorKind> = new Set([
+  ForwardErrorKind.TimedOut,
+  ForwardErrorKind.EndpointFailed,
+]);
+
+/** Sends requests on to endpoints for peers that do not reach these. */
+export class RelayServer {
+  private openResponseCount = 0;
+  private isRejectingRequests = false;
+  private onIdle: (() => void) | undefined;
+
+  constructor(private readonly deps: RelayServerDependencies) {}
+
+  /** Rejects further requests, so that peers send them elsewhere. */
+  rejectNewRequests(): void {
+    this.isRejectingRequests = true;
+  }
+
+  /** Resolves once no response is in progress. */
+  whenIdle(): Promise<void> {
+    if (this.openResponseCount === 0) return Promise.resolve();
+    return new Promise(resolve => {
+      this.onIdle = resolve;
+    });
+  }
+
+  /** Answers one request of a peer. Never rejects. */
+  async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const receivedAtMs = this.deps.clock.nowMs();
+    const disconnected = this.trackResponse(response);
+    try {
+      const message = await this.readMessage(request);
+      if (message === undefined) {
+        this.deps.metrics.increment('relay.refused');
+        response.writeHead(401, { connection: 'close' }).end();
+        return;
+      }
+      await this.forward(message, receivedAtMs, response, disconnected);
+    } catch {
+      // The peer takes a broken connection for a lost response.
+      abortResponse(response);
+    }
+  }
+
+  private async readMessage(
+    request: IncomingMessage,
+  ): Promise<RelayMessage | undefined> {
+    const bytes = await readBytes(request, {
+      maxBytes: this.deps.limits().maxBodyBytes + MAX_RELAY_HEAD_BYTES,
+      timeout: AbortSignal.timeout(MESSAGE_TIMEOUT_MS),
+    });
+    const failure = this.deps.peerServer.verifySignature(request, bytes);
+    return failure === undefined ? decodeRelayMessage(bytes) : undefined;
+  }
+
+  private async forward(
+    message: RelayMessage,
+    receivedAtMs: number,
+    response: ServerResponse,
+    disconnected: AbortSignal,
+  ): Promise<void> {
+    const { excludedIds } = message.head;
+    let endpointId = '';
+    const onDispatch = (id: string) => {
+      endpointId = id;
+    };
+    const sink = new RelaySink(response, () => endpointId);
+    try {
+      if (this.isRejectingRequests) {
+        throw new ForwardError(ForwardErrorKind.Stopping, 'Stopping.', 0);
+      }
+      const forwardRequest = this.toRequest(message, receivedAtMs);
+      const part = { excludedIds, onDispatch };
+      const { forwarder } = this.deps;
+      await forwarder.handleRelayed(forwardRequest, part, sink, disconnected);
+    } catch (error) {
+      const isRefusal =
+        error instanceof ForwardError && !MAY_HAVE_RUN.has(error.kind);
+      if (!isRefusal || response.headersSent || response.destroyed) throw error;
+      response.sendDate = false;
+      response.writeHead(error.httpStatus, {
+        [RelayHeader.NotRun]: error.kind,
+        [RelayHeader.Endpoint]: endpointId,
+        'content-length': '0',
+      });
+      response.end();
+    }
+  }
+
+  private toRequest(
+    { body, head }: RelayMessage,
+    receivedAtMs: number,
+  ): ForwardRequest {
+    const { headers, lastEventId, method, remainingMs, requestId, target } =
+      head;
+    const metadata = {
+      ...this.deps.protocol.readRequest(headers),
+      callerTimeoutMs: remainingMs,
+      lastEventId,
+    };
+    return { requestId, method, target, headers, body, metadata, receivedAtMs };
+  }
+
+  private trackResponse(response: ServerResponse): AbortSignal {
+    const disconnect = new AbortController();
+    this.openResponseCount += 1;
+    response.once('close', () => {
+      if (!response.writableFinished) disconnect.abort();
+      this.openResponseCount -= 1;
+      if (this.openResponseCount === 0) this.onIdle?.();
+    });
+    return disconnect.signal;
+  }
+}
+
+/** Sink that names the endpoint of the response to the peer. */
+class RelaySink extends ResponseSink {
+  constructor(
+    response: ServerResponse,
+    private readonly endpointId: () => string,
+  ) {
+    super(response, () => false);
+  }
+
+  override begin(status: number, headers: RawHeaders, isFramed: boolean): void {
+    const added = [RelayHeader.Endpoint, this.endpointId()];
+    super.begin(status, [...added, ...headers], isFramed);
+  }
+}
--- a/packages/daemon/src/http/index.ts
+++ b/packages/daemon/src/http/index.ts
@@ -1,3 +1,4 @@
 export * from './http-listener.js';
 export * from './http-router.js';
+export * from './next-poll.js';
 export * from './read-body.js';
--- /dev/null
+++ b/packages/daemon/src/http/next-poll.ts
@@ -0,0 +1,10 @@
+/**
+ * Resolves after the event loop has polled all connections once more. A daemon
+ * that is behind reads a request and the end of its connection in this order.
+ */
+export function nextPoll(): Promise<void> {
+  return new Promise(resolve => {
+    // The first callback runs before the next poll, the second one after it.
+    setImmediate(() => setImmediate(resolve));
+  });
+}
--- a/packages/daemon/src/peers/message-signature.ts
+++ b/packages/daemon/src/peers/message-signature.ts
@@ -24,7 +24,7 @@
   readonly target: Address;
   readonly sentAtMs: number;
   readonly nonce: string;
-  readonly body: string;
+  readonly body: string | Uint8Array;
 }
 
 /** Maximum difference between a message's time and the receiver's clock. */
@@ -43,7 +43,7 @@
   ) {}
 
   /** Returns the signature headers of a message to `target`. */
-  sign(target: Address, body: string): SignatureHeaders {
+  sign(target: Address, body: string | Uint8Array): SignatureHeaders {
     const sentAtMs = Math.floor(this.clock.nowMs());
     const nonce = randomBytes(NONCE_BYTES).toString('base64url');
     const message = { target, sentAtMs, nonce, body };
--- a/packages/daemon/src/peers/peer-server.ts
+++ b/packages/daemon/src/peers/peer-server.ts
@@ -138,9 +138,10 @@
     return parseRequest(body);
   }
 
-  private verifySignature(
+  /** Returns the reason for which a message was not sent by a peer to this daemon; undefined if it was. */
+  verifySignature(
     request: IncomingMessage,
-    body: string,
+    body: string | Uint8Array,
   ): VerificationFailure | undefined {
     const target = request.headers.host ?? '';
     if (this.ownAddress !== undefined && target !== this.ownAddress) {
--- a/packages/stand-ins/src/gateway/endpoint-links.ts
+++ b/packages/stand-ins/src/gateway/endpoint-links.ts
@@ -48,8 +48,8 @@
       return;
     }
     this.connectDirectly(options, (...result) => {
-      const [, socket] = result;
-      if (socket !== null) {
+      const [error, socket] = result;
+      if (error === null) {
         this.sockets.add(socket);
         socket.once('close', () => this.sockets.delete(socket));
       }
--- a/packages/stand-ins/src/gateway/gateway-partition.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-partition.test.ts
@@ -80,7 +80,7 @@
   async function serveAll(gateway: RunningGateway): Promise<number> {
     const responses = KINDS.map(kind => {
       sent += 1;
-      return send(gateway, kind, `request-${sent}`);
+      return send(gateway, kind, `${kind}-${sent}`);
     });
     const results = await Promise.allSettled(responses);
     return results.filter(
@@ -136,8 +136,8 @@
         const cutOff = await cut(count, state);
         const counts = await serveRounds(cutOff);
         for (const each of counts) assert.equal(each, ROUNDS * KINDS.length);
-        const ids = runIds();
-        assert.equal(new Set(ids).size, ids.length, 'a request ran twice');
+        const ids = runIds().filter(id => id.startsWith(POSTING));
+        assert.equal(new Set(ids).size, ids.length, 'a posting ran twice');
       });
     }
   }
@@ -157,11 +157,11 @@
     const [first] = await cut(4, LinkState.Reset);
     assert.ok(first !== undefined);
     const startedAtMs = performance.now();
-    const { headers, statusCode } = await send(first, POSTING, 'posting-1');
+    const { headers, statusCode } = await send(first, POSTING, 'single-1');
     assert.equal(statusCode, 503);
     assert.ok(Number(headers['retry-after']) > 0);
     assert.ok(performance.now() - startedAtMs < 500);
-    assert.ok(!runIds().includes('posting-1'));
+    assert.ok(!runIds().includes('single-1'));
   });
 
   it('runs a posting once and answers 502 where its response is lost behind the peer', async () => {
@@ -169,9 +169,9 @@
     assert.ok(cutOff !== undefined);
     for (const endpoint of deployment.endpoints)
       endpoint.mode = EndpointMode.DropsResponses;
-    const { statusCode } = await send(cutOff, POSTING, 'posting-1');
+    const { statusCode } = await send(cutOff, POSTING, 'single-1');
     assert.equal(statusCode, 502);
-    assert.equal(runIds().filter(id => id === 'posting-1').length, 1);
+    assert.equal(runIds().filter(id => id === 'single-1').length, 1);
   });
 
   it('answers 503 to a posting that the endpoints behind the peer refuse', async () => {
@@ -179,10 +179,10 @@
     assert.ok(cutOff !== undefined);
     for (const endpoint of deployment.endpoints)
       endpoint.mode = EndpointMode.ShedsLoad;
-    const { headers, statusCode } = await send(cutOff, POSTING, 'posting-1');
+    const { headers, statusCode } = await send(cutOff, POSTING, 'single-1');
     assert.equal(statusCode, 503);
     assert.ok(Number(headers['retry-after']) > 0);
-    assert.ok(!runIds().includes('posting-1'));
+    assert.ok(!runIds().includes('single-1'));
   });
 
   it('makes no more attempts than the route allows, by itself and through peers together', async () => {
@@ -190,9 +190,9 @@
     assert.ok(cutOff !== undefined);
     for (const endpoint of deployment.endpoints)
       endpoint.mode = EndpointMode.DropsResponses;
-    const { statusCode } = await send(cutOff, 'lookup', 'lookup-1');
+    const { statusCode } = await send(cutOff, 'lookup', 'single-1');
     assert.equal(statusCode, 502);
-    assert.equal(runIds().filter(id => id === 'lookup-1').length, 2);
+    assert.equal(runIds().filter(id => id === 'single-1').length, 2);
   });
 
   it('joins a stream that breaks off behind one peer with its rest behind another', async () => {
@@ -200,7 +200,7 @@
     assert.ok(cutOff !== undefined);
     for (const endpoint of deployment.endpoints)
       endpoint.mode = EndpointMode.AbortsStreams;
-    const { statusCode, text } = await send(cutOff, 'draft', 'draft-1');
+    const { statusCode, text } = await send(cutOff, 'draft', 'single-1');
     assert.equal(statusCode, 200);
     const ids = [...text.matchAll(/id: (\d+)/g)].map(match => Number(match[1]));
     assert.deepEqual(ids, [1, 2, 3, 4]);
@@ -212,14 +212,14 @@
     for (const endpoint of deployment.endpoints)
       endpoint.mode = EndpointMode.Hangs;
     const leave = new AbortController();
-    const response = send(cutOff, 'lookup', 'lookup-1', leave.signal);
-    await waitUntil(() => runIds().includes('lookup-1'));
+    const response = send(cutOff, 'lookup', 'single-1', leave.signal);
+    await waitUntil(() => runIds().includes('single-1'));
     leave.abort();
     await assert.rejects(response);
     const leftAtMs = performance.now();
     await waitUntil(() =>
       deployment.endpoints.some(each =>
-        each.abortedRequestIds.includes('lookup-1'),
+        each.abortedRequestIds.includes('single-1'),
       ),
     );
     assert.ok(performance.now() - leftAtMs < 500);
@@ -234,7 +234,7 @@
     for (let round = 0; round < ROUNDS; round += 1) {
       await serveAll(first);
       await delay(100);
-      const id = `draft-${round}`;
+      const id = `single-${round}`;
       assert.equal((await send(first, 'draft', id)).statusCode, 200);
     }
   });
