--- a/packages/core/src/forwarding/call-at.ts
+++ b/packages/core/src/forwarding/call-at.ts
@@ -1,15 +1,20 @@
-import type { Clock } from '../ports/index.js';
+import type { IdleTimerDependencies } from './idle-timer.js';
 
-/** Calls back at a time. Aborting the returned controller cancels the call. */
+/**
+ * Calls back at a time, after what has arrived by then was read. Aborting the
+ * returned controller cancels the call.
+ */
 export function callAt(
-  clock: Clock,
+  { clock, nextPoll }: IdleTimerDependencies,
   atMs: number,
   callback: () => void,
 ): AbortController {
   const cancellation = new AbortController();
-  clock.waitUntil(atMs, cancellation.signal).then(
-    callback,
-    () => undefined, // cancelled
-  );
+  const { signal } = cancellation;
+  const call = () => {
+    if (!signal.aborted) callback();
+  };
+  const ignore = () => undefined; // cancelled before its time
+  clock.waitUntil(atMs, signal).then(nextPoll).then(call, ignore);
   return cancellation;
 }
--- /dev/null
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -0,0 +1,141 @@
+import type {
+  EndpointPool,
+  PoolQuery,
+  PoolReservation,
+} from './endpoint-pool.js';
+import { AttemptEndKind } from './forward-attempt.js';
+import type { ForwardRequest } from './forward-request.js';
+import type { VersionSelector } from './forwarder.js';
+import type { RelayedPart, RequestRelay } from './request-relay.js';
+
+export interface EndpointChoiceOptions {
+  readonly group: string;
+  readonly request: ForwardRequest;
+  /** Whether the request may be sent again to an endpoint that it reached. */
+  readonly isRepeatable: boolean;
+  readonly pool: EndpointPool;
+  readonly versions: VersionSelector;
+  readonly requestRelay: RequestRelay;
+  /** Given if a peer passed the request on to this daemon. */
+  readonly relayed: RelayedPart | undefined;
+}
+
+/** Chooses the endpoints of one request's attempts. */
+export class EndpointChoice {
+  private readonly tried = new Set<string>();
+  /** Endpoints to which the request may have been written. */
+  private readonly reached = new Set<string>();
+  /** Endpoints that were left as they were silent. */
+  private readonly left = new Set<string>();
+
+  private hasTriedPeer = false;
+
+  constructor(private readonly options: EndpointChoiceOptions) {
+    for (const id of options.relayed?.excludedIds ?? []) this.recordRelayed(id);
+  }
+
+  /** Ids of the endpoints and peers that were tried. */
+  get triedIds(): readonly string[] {
+    return [...this.tried];
+  }
+
+  /** Records an endpoint to which a peer has sent the request. */
+  recordRelayed(id: string): void {
+    this.tried.add(id);
+    this.reached.add(id);
+  }
+
+  recordDispatch(id: string): void {
+    this.tried.add(id);
+  }
+
+  recordEnd(id: string, kind: AttemptEndKind): void {
+    if (kind !== AttemptEndKind.NotSent) this.reached.add(id);
+    if (kind === AttemptEndKind.Silent) this.left.add(id);
+    else this.left.delete(id);
+  }
+
+  /**
+   * Reserves an endpoint that was not tried, or any if all were tried. A request
+   * that may not be repeated never returns to an endpoint that it reached: a copy
+   * of the endpoint's refusal could be taken for the answer to the second attempt.
+   * Where this daemon reaches no endpoint, a peer is reserved.
+   */
+  reserve(nowMs: number): PoolReservation | undefined {
+    const peer = this.reservePeer(nowMs);
+    if (peer !== undefined || this.isBarredFromEndpoints()) return peer;
+    const { isRepeatable } = this.options;
+    const barred = isRepeatable ? new Set<string>() : this.reached;
+    const isFirst = this.tried.size === 0;
+    return this.reserveOutside(
+      isFirst ? [this.tried] : [this.tried, barred],
+      nowMs,
+    );
+  }
+
+  /** Reserves an endpoint that was not tried. */
+  reserveUntried(nowMs: number): PoolReservation | undefined {
+    const peer = this.reservePeer(nowMs);
+    if (peer !== undefined || this.isBarredFromEndpoints()) return peer;
+    return this.reserveOutside([this.tried], nowMs);
+  }
+
+  /** Reserves an endpoint that was left for another one. */
+  reserveLeft(nowMs: number): PoolReservation | undefined {
+    const { group, pool } = this.options;
+    const others = pool
+      .readyEndpoints(group, nowMs)
+      .map(({ id }) => id)
+      .filter(id => !this.left.has(id));
+    return pool.reserve({ ...this.query(), excluded: new Set(others) }, nowMs);
+  }
+
+  private reservePeer(nowMs: number): PoolReservation | undefined {
+    const { group, relayed, requestRelay } = this.options;
+    if (relayed !== undefined) return undefined;
+    const peer = requestRelay.reserve(group, this.tried, nowMs);
+    this.hasTriedPeer ||= peer !== undefined;
+    return peer;
+  }
+
+  /** Returns whether only another daemon can still reach an endpoint for the request. */
+  private isBarredFromEndpoints(): boolean {
+    const { group, relayed, requestRelay } = this.options;
+    const isOthersTurn = relayed !== undefined || this.hasTriedPeer;
+    return isOthersTurn && requestRelay.isUnreachable(group);
+  }
+
+  /** Reserves an endpoint outside the first of the sets that leaves one. */
+  private reserveOutside(
+    exclusions: readonly ReadonlySet<string>[],
+    nowMs: number,
+  ): PoolReservation | undefined {
+    const { group, pool, versions } = this.options;
+    const rule =
+      this.tried.size === 0
+        ? versions.choose(group)
+        : versions.chooseForRetry(group);
+    const query: Omit<PoolQuery, 'excluded'> = {
+      ...this.query(),
+      ...(rule.only === undefined ? {} : { onlyVersion: rule.only }),
+      ...(rule.not === undefined ? {} : { notVersion: rule.not }),
+    };
+    for (const excluded of exclusions) {
+      const reserved = pool.reserve({ ...query, excluded }, nowMs);
+      if (reserved !== undefined) return reserved;
+    }
+    if (rule.only === undefined) return undefined;
+    // The version on trial has no usable endpoint; fall back to any other version.
+    const { onlyVersion, ...rest } = query;
+    return pool.reserve(
+      { ...rest, excluded: this.tried, notVersion: onlyVersion ?? '' },
+      nowMs,
+    );
+  }
+
+  private query(): Omit<PoolQuery, 'excluded'> {
+    const { group, request } = this.options;
+    const { promptParts, usage } = request.metadata;
+    return { group, promptParts, promptTokens: usage?.promptTokens ?? 0 };
+  }
+}
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -36,6 +36,8 @@
   readonly upstream: ScriptedUpstream;
   readonly crashGuard = new RecordingCrashGuard();
   readonly usageWorkspaces: string[] = [];
+  /** Latest deadline of requests that may be sent. */
+  latestDeadlineAtMs = Infinity;
   readonly pool = new EndpointPool(new SeededRandom(1), {
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
@@ -43,19 +45,17 @@
     limiter: UNLIMITED,
   });
   private readonly forwarder: Forwarder;
+  private revision = 0;
 
   constructor(
     script: readonly ScriptedResponse[],
     private readonly route: ForwardRoute,
     { endpoints = ENDPOINTS, retries = 10 } = {},
   ) {
-    this.upstream = new ScriptedUpstream(script);
+    this.upstream = new ScriptedUpstream(script, this.clock);
     const configuration = new ConfigurationStore();
     configuration.apply(sampleConfiguration([route]));
-    this.pool.apply({
-      revision: 1,
-      endpoints: endpoints.map(id => sampleEndpoint(id)),
-    });
+    this.listEndpoints(endpoints);
     const budget = new RetryBudget({
       refillPerFirstAttempt: 0,
       capacity: retries,
@@ -63,6 +63,7 @@
     });
     this.forwarder = new Forwarder({
       clock: this.clock,
+      nextPoll: () => Promise.resolve(),
       log: noopLog,
       metrics: noopMetrics,
       protocol: new PlainProtocol(),
@@ -93,6 +94,18 @@
           this.usageWorkspaces.push(workspace);
         },
       },
+      dispatchWindow: {
+        isOpenUntil: deadlineAtMs => deadlineAtMs <= this.latestDeadlineAtMs,
+      },
+    });
+  }
+
+  /** Replaces the endpoints that are listed. */
+  listEndpoints(ids: readonly string[]): void {
+    this.revision += 1;
+    this.pool.apply({
+      revision: this.revision,
+      endpoints: ids.map(id => sampleEndpoint(id)),
     });
   }
 
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -1,10 +1,11 @@
-import type { Clock } from '../ports/index.js';
 import { NotSentError } from '../ports/index.js';
 import type { PoolReservation } from './endpoint-pool.js';
 import { AttemptVerdict } from './endpoint-pool.js';
 import type { RawHeaders, ResponseMetadata } from './forward-request.js';
 import type { AttemptObservation } from './forwarder.js';
-import { IdleTimer } from './idle-timer.js';
+import type { IdleTimerDependencies } from './idle-timer.js';
+import type { SilenceOptions } from './silence-detector.js';
+import { SilenceDetector } from './silence-detector.js';
 import type {
   EndpointRequest,
   EndpointResponse,
@@ -23,7 +24,10 @@
   Misdirected = 'misdirected',
   /** The response is lost, invalid or truncated; the request may have been executed. */
   Failed = 'failed',
-  /** No data arrived within the attempt's timeout; the request may have been executed. */
+  /**
+   * The endpoint was silent and another attempt takes over, or it only sent bytes
+   * that complete no event; the request may have been executed.
+   */
   Silent = 'silent',
   /** The request itself has ended: its caller disconnected or its deadline passed. */
   Cancelled = 'cancelled',
@@ -50,6 +54,8 @@
   readonly kind: AttemptEndKind;
   readonly crashEvidence: CrashEvidence;
   readonly reason?: string;
+  /** Delay of the timer that found the endpoint silent: the time for which this daemon itself was held up. */
+  readonly noticedLateMs?: number;
   readonly response?: BufferedResponse;
 }
 
@@ -73,17 +79,12 @@
   finish(): StreamEnd;
 }
 
-export interface AttemptDependencies {
-  readonly clock: Clock;
+export interface AttemptDependencies extends IdleTimerDependencies {
   readonly upstream: Pick<Upstream, 'send'>;
 }
 
-export interface AttemptOptions {
+export interface AttemptOptions extends SilenceOptions {
   readonly requestId: string;
-  /** Maximum time from sending the request to the first chunk of the response body, or to the first event of a stream. */
-  readonly firstChunkTimeoutMs: number;
-  /** Maximum gap between two chunks of the body, or between two events of a stream. */
-  readonly chunkGapTimeoutMs: number;
   /** Consumes the body if it is an event stream. */
   readonly stream: StreamConsumer | undefined;
   readonly observation: AttemptObservation;
@@ -113,24 +114,22 @@
   /** Rate limit that the endpoint named in its response. */
   limitPerSecond: number | undefined;
   private readonly upstreamAbort = new AbortController();
-  private hasTimedOut = false;
   private firstEventAtMs: number | undefined;
-  private readonly idleTimer: IdleTimer;
+  private readonly silence: SilenceDetector;
 
   constructor(
     private readonly deps: AttemptDependencies,
     private readonly reservation: PoolReservation,
     private readonly options: AttemptOptions,
   ) {
-    this.idleTimer = new IdleTimer(deps.clock, () => {
-      this.abandon();
+    this.silence = new SilenceDetector(deps, options, () => {
+      this.upstreamAbort.abort();
     });
   }
 
-  /** Ends the attempt as one whose endpoint is silent. */
-  abandon(): void {
-    this.hasTimedOut = true;
-    this.upstreamAbort.abort();
+  /** Takes the endpoint for silent before its timeout, if another attempt can take over. */
+  recordUnreachable(): void {
+    this.silence.expire();
   }
 
   async run(call: EndpointRequest): Promise<AttemptOutcome> {
@@ -139,7 +138,7 @@
       this.upstreamAbort.abort();
     };
     signal.addEventListener('abort', onRequestEnd, { once: true });
-    this.idleTimer.reset(this.options.firstChunkTimeoutMs);
+    this.silence.start();
     let result: AttemptOutcome;
     try {
       signal.throwIfAborted();
@@ -152,7 +151,7 @@
       result = this.resultOfError(error);
     } finally {
       signal.removeEventListener('abort', onRequestEnd);
-      this.idleTimer.stop();
+      this.silence.stop();
       // Closes the connection unless the response was read to its end.
       this.upstreamAbort.abort();
     }
@@ -224,7 +223,7 @@
     const chunks: Uint8Array[] = [];
     let bytes = 0;
     for await (const chunk of response.body) {
-      this.idleTimer.reset(this.options.chunkGapTimeoutMs);
+      this.silence.recordProgress();
       bytes += chunk.length;
       if (bytes > MAX_BUFFERED_BYTES) return failed('the answer is too large');
       chunks.push(chunk);
@@ -248,14 +247,17 @@
     for await (const chunk of response.body) {
       const nowMs = this.deps.clock.nowMs();
       const newEvents = stream.add(chunk);
-      // Bytes that are no event for the caller do not keep the attempt alive.
-      if (newEvents === 0) continue;
-      this.idleTimer.reset(this.options.chunkGapTimeoutMs);
+      if (newEvents === 0) {
+        this.silence.recordFruitless();
+        continue;
+      }
       if (this.firstEventAtMs === undefined)
         this.reservation.recordFirstEvent(nowMs);
       this.firstEventAtMs ??= nowMs;
       this.options.observation.recordEvents(newEvents, nowMs);
+      this.silence.pause();
       await stream.flush();
+      this.silence.recordProgress();
     }
     const end = stream.finish();
     if (end !== StreamEnd.Complete) return this.lost(end);
@@ -280,7 +282,9 @@
 
   private resultOfError(error: unknown): AttemptOutcome {
     if (this.options.signal.aborted) return endedAs(AttemptEndKind.Cancelled);
-    if (this.hasTimedOut) return endedAs(AttemptEndKind.Silent);
+    const { noticedLateMs } = this.silence;
+    if (noticedLateMs !== undefined)
+      return { ...endedAs(AttemptEndKind.Silent), noticedLateMs };
     const reason = String(error);
     return error instanceof NotSentError
       ? { ...endedAs(AttemptEndKind.NotSent), reason }
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -1,8 +1,10 @@
 import type { LogFields } from '../ports/index.js';
 import { LogComponent } from '../ports/index.js';
+import { AttemptSequence } from './attempt-sequence.js';
 import { attemptTimeouts } from './attempt-timeouts.js';
 import { callAt } from './call-at.js';
 import { RouteType } from './configuration.js';
+import { EndpointChoice } from './endpoint-choice.js';
 import type { PoolReservation } from './endpoint-pool.js';
 import type { AttemptOutcome, BufferedResponse } from './forward-attempt.js';
 import {
@@ -11,38 +13,38 @@
   isEndpointError,
   isFailure,
 } from './forward-attempt.js';
-import type { ForwardError } from './forward-error.js';
+import { daemonStoppingError, ForwardError } from './forward-error.js';
+import { deadlineOf } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
 import { runPeerAttempt } from './peer-attempt.js';
-import { reserveEndpoint } from './reserve-endpoint.js';
+import { RetryObstacle } from './retry-obstacle.js';
 import type { RunContext } from './run-context.js';
-import { RunOutcome } from './run-context.js';
 import { toForwardError } from './run-failure.js';
-import { RunReport } from './run-report.js';
+import { RunOutcome } from './run-outcome.js';
 import { StreamRelay } from './stream-relay.js';
 import type { ResponseWriter } from './upstream.js';
 
-/** Number of unreachable endpoints after which the request fails. */
-const MAX_UNSENT_ATTEMPTS = 3;
-/** Minimum time before the deadline for which another attempt is worth its cost. */
-const MIN_TIME_FOR_ATTEMPT_MS = 20;
-
 /** Execution of one request by one or more attempts at endpoints. */
 export class ForwardRun {
   outcome = RunOutcome.Pending;
   private readonly deadlineAtMs: number;
   private readonly runAbort = new AbortController();
-  private readonly excluded = new Set<string>();
-  /** Endpoints to which the request may have been written. */
-  private readonly reached = new Set<string>();
+  private readonly sequence: AttemptSequence;
   private readonly relay: StreamRelay | undefined;
-  /** Number of attempts that reached their endpoint; unsent and misdirected ones do not count. */
-  private attempts = 0;
-  private unsentAttempts = 0;
   private isTimedOut = false;
   private mayHaveRun = false;
   private isUsageCounted = false;
-  private readonly report = new RunReport();
+  private lastEnd: AttemptEndKind | undefined;
+  private firstResponseAtMs: number | undefined;
+  private lastEndpointId = '';
+  /** Peer through which the last attempt was made; undefined if none was. */
+  private lastPeerId: string | undefined;
+  /** Time from the request's arrival to the dispatch of its last attempt. */
+  private dispatchedAfterMs = 0;
+  /** Rate limit that the last attempt's endpoint named. */
+  private limitPerSecond: number | undefined;
+  /** Age of the endpoint list at the dispatch of the last attempt. */
+  private endpointListAgeMs = 0;
 
   constructor(
     private readonly deps: ForwarderDependencies,
@@ -51,13 +53,8 @@
   ) {
     const { resolved, request } = context;
     const { route } = resolved;
-    const callerTimeoutMs = request.metadata.callerTimeoutMs ?? Infinity;
-    this.deadlineAtMs =
-      request.receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
-    for (const id of context.relayed?.excludedIds ?? []) {
-      this.excluded.add(id);
-      this.reached.add(id);
-    }
+    this.deadlineAtMs = deadlineOf(request, route);
+    this.sequence = this.createSequence();
     if (route.type !== RouteType.Streaming) return;
     this.relay = new StreamRelay(
       sink,
@@ -69,45 +66,69 @@
     );
   }
 
-  /** Resolves once the response is sent or the caller has disconnected. Throws `ForwardError` only before any part of the response is sent. */
+  /** Resolves once the response is sent or the caller has disconnected; the signal is aborted then, or with a `ForwardError` that ends the request. Throws `ForwardError` only before any part of the response is sent. */
   async serve(signal: AbortSignal): Promise<void> {
     const { budget, relayed } = this.context;
     if (relayed === undefined) budget.recordFirstAttempt();
-    const onCallerDisconnect = () => {
+    const onAbort = () => {
       this.runAbort.abort();
     };
-    signal.addEventListener('abort', onCallerDisconnect, { once: true });
-    const timer = callAt(this.deps.clock, this.deadlineAtMs, () => {
+    signal.addEventListener('abort', onAbort, { once: true });
+    const timer = callAt(this.deps, this.deadlineAtMs, () => {
       this.isTimedOut = true;
       this.runAbort.abort();
     });
     try {
       await this.runAttempts(signal);
     } finally {
-      signal.removeEventListener('abort', onCallerDisconnect);
+      signal.removeEventListener('abort', onAbort);
       timer.abort();
+      this.sequence.close();
     }
   }
 
   summary(): LogFields {
-    const { attempts, mayHaveRun } = this;
-    const { group } = this.context;
-    return { group, attempts, mayHaveRun, ...this.report.fields(this.relay) };
+    const { request } = this.context;
+    const fields = {
+      group: this.context.group,
+      endpoint: this.lastEndpointId,
+      attempts: this.sequence.attempts,
+      mayHaveRun: this.mayHaveRun,
+      ...(this.lastEnd !== undefined && { lastEnd: this.lastEnd }),
+      ...(this.sequence.obstacle !== undefined && {
+        notRetried: this.sequence.obstacle,
+      }),
+      dispatchedAfterMs: Math.round(this.dispatchedAfterMs),
+      endpointListAgeMs: Math.round(this.endpointListAgeMs),
+      ...(this.relay && {
+        events: this.relay.attemptEvents,
+        isFramed: this.relay.isAttemptFramed,
+      }),
+      ...(this.lastPeerId !== undefined && { peer: this.lastPeerId }),
+      ...(this.limitPerSecond !== undefined && {
+        limitPerSecond: this.limitPerSecond,
+      }),
+    };
+    if (this.firstResponseAtMs === undefined) return fields;
+    const firstAnswerMs = this.firstResponseAtMs - request.receivedAtMs;
+    return { ...fields, firstAnswerMs: Math.round(firstAnswerMs) };
   }
 
   private async runAttempts(signal: AbortSignal): Promise<void> {
     let response: BufferedResponse | undefined;
     let last: AttemptOutcome | undefined;
-    do {
-      const next = await this.attemptNext();
-      if (next === undefined) break;
-      last = next;
-      if (signal.aborted) {
+    let reservation = this.sequence.first();
+    while (reservation !== undefined) {
+      last = await (reservation.isPeer === true
+        ? this.attemptThrough(reservation)
+        : this.attempt(reservation));
+      if (signal.aborted && !(signal.reason instanceof ForwardError)) {
         this.outcome = RunOutcome.CallerDisconnected;
         return;
       }
       response = last.response ?? response;
-    } while (this.mayRetry(last));
+      reservation = this.sequence.next(last);
+    }
     if (last?.kind === AttemptEndKind.Answered && last.response === undefined) {
       this.outcome = RunOutcome.Answered;
       return;
@@ -117,51 +138,38 @@
       this.sink.destroy();
       return;
     }
-    if (response === undefined) throw this.createError(last);
+    if (response === undefined) throw this.createError(last, signal);
     this.sendResponse(response);
   }
 
-  /** Makes an attempt at an endpoint, or through a peer if this daemon reaches no endpoint. Resolves with undefined if there is no way to make one. */
-  private async attemptNext(): Promise<AttemptOutcome | undefined> {
-    const { clock, requestRelay } = this.deps;
-    const { group, relayed } = this.context;
-    if (requestRelay.isUnreachable(group)) {
-      if (relayed !== undefined) return undefined;
-      const peer = requestRelay.reserve(group, this.excluded, clock.nowMs());
-      if (peer !== undefined) return this.attemptThrough(peer);
-      const isExhausted = this.unsentAttempts >= MAX_UNSENT_ATTEMPTS;
-      if (isExhausted || this.report.peerId !== undefined) return undefined;
-    }
-    const reservation = this.reserveEndpoint();
-    return reservation && this.attempt(reservation);
-  }
-
   private async attemptThrough(
     reservation: PoolReservation,
   ): Promise<AttemptOutcome> {
-    const { resolved, request } = this.context;
+    const { request, resolved } = this.context;
+    const { sequence } = this;
     const sentAtMs = this.deps.clock.nowMs();
-    this.report.peerId = reservation.endpoint.id;
-    this.report.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
-    this.attempts += 1;
+    this.lastPeerId = reservation.endpoint.id;
+    this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
+    const relayed = {
+      request,
+      remainingMs: this.remainingMs(sentAtMs),
+      lastEventId: this.relay?.lastEventId,
+      excludedIds: sequence.triedIds,
+    };
+    sequence.recordDispatch(reservation.endpoint.id);
     const result = await runPeerAttempt({
       ...this.deps,
       reservation,
-      relayed: {
-        request,
-        remainingMs: this.remainingMs(sentAtMs),
-        lastEventId: this.relay?.lastEventId,
-        excludedIds: [...this.excluded],
-      },
+      relayed,
       options: {
         ...attemptTimeouts(resolved.route, this.isRepeatable()),
+        onSilence: () => sequence.tryReserveReplacement(),
         stream: this.relay,
         signal: this.runAbort.signal,
       },
       onEndpoint: id => {
-        this.report.endpointId = id;
-        this.excluded.add(id);
-        this.reached.add(id);
+        this.lastEndpointId = id;
+        sequence.recordRelayed(id);
       },
     });
     this.recordResult(result, reservation, sentAtMs);
@@ -173,10 +181,10 @@
     const { endpoint } = reservation;
     const { clock, pool, protocol, versions } = this.deps;
     const sentAtMs = clock.nowMs();
-    this.report.endpointId = endpoint.id;
-    this.report.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
-    this.report.endpointListAgeMs = this.deps.endpointListAgeMs();
-    this.attempts += 1;
+    this.lastEndpointId = endpoint.id;
+    this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
+    this.endpointListAgeMs = this.deps.endpointListAgeMs();
+    this.sequence.recordDispatch(endpoint.id);
     this.context.relayed?.onDispatch(endpoint.id);
     const observation = versions.observe({
       group: endpoint.group,
@@ -186,15 +194,17 @@
     const attempt = new ForwardAttempt(this.deps, reservation, {
       ...attemptTimeouts(resolved.route, this.isRepeatable()),
       observation,
+      onSilence: () => this.sequence.tryReserveReplacement(),
       requestId: request.requestId,
       stream: this.relay,
       signal: this.runAbort.signal,
     });
-    const stopListening = this.isRepeatable()
-      ? this.deps.requestRelay.onSilence(endpoint.group, () => {
-          attempt.abandon();
-        })
-      : undefined;
+    const stopListening = this.deps.requestRelay.onSilence(
+      endpoint.group,
+      () => {
+        attempt.recordUnreachable();
+      },
+    );
     const result = await attempt.run({
       endpoint,
       method: request.method,
@@ -209,8 +219,8 @@
         urgency: undefined,
       }),
     });
-    stopListening?.();
-    this.report.limitPerSecond = attempt.limitPerSecond;
+    stopListening();
+    this.limitPerSecond = attempt.limitPerSecond;
     this.recordResult(result, reservation, sentAtMs);
     const { suspectIds } = this.context;
     const { requestId } = request;
@@ -229,17 +239,13 @@
   ): void {
     const { clock, log, metrics, pool } = this.deps;
     const nowMs = clock.nowMs();
-    this.excluded.add(endpoint.id);
-    if (result.kind !== AttemptEndKind.NotSent) this.reached.add(endpoint.id);
+    this.lastEnd = result.kind;
+    this.sequence.recordEnd(endpoint.id, result.kind);
     switch (result.kind) {
-      case AttemptEndKind.NotSent:
-        this.attempts -= 1;
-        this.unsentAttempts += 1;
-        break;
       case AttemptEndKind.Misdirected:
-        this.attempts -= 1;
         pool.recordMisdirected(endpoint.id, nowMs);
         break;
+      case AttemptEndKind.NotSent:
       case AttemptEndKind.NotRun:
         break;
       case AttemptEndKind.Answered:
@@ -257,43 +263,41 @@
       endpoint: endpoint.id,
       end: result.kind,
       reason: result.reason ?? '',
+      ...(result.noticedLateMs !== undefined && {
+        noticedLateMs: Math.round(result.noticedLateMs),
+      }),
       elapsedMs: Math.round(nowMs - sentAtMs),
-      attempts: this.attempts,
+      attempts: this.sequence.attempts,
     });
   }
 
-  private mayRetry(result: AttemptOutcome): boolean {
-    const { budget, group, suspectIds } = this.context;
-    const remainingMs = this.deadlineAtMs - this.deps.clock.nowMs();
-    if (this.isTimedOut || remainingMs < MIN_TIME_FOR_ATTEMPT_MS) return false;
-    if (this.deps.crashGuard.blockedForMs(suspectIds) !== undefined)
-      return false;
-    const hasAttemptsLeft = this.attempts < this.maxAttempts();
-    switch (result.kind) {
-      case AttemptEndKind.NotSent:
-        return (
-          this.unsentAttempts < MAX_UNSENT_ATTEMPTS ||
-          (this.unsentAttempts === MAX_UNSENT_ATTEMPTS &&
-            this.deps.requestRelay.isUnreachable(group))
-        );
-      case AttemptEndKind.Misdirected:
-      case AttemptEndKind.NotRun:
-        return hasAttemptsLeft && budget.tryAcquire();
-      case AttemptEndKind.Answered:
-        if (!isEndpointError(result.response)) return false;
-        return this.isRepeatable() && hasAttemptsLeft && budget.tryAcquire();
-      case AttemptEndKind.Failed:
-      case AttemptEndKind.Silent:
-        return this.isRepeatable() && hasAttemptsLeft && budget.tryAcquire();
-      case AttemptEndKind.Cancelled:
-        return false;
-    }
-  }
-
-  /** Returns the number of attempts that may reach an endpoint; a request that a peer passed on gets one. */
-  private maxAttempts(): number {
-    const { relayed, resolved } = this.context;
-    return relayed === undefined ? resolved.route.maxAttempts : 1;
+  private createSequence(): AttemptSequence {
+    const { clock, crashGuard, dispatchWindow, pool, versions } = this.deps;
+    const { budget, group, relayed, request, resolved, suspectIds } =
+      this.context;
+    const { requestRelay } = this.deps;
+    const isRepeatable = this.isRepeatable();
+    return new AttemptSequence({
+      clock,
+      crashGuard,
+      dispatchWindow,
+      budget,
+      endpoints: new EndpointChoice({
+        group,
+        request,
+        isRepeatable,
+        pool,
+        versions,
+        requestRelay,
+        relayed,
+      }),
+      suspectIds,
+      signal: this.runAbort.signal,
+      deadlineAtMs: this.deadlineAtMs,
+      isRepeatable,
+      // The daemon that took the request from its caller decides on a retry.
+      maxAttempts: relayed === undefined ? resolved.route.maxAttempts : 1,
+    });
   }
 
   private remainingMs(nowMs: number): number {
@@ -305,19 +309,6 @@
     return type === RouteType.Idempotent || isResumable;
   }
 
-  /**
-   * A request that may not be repeated never returns to an endpoint that it
-   * reached: a copy of the endpoint's refusal could be taken for the answer to
-   * the second attempt.
-   */
-  private reserveEndpoint(): PoolReservation | undefined {
-    const { group, request } = this.context;
-    const { excluded, reached } = this;
-    const barred = this.isRepeatable() ? new Set<string>() : reached;
-    const { metadata } = request;
-    return reserveEndpoint(this.deps, { group, metadata, excluded, barred });
-  }
-
   private sendResponse(response: BufferedResponse): void {
     const { protocol } = this.deps;
     this.outcome = isEndpointError(response)
@@ -329,8 +320,14 @@
     this.sink.end();
   }
 
-  private createError(last: AttemptOutcome | undefined): ForwardError {
+  private createError(
+    last: AttemptOutcome | undefined,
+    { reason }: AbortSignal,
+  ): ForwardError {
     const { isTimedOut, mayHaveRun } = this;
+    if (reason instanceof ForwardError && !mayHaveRun) return reason;
+    if (this.sequence.obstacle === RetryObstacle.Stopping && !mayHaveRun)
+      return daemonStoppingError();
     const { clock, pool } = this.deps;
     const { group } = this.context;
     return toForwardError({
@@ -344,8 +341,7 @@
 
   /** Records that an endpoint has started the request, and counts it once for its workspace. */
   private recordStarted(startedAgoMs: number): void {
-    this.report.firstAnswerMs ??=
-      this.deps.clock.nowMs() - this.context.request.receivedAtMs;
+    this.firstResponseAtMs ??= this.deps.clock.nowMs();
     // The daemon that took a request from its caller counts it.
     if (this.isUsageCounted || this.context.relayed !== undefined) return;
     this.isUsageCounted = true;
--- a/packages/core/src/forwarding/peer-attempt.ts
+++ b/packages/core/src/forwarding/peer-attempt.ts
@@ -1,13 +1,15 @@
-import type { Clock } from '../ports/index.js';
 import type { PoolReservation } from './endpoint-pool.js';
-import type { AttemptOptions, AttemptOutcome } from './forward-attempt.js';
+import type {
+  AttemptDependencies,
+  AttemptOptions,
+  AttemptOutcome,
+} from './forward-attempt.js';
 import { ForwardAttempt } from './forward-attempt.js';
 import type { AttemptObservation } from './forwarder.js';
 import type { RelayedRequest, RequestRelay } from './request-relay.js';
 import type { Upstream } from './upstream.js';
 
-export interface PeerAttempt {
-  readonly clock: Clock;
+export interface PeerAttempt extends Omit<AttemptDependencies, 'upstream'> {
   readonly requestRelay: RequestRelay;
   readonly reservation: PoolReservation;
   readonly relayed: RelayedRequest;
@@ -25,6 +27,7 @@
 /** Makes one attempt through a peer, whose response is followed like that of an endpoint. */
 export function runPeerAttempt({
   clock,
+  nextPoll,
   onEndpoint,
   options,
   relayed,
@@ -36,11 +39,15 @@
       requestRelay.send(endpoint, relayed, onEndpoint, signal),
   };
   const { requestId } = relayed.request;
-  const attempt = new ForwardAttempt({ clock, upstream }, reservation, {
-    ...options,
-    requestId,
-    observation: NO_OBSERVATION,
-  });
+  const attempt = new ForwardAttempt(
+    { clock, nextPoll, upstream },
+    reservation,
+    {
+      ...options,
+      requestId,
+      observation: NO_OBSERVATION,
+    },
+  );
   const isEndpointUsable = () => true;
   const { endpoint } = reservation;
   return attempt.run({ ...relayed.request, endpoint, isEndpointUsable });
--- a/packages/core/src/forwarding/request-relay.ts
+++ b/packages/core/src/forwarding/request-relay.ts
@@ -25,7 +25,7 @@
 export interface RequestRelay {
   /** Whether this daemon reaches no endpoint of a group. */
   isUnreachable(group: string): boolean;
-  /** Reserves a peer that reaches a group's endpoints where this daemon does not; the reservation's endpoint is the peer. */
+  /** Reserves a peer that reaches a group's endpoints where this daemon does not; the reservation's endpoint is the peer. Undefined if this daemon reaches them, or no such peer is known. */
   reserve(
     group: string,
     excludedIds: ReadonlySet<string>,
--- a/packages/core/src/forwarding/run-context.ts
+++ b/packages/core/src/forwarding/run-context.ts
@@ -3,17 +3,7 @@
 import type { RelayedPart } from './request-relay.js';
 import type { ResolvedRequest } from './resolve-request.js';
 
-/** Outcome of a request that an endpoint answered or whose caller disconnected. */
-export enum RunOutcome {
-  Pending = 'pending',
-  Answered = 'answered',
-  /** The endpoint's own error response was forwarded to the caller. */
-  EndpointError = 'endpointError',
-  CallerDisconnected = 'callerGone',
-  /** The response was aborted after its start. */
-  Truncated = 'brokenOff',
-}
-
+/** One request and what its run needs to know of it. */
 export interface RunContext {
   readonly request: ForwardRequest;
   readonly resolved: ResolvedRequest;
--- a/packages/core/src/reachability/relay-peers.ts
+++ b/packages/core/src/reachability/relay-peers.ts
@@ -121,6 +121,7 @@
     this.inFlightById.set(id, (this.inFlightById.get(id) ?? 0) + 1);
     return {
       endpoint: recordOf(peer, group),
+      isPeer: true,
       recordFirstEvent: () => undefined,
       recordLoad: () => undefined,
       recordLimit: () => undefined,
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -30,6 +30,7 @@
 } from '@skylarkreach/platform';
 
 import { HttpClient } from '../adapters/index.js';
+import { nextPoll } from '../http/index.js';
 import { createIntervalLoop, Loop } from '../loops/index.js';
 import { MessageSigner } from '../peers/index.js';
 import type { GatewaySettings } from '../settings/index.js';
@@ -53,6 +54,7 @@
 import { RelayServer } from './relay-server.js';
 import { RetryBudgets } from './retry-budgets.js';
 import { StateReplicator } from './state-replicator.js';
+import { StopSchedule } from './stop-schedule.js';
 
 /** Limits that apply until the first configuration arrives. */
 const DEFAULT_LIMITS: CallerLimits = {
@@ -77,6 +79,7 @@
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
   readonly ingress: IngressServer;
+  readonly stopSchedule: StopSchedule;
   readonly endpointClient: EndpointClient;
   /** Connections to peers for requests that are passed on. */
   readonly peerConnections: EndpointClient;
@@ -177,8 +180,10 @@
     }),
   });
   const retryBudgets = new RetryBudgets(settings, () => cluster.size);
+  const stopSchedule = new StopSchedule(clock);
   const forwarder = new Forwarder({
     ...context,
+    nextPoll,
     protocol: platform.protocol,
     upstream: new ObservedUpstream(endpointClient, reachability, clock),
     crashDetector: new CrashDetector({
@@ -196,6 +201,7 @@
     versions: rollouts,
     usageCounter: duties.usageLedger,
     requestRelay,
+    dispatchWindow: stopSchedule,
   });
   const limits = () => configuration.current?.limits ?? DEFAULT_LIMITS;
   const relayServer = new RelayServer({
@@ -270,6 +276,7 @@
     configuration,
     pool,
     ingress,
+    stopSchedule,
     endpointClient,
     peerConnections,
     relayServer,
--- a/packages/daemon/src/gateway/relay-client.ts
+++ b/packages/daemon/src/gateway/relay-client.ts
@@ -47,6 +47,7 @@
     excludedIds: ReadonlySet<string>,
     nowMs: number,
   ): PoolReservation | undefined {
+    if (!this.isUnreachable(group)) return undefined;
     return this.deps.peers.reserve(group, excludedIds, nowMs);
   }
 
--- a/packages/daemon/src/gateway/relay-server.ts
+++ b/packages/daemon/src/gateway/relay-server.ts
@@ -40,16 +40,10 @@
 /** Sends requests on to endpoints for peers that do not reach these. */
 export class RelayServer {
   private openResponseCount = 0;
-  private isRejectingRequests = false;
   private onIdle: (() => void) | undefined;
 
   constructor(private readonly deps: RelayServerDependencies) {}
 
-  /** Rejects further requests, so that peers send them elsewhere. */
-  rejectNewRequests(): void {
-    this.isRejectingRequests = true;
-  }
-
   /** Resolves once no response is in progress. */
   whenIdle(): Promise<void> {
     if (this.openResponseCount === 0) return Promise.resolve();
@@ -103,9 +97,6 @@
     };
     const sink = new RelaySink(response, () => endpointId);
     try {
-      if (this.isRejectingRequests) {
-        throw new ForwardError(ForwardErrorKind.Stopping, 'Stopping.', 0);
-      }
       const forwardRequest = this.toRequest(message, receivedAtMs);
       const part = { excludedIds, onDispatch };
       const { forwarder } = this.deps;
