--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -38,6 +38,8 @@
   readonly usageWorkspaces: string[] = [];
   /** Latest deadline of requests that may be sent. */
   latestDeadlineAtMs = Infinity;
+  /** Whether each attempt that has ended counts as a failure of its endpoint's version. */
+  readonly observedEnds: (boolean | undefined)[] = [];
   readonly pool = new EndpointPool(new SeededRandom(1), {
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
@@ -85,7 +87,9 @@
         chooseForRetry: () => ANY_VERSION,
         observe: () => ({
           recordEvents: () => undefined,
-          end: () => undefined,
+          end: hasFailed => {
+            this.observedEnds.push(hasFailed);
+          },
         }),
       },
       requestRelay: NO_RELAY,
--- a/packages/core/src/reachability/relay-peers.ts
+++ b/packages/core/src/reachability/relay-peers.ts
@@ -125,6 +125,7 @@
       recordFirstEvent: () => undefined,
       recordLoad: () => undefined,
       recordLimit: () => undefined,
+      recordSilence: () => undefined,
       release: (verdict, nowMs) => {
         const inFlight = (this.inFlightById.get(id) ?? 0) - 1;
         if (inFlight > 0) this.inFlightById.set(id, inFlight);
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -1,5 +1,7 @@
-import type { Dispatcher } from 'undici';
-import { buildConnector, Pool } from 'undici';
+import type { Socket } from 'node:net';
+
+import type { buildConnector, Dispatcher } from 'undici';
+import { errors, Pool } from 'undici';
 
 import type {
   EndpointRecord,
@@ -12,7 +14,11 @@
 import { AnswerLostError, NotSentError } from '@skylarkreach/core/ports';
 import type { ConnectionProbe } from '@skylarkreach/core/reachability';
 
-import { isConnectError } from '../adapters/index.js';
+import {
+  ConnectionResetError,
+  createConnector,
+  isConnectError,
+} from '../adapters/index.js';
 import { nextPoll } from '../http/index.js';
 import type { RequestContext, ResponseMeter } from './metered-client.js';
 import { EndpointWithdrawnError, MeteredClient } from './metered-client.js';
@@ -27,11 +33,7 @@
 const KEEP_ALIVE_MARGIN_MS = 1_000; // endpoints state the timeout in whole seconds
 const MAX_HEADER_BYTES = 65_536;
 /** System error codes of a connection that broke instead of being closed by its endpoint. */
-const RESET_CODES: ReadonlySet<string> = new Set([
-  'ECONNRESET',
-  'EPIPE',
-  'ETIMEDOUT',
-]);
+const RESET_CODES: ReadonlySet<string> = new Set(['EPIPE', 'ETIMEDOUT']);
 
 /** Result of an attempt to connect to an endpoint. */
 enum ConnectResult {
@@ -60,12 +62,15 @@
 
   constructor(
     private readonly protocol: ForwardProtocol,
-    private readonly connect: EndpointConnector = createConnector(),
+    private readonly connect: EndpointConnector = createConnector({
+      timeout: CONNECT_TIMEOUT_MS,
+    }),
   ) {}
 
   /**
    * Sends a request and resolves with the response head. Throws `NotSentError`
-   * if no connection was established, `AnswerLostError` on any other failure.
+   * if no connection was or can be established, `AnswerLostError` on any other
+   * failure.
    */
   async send(
     call: EndpointRequest,
@@ -100,7 +105,7 @@
       };
     } catch (error) {
       const message = `Endpoint ${endpoint.id} did not respond (${String(error)}).`;
-      throw isConnectError(error) || error instanceof EndpointWithdrawnError
+      throw isUnsent(error)
         ? new NotSentError(message, { cause: error })
         : new AnswerLostError(message, { cause: error });
     }
@@ -111,7 +116,9 @@
     return result === ConnectResult.Refused;
   }
 
-  async acceptsConnections({ address }: EndpointRecord): Promise<boolean> {
+  async acceptsConnections({
+    address,
+  }: Pick<EndpointRecord, 'address'>): Promise<boolean> {
     const result = await this.tryConnect(address, PROBE_TIMEOUT_MS);
     return result === ConnectResult.Accepted;
   }
@@ -139,7 +146,9 @@
     address: Address,
     timeoutMs: number,
   ): Promise<ConnectResult> {
-    const { hostname, port, protocol } = new URL(`http://${address}`);
+    const origin = originOf(address);
+    if (origin === undefined) return Promise.resolve(ConnectResult.Failed);
+    const { hostname, port, protocol } = origin;
     return new Promise(resolve => {
       const timer = setTimeout(() => {
         // A daemon that was held up may have to read the result first.
@@ -161,6 +170,11 @@
   private connectionsFor(endpoint: EndpointRecord): EndpointConnections {
     const known = this.connections.get(endpoint.id);
     if (known?.address === endpoint.address) return known;
+    const origin = originOf(endpoint.address);
+    if (origin === undefined)
+      throw new NotSentError(
+        `Endpoint ${endpoint.id} has the address '${endpoint.address}', which cannot be used.`,
+      );
     // An endpoint may start again under its id at another address.
     if (known !== undefined) closeGracefully(known);
     const connectAndCountResets: buildConnector.connector = (
@@ -168,18 +182,19 @@
       callback,
     ) => {
       this.connect(options, (...result) => {
-        const [, socket] = result;
-        socket?.on('error', (error: NodeJS.ErrnoException) => {
-          // undici reports an orderly close with an error code of its own.
-          if (RESET_CODES.has(error.code ?? '')) connections.resetCount += 1;
-        });
+        const [error, socket] = result;
+        if (error === null) {
+          onReset(socket, () => {
+            connections.resetCount += 1;
+          });
+        }
         callback(...result);
       });
     };
-    const pool = new Pool(`http://${endpoint.address}`, {
-      factory: (origin, options) =>
+    const pool = new Pool(origin, {
+      factory: (poolOrigin, options) =>
         new MeteredClient(
-          origin,
+          poolOrigin,
           options,
           connectAndCountResets,
           this.contexts,
@@ -201,8 +216,37 @@
   }
 }
 
-function createConnector(): EndpointConnector {
-  return buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+/** Returns whether the error shows that no byte of the request was sent. */
+function isUnsent(error: unknown): boolean {
+  return (
+    isConnectError(error) ||
+    error instanceof EndpointWithdrawnError ||
+    // undici checks the arguments of a request before it connects.
+    error instanceof errors.InvalidArgumentError
+  );
+}
+
+/** Returns the origin of an address; undefined unless it consists of a host and a port. */
+function originOf(address: Address): URL | undefined {
+  const text = `http://${address}`;
+  if (!URL.canParse(text)) return undefined;
+  const url = new URL(text);
+  return url.href === `${url.origin}/` ? url : undefined;
+}
+
+/** Calls `listener` before undici takes notice of a reset of the connection. */
+function onReset(socket: Socket, listener: () => void): void {
+  socket.on('error', (error: NodeJS.ErrnoException) => {
+    // undici reports an orderly close with an error code of its own.
+    const isReset =
+      error instanceof ConnectionResetError ||
+      RESET_CODES.has(error.code ?? '');
+    if (isReset) listener();
+  });
+  socket.on('end', () => {
+    // libuv reports a reset that arrives together with data as an end; only a connection that is reset has no peer by then.
+    if (socket.remoteAddress === undefined) listener();
+  });
 }
 
 function closeGracefully({ pool }: EndpointConnections): void {
