Keep a refused connection from ending the process

undici passes no socket with an error, not null; the connector that delays ends read it as one and threw out of the socket's error event, which ends a daemon. The test failed before with 'Cannot read properties of undefined (reading read)', and passes now.

--- a/packages/daemon/src/adapters/connector.ts
+++ b/packages/daemon/src/adapters/connector.ts
@@ -21,8 +21,8 @@
   const connect = buildConnector(options);
   return (target, callback) => {
     connect(target, (...result) => {
-      const [, socket] = result;
-      if (socket !== null) {
+      const [error, socket] = result;
+      if (error === null) {
         delayEnd(socket);
         replaceResetErrors(socket);
       }
