--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -64,6 +64,16 @@
     this.options.endpoints.recordDispatch(id);
   }
 
+  /** Records an endpoint to which a peer has sent the request. */
+  recordRelayed(id: string): void {
+    this.options.endpoints.recordRelayed(id);
+  }
+
+  /** Ids of the endpoints and peers that were tried. */
+  get triedIds(): readonly string[] {
+    return this.options.endpoints.triedIds;
+  }
+
   recordEnd(id: string, kind: AttemptEndKind): void {
     this.options.endpoints.recordEnd(id, kind);
     if (kind === AttemptEndKind.NotSent) this.unsentAttempts += 1;
--- a/packages/core/src/forwarding/endpoint-choice.test.ts
+++ b/packages/core/src/forwarding/endpoint-choice.test.ts
@@ -12,6 +12,7 @@
 import { LeavingEndpoints } from './leaving-endpoints.js';
 import { UNGUARDED } from './overload-guard.js';
 import { PausedEndpoints } from './paused-endpoints.js';
+import { NO_RELAY } from './request-relay.js';
 
 describe('the choice of endpoints of a request', () => {
   it('does not return to an endpoint whose version was rolled back meanwhile', () => {
@@ -53,6 +54,8 @@
         },
       },
       isRepeatable: true,
+      requestRelay: NO_RELAY,
+      relayed: undefined,
       pool,
       versions: {
         choose: () => rule,
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -4,6 +4,7 @@
 import type { VersionConstraint, VersionSelector } from './forwarder.js';
 import type { PoolQuery } from './pool-query.js';
 import type { PoolReservation } from './pool-reservation.js';
+import type { RelayedPart, RequestRelay } from './request-relay.js';
 
 export interface EndpointChoiceOptions {
   readonly group: string;
@@ -12,6 +13,9 @@
   readonly isRepeatable: boolean;
   readonly pool: EndpointPool;
   readonly versions: VersionSelector;
+  readonly requestRelay: RequestRelay;
+  /** Given if a peer passed the request on to this daemon. */
+  readonly relayed: RelayedPart | undefined;
 }
 
 /** Chooses the endpoints of one request's attempts. */
@@ -22,7 +26,22 @@
   /** Endpoints that were left as they were silent. */
   private readonly left = new Set<string>();
 
-  constructor(private readonly options: EndpointChoiceOptions) {}
+  private hasTriedPeer = false;
+
+  constructor(private readonly options: EndpointChoiceOptions) {
+    for (const id of options.relayed?.excludedIds ?? []) this.recordRelayed(id);
+  }
+
+  /** Ids of the endpoints and peers that were tried. */
+  get triedIds(): readonly string[] {
+    return [...this.tried];
+  }
+
+  /** Records an endpoint to which a peer has sent the request. */
+  recordRelayed(id: string): void {
+    this.tried.add(id);
+    this.reached.add(id);
+  }
 
   recordDispatch(id: string): void {
     this.tried.add(id);
@@ -38,8 +57,11 @@
    * Reserves an endpoint that was not tried, or any if all were tried. A request
    * that may not be repeated never returns to an endpoint that it reached: a copy
    * of the endpoint's refusal could be taken for the answer to the second attempt.
+   * Where this daemon reaches no endpoint, a peer is reserved.
    */
   reserve(nowMs: number): PoolReservation | undefined {
+    const peer = this.reservePeer(nowMs);
+    if (peer !== undefined || this.isBarredFromEndpoints()) return peer;
     const { isRepeatable } = this.options;
     const barred = isRepeatable ? new Set<string>() : this.reached;
     const isFirst = this.tried.size === 0;
@@ -51,6 +73,8 @@
 
   /** Reserves an endpoint that was not tried. */
   reserveUntried(nowMs: number): PoolReservation | undefined {
+    const peer = this.reservePeer(nowMs);
+    if (peer !== undefined || this.isBarredFromEndpoints()) return peer;
     return this.reserveOutside([this.tried], nowMs);
   }
 
@@ -65,6 +89,21 @@
     return pool.reserve({ ...query, excluded: new Set(others) }, nowMs);
   }
 
+  private reservePeer(nowMs: number): PoolReservation | undefined {
+    const { group, relayed, requestRelay } = this.options;
+    if (relayed !== undefined) return undefined;
+    const peer = requestRelay.reserve(group, this.tried, nowMs);
+    this.hasTriedPeer ||= peer !== undefined;
+    return peer;
+  }
+
+  /** Returns whether only another daemon can still reach an endpoint for the request. */
+  private isBarredFromEndpoints(): boolean {
+    const { group, relayed, requestRelay } = this.options;
+    const isOthersTurn = relayed !== undefined || this.hasTriedPeer;
+    return isOthersTurn && requestRelay.isUnreachable(group);
+  }
+
   /** Reserves an endpoint outside the first of the sets that leaves one. */
   private reserveOutside(
     exclusions: readonly ReadonlySet<string>[],
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -20,6 +20,7 @@
   Forwarder,
   ForwardError,
   LeavingEndpoints,
+  NO_RELAY,
   PausedEndpoints,
   TokenBucketLedger,
   UNGUARDED,
@@ -119,6 +120,7 @@
           },
         }),
       },
+      requestRelay: NO_RELAY,
       usageCounter: {
         count: workspace => {
           this.usageWorkspaces.push(workspace);
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -68,7 +68,7 @@
 }
 
 export interface AttemptDependencies extends IdleTimerDependencies {
-  readonly upstream: Upstream;
+  readonly upstream: Pick<Upstream, 'send'>;
 }
 
 export interface AttemptOptions extends SilenceOptions {
@@ -122,6 +122,11 @@
     });
   }
 
+  /** Takes the endpoint for silent before its timeout, if another attempt can take over. */
+  recordUnreachable(): void {
+    this.silence.expire();
+  }
+
   async run(call: EndpointRequest): Promise<AttemptOutcome> {
     const { signal } = this.options;
     const onRequestEnd = () => {
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -1,8 +1,8 @@
 import type { LogFields } from '../ports/index.js';
 import { LogComponent } from '../ports/index.js';
-import type { RetryBudget } from '../routing/index.js';
 import { AttemptSequence } from './attempt-sequence.js';
 import { attemptTimeouts } from './attempt-timeouts.js';
+import { callAt } from './call-at.js';
 import { RouteType } from './configuration.js';
 import { EndpointChoice } from './endpoint-choice.js';
 import type { AttemptOutcome, BufferedResponse } from './forward-attempt.js';
@@ -13,26 +13,17 @@
   isFailure,
 } from './forward-attempt.js';
 import { daemonStoppingError, ForwardError } from './forward-error.js';
-import type { ForwardRequest } from './forward-request.js';
 import { deadlineOf } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
+import { runPeerAttempt } from './peer-attempt.js';
 import type { PoolReservation } from './pool-reservation.js';
-import type { ResolvedRequest } from './resolve-request.js';
 import { RetryObstacle } from './retry-obstacle.js';
+import type { RunContext } from './run-context.js';
 import { toForwardError } from './run-failure.js';
 import { RunOutcome } from './run-outcome.js';
 import { StreamRelay } from './stream-relay.js';
 import type { ResponseWriter } from './upstream.js';
 
-export interface RunContext {
-  readonly request: ForwardRequest;
-  readonly resolved: ResolvedRequest;
-  /** Ids of what may be at fault if an endpoint crashes. */
-  readonly suspectIds: readonly string[];
-  readonly group: string;
-  readonly budget: RetryBudget;
-}
-
 /** Execution of one request by one or more attempts at endpoints. */
 export class ForwardRun {
   outcome = RunOutcome.Pending;
@@ -46,6 +37,8 @@
   private lastEnd: AttemptEndKind | undefined;
   private firstResponseAtMs: number | undefined;
   private lastEndpointId = '';
+  /** Peer through which the last attempt was made; undefined if none was. */
+  private lastPeerId: string | undefined;
   /** Time from the request's arrival to the dispatch of its last attempt. */
   private dispatchedAfterMs = 0;
   /** Rate limit that the last attempt's endpoint named. */
@@ -75,12 +68,16 @@
 
   /** Resolves once the response is sent or the caller has disconnected; the signal is aborted then, or with a `ForwardError` that ends the request. Throws `ForwardError` only before any part of the response is sent. */
   async serve(signal: AbortSignal): Promise<void> {
-    this.context.budget.recordFirstAttempt();
+    const { budget, relayed } = this.context;
+    if (relayed === undefined) budget.recordFirstAttempt();
     const onAbort = () => {
       this.runAbort.abort();
     };
     signal.addEventListener('abort', onAbort, { once: true });
-    const timer = this.startTimer();
+    const timer = callAt(this.deps, this.deadlineAtMs, () => {
+      this.isTimedOut = true;
+      this.runAbort.abort();
+    });
     try {
       await this.runAttempts(signal);
     } finally {
@@ -107,6 +104,7 @@
         events: this.relay.attemptEvents,
         isFramed: this.relay.isAttemptFramed,
       }),
+      ...(this.lastPeerId !== undefined && { peer: this.lastPeerId }),
       ...(this.limitPerSecond !== undefined && {
         limitPerSecond: this.limitPerSecond,
       }),
@@ -121,7 +119,9 @@
     let last: AttemptOutcome | undefined;
     let reservation = this.sequence.first();
     while (reservation !== undefined) {
-      last = await this.attempt(reservation);
+      last = await (reservation.isPeer === true
+        ? this.attemptThrough(reservation)
+        : this.attempt(reservation));
       if (signal.aborted && !(signal.reason instanceof ForwardError)) {
         this.outcome = RunOutcome.CallerDisconnected;
         return;
@@ -142,6 +142,40 @@
     this.sendResponse(response);
   }
 
+  private async attemptThrough(
+    reservation: PoolReservation,
+  ): Promise<AttemptOutcome> {
+    const { request, resolved } = this.context;
+    const { sequence } = this;
+    const sentAtMs = this.deps.clock.nowMs();
+    this.lastPeerId = reservation.endpoint.id;
+    this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
+    const relayed = {
+      request,
+      remainingMs: this.remainingMs(sentAtMs),
+      lastEventId: this.relay?.lastEventId,
+      excludedIds: sequence.triedIds,
+    };
+    sequence.recordDispatch(reservation.endpoint.id);
+    const result = await runPeerAttempt({
+      ...this.deps,
+      reservation,
+      relayed,
+      options: {
+        ...attemptTimeouts(resolved.route, this.isRepeatable()),
+        onSilence: () => sequence.tryReserveReplacement(),
+        stream: this.relay,
+        signal: this.runAbort.signal,
+      },
+      onEndpoint: id => {
+        this.lastEndpointId = id;
+        sequence.recordRelayed(id);
+      },
+    });
+    this.recordResult(result, reservation, sentAtMs);
+    return result;
+  }
+
   private async attempt(reservation: PoolReservation): Promise<AttemptOutcome> {
     const { resolved, request } = this.context;
     const { endpoint } = reservation;
@@ -151,6 +185,7 @@
     this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
     this.endpointListAgeMs = this.deps.endpointListAgeMs();
     this.sequence.recordDispatch(endpoint.id);
+    this.context.relayed?.onDispatch(endpoint.id);
     const observation = versions.observe({
       group: endpoint.group,
       version: endpoint.version,
@@ -164,6 +199,12 @@
       stream: this.relay,
       signal: this.runAbort.signal,
     });
+    const stopListening = this.deps.requestRelay.onSilence(
+      endpoint.group,
+      () => {
+        attempt.recordUnreachable();
+      },
+    );
     const result = await attempt.run({
       endpoint,
       method: request.method,
@@ -171,13 +212,14 @@
       body: request.body,
       isEndpointUsable: () => pool.isReady(endpoint.id, clock.nowMs()),
       headers: protocol.dispatchHeaders(request.headers, {
-        remainingMs: Math.max(1, Math.floor(this.deadlineAtMs - sentAtMs)),
+        remainingMs: this.remainingMs(sentAtMs),
         endpointId: endpoint.id,
         workspace: resolved.workspace?.workspace,
         lastEventId: this.relay?.lastEventId,
         urgency: undefined,
       }),
     });
+    stopListening();
     this.limitPerSecond = attempt.limitPerSecond;
     this.recordResult(result, reservation, sentAtMs);
     const { suspectIds } = this.context;
@@ -231,7 +273,9 @@
 
   private createSequence(): AttemptSequence {
     const { clock, crashGuard, dispatchWindow, pool, versions } = this.deps;
-    const { budget, group, request, resolved, suspectIds } = this.context;
+    const { budget, group, relayed, request, resolved, suspectIds } =
+      this.context;
+    const { requestRelay } = this.deps;
     const isRepeatable = this.isRepeatable();
     return new AttemptSequence({
       clock,
@@ -244,15 +288,22 @@
         isRepeatable,
         pool,
         versions,
+        requestRelay,
+        relayed,
       }),
       suspectIds,
       signal: this.runAbort.signal,
       deadlineAtMs: this.deadlineAtMs,
       isRepeatable,
-      maxAttempts: resolved.route.maxAttempts,
+      // The daemon that took the request from its caller decides on a retry.
+      maxAttempts: relayed === undefined ? resolved.route.maxAttempts : 1,
     });
   }
 
+  private remainingMs(nowMs: number): number {
+    return Math.max(1, Math.floor(this.deadlineAtMs - nowMs));
+  }
+
   private isRepeatable(): boolean {
     const { isResumable, type } = this.context.resolved.route;
     return type === RouteType.Idempotent || isResumable;
@@ -292,26 +343,11 @@
   /** Records that an endpoint has started the request, and counts it once for its workspace. */
   private recordStarted(startedAgoMs: number): void {
     this.firstResponseAtMs ??= this.deps.clock.nowMs();
-    if (this.isUsageCounted) return;
+    // The daemon that took a request from its caller counts it.
+    if (this.isUsageCounted || this.context.relayed !== undefined) return;
     this.isUsageCounted = true;
     const { workspace } = this.context.resolved;
     if (workspace === undefined) return;
     this.deps.usageCounter.count(workspace.workspace, startedAgoMs);
   }
-
-  /** Aborts the run at its deadline. Aborting the returned controller cancels the timer. */
-  private startTimer(): AbortController {
-    const { clock, nextPoll } = this.deps;
-    const timerAbort = new AbortController();
-    const { signal } = timerAbort;
-    const expire = () => {
-      if (signal.aborted) return;
-      this.isTimedOut = true;
-      this.runAbort.abort();
-    };
-    const ignore = () => undefined; // the run ended before its deadline
-    const deadline = clock.waitUntil(this.deadlineAtMs, signal);
-    deadline.then(nextPoll).then(expire, ignore);
-    return timerAbort;
-  }
 }
--- a/packages/core/src/forwarding/pool-reservation.ts
+++ b/packages/core/src/forwarding/pool-reservation.ts
@@ -4,6 +4,8 @@
 /** Reservation of an endpoint for one attempt, held until it is released. */
 export interface PoolReservation {
   readonly endpoint: EndpointRecord;
+  /** Whether the endpoint is a peer that makes the attempt for this daemon. */
+  readonly isPeer?: boolean;
   /** Records that the first event of a stream or a complete response has arrived, so that its prompt is prefilled. */
   recordFirstEvent(nowMs: number): void;
   recordLoad(load: ReportedLoad, nowMs: number): void;
--- /dev/null
+++ b/packages/core/src/forwarding/run-context.ts
@@ -0,0 +1,16 @@
+import type { RetryBudget } from '../routing/index.js';
+import type { ForwardRequest } from './forward-request.js';
+import type { RelayedPart } from './request-relay.js';
+import type { ResolvedRequest } from './resolve-request.js';
+
+/** One request and what its run needs to know of it. */
+export interface RunContext {
+  readonly request: ForwardRequest;
+  readonly resolved: ResolvedRequest;
+  /** Ids of what may be at fault if an endpoint crashes. */
+  readonly suspectIds: readonly string[];
+  readonly group: string;
+  readonly budget: RetryBudget;
+  /** Given if a peer passed the request on to this daemon for one attempt. */
+  readonly relayed?: RelayedPart;
+}
--- a/packages/core/src/forwarding/silence-detector.ts
+++ b/packages/core/src/forwarding/silence-detector.ts
@@ -39,6 +39,11 @@
     this.timer.reset(this.options.firstChunkTimeoutMs);
   }
 
+  /** Treats the endpoint as silent from now on. */
+  expire(): void {
+    this.timer.reset(0);
+  }
+
   stop(): void {
     this.timer.stop();
   }
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -1,5 +1,4 @@
 import type { Socket } from 'node:net';
-import { connect } from 'node:net';
 
 import type { buildConnector, Dispatcher } from 'undici';
 import { errors, Pool } from 'undici';
@@ -13,18 +12,22 @@
 } from '@skylarkreach/core/forwarding';
 import type { Address } from '@skylarkreach/core/ports';
 import { AnswerLostError, NotSentError } from '@skylarkreach/core/ports';
+import type { ConnectionProbe } from '@skylarkreach/core/reachability';
 
 import {
   ConnectionResetError,
   createConnector,
   isConnectError,
 } from '../adapters/index.js';
+import { nextPoll } from '../http/index.js';
 import { BodyFraming, bodyFraming } from './body-framing.js';
 import type { RequestContext, ResponseMeter } from './metered-client.js';
 import { EndpointWithdrawnError, MeteredClient } from './metered-client.js';
 
 /** Time within which an endpoint on the same network accepts a connection. */
 const CONNECT_TIMEOUT_MS = 1_000; // the same as callers allow for a new connection
+/** Time within which a probed endpoint has to accept a connection. */
+const PROBE_TIMEOUT_MS = 300; // a retransmitted opening packet comes after a second
 /** Time for which an idle connection is reused if the endpoint states no keep-alive timeout. */
 const KEEP_ALIVE_TIMEOUT_MS = 4_000; // the shortest idle timeout in common use is 5 s
 /** Time before the stated keep-alive timeout at which an idle connection is closed. */
@@ -33,6 +36,17 @@
 /** System error codes of a connection that broke instead of being closed by its endpoint. */
 const RESET_CODES: ReadonlySet<string> = new Set(['EPIPE', 'ETIMEDOUT']);
 
+/** Result of an attempt to connect to an endpoint. */
+enum ConnectResult {
+  Accepted = 'accepted',
+  Refused = 'refused',
+  /** The connection failed in another way, or was not established in time. */
+  Failed = 'failed',
+}
+
+/** Opens connections to endpoints. */
+export type EndpointConnector = buildConnector.connector;
+
 /** Connection pool of one endpoint. */
 interface EndpointConnections {
   readonly address: Address;
@@ -42,12 +56,17 @@
 }
 
 /** HTTP client for endpoints, with one connection pool for each lifetime of an endpoint. */
-export class EndpointClient implements Upstream {
+export class EndpointClient implements Upstream, ConnectionProbe {
   private readonly connections = new Map<string, EndpointConnections>();
   /** Contexts of requests, by the options of the request. */
   private readonly contexts = new WeakMap<object, RequestContext>();
 
-  constructor(private readonly protocol: ForwardProtocol) {}
+  constructor(
+    private readonly protocol: ForwardProtocol,
+    private readonly connect: EndpointConnector = createConnector({
+      timeout: CONNECT_TIMEOUT_MS,
+    }),
+  ) {}
 
   /**
    * Sends a request and resolves with the response head. Throws `NotSentError`
@@ -96,28 +115,16 @@
     }
   }
 
-  refusesConnections({ address }: EndpointRecord): Promise<boolean> {
-    const origin = originOf(address);
-    if (origin === undefined) return Promise.resolve(false);
-    const { hostname, port } = origin;
-    const socket = connect({
-      host: hostname,
-      port: Number(port),
-      timeout: CONNECT_TIMEOUT_MS,
-    });
-    return new Promise(resolve => {
-      const settle = (error?: NodeJS.ErrnoException) => {
-        socket.destroy();
-        resolve(error?.code === 'ECONNREFUSED');
-      };
-      socket.once('error', settle);
-      socket.once('connect', () => {
-        settle();
-      });
-      socket.once('timeout', () => {
-        settle();
-      });
-    });
+  async refusesConnections({ address }: EndpointRecord): Promise<boolean> {
+    const result = await this.tryConnect(address, CONNECT_TIMEOUT_MS);
+    return result === ConnectResult.Refused;
+  }
+
+  async acceptsConnections({
+    address,
+  }: Pick<EndpointRecord, 'address'>): Promise<boolean> {
+    const result = await this.tryConnect(address, PROBE_TIMEOUT_MS);
+    return result === ConnectResult.Accepted;
   }
 
   /** Closes the connections to all endpoints but those given, after their requests in flight. */
@@ -138,6 +145,32 @@
     await Promise.all(pools.map(pool => pool.destroy()));
   }
 
+  /** Opens a connection and closes it at once. */
+  private tryConnect(
+    address: Address,
+    timeoutMs: number,
+  ): Promise<ConnectResult> {
+    const origin = originOf(address);
+    if (origin === undefined) return Promise.resolve(ConnectResult.Failed);
+    const { hostname, port, protocol } = origin;
+    return new Promise(resolve => {
+      const timer = setTimeout(() => {
+        // A daemon that was held up may have to read the result first.
+        void nextPoll().then(() => {
+          resolve(ConnectResult.Failed);
+        });
+      }, timeoutMs);
+      this.connect({ hostname, port, protocol }, (...[error, socket]) => {
+        clearTimeout(timer);
+        socket?.destroy();
+        const { code } = (error ?? {}) as NodeJS.ErrnoException;
+        if (error === null) resolve(ConnectResult.Accepted);
+        else if (code === 'ECONNREFUSED') resolve(ConnectResult.Refused);
+        else resolve(ConnectResult.Failed);
+      });
+    });
+  }
+
   private connectionsFor(endpoint: EndpointRecord): EndpointConnections {
     const known = this.connections.get(endpoint.id);
     if (known?.address === endpoint.address) return known;
@@ -148,14 +181,13 @@
       );
     // An endpoint may start again under its id at another address.
     if (known !== undefined) closeGracefully(known);
-    const connect = createConnector({ timeout: CONNECT_TIMEOUT_MS });
     const connectAndCountResets: buildConnector.connector = (
       options,
       callback,
     ) => {
-      connect(options, (...result) => {
-        const [, socket] = result;
-        if (socket) {
+      this.connect(options, (...result) => {
+        const [error, socket] = result;
+        if (error === null) {
           onReset(socket, () => {
             connections.resetCount += 1;
           });
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -6,8 +6,9 @@
   LeavingEndpoints,
   TokenBucketLedger,
 } from '@skylarkreach/core/forwarding';
-import type { DaemonHints } from '@skylarkreach/core/hints';
+import type { DaemonHints, ReachabilityHint } from '@skylarkreach/core/hints';
 import type { RequestQuarantine } from '@skylarkreach/core/quarantine';
+import type { EndpointReachability } from '@skylarkreach/core/reachability';
 import type { RolloutRegistry } from '@skylarkreach/core/rollouts';
 
 import type { ClusterHooks, GatewayCluster } from './gateway-cluster.js';
@@ -22,6 +23,7 @@
   readonly endpointLimits: EndpointLimits;
   readonly brittleEndpoints: BrittleEndpoints;
   readonly leavingEndpoints: LeavingEndpoints;
+  readonly reachability: EndpointReachability;
   readonly duties: GatewayDuties;
   readonly cluster: () => GatewayCluster;
   /** Version of the endpoint list in use. */
@@ -86,6 +88,7 @@
       endpointLimits: endpointLimits.hints(),
       brittleEndpoints: brittleEndpoints.hints(),
       leavingEndpoints: leavingEndpoints.hints(),
+      reachability: reachabilityHints(this.deps.reachability, nowMs),
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
   }
@@ -134,6 +137,21 @@
   }
 }
 
+function reachabilityHints(
+  reachability: EndpointReachability,
+  nowMs: number,
+): Readonly<Record<string, ReachabilityHint>> {
+  const hints: Record<string, ReachabilityHint> = {};
+  for (const [group, state] of reachability.groups()) {
+    const heardAgeMs = ageMs(nowMs, state.heardAtMs);
+    const isUnreachable = state.unreachableSinceMs !== undefined;
+    hints[group] = Number.isFinite(heardAgeMs)
+      ? { isUnreachable, heardAgeMs }
+      : { isUnreachable };
+  }
+  return hints;
+}
+
 /** Returns the age of something that may have happened since `nowMs` was read. */
 function ageMs(nowMs: number, atMs: number): number {
   return Math.max(0, nowMs - atMs);
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -17,6 +17,11 @@
 import type { Clock } from '@skylarkreach/core/ports';
 import { LogComponent, SeededRandom } from '@skylarkreach/core/ports';
 import { RequestQuarantine } from '@skylarkreach/core/quarantine';
+import {
+  EndpointReachability,
+  ObservedUpstream,
+  RelayPeers,
+} from '@skylarkreach/core/reachability';
 import { RolloutRegistry } from '@skylarkreach/core/rollouts';
 import {
   DutyClient,
@@ -29,7 +34,8 @@
 
 import { HttpClient } from '../adapters/index.js';
 import { nextPoll } from '../http/index.js';
-import { Loop } from '../loops/index.js';
+import { createIntervalLoop, Loop } from '../loops/index.js';
+import { MessageSigner } from '../peers/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import {
   createNonBlockingOutput,
@@ -38,6 +44,7 @@
   RateLimitedLog,
 } from '../telemetry/index.js';
 import { DependencyMonitor } from './dependency-monitor.js';
+import type { EndpointConnector } from './endpoint-client.js';
 import { EndpointClient } from './endpoint-client.js';
 import { EndpointListPoller } from './endpoint-list-poller.js';
 import { GatewayCluster } from './gateway-cluster.js';
@@ -46,6 +53,8 @@
 import { GatewayHints } from './gateway-hints.js';
 import { IngressServer } from './ingress-server.js';
 import { OperatorWatch } from './operator-watch.js';
+import { RelayClient } from './relay-client.js';
+import { RelayServer } from './relay-server.js';
 import { RetryBudgets } from './retry-budgets.js';
 import { StateReplicator } from './state-replicator.js';
 import { StopSchedule } from './stop-schedule.js';
@@ -63,6 +72,8 @@
 const LISTING_FOLLOWED_SHARE = 0.6; // with the jitter, a read still fits within the bound
 /** Age of the operators' state from which a daemon that is no reader reads it, as a fraction of the bound on its application. */
 const CONFIGURATION_FOLLOWED_SHARE = 0.7; // a read still fits within the bound
+/** Interval between checks of whether endpoints are to be probed. */
+const REACHABILITY_INTERVAL_MS = 200;
 /** Maximum log lines per second of one kind: several times the request rate of one daemon at the planned size. */
 const LOG_LINES_PER_SECOND = 50;
 
@@ -73,6 +84,9 @@
   readonly ingress: IngressServer;
   readonly stopSchedule: StopSchedule;
   readonly endpointClient: EndpointClient;
+  /** Connections to peers for requests that are passed on. */
+  readonly peerConnections: EndpointClient;
+  readonly relayServer: RelayServer;
   readonly cluster: GatewayCluster;
   readonly duties: GatewayDuties;
   readonly loops: readonly Loop[];
@@ -83,6 +97,7 @@
   settings: GatewaySettings,
   clock: Clock,
   seed: number,
+  connectEndpoint?: EndpointConnector,
 ): GatewayWiring {
   const context = createContext(settings, clock, seed);
   const { log, platform } = context;
@@ -116,7 +131,13 @@
     rateShare: settings.bounds.allowanceRateShare,
     tokens: settings.bounds.allowanceTokens,
   });
-  const endpointClient = new EndpointClient(platform.protocol);
+  const endpointClient = new EndpointClient(platform.protocol, connectEndpoint);
+  const reachability = new EndpointReachability({
+    ...context,
+    nowMs: () => clock.nowMs(),
+    probe: endpointClient,
+    endpoints: () => pool.endpoints(),
+  });
   const { exposureShare, exposureSlack } = settings.bounds;
   const rollouts = new RolloutRegistry({
     log,
@@ -146,6 +167,7 @@
     endpointLimits,
     brittleEndpoints,
     leavingEndpoints,
+    reachability,
     duties,
     cluster: () => cluster,
     endpointsVersion: () => replicator.endpointsVersion,
@@ -156,13 +178,25 @@
   const cluster: GatewayCluster = new GatewayCluster(context, hints, ids => {
     knownDaemons.recordListed(ids);
   });
+  const peerConnections = new EndpointClient(platform.protocol);
+  const requestRelay = new RelayClient({
+    reachability,
+    upstream: peerConnections,
+    signer: new MessageSigner(settings.peerSecret, clock),
+    peers: new RelayPeers({
+      ...context,
+      reachability,
+      livePeers: () => cluster.membership.live(),
+      freshHints: nowMs => cluster.hintBoard.freshHints(nowMs),
+    }),
+  });
   const retryBudgets = new RetryBudgets(settings, () => cluster.size);
   const stopSchedule = new StopSchedule(clock);
   const forwarder = new Forwarder({
     ...context,
     nextPoll,
     protocol: platform.protocol,
-    upstream: endpointClient,
+    upstream: new ObservedUpstream(endpointClient, reachability, clock),
     crashDetector: new CrashDetector({
       clock,
       log,
@@ -177,13 +211,25 @@
     retryBudgetOf: group => retryBudgets.forGroup(group),
     versions: rollouts,
     usageCounter: duties.usageLedger,
+    requestRelay,
     dispatchWindow: stopSchedule,
   });
+  const limits = () => configuration.current?.limits ?? DEFAULT_LIMITS;
+  const relayServer = new RelayServer({
+    ...context,
+    forwarder,
+    limits,
+    protocol: platform.protocol,
+    peerServer: cluster.peerServer,
+  });
+  cluster.onRelay((request, response) => {
+    void relayServer.serve(request, response);
+  });
   const ingress = new IngressServer({
     ...context,
     forwarder,
     protocol: platform.protocol,
-    limits: () => configuration.current?.limits ?? DEFAULT_LIMITS,
+    limits,
   });
 
   const replicator = new StateReplicator(context, {
@@ -226,6 +272,13 @@
   const loops = [
     createLoop(context, 'operators', LogComponent.Configuration, operatorWatch),
     createLoop(context, 'endpoints', LogComponent.Routing, endpointListPoller),
+    createIntervalLoop(
+      context,
+      LogComponent.Routing,
+      'reachability',
+      REACHABILITY_INTERVAL_MS,
+      () => reachability.step(),
+    ),
     ...cluster.loops,
     ...duties.loops,
   ];
@@ -236,6 +289,8 @@
     ingress,
     stopSchedule,
     endpointClient,
+    peerConnections,
+    relayServer,
     cluster,
     duties,
     loops,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 
 import { SteadyClock } from '../adapters/index.js';
 import type { GatewaySettings } from '../settings/index.js';
+import type { EndpointConnector } from './endpoint-client.js';
 import type { GatewayWiring } from './gateway-wiring.js';
 import { wireGateway } from './gateway-wiring.js';
 import type { TextResponse } from './text-server.js';
@@ -18,6 +19,7 @@
 export interface GatewayOptions {
   readonly clock?: Clock;
   readonly seed?: number;
+  readonly connectEndpoint?: EndpointConnector;
 }
 
 /** Addresses that a running gateway is bound to. */
@@ -37,7 +39,7 @@
   constructor(settings: GatewaySettings, options: GatewayOptions = {}) {
     const clock = options.clock ?? new SteadyClock();
     const seed = options.seed ?? Math.floor(clock.nowMs()) ^ process.pid;
-    this.wiring = wireGateway(settings, clock, seed);
+    this.wiring = wireGateway(settings, clock, seed, options.connectEndpoint);
     this.readinessServer = new TextServer({
       [settings.listen.readinessPath]: () => this.readinessResponse(),
     });
@@ -112,12 +114,12 @@
       answersInProgress: ingress.answersInProgress,
     });
     ingress.startDraining();
-    const { cluster, duties } = this.wiring;
+    const { cluster, duties, relayServer } = this.wiring;
     void duties.dutyHolder.release();
     void cluster.membership.leave();
     await clock.waitUntil(stopSchedule.routedUntilMs);
     ingress.stopAccepting();
-    const idle = ingress.whenIdle();
+    const idle = Promise.all([ingress.whenIdle(), relayServer.whenIdle()]);
     const { cutoffAtMs } = stopSchedule;
     await Promise.race([idle, clock.waitUntil(cutoffAtMs)]);
     const { answersInProgress } = ingress;
@@ -132,13 +134,18 @@
   /** Stops at once and closes all connections, as a killed process does. */
   async terminate(): Promise<void> {
     this.isStopping = true;
-    const { cluster, endpointClient, ingress, http, loops } = this.wiring;
+    const { cluster, endpointClient, ingress, http, loops, peerConnections } =
+      this.wiring;
     ingress.destroy();
     cluster.destroy();
     this.readinessServer.destroy();
     this.metricsServer.destroy();
     const stopped = loops.map(loop => loop.stop());
-    await Promise.all([endpointClient.close(), http.close()]);
+    await Promise.all([
+      endpointClient.close(),
+      peerConnections.close(),
+      http.close(),
+    ]);
     await Promise.all(stopped);
   }
 
--- /dev/null
+++ b/packages/stand-ins/src/gateway/gateway-partition.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { LinkState } from './endpoint-links.js';
+import {
+  CallKind,
+  PartitionFixture,
+  ROUNDS,
+  SERVED_KINDS,
+} from './partition-fixture.js';
+
+describe('a gateway that is cut off from all endpoints', () => {
+  let fixture: PartitionFixture;
+
+  beforeEach(async () => {
+    fixture = new PartitionFixture();
+    await fixture.start();
+  });
+
+  afterEach(async () => {
+    await fixture.stop();
+  });
+
+  for (const state of [
+    LinkState.Silent,
+    LinkState.Reset,
+    LinkState.RefusesNew,
+  ]) {
+    for (const count of [1, 3]) {
+      it(`serves first attempts through its peers while ${count} of 4 are cut off and links are ${state}`, async () => {
+        const cutOff = await fixture.cut(count, state);
+        const counts = await fixture.serveRounds(cutOff);
+        for (const each of counts)
+          assert.equal(each, ROUNDS * SERVED_KINDS.length);
+        const ids = fixture
+          .runIds()
+          .filter(id => id.startsWith(CallKind.Posting));
+        assert.equal(new Set(ids).size, ids.length, 'a posting ran twice');
+      });
+    }
+  }
+
+  it('sends on by itself soon after its links are back', async () => {
+    const [cutOff] = await fixture.cut(1, LinkState.Reset);
+    assert.ok(cutOff !== undefined);
+    cutOff.links.setState(LinkState.Intact);
+    await delay(2_000);
+    const others = fixture.gateways.slice(1);
+    for (const { links } of others) links.setState(LinkState.Reset);
+    const [count] = await fixture.serveRounds([cutOff]);
+    assert.equal(count, ROUNDS * SERVED_KINDS.length);
+  });
+
+  it('refuses at once, as before, where no peer reaches the endpoints either', async () => {
+    const [first] = await fixture.cut(4, LinkState.Reset);
+    assert.ok(first !== undefined);
+    const startedAtMs = performance.now();
+    const { headers, statusCode } = await fixture.send(
+      first,
+      CallKind.Posting,
+      'single-1',
+    );
+    assert.equal(statusCode, 503);
+    assert.ok(Number(headers['retry-after']) > 0);
+    assert.ok(performance.now() - startedAtMs < 500);
+    assert.ok(!fixture.runIds().includes('single-1'));
+  });
+
+  it('does not take a crash of all endpoints of one service for a cut of the others', async () => {
+    for (const endpoint of fixture.deployment.endpoints) {
+      if (endpoint.id.startsWith('ledger')) endpoint.destroy();
+    }
+    const [first] = fixture.gateways;
+    assert.ok(first !== undefined);
+    for (let round = 0; round < ROUNDS; round += 1) {
+      await fixture.serveAll(first);
+      await delay(100);
+      const id = `single-${round}`;
+      assert.equal(
+        (await fixture.send(first, CallKind.Draft, id)).statusCode,
+        200,
+      );
+    }
+  });
+});
