--- a/packages/stand-ins/src/gateway/endpoint-links.ts
+++ b/packages/stand-ins/src/gateway/endpoint-links.ts
@@ -1,8 +1,7 @@
 import type { Socket } from 'node:net';
 
-import { buildConnector } from 'undici';
-
 import type { EndpointConnector } from '@skylarkreach/daemon';
+import { createConnector } from '@skylarkreach/daemon';
 
 /** State of the network links from one daemon to all endpoints. */
 export enum LinkState {
@@ -21,7 +20,7 @@
 export class EndpointLinks {
   private state = LinkState.Intact;
   private readonly sockets = new Set<Socket>();
-  private readonly connectDirectly = buildConnector({
+  private readonly connectDirectly = createConnector({
     timeout: CONNECT_TIMEOUT_MS,
   });
 
--- a/packages/stand-ins/src/gateway/gateway-partition.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-partition.test.ts
@@ -63,7 +63,8 @@
     );
     assert.equal(statusCode, 503);
     assert.ok(Number(headers['retry-after']) > 0);
-    assert.ok(performance.now() - startedAtMs < 500);
+    const elapsedMs = performance.now() - startedAtMs;
+    assert.ok(elapsedMs < 500, `${elapsedMs} ms`);
     assert.ok(!fixture.runIds().includes('single-1'));
   });
 
