--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -1,10 +1,10 @@
 import type { Clock } from '../ports/index.js';
 import type { RetryBudget } from '../routing/index.js';
+import type { AttemptOutcome } from './attempt-outcome.js';
+import { AttemptEndKind } from './attempt-outcome.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { DispatchWindow } from './dispatch-window.js';
 import type { EndpointChoice } from './endpoint-choice.js';
-import type { AttemptOutcome } from './forward-attempt.js';
-import { AttemptEndKind } from './forward-attempt.js';
 import type { PoolReservation } from './pool-reservation.js';
 import type { RetryState } from './retry-obstacle.js';
 import { findRetryObstacle, RetryObstacle } from './retry-obstacle.js';
--- a/packages/core/src/forwarding/configuration.ts
+++ b/packages/core/src/forwarding/configuration.ts
@@ -102,3 +102,14 @@
   /** Undefined if no request needs an API key. */
   readonly workspaces: readonly ForwardWorkspace[] | undefined;
 }
+
+/** Returns the names of the routes that have the group as a target. */
+export function routeNamesFor(
+  configuration: Configuration | undefined,
+  group: string,
+): readonly string[] {
+  const routes = configuration?.routes ?? [];
+  return routes
+    .filter(route => route.targets.some(target => target.group === group))
+    .map(route => route.name);
+}
--- a/packages/core/src/forwarding/endpoint-choice.test.ts
+++ b/packages/core/src/forwarding/endpoint-choice.test.ts
@@ -2,11 +2,11 @@
 import { describe, it } from 'node:test';
 
 import { noopLog, noopMetrics, SeededRandom } from '../ports/index.js';
+import { AttemptEndKind } from './attempt-outcome.js';
 import { EndpointChoice } from './endpoint-choice.js';
 import { UNLIMITED } from './endpoint-limiter.js';
 import { EndpointPool } from './endpoint-pool.js';
 import { SAMPLE_HOST, sampleEndpoint } from './fakes/index.js';
-import { AttemptEndKind } from './forward-attempt.js';
 import type { VersionConstraint } from './forwarder.js';
 import { ANY_VERSION } from './forwarder.js';
 import { LeavingEndpoints } from './leaving-endpoints.js';
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -1,5 +1,5 @@
+import { AttemptEndKind } from './attempt-outcome.js';
 import type { EndpointPool } from './endpoint-pool.js';
-import { AttemptEndKind } from './forward-attempt.js';
 import type { ForwardRequest } from './forward-request.js';
 import type { VersionConstraint, VersionSelector } from './forwarder.js';
 import type { PoolQuery } from './pool-query.js';
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -1,13 +1,20 @@
 import { NotSentError } from '../ports/index.js';
+import type { AttemptOutcome } from './attempt-outcome.js';
+import {
+  AttemptEndKind,
+  CrashEvidence,
+  effectOfEnd,
+  endedAs,
+  failed,
+  verdictOfResult,
+} from './attempt-outcome.js';
 import type {
   EndpointStatements,
-  RawHeaders,
   ResponseMetadata,
 } from './forward-request.js';
 import type { AttemptObservation } from './forwarder.js';
 import type { IdleTimerDependencies } from './idle-timer.js';
 import type { PoolReservation } from './pool-reservation.js';
-import { AttemptVerdict } from './pool-reservation.js';
 import type { SilenceOptions } from './silence-detector.js';
 import { SilenceDetector } from './silence-detector.js';
 import type { StreamConsumer } from './stream-consumer.js';
@@ -18,55 +25,6 @@
   Upstream,
 } from './upstream.js';
 
-/** How one attempt ended. */
-export enum AttemptEndKind {
-  /** The complete response was forwarded to the caller or is buffered. */
-  Answered = 'answered',
-  /** No byte was sent to the endpoint. */
-  NotSent = 'notSent',
-  /** The endpoint states that it did not execute the request. */
-  NotRun = 'notRun',
-  /** Another endpoint answered on the address. */
-  Misdirected = 'misdirected',
-  /** The response is lost, invalid or truncated; the request may have been executed. */
-  Failed = 'failed',
-  /**
-   * The endpoint was silent and another attempt takes over, or it only sent bytes
-   * that complete no event; the request may have been executed.
-   */
-  Silent = 'silent',
-  /** The request itself has ended: its caller disconnected or its deadline passed. */
-  Cancelled = 'cancelled',
-}
-
-/** Complete response, buffered before it is forwarded. */
-export interface BufferedResponse {
-  readonly status: number;
-  readonly headers: RawHeaders;
-  readonly body: Uint8Array;
-  readonly isFramed: boolean;
-}
-
-/** What an attempt shows about whether its request crashes endpoints. */
-export enum CrashEvidence {
-  /** The response is complete, as its framing confirms. */
-  Completed = 'completed',
-  /** The connection was lost before the endpoint responded or as it began to. */
-  MayHaveCrashed = 'mayHaveCrashed',
-  Unknown = 'unknown',
-}
-
-export interface AttemptOutcome {
-  readonly kind: AttemptEndKind;
-  readonly crashEvidence: CrashEvidence;
-  readonly reason?: string;
-  /** Whether the endpoint was silent when the request itself ended. */
-  readonly wasSilent?: boolean;
-  /** Delay of the timer that found the endpoint silent: the time for which this daemon itself was held up. */
-  readonly noticedLateMs?: number;
-  readonly response?: BufferedResponse;
-}
-
 export interface AttemptDependencies extends IdleTimerDependencies {
   readonly upstream: Pick<Upstream, 'send'>;
 }
@@ -87,8 +45,6 @@
 /** Lowest status that does not count as a success. */
 const MIN_REDIRECT_STATUS = 300;
 const MIN_ERROR_STATUS = 400;
-/** Lowest status that counts as an endpoint's own failure. */
-const MIN_SERVER_ERROR_STATUS = 500;
 /** Maximum size of a response that is buffered before it is forwarded. */
 const MAX_BUFFERED_BYTES = 4_194_304; // the largest body of the users
 
@@ -311,34 +267,6 @@
   }
 }
 
-/** Returns whether the response is a server error (5xx) of the endpoint. */
-export function isEndpointError(
-  response: BufferedResponse | undefined,
-): boolean {
-  return response !== undefined && response.status >= MIN_SERVER_ERROR_STATUS;
-}
-
-/** Returns whether the endpoint failed; undefined if the attempt's end says nothing about it. */
-export function isFailure({
-  response,
-  kind,
-  wasSilent,
-}: AttemptOutcome): boolean | undefined {
-  switch (kind) {
-    case AttemptEndKind.Answered:
-      return isEndpointError(response);
-    case AttemptEndKind.Failed:
-    case AttemptEndKind.Silent:
-      return true;
-    case AttemptEndKind.NotSent:
-    case AttemptEndKind.NotRun:
-    case AttemptEndKind.Misdirected:
-      return undefined;
-    case AttemptEndKind.Cancelled:
-      return wasSilent === true ? true : undefined;
-  }
-}
-
 async function readAll(body: AsyncIterable<Uint8Array>): Promise<void> {
   let bytes = 0;
   for await (const chunk of body) {
@@ -346,37 +274,3 @@
     if (bytes > MAX_DISCARDED_BYTES) return;
   }
 }
-
-function endedAs(kind: AttemptEndKind): AttemptOutcome {
-  return { kind, crashEvidence: CrashEvidence.Unknown };
-}
-
-function failed(reason: string): AttemptOutcome {
-  return { ...endedAs(AttemptEndKind.Failed), reason };
-}
-
-/** Neither a close-delimited response nor an error shows that the endpoint survives the request. */
-function effectOfEnd(isProof: boolean): CrashEvidence {
-  return isProof ? CrashEvidence.Completed : CrashEvidence.Unknown;
-}
-
-function verdictOfResult({
-  kind,
-  response,
-}: AttemptOutcome): AttemptVerdict | undefined {
-  switch (kind) {
-    case AttemptEndKind.Answered:
-      return isEndpointError(response)
-        ? AttemptVerdict.Failed
-        : AttemptVerdict.Succeeded;
-    case AttemptEndKind.NotSent:
-    case AttemptEndKind.NotRun:
-    case AttemptEndKind.Failed:
-      return AttemptVerdict.Failed;
-    // A silence is recorded when it begins.
-    case AttemptEndKind.Silent:
-    case AttemptEndKind.Misdirected:
-    case AttemptEndKind.Cancelled:
-      return undefined;
-  }
-}
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -1,17 +1,17 @@
 import type { LogFields } from '../ports/index.js';
 import { LogComponent } from '../ports/index.js';
+import type { AttemptOutcome, BufferedResponse } from './attempt-outcome.js';
+import {
+  AttemptEndKind,
+  isEndpointError,
+  isFailure,
+} from './attempt-outcome.js';
 import { AttemptSequence } from './attempt-sequence.js';
 import { attemptTimeouts } from './attempt-timeouts.js';
 import { callAt } from './call-at.js';
 import { RouteType } from './configuration.js';
 import { EndpointChoice } from './endpoint-choice.js';
-import type { AttemptOutcome, BufferedResponse } from './forward-attempt.js';
-import {
-  AttemptEndKind,
-  ForwardAttempt,
-  isEndpointError,
-  isFailure,
-} from './forward-attempt.js';
+import { ForwardAttempt } from './forward-attempt.js';
 import { daemonStoppingError, ForwardError } from './forward-error.js';
 import { deadlineOf } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,3 +1,4 @@
+export * from './attempt-outcome.js';
 export * from './attempt-sequence.js';
 export * from './attempt-timeouts.js';
 export * from './call-at.js';
--- a/packages/core/src/forwarding/peer-attempt.ts
+++ b/packages/core/src/forwarding/peer-attempt.ts
@@ -1,8 +1,5 @@
-import type {
-  AttemptDependencies,
-  AttemptOptions,
-  AttemptOutcome,
-} from './forward-attempt.js';
+import type { AttemptOutcome } from './attempt-outcome.js';
+import type { AttemptDependencies, AttemptOptions } from './forward-attempt.js';
 import { ForwardAttempt } from './forward-attempt.js';
 import type { AttemptObservation } from './forwarder.js';
 import type { PoolReservation } from './pool-reservation.js';
--- a/packages/core/src/forwarding/retry-obstacle.ts
+++ b/packages/core/src/forwarding/retry-obstacle.ts
@@ -1,5 +1,5 @@
-import type { AttemptOutcome } from './forward-attempt.js';
-import { AttemptEndKind, isEndpointError } from './forward-attempt.js';
+import type { AttemptOutcome } from './attempt-outcome.js';
+import { AttemptEndKind, isEndpointError } from './attempt-outcome.js';
 
 /** Why no further attempt of a request follows; the values are log texts. */
 export enum RetryObstacle {
--- a/packages/core/src/forwarding/run-failure.ts
+++ b/packages/core/src/forwarding/run-failure.ts
@@ -1,4 +1,4 @@
-import { AttemptEndKind } from './forward-attempt.js';
+import { AttemptEndKind } from './attempt-outcome.js';
 import {
   ForwardError,
   ForwardErrorKind,
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -1,9 +1,6 @@
 import { BrittleEndpoints } from '@skylarkreach/core/brittle-endpoints';
 import { EndpointLimits } from '@skylarkreach/core/endpoint-limits';
-import type {
-  CallerLimits,
-  Configuration,
-} from '@skylarkreach/core/forwarding';
+import type { CallerLimits } from '@skylarkreach/core/forwarding';
 import {
   ConfigurationStore,
   CrashDetector,
@@ -11,6 +8,7 @@
   Forwarder,
   LeavingEndpoints,
   PausedEndpoints,
+  routeNamesFor,
   TokenBucketLedger,
 } from '@skylarkreach/core/forwarding';
 import { KnownDaemons } from '@skylarkreach/core/membership';
@@ -330,17 +328,6 @@
   };
 }
 
-/** Returns the names of the routes that have the group as a target. */
-function routeNamesFor(
-  configuration: Configuration | undefined,
-  group: string,
-): readonly string[] {
-  const routes = configuration?.routes ?? [];
-  return routes
-    .filter(route => route.targets.some(target => target.group === group))
-    .map(route => route.name);
-}
-
 function createMonitor(
   { log, metrics }: GatewayContext,
   name: string,
