Do not take cut links of this daemon for crashes of endpoints

Callers saw sound requests refused: daemons that had lost their links to all endpoints, by a reset and with new connections refused, took each lost response for a crash of its endpoint. Three of these blocked the request on all daemons.

Cause: an endpoint counted as crashed where it lost a response and refused a connection, without asking whether this daemon reaches any endpoint at all. Now a crash counts only if an endpoint of some group accepts a connection. A crash of all endpoints of one group still counts, as those of another group answer; where nothing at all is reached it is not counted, as the two cannot be told apart then.

'is not reported by a daemon that reaches no endpoint' failed before (2 crashes instead of none).

--- a/packages/core/src/forwarding/crash-detector.ts
+++ b/packages/core/src/forwarding/crash-detector.ts
@@ -1,9 +1,9 @@
 import type { Clock, Log } from '../ports/index.js';
 import { LogComponent } from '../ports/index.js';
+import type { AttemptOutcome } from './attempt-outcome.js';
+import { CrashEvidence } from './attempt-outcome.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { EndpointRecord } from './endpoint-record.js';
-import type { AttemptOutcome } from './forward-attempt.js';
-import { CrashEvidence } from './forward-attempt.js';
 import type { Upstream } from './upstream.js';
 
 export interface CrashDetectorDependencies {
@@ -11,6 +11,8 @@
   readonly log: Log;
   readonly upstream: Upstream;
   readonly crashGuard: CrashGuard;
+  /** Resolves with whether any endpoint, of any group, accepts connections of this daemon. */
+  readonly reachesEndpoints: () => Promise<boolean>;
 }
 
 /** Attempt that has ended. */
@@ -27,7 +29,8 @@
 
   /**
    * Reports to the guard that the endpoint completed the response, or that it
-   * crashed: its response was lost and it accepts no connections now.
+   * crashed: its response was lost and it accepts no connections now, whereas
+   * other endpoints do.
    */
   async inspect(
     { endpoint, requestId, sentAtMs, suspectIds }: InspectedAttempt,
@@ -39,6 +42,7 @@
       crashGuard.recordCompleted(suspectIds);
     if (crashEvidence !== CrashEvidence.MayHaveCrashed) return;
     if (!(await upstream.refusesConnections(endpoint))) return;
+    if (!(await this.deps.reachesEndpoints())) return;
     log.warn(LogComponent.Routing, 'An endpoint has crashed under a request.', {
       requestId,
       endpoint: endpoint.id,
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -43,6 +43,8 @@
   readonly upstream: ScriptedUpstream;
   readonly crashGuard = new RecordingCrashGuard();
   readonly usageWorkspaces: string[] = [];
+  /** Whether any endpoint accepts connections of this daemon. */
+  reachesEndpoints = true;
   /** Latest deadline of requests that may be sent. */
   latestDeadlineAtMs = Infinity;
   /** Whether each attempt that has ended counts as a failure of its endpoint's version. */
@@ -103,6 +105,7 @@
         log: noopLog,
         upstream: this.upstream,
         crashGuard: this.crashGuard,
+        reachesEndpoints: () => Promise.resolve(this.reachesEndpoints),
       }),
       crashGuard: this.crashGuard,
       configuration,
--- a/packages/core/src/forwarding/forward-crashes.test.ts
+++ b/packages/core/src/forwarding/forward-crashes.test.ts
@@ -52,6 +52,14 @@
     }
   });
 
+  it('is not reported by a daemon that reaches no endpoint', async () => {
+    const harness = new ForwarderHarness([{ isLost: true }], sampleRoute());
+    harness.upstream.crashedIds.add('e1').add('e2').add('e3');
+    harness.reachesEndpoints = false;
+    await harness.serve();
+    assert.deepEqual(harness.crashGuard.crashes, []);
+  });
+
   it('counts as survived only where the framing confirms a complete response', async () => {
     for (const isCloseDelimited of [true, false]) {
       const script = [{ metadata, chunks: [event], isCloseDelimited }];
--- a/packages/core/src/reachability/endpoint-reachability.test.ts
+++ b/packages/core/src/reachability/endpoint-reachability.test.ts
@@ -39,6 +39,13 @@
 }
 
 describe('EndpointReachability', () => {
+  it('finds all groups unreachable only where no endpoint accepts a connection', async () => {
+    const { reachability, reached } = createWorld();
+    assert.equal(await reachability.confirmAny(), true);
+    reached.clear();
+    assert.equal(await reachability.confirmAny(), false);
+  });
+
   it('opens no connection while responses arrive', async () => {
     const { clock, probed, reachability, stepAfter } = createWorld();
     for (let count = 0; count < 20; count += 1) {
--- a/packages/core/src/reachability/endpoint-reachability.ts
+++ b/packages/core/src/reachability/endpoint-reachability.ts
@@ -96,6 +96,15 @@
     return !this.isUnreachable(group);
   }
 
+  /** Probes the endpoints of all groups, and resolves with whether any of them is reachable. */
+  async confirmAny(): Promise<boolean> {
+    const groups = new Set(this.deps.endpoints().map(({ group }) => group));
+    const results = await Promise.all(
+      [...groups].map(group => this.confirm(group)),
+    );
+    return results.includes(true);
+  }
+
   private async probe(group: string): Promise<void> {
     const targets = this.shuffledEndpoints(group);
     const [first, ...others] = targets;
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -200,6 +200,7 @@
       log,
       upstream: endpointClient,
       crashGuard: quarantine,
+      reachesEndpoints: () => reachability.confirmAny(),
     }),
     crashGuard: quarantine,
     configuration,
