Say who ended a caller's connection, and how long before a request was dropped on it

What callers saw: a request without an answer or a refusal. The logs could not tell whether the caller had left, this daemon had closed the connection as idle or at its stop, or had refused bytes on it: of three places that drop a whole request one wrote no line, and one said that the caller had left whoever had ended the connection.

Each end of a caller's connection by this daemon now has a reason; a dropped request names the place, the reason and the time since; metrics count closed connections, dropped requests and cut responses by reason. No request is treated differently.

callers_lateRequests_total is callers_droppedRequests_total{at,endedBy} now.

--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -16,14 +16,14 @@
 import type { Address, Clock, Log, Metrics } from '@skylarkreach/core/ports';
 import { LogComponent } from '@skylarkreach/core/ports';
 
+import { listenOn, nextPoll } from '../http/index.js';
 import {
-  BodyError,
-  BodyErrorKind,
-  listenOn,
-  nextPoll,
-  readBytes,
-} from '../http/index.js';
-import { closeIdleConnections, recordLateRequest } from './idle-connections.js';
+  CallerConnections,
+  ConnectionEnd,
+  OtherEnd,
+} from './caller-connections.js';
+import { closeIdleConnections } from './idle-connections.js';
+import { RequestReader, toForwardError } from './request-reader.js';
 import { abortResponse, ResponseSink } from './response-sink.js';
 import { ResponseTracker } from './response-tracker.js';
 
@@ -48,13 +48,15 @@
   ERR_HTTP_REQUEST_TIMEOUT: ForwardErrorKind.CallerTooSlow,
 };
 
-const ERROR_KIND_BY_BODY_ERROR: Readonly<
-  Record<BodyErrorKind, ForwardErrorKind>
-> = {
-  [BodyErrorKind.TooLarge]: ForwardErrorKind.BodyTooLarge,
-  [BodyErrorKind.TooSlow]: ForwardErrorKind.CallerTooSlow,
-  [BodyErrorKind.CutOff]: ForwardErrorKind.BadRequest,
-};
+/** Point at which a request is dropped, as its connection can carry no response. */
+enum DropPoint {
+  /** Its head was read after the end of the connection. */
+  Head = 'head',
+  /** The connection ended with a response before this one. */
+  Turn = 'turn',
+  /** The caller's end of the connection was read right after the request. */
+  Poll = 'poll',
+}
 
 /** Request with its response. */
 interface Exchange {
@@ -68,10 +70,15 @@
 /** HTTP server for callers: reads whole requests, forwards them and writes the responses. */
 export class IngressServer {
   private readonly server: Server;
-  private readonly responses = new ResponseTracker();
+  private readonly reader: RequestReader;
+  private readonly connections: CallerConnections;
+  private readonly responses: ResponseTracker;
   private isDraining = false;
 
   constructor(private readonly deps: IngressServerDependencies) {
+    this.reader = new RequestReader(deps.limits);
+    this.connections = new CallerConnections(deps.clock, deps.metrics);
+    this.responses = new ResponseTracker(this.connections);
     this.server = createServer(
       {
         maxHeaderSize: PARSER_MAX_HEADER_BYTES,
@@ -84,7 +91,11 @@
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.handleClientError(error, socket);
     });
-    closeIdleConnections(this.server, this.deps.metrics);
+    this.connections.observe(this.server);
+    closeIdleConnections(this.server, {
+      ...deps,
+      connections: this.connections,
+    });
     this.applyLimits();
   }
 
@@ -139,7 +150,8 @@
   ): Promise<void> {
     // The request crossed the end of its connection and could not be answered.
     if (!isOpen(request.socket)) {
-      recordLateRequest(this.deps);
+      const { requestId } = this.deps.protocol.readRequest(request.rawHeaders);
+      this.recordDropped(request.socket, DropPoint.Head, requestId);
       return;
     }
     const receivedAtMs = this.deps.clock.nowMs();
@@ -155,19 +167,23 @@
       exchange.requestId = requestId;
       const head = { metadata, target: request.url ?? '/', receivedAtMs };
       this.deps.forwarder.rejectLate(head);
-      this.checkHeaders(request);
+      this.reader.checkHeaders(request);
       const body = await Promise.race([
-        this.readBody(request),
+        this.reader.readBody(request),
         whenAborted(signal),
       ]);
       if (requestId === undefined) throw missingRequestIdError();
       await turn;
       // The connection may have ended with the response before this one.
-      if (turn !== undefined && !isOpen(request.socket)) return;
+      if (turn !== undefined && !isOpen(request.socket)) {
+        this.recordDropped(request.socket, DropPoint.Turn, requestId);
+        return;
+      }
       // A daemon that is behind reads a request before the end of its connection.
       await nextPoll();
       if (!isOpen(request.socket)) {
-        this.recordEarlyDeparture(request.socket, requestId);
+        this.recordDropped(request.socket, DropPoint.Poll, requestId);
+        request.socket.destroy();
         return;
       }
       signal.throwIfAborted();
@@ -185,15 +201,29 @@
     }
   }
 
-  /** Records a request that a delayed daemon reads after its caller has left. */
-  private recordEarlyDeparture(socket: Duplex, requestId: string): void {
-    socket.destroy();
-    const outcome = RunOutcome.CallerDisconnected;
-    this.deps.metrics.increment('requests', 1, { outcome });
-    this.deps.log.info(
+  /** Records a request that gets no response, as its connection has ended. */
+  private recordDropped(
+    socket: Duplex,
+    at: DropPoint,
+    requestId: string | undefined,
+  ): void {
+    const { log, metrics } = this.deps;
+    const end = this.connections.endOf(socket);
+    const endedBy = end?.reason ?? OtherEnd.Caller;
+    metrics.increment('callers.droppedRequests', 1, { at, endedBy });
+    if (end === undefined) {
+      const outcome = RunOutcome.CallerDisconnected;
+      metrics.increment('requests', 1, { outcome });
+    }
+    log.info(
       LogComponent.Forwarding,
-      'A request was dropped, as its caller had left before it was read.',
-      { requestId, outcome },
+      'A request was dropped, as its connection had ended.',
+      {
+        requestId: requestId ?? '',
+        at,
+        endedBy,
+        ...(end && { endedAgoMs: end.agoMs }),
+      },
     );
   }
 
@@ -202,43 +232,12 @@
     return this.responses.of(socket).at(-1) === response;
   }
 
-  private checkHeaders(request: IncomingMessage): void {
-    const { maxHeaderBytes } = this.deps.limits();
-    let bytes = 0;
-    for (const text of request.rawHeaders) bytes += text.length + 2;
-    if (bytes <= maxHeaderBytes) return;
-    throw new ForwardError(
-      ForwardErrorKind.HeadersTooLarge,
-      `The headers exceed ${maxHeaderBytes} bytes; send fewer or shorter headers.`,
-    );
-  }
-
-  private async readBody(
-    request: IncomingMessage,
-  ): Promise<Uint8Array | undefined> {
-    const { headers } = request;
-    const hasBody =
-      headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined;
-    if (!hasBody) return undefined;
-    const { idleTimeoutMs, maxBodyBytes } = this.deps.limits();
-    if (Number(headers['content-length'] ?? 0) > maxBodyBytes) {
-      throw new ForwardError(
-        ForwardErrorKind.BodyTooLarge,
-        `The body exceeds ${maxBodyBytes} bytes; send a smaller body.`,
-      );
-    }
-    return readBytes(request, {
-      maxBytes: maxBodyBytes,
-      timeout: AbortSignal.timeout(Math.ceil(idleTimeoutMs)),
-    });
-  }
-
   private sendError(
     error: unknown,
     { request, response, requestId, isForwarded }: Exchange,
   ): void {
     if (response.headersSent || response.destroyed) {
+      this.connections.recordEnd(request.socket, ConnectionEnd.Aborted);
       abortResponse(response);
       return;
     }
@@ -313,6 +312,8 @@
       });
     }
     if (responses.length > 0) return;
+    if (code !== 'ECONNRESET')
+      this.connections.recordEnd(socket, ConnectionEnd.Rejected);
     if (!socket.writable || code === 'ECONNRESET') {
       socket.destroy();
       return;
@@ -347,17 +348,3 @@
     'The request has no id; send one.',
   );
 }
-
-function toForwardError(error: unknown): ForwardError {
-  if (error instanceof ForwardError) return error;
-  if (error instanceof BodyError) {
-    return new ForwardError(
-      ERROR_KIND_BY_BODY_ERROR[error.kind],
-      error.message,
-    );
-  }
-  return new ForwardError(
-    ForwardErrorKind.EndpointFailed,
-    'The gateway failed with an internal error; the request may have run.',
-  );
-}
--- a/packages/daemon/src/gateway/response-tracker.ts
+++ b/packages/daemon/src/gateway/response-tracker.ts
@@ -3,6 +3,8 @@
 
 import { daemonStoppingError } from '@skylarkreach/core/forwarding';
 
+import type { CallerConnections } from './caller-connections.js';
+import { ConnectionEnd } from './caller-connections.js';
 import { abortResponse } from './response-sink.js';
 
 /** Response in progress to one request. */
@@ -48,6 +50,8 @@
   private isDraining = false;
   private onIdle: (() => void) | undefined;
 
+  constructor(private readonly connections: CallerConnections) {}
+
   /** From now on, closes each connection after its last response. */
   startDraining(): void {
     this.isDraining = true;
@@ -74,8 +78,12 @@
     responses.set(response, tracked);
     this.count += 1;
     response.once('close', () => {
+      if (!response.writableFinished)
+        this.connections.recordCutResponse(socket);
       this.release(responses, response);
-      if (responses.size === 0 && this.isDraining) socket.end();
+      if (responses.size > 0 || !this.isDraining) return;
+      this.connections.recordEnd(socket, ConnectionEnd.Drained);
+      socket.end();
     });
     return tracked;
   }
@@ -89,7 +97,8 @@
 
   /** Aborts all responses. */
   destroyAll(): void {
-    for (const responses of this.responsesBySocket.values()) {
+    for (const [socket, responses] of this.responsesBySocket) {
+      this.connections.recordEnd(socket, ConnectionEnd.Stopped);
       for (const response of responses.keys()) abortResponse(response);
     }
   }
