Close a stopping daemon's connections only once a poll finds them empty

2.5 s after SIGTERM the daemon closed its listener and its idle connections from a timer. Connections that waited to be accepted were reset, as were kept ones whose request had arrived but was not read; libuv accepts one connection a poll, so that a short stall leaves many waiting. After a response whose head did not say so it ended the connection at once and read on, so that it read, and dropped, the next request of a caller that sent it right away. It closed all that was left as soon as it knew of no request. The wait for answers to callers and peers also counted each of the two as done for good, and ended answers that one began while the other went on.

Now the listener and the connections stay open until the last answer is out. Requests on connections that are new after 2.5 s, and all that arrive after the last answer, are refused (503, not run, connection: close). All are closed in the phase of the event loop that follows a poll which brought no connection and no byte. Where the rest of a head is missing, it may follow for a second. A kept connection gets 100 ms for the next request after a response whose head did not say that it ends, and is then closed if a further poll finds nothing. Connections are closed for reading as well: a request that crosses the close stays unread, and its caller may send it again.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -2,6 +2,7 @@
 import { LogComponent } from '@skylarkreach/core/ports';
 
 import { SteadyClock } from '../adapters/index.js';
+import { nextPoll } from '../http/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import type { EndpointConnector } from './endpoint-client.js';
 import type { GatewayWiring } from './gateway-wiring.js';
@@ -102,7 +103,8 @@
    * Stops gracefully: reports not ready at once and keeps serving requests until
    * the load balancer has stopped routing to this daemon and all responses have
    * ended, or until the grace period is nearly over. Requests that may last beyond
-   * that are rejected; those that do get an error.
+   * that are rejected; those that do get an error. Callers may connect and send
+   * until the end, when their requests are refused.
    */
   async stop(): Promise<void> {
     if (this.isStopping) return;
@@ -118,13 +120,13 @@
     void duties.dutyHolder.release();
     void cluster.membership.leave();
     await clock.waitUntil(stopSchedule.routedUntilMs);
-    ingress.stopAccepting();
-    const idle = Promise.all([ingress.whenIdle(), relayServer.whenIdle()]);
+    ingress.refuseNewConnections();
     const { cutoffAtMs } = stopSchedule;
-    await Promise.race([idle, clock.waitUntil(cutoffAtMs)]);
+    await Promise.race([this.whenIdle(), clock.waitUntil(cutoffAtMs)]);
     const { answersInProgress } = ingress;
     ingress.endResponses();
-    await Promise.race([idle, clock.waitUntil(cutoffAtMs + FLUSH_MS)]);
+    const closed = ingress.close().then(() => relayServer.whenIdle());
+    await Promise.race([closed, clock.waitUntil(cutoffAtMs + FLUSH_MS)]);
     await this.terminate();
     log.info(LogComponent.Daemon, 'The daemon has stopped.', {
       answersInProgress,
@@ -149,6 +151,15 @@
     await Promise.all(stopped);
   }
 
+  /** Resolves once no response to a caller or a peer is in progress, nor is begun by a further poll. */
+  private async whenIdle(): Promise<void> {
+    const { ingress, relayServer } = this.wiring;
+    do {
+      await Promise.all([ingress.whenIdle(), relayServer.whenIdle()]);
+      await nextPoll();
+    } while (ingress.answersInProgress + relayServer.answersInProgress > 0);
+  }
+
   private readinessResponse(): TextResponse {
     return this.isReady
       ? { status: 200, text: 'ready' }
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -9,6 +9,7 @@
   ForwardRequest,
 } from '@skylarkreach/core/forwarding';
 import {
+  daemonStoppingError,
   ForwardError,
   ForwardErrorKind,
   RunOutcome,
@@ -22,6 +23,7 @@
   ConnectionEnd,
   OtherEnd,
 } from './caller-connections.js';
+import { ConnectionDrain } from './connection-drain.js';
 import { closeIdleConnections } from './idle-connections.js';
 import { RequestReader, toForwardError } from './request-reader.js';
 import { abortResponse, ResponseSink } from './response-sink.js';
@@ -73,6 +75,7 @@
   private readonly reader: RequestReader;
   private readonly connections: CallerConnections;
   private readonly responses: ResponseTracker;
+  private readonly drain: ConnectionDrain;
   private isDraining = false;
 
   constructor(private readonly deps: IngressServerDependencies) {
@@ -92,9 +95,12 @@
       this.handleClientError(error, socket);
     });
     this.connections.observe(this.server);
-    closeIdleConnections(this.server, {
+    const { connections, responses } = this;
+    closeIdleConnections(this.server, { ...deps, connections });
+    this.drain = new ConnectionDrain(this.server, {
       ...deps,
-      connections: this.connections,
+      connections,
+      responses,
     });
     this.applyLimits();
   }
@@ -113,7 +119,7 @@
   /** From now on, closes each connection after its next response, also after one whose head does not say so. */
   startDraining(): void {
     this.isDraining = true;
-    this.responses.startDraining();
+    this.drain.startDraining();
   }
 
   /** Number of responses in progress. */
@@ -126,10 +132,14 @@
     return this.responses.whenIdle();
   }
 
-  /** Stops accepting connections and closes idle ones. */
-  stopAccepting(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+  /** From now on, refuses requests on new connections. */
+  refuseNewConnections(): void {
+    this.drain.refuseNewConnections();
+  }
+
+  /** Refuses all further requests, and stops listening and closes all connections once no more arrive. */
+  close(): Promise<void> {
+    return this.drain.close();
   }
 
   /** Ends all requests in progress: those without a response get an error. */
@@ -187,6 +197,7 @@
         return;
       }
       signal.throwIfAborted();
+      if (this.drain.refuses(request.socket)) throw daemonStoppingError();
       const forwardRequest: ForwardRequest = {
         ...head,
         requestId,
--- a/packages/daemon/src/gateway/relay-server.ts
+++ b/packages/daemon/src/gateway/relay-server.ts
@@ -39,14 +39,15 @@
 
 /** Sends requests on to endpoints for peers that do not reach these. */
 export class RelayServer {
-  private openResponseCount = 0;
+  /** Number of responses in progress. */
+  answersInProgress = 0;
   private onIdle: (() => void) | undefined;
 
   constructor(private readonly deps: RelayServerDependencies) {}
 
   /** Resolves once no response is in progress. */
   whenIdle(): Promise<void> {
-    if (this.openResponseCount === 0) return Promise.resolve();
+    if (this.answersInProgress === 0) return Promise.resolve();
     return new Promise(resolve => {
       this.onIdle = resolve;
     });
@@ -131,11 +132,11 @@
 
   private trackResponse(response: ServerResponse): AbortSignal {
     const disconnect = new AbortController();
-    this.openResponseCount += 1;
+    this.answersInProgress += 1;
     response.once('close', () => {
       if (!response.writableFinished) disconnect.abort();
-      this.openResponseCount -= 1;
-      if (this.openResponseCount === 0) this.onIdle?.();
+      this.answersInProgress -= 1;
+      if (this.answersInProgress === 0) this.onIdle?.();
     });
     return disconnect.signal;
   }
--- a/packages/daemon/src/gateway/response-tracker.ts
+++ b/packages/daemon/src/gateway/response-tracker.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
 import { daemonStoppingError } from '@skylarkreach/core/forwarding';
@@ -47,16 +48,12 @@
   /** Number of responses in progress. */
   count = 0;
   private readonly responsesBySocket = new Map<Duplex, OpenResponses>();
-  private isDraining = false;
   private onIdle: (() => void) | undefined;
+  /** Called when the last response in progress on an open connection has ended. */
+  onAnswered: (socket: Socket) => void = () => undefined;
 
   constructor(private readonly connections: CallerConnections) {}
 
-  /** From now on, closes each connection after its last response. */
-  startDraining(): void {
-    this.isDraining = true;
-  }
-
   /** Resolves once no response is in progress. */
   whenIdle(): Promise<void> {
     if (this.count === 0) return Promise.resolve();
@@ -71,7 +68,7 @@
   }
 
   /** Tracks a response until it or its connection closes. */
-  track(socket: Duplex, response: ServerResponse): TrackedResponse {
+  track(socket: Socket, response: ServerResponse): TrackedResponse {
     const responses = this.responsesOn(socket);
     const previous = [...responses.values()].at(-1);
     const tracked = new TrackedResponse(response, previous?.ended);
@@ -81,9 +78,7 @@
       if (!response.writableFinished)
         this.connections.recordCutResponse(socket);
       this.release(responses, response);
-      if (responses.size > 0 || !this.isDraining) return;
-      this.connections.recordEnd(socket, ConnectionEnd.Drained);
-      socket.end();
+      if (responses.size === 0 && !socket.destroyed) this.onAnswered(socket);
     });
     return tracked;
   }
--- a/packages/stand-ins/src/gateway/gateway-fixture.ts
+++ b/packages/stand-ins/src/gateway/gateway-fixture.ts
@@ -123,6 +123,12 @@
   }
 }
 
+/** Holds up the event loop, as a slow processor does. */
+export function stall(forMs: number): void {
+  const endsAtMs = performance.now() + forMs;
+  while (performance.now() < endsAtMs);
+}
+
 /** Returns the text of a GET request. */
 export function rawRequest({ headers, path }: SampleCall): string {
   const lines = Object.entries(headers).map(
