Go on with a stop when a further signal comes

A stream of a daemon that was stopping was cut when a second signal came: SIGTERM ended the process at once, as its handler was removed with the first; SIGINT after SIGTERM found the stop begun, took it for done and ended the process 200 ms later.

All signals now share one stop.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -60,14 +60,16 @@
       ? createGateway(file, settings.gateway)
       : new Daemon(settings.daemon);
   await daemon.start();
+  let stopped: Promise<void> | undefined;
+  // Further signals leave a stop in progress alone.
   const stop = () => {
-    void daemon.stop().then(() => {
+    stopped ??= daemon.stop().then(() => {
       // A connection that closes slowly must not keep the process alive beyond the grace period.
       setTimeout(() => process.exit(), CONNECTION_CLOSE_TIMEOUT_MS).unref();
     });
   };
-  process.once('SIGINT', stop);
-  process.once('SIGTERM', stop);
+  process.on('SIGINT', stop);
+  process.on('SIGTERM', stop);
 }
 
 /** Creates a gateway that applies changes of its settings file; SIGHUP triggers an immediate check. */
