Read on after the last response of a connection, so that its caller can read it

Callers that were still sending when a refusal came (a body too long or too slow, headers too long, bytes that are no request), or that sent a further request behind one whose response ends the connection, got a reset, and neither the answer nor the refusal.

Cause: the HTTP server destroys the connection as soon as a response with `connection: close` is written. The kernel resets a connection that is closed with unread bytes, or that gets bytes after its close, and a caller that fails to send does not read any more. A connection that was ended after bytes that are no request was destroyed by the next such bytes, and had no bound of time where none came (by reading).

Ruled out: a response that is not written. Callers that do not send on read it (413 and 431 in gateway.test).

The daemon now ends its side only, and discards what still arrives until the caller closes its own: for no longer than the idle timeout, and up to 16 MiB. Such a connection costs no more than an idle one. The bytes do not reach the HTTP parser, so that requests among them are not run. Closed connections count as the caller's only if the caller ended them first.

--- a/packages/daemon/src/gateway/caller-connections.ts
+++ b/packages/daemon/src/gateway/caller-connections.ts
@@ -46,9 +46,13 @@
   /** Counts the connections of a server when they close. */
   observe(server: Server): void {
     server.on('connection', socket => {
+      let hasCallerEnded = false;
+      // The server's own listener ends the connection in turn.
+      socket.prependOnceListener('end', () => {
+        hasCallerEnded = !socket.writableEnded;
+      });
       socket.once('close', () => {
-        const { readableEnded, errored } = socket;
-        const isCaller = readableEnded || errored !== null;
+        const isCaller = hasCallerEnded || socket.errored !== null;
         const other = isCaller ? OtherEnd.Caller : OtherEnd.Server;
         const by = this.ends.get(socket)?.reason ?? other;
         this.metrics.increment('callers.connectionsClosed', 1, { by });
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -23,7 +23,12 @@
   OtherEnd,
 } from './caller-connections.js';
 import { closeIdleConnections } from './idle-connections.js';
-import { RequestReader, toForwardError } from './request-reader.js';
+import { LingeringCloser } from './lingering-closer.js';
+import {
+  kindOfClientError,
+  RequestReader,
+  toForwardError,
+} from './request-reader.js';
 import { abortResponse, ResponseSink } from './response-sink.js';
 import { ResponseTracker } from './response-tracker.js';
 
@@ -40,14 +45,6 @@
 const PARSER_MAX_HEADER_BYTES = 65_536;
 /** Interval between checks for connections that exceed the header timeout. */
 const CONNECTION_CHECK_INTERVAL_MS = 500; // a sixth of the shortest header timeout in use
-/** Error kinds by the code of the server's `clientError` event; other codes are bad requests. */
-const ERROR_KIND_BY_CLIENT_ERROR_CODE: Readonly<
-  Record<string, ForwardErrorKind>
-> = {
-  HPE_HEADER_OVERFLOW: ForwardErrorKind.HeadersTooLarge,
-  ERR_HTTP_REQUEST_TIMEOUT: ForwardErrorKind.CallerTooSlow,
-};
-
 /** Point at which a request is dropped, as its connection can carry no response. */
 enum DropPoint {
   /** Its head was read after the end of the connection. */
@@ -73,6 +70,7 @@
   private readonly reader: RequestReader;
   private readonly connections: CallerConnections;
   private readonly responses: ResponseTracker;
+  private readonly closer: LingeringCloser;
   private isDraining = false;
 
   constructor(private readonly deps: IngressServerDependencies) {
@@ -92,6 +90,7 @@
       this.handleClientError(error, socket);
     });
     this.connections.observe(this.server);
+    this.closer = new LingeringCloser(this.server, deps.limits);
     closeIdleConnections(this.server, {
       ...deps,
       connections: this.connections,
@@ -293,9 +292,9 @@
     error: NodeJS.ErrnoException,
     socket: Duplex,
   ): void {
+    if (this.closer.isClosing(socket)) return;
     const code = error.code ?? 'unknown';
-    const kind =
-      ERROR_KIND_BY_CLIENT_ERROR_CODE[code] ?? ForwardErrorKind.BadRequest;
+    const kind = kindOfClientError(code);
     if (code !== 'ECONNRESET') {
       this.reportEarlyRejection(
         new ForwardError(
@@ -308,7 +307,7 @@
     const responses = this.responses.of(socket);
     for (const response of responses) {
       response.once('finish', () => {
-        socket.end();
+        this.closer.close(socket);
       });
     }
     if (responses.length > 0) return;
@@ -319,9 +318,10 @@
       return;
     }
     const { httpStatus } = new ForwardError(kind, '');
-    socket.end(
+    socket.write(
       `HTTP/1.1 ${httpStatus} Refused\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`,
     );
+    this.closer.close(socket);
   }
 }
 
--- /dev/null
+++ b/packages/daemon/src/gateway/lingering-closer.ts
@@ -0,0 +1,66 @@
+import type { Server } from 'node:http';
+import type { Duplex } from 'node:stream';
+
+import type { CallerLimits } from '@skylarkreach/core/forwarding';
+
+/** Bytes that are read from a connection after its last response. */
+const MAX_DISCARDED_BYTES = 16 * 1_024 * 1_024;
+
+/**
+ * Closes callers' connections after their last response. What still arrives is
+ * read and discarded until the caller closes its side, within the idle timeout:
+ * closing a connection with unread bytes resets it, and the caller may lose the
+ * response that it has not read yet.
+ */
+export class LingeringCloser {
+  private readonly closing = new WeakSet<Duplex>();
+
+  /** Closes the connections of a server in this way after responses that say so. */
+  constructor(
+    server: Server,
+    private readonly limits: () => CallerLimits,
+  ) {
+    server.on('connection', socket => {
+      socket.destroySoon = () => {
+        this.close(socket);
+      };
+    });
+  }
+
+  /** Whether nothing more is read from the connection as a request. */
+  isClosing(socket: Duplex): boolean {
+    return this.closing.has(socket);
+  }
+
+  close(socket: Duplex): void {
+    if (this.closing.has(socket)) return;
+    this.closing.add(socket);
+    this.discardInput(socket);
+    const limitTime = () => {
+      const timer = setTimeout(() => {
+        socket.destroy();
+      }, this.limits().idleTimeoutMs);
+      timer.unref();
+      socket.once('close', () => {
+        clearTimeout(timer);
+      });
+    };
+    socket.once('finish', limitTime);
+    socket.end();
+  }
+
+  private discardInput(socket: Duplex): void {
+    let discardedBytes = 0;
+    // The HTTP parser of the server no longer gets the bytes.
+    socket.removeAllListeners('data');
+    socket.on('data', (chunk: Buffer) => {
+      discardedBytes += chunk.length;
+      if (discardedBytes <= MAX_DISCARDED_BYTES) return;
+      if (socket.writableFinished) socket.destroy();
+      else socket.pause();
+    });
+    // A parser that waited has stopped reading without the stream's knowledge.
+    socket.pause();
+    socket.resume();
+  }
+}
--- a/packages/daemon/src/gateway/request-reader.ts
+++ b/packages/daemon/src/gateway/request-reader.ts
@@ -13,6 +13,14 @@
   [BodyErrorKind.CutOff]: ForwardErrorKind.BadRequest,
 };
 
+/** Error kinds by the code of the server's `clientError` event; other codes are bad requests. */
+const ERROR_KIND_BY_CLIENT_ERROR_CODE: Readonly<
+  Record<string, ForwardErrorKind>
+> = {
+  HPE_HEADER_OVERFLOW: ForwardErrorKind.HeadersTooLarge,
+  ERR_HTTP_REQUEST_TIMEOUT: ForwardErrorKind.CallerTooSlow,
+};
+
 /** Reads callers' requests within the limits of the current configuration. */
 export class RequestReader {
   constructor(private readonly limits: () => CallerLimits) {}
@@ -50,6 +58,11 @@
   }
 }
 
+/** Returns the kind of error for the code of a `clientError` event. */
+export function kindOfClientError(code: string): ForwardErrorKind {
+  return ERROR_KIND_BY_CLIENT_ERROR_CODE[code] ?? ForwardErrorKind.BadRequest;
+}
+
 /** Returns the error that a caller gets; one of this daemon's own code counts as a failure of the endpoint. */
 export function toForwardError(error: unknown): ForwardError {
   if (error instanceof ForwardError) return error;
