Answer each request that came whole before bytes that are none

Callers with several requests in progress on a connection got only the first answer if bytes that are no request followed; the other requests had been read whole and run.

Cause: the daemon ended the connection after the first of the responses in progress on it, as each of them was given the same listener. Each further invalid read added such listeners to all responses in progress (MaxListenersExceededWarning).

Ruled out: the HTTP parser. It passes on all requests before the invalid bytes; both ran.

The connection is now closed after the last response in progress, and bytes after the first invalid ones are discarded, so that they neither reach the parser nor add listeners.

gateway-refusals before: 1 of 7 failed ("is answered for each request before bytes that are none": 1 answer for 2), with the warning. After: 7 of 7 pass, without the warning.

--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -304,13 +304,11 @@
         undefined,
       );
     }
-    const responses = this.responses.of(socket);
-    for (const response of responses) {
-      response.once('finish', () => {
-        this.closer.close(socket);
-      });
+    const last = this.responses.of(socket).at(-1);
+    if (last !== undefined) {
+      this.closer.closeAfter(last, socket);
+      return;
     }
-    if (responses.length > 0) return;
     if (code !== 'ECONNRESET')
       this.connections.recordEnd(socket, ConnectionEnd.Rejected);
     if (!socket.writable || code === 'ECONNRESET') {
--- a/packages/daemon/src/gateway/lingering-closer.ts
+++ b/packages/daemon/src/gateway/lingering-closer.ts
@@ -1,4 +1,4 @@
-import type { Server } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 
 import type { CallerLimits } from '@skylarkreach/core/forwarding';
@@ -32,24 +32,23 @@
     return this.closing.has(socket);
   }
 
+  /** Closes a connection once a response has been sent; discards what arrives from now on. */
+  closeAfter(response: ServerResponse, socket: Duplex): void {
+    this.discardInput(socket);
+    response.once('finish', () => {
+      this.close(socket);
+    });
+  }
+
   close(socket: Duplex): void {
-    if (this.closing.has(socket)) return;
-    this.closing.add(socket);
     this.discardInput(socket);
-    const limitTime = () => {
-      const timer = setTimeout(() => {
-        socket.destroy();
-      }, this.limits().idleTimeoutMs);
-      timer.unref();
-      socket.once('close', () => {
-        clearTimeout(timer);
-      });
-    };
-    socket.once('finish', limitTime);
     socket.end();
   }
 
   private discardInput(socket: Duplex): void {
+    if (this.closing.has(socket)) return;
+    this.closing.add(socket);
+    this.limitTimeAfterEnd(socket);
     let discardedBytes = 0;
     // The HTTP parser of the server no longer gets the bytes.
     socket.removeAllListeners('data');
@@ -63,4 +62,16 @@
     socket.pause();
     socket.resume();
   }
+
+  private limitTimeAfterEnd(socket: Duplex): void {
+    socket.once('finish', () => {
+      const timer = setTimeout(() => {
+        socket.destroy();
+      }, this.limits().idleTimeoutMs);
+      timer.unref();
+      socket.once('close', () => {
+        clearTimeout(timer);
+      });
+    });
+  }
 }
--- a/packages/stand-ins/src/gateway/gateway-refusals.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-refusals.test.ts
@@ -104,4 +104,15 @@
     assert.match(caller.text, /answer of ledger-1/);
     assert.equal(fixture.runs().length, 1);
   });
+
+  it('is answered for each request before bytes that are none', async () => {
+    const requests = ['first', 'second'].map(id =>
+      rawRequest(sampleCall(id, 1_500, false)),
+    );
+    caller.send(requests.join(''));
+    await sendParts('no request\r\n\r\n');
+    assert.equal(caller.errorCode, undefined);
+    assert.equal(caller.count(200), 2);
+    assert.equal(fixture.runs().length, 2);
+  });
 });
