--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -25,7 +25,12 @@
 } from './caller-connections.js';
 import { ConnectionDrain } from './connection-drain.js';
 import { closeIdleConnections } from './idle-connections.js';
-import { RequestReader, toForwardError } from './request-reader.js';
+import { LingeringCloser } from './lingering-closer.js';
+import {
+  kindOfClientError,
+  RequestReader,
+  toForwardError,
+} from './request-reader.js';
 import { abortResponse, ResponseSink } from './response-sink.js';
 import { ResponseTracker } from './response-tracker.js';
 
@@ -42,14 +47,6 @@
 const PARSER_MAX_HEADER_BYTES = 65_536;
 /** Interval between checks for connections that exceed the header timeout. */
 const CONNECTION_CHECK_INTERVAL_MS = 500; // a sixth of the shortest header timeout in use
-/** Error kinds by the code of the server's `clientError` event; other codes are bad requests. */
-const ERROR_KIND_BY_CLIENT_ERROR_CODE: Readonly<
-  Record<string, ForwardErrorKind>
-> = {
-  HPE_HEADER_OVERFLOW: ForwardErrorKind.HeadersTooLarge,
-  ERR_HTTP_REQUEST_TIMEOUT: ForwardErrorKind.CallerTooSlow,
-};
-
 /** Point at which a request is dropped, as its connection can carry no response. */
 enum DropPoint {
   /** Its head was read after the end of the connection. */
@@ -76,6 +73,7 @@
   private readonly connections: CallerConnections;
   private readonly responses: ResponseTracker;
   private readonly drain: ConnectionDrain;
+  private readonly closer: LingeringCloser;
   private isDraining = false;
 
   constructor(private readonly deps: IngressServerDependencies) {
@@ -95,6 +93,7 @@
       this.handleClientError(error, socket);
     });
     this.connections.observe(this.server);
+    this.closer = new LingeringCloser(this.server, deps.limits);
     const { connections, responses } = this;
     closeIdleConnections(this.server, { ...deps, connections });
     this.drain = new ConnectionDrain(this.server, {
@@ -304,9 +303,9 @@
     error: NodeJS.ErrnoException,
     socket: Duplex,
   ): void {
+    if (this.closer.isClosing(socket)) return;
     const code = error.code ?? 'unknown';
-    const kind =
-      ERROR_KIND_BY_CLIENT_ERROR_CODE[code] ?? ForwardErrorKind.BadRequest;
+    const kind = kindOfClientError(code);
     if (code !== 'ECONNRESET') {
       this.reportEarlyRejection(
         new ForwardError(
@@ -316,13 +315,11 @@
         undefined,
       );
     }
-    const responses = this.responses.of(socket);
-    for (const response of responses) {
-      response.once('finish', () => {
-        socket.end();
-      });
+    const last = this.responses.of(socket).at(-1);
+    if (last !== undefined) {
+      this.closer.closeAfter(last, socket);
+      return;
     }
-    if (responses.length > 0) return;
     if (code !== 'ECONNRESET')
       this.connections.recordEnd(socket, ConnectionEnd.Rejected);
     if (!socket.writable || code === 'ECONNRESET') {
@@ -330,9 +327,10 @@
       return;
     }
     const { httpStatus } = new ForwardError(kind, '');
-    socket.end(
+    socket.write(
       `HTTP/1.1 ${httpStatus} Refused\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`,
     );
+    this.closer.close(socket);
   }
 }
 
