Give a request back to the silent endpoint it left when the next one fails

What callers saw: a stream that had begun was cut ('other side closed'), and a lookup got 500, where an endpoint fell silent for 2 s (0.8 s) and the one that took over answered 500 or lost its answer, although the first was sound.

Cause: only a refusal by the endpoint that takes over, or none that can be reached, let the request go back. Any other failure met the limit of attempts. An answer that is no stream, such as a 404, ended a stream that had begun as answered, and so cut it.

Ruled out: two attempts side by side, which model endpoints forbid. The limit of attempts is one of endpoints on which a request runs, so the way back stays within it; it takes a retry from the budget, once for each silence, and none at a version that retries may not use. A request that loses its answer again gets the response of the next endpoint, as before.

--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -105,15 +105,15 @@
 
   /**
    * Reserves the endpoint that was left as it was silent, for a request that the
-   * next one refused or that reached no other: the limit of attempts is one of
-   * endpoints.
+   * next one failed or refused or that reached no other: the limit of attempts is
+   * one of endpoints.
    */
   private tryReturn(last: AttemptOutcome): PoolReservation | undefined {
     const { budget, clock, endpoints } = this.options;
-    const isRefused =
-      last.kind === AttemptEndKind.NotRun &&
+    const hasFailed =
+      last.kind !== AttemptEndKind.Silent &&
       this.obstacle === RetryObstacle.AttemptsUsed;
-    if (!isRefused && this.obstacle !== RetryObstacle.Unreachable)
+    if (!hasFailed && this.obstacle !== RetryObstacle.Unreachable)
       return undefined;
     if (!budget.isAvailable) return undefined;
     const reservation = endpoints.reserveLeft(clock.nowMs());
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -130,9 +130,11 @@
     }
     const { stream } = this.options;
     const isStream = stream !== undefined && metadata.isEventStream;
-    if (!isStream || response.status !== 200)
-      return this.readBuffered(response);
-    return this.readStream(response, stream);
+    if (isStream && response.status === 200)
+      return this.readStream(response, stream);
+    return stream?.hasStarted === true
+      ? failed(`status ${response.status} in place of the rest of the stream`)
+      : this.readBuffered(response);
   }
 
   /** Records what the endpoint says of itself, if the response is one of the endpoint to this request. */
--- a/packages/core/src/forwarding/forward-silence.test.ts
+++ b/packages/core/src/forwarding/forward-silence.test.ts
@@ -31,6 +31,14 @@
   lateChunks: [eventText(2, 3)],
 };
 
+/** How the endpoint that takes over a stream may fail. */
+const failures: readonly (readonly [string, ScriptedResponse])[] = [
+  ['answers 500', { status: 500 }],
+  ['answers 404', { status: 404 }],
+  ['loses its answer', { isLost: true }],
+  ['breaks off', { metadata, chunks: [eventText(2)], isTruncated: true }],
+];
+
 describe('a silent endpoint', () => {
   it('is not abandoned within a stream when the retry budget is spent', async () => {
     const harness = new ForwarderHarness([pausingStream], draftRoute, {
@@ -165,6 +173,48 @@
     assert.equal(harness.upstream.calls.length, 3);
   });
 
+  for (const [failure, step] of failures) {
+    it(`gets a stream back when the next endpoint ${failure}`, async () => {
+      const script: readonly ScriptedResponse[] = [
+        { metadata, chunks: [eventText(1)], isHanging: true },
+        step,
+        pausingStream,
+      ];
+      const harness = new ForwarderHarness(script, draftRoute);
+      const served = harness.serve();
+      await harness.clock.advanceTo(START_MS + 4_000);
+      assert.equal(await served, undefined);
+      assert.equal(harness.sink.text, eventText(1, 2, 3));
+      assert.ok(harness.sink.isEnded);
+      const [first, second, third] = harness.upstream.calls.map(
+        call => call.endpoint.id,
+      );
+      assert.notEqual(second, first);
+      assert.equal(third, first);
+      assert.equal(harness.upstream.calls.length, 3);
+    });
+  }
+
+  it('gets a lookup back when the next endpoint answers 500', async () => {
+    const script = [{ isHanging: true }, { status: 500 }, { silentForMs: 300 }];
+    const harness = new ForwarderHarness(script, lookupRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 900);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.status, 200);
+    assert.equal(harness.upstream.calls.length, 3);
+  });
+
+  it('leaves the response of the next endpoint to a lookup that it loses again', async () => {
+    const script = [{ isHanging: true }, { status: 500 }, { isLost: true }];
+    const harness = new ForwarderHarness(script, lookupRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 900);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.status, 500);
+    assert.equal(harness.upstream.calls.length, 3);
+  });
+
   it('gets a request back once at most', async () => {
     const refusal: ScriptedResponse = {
       status: 503,
--- a/packages/core/src/forwarding/stream-consumer.ts
+++ b/packages/core/src/forwarding/stream-consumer.ts
@@ -11,6 +11,8 @@
 
 /** Consumer of a streamed response. */
 export interface StreamConsumer {
+  /** Whether any part of the response was sent to the caller. */
+  readonly hasStarted: boolean;
   begin(response: EndpointResponse): void;
   /** Adds bytes and returns the number of events that they complete and that the caller does not have. */
   add(chunk: Uint8Array): number;
--- a/packages/core/src/forwarding/stream-relay.ts
+++ b/packages/core/src/forwarding/stream-relay.ts
@@ -38,7 +38,6 @@
     this.lastEventId = lastEventId;
   }
 
-  /** Whether any part of the response was sent to the caller. */
   get hasStarted(): boolean {
     return this.isResponseStarted;
   }
--- a/packages/stand-ins/src/gateway/gateway-silence.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-silence.test.ts
@@ -8,7 +8,7 @@
 } from '@skylarkreach/platform/stand-ins';
 
 import type { GatewayDeployment } from './gateway-deployment.js';
-import { GatewayFixture } from './gateway-fixture.js';
+import { GatewayFixture, waitUntil } from './gateway-fixture.js';
 
 /** Longer than the gap after which a stream is continued at another endpoint, and than its time to the first event. */
 const ENGINE_SILENCE_MS = 2_000;
@@ -85,17 +85,42 @@
     await changed;
   });
 
-  it('does not cut a stream that the other endpoint refuses', async () => {
-    const sent = await fixture.send('/drafts/a', streamHeaders);
+  /** Sends a request, and sets the mode of the endpoint that did not get it. */
+  async function sendBeside(
+    mode: EndpointMode,
+    [path, service]: readonly [string, string],
+    headers: Readonly<Record<string, string>> = {},
+  ) {
+    const sent = fixture.send(path, headers);
+    await waitUntil(() => fixture.runs().length === 1);
     const [run] = fixture.runs();
     assert.ok(run);
-    const busy = fixture.deployment.endpoints.find(
+    const other = fixture.deployment.endpoints.find(
       endpoint =>
-        endpoint.id.startsWith('engine') && !endpoint.runs.includes(run),
+        endpoint.id.startsWith(service) && !endpoint.runs.includes(run),
     );
-    assert.ok(busy);
-    busy.mode = EndpointMode.ShedsLoad;
-    assert.deepEqual(eventIds(await sent.body.text()), [1, 2, 3, 4]);
+    assert.ok(other);
+    other.mode = mode;
+    return sent;
+  }
+
+  for (const mode of [
+    EndpointMode.ShedsLoad,
+    EndpointMode.FailsAfterRun,
+    EndpointMode.DropsResponses,
+  ]) {
+    it(`does not cut a stream where the other endpoint ${mode}`, async () => {
+      const draft = ['/drafts/a', 'engine'] as const;
+      const { body } = await sendBeside(mode, draft, streamHeaders);
+      assert.deepEqual(eventIds(await body.text()), [1, 2, 3, 4]);
+    });
+  }
+
+  it('answers a lookup where the other endpoint fails', async () => {
+    const lookup = ['/lookups/a', 'ledger'] as const;
+    const sent = await sendBeside(EndpointMode.FailsAfterRun, lookup);
+    await sent.body.dump();
+    assert.equal(sent.statusCode, 200);
   });
 
   it('does not cut a stream whose endpoint leaves the list', async () => {
