Let a stream that has begun wait for the retry budget instead of cutting it

What callers saw: a stream that had begun was cut at once where its endpoint broke off, or the one that took over refused, while the retry budget of its daemon was spent, although requests refill it within a fraction of a second.

Cause: what keeps a request from another attempt was asked once, at the end of the attempt before, and a budget that is spent counted like a reason that cannot pass.

A stream that has begun asks again every 200 ms, until its deadline or its caller's departure. Its caller would lose what it has received; a request whose response has not begun is answered at once as before, as an error lets its caller try again at once elsewhere. The stream gets no retry beyond the budget and none before others: it takes one when there is one. A retry is now taken only once an endpoint is reserved, and none for a way back after an attempt that was not sent.

Ruled out: to reserve the retry of the way back with that of the departure.

--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -28,6 +28,8 @@
 const MAX_UNSENT_ATTEMPTS = 3;
 /** Minimum time before the deadline for which another attempt is worth its cost. */
 const MIN_TIME_FOR_ATTEMPT_MS = 20;
+/** Interval at which a response that has begun looks for an endpoint again. */
+const RECHECK_INTERVAL_MS = 200; // a fraction of the pauses that callers bear
 
 /** Decides which attempt of one request follows another, and reserves its endpoint. */
 export class AttemptSequence {
@@ -43,20 +45,33 @@
 
   /** Reserves the endpoint of the first attempt. */
   first(): PoolReservation | undefined {
-    return this.reserveAny();
+    const { clock, endpoints } = this.options;
+    const reservation = endpoints.reserve(clock.nowMs());
+    if (reservation === undefined) this.obstacle = RetryObstacle.NoEndpoint;
+    return reservation;
   }
 
-  /** Reserves the endpoint of the attempt that follows another; returns undefined if none does. */
-  next(last: AttemptOutcome): PoolReservation | undefined {
+  /**
+   * Reserves the endpoint of the attempt that follows another; resolves with
+   * undefined if none does. A response that has begun waits until one can: its
+   * caller would lose what it has received, whereas others get an error and may
+   * send their request again.
+   */
+  async next(
+    last: AttemptOutcome,
+    hasBegun: boolean,
+  ): Promise<PoolReservation | undefined> {
     if (last.kind === AttemptEndKind.Silent && this.replacement !== undefined) {
       const { replacement } = this;
       this.replacement = undefined;
       return replacement;
     }
-    this.obstacle = this.acquireRetry(last);
-    return this.obstacle === undefined
-      ? this.reserveAny()
-      : this.tryReturn(last);
+    let reservation = this.tryNext(last);
+    while (reservation === undefined && hasBegun && this.mayWait()) {
+      await this.wait();
+      reservation = this.tryNext(last);
+    }
+    return reservation;
   }
 
   recordDispatch(id: string): void {
@@ -96,41 +111,62 @@
     this.replacement?.release(undefined, this.options.clock.nowMs());
   }
 
-  private reserveAny(): PoolReservation | undefined {
-    const { clock, endpoints } = this.options;
-    const reservation = endpoints.reserve(clock.nowMs());
-    if (reservation === undefined) this.obstacle = RetryObstacle.NoEndpoint;
-    return reservation;
+  private tryNext(last: AttemptOutcome): PoolReservation | undefined {
+    const { endpoints } = this.options;
+    this.obstacle = findRetryObstacle(last, this.state());
+    if (this.obstacle === undefined)
+      return this.tryReserve(last, nowMs => endpoints.reserve(nowMs));
+    return this.mayReturn(last)
+      ? this.tryReserve(last, nowMs => endpoints.reserveLeft(nowMs))
+      : undefined;
   }
 
   /**
-   * Reserves the endpoint that was left as it was silent, for a request that the
-   * next one failed or refused or that reached no other: the limit of attempts is
-   * one of endpoints.
+   * Whether the request may go back to the endpoint that was left as it was silent,
+   * as the next one failed or refused it or no other was reached: the limit of
+   * attempts is one of endpoints.
    */
-  private tryReturn(last: AttemptOutcome): PoolReservation | undefined {
-    const { budget, clock, endpoints } = this.options;
+  private mayReturn({ kind }: AttemptOutcome): boolean {
+    const { clock, endpoints } = this.options;
     const hasFailed =
-      last.kind !== AttemptEndKind.Silent &&
+      kind !== AttemptEndKind.Silent &&
       this.obstacle === RetryObstacle.AttemptsUsed;
-    if (!hasFailed && this.obstacle !== RetryObstacle.Unreachable)
+    if (!hasFailed && this.obstacle !== RetryObstacle.Unreachable) return false;
+    return endpoints.hasLeft(clock.nowMs());
+  }
+
+  /** Reserves an endpoint and takes one retry from the budget, unless the attempt before was not sent. */
+  private tryReserve(
+    { kind }: AttemptOutcome,
+    reserve: (nowMs: number) => PoolReservation | undefined,
+  ): PoolReservation | undefined {
+    const { budget, clock } = this.options;
+    const isFree = kind === AttemptEndKind.NotSent;
+    if (!isFree && !budget.isAvailable) {
+      this.obstacle = RetryObstacle.BudgetSpent;
       return undefined;
-    if (!budget.isAvailable) return undefined;
-    const reservation = endpoints.reserveLeft(clock.nowMs());
-    if (reservation === undefined) return undefined;
-    budget.tryAcquire();
+    }
+    const reservation = reserve(clock.nowMs());
+    if (reservation === undefined) {
+      this.obstacle = RetryObstacle.NoEndpoint;
+      return undefined;
+    }
     this.obstacle = undefined;
+    if (!isFree) budget.tryAcquire();
     return reservation;
   }
 
-  /** Returns what keeps the request from another attempt; if nothing does, one retry is taken from the budget. */
-  private acquireRetry(result: AttemptOutcome): RetryObstacle | undefined {
-    const obstacle = findRetryObstacle(result, this.state());
-    if (obstacle !== undefined) return obstacle;
-    if (result.kind === AttemptEndKind.NotSent) return undefined;
-    return this.options.budget.tryAcquire()
-      ? undefined
-      : RetryObstacle.BudgetSpent;
+  /** Whether what keeps the request from another attempt may pass before its deadline. */
+  private mayWait(): boolean {
+    return this.obstacle === RetryObstacle.BudgetSpent;
+  }
+
+  private async wait(): Promise<void> {
+    const { clock, deadlineAtMs, signal } = this.options;
+    const checkAtMs = clock.nowMs() + RECHECK_INTERVAL_MS;
+    await clock
+      .waitUntil(Math.min(checkAtMs, deadlineAtMs), signal)
+      .catch(() => undefined); // the request has ended
   }
 
   private state(): RetryState {
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -78,6 +78,14 @@
     return this.reserveOutside([this.tried], nowMs);
   }
 
+  /** Whether an endpoint that was left for another one still accepts requests. */
+  hasLeft(nowMs: number): boolean {
+    const { group, pool } = this.options;
+    return pool
+      .readyEndpoints(group, nowMs)
+      .some(({ id }) => this.left.has(id));
+  }
+
   /** Reserves an endpoint that was left for another one, if retries may still use its version. */
   reserveLeft(nowMs: number): PoolReservation | undefined {
     const { group, pool, versions } = this.options;
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -35,6 +35,12 @@
 
 const ENDPOINTS = ['e1', 'e2', 'e3'];
 
+export interface HarnessOptions {
+  readonly endpoints?: readonly string[];
+  /** Balance of the retry budget. */
+  readonly retries?: number;
+}
+
 /** Harness for the forwarder of one daemon, with scripted endpoints. */
 export class ForwarderHarness {
   readonly clock = new ManualClock(1_000);
@@ -76,21 +82,27 @@
       }),
     },
   });
+  private readonly budget: RetryBudget;
+  /** Retries that a first attempt adds to the budget. */
+  private budgetRefill = 0;
   private readonly forwarder: Forwarder;
   private revision = 0;
 
   constructor(
     script: readonly ScriptedResponse[],
     private readonly route: ForwardRoute,
-    { endpoints = ENDPOINTS, retries = 10 } = {},
+    { endpoints = ENDPOINTS, retries = 10 }: HarnessOptions = {},
   ) {
     this.upstream = new ScriptedUpstream(script, this.clock);
     const configuration = new ConfigurationStore();
     configuration.apply(sampleConfiguration([route]));
     this.listEndpoints(endpoints);
-    const budget = new RetryBudget({
-      refillPerFirstAttempt: 0,
-      capacity: retries,
+    const refill = () => this.budgetRefill;
+    this.budget = new RetryBudget({
+      get refillPerFirstAttempt() {
+        return refill();
+      },
+      capacity: 10,
       initialBalance: retries,
     });
     this.forwarder = new Forwarder({
@@ -112,7 +124,7 @@
       pool: this.pool,
       endpointListAgeMs: () => 0,
       tokenBuckets: new TokenBucketLedger(),
-      retryBudgetOf: () => budget,
+      retryBudgetOf: () => this.budget,
       versions: {
         choose: () => ANY_VERSION,
         chooseForRetry: () => ANY_VERSION,
@@ -135,6 +147,13 @@
     });
   }
 
+  /** Adds one retry to the budget. */
+  refillBudget(): void {
+    this.budgetRefill = 1;
+    this.budget.recordFirstAttempt();
+    this.budgetRefill = 0;
+  }
+
   /** Replaces the endpoints that are listed. */
   listEndpoints(ids: readonly string[]): void {
     this.revision += 1;
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -122,18 +122,19 @@
       last = await (reservation.isPeer === true
         ? this.attemptThrough(reservation)
         : this.attempt(reservation));
-      if (signal.aborted && !(signal.reason instanceof ForwardError)) {
-        this.outcome = RunOutcome.CallerDisconnected;
-        return;
-      }
+      if (hasCallerLeft(signal)) break;
       response = last.response ?? response;
-      reservation = this.sequence.next(last);
+      reservation = await this.sequence.next(last, this.hasBegun());
+    }
+    if (hasCallerLeft(signal)) {
+      this.outcome = RunOutcome.CallerDisconnected;
+      return;
     }
     if (last?.kind === AttemptEndKind.Answered && last.response === undefined) {
       this.outcome = RunOutcome.Answered;
       return;
     }
-    if (this.relay?.hasStarted === true) {
+    if (this.hasBegun()) {
       this.outcome = RunOutcome.Truncated;
       this.sink.destroy();
       return;
@@ -304,6 +305,11 @@
     return Math.max(1, Math.floor(this.deadlineAtMs - nowMs));
   }
 
+  /** Whether the caller has received a part of the response. */
+  private hasBegun(): boolean {
+    return this.relay?.hasStarted === true;
+  }
+
   private isRepeatable(): boolean {
     const { isResumable, type } = this.context.resolved.route;
     return type === RouteType.Idempotent || isResumable;
@@ -351,3 +357,8 @@
     this.deps.usageCounter.count(workspace.workspace, startedAgoMs);
   }
 }
+
+/** Whether the request has ended for no reason of this daemon. */
+function hasCallerLeft({ aborted, reason }: AbortSignal): boolean {
+  return aborted && !(reason instanceof ForwardError);
+}
--- /dev/null
+++ b/packages/core/src/forwarding/forward-waits.test.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { RouteType } from './configuration.js';
+import type { ScriptedResponse } from './fakes/index.js';
+import { ForwarderHarness, sampleRoute } from './fakes/index.js';
+import { ForwardErrorKind } from './forward-error.js';
+
+const START_MS = 1_000;
+const DEADLINE_MS = 5_000;
+
+const draftRoute = sampleRoute({
+  name: 'drafts',
+  pathPrefix: '/drafts/',
+  type: RouteType.Streaming,
+  isResumable: true,
+  timeoutMs: 8_000,
+  latencyObjectiveMs: 800,
+});
+
+function eventText(...ids: readonly number[]): string {
+  return ids.map(id => `id: ${id}\ndata: x\n\n`).join('');
+}
+
+const metadata = { isEventStream: true };
+const silent: ScriptedResponse = {
+  metadata,
+  chunks: [eventText(1)],
+  isHanging: true,
+};
+const broken: ScriptedResponse = {
+  metadata,
+  chunks: [eventText(1)],
+  isTruncated: true,
+};
+const refusal: ScriptedResponse = { status: 503, metadata: { isNotRun: true } };
+const rest: ScriptedResponse = { metadata, chunks: [eventText(2, 3)] };
+const unsent: ScriptedResponse = { isNotSent: true };
+
+function calledIds({ upstream }: ForwarderHarness): string[] {
+  return upstream.calls.map(call => call.endpoint.id);
+}
+
+describe('a stream that has begun', () => {
+  it('waits for the retry budget where the endpoint that took over refuses', async () => {
+    const script = [silent, refusal, rest];
+    const harness = new ForwarderHarness(script, draftRoute, { retries: 1 });
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 2_000);
+    assert.equal(harness.upstream.calls.length, 2);
+    harness.refillBudget();
+    await harness.clock.advanceTo(START_MS + 2_500);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+    assert.ok(harness.sink.isEnded);
+    const [first, , third] = calledIds(harness);
+    assert.equal(third, first);
+  });
+
+  it('waits for the retry budget where its endpoint breaks off', async () => {
+    const script = [broken, rest];
+    const harness = new ForwarderHarness(script, draftRoute, { retries: 0 });
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 500);
+    assert.equal(harness.upstream.calls.length, 1);
+    harness.refillBudget();
+    await harness.clock.advanceTo(START_MS + 1_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+    assert.ok(harness.sink.isEnded);
+  });
+
+  it('is cut at its deadline, not before, where nothing can take it over', async () => {
+    const harness = new ForwarderHarness([broken], draftRoute, { retries: 0 });
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + DEADLINE_MS - 100);
+    assert.equal(harness.sink.isDestroyed, false);
+    await harness.clock.advanceTo(START_MS + DEADLINE_MS);
+    assert.equal(await served, undefined);
+    assert.ok(harness.sink.isDestroyed);
+    assert.equal(harness.sink.isEnded, false);
+    assert.equal(harness.upstream.calls.length, 1);
+  });
+
+  it('does not wait beyond the departure of its caller', async () => {
+    const harness = new ForwarderHarness([broken, rest], draftRoute, {
+      retries: 0,
+    });
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 500);
+    harness.callerAbort.abort();
+    assert.equal(await served, undefined);
+    harness.refillBudget();
+    await harness.clock.advanceTo(START_MS + 1_000);
+    assert.equal(harness.upstream.calls.length, 1);
+  });
+});
+
+describe('a request whose response has not begun', () => {
+  it('is answered at once where the retry budget is spent', async () => {
+    const harness = new ForwarderHarness([{ isLost: true }], draftRoute, {
+      retries: 0,
+    });
+    const error = await harness.serve();
+    assert.equal(error?.kind, ForwardErrorKind.EndpointFailed);
+  });
+
+  it('is answered at once where no endpoint can be reached', async () => {
+    const harness = new ForwarderHarness([unsent], draftRoute);
+    const error = await harness.serve();
+    assert.equal(error?.kind, ForwardErrorKind.NoEndpoint);
+    assert.equal(harness.upstream.calls.length, 3);
+  });
+});
