Let a stream go on after two endpoints were cut off from the daemon one after the other

What callers saw: streams that had begun were cut while sound endpoints were in reach.

Cause: where a daemon is cut off from a part of its endpoints by resets, the stream's next attempt is sent on a kept connection to an endpoint that is cut off as well, and lost with it. Both attempts counted against the limit of the route, although the limit is one of endpoints that may still run the request.

Ruled out: not counting lost responses at all. An endpoint that crashes under a request cannot be told from one that is cut off, so only one attempt is taken off the count, only of a response that has begun, only if the endpoint refuses connections now, and only after its crash has been reported, so that a request known to crash endpoints goes no further.

A request whose response has not begun is told that it may have run, as before.

--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -22,10 +22,14 @@
   readonly deadlineAtMs: number;
   readonly isRepeatable: boolean;
   readonly maxAttempts: number;
+  /** Resolves with whether the endpoint of the last attempt has ended or is cut off from this daemon. */
+  readonly isLastEndpointGone: () => Promise<boolean>;
 }
 
 /** Number of unreachable endpoints after which the request fails. */
 const MAX_UNSENT_ATTEMPTS = 3;
+/** Number of attempts that do not count as their endpoint is gone; a request that crashes its endpoints ends more of them by each. */
+const MAX_DISCOUNTED_ATTEMPTS = 1;
 /** Minimum time before the deadline for which another attempt is worth its cost. */
 const MIN_TIME_FOR_ATTEMPT_MS = 20;
 /** Interval at which a response that has begun looks for an endpoint again. */
@@ -33,11 +37,12 @@
 
 /** Decides which attempt of one request follows another, and reserves its endpoint. */
 export class AttemptSequence {
-  /** Number of attempts that reached their endpoint; unsent and misdirected ones do not count. */
+  /** Number of attempts that count: not those that were unsent, misdirected or lost with an endpoint that is gone. */
   attempts = 0;
   /** What kept the request from another attempt; undefined while none is missing. */
   obstacle: RetryObstacle | undefined;
   private unsentAttempts = 0;
+  private discountedAttempts = 0;
   /** Endpoint that takes over from the one of the current attempt, which is silent. */
   private replacement: PoolReservation | undefined;
 
@@ -67,6 +72,15 @@
       return replacement;
     }
     let reservation = this.tryNext(last);
+    if (
+      reservation === undefined &&
+      hasBegun &&
+      (await this.mayDiscount(last))
+    ) {
+      this.discountedAttempts += 1;
+      this.attempts -= 1;
+      reservation = this.tryNext(last);
+    }
     while (reservation === undefined && hasBegun && this.mayWait()) {
       await this.wait();
       reservation = this.tryNext(last);
@@ -111,6 +125,16 @@
     this.replacement?.release(undefined, this.options.clock.nowMs());
   }
 
+  /** Whether an attempt is not to count: the limit is one of endpoints that may still run the request. */
+  private async mayDiscount({ kind }: AttemptOutcome): Promise<boolean> {
+    return (
+      this.obstacle === RetryObstacle.AttemptsUsed &&
+      kind === AttemptEndKind.Failed &&
+      this.discountedAttempts < MAX_DISCOUNTED_ATTEMPTS &&
+      (await this.options.isLastEndpointGone())
+    );
+  }
+
   private tryNext(last: AttemptOutcome): PoolReservation | undefined {
     const { endpoints } = this.options;
     this.obstacle = findRetryObstacle(last, this.state());
--- /dev/null
+++ b/packages/core/src/forwarding/create-sequence.ts
@@ -0,0 +1,42 @@
+import type { AttemptSequenceOptions } from './attempt-sequence.js';
+import { AttemptSequence } from './attempt-sequence.js';
+import { EndpointChoice } from './endpoint-choice.js';
+import type { ForwarderDependencies } from './forwarder.js';
+import type { RunContext } from './run-context.js';
+
+export type SequenceTraits = Pick<
+  AttemptSequenceOptions,
+  'signal' | 'deadlineAtMs' | 'isRepeatable' | 'isLastEndpointGone'
+>;
+
+/** Creates the sequence of attempts of one request. */
+export function createSequence(
+  deps: ForwarderDependencies,
+  { budget, group, relayed, request, resolved, suspectIds }: RunContext,
+  traits: SequenceTraits,
+): AttemptSequence {
+  const { clock, crashGuard, dispatchWindow, pool, requestRelay, versions } =
+    deps;
+  const { isRepeatable } = traits;
+  return new AttemptSequence({
+    ...traits,
+    clock,
+    crashGuard,
+    dispatchWindow,
+    budget,
+    endpoints: new EndpointChoice({
+      group,
+      request,
+      isRepeatable,
+      pool,
+      versions,
+      requestRelay,
+      relayed,
+    }),
+    suspectIds,
+    // The daemon that took the request from its caller decides on a retry.
+    ...(relayed === undefined
+      ? { maxAttempts: resolved.route.maxAttempts }
+      : { maxAttempts: 1, isLastEndpointGone: () => Promise.resolve(false) }),
+  });
+}
--- a/packages/core/src/forwarding/fakes/recording-crash-guard.ts
+++ b/packages/core/src/forwarding/fakes/recording-crash-guard.ts
@@ -5,13 +5,17 @@
   readonly blockedIds = new Set<string>();
   /** Blocks every request. */
   blockAll = false;
+  /** Number of crashes after which every request is blocked. */
+  blockAfterCrashes = Infinity;
   readonly crashes: EndpointCrash[] = [];
   /** Number of completed requests. */
   completed = 0;
 
   blockedForMs(suspectIds: readonly string[]): number | undefined {
     const isBlocked =
-      this.blockAll || suspectIds.some(id => this.blockedIds.has(id));
+      this.blockAll ||
+      this.crashes.length >= this.blockAfterCrashes ||
+      suspectIds.some(id => this.blockedIds.has(id));
     return isBlocked ? 60_000 : undefined;
   }
 
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -6,11 +6,11 @@
   isEndpointError,
   isFailure,
 } from './attempt-outcome.js';
-import { AttemptSequence } from './attempt-sequence.js';
+import type { AttemptSequence } from './attempt-sequence.js';
 import { attemptTimeouts } from './attempt-timeouts.js';
 import { callAt } from './call-at.js';
 import { RouteType } from './configuration.js';
-import { EndpointChoice } from './endpoint-choice.js';
+import { createSequence } from './create-sequence.js';
 import { ForwardAttempt } from './forward-attempt.js';
 import { daemonStoppingError, ForwardError } from './forward-error.js';
 import { deadlineOf } from './forward-request.js';
@@ -24,6 +24,8 @@
 import { StreamRelay } from './stream-relay.js';
 import type { ResponseWriter } from './upstream.js';
 
+const NEVER_GONE = () => Promise.resolve(false);
+
 /** Execution of one request by one or more attempts at endpoints. */
 export class ForwardRun {
   outcome = RunOutcome.Pending;
@@ -35,6 +37,7 @@
   private mayHaveRun = false;
   private isUsageCounted = false;
   private lastEnd: AttemptEndKind | undefined;
+  private isLastEndpointGone = NEVER_GONE;
   private firstResponseAtMs: number | undefined;
   private lastEndpointId = '';
   /** Peer through which the last attempt was made; undefined if none was. */
@@ -54,7 +57,12 @@
     const { resolved, request } = context;
     const { route } = resolved;
     this.deadlineAtMs = deadlineOf(request, route);
-    this.sequence = this.createSequence();
+    this.sequence = createSequence(deps, context, {
+      signal: this.runAbort.signal,
+      deadlineAtMs: this.deadlineAtMs,
+      isRepeatable: this.isRepeatable(),
+      isLastEndpointGone: () => this.isLastEndpointGone(),
+    });
     if (route.type !== RouteType.Streaming) return;
     this.relay = new StreamRelay(
       sink,
@@ -150,6 +158,7 @@
     const { sequence } = this;
     const sentAtMs = this.deps.clock.nowMs();
     this.lastPeerId = reservation.endpoint.id;
+    this.isLastEndpointGone = NEVER_GONE;
     this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
     const relayed = {
       request,
@@ -180,7 +189,7 @@
   private async attempt(reservation: PoolReservation): Promise<AttemptOutcome> {
     const { resolved, request } = this.context;
     const { endpoint } = reservation;
-    const { clock, pool, protocol, versions } = this.deps;
+    const { clock, pool, protocol, upstream, versions } = this.deps;
     const sentAtMs = clock.nowMs();
     this.lastEndpointId = endpoint.id;
     this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
@@ -225,10 +234,13 @@
     this.recordResult(result, reservation, sentAtMs);
     const { suspectIds } = this.context;
     const { requestId } = request;
-    void this.deps.crashDetector.inspect(
+    const inspected = this.deps.crashDetector.inspect(
       { requestId, suspectIds, endpoint, sentAtMs },
       result,
     );
+    // A crash has to be known before the request goes on to another endpoint.
+    this.isLastEndpointGone = () =>
+      inspected.then(() => upstream.refusesConnections(endpoint));
     observation.end(isFailure(result));
     return result;
   }
@@ -272,35 +284,6 @@
     });
   }
 
-  private createSequence(): AttemptSequence {
-    const { clock, crashGuard, dispatchWindow, pool, versions } = this.deps;
-    const { budget, group, relayed, request, resolved, suspectIds } =
-      this.context;
-    const { requestRelay } = this.deps;
-    const isRepeatable = this.isRepeatable();
-    return new AttemptSequence({
-      clock,
-      crashGuard,
-      dispatchWindow,
-      budget,
-      endpoints: new EndpointChoice({
-        group,
-        request,
-        isRepeatable,
-        pool,
-        versions,
-        requestRelay,
-        relayed,
-      }),
-      suspectIds,
-      signal: this.runAbort.signal,
-      deadlineAtMs: this.deadlineAtMs,
-      isRepeatable,
-      // The daemon that took the request from its caller decides on a retry.
-      maxAttempts: relayed === undefined ? resolved.route.maxAttempts : 1,
-    });
-  }
-
   private remainingMs(nowMs: number): number {
     return Math.max(1, Math.floor(this.deadlineAtMs - nowMs));
   }
