Do not cut a stream that has begun while its daemon is cut off

What callers saw: a stream that had begun was cut within milliseconds ('other side closed') where the links of its daemon were reset, though its peers reached the endpoints; where they fell silent, once the first peer refused the request, lost it or passed on a failure; and where no peer or endpoint could take it just then.

Cause: three connections that were not accepted ended the stream before the daemon had found out that it reaches no endpoint. The attempt at the endpoint that was cut off counted towards the limit of attempts, which left one peer. The way back to an endpoint that was left was tried over the links that were cut. Peers and endpoints that could not take it were not asked again.

A stream that has begun waits also while no endpoint is known or reached: one more connection or peer every 200 ms, until its deadline or its caller's departure. The way back waits for the links. A request that has not begun ends as before, with an error.

--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -31,6 +31,13 @@
 /** Interval at which a response that has begun looks for an endpoint again. */
 const RECHECK_INTERVAL_MS = 200; // a fraction of the pauses that callers bear
 
+/** What may pass while a response that has begun waits. */
+const PASSING_OBSTACLES: ReadonlySet<RetryObstacle> = new Set([
+  RetryObstacle.BudgetSpent,
+  RetryObstacle.NoEndpoint,
+  RetryObstacle.Unreachable,
+]);
+
 /** Decides which attempt of one request follows another, and reserves its endpoint. */
 export class AttemptSequence {
   /** Number of attempts that reached their endpoint; unsent and misdirected ones do not count. */
@@ -38,6 +45,11 @@
   /** What kept the request from another attempt; undefined while none is missing. */
   obstacle: RetryObstacle | undefined;
   private unsentAttempts = 0;
+  private peerAttempts = 0;
+  /** Attempts at endpoints from which this daemon was cut off since; they do not count towards the limit. */
+  private cutOffAttempts = 0;
+  /** Whether the current attempt is made through a peer. */
+  private isThroughPeer = false;
   /** Endpoint that takes over from the one of the current attempt, which is silent. */
   private replacement: PoolReservation | undefined;
 
@@ -53,13 +65,13 @@
 
   /**
    * Reserves the endpoint of the attempt that follows another; resolves with
-   * undefined if none does. A response that has begun waits until one can: its
+   * undefined if none does. A response that has begun may wait until one can: its
    * caller would lose what it has received, whereas others get an error and may
    * send their request again.
    */
   async next(
     last: AttemptOutcome,
-    hasBegun: boolean,
+    mayWait: boolean,
   ): Promise<PoolReservation | undefined> {
     if (last.kind === AttemptEndKind.Silent && this.replacement !== undefined) {
       const { replacement } = this;
@@ -67,16 +79,18 @@
       return replacement;
     }
     let reservation = this.tryNext(last);
-    while (reservation === undefined && hasBegun && this.mayWait()) {
+    while (reservation === undefined && mayWait && this.mayPass()) {
       await this.wait();
       reservation = this.tryNext(last);
     }
     return reservation;
   }
 
-  recordDispatch(id: string): void {
+  recordDispatch({ endpoint, isPeer = false }: PoolReservation): void {
     this.attempts += 1;
-    this.options.endpoints.recordDispatch(id);
+    this.isThroughPeer = isPeer;
+    if (isPeer) this.peerAttempts += 1;
+    this.options.endpoints.recordDispatch(endpoint.id, isPeer);
   }
 
   /** Records an endpoint to which a peer has sent the request. */
@@ -92,8 +106,10 @@
   recordEnd(id: string, kind: AttemptEndKind): void {
     this.options.endpoints.recordEnd(id, kind);
     if (kind === AttemptEndKind.NotSent) this.unsentAttempts += 1;
-    if (kind === AttemptEndKind.NotSent || kind === AttemptEndKind.Misdirected)
-      this.attempts -= 1;
+    if (kind !== AttemptEndKind.NotSent && kind !== AttemptEndKind.Misdirected)
+      return;
+    this.attempts -= 1;
+    if (this.isThroughPeer) this.peerAttempts -= 1;
   }
 
   /** Reserves an endpoint that takes over from a silent one; returns false if the request must wait on. */
@@ -157,29 +173,36 @@
   }
 
   /** Whether what keeps the request from another attempt may pass before its deadline. */
-  private mayWait(): boolean {
-    return this.obstacle === RetryObstacle.BudgetSpent;
+  private mayPass(): boolean {
+    return this.obstacle !== undefined && PASSING_OBSTACLES.has(this.obstacle);
   }
 
   private async wait(): Promise<void> {
-    const { clock, deadlineAtMs, signal } = this.options;
+    const { clock, deadlineAtMs, endpoints, signal } = this.options;
     const checkAtMs = clock.nowMs() + RECHECK_INTERVAL_MS;
     await clock
       .waitUntil(Math.min(checkAtMs, deadlineAtMs), signal)
       .catch(() => undefined); // the request has ended
+    endpoints.forgetPeers();
+    this.unsentAttempts = Math.min(
+      this.unsentAttempts,
+      MAX_UNSENT_ATTEMPTS - 1,
+    );
   }
 
   private state(): RetryState {
     const { clock, crashGuard, deadlineAtMs, dispatchWindow } = this.options;
     const { isRepeatable, maxAttempts, signal, suspectIds } = this.options;
     const remainingMs = deadlineAtMs - clock.nowMs();
+    if (this.options.endpoints.isCutOff())
+      this.cutOffAttempts = this.attempts - this.peerAttempts;
     return {
       hasEnded: signal.aborted,
       isStopping: !isRepeatable && !dispatchWindow.isOpenUntil(deadlineAtMs),
       isDeadlineNear: remainingMs < MIN_TIME_FOR_ATTEMPT_MS,
       isBlocked: crashGuard.blockedForMs(suspectIds) !== undefined,
       isRepeatable,
-      hasAttemptsLeft: this.attempts < maxAttempts,
+      hasAttemptsLeft: this.attempts - this.cutOffAttempts < maxAttempts,
       hasUnsentAttemptsLeft: this.unsentAttempts < MAX_UNSENT_ATTEMPTS,
     };
   }
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -26,6 +26,7 @@
   /** Endpoints that were left as they were silent. */
   private readonly left = new Set<string>();
 
+  private readonly triedPeers = new Set<string>();
   private hasTriedPeer = false;
 
   constructor(private readonly options: EndpointChoiceOptions) {
@@ -34,7 +35,7 @@
 
   /** Ids of the endpoints and peers that were tried. */
   get triedIds(): readonly string[] {
-    return [...this.tried];
+    return [...this.tried, ...this.triedPeers];
   }
 
   /** Records an endpoint to which a peer has sent the request. */
@@ -43,8 +44,19 @@
     this.reached.add(id);
   }
 
-  recordDispatch(id: string): void {
-    this.tried.add(id);
+  recordDispatch(id: string, isPeer = false): void {
+    (isPeer ? this.triedPeers : this.tried).add(id);
+  }
+
+  /** Lets the peers that were tried be chosen again. */
+  forgetPeers(): void {
+    this.triedPeers.clear();
+  }
+
+  /** Whether this daemon reaches no endpoint of the group. */
+  isCutOff(): boolean {
+    const { group, requestRelay } = this.options;
+    return requestRelay.isUnreachable(group);
   }
 
   recordEnd(id: string, kind: AttemptEndKind): void {
@@ -64,7 +76,7 @@
     if (peer !== undefined || this.isBarredFromEndpoints()) return peer;
     const { isRepeatable } = this.options;
     const barred = isRepeatable ? new Set<string>() : this.reached;
-    const isFirst = this.tried.size === 0;
+    const isFirst = this.triedIds.length === 0;
     return this.reserveOutside(
       isFirst ? [this.tried] : [this.tried, barred],
       nowMs,
@@ -89,6 +101,7 @@
   /** Reserves an endpoint that was left for another one, if retries may still use its version. */
   reserveLeft(nowMs: number): PoolReservation | undefined {
     const { group, pool, versions } = this.options;
+    if (this.isBarredFromEndpoints()) return undefined;
     const others = pool
       .readyEndpoints(group, nowMs)
       .map(({ id }) => id)
@@ -100,16 +113,16 @@
   private reservePeer(nowMs: number): PoolReservation | undefined {
     const { group, relayed, requestRelay } = this.options;
     if (relayed !== undefined) return undefined;
-    const peer = requestRelay.reserve(group, this.tried, nowMs);
+    const peer = requestRelay.reserve(group, new Set(this.triedIds), nowMs);
     this.hasTriedPeer ||= peer !== undefined;
     return peer;
   }
 
   /** Returns whether only another daemon can still reach an endpoint for the request. */
   private isBarredFromEndpoints(): boolean {
-    const { group, relayed, requestRelay } = this.options;
-    const isOthersTurn = relayed !== undefined || this.hasTriedPeer;
-    return isOthersTurn && requestRelay.isUnreachable(group);
+    const isOthersTurn =
+      this.options.relayed !== undefined || this.hasTriedPeer;
+    return isOthersTurn && this.isCutOff();
   }
 
   /** Reserves an endpoint outside the first of the sets that leaves one. */
@@ -119,7 +132,7 @@
   ): PoolReservation | undefined {
     const { group, pool, versions } = this.options;
     const rule =
-      this.tried.size === 0
+      this.triedIds.length === 0
         ? versions.choose(group)
         : versions.chooseForRetry(group);
     const query = this.queryFor(rule);
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -20,7 +20,6 @@
   Forwarder,
   ForwardError,
   LeavingEndpoints,
-  NO_RELAY,
   PausedEndpoints,
   TokenBucketLedger,
   UNGUARDED,
@@ -30,6 +29,7 @@
 import { RecordingCrashGuard } from './recording-crash-guard.js';
 import { RecordingSink } from './recording-sink.js';
 import { SAMPLE_HOST, sampleConfiguration, sampleEndpoint } from './samples.js';
+import { ScriptedRelay } from './scripted-relay.js';
 import type { ScriptedResponse } from './scripted-upstream.js';
 import { ScriptedUpstream } from './scripted-upstream.js';
 
@@ -39,6 +39,8 @@
   readonly endpoints?: readonly string[];
   /** Balance of the retry budget. */
   readonly retries?: number;
+  /** Responses of the peers by their ids; there are no peers if absent. */
+  readonly peers?: ReadonlyMap<string, ScriptedResponse>;
 }
 
 /** Harness for the forwarder of one daemon, with scripted endpoints. */
@@ -85,13 +87,14 @@
   private readonly budget: RetryBudget;
   /** Retries that a first attempt adds to the budget. */
   private budgetRefill = 0;
+  readonly relay: ScriptedRelay;
   private readonly forwarder: Forwarder;
   private revision = 0;
 
   constructor(
     script: readonly ScriptedResponse[],
     private readonly route: ForwardRoute,
-    { endpoints = ENDPOINTS, retries = 10 }: HarnessOptions = {},
+    { endpoints = ENDPOINTS, peers, retries = 10 }: HarnessOptions = {},
   ) {
     this.upstream = new ScriptedUpstream(script, this.clock);
     const configuration = new ConfigurationStore();
@@ -105,6 +108,7 @@
       capacity: 10,
       initialBalance: retries,
     });
+    this.relay = new ScriptedRelay(this.clock, peers ?? new Map());
     this.forwarder = new Forwarder({
       clock: this.clock,
       nextPoll: () => Promise.resolve(),
@@ -135,7 +139,7 @@
           },
         }),
       },
-      requestRelay: NO_RELAY,
+      requestRelay: this.relay,
       usageCounter: {
         count: workspace => {
           this.usageWorkspaces.push(workspace);
--- a/packages/core/src/forwarding/fakes/index.ts
+++ b/packages/core/src/forwarding/fakes/index.ts
@@ -3,4 +3,5 @@
 export * from './recording-crash-guard.js';
 export * from './recording-sink.js';
 export * from './samples.js';
+export * from './scripted-relay.js';
 export * from './scripted-upstream.js';
--- /dev/null
+++ b/packages/core/src/forwarding/fakes/scripted-relay.ts
@@ -0,0 +1,86 @@
+import type { Clock } from '../../ports/index.js';
+import type {
+  EndpointRecord,
+  EndpointResponse,
+  PoolReservation,
+  RelayedRequest,
+  RequestRelay,
+} from '../index.js';
+import { sampleEndpoint } from './samples.js';
+import type { ScriptedResponse } from './scripted-upstream.js';
+import { ScriptedUpstream } from './scripted-upstream.js';
+
+/** Fake relay of a daemon whose links can be cut, through peers that respond as scripted. */
+export class ScriptedRelay implements RequestRelay {
+  /** Requests by the peer that they were sent through. */
+  readonly sent: { readonly peer: string; readonly lastEventId?: string }[] =
+    [];
+  private isCutOff = false;
+  private readonly listeners = new Set<() => void>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly responses: ReadonlyMap<string, ScriptedResponse>,
+  ) {}
+
+  /** Cuts the links of the daemon, in silence. */
+  cut(): void {
+    this.isCutOff = true;
+    for (const listener of this.listeners) listener();
+  }
+
+  restore(): void {
+    this.isCutOff = false;
+  }
+
+  isUnreachable(): boolean {
+    return this.isCutOff;
+  }
+
+  reserve(
+    _group: string,
+    excludedIds: ReadonlySet<string>,
+  ): PoolReservation | undefined {
+    if (!this.isCutOff) return undefined;
+    const id = [...this.responses.keys()].find(each => !excludedIds.has(each));
+    if (id === undefined) return undefined;
+    return {
+      endpoint: sampleEndpoint(id),
+      isPeer: true,
+      recordFirstEvent: () => undefined,
+      recordLoad: () => undefined,
+      recordStatements: () => undefined,
+      recordLeaving: () => undefined,
+      recordPause: () => undefined,
+      recordSilence: () => undefined,
+      release: () => undefined,
+    };
+  }
+
+  send(
+    endpoint: EndpointRecord,
+    { lastEventId, request }: RelayedRequest,
+    onEndpoint: (endpointId: string) => void,
+    signal: AbortSignal,
+  ): Promise<EndpointResponse> {
+    const { id } = endpoint;
+    this.sent.push({
+      peer: id,
+      ...(lastEventId !== undefined && { lastEventId }),
+    });
+    onEndpoint(`behind-${id}`);
+    const upstream = new ScriptedUpstream(
+      [this.responses.get(id) ?? {}],
+      this.clock,
+    );
+    const call = { ...request, endpoint, isEndpointUsable: () => true };
+    return upstream.send(call, signal);
+  }
+
+  onSilence(_group: string, listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => {
+      this.listeners.delete(listener);
+    };
+  }
+}
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -124,7 +124,9 @@
         : this.attempt(reservation));
       if (hasCallerLeft(signal)) break;
       response = last.response ?? response;
-      reservation = await this.sequence.next(last, this.hasBegun());
+      // The daemon that took the request from its caller decides on a wait.
+      const mayWait = this.hasBegun() && this.context.relayed === undefined;
+      reservation = await this.sequence.next(last, mayWait);
     }
     if (hasCallerLeft(signal)) {
       this.outcome = RunOutcome.CallerDisconnected;
@@ -157,7 +159,7 @@
       lastEventId: this.relay?.lastEventId,
       excludedIds: sequence.triedIds,
     };
-    sequence.recordDispatch(reservation.endpoint.id);
+    sequence.recordDispatch(reservation);
     const result = await runPeerAttempt({
       ...this.deps,
       reservation,
@@ -185,7 +187,7 @@
     this.lastEndpointId = endpoint.id;
     this.dispatchedAfterMs = sentAtMs - request.receivedAtMs;
     this.endpointListAgeMs = this.deps.endpointListAgeMs();
-    this.sequence.recordDispatch(endpoint.id);
+    this.sequence.recordDispatch(reservation);
     this.context.relayed?.onDispatch(endpoint.id);
     const observation = versions.observe({
       group: endpoint.group,
--- a/packages/core/src/forwarding/forward-waits.test.ts
+++ b/packages/core/src/forwarding/forward-waits.test.ts
@@ -70,6 +70,39 @@
     assert.ok(harness.sink.isEnded);
   });
 
+  it('waits for an endpoint where it can reach none for a while', async () => {
+    const script = [broken, unsent, unsent, unsent, rest];
+    const harness = new ForwarderHarness(script, draftRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 1_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+    assert.ok(harness.sink.isEnded);
+  });
+
+  it('waits for an endpoint where none is listed for a while', async () => {
+    const script = [broken, rest];
+    const harness = new ForwarderHarness(script, draftRoute);
+    const served = harness.serve();
+    harness.listEndpoints([]);
+    await harness.clock.advanceTo(START_MS + 500);
+    harness.listEndpoints(['e4']);
+    await harness.clock.advanceTo(START_MS + 1_000);
+    assert.equal(await served, undefined);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+    assert.deepEqual(calledIds(harness).slice(1), ['e4']);
+  });
+
+  it('does not connect to unreachable endpoints without pause while it waits', async () => {
+    const harness = new ForwarderHarness([broken, unsent], draftRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 2_000);
+    const connections = harness.upstream.calls.length - 1;
+    assert.ok(connections <= 3 + 10, `${connections}`);
+    await harness.clock.advanceTo(START_MS + DEADLINE_MS);
+    assert.equal(await served, undefined);
+  });
+
   it('is cut at its deadline, not before, where nothing can take it over', async () => {
     const harness = new ForwarderHarness([broken], draftRoute, { retries: 0 });
     const served = harness.serve();
--- a/packages/stand-ins/src/gateway/gateway-partition.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-partition.test.ts
@@ -2,6 +2,16 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 
+import { request } from 'undici';
+
+import type { EndpointServer } from '@skylarkreach/platform/stand-ins';
+import {
+  EndpointMode,
+  SAMPLE_HOST,
+  SAMPLE_KEY,
+  sampleCall,
+} from '@skylarkreach/platform/stand-ins';
+
 import { LinkState } from './endpoint-links.js';
 import {
   CallKind,
@@ -22,6 +32,31 @@
     await fixture.stop();
   });
 
+  /** Returns the ids of a stream whose gateway is cut off within it; `change` is applied to the engine that does not run it. */
+  async function idsOfCutDraft(
+    state: LinkState,
+    change: (other: EndpointServer) => void,
+  ): Promise<number[]> {
+    const [engine, other] = fixture.deployment.endpoints.filter(each =>
+      each.id.startsWith('engine'),
+    );
+    assert.ok(engine !== undefined && other !== undefined);
+    engine.mode = EndpointMode.FallsSilent;
+    other.mode = EndpointMode.FallsSilent;
+    const { addresses, links } = fixture.gateway(0);
+    const { headers, path } = sampleCall('cut-1', 6_000, true);
+    const sent = await request(`http://${addresses.callers}${path}`, {
+      headers: { ...headers, host: SAMPLE_HOST, key: SAMPLE_KEY },
+      dispatcher: fixture.agent,
+    });
+    await delay(100);
+    const isFirst = engine.runs.some(each => each.requestId === 'cut-1');
+    change(isFirst ? other : engine);
+    links.setState(state);
+    const text = await sent.body.text();
+    return [...text.matchAll(/id: (\d+)/g)].map(match => Number(match[1]));
+  }
+
   for (const state of [
     LinkState.Silent,
     LinkState.Reset,
@@ -41,6 +76,20 @@
     }
   }
 
+  for (const state of [LinkState.Silent, LinkState.Reset]) {
+    it(`does not cut a stream that began before its links were ${state}`, async () => {
+      const ids = await idsOfCutDraft(state, () => undefined);
+      assert.deepEqual(ids, [1, 2, 3, 4]);
+    });
+
+    it(`does not cut a stream that began before its links were ${state} where the first endpoint behind a peer fails`, async () => {
+      const ids = await idsOfCutDraft(state, other => {
+        other.mode = EndpointMode.FailsAfterRun;
+      });
+      assert.deepEqual(ids, [1, 2, 3, 4]);
+    });
+  }
+
   it('sends on by itself soon after its links are back', async () => {
     const [cutOff] = await fixture.cut(1, LinkState.Reset);
     assert.ok(cutOff !== undefined);
