Keep to the limit of attempts where the way back to an endpoint is not reached

What callers saw: nothing yet. A request that had run on the route's number of endpoints, and whose way back to the one it had left could not be sent, ran on one endpoint more.

Cause: an attempt that is not sent was followed by another whatever had run before, which was right as long as none followed the last attempt of the route but after a refusal.

Endpoints that refused the request still do not count there, as it has not run on them.

--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -45,6 +45,8 @@
   /** What kept the request from another attempt; undefined while none is missing. */
   obstacle: RetryObstacle | undefined;
   private unsentAttempts = 0;
+  /** Attempts that their endpoint refused. */
+  private refusedAttempts = 0;
   private peerAttempts = 0;
   /** Attempts at endpoints from which this daemon was cut off since; they do not count towards the limit. */
   private cutOffAttempts = 0;
@@ -106,6 +108,7 @@
   recordEnd(id: string, kind: AttemptEndKind): void {
     this.options.endpoints.recordEnd(id, kind);
     if (kind === AttemptEndKind.NotSent) this.unsentAttempts += 1;
+    if (kind === AttemptEndKind.NotRun) this.refusedAttempts += 1;
     if (kind !== AttemptEndKind.NotSent && kind !== AttemptEndKind.Misdirected)
       return;
     this.attempts -= 1;
@@ -194,15 +197,19 @@
     const { clock, crashGuard, deadlineAtMs, dispatchWindow } = this.options;
     const { isRepeatable, maxAttempts, signal, suspectIds } = this.options;
     const remainingMs = deadlineAtMs - clock.nowMs();
-    if (this.options.endpoints.isCutOff())
+    if (this.options.endpoints.isCutOff()) {
       this.cutOffAttempts = this.attempts - this.peerAttempts;
+      this.refusedAttempts = 0; // else they would be taken off twice
+    }
+    const countedAttempts = this.attempts - this.cutOffAttempts;
     return {
       hasEnded: signal.aborted,
       isStopping: !isRepeatable && !dispatchWindow.isOpenUntil(deadlineAtMs),
       isDeadlineNear: remainingMs < MIN_TIME_FOR_ATTEMPT_MS,
       isBlocked: crashGuard.blockedForMs(suspectIds) !== undefined,
       isRepeatable,
-      hasAttemptsLeft: this.attempts - this.cutOffAttempts < maxAttempts,
+      hasAttemptsLeft: countedAttempts < maxAttempts,
+      hasRunsLeft: countedAttempts - this.refusedAttempts < maxAttempts,
       hasUnsentAttemptsLeft: this.unsentAttempts < MAX_UNSENT_ATTEMPTS,
     };
   }
--- a/packages/core/src/forwarding/forward-silence.test.ts
+++ b/packages/core/src/forwarding/forward-silence.test.ts
@@ -31,6 +31,13 @@
   lateChunks: [eventText(2, 3)],
 };
 
+const silentStream: ScriptedResponse = {
+  metadata,
+  chunks: [eventText(1)],
+  isHanging: true,
+};
+const refusal: ScriptedResponse = { status: 503, metadata: { isNotRun: true } };
+
 /** How the endpoint that takes over a stream may fail. */
 const failures: readonly (readonly [string, ScriptedResponse])[] = [
   ['answers 500', { status: 500 }],
@@ -119,7 +126,7 @@
 
   it('is left for an endpoint that becomes usable during the silence', async () => {
     const script: readonly ScriptedResponse[] = [
-      { metadata, chunks: [eventText(1)], isHanging: true },
+      silentStream,
       { metadata, chunks: [eventText(2)] },
     ];
     const harness = new ForwarderHarness(script, draftRoute, {
@@ -151,12 +158,8 @@
   });
 
   it('gets a request back that the endpoint which took over refuses', async () => {
-    const refusal: ScriptedResponse = {
-      status: 503,
-      metadata: { isNotRun: true },
-    };
     const script: readonly ScriptedResponse[] = [
-      { metadata, chunks: [eventText(1)], isHanging: true },
+      silentStream,
       refusal,
       pausingStream,
     ];
@@ -176,7 +179,7 @@
   for (const [failure, step] of failures) {
     it(`gets a stream back when the next endpoint ${failure}`, async () => {
       const script: readonly ScriptedResponse[] = [
-        { metadata, chunks: [eventText(1)], isHanging: true },
+        silentStream,
         step,
         pausingStream,
       ];
@@ -215,13 +218,30 @@
     assert.equal(harness.upstream.calls.length, 3);
   });
 
+  it('is not followed by more endpoints than the route allows where it cannot be reached again', async () => {
+    const script = [silentStream, { status: 500 }, { isNotSent: true }, {}];
+    const harness = new ForwarderHarness(script, draftRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 4_000);
+    const ids = new Set(harness.upstream.calls.map(call => call.endpoint.id));
+    assert.equal(ids.size, draftRoute.maxAttempts);
+    assert.ok(harness.sink.isDestroyed);
+    assert.equal(await served, undefined);
+  });
+
+  it('is followed by another endpoint where it cannot be reached again and the one between refused', async () => {
+    const script = [silentStream, refusal, { isNotSent: true }, pausingStream];
+    const harness = new ForwarderHarness(script, draftRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 4_000);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+    assert.ok(harness.sink.isEnded);
+    assert.equal(await served, undefined);
+  });
+
   it('gets a request back once at most', async () => {
-    const refusal: ScriptedResponse = {
-      status: 503,
-      metadata: { isNotRun: true },
-    };
     const script: readonly ScriptedResponse[] = [
-      { metadata, chunks: [eventText(1)], isHanging: true },
+      silentStream,
       refusal,
       refusal,
       {},
@@ -259,10 +279,7 @@
 
   it('gets a request back if no other endpoint can be reached', async () => {
     const endpoints = ['e1', 'e2', 'e3', 'e4', 'e5'];
-    const script: readonly ScriptedResponse[] = [
-      { metadata, chunks: [eventText(1)], isHanging: true },
-      pausingStream,
-    ];
+    const script: readonly ScriptedResponse[] = [silentStream, pausingStream];
     const harness = new ForwarderHarness(script, draftRoute, { endpoints });
     const served = harness.serve();
     await harness.clock.advanceTo(START_MS + 100);
--- a/packages/core/src/forwarding/retry-obstacle.ts
+++ b/packages/core/src/forwarding/retry-obstacle.ts
@@ -30,6 +30,8 @@
   readonly isBlocked: boolean;
   readonly isRepeatable: boolean;
   readonly hasAttemptsLeft: boolean;
+  /** Whether the request may run on another endpoint; attempts that were refused do not count. */
+  readonly hasRunsLeft: boolean;
   readonly hasUnsentAttemptsLeft: boolean;
 }
 
@@ -51,6 +53,8 @@
     kind === AttemptEndKind.NotRun;
   if (!isNotRun && !state.isRepeatable) return RetryObstacle.NotRepeatable;
   if (state.isStopping) return RetryObstacle.Stopping;
+  // The way back to an endpoint may not be reached either.
+  if (isUnsent && !state.hasRunsLeft) return RetryObstacle.AttemptsUsed;
   if (isUnsent)
     return state.hasUnsentAttemptsLeft ? undefined : RetryObstacle.Unreachable;
   return state.hasAttemptsLeft ? undefined : RetryObstacle.AttemptsUsed;
