Read what has arrived before a request counts as too slow

Callers whose whole request arrived while the daemon was held up got 408: on a new connection, with a head or with a body of which the first part had been read before.

Cause: after a hold-up the timers run before the connections are polled. The check of header timeouts and the time limit of a body ended the request with its bytes unread. The first is a check every 500 ms that the HTTP server makes by itself; it forgets a connection that it has reported.

Ruled out: the request's deadline. It counts from the reading of the head, so that a hold-up before that does not use it up.

Both now poll the connections once more and look again. A head that is still incomplete is refused as before, and so is a body, so that a slow caller gains nothing but that poll. The same holds for bodies of peers, operators and relayed requests, which share the function.

--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -22,6 +22,7 @@
   ConnectionEnd,
   OtherEnd,
 } from './caller-connections.js';
+import { onClientError } from './client-errors.js';
 import { closeIdleConnections } from './idle-connections.js';
 import { LingeringCloser } from './lingering-closer.js';
 import {
@@ -86,7 +87,7 @@
       },
       (request, response) => void this.serve(request, response),
     );
-    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    onClientError(this.server, (error, socket) => {
       this.handleClientError(error, socket);
     });
     this.connections.observe(this.server);
--- a/packages/daemon/src/http/read-body.ts
+++ b/packages/daemon/src/http/read-body.ts
@@ -1,5 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
+import { nextPoll } from './next-poll.js';
+
 /** Reason why a request body could not be read. */
 export enum BodyErrorKind {
   TooLarge = 'tooLarge',
@@ -46,13 +48,14 @@
       reject(new BodyError(message, kind));
     };
     const onTimeout = () => {
-      fail(BodyErrorKind.TooSlow, 'The body did not arrive in time.');
+      // What arrived while this daemon was behind is read first.
+      void nextPoll().then(() => {
+        if (request.complete) return;
+        fail(BodyErrorKind.TooSlow, 'The body did not arrive in time.');
+      });
     };
-    if (limits.timeout.aborted) {
-      onTimeout();
-      return;
-    }
-    limits.timeout.addEventListener('abort', onTimeout, { once: true });
+    if (limits.timeout.aborted) onTimeout();
+    else limits.timeout.addEventListener('abort', onTimeout, { once: true });
     request.on('data', (chunk: Buffer) => {
       receivedBytes += chunk.length;
       if (receivedBytes > limits.maxBytes) {
--- a/packages/stand-ins/src/gateway/gateway-stalls.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-stalls.test.ts
@@ -6,11 +6,16 @@
 import { EndpointMode, sampleCall } from '@skylarkreach/platform/stand-ins';
 
 import { GatewayFixture, rawRequest, waitUntil } from './gateway-fixture.js';
+import { RawCaller } from './raw-caller.js';
 
 const IDLE_TIMEOUT_MS = 1_000;
+const HEADER_TIMEOUT_MS = 1_000;
+/** Time in which the daemon accepts a connection. */
+const ACCEPTED_MS = 50;
 const EVENTS = 10;
 const EVENT_GAP_MS = 100;
 const RESPONSE_MS = 50;
+const PLAIN_TIMEOUT_MS = 4_000;
 const streamHeaders = {
   model: 'm',
   'token-usage': '100,20',
@@ -18,6 +23,8 @@
   'deadline-ms': '8000',
 };
 
+const lookup = rawRequest(sampleCall('request', PLAIN_TIMEOUT_MS, false));
+
 /** Holds up the event loop, as a slow processor does. */
 function stall(forMs: number): void {
   const endsAtMs = performance.now() + forMs;
@@ -29,6 +36,7 @@
 
   beforeEach(async () => {
     fixture = new GatewayFixture(async deployment => {
+      deployment.writeConfiguration(2, { plainTimeoutMs: PLAIN_TIMEOUT_MS });
       for (const id of ['engine-1', 'engine-2']) {
         await deployment.addEndpoint('engines', id, {
           events: EVENTS,
@@ -83,4 +91,52 @@
     await waitUntil(() => answers() === 2);
     socket.destroy();
   });
+
+  describe('and a caller whose request arrives meanwhile', () => {
+    let caller: RawCaller;
+
+    beforeEach(async () => {
+      caller = await RawCaller.open(fixture.callersAddress);
+      await delay(ACCEPTED_MS);
+    });
+
+    afterEach(() => {
+      caller.destroy();
+    });
+
+    it('does not refuse the first one on a connection as too slow', async () => {
+      caller.send(lookup);
+      stall(2 * HEADER_TIMEOUT_MS);
+      await waitUntil(() => caller.text.includes('HTTP/1.1 '));
+      assert.match(caller.text, /^HTTP\/1.1 200 /);
+    });
+
+    it('does not refuse one whose head it had begun to read', async () => {
+      caller.send(lookup.slice(0, 20));
+      await delay(0.8 * HEADER_TIMEOUT_MS);
+      caller.send(lookup.slice(20));
+      stall(2 * HEADER_TIMEOUT_MS);
+      await waitUntil(() => caller.text.includes('HTTP/1.1 '));
+      assert.match(caller.text, /^HTTP\/1.1 200 /);
+    });
+
+    it('does not refuse one whose body it had begun to read', async () => {
+      const head = lookup.replace('GET', 'POST').slice(0, -2);
+      caller.send(`${head}content-length: 4\r\n\r\nab`);
+      await delay(0.8 * IDLE_TIMEOUT_MS);
+      caller.send('cd');
+      stall(2 * IDLE_TIMEOUT_MS);
+      await waitUntil(() => caller.text.includes('HTTP/1.1 '));
+      assert.match(caller.text, /^HTTP\/1.1 200 /);
+    });
+
+    it('still refuses one that is not whole by then', async () => {
+      caller.send(lookup.slice(0, 20));
+      await delay(0.8 * HEADER_TIMEOUT_MS);
+      caller.send(lookup.slice(20, 40));
+      stall(2 * HEADER_TIMEOUT_MS);
+      await waitUntil(() => caller.isEnded);
+      assert.equal(caller.count(408), 1);
+    });
+  });
 });
