--- a/packages/stand-ins/src/gateway/gateway-refusals.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-refusals.test.ts
@@ -12,6 +12,9 @@
 const PART_GAP_MS = 20;
 const IDLE_TIMEOUT_MS = 2_000;
 const RUN_MS = 300;
+const LONG_MS = 15_000;
+/** Longer than a stopping daemon may get new requests, shorter than the grace period. */
+const STOPPED_WITHIN_MS = 4_000;
 const LONG_HEADER = `long: ${'x'.repeat(20_000)}\r\n`;
 
 /** Returns the head of a posting with further headers. */
@@ -115,4 +118,20 @@
     assert.equal(caller.count(200), 2);
     assert.equal(fixture.runs().length, 2);
   });
+
+  it('does not hold up a stop with a request that crossed its last response', async () => {
+    fixture.deployment.writeConfiguration(3, { idleTimeoutMs: LONG_MS });
+    const [running] = fixture.deployment.gateways;
+    assert.ok(running);
+    const { gateway } = running;
+    await waitUntil(() => gateway.wiring.configuration.version === 3);
+    const head = rawRequest(sampleCall('last', 1_500, false));
+    const crossing = rawRequest(sampleCall('crossing', 1_500, false));
+    caller.send(`${head.slice(0, -2)}connection: close\r\n\r\n${crossing}`);
+    await waitUntil(() => caller.isEnded);
+    const stopRequestedAtMs = performance.now();
+    await gateway.stop();
+    const stoppedAfterMs = performance.now() - stopRequestedAtMs;
+    assert.ok(stoppedAfterMs < STOPPED_WITHIN_MS, `${stoppedAfterMs} ms`);
+  });
 });
