Refuse what has arrived also when a stop reaches its cutoff late

A daemon that still answered 1 s before the end of its grace period closed its remaining connections at a fixed time, 200 ms later.

The time for the last answers and refusals now counts from the moment at which answers in progress are ended. It is an upper bound of 500 ms, and the daemon goes on as soon as nothing more arrives.

Test: a further moment of gateway-stop-unread, a stall of 300 ms across the cutoff with a stream in progress.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -10,8 +10,8 @@
 import type { TextResponse } from './text-server.js';
 import { TextServer } from './text-server.js';
 
-/** Time in which the last answers are sent after the cutoff. */
-const FLUSH_MS = 200; // a part of CUTOFF_MARGIN_MS of stop-schedule.ts
+/** Time in which the last answers are sent, and requests that have arrived are refused, after the cutoff. */
+const FLUSH_MS = 500; // a part of CUTOFF_MARGIN_MS of stop-schedule.ts
 const MS_PER_SECOND = 1_000;
 /** Settings sections that are read only at start, so that a change needs a restart. */
 const RESTART_SECTIONS = ['identity', 'listen', 'peerSecret'] as const;
@@ -126,7 +126,7 @@
     const { answersInProgress } = ingress;
     ingress.endResponses();
     const closed = ingress.close().then(() => relayServer.whenIdle());
-    await Promise.race([closed, clock.waitUntil(cutoffAtMs + FLUSH_MS)]);
+    await Promise.race([closed, clock.waitUntil(clock.nowMs() + FLUSH_MS)]);
     await this.terminate();
     log.info(LogComponent.Daemon, 'The daemon has stopped.', {
       answersInProgress,
--- a/packages/stand-ins/src/gateway/gateway-stop-unread.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-stop-unread.test.ts
@@ -23,9 +23,13 @@
 const STALL_MS = 300;
 /** Time from SIGTERM until the load balancer has noticed it. */
 const ROUTED_MS = 2_500;
-/** Streams of 3.6 s. */
-const STREAM = { events: 6, eventGapMs: 600 };
-const STREAM_MS = STREAM.events * STREAM.eventGapMs;
+/** Time from SIGTERM until answers in progress are ended. */
+const CUTOFF_MS = 7_000;
+const EVENT_GAP_MS = 600;
+/** Streams that end after the load balancer has noticed the stop. */
+const EVENTS = 6;
+/** Streams that go on until they are ended. */
+const ENDLESS_EVENTS = 13;
 /** Time in which a daemon ends after its last answer. */
 const END_MS = 1_000;
 /** Time for which callers may hold a connection without a request. */
@@ -35,29 +39,35 @@
 interface StopMoment {
   readonly name: string;
   readonly stallAtMs: number;
-  readonly isStreaming: boolean;
+  /** Length of a stream that is in progress. */
+  readonly events?: number;
 }
 
 const MOMENTS: readonly StopMoment[] = [
-  { name: 'begins', stallAtMs: 0, isStreaming: false },
+  { name: 'begins', stallAtMs: 0 },
   {
     name: 'is noticed by the load balancer, with no answer in progress',
     stallAtMs: ROUTED_MS - STALL_MS / 3,
-    isStreaming: false,
   },
   {
     name: 'is noticed by the load balancer, with an answer in progress',
     stallAtMs: ROUTED_MS - STALL_MS / 3,
-    isStreaming: true,
+    events: EVENTS,
   },
   {
     name: 'comes to its last answer',
-    stallAtMs: STREAM_MS - STALL_MS / 3,
-    isStreaming: true,
+    stallAtMs: EVENTS * EVENT_GAP_MS - STALL_MS / 3,
+    events: EVENTS,
+  },
+  {
+    name: 'comes to the end of the grace period',
+    stallAtMs: CUTOFF_MS - STALL_MS / 3,
+    events: ENDLESS_EVENTS,
   },
 ];
 
 async function withGateway(
+  events: number,
   act: (
     running: RunningGateway,
     runsOf: (id: string) => number,
@@ -67,7 +77,8 @@
   try {
     await deployment.start();
     deployment.writeConfiguration(2, CALLER_TIMEOUTS);
-    await deployment.addEndpoint('engines', 'engine-1', STREAM);
+    const stream = { events, eventGapMs: EVENT_GAP_MS };
+    await deployment.addEndpoint('engines', 'engine-1', stream);
     await deployment.addEndpoint('ledger', 'ledger-1', { silentForMs: 0 });
     const running = await deployment.addGateway('daemon-1');
     await act(running, id => {
@@ -106,9 +117,9 @@
 }
 
 describe('a gateway that stops while its event loop is held up', () => {
-  for (const [index, { isStreaming, name, stallAtMs }] of MOMENTS.entries()) {
+  for (const [index, { events, name, stallAtMs }] of MOMENTS.entries()) {
     it(`settles the requests that it has not read when the stop ${name}`, () =>
-      withGateway(async (running, runsOf) => {
+      withGateway(events ?? EVENTS, async (running, runsOf) => {
         const options: StopCallersOptions = {
           address: running.addresses.callers,
           seed: index + 1,
@@ -119,7 +130,8 @@
           { workerData: options },
         );
         await once(callers, 'message');
-        const stream = isStreaming ? await startStream(running) : undefined;
+        const stream =
+          events === undefined ? undefined : await startStream(running);
         const routedUntilMs = Date.now() + ROUTED_MS;
         const stopped = running.gateway.stop().then(() => Date.now());
         await delay(stallAtMs);
@@ -148,7 +160,7 @@
   }
 
   it('answers the next request on a connection whose response began before the stop', () =>
-    withGateway(async (running, runsOf) => {
+    withGateway(EVENTS, async (running, runsOf) => {
       const { received, socket } = await startStream(running);
       const stopped = running.gateway.stop();
       socket.on('data', chunk => {
