Let a caller that still sends read its refusal before a stopping daemon closes

What callers saw: a reset, and no refusal, of a request whose body they were still sending when the daemon refused it as stopping, if the last answer of the daemon was out meanwhile.

Cause: a connection that the daemon has ended reads on, so that its caller can read the refusal; the stop closed it as soon as a single poll of the event loop brought no byte, between two parts of the body.

A connection that was ended now counts as empty once it has brought no byte for 100 ms, and for at most one second in all.

--- a/packages/daemon/src/gateway/connection-drain.ts
+++ b/packages/daemon/src/gateway/connection-drain.ts
@@ -11,10 +11,12 @@
 
 /** Time in which a caller sends its next request if it does so as soon as it has read a response. */
 const NEXT_REQUEST_MS = 100; // a part of FLUSH_MS of gateway.ts
-/** Time in which the rest of a head follows that was read in part. */
-const REST_OF_HEAD_MS = 1_000;
-/** Interval between checks for such heads. */
-const HEAD_CHECK_INTERVAL_MS = 10;
+/** Time in which the rest follows of a request that was read in part. */
+const REST_OF_REQUEST_MS = 1_000;
+/** Time without a byte after which a caller whose request was refused has stopped sending. */
+const QUIET_MS = 100;
+/** Interval between checks for such requests. */
+const CHECK_INTERVAL_MS = 10;
 
 export interface ConnectionDrainDependencies {
   readonly clock: Clock;
@@ -22,6 +24,12 @@
   readonly responses: ResponseTracker;
 }
 
+/** Bytes read on a connection, and the time at which they were seen. */
+interface Input {
+  readonly bytes: number;
+  readonly seenAtMs: number;
+}
+
 /**
  * Closes callers' connections while this daemon stops. Bytes that have arrived may
  * wait to be read, and connections to be accepted, so that a connection is closed
@@ -32,6 +40,7 @@
   private readonly lateSockets = new WeakSet<Duplex>();
   /** Bytes read on each connection up to its last request or response. */
   private readonly settledBytes = new WeakMap<Duplex, number>();
+  private readonly lastInputs = new WeakMap<Duplex, Input>();
   private readonly lingering = new Set<Promise<void>>();
   private acceptedCount = 0;
   private closedBytes = 0;
@@ -72,10 +81,10 @@
   /** Has all further requests refused, and closes the listener and all connections once a poll has brought nothing new. */
   async close(): Promise<void> {
     this.isClosing = true;
-    const headsUntilMs = this.deps.clock.nowMs() + REST_OF_HEAD_MS;
+    const restUntilMs = this.deps.clock.nowMs() + REST_OF_REQUEST_MS;
     let progress: number;
     do {
-      await this.whenSettled(headsUntilMs);
+      await this.whenSettled(restUntilMs);
       progress = this.progress();
       await nextPoll();
     } while (this.progress() !== progress || this.isAnswering);
@@ -121,29 +130,39 @@
     return this.deps.responses.count > 0 || this.lingering.size > 0;
   }
 
-  /** Resolves once nothing that was read waits for its response or, until `headsUntilMs`, for the rest of its head. */
-  private async whenSettled(headsUntilMs: number): Promise<void> {
+  /** Resolves once nothing that was read waits for its response or, until `restUntilMs`, for its rest. */
+  private async whenSettled(restUntilMs: number): Promise<void> {
     const { clock, responses } = this.deps;
     for (;;) {
       if (this.isAnswering) {
         await Promise.all([responses.whenIdle(), ...this.lingering]);
-      } else if (this.hasUnsettled() && clock.nowMs() < headsUntilMs) {
-        await clock.waitUntil(clock.nowMs() + HEAD_CHECK_INTERVAL_MS);
+      } else if (this.hasUnsettled() && clock.nowMs() < restUntilMs) {
+        await clock.waitUntil(clock.nowMs() + CHECK_INTERVAL_MS);
       } else {
         return;
       }
     }
   }
 
-  /** Whether the head of a request was read in part, or an error is being sent. */
+  /** Whether the head of a request was read in part, or a caller may not have read its refusal. */
   private hasUnsettled(): boolean {
     return [...this.sockets].some(socket =>
       socket.writable
         ? socket.bytesRead > (this.settledBytes.get(socket) ?? 0)
-        : socket.writableLength > 0,
+        : socket.writableLength > 0 || !this.isQuiet(socket),
     );
   }
 
+  /** Whether a caller has stopped sending: a close that meets its bytes may take the refusal with it. */
+  private isQuiet(socket: Socket): boolean {
+    const nowMs = this.deps.clock.nowMs();
+    const { bytesRead: bytes } = socket;
+    const last = this.lastInputs.get(socket);
+    if (last?.bytes === bytes) return nowMs - last.seenAtMs >= QUIET_MS;
+    this.lastInputs.set(socket, { bytes, seenAtMs: nowMs });
+    return false;
+  }
+
   /** Changes whenever a connection is accepted or bytes are read. */
   private progress(): number {
     return [...this.sockets].reduce(
--- a/packages/stand-ins/src/gateway/gateway-refusals.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-refusals.test.ts
@@ -13,6 +13,8 @@
 const IDLE_TIMEOUT_MS = 2_000;
 const RUN_MS = 300;
 const LONG_MS = 15_000;
+/** Time after which a stopping daemon refuses requests that may last beyond its end. */
+const ROUTED_MS = 2_500;
 /** Longer than a stopping daemon may get new requests, shorter than the grace period. */
 const STOPPED_WITHIN_MS = 4_000;
 const LONG_HEADER = `long: ${'x'.repeat(20_000)}\r\n`;
@@ -119,6 +121,30 @@
     assert.equal(fixture.runs().length, 2);
   });
 
+  it('reads that the daemon stops, though the last answer is out before it has sent all', async () => {
+    const [running] = fixture.deployment.gateways;
+    assert.ok(running);
+    const { gateway } = running;
+    const options = {
+      plainTimeoutMs: 6_000,
+      headerTimeoutMs: LONG_MS,
+      idleTimeoutMs: LONG_MS,
+    };
+    fixture.deployment.writeConfiguration(3, options);
+    await waitUntil(() => gateway.wiring.configuration.version === 3);
+    const stopped = gateway.stop();
+    await delay(ROUTED_MS - RUN_MS / 2);
+    const other = fixture.send('/lookups/a');
+    await delay(RUN_MS / 2 + PART_GAP_MS);
+    const head = postingHead('late', `content-length: ${PARTS + 1}\r\n`);
+    caller.send(head.replace('deadline-ms: 1500', 'deadline-ms: 6000'));
+    await sendParts('x');
+    const { body } = await other;
+    await Promise.all([body.dump(), stopped]);
+    assertRefused(503);
+    assert.match(caller.text, /"kind":"stopping".*\}$/);
+  });
+
   it('does not hold up a stop with a request that crossed its last response', async () => {
     fixture.deployment.writeConfiguration(3, { idleTimeoutMs: LONG_MS });
     const [running] = fixture.deployment.gateways;
