Let a stream wait for the endpoint it left while that one is out of reach

What callers saw: a stream that had begun was cut at once where the endpoint that took over had failed and the one that was left did not accept a connection just then.

Cause: a way back that was not sent counted as made.

--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -177,6 +177,9 @@
 
   /** Whether what keeps the request from another attempt may pass before its deadline. */
   private mayPass(): boolean {
+    const { clock, endpoints } = this.options;
+    if (this.obstacle === RetryObstacle.AttemptsUsed)
+      return endpoints.hasMissed(clock.nowMs());
     return this.obstacle !== undefined && PASSING_OBSTACLES.has(this.obstacle);
   }
 
@@ -186,7 +189,7 @@
     await clock
       .waitUntil(Math.min(checkAtMs, deadlineAtMs), signal)
       .catch(() => undefined); // the request has ended
-    endpoints.forgetPeers();
+    endpoints.renew();
     this.unsentAttempts = Math.min(
       this.unsentAttempts,
       MAX_UNSENT_ATTEMPTS - 1,
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -25,7 +25,8 @@
   private readonly reached = new Set<string>();
   /** Endpoints that were left as they were silent. */
   private readonly left = new Set<string>();
-
+  /** Endpoints that were left and could not be reached again. */
+  private readonly missed = new Set<string>();
   private readonly triedPeers = new Set<string>();
   private hasTriedPeer = false;
 
@@ -48,9 +49,11 @@
     (isPeer ? this.triedPeers : this.tried).add(id);
   }
 
-  /** Lets the peers that were tried be chosen again. */
-  forgetPeers(): void {
+  /** Lets peers that were tried, and endpoints to which there was no way back, be chosen again. */
+  renew(): void {
     this.triedPeers.clear();
+    for (const id of this.missed) this.left.add(id);
+    this.missed.clear();
   }
 
   /** Whether this daemon reaches no endpoint of the group. */
@@ -62,7 +65,8 @@
   recordEnd(id: string, kind: AttemptEndKind): void {
     if (kind !== AttemptEndKind.NotSent) this.reached.add(id);
     if (kind === AttemptEndKind.Silent) this.left.add(id);
-    else this.left.delete(id);
+    else if (this.left.delete(id) && kind === AttemptEndKind.NotSent)
+      this.missed.add(id);
   }
 
   /**
@@ -92,10 +96,12 @@
 
   /** Whether an endpoint that was left for another one still accepts requests. */
   hasLeft(nowMs: number): boolean {
-    const { group, pool } = this.options;
-    return pool
-      .readyEndpoints(group, nowMs)
-      .some(({ id }) => this.left.has(id));
+    return this.isAnyReady(this.left, nowMs);
+  }
+
+  /** Whether an endpoint to which there was no way back still accepts requests. */
+  hasMissed(nowMs: number): boolean {
+    return this.isAnyReady(this.missed, nowMs);
   }
 
   /** Reserves an endpoint that was left for another one, if retries may still use its version. */
@@ -110,6 +116,11 @@
     return pool.reserve({ ...query, excluded: new Set(others) }, nowMs);
   }
 
+  private isAnyReady(ids: ReadonlySet<string>, nowMs: number): boolean {
+    const { group, pool } = this.options;
+    return pool.readyEndpoints(group, nowMs).some(({ id }) => ids.has(id));
+  }
+
   private reservePeer(nowMs: number): PoolReservation | undefined {
     const { group, relayed, requestRelay } = this.options;
     if (relayed !== undefined) return undefined;
--- a/packages/core/src/forwarding/forward-waits.test.ts
+++ b/packages/core/src/forwarding/forward-waits.test.ts
@@ -80,6 +80,32 @@
     assert.ok(harness.sink.isEnded);
   });
 
+  it('waits for the endpoint that it left where the next one fails and it is out of reach for a while', async () => {
+    const failure: ScriptedResponse = { status: 500 };
+    const script = [silent, failure, unsent, unsent, rest];
+    const harness = new ForwarderHarness(script, draftRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 2_500);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+    assert.ok(harness.sink.isEnded);
+    assert.equal(await served, undefined);
+    const [first, , ...later] = calledIds(harness);
+    assert.deepEqual(new Set(later), new Set([first]));
+  });
+
+  it('is cut where the endpoint that it left is out of reach and leaves the list', async () => {
+    const failure: ScriptedResponse = { status: 500 };
+    const script = [silent, failure, unsent];
+    const harness = new ForwarderHarness(script, draftRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 2_000);
+    harness.listEndpoints(['e4']);
+    await harness.clock.advanceTo(START_MS + 2_500);
+    assert.ok(harness.sink.isDestroyed);
+    assert.equal(await served, undefined);
+    assert.ok(!calledIds(harness).includes('e4'));
+  });
+
   it('waits for an endpoint where none is listed for a while', async () => {
     const script = [broken, rest];
     const harness = new ForwarderHarness(script, draftRoute);
