Give a stream back to an endpoint that broke it off when the next one fails

What callers saw: a stream that had begun was cut where its endpoint broke off, as by a reset, and the one that took over failed, lost its answer or broke off too, although a sound endpoint may go on at the last event.

An endpoint that has sent events of the stream gets it back, once, where the limit is reached. It takes a retry from the budget, none at a version that retries may not use, and no further endpoint, also where one has crashed: a request that crashes endpoints must not reach more of them. A peer that makes an attempt for another daemon does not go back by itself.

--- a/packages/core/src/forwarding/attempt-outcome.ts
+++ b/packages/core/src/forwarding/attempt-outcome.ts
@@ -43,6 +43,8 @@
   readonly kind: AttemptEndKind;
   readonly crashEvidence: CrashEvidence;
   readonly reason?: string;
+  /** Whether the endpoint had sent events of the stream before it failed. */
+  readonly hasSentEvents?: boolean;
   /** Whether the endpoint was silent when the request itself ended. */
   readonly wasSilent?: boolean;
   /** Delay of the timer that found the endpoint silent: the time for which this daemon itself was held up. */
--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -105,8 +105,11 @@
     return this.options.endpoints.triedIds;
   }
 
-  recordEnd(id: string, kind: AttemptEndKind): void {
-    this.options.endpoints.recordEnd(id, kind);
+  recordEnd(id: string, { hasSentEvents, kind }: AttemptOutcome): void {
+    const { endpoints } = this.options;
+    endpoints.recordEnd(id, kind);
+    if (kind === AttemptEndKind.Failed && hasSentEvents === true)
+      endpoints.recordBreak(id);
     if (kind === AttemptEndKind.NotSent) this.unsentAttempts += 1;
     if (kind === AttemptEndKind.NotRun) this.refusedAttempts += 1;
     if (kind !== AttemptEndKind.NotSent && kind !== AttemptEndKind.Misdirected)
@@ -141,9 +144,9 @@
   }
 
   /**
-   * Whether the request may go back to the endpoint that was left as it was silent,
-   * as the next one failed or refused it or no other was reached: the limit of
-   * attempts is one of endpoints.
+   * Whether the request may go back to an endpoint that was left as it was silent or
+   * that broke off, as the next one failed or refused it or no other was reached:
+   * the limit of attempts is one of endpoints.
    */
   private mayReturn({ kind }: AttemptOutcome): boolean {
     const { clock, endpoints } = this.options;
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -27,6 +27,9 @@
   private readonly left = new Set<string>();
   /** Endpoints that were left and could not be reached again. */
   private readonly missed = new Set<string>();
+  /** Endpoints that broke off a stream and may get it back. */
+  private readonly broken = new Set<string>();
+  private readonly returned = new Set<string>();
   private readonly triedPeers = new Set<string>();
   private hasTriedPeer = false;
 
@@ -46,6 +49,7 @@
   }
 
   recordDispatch(id: string, isPeer = false): void {
+    if (this.broken.delete(id)) this.returned.add(id);
     (isPeer ? this.triedPeers : this.tried).add(id);
   }
 
@@ -69,6 +73,11 @@
       this.missed.add(id);
   }
 
+  /** Records that an endpoint broke off a stream within which it had sent events. */
+  recordBreak(id: string): void {
+    if (!this.returned.has(id)) this.broken.add(id);
+  }
+
   /**
    * Reserves an endpoint that was not tried, or any if all were tried. A request
    * that may not be repeated never returns to an endpoint that it reached: a copy
@@ -94,9 +103,11 @@
     return this.reserveOutside([this.tried], nowMs);
   }
 
-  /** Whether an endpoint that was left for another one still accepts requests. */
+  /** Whether an endpoint that may get the request back still accepts requests. */
   hasLeft(nowMs: number): boolean {
-    return this.isAnyReady(this.left, nowMs);
+    // The daemon that took the request from its caller decides on a return.
+    if (this.options.relayed !== undefined) return false;
+    return this.isAnyReady(this.returnableIds(), nowMs);
   }
 
   /** Whether an endpoint to which there was no way back still accepts requests. */
@@ -104,18 +115,23 @@
     return this.isAnyReady(this.missed, nowMs);
   }
 
-  /** Reserves an endpoint that was left for another one, if retries may still use its version. */
+  /** Reserves an endpoint that was left for another one or broke off, if retries may still use its version. */
   reserveLeft(nowMs: number): PoolReservation | undefined {
     const { group, pool, versions } = this.options;
     if (this.isBarredFromEndpoints()) return undefined;
+    const returnableIds = this.returnableIds();
     const others = pool
       .readyEndpoints(group, nowMs)
       .map(({ id }) => id)
-      .filter(id => !this.left.has(id));
+      .filter(id => !returnableIds.has(id));
     const query = this.queryFor(versions.chooseForRetry(group));
     return pool.reserve({ ...query, excluded: new Set(others) }, nowMs);
   }
 
+  private returnableIds(): ReadonlySet<string> {
+    return new Set([...this.left, ...this.broken]);
+  }
+
   private isAnyReady(ids: ReadonlySet<string>, nowMs: number): boolean {
     const { group, pool } = this.options;
     return pool.readyEndpoints(group, nowMs).some(({ id }) => ids.has(id));
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -262,6 +262,7 @@
     const isEarly = writtenForMs <= MAX_CRASH_DELAY_MS;
     return {
       ...failed(reason),
+      hasSentEvents: this.firstEventAtMs !== undefined,
       crashEvidence: isEarly
         ? CrashEvidence.MayHaveCrashed
         : CrashEvidence.Unknown,
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -243,7 +243,7 @@
     const { clock, log, metrics, pool } = this.deps;
     const nowMs = clock.nowMs();
     this.lastEnd = result.kind;
-    this.sequence.recordEnd(endpoint.id, result.kind);
+    this.sequence.recordEnd(endpoint.id, result);
     switch (result.kind) {
       case AttemptEndKind.Misdirected:
         pool.recordMisdirected(endpoint.id, nowMs);
