--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -119,8 +119,11 @@
     return this.options.endpoints.triedIds;
   }
 
-  recordEnd(id: string, kind: AttemptEndKind): void {
-    this.options.endpoints.recordEnd(id, kind);
+  recordEnd(id: string, { hasSentEvents, kind }: AttemptOutcome): void {
+    const { endpoints } = this.options;
+    endpoints.recordEnd(id, kind);
+    if (kind === AttemptEndKind.Failed && hasSentEvents === true)
+      endpoints.recordBreak(id);
     if (kind === AttemptEndKind.NotSent) this.unsentAttempts += 1;
     if (kind === AttemptEndKind.NotRun) this.refusedAttempts += 1;
     if (kind !== AttemptEndKind.NotSent && kind !== AttemptEndKind.Misdirected)
@@ -165,9 +168,9 @@
   }
 
   /**
-   * Whether the request may go back to the endpoint that was left as it was silent,
-   * as the next one failed or refused it or no other was reached: the limit of
-   * attempts is one of endpoints.
+   * Whether the request may go back to an endpoint that was left as it was silent or
+   * that broke off, as the next one failed or refused it or no other was reached:
+   * the limit of attempts is one of endpoints.
    */
   private mayReturn({ kind }: AttemptOutcome): boolean {
     const { clock, endpoints } = this.options;
@@ -201,6 +204,9 @@
 
   /** Whether what keeps the request from another attempt may pass before its deadline. */
   private mayPass(): boolean {
+    const { clock, endpoints } = this.options;
+    if (this.obstacle === RetryObstacle.AttemptsUsed)
+      return endpoints.hasMissed(clock.nowMs());
     return this.obstacle !== undefined && PASSING_OBSTACLES.has(this.obstacle);
   }
 
@@ -210,7 +216,7 @@
     await clock
       .waitUntil(Math.min(checkAtMs, deadlineAtMs), signal)
       .catch(() => undefined); // the request has ended
-    endpoints.forgetPeers();
+    endpoints.renew();
     this.unsentAttempts = Math.min(
       this.unsentAttempts,
       MAX_UNSENT_ATTEMPTS - 1,
