Soak daemons as processes under overlapping faults from outside

SIGTERM, SIGKILL, SIGSTOP, SIGHUP, links that delay, hold back, fall silent or reset, bursts of configurations, and endpoints that drain, end, move, fail and close kept connections overlap; some stops are of a daemon that is held up for 100 to 400 ms again and again. Callers keep their connections until these end. Each whole request has to end with an answer, a refusal, or with a cut by its endpoint; a violation comes with the request's times, what was done to its daemon and the log lines of its id. The plan and the checks are those of the soak in one process; its checks now also cover 408 and 421, and streams that must not be repeated.

--- a/packages/measure/src/registry.ts
+++ b/packages/measure/src/registry.ts
@@ -9,7 +9,7 @@
 import { pathExperiment } from './path/index.js';
 import { routingExperiment } from './routing/index.js';
 import { slopesExperiment } from './slopes/index.js';
-import { soakExperiment } from './soak/index.js';
+import { processSoakExperiment, soakExperiment } from './soak/index.js';
 import { surviveExperiment } from './survive/index.js';
 
 /** All experiments that the command line can run by name. */
@@ -26,4 +26,5 @@
   routingExperiment,
   overloadExperiment,
   soakExperiment,
+  processSoakExperiment,
 ];
--- a/packages/measure/src/soak/index.ts
+++ b/packages/measure/src/soak/index.ts
@@ -1,1 +1,2 @@
+export * from './process-soak-experiment.js';
 export * from './soak-experiment.js';
--- a/packages/stand-ins/src/gateway/gateway-deployment.ts
+++ b/packages/stand-ins/src/gateway/gateway-deployment.ts
@@ -1,3 +1,4 @@
+import type { Address } from '@skylarkreach/core/ports';
 import type { GatewayAddresses, GatewaySettings } from '@skylarkreach/daemon';
 import { Gateway, gatewaySettingsSchema, LogLevel } from '@skylarkreach/daemon';
 import type {
@@ -30,8 +31,16 @@
   readonly cloud = new CloudServer();
   readonly endpoints: EndpointServer[] = [];
   readonly gateways: RunningGateway[] = [];
-  private storeAddress = ANY_PORT;
-  private cloudAddress = ANY_PORT;
+  storeAddress = ANY_PORT;
+  cloudAddress = ANY_PORT;
+
+  /** `expose` returns the address that is registered for an endpoint's own. */
+  constructor(
+    private readonly expose: (
+      address: Address,
+      id: string,
+    ) => Promise<Address> = address => Promise.resolve(address),
+  ) {}
 
   async start(): Promise<void> {
     this.storeAddress = await this.store.listen();
@@ -55,7 +64,7 @@
     entry: Readonly<Record<string, unknown>> = {},
   ): Promise<EndpointServer> {
     const endpoint = new EndpointServer({ ...options, id });
-    const address = await endpoint.listen();
+    const address = await this.expose(await endpoint.listen(), id);
     this.store.register(id, service, address, entry);
     this.endpoints.push(endpoint);
     return endpoint;
--- a/packages/stand-ins/src/gateway/gateway-soak.ts
+++ b/packages/stand-ins/src/gateway/gateway-soak.ts
@@ -2,7 +2,6 @@
 
 import { Agent, request } from 'undici';
 
-import { SeededRandom } from '@skylarkreach/core/ports';
 import type { EndpointServer } from '@skylarkreach/platform/stand-ins';
 import { sampleCall, StoreFault } from '@skylarkreach/platform/stand-ins';
 
@@ -10,6 +9,7 @@
 import { GatewayDeployment } from './gateway-deployment.js';
 import type { SoakCall, SoakLimit } from './soak-checks.js';
 import { findViolations, SoakCallKind } from './soak-checks.js';
+import { CRASHING_TARGET, groupOf, pathOf, SoakPlan } from './soak-plan.js';
 
 const GATEWAYS = 3;
 const MAX_GATEWAYS = 6;
@@ -17,10 +17,7 @@
 const STREAM_EVENTS = 4;
 const MIN_CALL_GAP_MS = 10;
 const CALL_GAP_SPREAD_MS = 30;
-const MIN_DISTURBANCE_GAP_MS = 100;
-const DISTURBANCE_GAP_SPREAD_MS = 900;
 const LIMITS_PER_SECOND = [0.5, 1, 2, 5];
-const CRASHING_TARGET = '/lookups/bad';
 const CRASHING_CALLS = 4;
 const OUTAGE_MS = 1_000;
 /** Time for which a leaving endpoint goes on serving. */
@@ -55,7 +52,7 @@
  */
 export class GatewaySoak {
   private readonly deployment = new GatewayDeployment();
-  private readonly random: SeededRandom;
+  private readonly plan: SoakPlan;
   private readonly gateways: SoakGateway[] = [];
   private readonly tasks: Promise<unknown>[] = [];
   private readonly calls: SoakCall[] = [];
@@ -74,7 +71,7 @@
     seed: number,
     private readonly disturbances = Object.values(Disturbance),
   ) {
-    this.random = new SeededRandom(seed);
+    this.plan = new SoakPlan(seed);
   }
 
   /** Runs for the given time and returns a line for each promise that was broken. */
@@ -88,7 +85,10 @@
       await this.startGateway(`daemon-${count}`);
     }
     const endAtMs = performance.now() + durationMs;
-    await Promise.all([this.generateLoad(endAtMs), this.disturb(endAtMs)]);
+    const disturbing = this.plan.disturb(endAtMs, this.disturbances, each =>
+      this.apply(each),
+    );
+    await Promise.all([this.generateLoad(endAtMs), disturbing]);
     await Promise.all(this.tasks);
     for (const endpoint of this.openLimits.keys()) this.endLimit(endpoint);
     await Promise.all(this.gateways.map(({ agent }) => agent.destroy()));
@@ -120,18 +120,9 @@
       SoakCallKind.Draft,
     ];
     while (performance.now() < endAtMs) {
-      this.tasks.push(this.send(this.pick(kinds)));
+      this.tasks.push(this.send(this.plan.pick(kinds)));
       await this.replaceCrashed();
-      const spreadMs = this.random.nextFloat() * CALL_GAP_SPREAD_MS;
-      await delay(MIN_CALL_GAP_MS + spreadMs);
-    }
-  }
-
-  private async disturb(endAtMs: number): Promise<void> {
-    while (performance.now() < endAtMs) {
-      this.tasks.push(this.apply(this.pick(this.disturbances)));
-      const spreadMs = this.random.nextFloat() * DISTURBANCE_GAP_SPREAD_MS;
-      await delay(MIN_DISTURBANCE_GAP_MS + spreadMs);
+      await delay(this.plan.nextMs(MIN_CALL_GAP_MS, CALL_GAP_SPREAD_MS));
     }
   }
 
@@ -148,7 +139,7 @@
       case Disturbance.NameLimit: {
         const endpoint = this.pickEndpoint();
         this.endLimit(endpoint);
-        endpoint.limitPerSecond = this.pick(LIMITS_PER_SECOND);
+        endpoint.limitPerSecond = this.plan.pick(LIMITS_PER_SECOND);
         this.openLimits.set(endpoint, performance.now());
         break;
       }
@@ -184,7 +175,7 @@
   private async restartGateway(isKill: boolean): Promise<void> {
     const candidates = this.gateways.filter(each => !each.isEnding);
     if (candidates.length < GATEWAYS) return;
-    const gateway = this.pick(candidates);
+    const gateway = this.plan.pick(candidates);
     gateway.isEnding = true;
     if (isKill) this.killedGateways.add(gateway.id);
     else await gateway.running.gateway.stop();
@@ -229,7 +220,7 @@
   private async interruptStore(): Promise<void> {
     const { store } = this.deployment;
     const fromMs = performance.now();
-    store.fault = this.pick([StoreFault.Unavailable, StoreFault.Hangs]);
+    store.fault = this.plan.pick([StoreFault.Unavailable, StoreFault.Hangs]);
     const outage = { fromMs, untilMs: fromMs + OUTAGE_MS };
     this.storeOutages.push(outage);
     await delay(OUTAGE_MS);
@@ -248,7 +239,7 @@
   }
 
   private async send(kind: SoakCallKind): Promise<void> {
-    const gateway = this.pick(this.gateways);
+    const gateway = this.plan.pick(this.gateways);
     this.requestCount += 1;
     const id = `${kind}-${this.requestCount}`;
     const call = sampleCall(id, DEADLINE_MS, kind === SoakCallKind.Draft);
@@ -273,22 +264,6 @@
     const usable = this.deployment.endpoints.filter(
       endpoint => !endpoint.hasCrashed && !this.drainedAtMs.has(endpoint.id),
     );
-    return this.pick(usable);
+    return this.plan.pick(usable);
   }
-
-  private pick<Item>(items: readonly Item[]): Item {
-    const item = items[this.random.nextInteger(items.length)];
-    if (item === undefined) throw new Error('There is nothing to pick from.');
-    return item;
-  }
-}
-
-function groupOf({ id }: EndpointServer): string {
-  return id.split('-')[0] ?? '';
-}
-
-function pathOf(kind: SoakCallKind, samplePath: string, id: string): string {
-  if (kind === SoakCallKind.Draft) return samplePath;
-  if (kind === SoakCallKind.Crashing) return CRASHING_TARGET;
-  return kind === SoakCallKind.Posting ? `/postings/${id}` : `/lookups/${id}`;
 }
--- a/packages/stand-ins/src/gateway/index.ts
+++ b/packages/stand-ins/src/gateway/index.ts
@@ -1,2 +1,4 @@
 export * from './gateway-deployment.js';
+export * from './soak-checks.js';
+export * from './soak-plan.js';
 export { sampleCall } from '@skylarkreach/platform/stand-ins';
--- a/packages/stand-ins/src/gateway/soak-checks.ts
+++ b/packages/stand-ins/src/gateway/soak-checks.ts
@@ -8,16 +8,30 @@
 const ALLOWED_LATE_CRASHES = 3;
 /** Time in which a daemon that starts may not know yet what the others know. */
 const START_MS = 1_500;
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 export enum SoakCallKind {
   Lookup = 'lookup',
   Posting = 'posting',
+  /** Stream that may be resumed. */
   Draft = 'draft',
+  /** Stream that must not be repeated. */
+  Report = 'report',
+  /** Lookup on a route or with a key that configurations remove and add. */
+  Volatile = 'volatile',
   /** Lookup under which endpoints crash. */
   Crashing = 'crashing',
 }
 
+export const STREAMS: ReadonlySet<SoakCallKind> = new Set([
+  SoakCallKind.Draft,
+  SoakCallKind.Report,
+]);
+const RUN_ONCE: ReadonlySet<SoakCallKind> = new Set([
+  SoakCallKind.Posting,
+  SoakCallKind.Report,
+]);
+
 /** Request of a caller and what it got. */
 export interface SoakCall {
   readonly id: string;
@@ -82,7 +96,7 @@
   return calls
     .filter(({ status, text }) => status === 200 && text !== undefined)
     .filter(({ kind, text }) =>
-      kind === SoakCallKind.Draft
+      STREAMS.has(kind)
         ? text !== wholeStream
         : text?.startsWith('answer of ') !== true,
     )
@@ -91,14 +105,14 @@
 
 function repeatedPostings({ calls, runs }: SoakRecord): string[] {
   return calls
-    .filter(({ kind }) => kind === SoakCallKind.Posting)
+    .filter(({ kind }) => RUN_ONCE.has(kind))
     .filter(({ id }) => runs.filter(run => run.requestId === id).length > 1)
-    .map(({ id }) => `${id} is a posting and ran more than once`);
+    .map(({ id }) => `${id} must not be repeated and ran more than once`);
 }
 
 function falseRejections({ calls, runs }: SoakRecord): string[] {
   return calls
-    .filter(({ kind }) => kind === SoakCallKind.Posting)
+    .filter(({ kind }) => RUN_ONCE.has(kind))
     .filter(({ status }) => NOT_RUN_STATUSES.has(status ?? 0))
     .filter(({ id }) => runs.some(run => run.requestId === id))
     .map(({ id }) => `${id} was rejected as not run and ran`);
--- /dev/null
+++ b/packages/stand-ins/src/process-soak/endpoint-faults.ts
@@ -0,0 +1,202 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import type { Address } from '@skylarkreach/core/ports';
+import type { EndpointServer } from '@skylarkreach/platform/stand-ins';
+import { EndpointMode } from '@skylarkreach/platform/stand-ins';
+
+import type { SoakPlan } from '../gateway/index.js';
+import { GatewayDeployment, groupOf } from '../gateway/index.js';
+import { LinkFault, LinkProxy } from './link-proxy.js';
+import type { SoakAct } from './loss-checks.js';
+import { ActKind } from './loss-checks.js';
+
+const ENDPOINTS_BY_GROUP: readonly (readonly [string, number])[] = [
+  ['ledger', 3],
+  ['records', 2],
+  ['engines', 3],
+];
+export const STREAM_EVENTS = 8;
+const EVENT_GAP_MS = 90;
+const PLAIN_RUN_MS = 40;
+/** Time for which a leaving endpoint goes on serving. */
+const LEAVING_MS = 3_000;
+const MIN_FAULT_MS = 500;
+const FAULT_SPREAD_MS = 1_500;
+
+export enum EndpointFault {
+  Link = 'link',
+  ResetLink = 'resetLink',
+  Drain = 'drain',
+  End = 'end',
+  Move = 'move',
+  CloseIdle = 'closeIdle',
+  Fail = 'fail',
+  SayLeaving = 'sayLeaving',
+  SayBrittle = 'sayBrittle',
+}
+
+/** Records an act; its end is infinite until it is set. */
+export type RecordAct = (
+  kind: ActKind,
+  subject: string,
+  detail?: string,
+) => SoakAct;
+
+/** Endpoints of a soak behind links of their own, and their faults. */
+export class EndpointFaults {
+  readonly deployment = new GatewayDeployment((address, id) =>
+    this.expose(address, id),
+  );
+  readonly drainedAtMs = new Map<string, number>();
+  private readonly links = new Map<string, LinkProxy>();
+  private readonly proxies: LinkProxy[] = [];
+  private readonly usable: EndpointServer[] = [];
+  private added = 0;
+
+  constructor(
+    private readonly plan: SoakPlan,
+    private readonly record: RecordAct,
+  ) {}
+
+  async start(): Promise<void> {
+    await this.deployment.start();
+    for (const [group, count] of ENDPOINTS_BY_GROUP)
+      for (let index = 0; index < count; index += 1) await this.add(group);
+  }
+
+  async destroy(): Promise<void> {
+    for (const proxy of this.proxies) proxy.destroy();
+    await this.deployment.destroy();
+  }
+
+  async apply(fault: EndpointFault): Promise<void> {
+    const endpoint = this.plan.pick(this.usable);
+    const { id } = endpoint;
+    switch (fault) {
+      case EndpointFault.Link:
+        await this.disturbLink(id);
+        break;
+      case EndpointFault.ResetLink:
+        this.once(ActKind.ResetEndpointLink, id);
+        this.links.get(id)?.resetConnections();
+        break;
+      case EndpointFault.Drain:
+        await this.drain(endpoint);
+        break;
+      case EndpointFault.End:
+        await this.replace(endpoint);
+        this.end(endpoint);
+        await delay(this.faultMs());
+        this.deployment.store.state.delete(`servers/${id}`);
+        break;
+      case EndpointFault.Move:
+        this.remove(endpoint);
+        await this.add(groupOf(endpoint), id);
+        await delay(LEAVING_MS);
+        this.record(ActKind.MoveEndpoint, id);
+        endpoint.destroy();
+        break;
+      case EndpointFault.CloseIdle:
+        this.once(ActKind.CloseIdle, id);
+        endpoint.closeIdleConnections();
+        break;
+      case EndpointFault.Fail: {
+        const act = this.record(ActKind.Fail, id);
+        endpoint.mode = EndpointMode.FailsAfterRun;
+        await delay(this.faultMs());
+        endpoint.mode = EndpointMode.Responds;
+        act.untilMs = performance.now();
+        break;
+      }
+      case EndpointFault.SayLeaving:
+        await this.replace(endpoint);
+        this.record(ActKind.State, id, 'leaving');
+        endpoint.isLeaving = true;
+        await delay(LEAVING_MS);
+        this.end(endpoint);
+        this.deployment.store.state.delete(`servers/${id}`);
+        break;
+      case EndpointFault.SayBrittle: {
+        const act = this.record(ActKind.State, id, 'brittle');
+        const fromMs = performance.now() + LEAVING_MS;
+        endpoint.brittleness = { maxRejectionsPerSecond: 5, fromMs };
+        await delay(LEAVING_MS);
+        endpoint.brittleness = undefined;
+        act.untilMs = performance.now();
+      }
+    }
+  }
+
+  private async disturbLink(id: string): Promise<void> {
+    const fault = this.plan.pick(Object.values(LinkFault).slice(1));
+    const link = this.links.get(id);
+    if (link?.fault !== LinkFault.None) return;
+    const act = this.record(ActKind.EndpointLink, id, fault);
+    link.fault = fault;
+    await delay(this.faultMs());
+    link.fault = LinkFault.None;
+    act.untilMs = performance.now();
+  }
+
+  private async drain(endpoint: EndpointServer): Promise<void> {
+    const { address, id } = endpoint;
+    const { store } = this.deployment;
+    await this.replace(endpoint);
+    this.record(ActKind.Drain, id);
+    const group = groupOf(endpoint);
+    const exposed = this.exposedAddresses.get(address) ?? '';
+    store.register(id, group, exposed, { State: 'draining' });
+    this.drainedAtMs.set(id, performance.now());
+    await delay(LEAVING_MS);
+    store.state.delete(`servers/${id}`);
+    this.end(endpoint);
+  }
+
+  /** Adds an endpoint in place of one that is about to end. */
+  private async replace(endpoint: EndpointServer): Promise<void> {
+    this.remove(endpoint);
+    await this.add(groupOf(endpoint));
+  }
+
+  private remove(endpoint: EndpointServer): void {
+    this.usable.splice(this.usable.indexOf(endpoint), 1);
+  }
+
+  private end(endpoint: EndpointServer): void {
+    this.record(ActKind.EndEndpoint, endpoint.id);
+    endpoint.destroy();
+  }
+
+  private async add(group: string, knownId?: string): Promise<void> {
+    this.added += 1;
+    const id = knownId ?? `${group}-${this.added}`;
+    const options = {
+      events: STREAM_EVENTS,
+      eventGapMs: EVENT_GAP_MS,
+      plainRunMs: PLAIN_RUN_MS,
+    };
+    const born = Math.floor(Date.now());
+    this.usable.push(
+      await this.deployment.addEndpoint(group, id, options, { born }),
+    );
+  }
+
+  private readonly exposedAddresses = new Map<Address, Address>();
+
+  private async expose(own: Address, id: string): Promise<Address> {
+    const { address, proxy } = await LinkProxy.start(own);
+    this.links.set(id, proxy);
+    this.proxies.push(proxy);
+    this.exposedAddresses.set(own, address);
+    return address;
+  }
+
+  private once(kind: ActKind, subject: string): void {
+    const act = this.record(kind, subject);
+    act.untilMs = act.fromMs;
+  }
+
+  private faultMs(): number {
+    return this.plan.nextMs(MIN_FAULT_MS, FAULT_SPREAD_MS);
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/process-soak/index.ts
@@ -0,0 +1,2 @@
+export * from './bundle-program.js';
+export * from './process-soak.js';
--- /dev/null
+++ b/packages/stand-ins/src/process-soak/loss-checks.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { SoakCallKind } from '../gateway/index.js';
+import type { ProcessCall, SoakAct } from './loss-checks.js';
+import {
+  ActKind,
+  findLostRequests,
+  findOverdueStops,
+  OVERDUE,
+} from './loss-checks.js';
+
+const answered: ProcessCall = {
+  id: 'c1',
+  kind: SoakCallKind.Lookup,
+  gatewayId: 'g1',
+  status: 200,
+  text: 'answer of e1',
+  startedAtMs: 10_000,
+  wholeAtMs: 10_000,
+  endedAtMs: 10_500,
+  deadlineAtMs: 13_000,
+  isReused: false,
+  error: '',
+};
+const unanswered = { ...answered, status: undefined, text: undefined };
+const cut = { ...answered, kind: SoakCallKind.Report, text: undefined };
+const run = { requestId: 'c1', endpointId: 'e1', atMs: 10_100 };
+
+function act(kind: ActKind, subject: string, fromMs: number): SoakAct {
+  return { kind, subject, detail: '', fromMs, untilMs: fromMs };
+}
+
+describe('findLostRequests', () => {
+  const lost: readonly [string, ProcessCall, readonly SoakAct[]][] = [
+    ['one without an answer', unanswered, []],
+    ['one that an endpoint ran', { ...unanswered, endedAtMs: 10_100 }, []],
+    ['a stream that was cut', cut, []],
+    ['a denied one', { ...answered, status: 404 }, []],
+    ['one during a stop', unanswered, [act(ActKind.Stop, 'g1', 9_000)]],
+    ['one beside a kill elsewhere', cut, [act(ActKind.Kill, 'g2', 10_200)]],
+    ['one beside a silence', cut, [act(ActKind.EndpointLink, 'e1', 10_200)]],
+    ['one long after a freeze', cut, [act(ActKind.Freeze, 'g1', 6_000)]],
+    ['one after its endpoint', cut, [act(ActKind.EndEndpoint, 'e1', 11_000)]],
+  ];
+  for (const [what, call, acts] of lost) {
+    it(`finds ${what}`, () => {
+      const lines = findLostRequests({ calls: [call], runs: [run], acts });
+      assert.equal(lines.length, 1);
+    });
+  }
+
+  const excused: readonly [string, ProcessCall, readonly SoakAct[]][] = [
+    ['an answer', answered, []],
+    ['a refusal', { ...answered, status: 503 }, []],
+    ['a part of a request', { ...unanswered, wholeAtMs: undefined }, []],
+    ['a killed daemon', unanswered, [act(ActKind.Kill, 'g1', 10_200)]],
+    ['a frozen daemon', unanswered, [act(ActKind.Freeze, 'g1', 8_000)]],
+    ['an endpoint that ended', cut, [act(ActKind.EndEndpoint, 'e1', 10_400)]],
+    ['the end of its time', { ...cut, endedAtMs: 13_000 }, []],
+    [
+      'the end of the grace period',
+      { ...cut, endedAtMs: 12_500 },
+      [act(ActKind.Stop, 'g1', 7_400)],
+    ],
+  ];
+  for (const [what, call, acts] of excused) {
+    it(`excuses ${what}`, () => {
+      const record = { calls: [call], runs: [run], acts };
+      assert.deepEqual(findLostRequests(record), []);
+    });
+  }
+
+  it('excuses a request that crossed the end of its connection and did not run', () => {
+    const call = { ...unanswered, endedAtMs: 10_100 };
+    const record = { calls: [call], runs: [], acts: [] };
+    assert.deepEqual(findLostRequests(record), []);
+  });
+});
+
+describe('findOverdueStops', () => {
+  const stop = { ...act(ActKind.Stop, 'g1', 0), detail: OVERDUE };
+
+  it('finds a stop that took longer than its grace period', () => {
+    assert.equal(findOverdueStops([stop]).length, 1);
+  });
+
+  it('excuses one of a frozen daemon', () => {
+    const freeze = act(ActKind.Freeze, 'g1', 0);
+    assert.deepEqual(findOverdueStops([stop, freeze]), []);
+  });
+});
--- /dev/null
+++ b/packages/stand-ins/src/process-soak/loss-checks.ts
@@ -0,0 +1,163 @@
+import type { SoakCall, SoakRun } from '../gateway/index.js';
+import { SoakCallKind } from '../gateway/index.js';
+import { GRACE_PERIOD_SECONDS } from './daemon-process.js';
+
+/** Bounds that the users state. */
+const CONTACT_MS = 3_000;
+const LOSS_SLACK_MS = 200;
+const LAST_PART_OF_GRACE_MS = (GRACE_PERIOD_SECONDS * 1_000 * 5) / 6;
+const SENT_AFTER_STOP_MS = 3_000;
+/** Error statuses of the daemon's own that a proper request must not get. */
+const DENIALS: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 431]);
+
+/** What a soak did to the subject of an act. */
+export enum ActKind {
+  Start = 'start',
+  Stop = 'stop',
+  Kill = 'kill',
+  Freeze = 'freeze',
+  HoldUp = 'holdUp',
+  Reload = 'reload',
+  StoreLink = 'storeLink',
+  Configure = 'configure',
+  EndpointLink = 'endpointLink',
+  ResetEndpointLink = 'resetEndpointLink',
+  Drain = 'drain',
+  EndEndpoint = 'endEndpoint',
+  MoveEndpoint = 'moveEndpoint',
+  CloseIdle = 'closeIdle',
+  Fail = 'fail',
+  State = 'state',
+  Probe = 'probe',
+}
+
+/** Detail of a stop after which the process had to be killed. */
+export const OVERDUE = 'overdue';
+
+/** Something that a soak did, by `performance.now()`. */
+export interface SoakAct {
+  readonly kind: ActKind;
+  /** Id of a daemon's process or of an endpoint; empty for the configuration. */
+  readonly subject: string;
+  detail: string;
+  readonly fromMs: number;
+  untilMs: number;
+}
+
+/** Request of a caller to a daemon that is a process of its own. */
+export interface ProcessCall extends SoakCall {
+  readonly startedAtMs: number;
+  /** Time at which the last byte was sent; undefined if the request was not sent whole. */
+  readonly wholeAtMs: number | undefined;
+  readonly endedAtMs: number;
+  readonly deadlineAtMs: number;
+  /** Whether its connection had served a request before. */
+  readonly isReused: boolean;
+  readonly error: string;
+}
+
+export interface LossRecord {
+  readonly calls: readonly ProcessCall[];
+  readonly runs: readonly SoakRun[];
+  readonly acts: readonly SoakAct[];
+}
+
+/** Acts after which an endpoint's answers in progress are lost. */
+const ENDPOINT_ENDS: ReadonlySet<ActKind> = new Set([
+  ActKind.EndEndpoint,
+  ActKind.MoveEndpoint,
+  ActKind.ResetEndpointLink,
+  ActKind.Fail,
+]);
+const DAEMON_DISRUPTIONS: ReadonlySet<ActKind> = new Set([
+  ActKind.Kill,
+  ActKind.Freeze,
+]);
+
+/** Returns a line for each whole request that ended without an answer, a refusal or a cut by its endpoint. */
+export function findLostRequests(record: LossRecord): readonly string[] {
+  return record.calls.flatMap(call => {
+    const reason = lossOf(call, record);
+    return reason === undefined ? [] : [`${call.id} ${reason}`];
+  });
+}
+
+/** Returns a line for each daemon that ran on after its grace period although it was not frozen. */
+export function findOverdueStops(acts: readonly SoakAct[]): readonly string[] {
+  return acts
+    .filter(({ detail, kind }) => kind === ActKind.Stop && detail === OVERDUE)
+    .filter(
+      ({ fromMs, subject, untilMs }) =>
+        !overlaps(acts, DAEMON_DISRUPTIONS, subject, fromMs, untilMs),
+    )
+    .map(({ subject }) => `${subject} ran on after its grace period`);
+}
+
+function lossOf(call: ProcessCall, record: LossRecord): string | undefined {
+  const { endedAtMs, startedAtMs, status, wholeAtMs } = call;
+  if (wholeAtMs === undefined) return undefined;
+  if (status !== undefined && DENIALS.has(status))
+    return call.kind === SoakCallKind.Volatile
+      ? undefined
+      : `was denied with ${status}`;
+  if (call.text !== undefined) return undefined;
+  const fromMs = wholeAtMs - CONTACT_MS;
+  if (
+    overlaps(record.acts, DAEMON_DISRUPTIONS, call.gatewayId, fromMs, endedAtMs)
+  )
+    return undefined;
+  const runs = record.runs.filter(run => run.requestId === call.id);
+  if (status === undefined) {
+    return runs.length === 0 && isCrossing(call)
+      ? undefined
+      : `got no answer; ran ${runs.length} times`;
+  }
+  const isEndpointEnd = runs.some(({ endpointId }) =>
+    overlaps(record.acts, ENDPOINT_ENDS, endpointId, startedAtMs, endedAtMs),
+  );
+  const isExcused =
+    isEndpointEnd ||
+    endedAtMs >= call.deadlineAtMs ||
+    isBeyondGrace(call, record.acts);
+  return isExcused ? undefined : 'was cut within its answer';
+}
+
+/** Whether the end of its connection crossed a request. */
+export function isCrossing({
+  endedAtMs,
+  status,
+  wholeAtMs,
+}: ProcessCall): boolean {
+  if (status !== undefined || wholeAtMs === undefined) return false;
+  return endedAtMs - wholeAtMs <= LOSS_SLACK_MS;
+}
+
+/** Whether the answer lasted into the end of the grace period. */
+function isBeyondGrace(
+  { endedAtMs, gatewayId, startedAtMs }: ProcessCall,
+  acts: readonly SoakAct[],
+): boolean {
+  return acts.some(
+    ({ fromMs, kind, subject }) =>
+      kind === ActKind.Stop &&
+      subject === gatewayId &&
+      startedAtMs <= fromMs + SENT_AFTER_STOP_MS &&
+      endedAtMs >= fromMs + LAST_PART_OF_GRACE_MS,
+  );
+}
+
+function overlaps(
+  acts: readonly SoakAct[],
+  kinds: ReadonlySet<ActKind>,
+  subject: string,
+  fromMs: number,
+  untilMs: number,
+): boolean {
+  return acts.some(
+    act =>
+      kinds.has(act.kind) &&
+      act.subject === subject &&
+      act.fromMs <= untilMs &&
+      act.untilMs >= fromMs,
+  );
+}
--- /dev/null
+++ b/packages/stand-ins/src/process-soak/process-soak.ts
@@ -0,0 +1,193 @@
+import { findViolations, SoakPlan } from '../gateway/index.js';
+import { DaemonFault, DaemonFaults } from './daemon-faults.js';
+import {
+  EndpointFault,
+  EndpointFaults,
+  STREAM_EVENTS,
+} from './endpoint-faults.js';
+import type { ProcessCall, SoakAct } from './loss-checks.js';
+import {
+  ActKind,
+  findLostRequests,
+  findOverdueStops,
+  isCrossing,
+} from './loss-checks.js';
+import { SoakCallers } from './soak-callers.js';
+
+/** Series of faults that run beside each other. */
+const SERIES = 2;
+/** Time before a request from which a report names what was done. */
+const SHOWN_BEFORE_MS = 4_000;
+
+type ProcessFault = DaemonFault | EndpointFault;
+
+/** Planned stops and changes of the configuration come more often than others. */
+const FAULTS: readonly ProcessFault[] = [
+  ...Object.values(DaemonFault),
+  ...Object.values(EndpointFault),
+  DaemonFault.Stop,
+  DaemonFault.StopHeldUp,
+  DaemonFault.Configure,
+  DaemonFault.ConfigureQuickly,
+];
+
+/** What one run of a soak found. */
+export interface SoakOutcome {
+  readonly seed: number;
+  /** Each violation with the request's record, what was done meanwhile and the daemons' log lines. */
+  readonly violations: readonly string[];
+  readonly requests: number;
+  /** Requests that were sent as their connection ended, and were not passed on. */
+  readonly crossings: number;
+  readonly statuses: Readonly<Record<string, number>>;
+  readonly acts: Readonly<Record<string, number>>;
+}
+
+/** Load on gateway daemons that are processes of their own, under overlapping faults from outside. */
+export class ProcessSoak {
+  private readonly plan: SoakPlan;
+  private readonly endpoints: EndpointFaults;
+  private readonly daemons: DaemonFaults;
+  private readonly callers: SoakCallers;
+  private readonly acts: SoakAct[] = [];
+  private readonly startedAtMs = performance.now();
+
+  /** `program` is the path of the daemon's bundled program. */
+  constructor(
+    private readonly seed: number,
+    program: string,
+    private readonly faults = FAULTS,
+  ) {
+    const record = (kind: ActKind, subject: string, detail = '') => {
+      const fromMs = performance.now();
+      const act = { kind, subject, detail, fromMs, untilMs: Infinity };
+      this.acts.push(act);
+      return act;
+    };
+    this.plan = new SoakPlan(seed);
+    this.endpoints = new EndpointFaults(this.plan, record);
+    const { deployment } = this.endpoints;
+    this.daemons = new DaemonFaults(program, this.plan, record, deployment);
+    this.callers = new SoakCallers(this.plan, () => this.daemons.pickRouted());
+  }
+
+  async run(durationMs: number): Promise<SoakOutcome> {
+    const killAll = () => {
+      this.daemons.killAll();
+    };
+    // Without listeners, a signal ends this process and leaves the daemons behind.
+    const exit = () => process.exit(1);
+    process.once('exit', killAll).once('SIGTERM', exit).once('SIGINT', exit);
+    try {
+      await this.endpoints.start();
+      await this.daemons.start();
+      const endAtMs = performance.now() + durationMs;
+      const disturbances = Array.from({ length: SERIES }, () =>
+        this.plan.disturb(endAtMs, this.faults, each => this.apply(each)),
+      );
+      await Promise.all([...disturbances, this.callers.run(endAtMs)]);
+    } finally {
+      await this.daemons.destroy();
+      await this.endpoints.destroy();
+      process.off('exit', killAll).off('SIGTERM', exit).off('SIGINT', exit);
+    }
+    return this.outcome();
+  }
+
+  private apply(fault: ProcessFault): Promise<void> {
+    return isDaemonFault(fault)
+      ? this.daemons.apply(fault)
+      : this.endpoints.apply(fault);
+  }
+
+  private outcome(): SoakOutcome {
+    const { acts, seed } = this;
+    const { calls } = this.callers;
+    const { deployment, drainedAtMs } = this.endpoints;
+    const runs = deployment.endpoints.flatMap(endpoint =>
+      endpoint.runs.map(({ readAtMs, requestId }) => ({
+        requestId,
+        endpointId: endpoint.id,
+        atMs: readAtMs,
+      })),
+    );
+    const kills = acts.filter(({ kind }) => kind === ActKind.Kill);
+    const lines = [
+      ...findOverdueStops(acts),
+      ...findLostRequests({ calls, runs, acts }),
+      ...findViolations({
+        calls,
+        runs,
+        limits: [],
+        crashesAtMs: [],
+        drainedAtMs,
+        killedGateways: new Set(kills.map(({ subject }) => subject)),
+        gatewayStartsAtMs: [],
+        storeOutages: acts.filter(
+          ({ kind }) => kind === ActKind.StoreLink || kind === ActKind.Freeze,
+        ),
+        streamEvents: STREAM_EVENTS,
+      }),
+    ];
+    return {
+      seed,
+      violations: lines.map(line => `seed ${seed}: ${this.explain(line)}`),
+      requests: calls.length,
+      crossings: calls.filter(call => isCrossing(call)).length,
+      statuses: countBy(calls, ({ status }) => String(status ?? 'none')),
+      acts: countBy(acts, ({ kind }) => kind),
+    };
+  }
+
+  /** Adds to a violation all that is known of its request. */
+  private explain(line: string): string {
+    const call = this.callers.calls.find(({ id }) => line.startsWith(`${id} `));
+    if (call === undefined) return line;
+    const { endedAtMs, error, gatewayId, isReused, startedAtMs, status } = call;
+    const runs = this.endpoints.deployment.endpoints.flatMap(endpoint =>
+      endpoint.runs
+        .filter(run => run.requestId === call.id)
+        .map(({ readAtMs }) => ({ endpointId: endpoint.id, readAtMs })),
+    );
+    const subjects = ['', gatewayId, ...runs.map(run => run.endpointId)];
+    const fromMs = startedAtMs - SHOWN_BEFORE_MS;
+    const acts = this.acts
+      .filter(act => act.fromMs <= endedAtMs && act.untilMs >= fromMs)
+      .filter(({ subject }) => subjects.includes(subject))
+      .map(
+        ({ detail, kind, subject, ...act }) =>
+          `${kind} ${subject} ${detail}, ${this.at(act.fromMs)} to ${this.at(act.untilMs)}`,
+      );
+    const logs = this.daemons.daemons.flatMap(({ daemon }) =>
+      daemon.lines.filter(each => each.includes(`"${call.id}"`)),
+    );
+    return [
+      line,
+      `at ${gatewayId}, ${isReused ? 'kept' : 'new'} connection: status ${status ?? 'none'}, ${error}`,
+      `began ${this.at(startedAtMs)}, whole ${this.at(call.wholeAtMs)}, ended ${this.at(endedAtMs)}`,
+      ...runs.map(run => `ran at ${run.endpointId}, ${this.at(run.readAtMs)}`),
+      ...acts,
+      ...logs,
+    ].join('\n  ');
+  }
+
+  private at(timeMs: ProcessCall['wholeAtMs']): string {
+    return timeMs === undefined || timeMs === Infinity
+      ? 'never'
+      : `${Math.round(timeMs - this.startedAtMs)} ms`;
+  }
+}
+
+function isDaemonFault(fault: ProcessFault): fault is DaemonFault {
+  return (Object.values(DaemonFault) as ProcessFault[]).includes(fault);
+}
+
+function countBy<Item>(
+  items: readonly Item[],
+  keyOf: (item: Item) => string,
+): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const item of items)
+    counts[keyOf(item)] = (counts[keyOf(item)] ?? 0) + 1;
+  return counts;
+}
