Check requests that wait at a peer while the configuration changes

A posting and a stream get the answer of their endpoint although their route is removed meanwhile on all daemons; a posting on a route that no peer knows yet gets 503 and does not run.

--- a/packages/stand-ins/src/gateway/partition-fixture.ts
+++ b/packages/stand-ins/src/gateway/partition-fixture.ts
@@ -78,17 +78,18 @@
     return gateway;
   }
 
-  /** Sends a request of a kind to a gateway, as a caller that makes one attempt. */
+  /** Sends a request of a kind to a gateway, as a caller that makes one attempt; `prefix` precedes its path. */
   async send(
     { addresses }: RunningGateway,
     kind: CallKind,
     requestId: string,
     signal?: AbortSignal,
+    prefix = '',
   ) {
     const isPosting = kind === CallKind.Posting;
     const call = sampleCall(requestId, DEADLINE_MS, kind === CallKind.Draft);
     const { body, headers, statusCode } = await request(
-      `http://${addresses.callers}${PATHS[kind]}`,
+      `http://${addresses.callers}${prefix}${PATHS[kind]}`,
       {
         method: isPosting ? 'POST' : 'GET',
         headers: { ...call.headers, host: SAMPLE_HOST, key: SAMPLE_KEY },
