Play a silence beside failing endpoints in the soak of processes

An endpoint falls silent while the others of its group answer 500: a stream that leaves the sound endpoint for one of them must not be cut. A cut is now excused only if each endpoint that ran the stream ended or failed.

--- a/packages/stand-ins/src/process-soak/endpoint-faults.ts
+++ b/packages/stand-ins/src/process-soak/endpoint-faults.ts
@@ -25,6 +25,8 @@
 
 export enum EndpointFault {
   Link = 'link',
+  /** One endpoint falls silent, and the others of its group fail meanwhile. */
+  SilenceBesideFailures = 'silenceBesideFailures',
   ResetLink = 'resetLink',
   Drain = 'drain',
   End = 'end',
@@ -76,6 +78,16 @@
       case EndpointFault.Link:
         await this.disturbLink(id);
         break;
+      case EndpointFault.SilenceBesideFailures: {
+        const others = this.usable.filter(
+          each => each !== endpoint && groupOf(each) === groupOf(endpoint),
+        );
+        await Promise.all([
+          this.disturbLink(id, LinkFault.Silent),
+          ...others.map(each => this.fail(each)),
+        ]);
+        break;
+      }
       case EndpointFault.ResetLink:
         this.once(ActKind.ResetEndpointLink, id);
         this.links.get(id)?.resetConnections();
@@ -100,14 +112,9 @@
         this.once(ActKind.CloseIdle, id);
         endpoint.closeIdleConnections();
         break;
-      case EndpointFault.Fail: {
-        const act = this.record(ActKind.Fail, id);
-        endpoint.mode = EndpointMode.FailsAfterRun;
-        await delay(this.faultMs());
-        endpoint.mode = EndpointMode.Responds;
-        act.untilMs = performance.now();
+      case EndpointFault.Fail:
+        await this.fail(endpoint);
         break;
-      }
       case EndpointFault.SayLeaving:
         await this.replace(endpoint);
         this.record(ActKind.State, id, 'leaving');
@@ -127,8 +134,18 @@
     }
   }
 
-  private async disturbLink(id: string): Promise<void> {
-    const fault = this.plan.pick(Object.values(LinkFault).slice(1));
+  private async fail(endpoint: EndpointServer): Promise<void> {
+    const act = this.record(ActKind.Fail, endpoint.id);
+    endpoint.mode = EndpointMode.FailsAfterRun;
+    await delay(this.faultMs());
+    endpoint.mode = EndpointMode.Responds;
+    act.untilMs = performance.now();
+  }
+
+  private async disturbLink(
+    id: string,
+    fault = this.plan.pick(Object.values(LinkFault).slice(1)),
+  ): Promise<void> {
     const link = this.links.get(id);
     if (link?.fault !== LinkFault.None) return;
     const act = this.record(ActKind.EndpointLink, id, fault);
--- a/packages/stand-ins/src/process-soak/loss-checks.test.ts
+++ b/packages/stand-ins/src/process-soak/loss-checks.test.ts
@@ -50,6 +50,13 @@
     });
   }
 
+  it('finds a stream that was cut at one endpoint while another one was sound', () => {
+    const runs = [run, { ...run, endpointId: 'e2' }];
+    const acts = [act(ActKind.Fail, 'e2', 10_200)];
+    const lines = findLostRequests({ calls: [cut], runs, acts });
+    assert.equal(lines.length, 1);
+  });
+
   const excused: readonly [string, ProcessCall, readonly SoakAct[]][] = [
     ['an answer', answered, []],
     ['a refusal', { ...answered, status: 503 }, []],
--- a/packages/stand-ins/src/process-soak/loss-checks.ts
+++ b/packages/stand-ins/src/process-soak/loss-checks.ts
@@ -112,7 +112,8 @@
       ? undefined
       : `got no answer; ran ${runs.length} times`;
   }
-  const isEndpointEnd = runs.some(({ endpointId }) =>
+  // An endpoint that was only silent would have gone on.
+  const isEndpointEnd = runs.every(({ endpointId }) =>
     overlaps(record.acts, ENDPOINT_ENDS, endpointId, startedAtMs, endedAtMs),
   );
   const isExcused =
--- a/packages/stand-ins/src/process-soak/process-soak.test.ts
+++ b/packages/stand-ins/src/process-soak/process-soak.test.ts
@@ -4,7 +4,7 @@
 import { bundleProgram } from './bundle-program.js';
 import { ProcessSoak } from './process-soak.js';
 
-const SEEDS = [1, 3];
+const SEEDS = [1, 3, 90];
 const DURATION_MS = 12_000;
 
 describe('daemons as processes under overlapping faults', () => {
