Send a failure at hand where the endpoint that got a request back is silent again

What callers saw: a lookup whose endpoint fell silent, and whose next one answered 500, got that 500 only at its deadline (5,000 ms) where the first endpoint was silent again: a response that was there after 400 ms.

Cause: the way back to a silent endpoint waits like a first attempt, for which nothing better is at hand.

A failure now waits for one second at most. Test: forward-silence, 'does not hold back the response of the next endpoint by being silent again'; failed before (pending).

--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -85,16 +85,11 @@
       this.replacement = undefined;
       return replacement;
     }
-    let reservation = this.tryNext(last);
-    if (
-      reservation === undefined &&
-      mayWait &&
-      (await this.mayDiscount(last))
-    ) {
+    if (mayWait && (await this.mayDiscount(last))) {
       this.discountedAttempts += 1;
       this.attempts -= 1;
-      reservation = this.tryNext(last);
     }
+    let reservation = this.tryNext(last);
     while (reservation === undefined && mayWait && this.mayPass()) {
       await this.wait();
       reservation = this.tryNext(last);
@@ -148,10 +143,14 @@
   }
 
   /** Whether an attempt is not to count: the limit is one of endpoints that may still run the request. */
-  private async mayDiscount({ kind }: AttemptOutcome): Promise<boolean> {
+  private async mayDiscount(last: AttemptOutcome): Promise<boolean> {
+    const isLost =
+      last.kind === AttemptEndKind.Failed ||
+      last.kind === AttemptEndKind.NotSent;
+    const obstacle = findRetryObstacle(last, this.state());
     return (
-      this.obstacle === RetryObstacle.AttemptsUsed &&
-      kind === AttemptEndKind.Failed &&
+      isLost &&
+      obstacle === RetryObstacle.AttemptsUsed &&
       this.discountedAttempts < MAX_DISCOUNTED_ATTEMPTS &&
       (await this.options.isLastEndpointGone())
     );
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -24,6 +24,8 @@
 import { StreamRelay } from './stream-relay.js';
 import type { ResponseWriter } from './upstream.js';
 
+/** Time for which a failure that could be sent waits for an endpoint that is silent. */
+const MAX_HOLD_MS = 1_000; // silences of sound endpoints last about as long
 const NEVER_GONE = () => Promise.resolve(false);
 
 /** Execution of one request by one or more attempts at endpoints. */
@@ -37,6 +39,9 @@
   private mayHaveRun = false;
   private isUsageCounted = false;
   private lastEnd: AttemptEndKind | undefined;
+  /** Response to send if no later attempt gives a better one. */
+  private heldResponse: BufferedResponse | undefined;
+  private heldUntilMs = Infinity;
   private isLastEndpointGone = NEVER_GONE;
   private firstResponseAtMs: number | undefined;
   private lastEndpointId = '';
@@ -123,7 +128,6 @@
   }
 
   private async runAttempts(signal: AbortSignal): Promise<void> {
-    let response: BufferedResponse | undefined;
     let last: AttemptOutcome | undefined;
     let reservation = this.sequence.first();
     while (reservation !== undefined) {
@@ -131,7 +135,7 @@
         ? this.attemptThrough(reservation)
         : this.attempt(reservation));
       if (hasCallerLeft(signal)) break;
-      response = last.response ?? response;
+      if (last.response !== undefined) this.hold(last.response);
       // The daemon that took the request from its caller decides on a wait.
       const mayWait = this.hasBegun() && this.context.relayed === undefined;
       reservation = await this.sequence.next(last, mayWait);
@@ -149,6 +153,7 @@
       this.sink.destroy();
       return;
     }
+    const response = this.heldResponse;
     if (response === undefined) throw this.createError(last, signal);
     this.sendResponse(response);
   }
@@ -175,7 +180,7 @@
       relayed,
       options: {
         ...attemptTimeouts(resolved.route, this.isRepeatable()),
-        onSilence: () => sequence.tryReserveReplacement(),
+        onSilence: () => this.mayLeave(),
         stream: this.relay,
         signal: this.runAbort.signal,
       },
@@ -206,7 +211,7 @@
     const attempt = new ForwardAttempt(this.deps, reservation, {
       ...attemptTimeouts(resolved.route, this.isRepeatable()),
       observation,
-      onSilence: () => this.sequence.tryReserveReplacement(),
+      onSilence: () => this.mayLeave(),
       requestId: request.requestId,
       stream: this.relay,
       signal: this.runAbort.signal,
@@ -247,6 +252,18 @@
     return result;
   }
 
+  private hold(response: BufferedResponse): void {
+    this.heldResponse = response;
+    this.heldUntilMs = this.deps.clock.nowMs() + MAX_HOLD_MS;
+  }
+
+  /** Whether a silent endpoint is to be left: another one takes over, or the response at hand has waited long enough. */
+  private mayLeave(): boolean {
+    const isHeld = this.heldResponse !== undefined && !this.hasBegun();
+    const isDue = isHeld && this.deps.clock.nowMs() >= this.heldUntilMs;
+    return this.sequence.tryReserveReplacement() || isDue;
+  }
+
   private recordResult(
     result: AttemptOutcome,
     { endpoint }: PoolReservation,
--- a/packages/core/src/forwarding/forward-silence.test.ts
+++ b/packages/core/src/forwarding/forward-silence.test.ts
@@ -218,6 +218,15 @@
     assert.equal(harness.upstream.calls.length, 3);
   });
 
+  it('does not hold back the response of the next endpoint by being silent again', async () => {
+    const script = [{ isHanging: true }, { status: 500 }, { isHanging: true }];
+    const harness = new ForwarderHarness(script, lookupRoute);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 2_000);
+    assert.equal(harness.sink.status, 500);
+    assert.equal(await served, undefined);
+  });
+
   it('is not followed by more endpoints than the route allows where it cannot be reached again', async () => {
     const script = [silentStream, { status: 500 }, { isNotSent: true }, {}];
     const harness = new ForwarderHarness(script, draftRoute);
--- a/packages/daemon/src/gateway/lingering-closer.ts
+++ b/packages/daemon/src/gateway/lingering-closer.ts
@@ -54,9 +54,7 @@
     socket.removeAllListeners('data');
     socket.on('data', (chunk: Buffer) => {
       discardedBytes += chunk.length;
-      if (discardedBytes <= MAX_DISCARDED_BYTES) return;
-      if (socket.writableFinished) socket.destroy();
-      else socket.pause();
+      if (discardedBytes > MAX_DISCARDED_BYTES) socket.destroy();
     });
     // A parser that waited has stopped reading without the stream's knowledge.
     socket.pause();
