--- a/packages/stand-ins/src/gateway/index.ts
+++ b/packages/stand-ins/src/gateway/index.ts
@@ -1,2 +1,3 @@
 export * from './gateway-deployment.js';
+export * from './soak-checks.js';
 export { sampleCall } from '@skylarkreach/platform/stand-ins';
--- /dev/null
+++ b/packages/stand-ins/src/upgrade/daemon-builds.ts
@@ -0,0 +1,52 @@
+import { execFileSync } from 'node:child_process';
+import { copyFileSync, mkdirSync, mkdtempSync, rmSync } from 'node:fs';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+/** Commit of the build in production, beside which the present one must run. */
+const PRODUCTION_COMMIT = '6ee6d6d';
+const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
+const TARGET = join(ROOT, 'target');
+const PROGRAM = 'skylarkreachd.mjs';
+const BUNDLED_PATHS = ['packages', 'platform', 'scripts', 'tsconfig.base.json'];
+
+/** Bundled programs of the build in production and of this checkout. */
+export interface DaemonBuilds {
+  readonly production: string;
+  readonly present: string;
+  /** Deletes the programs. */
+  readonly remove: () => void;
+}
+
+/** Bundles both builds below `target/`, where they find the installed libraries. Throws an `Error` if the history lacks the commit. */
+export function bundleBuilds(): DaemonBuilds {
+  mkdirSync(TARGET, { recursive: true });
+  const folder = mkdtempSync(join(TARGET, 'upgrade-'));
+  extractProduction(folder);
+  const production = bundle(folder);
+  const present = join(folder, PROGRAM);
+  copyFileSync(bundle(ROOT), present);
+  const remove = () => {
+    rmSync(folder, { recursive: true, force: true });
+  };
+  return { production, present, remove };
+}
+
+function bundle(root: string): string {
+  execFileSync(process.execPath, [join(root, 'scripts', 'bundle.mjs')]);
+  return join(root, 'target', PROGRAM);
+}
+
+function extractProduction(folder: string): void {
+  const archive = join(folder, 'production.tar');
+  const git = ['archive', '--output', archive, PRODUCTION_COMMIT, '--'];
+  try {
+    execFileSync('git', [...git, ...BUNDLED_PATHS], { cwd: ROOT });
+  } catch (cause) {
+    throw new Error(
+      `Commit ${PRODUCTION_COMMIT}, the build in production, is not in the history; fetch it whole (git fetch --unshallow).`,
+      { cause },
+    );
+  }
+  execFileSync('tar', ['-xf', archive, '-C', folder]);
+}
