Read hints of another build except for the entries that are not understood

What callers would see: a build that adds a rollout phase, or sends a longer list, made every other build refuse the whole hints of its daemons. These then knew nothing of their usage, token grants, load, leaving endpoints, reached groups and duty lease: requests of a daemon without links were refused, and allowances and reports were wrong. Trial on the code before: with one rollout phase renamed in the present build, the upgrade was played without hints between the builds while a rollout ran.

Cause: one schema checks the message as a whole; an unknown value of an enum in a list, or a list over its bound, fails all of it. Unknown fields were ignored already, and parts that daemons did not know before may be absent.

Now an entry that cannot be read is left out of its list, a list is cut at its bound, and an optional part that cannot be read counts as absent, which was safe for each before.

--- a/packages/core/src/brittle-endpoints/brittle-endpoint-hints.ts
+++ b/packages/core/src/brittle-endpoints/brittle-endpoint-hints.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
 
+import { readableItems } from '../ports/index.js';
+
 const MAX_TEXT_LENGTH = 256;
 /** Maximum number of endpoints in one message. */
 export const MAX_SHARED_ENDPOINTS = 256; // about 25 kB
@@ -18,9 +20,10 @@
 });
 
 /** Brittle endpoints that a daemon knows, in its hints to its peers. */
-export const brittleEndpointHintsSchema = z
-  .array(brittleEndpointSchema)
-  .max(MAX_SHARED_ENDPOINTS);
+export const brittleEndpointHintsSchema = readableItems(
+  brittleEndpointSchema,
+  MAX_SHARED_ENDPOINTS,
+);
 
 export type BrittleEndpointHint = Readonly<
   z.output<typeof brittleEndpointSchema>
--- a/packages/core/src/endpoint-limits/endpoint-limit-hints.ts
+++ b/packages/core/src/endpoint-limits/endpoint-limit-hints.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
 
+import { readableItems } from '../ports/index.js';
+
 const MAX_ID_LENGTH = 256;
 /** Maximum number of endpoints in one message. */
 export const MAX_SHARED_LIMITS = 256; // about 20 kB
@@ -15,8 +17,9 @@
 });
 
 /** Rate limits of endpoints that a daemon knows, in its hints to its peers. */
-export const endpointLimitHintsSchema = z
-  .array(endpointLimitSchema)
-  .max(MAX_SHARED_LIMITS);
+export const endpointLimitHintsSchema = readableItems(
+  endpointLimitSchema,
+  MAX_SHARED_LIMITS,
+);
 
 export type EndpointLimitHint = Readonly<z.output<typeof endpointLimitSchema>>;
--- a/packages/core/src/forwarding/leaving-endpoints.ts
+++ b/packages/core/src/forwarding/leaving-endpoints.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
 import type { Log, Metrics } from '../ports/index.js';
-import { LogComponent } from '../ports/index.js';
+import { LogComponent, readableItems } from '../ports/index.js';
 import { BoundedMap } from '../routing/index.js';
 import type { EndpointRecord } from './endpoint-record.js';
 
@@ -25,9 +25,10 @@
 });
 
 /** Endpoints that a daemon knows to be leaving, in its hints to its peers. */
-export const leavingEndpointHintsSchema = z
-  .array(leavingEndpointSchema)
-  .max(MAX_SHARED_ENDPOINTS);
+export const leavingEndpointHintsSchema = readableItems(
+  leavingEndpointSchema,
+  MAX_SHARED_ENDPOINTS,
+);
 
 export type LeavingEndpointHint = Readonly<
   z.output<typeof leavingEndpointSchema>
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -4,7 +4,7 @@
 import { endpointLimitHintsSchema } from '../endpoint-limits/index.js';
 import type { EndpointLoad } from '../forwarding/index.js';
 import { leavingEndpointHintsSchema } from '../forwarding/index.js';
-import { definePeerMethod } from '../ports/index.js';
+import { definePeerMethod, readableItems } from '../ports/index.js';
 import { quarantineHintsSchema } from '../quarantine/index.js';
 import { rolloutHintsSchema } from '../rollouts/index.js';
 import { dutyLeaseHintSchema } from './duty-lease-news.js';
@@ -31,7 +31,11 @@
   heardAgeMs: count.optional(),
 });
 
-/** Gossip message with one daemon's state. It replaces every earlier message of the same `lifetime`. */
+/**
+ * Gossip message with one daemon's state. It replaces every earlier message of
+ * the same `lifetime`. A part that cannot be read counts as absent, which must be
+ * safe for every part that is optional.
+ */
 const daemonHintsSchema = z.object({
   daemonId: text,
   /** Id of one run of the daemon's process; a restart gets a new one. */
@@ -55,18 +59,18 @@
   /** Version of the sender's configuration. Absent in hints of daemons that do not know it. */
   configurationVersion: count.optional(),
   /** Newest lease for the duties that the sender knows of. */
-  dutyLease: dutyLeaseHintSchema.optional(),
-  rollouts: z.array(rolloutHintsSchema),
+  dutyLease: dutyLeaseHintSchema.optional().catch(undefined),
+  rollouts: readableItems(rolloutHintsSchema),
   /** Absent in hints of daemons that do not know it. */
-  quarantine: quarantineHintsSchema.optional(),
+  quarantine: quarantineHintsSchema.optional().catch(undefined),
   /** Absent in hints of daemons that do not know it. */
-  endpointLimits: endpointLimitHintsSchema.optional(),
+  endpointLimits: endpointLimitHintsSchema.optional().catch(undefined),
   /** Absent in hints of daemons that do not know it. */
-  brittleEndpoints: brittleEndpointHintsSchema.optional(),
+  brittleEndpoints: brittleEndpointHintsSchema.optional().catch(undefined),
   /** Absent in hints of daemons that do not know it. */
-  leavingEndpoints: leavingEndpointHintsSchema.optional(),
+  leavingEndpoints: leavingEndpointHintsSchema.optional().catch(undefined),
   /** By group. Absent in hints of daemons that cannot pass requests on. */
-  reachability: z.record(text, reachabilitySchema).optional(),
+  reachability: z.record(text, reachabilitySchema).optional().catch(undefined),
   /** Whether the sender holds the lease for the duties towards the platform. */
   holdsDuties: z.boolean(),
 });
--- a/packages/core/src/ports/index.ts
+++ b/packages/core/src/ports/index.ts
@@ -7,6 +7,7 @@
 export * from './peer.js';
 export * from './prompt-blocks.js';
 export * from './random.js';
+export * from './readable-items.js';
 export * from './service.js';
 export * from './state-dump.js';
 export * from './telemetry.js';
--- a/packages/core/src/quarantine/quarantine-hints.ts
+++ b/packages/core/src/quarantine/quarantine-hints.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
 
+import { readableItems } from '../ports/index.js';
+
 export const MAX_SUSPECT_ID_LENGTH = 256;
 /** Maximum number of crashes in one message. */
 export const MAX_SHARED_CRASHES = 32; // bounds a message; a few crashes decide
@@ -24,10 +26,10 @@
 
 /** What a daemon knows of prompt parts and requests that crash endpoints, in its hints to its peers. */
 export const quarantineHintsSchema = z.object({
-  crashes: z.array(crashSchema).max(MAX_SHARED_CRASHES),
+  crashes: readableItems(crashSchema, MAX_SHARED_CRASHES),
   /** Time since a request with the id was last completed, for the ids of the crashes. */
-  completed: z.array(partAgeSchema),
-  blocked: z.array(blockedPartSchema).max(MAX_BLOCKED_IDS),
+  completed: readableItems(partAgeSchema),
+  blocked: readableItems(blockedPartSchema, MAX_BLOCKED_IDS),
 });
 
 export type QuarantineHints = Readonly<z.output<typeof quarantineHintsSchema>>;
