Check values that peers gossip, and do not count one that is unreadable as held

What callers would see: beside a daemon of a build that writes a configuration, a list of endpoints or rollout orders in another form, this build put values with missing fields in force, which requests then met (no limits, no targets, a timeout that is not a number, an endpoint without an address), or refused a value and stayed on the one before: its followers took the readers' reads for confirmations of a list that they did not have, so that they never used a new endpoint nor learned that one had left, and never saw an order.

Cause: values from peers were parsed without a check, as peers of the same build had checked them; and the version of the list that a daemon told and compared was that of the stored value, applied or not. A configuration that could not be applied was read from the store already, as its version is that in force.

Now values are checked against schemas of their types; unknown fields are ignored. The version of the list is that of the last list applied or read, and a daemon that could not apply orders does not follow until it has read them.

Ruled out: taking the entries of a list that can be read. The others would count as gone; the daemon's own read judges them as it does all entries.

--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -39,6 +39,7 @@
 export * from './run-context.js';
 export * from './run-failure.js';
 export * from './run-outcome.js';
+export * from './shared-state.js';
 export * from './silence-detector.js';
 export * from './sources.js';
 export * from './stream-consumer.js';
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -246,7 +246,7 @@
     ...context,
     isReader,
     lastPeerReadAtMs: () =>
-      cluster.hintBoard.operatorReadAtMs(configuration.version),
+      cluster.hintBoard.operatorReadAtMs(replicator.operatorsVersion),
     maxFollowedAgeMs:
       settings.bounds.configurationMs * CONFIGURATION_FOLLOWED_SHARE,
     source: platform.operators,
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -4,9 +4,13 @@
   EndpointListing,
   EndpointPool,
   OperatorState,
-  RolloutOrder,
 } from '@skylarkreach/core/forwarding';
-import { EndpointState } from '@skylarkreach/core/forwarding';
+import {
+  EndpointState,
+  parseSharedConfiguration,
+  parseSharedListing,
+  parseSharedOrders,
+} from '@skylarkreach/core/forwarding';
 import type { ReplicatedValue } from '@skylarkreach/core/membership';
 import { LogComponent } from '@skylarkreach/core/ports';
 import type { RolloutRegistry } from '@skylarkreach/core/rollouts';
@@ -28,6 +32,8 @@
   Peer = 'peer',
 }
 
+/** Version below those of all configurations. */
+const NO_VERSION = -1;
 /** Time without a successful read of the endpoint list by any daemon that counts as an outage of the store. */
 const OUTAGE_THRESHOLD_MS = 2_500; // three intervals of reading
 /** Time after an outage within which entries that expired during it are registered again. */
@@ -52,6 +58,9 @@
   private sharedEndpointsJson = '';
   private lastConfirmedAtMs: number;
   private graceUntilMs = -Infinity;
+  private heldEndpointsVersion = 0;
+  /** Whether peers sent orders that this daemon could not apply. */
+  private lacksOrders = false;
 
   constructor(
     private readonly context: GatewayContext,
@@ -63,9 +72,17 @@
     });
   }
 
-  /** Version of the endpoint list last published or received by gossip. */
+  /**
+   * Latest version of the endpoint list that this daemon published, applied or
+   * has read by itself: a version that it could not apply is not one that it holds.
+   */
   get endpointsVersion(): number {
-    return this.gossipVersion(GossipKey.Endpoints);
+    return this.heldEndpointsVersion;
+  }
+
+  /** Version up to which this daemon holds all of the operators' state, as far as peers sent it. */
+  get operatorsVersion(): number {
+    return this.lacksOrders ? NO_VERSION : this.deps.configuration.version;
   }
 
   /** Applies operator state read from the store and publishes its rollouts and configuration. */
@@ -77,6 +94,8 @@
     const orders = rollouts.rollouts().map(trial => trial.order);
     const newest = Math.max(0, ...orders.map(order => order.revision));
     this.publish(GossipKey.Rollouts, newest, orders);
+    if (state.revision >= this.gossipVersion(GossipKey.Rollouts))
+      this.lacksOrders = false;
     const next = state.configuration;
     if (next === undefined) return;
     this.applyConfiguration(next, UpdateSource.Store);
@@ -86,6 +105,9 @@
   /** Applies an endpoint list read from the store and publishes it if its endpoints differ from those that peers hold. */
   handleListing(listing: EndpointListing): void {
     this.applyListing(listing, UpdateSource.Store);
+    const sharedVersion = this.gossipVersion(GossipKey.Endpoints);
+    if (listing.revision >= sharedVersion)
+      this.heldEndpointsVersion = sharedVersion;
     const endpointsJson = JSON.stringify(listing.endpoints);
     if (endpointsJson === this.sharedEndpointsJson) return;
     this.publish(GossipKey.Endpoints, listing.revision, listing);
@@ -98,6 +120,7 @@
     } catch (error) {
       const { log, metrics } = this.context;
       const { key, version } = value;
+      if (key === GossipKey.Rollouts.valueOf()) this.lacksOrders = true;
       metrics.increment('peers.malformedValues', 1, { key });
       log.warn(
         LogComponent.Membership,
@@ -108,22 +131,23 @@
   }
 
   /**
-   * Applies a value received from a peer. It isn't validated again: peers
-   * authenticate their messages, and one of them read the value from the store.
+   * Applies a value received from a peer, which may run another build. Throws if
+   * this build cannot read it; the daemon then reads the store by itself.
    */
-  private applyGossip({ key, value }: ReplicatedValue): void {
+  private applyGossip({ key, value, version }: ReplicatedValue): void {
     if (key === GossipKey.Configuration.valueOf()) {
-      const next = JSON.parse(value) as Configuration;
+      const next = parseSharedConfiguration(value);
       this.applyConfiguration(next, UpdateSource.Peer);
     }
     if (key === GossipKey.Rollouts.valueOf()) {
-      const orders = JSON.parse(value) as readonly RolloutOrder[];
-      for (const order of orders) this.deps.rollouts.applyOrder(order);
+      for (const order of parseSharedOrders(value))
+        this.deps.rollouts.applyOrder(order);
     }
     if (key === GossipKey.Endpoints.valueOf()) {
-      const listing = JSON.parse(value) as EndpointListing;
+      const listing = parseSharedListing(value);
       this.sharedEndpointsJson = JSON.stringify(listing.endpoints);
       this.applyListing(listing, UpdateSource.Peer);
+      this.heldEndpointsVersion = version;
     }
   }
 
