Pass a request on through another peer where one refuses the message

What callers would see: a posting at a daemon without links to the endpoints got 502, which promises nothing, although it never left the peer: the peer had refused the message (401), as a daemon of another build does that cannot read its head, or that verifies it in another way.

Cause: a response of the peer's server itself was taken for that of an endpoint. It bears no request id, so that it counted as a lost response, after which a posting is not repeated.

Now a 4xx response in which the peer names no endpoint says that nothing was sent on. Both builds name the endpoint in every response of one and in every refusal of a request that they have read. Other statuses without a name promise nothing, as before.

--- a/packages/daemon/src/gateway/relay-client.ts
+++ b/packages/daemon/src/gateway/relay-client.ts
@@ -34,6 +34,9 @@
   ForwardErrorKind.TimedOutNotRun,
 ]);
 
+const MIN_REFUSAL_STATUS = 400;
+const MIN_SERVER_ERROR_STATUS = 500;
+
 /** Sends requests through peers, over the server on which they exchange their messages. */
 export class RelayClient implements RequestRelay {
   constructor(private readonly deps: RelayClientDependencies) {}
@@ -79,6 +82,12 @@
     const endpointId = added.byName.get(RelayHeader.Endpoint);
     if (endpointId !== undefined) onEndpoint(endpointId);
     const notRun = added.byName.get(RelayHeader.NotRun);
+    if (endpointId === undefined && isMessageRefusal(response.status)) {
+      await readToEnd(response.body);
+      throw new NotSentError(
+        `Peer ${peer.id} refused the message (${response.status}).`,
+      );
+    }
     if (notRun === undefined) return { ...response, headers: added.others };
     if (REFUSED_BY_ENDPOINT.has(notRun)) {
       const { requestId } = relayed.request;
@@ -92,6 +101,11 @@
   }
 }
 
+/** Returns whether a response in which the peer names no endpoint says that it did not take the message. */
+function isMessageRefusal(status: number): boolean {
+  return status >= MIN_REFUSAL_STATUS && status < MIN_SERVER_ERROR_STATUS;
+}
+
 /** Reads an empty body, which leaves its connection reusable. */
 async function readToEnd(body: AsyncIterable<Uint8Array>): Promise<void> {
   const chunks = body[Symbol.asyncIterator]();
--- a/packages/stand-ins/src/gateway/gateway-relay.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-relay.test.ts
@@ -46,6 +46,24 @@
     assert.equal(fixture.runIds().filter(id => id === 'single-1').length, 1);
   });
 
+  it('sends a posting through another peer where one refuses the message, as one of another build may', async () => {
+    const [cutOff] = await fixture.cut(1, LinkState.Reset);
+    assert.ok(cutOff !== undefined);
+    for (const { gateway } of fixture.gateways.slice(1, 3)) {
+      gateway.wiring.cluster.onRelay((message, response) => {
+        message.resume();
+        response.writeHead(401, { connection: 'close' }).end();
+      });
+    }
+    const statuses: number[] = [];
+    for (let number = 1; number <= ROUNDS; number += 1) {
+      const id = `single-${number}`;
+      const { statusCode } = await fixture.send(cutOff, CallKind.Posting, id);
+      statuses.push(statusCode);
+    }
+    assert.deepEqual(new Set(statuses), new Set([200]));
+  });
+
   it('answers 503 to a posting that the endpoints behind the peer refuse', async () => {
     const [cutOff] = await fixture.cut(1, LinkState.Reset);
     assert.ok(cutOff !== undefined);
