Count calls between daemons that one of them cannot read

What operators saw: nothing. A call with a method or parameters that the other build does not have is answered with an error, which neither side counted or logged, so that two builds could run without hints of each other unnoticed.

Now the receiver counts `peers.refused` with the reason `unknownMethod` or `unreadableParams`, and the sender `peers.failedCalls` by method.

Evidence: the two new tests of peer-server need the counts, which did not exist; all 9 pass.

--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -51,7 +51,7 @@
       peerAddress: listen.peers,
       callerUrl: `http://${listen.callers}`,
     };
-    const httpPeer = new HttpPeer(http, peerSecret, clock);
+    const httpPeer = new HttpPeer(http, peerSecret, clock, metrics);
     const peerServer = new PeerServer(peerSecret, metrics, clock);
     this.peerServer = peerServer;
     this.listener = new HttpListener(
--- a/packages/daemon/src/peers/http-peer.ts
+++ b/packages/daemon/src/peers/http-peer.ts
@@ -4,6 +4,7 @@
 import type {
   Address,
   Clock,
+  Metrics,
   PeerClient,
   PeerMethod,
 } from '@skylarkreach/core/ports';
@@ -28,6 +29,7 @@
     private readonly http: HttpClient,
     peerSecret: string,
     clock: Clock,
+    private readonly metrics: Metrics,
   ) {
     this.signer = new MessageSigner(peerSecret, clock);
   }
@@ -50,7 +52,12 @@
       body,
       deadlineAtMs,
     });
-    return parseResult(address, method, id, response);
+    try {
+      return parseResult(address, method, id, response);
+    } catch (error) {
+      this.metrics.increment('peers.failedCalls', 1, { method: method.name });
+      throw error;
+    }
   }
 }
 
--- a/packages/daemon/src/peers/peer-server.test.ts
+++ b/packages/daemon/src/peers/peer-server.test.ts
@@ -4,10 +4,12 @@
 import { request } from 'undici';
 import { z } from 'zod';
 
+import type { Metrics } from '@skylarkreach/core/ports';
 import {
   definePeerMethod,
   ManualClock,
   noopMetrics,
+  PeerMessageError,
 } from '@skylarkreach/core/ports';
 
 import { HttpClient, SystemClock } from '../adapters/index.js';
@@ -93,12 +95,41 @@
   }
 
   it('answers a call from a peer that has the shared secret', async () => {
-    const peer = new HttpPeer(http, SECRET, clock);
+    const peer = new HttpPeer(http, SECRET, clock, noopMetrics);
     const deadlineAtMs = Date.now() + 5_000;
     const result = await peer.call(address, echo, { text: 'b' }, deadlineAtMs);
     assert.deepEqual(result, { text: 'b' });
   });
 
+  for (const [refusal, method] of [
+    [PeerRefusal.UnknownMethod, { ...echo, name: 'test.novel' }],
+    [
+      PeerRefusal.UnreadableParams,
+      { ...echo, params: z.object({ novelty: z.string() }) },
+    ],
+  ] as const) {
+    it(`counts calls of another build, there and here: ${refusal}`, async () => {
+      const counts: string[] = [];
+      const metrics: Metrics = {
+        ...noopMetrics,
+        increment: name => {
+          counts.push(name);
+        },
+      };
+      const peer = new HttpPeer(http, SECRET, clock, metrics);
+      const refusedBefore = server.refusedCount(refusal);
+      const call = peer.call<unknown, unknown>(
+        address,
+        method,
+        { novelty: 'a' },
+        Date.now() + 5_000,
+      );
+      await assert.rejects(call, PeerMessageError);
+      assert.equal(server.refusedCount(refusal), refusedBefore + 1);
+      assert.deepEqual(counts, ['peers.failedCalls']);
+    });
+  }
+
   it('survives a method whose result cannot be sent', async () => {
     const cycle = definePeerMethod('test.cycle', z.unknown(), z.unknown());
     const result: Record<string, unknown> = {};
--- a/packages/daemon/src/peers/peer-server.ts
+++ b/packages/daemon/src/peers/peer-server.ts
@@ -32,9 +32,19 @@
   Replayed = 'replayed',
   TooLarge = 'tooLarge',
   Malformed = 'malformed',
+  /** A method that this build does not have; the response says so. */
+  UnknownMethod = 'unknownMethod',
+  /** Parameters that this build cannot read; the response says so. */
+  UnreadableParams = 'unreadableParams',
 }
 
-const STATUS_BY_REFUSAL: Readonly<Record<PeerRefusal, number>> = {
+/** Refusal of a whole message, by its HTTP status. */
+type MessageRefusal = Exclude<
+  PeerRefusal,
+  PeerRefusal.UnknownMethod | PeerRefusal.UnreadableParams
+>;
+
+const STATUS_BY_REFUSAL: Readonly<Record<MessageRefusal, number>> = {
   [PeerRefusal.Unauthenticated]: 401,
   [PeerRefusal.OutsideWindow]: 401,
   [PeerRefusal.Replayed]: 401,
@@ -42,7 +52,9 @@
   [PeerRefusal.Malformed]: 400,
 };
 
-const REFUSAL_BY_FAILURE: Readonly<Record<VerificationFailure, PeerRefusal>> = {
+const REFUSAL_BY_FAILURE: Readonly<
+  Record<VerificationFailure, MessageRefusal>
+> = {
   [VerificationFailure.Unauthenticated]: PeerRefusal.Unauthenticated,
   [VerificationFailure.OutsideWindow]: PeerRefusal.OutsideWindow,
   [VerificationFailure.Replayed]: PeerRefusal.Replayed,
@@ -59,7 +71,7 @@
 
 /** Thrown where a message is refused. */
 class RefusedMessageError extends Error {
-  constructor(readonly refusal: PeerRefusal) {
+  constructor(readonly refusal: MessageRefusal) {
     super(`The message was refused: ${refusal}.`);
   }
 }
@@ -98,9 +110,12 @@
     method: PeerMethod<Params, Result>,
     handler: PeerHandler<Params, Result>,
   ): void {
-    this.rpc.addMethod(method.name, async (params: unknown) =>
-      handler(method.params.parse(params)),
-    );
+    this.rpc.addMethod(method.name, async (params: unknown) => {
+      const parsed = method.params.safeParse(params);
+      if (parsed.success) return handler(parsed.data);
+      this.countRefusal(PeerRefusal.UnreadableParams);
+      throw parsed.error;
+    });
   }
 
   /** Answers one HTTP request; invalid messages are refused and counted. An unexpected error closes the connection. Never rejects. */
@@ -110,6 +125,8 @@
   ): Promise<void> {
     try {
       const message = await this.readMessage(request);
+      if (!this.rpc.hasMethod(message.method))
+        this.countRefusal(PeerRefusal.UnknownMethod);
       const responseBody = JSON.stringify(await this.rpc.receive(message));
       response.sendDate = false;
       response.writeHead(200, {
@@ -153,12 +170,16 @@
     return this.verifier.verify({ target, sentAtMs, nonce, body }, signature);
   }
 
-  private refuse(response: ServerResponse, refusal: PeerRefusal): void {
-    this.refusals.set(refusal, this.refusedCount(refusal) + 1);
-    this.metrics.increment('peers.refused', 1, { reason: refusal });
+  private refuse(response: ServerResponse, refusal: MessageRefusal): void {
+    this.countRefusal(refusal);
     response.writeHead(STATUS_BY_REFUSAL[refusal], { connection: 'close' });
     response.end();
   }
+
+  private countRefusal(refusal: PeerRefusal): void {
+    this.refusals.set(refusal, this.refusedCount(refusal) + 1);
+    this.metrics.increment('peers.refused', 1, { reason: refusal });
+  }
 }
 
 async function readMessageBody(request: IncomingMessage): Promise<string> {
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -193,7 +193,7 @@
     cloud: new HttpCloud(http, cloudAddress, token),
     engine: new HttpEngine(http),
     rules: new RuleStore(),
-    peer: new HttpPeer(http, credentials.peerSecret, clock),
+    peer: new HttpPeer(http, credentials.peerSecret, clock, metrics),
     registry: new PeerServer(credentials.peerSecret, metrics, clock),
     identity: new BoundIdentity(settings),
   };
--- a/packages/measure/src/control/loopback-fleet.ts
+++ b/packages/measure/src/control/loopback-fleet.ts
@@ -105,7 +105,7 @@
       random: new SeededRandom(this.seed + index),
       log: noopLog,
       metrics: noopMetrics,
-      peer: new HttpPeer(http, PEER_SECRET, clock),
+      peer: new HttpPeer(http, PEER_SECRET, clock, noopMetrics),
       registry: server,
       seeds: new CloudSeedSource(this.cloud),
       rules: { keyValue: this.keyValue, store: rules },
