Remove what the upgrade test leaves behind, and name the missing commit at once

The folder of the two builds is removed also if the test fails, and a shallow clone ends the test within a second with the message to fetch the history. Checks are the same.

--- a/packages/stand-ins/src/upgrade/daemon-builds.ts
+++ b/packages/stand-ins/src/upgrade/daemon-builds.ts
@@ -22,14 +22,19 @@
 export function bundleBuilds(): DaemonBuilds {
   mkdirSync(TARGET, { recursive: true });
   const folder = mkdtempSync(join(TARGET, 'upgrade-'));
-  extractProduction(folder);
-  const production = bundle(folder);
-  const present = join(folder, PROGRAM);
-  copyFileSync(bundle(ROOT), present);
   const remove = () => {
     rmSync(folder, { recursive: true, force: true });
   };
-  return { production, present, remove };
+  try {
+    extractProduction(folder);
+    const production = bundle(folder);
+    const present = join(folder, PROGRAM);
+    copyFileSync(bundle(ROOT), present);
+    return { production, present, remove };
+  } catch (error) {
+    remove();
+    throw error;
+  }
 }
 
 function bundle(root: string): string {
--- a/packages/stand-ins/src/upgrade/mixed-builds.test.ts
+++ b/packages/stand-ins/src/upgrade/mixed-builds.test.ts
@@ -6,7 +6,6 @@
 
 import { findViolations } from '../gateway/index.js';
 import { ConfigurationProbe } from './configuration-probe.js';
-import type { DaemonBuilds } from './daemon-builds.js';
 import { bundleBuilds } from './daemon-builds.js';
 import type { FleetMachine } from './daemon-fleet.js';
 import { DaemonFleet } from './daemon-fleet.js';
@@ -29,16 +28,15 @@
 const MIN_SERVED_SHARE_AT_CUTS = 0.8;
 
 describe('daemons of the build in production and of the present one', () => {
+  const builds = bundleBuilds();
   const platform = new UpgradePlatform();
   const cuts: LinkCut[] = [];
-  let builds: DaemonBuilds;
   let fleet: DaemonFleet;
   let callers: UpgradeCallers;
   let configuration: ConfigurationProbe;
   let sparedPorts: readonly number[];
 
   before(async () => {
-    builds = bundleBuilds();
     const addresses = await platform.listen();
     sparedPorts = Object.values(addresses).map(address =>
       Number(String(address).split(':')[1]),
