Give a stopping daemon until its cutoff to settle what has arrived

Cause: the closing of connections ended after 500 ms whatever was still unread, also long before the cutoff; a daemon that is held up spends these without reading anything.

The 500 ms count from the cutoff now.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -126,7 +126,8 @@
     const { answersInProgress } = ingress;
     ingress.endResponses();
     const closed = ingress.close().then(() => relayServer.whenIdle());
-    await Promise.race([closed, clock.waitUntil(clock.nowMs() + FLUSH_MS)]);
+    const flushUntilMs = Math.max(clock.nowMs(), cutoffAtMs) + FLUSH_MS;
+    await Promise.race([closed, clock.waitUntil(flushUntilMs)]);
     await this.terminate();
     log.info(LogComponent.Daemon, 'The daemon has stopped.', {
       answersInProgress,
--- a/packages/stand-ins/src/gateway/gateway-stop-unread.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-stop-unread.test.ts
@@ -13,6 +13,7 @@
 import type { RunningGateway } from './gateway-deployment.js';
 import { GatewayDeployment } from './gateway-deployment.js';
 import { rawRequest, stall } from './gateway-fixture.js';
+import { RawCaller } from './raw-caller.js';
 import type {
   CallerResult,
   SendOrder,
@@ -30,6 +31,8 @@
 const EVENTS = 6;
 /** Streams that go on until they are ended. */
 const ENDLESS_EVENTS = 13;
+/** Time after the last answer at which the rest of a request comes. */
+const REST_AFTER_MS = 700;
 /** Time in which a daemon ends after its last answer. */
 const END_MS = 1_000;
 /** Times in which callers may hold a connection without a request, and requests be answered on a busy machine. */
@@ -163,6 +166,20 @@
       }));
   }
 
+  it('settles a request of which the rest comes after the last answer', () =>
+    withGateway(EVENTS, async running => {
+      const caller = await RawCaller.open(running.addresses.callers);
+      const text = rawRequest(sampleCall('parts', 1_500, false));
+      const stopped = running.gateway.stop();
+      await delay(ROUTED_MS - STALL_MS);
+      caller.send(text.slice(0, 20));
+      await delay(STALL_MS + REST_AFTER_MS);
+      caller.send(text.slice(20));
+      await stopped;
+      caller.destroy();
+      assert.match(caller.text, /^HTTP\/1\.1 503 .*connection: close\r\n/is);
+    }));
+
   it('answers the next request on a connection whose response began before the stop', () =>
     withGateway(EVENTS, async (running, runsOf) => {
       const { received, socket } = await startStream(running);
