--- a/packages/stand-ins/src/upgrade/upgrade-callers.ts
+++ b/packages/stand-ins/src/upgrade/upgrade-callers.ts
@@ -15,6 +15,8 @@
 const PATIENCE_MS = 2_000;
 const MIN_GAP_MS = 10;
 const GAP_SPREAD_MS = 60;
+/** Mean number of requests on a connection; without new ones, all callers may end up at daemons that are never cut off. */
+const REQUESTS_PER_CONNECTION = 10;
 const KINDS = [
   SoakCallKind.Lookup,
   SoakCallKind.Lookup,
@@ -29,13 +31,13 @@
   readonly cutAfterMs: number | undefined;
 }
 
-/** Connection that a caller keeps until the daemon closes it or refuses. */
+/** Connection that a caller keeps for a number of requests, or until the daemon closes it or refuses. */
 interface KeptConnection {
   readonly machine: FleetMachine;
   readonly agent: Agent;
 }
 
-/** Callers that keep their connections and go to another daemon when they are told to, or cut off. */
+/** Callers that keep their connections for a while, and go to another daemon when they are told to, or cut off. */
 export class UpgradeCallers {
   readonly calls: UpgradeCall[] = [];
   private sent = 0;
@@ -60,7 +62,8 @@
   private async run(): Promise<void> {
     let connection = this.connect();
     while (!this.isOver) {
-      if (!(await this.send(connection))) {
+      const isKept = await this.send(connection);
+      if (!isKept || this.random.nextInteger(REQUESTS_PER_CONNECTION) === 0) {
         await connection.agent.destroy();
         connection = this.connect();
       }
