--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,112 +1,160 @@
-/* global URL */
-// Three daemons before two workers. One of the workers gives one in twenty of its answers
-// without a length, so that the answer ends with its channel; all others have chunks. Clients read streams at one daemon; its process is
-// killed once each of them has some events. A client that reads an answer without a
-// length takes it as complete where its channel is closed in order, and as incomplete
-// where it is reset.
-import { connect } from 'node:net';
+/* global URL, setTimeout */
+// Four daemons in four zones, one of which holds the duties. Machines are stopped and
+// started in turn, the holder first. In each round the SIGTERM reaches the holder while
+// its renewal of the lease is on its way: a packet of the answer is lost on the link, so
+// that the answer arrives 220 ms later (TCP sends again after 200 ms at the earliest).
+// Without the trouble, the same rounds are played between two renewals, and no packet
+// is lost.
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { createConfig, HOST, KEY, streamRoute } from '../lib/config.mjs';
+import { send } from '../lib/client.mjs';
+import { createConfig, HOST, KEY, plainRoute } from '../lib/config.mjs';
 import { HAS_TROUBLE, runCase } from '../lib/deployment.mjs';
 import { Worker } from '../lib/worker.mjs';
 
-const EVENTS = 24;
-const EVENT_GAP_MS = 100;
-const STREAMS = 100;
-/** One in so many answers of the first worker has no length. */
-const ANSWERS_PER_UNFRAMED = 20;
+const LEASE_KEY = 'skylarkreach/leases/duties';
+const LEASE_MS = 3_000;
+const WINDOW_MS = 5_000;
+const LATE_MS = 220;
+const PLAY_MS = 100_000;
+const ZONES = ['akl-a', 'akl-b', 'ham-a', 'wlg-a'];
 
-/** Answers with a stream of events, in chunks or without a length. */
-async function answerStream(run, response, request) {
-  const { socket } = request;
-  const isUnframed =
-    this.id === 'i-1' && this.runs.length % ANSWERS_PER_UNFRAMED === 0;
-  run.isUnframed = isUnframed;
-  response.setHeader('Content-Type', 'text/event-stream');
-  if (isUnframed) {
-    socket.write(
-      `HTTP/1.1 200 OK\r\nRequest-Id: ${run.id}\r\nResponse-Signature: ${this.id}.${run.id}\r\n` +
-        'Content-Type: text/event-stream\r\nConnection: close\r\n\r\n',
-    );
-  }
-  const target = isUnframed ? socket : response;
-  const from = Number(run.headers['last-event-id'] ?? 0) + 1;
-  for (let id = from; id <= EVENTS && !socket.destroyed; id += 1) {
-    target.write(`id: ${id}\ndata: token ${id} of ${run.id}\n\n`);
-    await delay(EVENT_GAP_MS);
-  }
-  target.end();
-}
+/** Time since the end of a usage window, in which a SIGTERM is sent. */
+const FROM_MS = 0;
+const TO_MS = 900;
 
-/** Reads one stream on a channel of its own. */
-function readStream(address, id) {
-  const [host, port] = address.split(':');
-  const socket = connect(Number(port), host);
-  const state = { id, text: '', isReset: false };
-  socket.on('data', chunk => {
-    state.text += chunk.toString();
-  });
-  socket.on('error', () => {
-    state.isReset = true;
-  });
-  state.closed = new Promise(resolve => {
-    socket.once('close', resolve);
-  });
-  socket.write(
-    `POST /drafts/a HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: ${id}\r\nKey: ${KEY}\r\nDeadline-Ms: 8000\r\n` +
-      'Model: m\r\nToken-Usage: 100,120\r\nPrompt-Prefix: aa:60,bb:40\r\nContent-Length: 8\r\n\r\na ruling',
-  );
-  return state;
+/** Returns what breaks the rule among the calls that the platform got. */
+function judge(calls) {
+  const faults = [];
+  const bySubject = new Map();
+  for (const call of calls) {
+    const subject =
+      call.path === '/usage'
+        ? 'usage'
+        : `scaling ${call.body.Service} ${call.body.Zone}`;
+    const earlier = bySubject.get(subject) ?? [];
+    const highest = Math.max(0, ...earlier.map(({ number }) => number));
+    if (call.number < highest) {
+      faults.push(
+        `${subject}: ${call.holder} with number ${call.number} after number ${highest}`,
+      );
+    }
+    const own = earlier.findLast(({ holder }) => holder === call.holder);
+    const last = earlier.at(-1);
+    if (
+      own !== undefined &&
+      last.holder !== call.holder &&
+      call.atMs - own.atMs < LEASE_MS
+    ) {
+      faults.push(
+        `${subject}: ${call.holder}, ${last.holder}, ${call.holder} within ${Math.round(call.atMs - own.atMs)} ms`,
+      );
+    }
+    bySubject.set(subject, [...earlier, call]);
+  }
+  return faults;
 }
 
 await runCase(new URL('record.txt', import.meta.url), async deployment => {
-  const workers = ['i-1', 'i-2'].map(id => {
-    const worker = new Worker(id, 'models', { slots: 64 });
-    worker.answer = answerStream;
-    return worker;
-  });
+  const { cloud, store } = deployment;
+  const config = createConfig(3, [
+    plainRoute('lookups', 'ledger', 'idempotent'),
+  ]);
+  config.Services[0].Scaling = {
+    MinSize: 1,
+    MaxSize: 4,
+    BootTimeS: 4,
+    SpotPrice: 0.15,
+    ZonePrices: Object.fromEntries(
+      ZONES.map((zone, index) => [zone, 1 + index / 10]),
+    ),
+  };
   await deployment.start({
-    zones: ['akl-a', 'akl-b', 'ham-a'],
-    config: createConfig(3, [streamRoute('drafts', 'models')]),
-    workers,
+    zones: ZONES,
+    config,
+    workers: [new Worker('i-1', 'ledger'), new Worker('i-2', 'ledger')],
   });
   await deployment.whenReady();
-  await delay(2_000);
+  cloud.onCall = ({ body, holder, number, path }) => {
+    deployment.record(
+      `the platform gets ${path} ${body.WindowId ?? body.Zone} from ${holder}, number ${number}`,
+    );
+  };
 
-  const [daemon] = deployment.daemons;
-  const streams = Array.from({ length: STREAMS }, (_, index) =>
-    readStream(daemon.address, `draft-${index + 1}`),
-  );
-  await delay((EVENTS * EVENT_GAP_MS) / 2);
-  if (HAS_TROUBLE) {
-    daemon.kill();
-    deployment.record(`the process of ${daemon.name} is killed`);
-  }
-  await Promise.all(streams.map(({ closed }) => closed));
+  let isOver = false;
+  const traffic = (async () => {
+    for (let number = 1; !isOver; number += 1) {
+      const daemon = deployment.daemons[number % deployment.daemons.length];
+      void send({
+        address: daemon.address,
+        host: HOST,
+        path: '/lookups/a',
+        id: `lookup-${number}`,
+        deadlineMs: 1_500,
+        key: KEY,
+      });
+      await delay(40);
+    }
+  })();
 
-  let broken = 0;
-  for (const { id, isReset, text } of streams) {
-    const [head, body = ''] = text.split('\r\n\r\n');
-    const hasLength = /^(content-length|transfer-encoding):/im.test(head);
-    const isSuccess =
-      /^HTTP\/1\.1 200 /.test(head) && /^response-signature: /im.test(head);
-    const events = body.match(/^id: /gm)?.length ?? 0;
-    // With chunks, an answer is complete with its last, empty chunk.
-    const looksComplete = hasLength ? body.endsWith('0\r\n\r\n') : !isReset;
-    const isBroken = isSuccess && looksComplete && events < EVENTS;
-    if (isBroken) broken += 1;
-    const framing = hasLength ? 'with a length or chunks' : 'without a length';
+  const holder = () =>
+    deployment.daemons.find(({ name }) => name === store.read(LEASE_KEY));
+  const isTime = () => {
+    const sinceWindowMs = Date.now() % WINDOW_MS;
+    return sinceWindowMs >= FROM_MS && sinceWindowMs < TO_MS;
+  };
+  let stopping;
+  const stop = daemon => {
     deployment.record(
-      `${id}: a success ${framing}, ${events} of ${EVENTS} events, channel ${isReset ? 'reset' : 'closed in order'}` +
-        (isBroken ? ' - ends early and looks complete' : ''),
+      `${daemon.name} gets SIGTERM${HAS_TROUBLE ? ` while the answer to its renewal is on its way, ${LATE_MS} ms late` : ''}`,
     );
+    stopping = daemon;
+    daemon.signal('SIGTERM');
+  };
+  let isArmed = false;
+  store.beforeAnswer = ({ pathname }, status, socket) => {
+    const daemon = holder();
+    const isRenewal =
+      pathname === `/-/kv-keep/${store.items.get(LEASE_KEY)?.Lease}`;
+    if (
+      !isArmed ||
+      !isRenewal ||
+      status !== 200 ||
+      daemon === undefined ||
+      !isTime()
+    )
+      return;
+    isArmed = false;
+    if (HAS_TROUBLE) {
+      deployment.storeLink.holdAnswers(socket.remotePort, LATE_MS);
+      stop(daemon);
+    } else {
+      setTimeout(() => {
+        stop(daemon);
+      }, 700);
+    }
+  };
+
+  await delay(6_000);
+  const untilMs = Date.now() + PLAY_MS - 10_000;
+  let faults = [];
+  while (Date.now() < untilMs && faults.length === 0) {
+    stopping = undefined;
+    isArmed = true;
+    while (stopping === undefined && Date.now() < untilMs) await delay(50);
+    isArmed = false;
+    if (stopping === undefined) break;
+    await Promise.race([stopping.exited, delay(8_000)]);
+    stopping.kill();
+    await stopping.exited;
+    stopping.end = undefined;
+    stopping.start();
+    deployment.record(`${stopping.name} is started again`);
+    await deployment.whenReady([stopping]);
+    faults = judge(cloud.calls);
   }
-  for (const worker of workers) {
-    for (const run of worker.runs)
-      deployment.record(
-        `${worker.id} ran ${run.id}${run.isUnframed ? ', answered without a length' : ''}`,
-      );
-  }
-  return broken > 0;
+  isOver = true;
+  await traffic;
+  for (const fault of faults) deployment.record(`ONE is broken: ${fault}`);
+  return faults.length > 0;
 });
--- a/review/lib/cut.mjs
+++ b/review/lib/cut.mjs
@@ -1,3 +1,4 @@
+/* global setTimeout */
 // Proxy in front of a server, which can be cut off: while it is, bytes are held up
 // both ways, and new channels wait; afterwards all goes on, as after a partition.
 import { connect, createServer } from 'node:net';
@@ -45,6 +46,17 @@
     for (const pair of this.pairs) for (const socket of pair) socket.resume();
   }
 
+  /** Delivers what the server sends on one of its channels later, as after a lost packet. */
+  holdAnswers(remotePort, durationMs) {
+    for (const [, far] of this.pairs) {
+      if (far.localPort !== remotePort) continue;
+      far.pause();
+      setTimeout(() => {
+        if (!this.isCut) far.resume();
+      }, durationMs);
+    }
+  }
+
   close() {
     this.server.close();
     for (const pair of this.pairs) for (const socket of pair) socket.destroy();
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -21,6 +21,8 @@
   answerMs = ANSWER_MS;
   /** Called with each call before it is carried out; may wait. */
   onCall = () => undefined;
+  /** Called with each call once it is carried out, before its answer is written on the socket. */
+  beforeAnswer = () => undefined;
 
   constructor() {
     this.server = createServer((request, response) => {
@@ -56,6 +58,12 @@
     return this.revision;
   }
 
+  /** Returns the text of a key; undefined if there is none. */
+  read(key) {
+    const item = this.items.get(key);
+    return item && Buffer.from(item.Value, 'base64').toString();
+  }
+
   remove(key) {
     this.apply({ Remove: [key] });
   }
@@ -104,6 +112,7 @@
       request.socket,
     );
     await delay(this.answerMs);
+    await this.beforeAnswer(url, status, request.socket);
     response.writeHead(status, { 'content-type': 'application/json' });
     response.end(answer === undefined ? '' : JSON.stringify(answer));
   }
