--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -82,10 +82,11 @@
   };
 
   let isOver = false;
+  const answers = [];
   const traffic = (async () => {
     for (let number = 1; !isOver; number += 1) {
       const daemon = deployment.daemons[number % deployment.daemons.length];
-      void send({
+      const answer = send({
         address: daemon.address,
         host: HOST,
         path: '/lookups/a',
@@ -93,6 +94,7 @@
         deadlineMs: 1_500,
         key: KEY,
       });
+      answers.push(answer);
       await delay(40);
     }
   })();
@@ -155,6 +157,15 @@
   }
   isOver = true;
   await traffic;
+  const statuses = (await Promise.all(answers)).map(({ status }) => status);
+  const served = statuses.filter(status => status === 200).length;
+  const runs = deployment.workers.reduce(
+    (sum, worker) => sum + worker.runs.length,
+    0,
+  );
+  deployment.record(
+    `${statuses.length} lookups were sent, ${served} served, ${runs} run by workers`,
+  );
   for (const fault of faults) deployment.record(`ONE is broken: ${fault}`);
   return faults.length > 0;
 });
