--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -50,6 +50,10 @@
   socket.on('error', () => {
     state.isReset = true;
   });
+  socket.on('end', () => {
+    // libuv reports a reset that arrives together with data as an end; only a channel that is reset has no peer by then.
+    if (socket.remoteAddress === undefined) state.isReset = true;
+  });
   state.closed = new Promise(resolve => {
     socket.once('close', resolve);
   });
