Keep cheap spare endpoints, and what a group was provisioned with until its load is seen

Cause: the first plan was made before running endpoints were listed, so that its orders ended them; an idle group was cut to nine endpoints before its load came; a burst came before ordered endpoints had started.

Change: no plan before the list is complete; the endpoints found first are kept until the load has been observed for 8 s; where reclaimable endpoints cost up to a quarter of on-demand ones, twice as many are kept as the load requires.

--- a/packages/core/src/duties/fleet-plan.ts
+++ b/packages/core/src/duties/fleet-plan.ts
@@ -17,6 +17,8 @@
   readonly endpoints: readonly EndpointRecord[];
   /** Recent maximum of the requests in flight at the endpoints. */
   readonly peakInFlight: number;
+  /** Endpoints that the group needs whatever its load. */
+  readonly minRequired: number;
   readonly reclaimableOrders: ReadonlyMap<DataCentre, LastOrder>;
   readonly onDemandOrders: ReadonlyMap<DataCentre, LastOrder>;
 }
@@ -34,6 +36,10 @@
 const MIN_REQUIRED_ENDPOINTS = 3; // one for returning load, and two that may be lost at once
 /** Minimum number of reclaimable endpoints in each data centre, also without load. */
 const MIN_RECLAIMABLE_PER_DATA_CENTRE = 2; // with one each, an idle group takes 8 s to scale up for a burst
+/** Reclaimable endpoints for each one that the load requires, where they are cheap: a burst of twice the load comes before ordered endpoints have started. */
+const RECLAIMABLE_HEADROOM = 2;
+/** Price of a reclaimable endpoint, relative to an on-demand one, up to which the headroom is kept. */
+const MAX_HEADROOM_PRICE = 0.25; // twice as many still cost half of what the load would cost on demand
 /** Minimum number of on-demand endpoints of a group. */
 const MIN_ON_DEMAND = 1; // serves all requests while every reclaimable endpoint is unavailable
 
@@ -56,12 +62,16 @@
  * endpoints that replace them are ready.
  */
 export function planFleet(state: FleetState): readonly PlannedCount[] {
-  const { peakInFlight, scaling } = state;
+  const { minRequired, peakInFlight, scaling } = state;
   const required = Math.max(
     MIN_REQUIRED_ENDPOINTS,
+    minRequired,
     Math.ceil(peakInFlight / IN_FLIGHT_PER_ENDPOINT) + 1,
   );
-  const reclaimableTarget = reclaimablePerDataCentre(scaling, required);
+  const reclaimableTarget = reclaimablePerDataCentre(
+    scaling,
+    required * reclaimableHeadroom(scaling),
+  );
   const dataCentres = dataCentresByPrice(scaling).map(dataCentre =>
     dataCentreStateOf(dataCentre, reclaimableTarget, state),
   );
@@ -144,6 +154,13 @@
   return counts.every(count => count >= reclaimableTarget) ? sum(counts) : 0;
 }
 
+/** Returns the reclaimable endpoints to keep for each one that the load requires. */
+function reclaimableHeadroom({
+  reclaimablePrice = 1,
+}: ScalingSettings): number {
+  return reclaimablePrice <= MAX_HEADROOM_PRICE ? RECLAIMABLE_HEADROOM : 1;
+}
+
 function reclaimablePerDataCentre(
   scaling: ScalingSettings,
   required: number,
--- a/packages/core/src/duties/fleet-scaler.ts
+++ b/packages/core/src/duties/fleet-scaler.ts
@@ -9,6 +9,7 @@
 import { ScalingOutcome } from './duty-api.js';
 import type { FleetState, LastOrder } from './fleet-plan.js';
 import { planFleet } from './fleet-plan.js';
+import { ProvisionedCapacity } from './provisioned-capacity.js';
 import { SlidingWindowMax } from './sliding-window-max.js';
 
 const CALL_TIMEOUT_MS = 800;
@@ -29,6 +30,8 @@
   readonly endpoints: () => readonly EndpointRecord[];
   /** Returns the requests in flight at a group's endpoints, from all daemons. */
   readonly runningIn: (group: string) => number;
+  /** Time from which the list of endpoints can be relied on to be complete. */
+  readonly firstPlanAtMs: number;
 }
 
 /** Last order sent for one kind of endpoint in a data centre. */
@@ -45,6 +48,8 @@
   private readonly issuedOrders = new Map<string, IssuedOrder>();
   /** Load peaks, by group. */
   private readonly peaks = new Map<string, SlidingWindowMax>();
+  /** Endpoints found at the first plan, by group. */
+  private readonly provisioned = new Map<string, ProvisionedCapacity>();
   private fencingNumber: number | undefined;
 
   constructor(private readonly deps: FleetScalerDependencies) {}
@@ -53,6 +58,8 @@
   async step(currentToken: () => FencingToken | undefined): Promise<void> {
     const initialToken = currentToken();
     if (initialToken === undefined) return;
+    // An order made from an incomplete list would end endpoints that are not listed yet.
+    if (this.deps.clock.nowMs() < this.deps.firstPlanAtMs) return;
     if (this.fencingNumber !== initialToken.fencingNumber) {
       this.fencingNumber = initialToken.fencingNumber;
       this.issuedOrders.clear();
@@ -76,10 +83,17 @@
     const peak = this.peaks.get(group) ?? new SlidingWindowMax(PEAK_WINDOW_MS);
     this.peaks.set(group, peak);
     peak.add(runningIn(group), nowMs);
+    const peakInFlight = peak.max(nowMs);
+    const members = endpoints().filter(endpoint => endpoint.group === group);
     const plannedCounts = planFleet({
       scaling,
-      endpoints: endpoints().filter(endpoint => endpoint.group === group),
-      peakInFlight: peak.max(nowMs),
+      endpoints: members,
+      peakInFlight,
+      minRequired: this.provisionedFor(group).minRequired(
+        members,
+        peakInFlight > 0,
+        nowMs,
+      ),
       ...this.lastOrders(group, scaling.bootMs),
     });
     const orders = plannedCounts.map(planned => ({ group, ...planned }));
@@ -89,6 +103,14 @@
     );
   }
 
+  private provisionedFor(group: string): ProvisionedCapacity {
+    const known = this.provisioned.get(group);
+    if (known !== undefined) return known;
+    const provisioned = new ProvisionedCapacity(PEAK_WINDOW_MS);
+    this.provisioned.set(group, provisioned);
+    return provisioned;
+  }
+
   /** Returns the count of an order minus that of the order before it. */
   private countIncrease(order: ScalingOrder): number {
     return (
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -28,6 +28,8 @@
 const PEER_SILENCE_LIMIT_MS = 1_500; // three hint exchanges
 /** Fraction of the time until a usage report is due after which it is sent without missing counts. */
 const REPORT_CUTOFF_SHARE = 0.6;
+/** Time after the start within which all running endpoints are listed. */
+const LISTING_SETTLE_MS = 4_000; // they start along with the daemons, and the list lags by up to 3 s
 /** Time after the start in which a daemon gets to know its peers. */
 const SETTLE_MS = 1_000;
 const RANKING_PURPOSE = 'duties';
@@ -94,6 +96,7 @@
       groups: () => deps.configuration.current?.groups ?? [],
       endpoints: () => deps.pool.endpoints(),
       runningIn: group => deps.pool.runningRequests(group),
+      firstPlanAtMs: clock.nowMs() + LISTING_SETTLE_MS,
     });
     const rolloutWriter = new RolloutWriter({
       clock,
