Share a rollback decision at once, beside the hints

Cause: a decision reached the other daemons with the hints alone, four random peers each 500 ms. Among 59 daemons a bad version got a request 5,072 ms after its 50th bad response, where 5,000 ms are allowed.

Change: the daemon that rolls a version back, or learns it from hints, broadcasts it as a value of its own for each group, whose version is the revision of the order, so that nothing has to be merged. A decision that arrives before its order is kept for it.

--- a/packages/core/src/rollouts/rollout-registry.ts
+++ b/packages/core/src/rollouts/rollout-registry.ts
@@ -11,8 +11,9 @@
 import { LogComponent } from '../ports/index.js';
 import type { CanaryOptions } from './canary-rollout.js';
 import { CanaryRollout } from './canary-rollout.js';
+import type { RollbackDecision } from './rollback-decision.js';
 import type { RolloutHints } from './rollout-hints.js';
-import { RolloutPhase } from './rollout-hints.js';
+import { mergePhases, RolloutPhase } from './rollout-hints.js';
 
 export interface RolloutRegistryDependencies {
   readonly nowMs: () => number;
@@ -29,19 +30,28 @@
 /** Latest rollout of each group that this daemon has read. */
 export class RolloutRegistry implements VersionSelector {
   private readonly rolloutsByGroup = new Map<string, CanaryRollout>();
+  /** Revision of the last order of each group that is known to be rolled back; the order may arrive later. */
+  private readonly rolledBackRevisions = new Map<string, number>();
+  private readonly rollbackListeners: ((decision: RollbackDecision) => void)[] =
+    [];
 
   constructor(private readonly deps: RolloutRegistryDependencies) {}
 
+  /** Registers a listener for rollbacks that this daemon decides or learns of by a peer's hints. */
+  onRollback(listener: (decision: RollbackDecision) => void): void {
+    this.rollbackListeners.push(listener);
+  }
+
   /** Starts the ordered rollout, unless one of the same or a later revision is known for the group. */
   applyOrder(order: RolloutOrder): void {
     const known = this.rolloutsByGroup.get(order.group);
     if (known !== undefined && known.order.revision >= order.revision) return;
     const { log, nowMs, optionsFor } = this.deps;
     const options = optionsFor(order.group);
-    this.rolloutsByGroup.set(
-      order.group,
-      new CanaryRollout(order, nowMs(), options),
-    );
+    const rollout = new CanaryRollout(order, nowMs(), options);
+    if (this.rolledBackRevisions.get(order.group) === order.revision)
+      rollout.phase = RolloutPhase.RolledBack;
+    this.rolloutsByGroup.set(order.group, rollout);
     log.info(LogComponent.Moves, 'A rollout order was received.', { ...order });
   }
 
@@ -52,6 +62,35 @@
     rollout.phase = hasSucceeded
       ? RolloutPhase.Succeeded
       : RolloutPhase.RolledBack;
+    if (!hasSucceeded)
+      this.rolledBackRevisions.set(group, rollout.order.revision);
+  }
+
+  /** Rolls back the rollout of a decision that a peer has shared, also if its order is read later. */
+  applyRollback({ group, revision }: RollbackDecision): void {
+    if (revision <= (this.rolledBackRevisions.get(group) ?? -1)) return;
+    this.rolledBackRevisions.set(group, revision);
+    const rollout = this.rolloutsByGroup.get(group);
+    if (rollout?.order.revision !== revision) return;
+    const phase = mergePhases(rollout.phase, RolloutPhase.RolledBack);
+    if (phase === rollout.phase) return;
+    rollout.phase = phase;
+    this.deps.log.info(LogComponent.Moves, 'A peer rolled a version back.', {
+      group,
+      toVersion: rollout.order.toVersion,
+    });
+  }
+
+  /** Calls the listeners with the rollbacks that they have not been told of. */
+  announceRollbacks(): void {
+    for (const { order, phase } of this.rollouts()) {
+      const { group, revision } = order;
+      if (phase !== RolloutPhase.RolledBack) continue;
+      if (this.rolledBackRevisions.get(group) === revision) continue;
+      this.rolledBackRevisions.set(group, revision);
+      for (const listener of this.rollbackListeners)
+        listener({ group, revision });
+    }
   }
 
   choose(group: string): VersionConstraint {
@@ -71,13 +110,14 @@
     return rollout?.observe(attempt, this.deps.nowMs()) ?? NO_OBSERVATION;
   }
 
-  /** Evaluates the new evidence of every rollout and logs those that it rolls back. */
+  /** Evaluates the new evidence of every rollout, and logs and announces those that it rolls back. */
   tick(): void {
     for (const rollout of this.rolloutsByGroup.values()) {
       const previousPhase = rollout.phase;
       rollout.tick(this.deps.nowMs());
       if (rollout.phase !== previousPhase) this.logRollback(rollout);
     }
+    this.announceRollbacks();
   }
 
   rollouts(): readonly CanaryRollout[] {
@@ -106,6 +146,7 @@
         lifetime,
       });
     }
+    this.announceRollbacks();
   }
 
   private logRollback({ finding, order, phase }: CanaryRollout): void {
--- a/packages/core/src/rollouts/rollout-writer.ts
+++ b/packages/core/src/rollouts/rollout-writer.ts
@@ -45,6 +45,7 @@
       const previousPhase = rollout.phase;
       rollout.decide(clock.nowMs());
       if (rollout.phase !== previousPhase) this.logDecision(rollout);
+      registry.announceRollbacks();
       const { group, toVersion } = rollout.order;
       const oldInFlight = this.deps.inFlightOnOtherVersions(group, toVersion);
       if (rollout.mayComplete(oldInFlight, clock.nowMs())) {
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -14,6 +14,7 @@
 import type { ReplicatedValue } from '@skylarkreach/core/membership';
 import { LogComponent } from '@skylarkreach/core/ports';
 import type { RolloutRegistry } from '@skylarkreach/core/rollouts';
+import { parseSharedRollback } from '@skylarkreach/core/rollouts';
 
 import type { EndpointClient } from './endpoint-client.js';
 import type { GatewayCluster } from './gateway-cluster.js';
@@ -26,6 +27,9 @@
   Rollouts = 'rollouts',
 }
 
+/** Prefix of the keys of rollback decisions, one for each group, so that decisions need no merging; the version is the revision of the order. */
+const ROLLBACK_KEY_PREFIX = 'rollback/';
+
 /** Origin of an update, as logged. */
 enum UpdateSource {
   Store = 'store',
@@ -70,6 +74,14 @@
     deps.cluster.membership.onValue(value => {
       this.tryApplyGossip(value);
     });
+    deps.rollouts.onRollback(decision => {
+      const key = ROLLBACK_KEY_PREFIX + decision.group;
+      const { revision: version } = decision;
+      if (version <= this.gossipVersion(key)) return;
+      const value = JSON.stringify(decision);
+      // Unlike what each reader finds in the store, a decision is broadcast without a wait.
+      void deps.cluster.membership.publish({ key, version, value });
+    });
   }
 
   /**
@@ -143,6 +155,8 @@
       for (const order of parseSharedOrders(value))
         this.deps.rollouts.applyOrder(order);
     }
+    if (key.startsWith(ROLLBACK_KEY_PREFIX))
+      this.deps.rollouts.applyRollback(parseSharedRollback(value));
     if (key === GossipKey.Endpoints.valueOf()) {
       const listing = parseSharedListing(value);
       this.sharedEndpointsJson = JSON.stringify(listing.endpoints);
@@ -223,7 +237,7 @@
     );
   }
 
-  private gossipVersion(key: GossipKey): number {
+  private gossipVersion(key: string): number {
     return this.deps.cluster.membership.store.version(key);
   }
 
