Stop a relayed request at once when its caller's daemon closes the call

Cause: a daemon that is behind reads a relayed message before the end of its connection, and sent it on in between; a signal that was aborted before the run began was never noticed, as it has no further event; and a request that waited for a connection ended only once the connection was there or had failed. 12 requests reached endpoints more than 0.5 s after their callers had left.

Change: the relay polls its connections once more before it sends a message on, as the server for callers does, and drops one whose call is closed (relay.dropped). A run whose signal is aborted makes no attempt. An attempt ends with its request, one poll later, also while its client waits for a connection.

--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -112,10 +112,11 @@
     let result: AttemptOutcome;
     try {
       signal.throwIfAborted();
-      const response = await this.deps.upstream.send(
-        call,
-        this.upstreamAbort.signal,
-      );
+      const response = await Promise.race([
+        this.deps.upstream.send(call, this.upstreamAbort.signal),
+        // A client that waits for a connection notices the end only once it has one.
+        this.whenRequestEnds(),
+      ]);
       result = await this.readResponse(response);
     } catch (error) {
       result = this.resultOfError(error);
@@ -130,6 +131,21 @@
     return result;
   }
 
+  /** Rejects once the request has ended and a response that had arrived by then was read. */
+  private whenRequestEnds(): Promise<never> {
+    const { signal } = this.options;
+    const ended = new Promise<never>((_, reject) => {
+      const onAbort = () => {
+        void this.deps.nextPoll().then(() => {
+          reject(new Error('The request has ended.'));
+        });
+      };
+      signal.addEventListener('abort', onAbort, { once: true });
+    });
+    ended.catch(() => undefined); // the response may have begun
+    return ended;
+  }
+
   private async readResponse(
     response: EndpointResponse,
   ): Promise<AttemptOutcome> {
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -73,6 +73,8 @@
     const onAbort = () => {
       this.runAbort.abort();
     };
+    // A signal that is aborted already has no further event.
+    if (signal.aborted) onAbort();
     signal.addEventListener('abort', onAbort, { once: true });
     const timer = callAt(this.deps, this.deadlineAtMs, () => {
       this.isTimedOut = true;
@@ -107,7 +109,7 @@
 
   private async runAttempts(signal: AbortSignal): Promise<void> {
     let last: AttemptOutcome | undefined;
-    let reservation = this.sequence.first();
+    let reservation = signal.aborted ? undefined : this.sequence.first();
     while (reservation !== undefined) {
       last = await (reservation.isPeer === true
         ? this.attemptThrough(reservation)
--- a/packages/core/src/forwarding/forward-stops.test.ts
+++ b/packages/core/src/forwarding/forward-stops.test.ts
@@ -19,6 +19,23 @@
 });
 const refusal: ScriptedResponse = { status: 503, metadata: { isNotRun: true } };
 
+describe('a request whose caller leaves', () => {
+  it('is sent to no endpoint where its caller left before it is forwarded', async () => {
+    const harness = new ForwarderHarness([{}], sampleRoute());
+    harness.callerAbort.abort();
+    assert.equal(await harness.serve(), undefined);
+    assert.equal(harness.upstream.calls.length, 0);
+  });
+
+  it('ends at once, also while its client waits for a connection', async () => {
+    const harness = new ForwarderHarness([{}], sampleRoute());
+    harness.upstream.send = () => new Promise(() => undefined);
+    const served = harness.serve();
+    harness.callerAbort.abort();
+    assert.equal(await served, undefined);
+  });
+});
+
 describe('a request of a daemon that stops', () => {
   it('is not sent if it may last beyond the end of the daemon', async () => {
     const harness = new ForwarderHarness([{}], postingRoute);
--- a/packages/daemon/src/gateway/relay-server.ts
+++ b/packages/daemon/src/gateway/relay-server.ts
@@ -14,7 +14,7 @@
 } from '@skylarkreach/core/forwarding';
 import type { Clock, Metrics } from '@skylarkreach/core/ports';
 
-import { abortResponse, readBytes } from '../http/index.js';
+import { abortResponse, nextPoll, readBytes } from '../http/index.js';
 import type { PeerServer } from '../peers/index.js';
 import type { RelayMessage } from './relay-message.js';
 import {
@@ -77,6 +77,13 @@
         response.writeHead(401, { connection: 'close' }).end();
         return;
       }
+      // A daemon that is behind reads a message before the end of its connection.
+      await nextPoll();
+      if (disconnected.aborted || !request.socket.writable) {
+        this.deps.metrics.increment('relay.dropped');
+        response.destroy();
+        return;
+      }
       await this.forward(message, receivedAtMs, response, disconnected);
     } catch {
       // The peer takes a broken connection for a lost response.
