Store usage counts, so that they outlive a kill of all daemons

Cause: until the report of a window is stored, its counts are in the memories of the daemons alone. Reports of three windows were off by 1,506 of 1,534, 2,561 of 3,697 and 1,701 of 2,419 requests after all daemons were killed.

Change: where bounds.usageCheckpointSeconds asks for it (0 by default), the holder of the duties stores the counts of all daemons by lifetime, at most one call to the store in each interval and only after a change; the others tell it their counts (usage.tell). A new holder reads them before it fixes a report.

--- a/packages/core/src/duties/index.ts
+++ b/packages/core/src/duties/index.ts
@@ -4,5 +4,7 @@
 export * from './fleet-plan.js';
 export * from './fleet-scaler.js';
 export * from './sliding-window-max.js';
+export * from './usage-checkpoint.js';
 export * from './usage-ledger.js';
 export * from './usage-reporter.js';
+export * from './usage-teller.js';
--- a/packages/core/src/duties/usage-ledger.ts
+++ b/packages/core/src/duties/usage-ledger.ts
@@ -6,6 +6,11 @@
 /** Number of windows before the current one that are retained. */
 const RETAINED_WINDOWS = 6; // a report is due two windows after the window it covers
 
+/** Counts of one lifetime of a daemon in one window. */
+export interface LifetimeUsage extends WindowUsage {
+  readonly lifetime: string;
+}
+
 type WorkspaceCounts = Map<Workspace, number>;
 
 /** Counts of the requests that endpoints started, by window and by the daemon that sent them. */
@@ -14,11 +19,19 @@
   private readonly ownCounts = new Map<number, WorkspaceCounts>();
   /** Counts of peers, by window and by lifetime. */
   private readonly peerCounts = new Map<number, Map<string, WorkspaceCounts>>();
+  /** Rises with each change of this daemon's counts. */
+  ownChangeCount = 0;
+  /** Rises with each change of any counts. */
+  changeCount = 0;
 
-  /** `clusterTimeMs` reads the time that determines the window of a request. */
+  /**
+   * `clusterTimeMs` reads the time that determines the window of a request.
+   * `lifetime` names this run of the daemon's process, as in its hints.
+   */
   constructor(
     private readonly windowMs: number,
     private readonly clusterTimeMs: () => number,
+    readonly lifetime = '',
   ) {}
 
   count(workspace: Workspace, startedAgoMs: number): void {
@@ -26,6 +39,8 @@
     const counts = this.ownCounts.get(windowId) ?? new Map<Workspace, number>();
     counts.set(workspace, (counts.get(workspace) ?? 0) + 1);
     this.ownCounts.set(windowId, counts);
+    this.ownChangeCount += 1;
+    this.changeCount += 1;
     this.deleteExpiredWindows();
   }
 
@@ -38,17 +53,38 @@
     }));
   }
 
-  /** Merges a peer's counts. The counts of one lifetime only increase, so the higher value is the later one. */
+  /** Returns the counts of this daemon and all peers in the retained windows from the first one on. */
+  allUsage(firstWindowId: number): LifetimeUsage[] {
+    const { lifetime } = this;
+    const own = this.ownUsage().map(usage => ({ ...usage, lifetime }));
+    const peers = [...this.peerCounts].flatMap(([windowId, byLifetime]) =>
+      [...byLifetime].map(([peer, counts]) => ({
+        windowId,
+        lifetime: peer,
+        counts: Object.fromEntries(counts),
+      })),
+    );
+    return [...own, ...peers].filter(each => each.windowId >= firstWindowId);
+  }
+
+  /**
+   * Merges a peer's counts, as it told them or as they were stored. The counts of
+   * one lifetime only increase, so the higher value is the later one. This daemon's
+   * own counts are ignored.
+   */
   applyPeer({
     lifetime,
     usage,
   }: Pick<DaemonHints, 'lifetime' | 'usage'>): void {
+    if (lifetime === this.lifetime) return;
     for (const { counts, windowId } of usage) {
       const byLifetime =
         this.peerCounts.get(windowId) ?? new Map<string, WorkspaceCounts>();
       const known = byLifetime.get(lifetime) ?? new Map<Workspace, number>();
       for (const [workspace, value] of Object.entries(counts)) {
-        known.set(workspace, Math.max(value, known.get(workspace) ?? 0));
+        if (value <= (known.get(workspace) ?? 0)) continue;
+        known.set(workspace, value);
+        this.changeCount += 1;
       }
       byLifetime.set(lifetime, known);
       this.peerCounts.set(windowId, byLifetime);
--- a/packages/core/src/duties/usage-reporter.ts
+++ b/packages/core/src/duties/usage-reporter.ts
@@ -27,6 +27,8 @@
   readonly isComplete: () => boolean;
   /** Time after a window's end at which it is reported even if counts are missing. */
   readonly maxWaitMs: number;
+  /** Returns whether the ledger has the counts that earlier holders of the duties have stored. */
+  readonly hasRestored: (token: FencingToken) => boolean;
 }
 
 /**
@@ -54,7 +56,10 @@
       if (!(await this.loadStoredReports())) return;
       this.loadedFencingNumber = initialToken.fencingNumber;
     }
-    for (const windowId of this.dueWindowIds()) {
+    const dueWindowIds = this.deps.hasRestored(initialToken)
+      ? this.dueWindowIds()
+      : [];
+    for (const windowId of dueWindowIds) {
       if (!(await this.storeReport(windowId))) return;
     }
     for (const report of this.storedReports) {
@@ -65,10 +70,15 @@
     }
   }
 
+  /** First window whose report is not stored. */
+  get nextWindowId(): number {
+    const lastStoredId = this.storedReports.at(-1)?.windowId ?? -Infinity;
+    return Math.max(this.firstWindowId, lastStoredId + 1);
+  }
+
   private dueWindowIds(): readonly number[] {
     const { isComplete, maxWaitMs, ledger } = this.deps;
-    const lastStoredId = this.storedReports.at(-1)?.windowId ?? -Infinity;
-    const firstId = Math.max(this.firstWindowId, lastStoredId + 1);
+    const firstId = this.nextWindowId;
     return ledger
       .endedWindows(SETTLE_MS)
       .filter(windowId => windowId >= firstId)
--- a/packages/core/src/duties/usage.test.ts
+++ b/packages/core/src/duties/usage.test.ts
@@ -46,6 +46,7 @@
     log: noopLog,
     isComplete,
     maxWaitMs: 6_000,
+    hasRestored: () => true,
   });
 }
 
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -18,7 +18,8 @@
   backlogTokens: count,
 });
 
-const windowUsageSchema = z.object({
+/** Usage counts of one window. */
+export const windowUsageSchema = z.object({
   windowId: count,
   /** Number of requests that endpoints started, by workspace. */
   counts: z.record(text, count),
--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -37,6 +37,7 @@
   readonly readerRole: ReaderRole;
   private readonly listener: HttpListener;
   readonly peerServer: PeerServer;
+  readonly peer: HttpPeer;
   private serveRelay: RequestListener | undefined;
   readonly loops: readonly Loop[];
 
@@ -56,6 +57,7 @@
     const httpPeer = new HttpPeer(http, peerSecret, clock, metrics);
     const peerServer = new PeerServer(peerSecret, metrics, clock);
     this.peerServer = peerServer;
+    this.peer = httpPeer;
     this.listener = new HttpListener(
       {
         address: listen.peers,
@@ -152,6 +154,14 @@
     return ranked.findIndex(daemon => daemon.id === identity.id);
   }
 
+  /** Returns the peer that holds the duties; undefined if none is known. */
+  dutyHolder(): DaemonIdentity | undefined {
+    const holderId = this.hintBoard.dutyLease.holderId(
+      this.context.clock.nowMs(),
+    );
+    return this.membership.live().find(each => each.id === holderId);
+  }
+
   /** Whether hints from every live daemon arrived within the last `limitMs`. */
   hasAllHintsWithin(limitMs: number): boolean {
     const nowMs = this.context.clock.nowMs();
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -2,8 +2,10 @@
   DutyCallTracker,
   DutyHolder,
   FleetScaler,
+  UsageCheckpoint,
   UsageLedger,
   UsageReporter,
+  UsageTeller,
 } from '@skylarkreach/core/duties';
 import type {
   ConfigurationStore,
@@ -21,6 +23,8 @@
 
 const LEASE_STEP_MS = 250;
 const USAGE_STEP_MS = 300;
+/** Interval between checks whether counts are to be told or stored, a fraction of the shortest time between two messages. */
+const USAGE_COUNTS_STEP_MS = 100;
 const SCALING_STEP_MS = 500;
 const ROLLOUT_STEP_MS = 250;
 const MS_PER_SECOND = 1_000;
@@ -57,6 +61,7 @@
     this.usageLedger = new UsageLedger(
       bounds.usageWindowSeconds * MS_PER_SECOND,
       () => this.trueTime.nowMs(),
+      `${identity.daemonId}/${Math.round(clock.nowMs())}`,
     );
     const settledAtMs = clock.nowMs() + SETTLE_MS;
     const rankAfterStart = () => {
@@ -78,6 +83,14 @@
     );
     this.dutyCalls = new DutyCallTracker(platform.duties);
     const dutyApi = this.dutyCalls;
+    const checkpointMs = () => bounds.usageCheckpointSeconds * MS_PER_SECOND;
+    const usageCheckpoint: UsageCheckpoint = new UsageCheckpoint({
+      ...context,
+      keyValue: platform.keyValue,
+      ledger: this.usageLedger,
+      intervalMs: checkpointMs,
+      firstWindowId: () => usageReporter.nextWindowId,
+    });
     const usageReporter = new UsageReporter({
       clock,
       log,
@@ -86,6 +99,7 @@
       ledger: this.usageLedger,
       isComplete: () => deps.cluster().hasAllHintsWithin(PEER_SILENCE_LIMIT_MS),
       maxWaitMs: bounds.usageDueSeconds * MS_PER_SECOND * REPORT_CUTOFF_SHARE,
+      hasRestored: token => usageCheckpoint.hasRestored(token),
     });
     const fleetScaler = new FleetScaler({
       clock,
@@ -115,6 +129,9 @@
       createLoop('usage', USAGE_STEP_MS, () =>
         usageReporter.step(currentProof),
       ),
+      createLoop('usage counts', USAGE_COUNTS_STEP_MS, () =>
+        usageCheckpoint.step(currentProof),
+      ),
       createLoop('rollouts', ROLLOUT_STEP_MS, async () => {
         deps.rollouts.tick();
         await rolloutWriter.step(() => currentProof() !== undefined);
@@ -125,6 +142,27 @@
     ];
   }
 
+  /** Returns the loop that tells the holder of the duties this daemon's usage counts. */
+  createTellingLoop(context: GatewayContext, cluster: GatewayCluster): Loop {
+    const { clock, settings } = context;
+    const teller = new UsageTeller({
+      clock,
+      peer: cluster.peer,
+      registry: cluster.peerServer,
+      ledger: this.usageLedger,
+      isEnabled: () => settings.bounds.usageCheckpointSeconds > 0,
+      holder: () => cluster.dutyHolder(),
+      peerCount: () => cluster.size - 1,
+    });
+    return createIntervalLoop(
+      context,
+      LogComponent.Duties,
+      'telling usage counts',
+      USAGE_COUNTS_STEP_MS,
+      () => teller.step(),
+    );
+  }
+
   /** Gives the duties up for good, so that another daemon can take them over. */
   release(): Promise<void> {
     return this.dutyHolder.release(() => this.dutyCalls.settle());
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -48,8 +48,7 @@
     private readonly deps: GatewayHintsDependencies,
   ) {
     this.startedAtMs = context.clock.nowMs();
-    const { daemonId } = context.settings.identity;
-    this.lifetime = `${daemonId}/${Math.round(this.startedAtMs)}`;
+    this.lifetime = deps.duties.usageLedger.lifetime;
   }
 
   ownHints(): DaemonHints {
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -305,6 +305,7 @@
     ),
     ...cluster.loops,
     ...duties.loops,
+    duties.createTellingLoop(context, cluster),
   ];
   return {
     ...context,
--- a/packages/daemon/src/settings/gateway-settings.ts
+++ b/packages/daemon/src/settings/gateway-settings.ts
@@ -52,6 +52,8 @@
       usageWindowSeconds: z.number().positive().default(5),
       /** Time from the end of a window until its usage report is due. */
       usageDueSeconds: z.number().positive().default(10),
+      /** Shortest time between two calls that store the usage counts of all daemons; 0: they are not stored. */
+      usageCheckpointSeconds: z.number().nonnegative().default(0),
       /** Maximum share of a group's requests that a canary version may receive. */
       exposureShare: z.number().nonnegative().default(0.1),
       /** Requests that a canary version may receive in addition to its share. */
