Give HttpListener.close a deadline

Cause: the close went on while callers connected or sent anything, and waited for every response to be read, so that one caller could hold up Daemon.stop for as long as it liked; so could one that does not read a stream.

Change: at the deadline, 3 s by default, the listener closes the connections that are left.

--- a/packages/daemon/src/callers/chat-handler.ts
+++ b/packages/daemon/src/callers/chat-handler.ts
@@ -1,4 +1,3 @@
-import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 
 import type { AnswerEvent } from '@skylarkreach/core/pipeline';
@@ -20,6 +19,7 @@
 import { chunkBody, completionBody, finishBody } from './chat-response.js';
 import { Heartbeat } from './heartbeat.js';
 import { stoppingError, toProblem } from './problem.js';
+import { writeToCaller } from './write-to-caller.js';
 
 const MODEL_LABEL = 'skylarkreach';
 
@@ -96,11 +96,8 @@
     for await (const part of source.open(signal)) {
       if (!response.headersSent) writeStreamHeaders(response, source.name);
       const id = this.signResumeToken(part, source);
-      await writeWithBackPressure(
-        response,
-        formatEvent(metadata, part.event, id),
-        signal,
-      );
+      const text = formatEvent(metadata, part.event, id);
+      await writeToCaller(response, text, this.clock, signal);
       heartbeat.recordWrite();
     }
     if (!response.headersSent) writeStreamHeaders(response, source.name);
@@ -209,15 +206,6 @@
 }
 
 /** Writes with back-pressure, so that a slow reader does not make the write buffer grow without limit. */
-async function writeWithBackPressure(
-  response: ServerResponse,
-  text: string,
-  signal: AbortSignal,
-): Promise<void> {
-  signal.throwIfAborted();
-  if (!response.write(text)) await once(response, 'drain', { signal });
-}
-
 function endStreamWithError(
   response: ServerResponse,
   error: unknown,
--- a/packages/daemon/src/http/http-listener.test.ts
+++ b/packages/daemon/src/http/http-listener.test.ts
@@ -86,4 +86,28 @@
     await closed;
     assert.match(await received, /answer to \/a.*answer to \/b/s);
   });
+
+  it('closes at its deadline while callers go on to connect and one does not read its response', async () => {
+    const unread = Buffer.alloc(32 * 1_024 * 1_024);
+    const port = await listen((request, response) => {
+      request.resume().once('end', () => response.end(unread));
+    });
+    const stuck = connect(port, '127.0.0.1');
+    sockets.push(stuck);
+    await once(stuck, 'connect');
+    stuck.write(REQUEST);
+    await once(stuck, 'readable'); // paused from now on
+    const reconnecting = setInterval(() => {
+      const socket = connect(port, '127.0.0.1').on('error', () => undefined);
+      sockets.push(socket);
+      socket.write(REQUEST);
+    }, 20);
+    try {
+      await listener.close(Date.now() + 300);
+      const { socket } = await open(port).catch(() => ({ socket: undefined }));
+      assert.equal(socket, undefined);
+    } finally {
+      clearInterval(reconnecting);
+    }
+  });
 });
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -9,6 +9,7 @@
 import type { Address, Clock } from '@skylarkreach/core/ports';
 
 import type { Connection } from './connection.js';
+import { ConnectionEnd } from './connection.js';
 import { ConnectionDrain } from './connection-drain.js';
 import { Connections } from './connections.js';
 import { closeIdleConnections } from './idle-connections.js';
@@ -23,6 +24,9 @@
   readonly keepAliveTimeoutMs?: number;
 }
 
+/** Time in which a listener that closes answers what has arrived: the rest of a request may take 1 s, and its answer as long again. */
+const CLOSE_TIMEOUT_MS = 3_000;
+
 /** HTTP server bound to one address. */
 export class HttpListener {
   private readonly server: Server;
@@ -64,13 +68,24 @@
 
   /**
    * Answers the requests that have arrived, which the listener may refuse, then
-   * stops listening and closes all connections.
+   * stops listening and closes all connections. At the deadline it closes those
+   * that are left, whose callers go on to connect or do not read their responses.
    */
-  async close(): Promise<void> {
+  async close(
+    deadlineAtMs = this.options.clock.nowMs() + CLOSE_TIMEOUT_MS,
+  ): Promise<void> {
     this.isClosing = true;
     for (const connection of this.connections.open) announceEnd(connection);
     this.drain.startDraining();
-    await this.drain.close();
+    const timer = new AbortController();
+    const timeout = this.options.clock
+      .waitUntil(deadlineAtMs, timer.signal)
+      .catch(() => undefined); // closed in time
+    await Promise.race([this.drain.close(), timeout]);
+    timer.abort();
+    this.server.close();
+    for (const connection of this.connections.open)
+      connection.destroy(ConnectionEnd.Stopped);
   }
 
   /** Closes all connections immediately. */
