Do not end a begun stream for refusals, nor call a request not run that was sent

Cause: AttemptSeries counted refusals as dispatches without progress and gave a stream up after eight, within half a second where all engines are full. And a first connection that reached the engine was forgotten when the attempt to resume it could not connect, so that the request ended as not run.

Change: once a stream has begun, refusals do not count while the deadline allows a wait; after eight in a row each further dispatch waits endpointRetryMs. A connection that resumes a stream keeps that the first one was sent.

--- a/packages/core/src/fakes/scripted-engine.ts
+++ b/packages/core/src/fakes/scripted-engine.ts
@@ -82,6 +82,10 @@
   readonly terminatedAddresses = new Set<Address>();
   /** Draining engines; they reject new requests. */
   readonly drainingAddresses = new Set<Address>();
+  /** Engines that are full; they refuse new requests for now. */
+  readonly fullAddresses = new Set<Address>();
+  /** Number of requests that full engines refused. */
+  refusalCount = 0;
   /** Ids of the cancelled streams. */
   readonly cancelledStreamIds = new Set<string>();
   readonly generateCalls: { address: Address; request: GenerateRequest }[] = [];
@@ -119,6 +123,10 @@
     if (this.drainingAddresses.has(address)) {
       throw new RefusedError(`${address} is leaving.`, true);
     }
+    if (this.fullAddresses.has(address)) {
+      this.refusalCount += 1;
+      throw new RefusedError(`${address} is full.`, false);
+    }
     this.generateCalls.push({ address, request });
     const promptText = promptTextOf(request.messages);
     const promptTokens = estimateTokens(promptText) + request.sentTokens;
--- a/packages/core/src/pipeline/attempt-series.ts
+++ b/packages/core/src/pipeline/attempt-series.ts
@@ -25,7 +25,11 @@
 
 const RETRY_DELAY_MS = 1_000;
 
-/** Limit of consecutive dispatches of a request without progress, after which it fails. */
+/**
+ * Limit of consecutive dispatches of a request without progress, after which it
+ * fails. Refusals do not count once its stream has begun, as its caller would lose
+ * what it has; they only come more slowly from then on.
+ */
 const MAX_DISPATCHES_WITHOUT_PROGRESS = 8;
 
 /** Attempts at one answer: selects their endpoints and reports to the router how each ended. */
@@ -41,6 +45,8 @@
   private readonly excludedAddresses = new Set<string>();
   private dispatchCount = 0;
   private dispatchesWithoutProgress = 0;
+  private refusalsWithoutProgress = 0;
+  private hasBegun: boolean;
   private mayHaveRun: boolean;
   /** Whether the current attempt was sent and nothing shows that it was not run. */
   private isSent = false;
@@ -59,6 +65,7 @@
     this.deadlineAtMs = start.deadlineAtMs;
     this.version = start.version;
     this.mayHaveRun = start.target !== undefined;
+    this.hasBegun = this.mayHaveRun || start.sentTokens > 0;
     this.selector = new EndpointSelector(deps, failover);
   }
 
@@ -98,6 +105,9 @@
     const { address, streamId } = this.target ?? { address: '', streamId: '' };
     const { engine } = this.deps;
     if (isResume || this.work === undefined) {
+      // What follows on the stream no longer tells whether its first connection reached the engine.
+      this.mayHaveRun ||= this.isSent;
+      this.isSent = false;
       const { deadlineAtMs } = this;
       const fromToken = assembler.nextTokenOffset;
       return engine.resume(
@@ -158,7 +168,9 @@
   recordProgress(released: readonly EngineEvent[]): void {
     this.firstByteAtMs ??= this.deps.clock.nowMs();
     this.mayHaveRun = true;
+    this.hasBegun = true;
     this.dispatchesWithoutProgress = 0;
+    this.refusalsWithoutProgress = 0;
     for (const event of released) {
       if (event.kind === EngineEventKind.Chunk) {
         this.attemptTokens += event.tokens;
@@ -173,6 +185,14 @@
     if (!(error instanceof PlatformError)) return;
     const isNotRun =
       error instanceof RefusedError || error instanceof NotSentError;
+    if (error instanceof RefusedError && this.isSent && this.hasBegun) {
+      const { dispatchesWithoutProgress } = this;
+      this.dispatchesWithoutProgress = Math.max(
+        0,
+        dispatchesWithoutProgress - 1,
+      );
+      this.refusalsWithoutProgress += 1;
+    }
     if (isNotRun) this.isSent = false;
     const { clock, log, router } = this.deps;
     const address = this.target?.address ?? '';
@@ -243,6 +263,11 @@
     const waitUntilMs = Math.min(deadlineAtMs, clock.nowMs() + endpointWaitMs);
     const isExhausted =
       this.dispatchesWithoutProgress >= MAX_DISPATCHES_WITHOUT_PROGRESS;
+    if (this.refusalsWithoutProgress >= MAX_DISPATCHES_WITHOUT_PROGRESS)
+      await clock.waitUntil(
+        Math.min(waitUntilMs, clock.nowMs() + endpointRetryMs),
+        signal,
+      );
     while (!isExhausted) {
       const endpoint = this.selector.choose(this.requirements(assembler));
       if (endpoint !== undefined) return endpoint;
--- a/packages/core/src/pipeline/model-pipeline.test.ts
+++ b/packages/core/src/pipeline/model-pipeline.test.ts
@@ -175,6 +175,40 @@
     }
   });
 
+  it('does not say "not run" where the engine that took the request cannot be reached again', async () => {
+    const fixture = new PipelineFixture([], [createEndpoint(1, 'north-1')]);
+    const { signal } = new AbortController();
+    void fixture.collect(fixture.pipeline.run(CALL, signal));
+    await fixture.clock.advanceTo(10);
+    fixture.engine.terminatedAddresses.add('10.0.0.1:80');
+    await fixture.clock.advanceTo(60_000);
+    assert.equal(fixture.engine.generateCalls.length, 1);
+    assert.ok(fixture.error instanceof RequestError);
+    assert.equal(fixture.error.outcome, RequestOutcome.Unknown);
+  });
+
+  it('goes on with a stream that all engines refuse for seconds, at a bounded rate', async () => {
+    const broken = { fault: StreamFault.Broken, afterTokens: 0 };
+    const fixture = new PipelineFixture([
+      { ...broken, afterTokens: 5 },
+      broken,
+      broken,
+    ]);
+    const { clock, engine } = fixture;
+    const { signal } = new AbortController();
+    const collected = fixture.pipeline.run(CALL, signal);
+    void fixture.collect(collected, () => {
+      if (fixture.tokenCount() === 5)
+        for (const { address } of ENDPOINTS) engine.fullAddresses.add(address);
+    });
+    await clock.advanceTo(20_000);
+    // Eight refusals at once, then one in each 100 ms.
+    assert.ok(engine.refusalCount > 8 && engine.refusalCount <= 210);
+    engine.fullAddresses.clear();
+    await clock.advanceTo(60_000);
+    fixture.assertWholeAnswer();
+  });
+
   it('says "not run" where the only engine refused the request', async () => {
     const fixture = new PipelineFixture([], [createEndpoint(1, 'north-1')]);
     fixture.engine.terminatedAddresses.add('10.0.0.1:80');
