Track no suspect of another cell, and tell a suspect of other members

Cause: a suspect that is no longer relevant, as the cells were split meanwhile, kept its state when its time was over, so that a death was counted on every tick. And a message to a suspected receiver left out its last other update, which counted as sent, also where there was room for it.

Change: such a suspect is known by the listing alone again; its own cell decides. The queue fills the room beside the receiver's state and counts only what it gives out.

Tests: both fail on the code before.

--- a/packages/core/src/membership/member-table.ts
+++ b/packages/core/src/membership/member-table.ts
@@ -105,6 +105,13 @@
     this.members.set(id, { ...member, suspectUntilMs });
   }
 
+  /** Forgets what was heard of a member that is no longer tracked, so that it is known by the listing alone. */
+  unlearn(id: string): void {
+    const member = this.members.get(id);
+    if (member === undefined) return;
+    this.store(member.identity, MemberState.Listed, 0, 0);
+  }
+
   /** Returns the suspects whose deadline has passed. */
   expiredSuspects(nowMs: number): readonly Member[] {
     return this.membersWithIds(this.suspects).filter(
--- a/packages/core/src/membership/swim-membership.test.ts
+++ b/packages/core/src/membership/swim-membership.test.ts
@@ -112,6 +112,41 @@
     for (const target of targets) swim.handleMessage(target, 1, [], START_MS);
     assert.ok(swim.updatesFor('daemon-1').length <= MAX_UPDATES_PER_MESSAGE);
   });
+
+  it('decides on no death of a suspect that it no longer tracks', () => {
+    const swim = new SwimMembership(daemon(0), new SeededRandom(1), START_MS);
+    const join = (from: number, to: number) => {
+      for (let index = from; index < to; index += 1)
+        swim.handleMessage(daemon(index, 2), 1, [], START_MS);
+    };
+    join(1, 40);
+    const [target] = [1, 3, 5, 7, 9].map(index => daemon(index, 2));
+    assert.ok(target !== undefined);
+    for (let index = 1; index < 40; index += 2)
+      swim.suspect(daemon(index, 2), START_MS);
+    join(40, 140);
+    swim.tick(START_MS);
+    const tracked = new Set(swim.live().map(({ id }) => id));
+    tickUntil(swim, START_MS, START_MS + 8_000);
+    const decided = swim.deathsDecided;
+    assert.ok(decided <= tracked.size);
+    tickUntil(swim, START_MS + 8_250, START_MS + 12_000);
+    assert.equal(swim.deathsDecided, decided);
+    assert.equal(swim.stateOf(target.id), MemberState.Listed);
+  });
+
+  it('tells a suspected receiver of other members too, each as often as any receiver', () => {
+    const swim = createMembership(2);
+    swim.suspect(daemon(1), START_MS);
+    const updates = swim.updatesFor('daemon-1');
+    assert.deepEqual(
+      updates.map(({ id, state }) => [id, state]),
+      [
+        ['daemon-1', MemberState.Suspect],
+        ['daemon-2', MemberState.Alive],
+      ],
+    );
+  });
 });
 
 describe('MemberTable', () => {
--- a/packages/core/src/membership/swim-membership.ts
+++ b/packages/core/src/membership/swim-membership.ts
@@ -147,16 +147,16 @@
    * sent its own state first, so that it can refute it.
    */
   updatesFor(receiverId: string): MemberUpdate[] {
-    const updates = this.updateQueue.nextUpdates(this.cells.ownCell().length);
+    const memberCount = this.cells.ownCell().length;
     const receiver = this.table.get(receiverId);
     const isSuspectedOrDead =
       receiver !== undefined &&
       (receiver.state === MemberState.Suspect ||
         receiver.state === MemberState.Dead);
-    if (!isSuspectedOrDead) return updates;
-    const receiverUpdate = updateOf(receiver);
-    const others = updates.filter(update => update.id !== receiverId);
-    return [receiverUpdate, ...others.slice(0, -1)];
+    return this.updateQueue.nextUpdates(
+      memberCount,
+      isSuspectedOrDead ? updateOf(receiver) : undefined,
+    );
   }
 
   /** Handles a message, which shows that its sender is alive, and the updates in it. */
@@ -287,6 +287,14 @@
     const actions: MembershipAction[] = [];
     for (const { identity, incarnation } of this.table.expiredSuspects(nowMs)) {
       const { id } = identity;
+      if (
+        !this.cells.isRelevant({ id, state: MemberState.Dead, incarnation })
+      ) {
+        // The daemons of its cell decide; here it is known by the listing alone.
+        this.table.unlearn(id);
+        this.finalProbes.delete(id);
+        continue;
+      }
       if (this.finalProbes.has(id)) {
         this.deathsDecided += 1;
         this.applyUpdate({ id, state: MemberState.Dead, incarnation }, nowMs);
--- a/packages/core/src/membership/update-queue.ts
+++ b/packages/core/src/membership/update-queue.ts
@@ -33,28 +33,32 @@
   }
 
   /**
-   * Returns the updates for one message. Updates that reached their
-   * transmission limit are removed.
+   * Returns the updates for one message, with `first` before the queued ones of
+   * other members. Updates that reached their transmission limit are removed.
    */
-  nextUpdates(memberCount: number): MemberUpdate[] {
+  nextUpdates(memberCount: number, first?: MemberUpdate): MemberUpdate[] {
     const limit = Math.ceil(RETRANSMIT_MULTIPLIER * Math.log2(memberCount + 2));
-    const selected = this.selectLeastSent();
+    const selected = this.selectLeastSent(first);
     for (const queued of selected) {
       queued.sendCount += 1;
       if (queued.sendCount >= limit)
         this.queuedByMember.delete(queued.update.id);
     }
-    return selected.map(queued => queued.update);
+    const updates = selected.map(queued => queued.update);
+    return first === undefined ? updates : [first, ...updates];
   }
 
   /** Returns the least transmitted updates that fit into one message. */
-  private selectLeastSent(): readonly QueuedUpdate[] {
-    const ordered = [...this.queuedByMember.values()].sort(
-      (left, right) => left.sendCount - right.sendCount,
-    );
+  private selectLeastSent(
+    first: MemberUpdate | undefined,
+  ): readonly QueuedUpdate[] {
+    const ordered = [...this.queuedByMember.values()]
+      .filter(({ update }) => update.id !== first?.id)
+      .sort((left, right) => left.sendCount - right.sendCount);
+    const maxUpdates = MAX_UPDATES_PER_MESSAGE - (first === undefined ? 0 : 1);
     const selected: QueuedUpdate[] = [];
     let totalBytes = 0;
-    for (const queued of ordered.slice(0, MAX_UPDATES_PER_MESSAGE)) {
+    for (const queued of ordered.slice(0, maxUpdates)) {
       totalBytes += queued.sizeBytes;
       if (selected.length > 0 && totalBytes > MAX_UPDATES_BYTES) break;
       selected.push(queued);
