--- a/packages/core/src/rules/merge-lines.test.ts
+++ b/packages/core/src/rules/merge-lines.test.ts
@@ -35,6 +35,15 @@
     assert.equal(merged.text, 'one\nA\nB\ntwo\nthree\n');
   });
 
+  it('keeps a line that one edit inserts more often than the other', () => {
+    const merged = mergeLines(
+      BASE,
+      'one\n# note\nA\ntwo\nthree\n',
+      'one\n# note\nB\n# note\nC\ntwo\nthree\n',
+    );
+    assert.equal(merged.text, 'one\n# note\nA\nB\n# note\nC\ntwo\nthree\n');
+  });
+
   it('preserves every inserted line and every change by one side only', () => {
     const line = fc.stringMatching(/^[a-z]{1,6}$/);
     const lines = fc.uniqueArray(line, { minLength: 1, maxLength: 8 });
--- a/packages/core/src/rules/merge-lines.ts
+++ b/packages/core/src/rules/merge-lines.ts
@@ -27,8 +27,9 @@
 
 /**
  * Merges two edits of a base text by line (three-way merge). Edits of different
- * lines are both applied, also on adjacent lines. Lines that both edits insert at
- * the same position are both kept, those of the current text first.
+ * lines are both applied, also on adjacent lines. Lines that the edits insert at
+ * the same position are all kept, those of the current text first; a line that
+ * both insert is one, as often as both have it.
  */
 export function mergeLines(
   baseText: string,
@@ -94,6 +95,19 @@
   return conflicts;
 }
 
+/** Returns the lines without those in `others`, each of which takes out one. */
+function withoutEach(
+  lines: readonly string[],
+  others: readonly string[],
+): readonly string[] {
+  const left = [...others];
+  return lines.filter(line => {
+    const index = left.indexOf(line);
+    if (index >= 0) left.splice(index, 1);
+    return index < 0;
+  });
+}
+
 function mergeEdits(
   base: readonly string[],
   current: LineChanges,
@@ -103,10 +117,7 @@
   for (let index = 0; index <= base.length; index += 1) {
     const currentLines = current.insertedByLine.get(index) ?? [];
     const editedLines = edited.insertedByLine.get(index) ?? [];
-    merged.push(
-      ...currentLines,
-      ...editedLines.filter(line => !currentLines.includes(line)),
-    );
+    merged.push(...currentLines, ...withoutEach(editedLines, currentLines));
     if (index === base.length) break;
     const source = edited.changedByLine.has(index) ? edited : current;
     const line = source.changedByLine.has(index)
