Stop listening for the end of a request with each of its attempts

Cause: the listener of the commit on relayed requests stayed until the end of the request; Node.js warned of a leak where a request made more than ten attempts.

--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -112,11 +112,7 @@
     let result: AttemptOutcome;
     try {
       signal.throwIfAborted();
-      const response = await Promise.race([
-        this.deps.upstream.send(call, this.upstreamAbort.signal),
-        // A client that waits for a connection notices the end only once it has one.
-        this.whenRequestEnds(),
-      ]);
+      const response = await this.send(call);
       result = await this.readResponse(response);
     } catch (error) {
       result = this.resultOfError(error);
@@ -131,19 +127,28 @@
     return result;
   }
 
-  /** Rejects once the request has ended and a response that had arrived by then was read. */
-  private whenRequestEnds(): Promise<never> {
+  /** Sends the request. Rejects also once the request has ended and a response that had arrived by then was read: a client that waits for a connection notices the end only once it has one. */
+  private async send(call: EndpointRequest): Promise<EndpointResponse> {
+    const { nextPoll, upstream } = this.deps;
     const { signal } = this.options;
+    const listening = new AbortController();
     const ended = new Promise<never>((_, reject) => {
       const onAbort = () => {
-        void this.deps.nextPoll().then(() => {
+        void nextPoll().then(() => {
           reject(new Error('The request has ended.'));
         });
       };
-      signal.addEventListener('abort', onAbort, { once: true });
+      const options = { once: true, signal: listening.signal };
+      signal.addEventListener('abort', onAbort, options);
     });
-    ended.catch(() => undefined); // the response may have begun
-    return ended;
+    try {
+      return await Promise.race([
+        upstream.send(call, this.upstreamAbort.signal),
+        ended,
+      ]);
+    } finally {
+      listening.abort();
+    }
   }
 
   private async readResponse(
