Poll once more before a new connection gets the request that waited for it

Cause: a daemon that is behind reads that a connection is established and that the request has ended in one poll, and sent the request on in between, also one of a caller that had left or of a peer that had closed its call.

Change: the client polls once more first, and treats a connection that ended meanwhile as one on which nothing was sent.

--- a/packages/daemon/src/gateway/metered-client.test.ts
+++ b/packages/daemon/src/gateway/metered-client.test.ts
@@ -7,6 +7,7 @@
 
 import { buildConnector } from 'undici';
 
+import { nextPoll } from '../http/index.js';
 import type { RequestContext } from './metered-client.js';
 import { EndpointWithdrawnError, MeteredClient } from './metered-client.js';
 
@@ -14,6 +15,8 @@
   let requestCount: number;
   let answer: (response: ServerResponse) => void;
   let openConnection: () => void;
+  /** Called by the poll in which a connection is established. */
+  let onConnected: () => void;
   let client: MeteredClient;
   const contexts = new WeakMap<object, RequestContext>();
   const server = createServer(
@@ -25,6 +28,7 @@
 
   beforeEach(async () => {
     requestCount = 0;
+    onConnected = () => undefined;
     answer = response => response.end('answer');
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
@@ -35,7 +39,12 @@
     });
     const connectLate: buildConnector.connector = (options, callback) => {
       void opened.then(() => {
-        connect(options, callback);
+        connect(options, (...result) => {
+          setImmediate(() => {
+            onConnected();
+          });
+          callback(...result);
+        });
       });
     };
     const origin = `http://127.0.0.1:${port}`;
@@ -47,6 +56,19 @@
     server.close();
   });
 
+  it('does not send a request whose end is read after its connection', async () => {
+    const caller = new AbortController();
+    onConnected = () => {
+      caller.abort();
+    };
+    openConnection();
+    const { signal } = caller;
+    const response = client.request({ path: '/', method: 'GET', signal });
+    await assert.rejects(response, { name: 'AbortError' });
+    for (let polls = 0; polls < 10; polls += 1) await nextPoll();
+    assert.equal(requestCount, 0);
+  });
+
   it('does not send a request that waited for a connection to an endpoint that has left meanwhile', async () => {
     let isEndpointUsable = true;
     const options = { path: '/', method: 'GET' } as const;
--- a/packages/daemon/src/gateway/metered-client.ts
+++ b/packages/daemon/src/gateway/metered-client.ts
@@ -3,6 +3,8 @@
 import type { buildConnector, Dispatcher } from 'undici';
 import { Client } from 'undici';
 
+import { nextPoll } from '../http/index.js';
+
 /** Bytes that a response may have besides those of its body: head, framing, and what waits in buffers. */
 const MAX_OVERHEAD_BYTES = 262_144; // four times the largest head
 /** Framing that each byte of a body may have: a chunk of one byte has a length and two line ends. */
@@ -72,7 +74,7 @@
   }
 }
 
-/** Thrown where a connection is established to an endpoint that no longer accepts new requests. */
+/** Thrown where a connection is established to an endpoint that no longer accepts new requests, or ends it at once. */
 export class EndpointWithdrawnError extends Error {
   override readonly name = 'EndpointWithdrawnError';
 }
@@ -102,13 +104,24 @@
       connect: (target, callback) => {
         connect(target, (...result) => {
           const [, socket] = result;
-          if (socket && last.context?.isEndpointUsable() === false) {
-            socket.destroy();
-            callback(new EndpointWithdrawnError('The endpoint leaves.'), null);
+          if (!socket) {
+            callback(...result);
             return;
           }
-          if (socket) meter.attach(socket);
-          callback(...result);
+          // A daemon that is behind reads the end of the request after its connection.
+          void nextPoll().then(() => {
+            if (
+              last.context?.isEndpointUsable() === false ||
+              socket.destroyed
+            ) {
+              socket.destroy();
+              const error = new EndpointWithdrawnError('The endpoint leaves.');
+              callback(error, null);
+              return;
+            }
+            meter.attach(socket);
+            callback(null, socket);
+          });
         });
       },
     });
