--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -112,10 +112,7 @@
     let result: AttemptOutcome;
     try {
       signal.throwIfAborted();
-      const response = await this.deps.upstream.send(
-        call,
-        this.upstreamAbort.signal,
-      );
+      const response = await this.send(call);
       result = await this.readResponse(response);
     } catch (error) {
       result = this.resultOfError(error);
@@ -130,6 +127,30 @@
     return result;
   }
 
+  /** Sends the request. Rejects also once the request has ended and a response that had arrived by then was read: a client that waits for a connection notices the end only once it has one. */
+  private async send(call: EndpointRequest): Promise<EndpointResponse> {
+    const { nextPoll, upstream } = this.deps;
+    const { signal } = this.options;
+    const listening = new AbortController();
+    const ended = new Promise<never>((_, reject) => {
+      const onAbort = () => {
+        void nextPoll().then(() => {
+          reject(new Error('The request has ended.'));
+        });
+      };
+      const options = { once: true, signal: listening.signal };
+      signal.addEventListener('abort', onAbort, options);
+    });
+    try {
+      return await Promise.race([
+        upstream.send(call, this.upstreamAbort.signal),
+        ended,
+      ]);
+    } finally {
+      listening.abort();
+    }
+  }
+
   private async readResponse(
     response: EndpointResponse,
   ): Promise<AttemptOutcome> {
