Let reclaimable endpoints replace on-demand ones a quarter of a limit at a time

Cause: when reclaimable endpoints could be had again, the plan freed the whole limit of each data centre for them at once, and their starts take 4 s.

--- a/packages/core/src/duties/fleet-plan.ts
+++ b/packages/core/src/duties/fleet-plan.ts
@@ -38,6 +38,8 @@
 const MIN_RECLAIMABLE_PER_DATA_CENTRE = 2; // with one each, an idle group takes 8 s to scale up for a burst
 /** Reclaimable endpoints for each one that the load requires, where they are cheap: a burst of twice the load comes before ordered endpoints have started. */
 const RECLAIMABLE_HEADROOM = 2;
+/** Share of a data centre's limit that on-demand endpoints free at a time for reclaimable ones that are to start. */
+const REPLACED_SHARE = 0.25; // giving all free at once left data centres without endpoints for the time of a start
 /** Price of a reclaimable endpoint, relative to an on-demand one, up to which the headroom is kept. */
 const MAX_HEADROOM_PRICE = 0.25; // twice as many still cost half of what the load would cost on demand
 /** Minimum number of on-demand endpoints of a group. */
@@ -179,15 +181,20 @@
 /**
  * Returns the on-demand endpoints that fit within the limit of a data centre.
  * Below the target, capacity for one further reclaimable endpoint is left
- * free, so that it can be ordered again.
+ * free, so that it can be ordered again. Those that are still to start replace
+ * only a part of the on-demand ones at a time, which serve until then.
  */
 function onDemandCapacity(
-  { expectedReady }: DataCentreState,
+  { expectedReady, ready }: DataCentreState,
   reclaimableTarget: number,
   { maxEndpoints }: ScalingSettings,
 ): number {
   const reserved = expectedReady < reclaimableTarget ? 1 : 0;
-  return maxEndpoints - expectedReady - reserved;
+  const starting = Math.min(
+    expectedReady - ready,
+    Math.ceil(maxEndpoints * REPLACED_SHARE),
+  );
+  return maxEndpoints - ready - starting - reserved;
 }
 
 /** Distributes on-demand endpoints over the data centres: existing ones stay in place, the rest go round-robin. */
