Add a guard for cold endpoints and its path through the daemon

Endpoints that have just started fail under their ordinary load, and nothing kept daemons from sending it. A group now carries how long its endpoints are cold and what they tolerate then; core/cold-starts decides which endpoints count as cold and divides a limit among few daemons, by the shares of decision 0012, whose bucket is now a class of its own. The pool asks it before a reservation and the client before a request is written.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -30,7 +30,21 @@
   rollouts: ['ports', 'moves', 'forwarding'],
   quarantine: ['ports', 'forwarding'],
   'endpoint-limits': ['ports', 'membership', 'routing', 'forwarding'],
-  hints: ['ports', 'forwarding', 'quarantine', 'rollouts', 'endpoint-limits'],
+  'cold-starts': [
+    'ports',
+    'membership',
+    'routing',
+    'forwarding',
+    'endpoint-limits',
+  ],
+  hints: [
+    'ports',
+    'forwarding',
+    'quarantine',
+    'rollouts',
+    'endpoint-limits',
+    'cold-starts',
+  ],
   duties: ['ports', 'leases', 'forwarding', 'hints'],
   pipeline: [
     'ports',
--- a/packages/core/src/duties/fleet-scaler.test.ts
+++ b/packages/core/src/duties/fleet-scaler.test.ts
@@ -13,6 +13,7 @@
   name: 'engines',
   maxConnections: 100,
   engine: undefined,
+  coldStart: undefined,
   scaling: {
     minEndpoints: 1,
     maxEndpoints: 4,
--- a/packages/core/src/endpoint-limits/endpoint-limits.ts
+++ b/packages/core/src/endpoint-limits/endpoint-limits.ts
@@ -5,8 +5,8 @@
 import { BoundedMap } from '../routing/index.js';
 import type { EndpointLimitHint } from './endpoint-limit-hints.js';
 import { MAX_SHARED_LIMITS } from './endpoint-limit-hints.js';
-import type { LimitShare } from './limit-share.js';
 import { MIN_LIMIT_PER_SECOND, NO_SHARE, shareOfLimit } from './limit-share.js';
+import { ShareBucket } from './share-bucket.js';
 
 const MS_PER_SECOND = 1_000;
 /** Number of endpoints whose limits are remembered. */
@@ -34,14 +34,9 @@
   limitPerSecond: number | undefined;
   /** Time of the response that shows it. */
   observedAtMs: number;
-  /** Requests that this daemon may send now. */
-  tokens: number;
-  refilledAtMs: number;
+  readonly bucket: ShareBucket;
   /** Time at which the last rejected caller was told to return. */
   lastReturnAtMs: number;
-  /** Daemons for which `share` was computed. */
-  daemonIds: readonly string[];
-  share: LimitShare;
 }
 
 export interface EndpointLimitsDependencies {
@@ -66,16 +61,11 @@
 
   waitMs(endpoint: EndpointRecord): number | undefined {
     const state = this.limitedState(endpoint);
-    if (state === undefined) return undefined;
-    this.refill(state);
-    if (state.tokens >= 1) return 0;
-    if (state.share.perSecond === 0) return Infinity;
-    return ((1 - state.tokens) / state.share.perSecond) * MS_PER_SECOND;
+    return state?.bucket.waitMs();
   }
 
   recordDispatch(endpoint: EndpointRecord): void {
-    const state = this.limitedState(endpoint);
-    if (state !== undefined) state.tokens -= 1;
+    this.limitedState(endpoint)?.bucket.take();
   }
 
   recordResponse(
@@ -160,9 +150,7 @@
     if (known !== undefined && known.bornAtMs > bornAtMs) return;
     const isKnownLife = known?.bornAtMs === bornAtMs;
     if (isKnownLife && known.observedAtMs >= observedAtMs) return;
-    const state = isKnownLife
-      ? known
-      : createState(endpointId, bornAtMs, this.deps.nowMs());
+    const state = isKnownLife ? known : this.createState(endpointId, bornAtMs);
     this.states.set(endpointId, state);
     state.observedAtMs = observedAtMs;
     if (state.limitPerSecond === limitPerSecond) return;
@@ -175,8 +163,8 @@
       {
         endpoint: endpointId,
         limitPerSecond: limitPerSecond ?? 'none',
-        sharePerSecond: state.share.perSecond,
-        daemons: state.daemonIds.length,
+        sharePerSecond: state.bucket.sharePerSecond,
+        daemons: state.bucket.daemonCount,
         source,
       },
     );
@@ -186,39 +174,35 @@
     state: LimitState,
     limitPerSecond: number | undefined,
   ): void {
-    if (state.limitPerSecond === undefined) {
-      state.tokens = 0;
-      state.refilledAtMs = this.deps.nowMs();
-    }
+    if (state.limitPerSecond === undefined) state.bucket.reset();
     state.limitPerSecond = limitPerSecond;
-    this.updateShare(state, this.deps.daemons.ids());
-  }
-
-  private updateShare(state: LimitState, daemonIds: readonly string[]): void {
-    const { endpointId, limitPerSecond } = state;
-    state.daemonIds = daemonIds;
-    state.share =
-      limitPerSecond === undefined || daemonIds.length === 0
-        ? NO_SHARE
-        : shareOfLimit(endpointId, limitPerSecond, this.deps.ownId, daemonIds);
+    state.bucket.updateShare();
   }
 
-  private refill(state: LimitState): void {
-    const nowMs = this.deps.nowMs();
-    const daemonIds = this.deps.daemons.ids();
-    if (daemonIds !== state.daemonIds) this.updateShare(state, daemonIds);
-    const { burst, perSecond } = state.share;
-    const elapsedMs = Math.max(0, nowMs - state.refilledAtMs);
-    const added = (elapsedMs * perSecond) / MS_PER_SECOND;
-    state.tokens = Math.min(burst, state.tokens + added);
-    state.refilledAtMs = nowMs;
+  private createState(endpointId: string, bornAtMs: number): LimitState {
+    const { ownId } = this.deps;
+    const state: LimitState = {
+      endpointId,
+      bornAtMs,
+      limitPerSecond: undefined,
+      observedAtMs: -Infinity,
+      lastReturnAtMs: -Infinity,
+      bucket: new ShareBucket({
+        ...this.deps,
+        shareAmong: daemonIds =>
+          state.limitPerSecond === undefined
+            ? NO_SHARE
+            : shareOfLimit(endpointId, state.limitPerSecond, ownId, daemonIds),
+      }),
+    };
+    return state;
   }
 
   /** Returns when the next rejected caller may return: callers that return take this daemon's equal part of the limit, at whichever daemon they arrive. */
   private nextReturnAtMs(state: LimitState, endpoint: EndpointRecord): number {
     const nowMs = this.deps.nowMs();
     const waitMs = this.waitMs(endpoint) ?? 0;
-    const daemons = Math.max(1, state.daemonIds.length);
+    const daemons = Math.max(1, state.bucket.daemonCount);
     const intervalMs =
       (daemons / Math.max(MIN_LIMIT_PER_SECOND, state.limitPerSecond ?? 0)) *
       MS_PER_SECOND;
@@ -226,21 +210,3 @@
     return Math.max(nowMs + firstWaitMs, state.lastReturnAtMs + intervalMs);
   }
 }
-
-function createState(
-  endpointId: string,
-  bornAtMs: number,
-  nowMs: number,
-): LimitState {
-  return {
-    endpointId,
-    bornAtMs,
-    limitPerSecond: undefined,
-    observedAtMs: -Infinity,
-    tokens: 0,
-    refilledAtMs: nowMs,
-    lastReturnAtMs: -Infinity,
-    daemonIds: [],
-    share: NO_SHARE,
-  };
-}
--- a/packages/core/src/endpoint-limits/limit-share.ts
+++ b/packages/core/src/endpoint-limits/limit-share.ts
@@ -21,18 +21,18 @@
  * Divides an endpoint's limit among the daemons. A low limit is divided among a
  * few of them only, as each sends at least one request at once; these are chosen
  * by rendezvous hashing (highest random weight, Thaler and Ravishankar, 1998).
+ * `maxSenders` is their number, at least 1.
  */
 export function shareOfLimit(
   endpointId: string,
   limitPerSecond: number,
   ownId: string,
   daemonIds: readonly string[],
+  maxSenders = MIN_SENDERS +
+    Math.floor(atLeastMinimum(limitPerSecond) * SENDERS_PER_RATE),
 ): LimitShare {
-  const rate = Math.max(MIN_LIMIT_PER_SECOND, limitPerSecond);
-  const senders = Math.min(
-    daemonIds.length,
-    MIN_SENDERS + Math.floor(rate * SENDERS_PER_RATE),
-  );
+  const rate = atLeastMinimum(limitPerSecond);
+  const senders = Math.min(daemonIds.length, maxSenders);
   const ownScore = rendezvousScore(endpointId, ownId);
   const rank = daemonIds.filter(
     id => rendezvousScore(endpointId, id) > ownScore,
@@ -41,3 +41,7 @@
   const perSecond = rate / senders;
   return { perSecond, burst: Math.max(1, perSecond * BURST_S) };
 }
+
+function atLeastMinimum(limitPerSecond: number): number {
+  return Math.max(MIN_LIMIT_PER_SECOND, limitPerSecond);
+}
--- a/packages/core/src/forwarding/configuration.ts
+++ b/packages/core/src/forwarding/configuration.ts
@@ -57,6 +57,14 @@
   readonly pricesByDataCentre: Readonly<Record<DataCentre, number>>;
 }
 
+/** What the endpoints of a group tolerate after they have started. */
+export interface ColdStart {
+  /** Time for which an endpoint is cold after it has started. */
+  readonly durationMs: number;
+  /** Requests per second that a cold endpoint tolerates from all daemons together. */
+  readonly requestsPerSecond: number;
+}
+
 /** Group of interchangeable endpoints. */
 export interface ForwardGroup {
   readonly name: string;
@@ -64,6 +72,8 @@
   readonly maxConnections: number;
   readonly engine: EngineCapacity | undefined;
   readonly scaling: ScalingSettings | undefined;
+  /** Undefined if its endpoints are never cold, or tolerate any number of requests then. */
+  readonly coldStart: ColdStart | undefined;
 }
 
 /** Size limits and timeouts for requests from callers. */
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -1,4 +1,6 @@
 import type { Random } from '../ports/index.js';
+import type { ColdStartGuard } from './cold-start-guard.js';
+import { NEVER_COLD } from './cold-start-guard.js';
 import { EndpointLifetimes } from './endpoint-lifetimes.js';
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
 import { EndpointState } from './endpoint-record.js';
@@ -19,6 +21,7 @@
 import type { PoolQuery } from './pool-query.js';
 import type { PoolReservation } from './pool-reservation.js';
 import { AttemptVerdict } from './pool-reservation.js';
+import { createStatementRecorders } from './statement-recorders.js';
 
 /** Load that one daemon has at an endpoint, as sent to its peers. */
 export interface EndpointLoad {
@@ -48,12 +51,14 @@
   private readonly misdirected = new MisdirectedEndpoints();
 
   private readonly lifetimes: EndpointLifetimes;
+  private readonly coldStarts: ColdStartGuard;
 
   constructor(
     private readonly random: Random,
     private readonly options: EndpointPoolOptions,
   ) {
     this.lifetimes = new EndpointLifetimes(options.timeMs);
+    this.coldStarts = options.coldStarts ?? NEVER_COLD;
   }
 
   /** Revision of the newest listing; 0 if none is known. */
@@ -219,6 +224,7 @@
       isMisdirected: this.misdirected.has(member.record.id, nowMs),
       isLeaving: this.options.leaving.has(member.record),
       pausedForMs: this.options.paused.waitMs(member.record),
+      coldWaitMs: this.coldStarts.waitMs(member.record),
     }));
   }
 
@@ -245,6 +251,7 @@
       paused.waitMs(member.record),
       limiter.waitMs(member.record) ?? 0,
       overloadGuard.waitMs(member.record, load),
+      this.coldStarts.waitMs(member.record),
     );
   }
 
@@ -321,6 +328,7 @@
     const { limiter, overloadGuard } = this.options;
     limiter.recordDispatch(member.record);
     const dispatch = overloadGuard.recordDispatch(member.record);
+    const coldDispatch = this.coldStarts.recordDispatch(member.record);
     const lifetime = this.lifetimes.watch(member.record);
     let ownBacklogTokens = uncachedTokens;
     let isActive = true;
@@ -331,6 +339,7 @@
     return {
       endpoint: member.record,
       lifetime: lifetime.signal,
+      mayWrite: () => coldDispatch.mayWrite(),
       recordFirstEvent: atMs => {
         clearBacklog();
         recordResponse(member, atMs - nowMs, wasOnTrial, atMs);
@@ -340,18 +349,13 @@
         member.loadReportedAtMs = atMs;
         member.sentSinceLoadReport = 0;
       },
-      recordLeaving: () => {
-        this.options.leaving.record(member.record);
-      },
-      recordPause: pauseMs => {
-        this.options.paused.record(member.record, pauseMs);
-      },
-      recordStatements: (statements, isRejection) => {
-        const { limitPerSecond, maxRejectionsPerSecond } = statements;
-        if (!isRejection || limitPerSecond !== undefined)
-          limiter.recordResponse(member.record, limitPerSecond, nowMs);
-        dispatch.recordResponse({ isRejection, maxRejectionsPerSecond });
-      },
+      ...createStatementRecorders({
+        ...this.options,
+        coldStarts: this.coldStarts,
+        endpoint: member.record,
+        dispatch,
+        sentAtMs: nowMs,
+      }),
       recordSilence: atMs => {
         member.health.record(true, atMs);
       },
--- a/packages/core/src/forwarding/fakes/samples.ts
+++ b/packages/core/src/forwarding/fakes/samples.ts
@@ -91,6 +91,7 @@
     isLeaving: false,
     pauseMs: undefined,
     load: undefined,
+    coldForMs: undefined,
     limitPerSecond: undefined,
     maxRejectionsPerSecond: undefined,
     ...overrides,
--- a/packages/core/src/forwarding/fakes/scripted-relay.ts
+++ b/packages/core/src/forwarding/fakes/scripted-relay.ts
@@ -52,6 +52,7 @@
       recordStatements: () => undefined,
       recordLeaving: () => undefined,
       recordPause: () => undefined,
+      recordCold: () => undefined,
       recordSilence: () => undefined,
       release: () => undefined,
     };
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -167,12 +167,14 @@
     this.reservation.recordStatements(statements, isRejection);
   }
 
-  /** Records that the endpoint wants no further requests, now or at all, if the response is its own to this request. */
+  /** Records that the endpoint wants no further requests, or few of them, now or at all, if the response is its own to this request. */
   private recordWithdrawal(metadata: ResponseMetadata): void {
-    const { isLeaving, isMisdirected, pauseMs, requestId } = metadata;
+    const { coldForMs, isLeaving, isMisdirected, pauseMs, requestId } =
+      metadata;
     if (requestId !== this.options.requestId || isMisdirected) return;
     if (isLeaving) this.reservation.recordLeaving();
     if (pauseMs !== undefined) this.reservation.recordPause(pauseMs);
+    if (coldForMs !== undefined) this.reservation.recordCold(coldForMs);
   }
 
   /** Returns the result of an attempt whose response must not be forwarded; undefined if the response is valid. */
--- a/packages/core/src/forwarding/forward-request.ts
+++ b/packages/core/src/forwarding/forward-request.ts
@@ -81,6 +81,8 @@
   /** Time for which the endpoint wants nothing from this daemon; undefined if it does not ask for a pause. */
   readonly pauseMs: number | undefined;
   readonly load: ReportedLoad | undefined;
+  /** Time for which the endpoint says that it stays cold; undefined if it does not say. */
+  readonly coldForMs: number | undefined;
 }
 
 /** Load that an endpoint reports of itself. */
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -207,6 +207,7 @@
       target: request.target,
       body: request.body,
       isEndpointUsable: () => pool.isReady(endpoint.id, clock.nowMs()),
+      mayWrite: () => reservation.mayWrite?.() ?? true,
       headers: protocol.dispatchHeaders(request.headers, {
         remainingMs: this.remainingMs(sentAtMs),
         endpointId: endpoint.id,
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -3,6 +3,7 @@
 export * from './attempt-timeouts.js';
 export * from './call-at.js';
 export * from './choose-group.js';
+export * from './cold-start-guard.js';
 export * from './configuration.js';
 export * from './configuration-store.js';
 export * from './crash-detector.js';
--- a/packages/core/src/forwarding/pool-options.ts
+++ b/packages/core/src/forwarding/pool-options.ts
@@ -1,4 +1,5 @@
 import type { DataCentre } from '../ports/index.js';
+import type { ColdStartGuard } from './cold-start-guard.js';
 import type { EndpointLimiter } from './endpoint-limiter.js';
 import type { LeavingEndpoints } from './leaving-endpoints.js';
 import type { OverloadGuard } from './overload-guard.js';
@@ -16,4 +17,6 @@
   readonly overloadGuard: OverloadGuard;
   readonly leaving: LeavingEndpoints;
   readonly paused: PausedEndpoints;
+  /** Absent where no endpoint is ever cold. */
+  readonly coldStarts?: ColdStartGuard;
 }
--- a/packages/core/src/forwarding/pool-reservation.ts
+++ b/packages/core/src/forwarding/pool-reservation.ts
@@ -8,6 +8,8 @@
   readonly isPeer?: boolean;
   /** Aborted once the endpoint is known to have lost what it ran; absent for a peer. */
   readonly lifetime?: AbortSignal;
+  /** Whether the request may still be written to the endpoint; absent for a peer, which decides by itself. */
+  readonly mayWrite?: () => boolean;
   /** Records that the first event of a stream or a complete response has arrived, so that its prompt is prefilled. */
   recordFirstEvent(nowMs: number): void;
   recordLoad(load: ReportedLoad, nowMs: number): void;
@@ -17,6 +19,8 @@
   recordLeaving(): void;
   /** Records that a response of the endpoint asks this daemon to send nothing for a while. */
   recordPause(pauseMs: number): void;
+  /** Records for how long a response of the endpoint says that it stays cold. */
+  recordCold(coldForMs: number): void;
   /** Records that the endpoint has fallen silent, which counts as a failed attempt. */
   recordSilence(nowMs: number): void;
   /** Ends the reservation. `verdict` is undefined if the result says nothing about the endpoint. */
--- a/packages/core/src/forwarding/shared-state.ts
+++ b/packages/core/src/forwarding/shared-state.ts
@@ -29,11 +29,17 @@
   pricesByDataCentre: z.record(z.string(), z.number()),
 });
 
+const coldStartSchema = z.object({
+  durationMs: z.number(),
+  requestsPerSecond: z.number(),
+});
+
 const groupSchema = z.object({
   name: z.string(),
   maxConnections: z.number(),
   engine: z.object({ slots: z.number(), cacheTokens: z.number() }).optional(),
   scaling: scalingSchema.optional(),
+  coldStart: coldStartSchema.optional(),
 });
 
 const tokenRateSchema = z.object({
--- a/packages/core/src/forwarding/upstream.ts
+++ b/packages/core/src/forwarding/upstream.ts
@@ -10,6 +10,8 @@
   readonly body: Uint8Array | undefined;
   /** Whether the endpoint still accepts new requests; asked when a new connection is established. */
   readonly isEndpointUsable: () => boolean;
+  /** Whether the request may still be written; asked right before it is. */
+  readonly mayWrite?: () => boolean;
 }
 
 /** Response of an endpoint: status, headers and a streamed body. */
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 
 import { brittleEndpointHintsSchema } from '../brittle-endpoints/index.js';
+import { coldEndpointHintsSchema } from '../cold-starts/index.js';
 import { endpointLimitHintsSchema } from '../endpoint-limits/index.js';
 import type { EndpointLoad, LifetimeGrants } from '../forwarding/index.js';
 import { leavingEndpointHintsSchema } from '../forwarding/index.js';
@@ -82,6 +83,8 @@
   brittleEndpoints: brittleEndpointHintsSchema.optional().catch(undefined),
   /** Absent in hints of daemons that do not know it. */
   leavingEndpoints: leavingEndpointHintsSchema.optional().catch(undefined),
+  /** Absent in hints of daemons that do not know it. */
+  coldEndpoints: coldEndpointHintsSchema.optional().catch(undefined),
   /** By group. Absent in hints of daemons that cannot pass requests on. */
   reachability: z.record(text, reachabilitySchema).optional().catch(undefined),
   /** Whether the sender holds the lease for the duties towards the platform. */
--- a/packages/core/src/reachability/relay-peers.ts
+++ b/packages/core/src/reachability/relay-peers.ts
@@ -127,6 +127,7 @@
       recordStatements: () => undefined,
       recordLeaving: () => undefined,
       recordPause: () => undefined,
+      recordCold: () => undefined,
       recordSilence: () => undefined,
       release: (verdict, nowMs) => {
         const inFlight = (this.inFlightById.get(id) ?? 0) - 1;
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -72,6 +72,10 @@
     private readonly connect: EndpointConnector = createConnector({
       timeout: CONNECT_TIMEOUT_MS,
     }),
+    /** Called when a connection to an endpoint is refused or reset. */
+    private readonly onConnectionFailure: (
+      endpoint: EndpointRecord,
+    ) => void = () => undefined,
   ) {}
 
   /**
@@ -97,8 +101,12 @@
         responseHeaders: 'raw',
         highWaterMark: MAX_UNREAD_BYTES,
       };
-      const { isEndpointUsable } = call;
-      const context: RequestContext = { isEndpointUsable };
+      const mayWrite = () => call.mayWrite?.() ?? true;
+      if (!mayWrite())
+        throw new EndpointWithdrawnError('The endpoint is cold.');
+      const context: RequestContext = {
+        isEndpointUsable: () => call.isEndpointUsable() && mayWrite(),
+      };
       this.contexts.set(options, context);
       const response = await connections.pool.request(options);
       const { body } = response;
@@ -207,7 +215,10 @@
         if (error === null) {
           onReset(socket, () => {
             connections.resetCount += 1;
+            this.onConnectionFailure(endpoint);
           });
+        } else if (isRefusedOrReset(error)) {
+          this.onConnectionFailure(endpoint);
         }
         callback(...result);
       });
@@ -247,6 +258,12 @@
   );
 }
 
+/** Returns whether a connection failed since the endpoint refused or reset it. */
+function isRefusedOrReset(error: Error): boolean {
+  const { code } = error as NodeJS.ErrnoException;
+  return code === 'ECONNREFUSED' || code === 'ECONNRESET';
+}
+
 /** Returns the origin of an address; undefined unless it consists of a host and a port. */
 function originOf(address: Address): URL | undefined {
   const text = `http://${address}`;
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -1,4 +1,5 @@
 import type { BrittleEndpoints } from '@skylarkreach/core/brittle-endpoints';
+import type { ColdStarts } from '@skylarkreach/core/cold-starts';
 import type { FencingToken } from '@skylarkreach/core/duties';
 import type { EndpointLimits } from '@skylarkreach/core/endpoint-limits';
 import type {
@@ -23,6 +24,7 @@
   readonly endpointLimits: EndpointLimits;
   readonly brittleEndpoints: BrittleEndpoints;
   readonly leavingEndpoints: LeavingEndpoints;
+  readonly coldStarts: ColdStarts;
   readonly reachability: EndpointReachability;
   readonly duties: GatewayDuties;
   readonly cluster: () => GatewayCluster;
@@ -89,6 +91,7 @@
       endpointLimits: endpointLimits.hints(),
       brittleEndpoints: brittleEndpoints.hints(),
       leavingEndpoints: leavingEndpoints.hints(),
+      coldEndpoints: this.deps.coldStarts.hints(),
       reachability: reachabilityHints(this.deps.reachability, nowMs),
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
@@ -114,6 +117,7 @@
     endpointLimits.applyPeer(hints.endpointLimits ?? []);
     brittleEndpoints.applyPeer(hints.brittleEndpoints ?? []);
     leavingEndpoints.applyPeer(hints.leavingEndpoints ?? []);
+    this.deps.coldStarts.applyPeer(hints.coldEndpoints ?? []);
     pool.applyPeerLoad(hintBoard.work(nowMs));
   }
 
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -1,18 +1,13 @@
-import { BrittleEndpoints } from '@skylarkreach/core/brittle-endpoints';
-import { EndpointLimits } from '@skylarkreach/core/endpoint-limits';
 import type { CallerLimits } from '@skylarkreach/core/forwarding';
 import {
   ConfigurationStore,
   CrashDetector,
   EndpointPool,
   Forwarder,
-  LeavingEndpoints,
-  PausedEndpoints,
   ResponseMemory,
   routeNamesFor,
   TokenBucketLedger,
 } from '@skylarkreach/core/forwarding';
-import { KnownDaemons } from '@skylarkreach/core/membership';
 import type { Clock } from '@skylarkreach/core/ports';
 import { LogComponent, SeededRandom } from '@skylarkreach/core/ports';
 import { RequestQuarantine } from '@skylarkreach/core/quarantine';
@@ -46,6 +41,7 @@
 import { createMonitor } from './dependency-monitor.js';
 import type { EndpointConnector } from './endpoint-client.js';
 import { EndpointClient } from './endpoint-client.js';
+import { createEndpointGuards } from './endpoint-guards.js';
 import { EndpointListPoller } from './endpoint-list-poller.js';
 import { GatewayCluster } from './gateway-cluster.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -104,31 +100,24 @@
   const context = createContext(settings, clock, seed);
   const { log, platform } = context;
   const configuration = new ConfigurationStore();
-  const knownDaemons = new KnownDaemons({
-    ownId: settings.identity.daemonId,
-    nowMs: () => clock.nowMs(),
-    livePeers: () => cluster.membership.live(),
-  });
-  const sharing = {
-    ...context,
-    ownId: settings.identity.daemonId,
-    nowMs: () => clock.nowMs(),
-    daemons: knownDaemons,
-  };
-  const endpointLimits = new EndpointLimits(sharing);
-  const brittleEndpoints = new BrittleEndpoints(sharing);
-  const leavingEndpoints = new LeavingEndpoints(sharing);
+  const groupOf = (name: string) =>
+    configuration.current?.groups.find(group => group.name === name);
+  const { coldStartsLoop, knownDaemons, ...guards } = createEndpointGuards(
+    context,
+    {
+      livePeers: () => cluster.membership.live(),
+      timeMs: () => duties.trueTime.nowMs(),
+      coldStartOf: group => groupOf(group)?.coldStart,
+      listConfirmedAtMs: () => endpointListPoller.lastReadAtMs(),
+    },
+  );
+  const { coldStarts } = guards;
   const pool = new EndpointPool(context.random, {
     dataCentre: settings.identity.dataCentre,
     prefillTokensPerMs: settings.routing.prefillTokensPerMs,
     timeMs: () => duties.trueTime.nowMs(),
-    engineMemoryTokens: group =>
-      configuration.current?.groups.find(candidate => candidate.name === group)
-        ?.engine?.cacheTokens,
-    limiter: endpointLimits,
-    overloadGuard: brittleEndpoints,
-    leaving: leavingEndpoints,
-    paused: new PausedEndpoints(sharing),
+    engineMemoryTokens: group => groupOf(group)?.engine?.cacheTokens,
+    ...guards,
   });
   const tokenBuckets = new TokenBucketLedger({
     tolerance: {
@@ -139,7 +128,13 @@
     isFirstStart: settings.identity.isFirstStart,
     rateOf: workspace => configuration.findWorkspace(workspace)?.tokenRate,
   });
-  const endpointClient = new EndpointClient(platform.protocol, connectEndpoint);
+  const endpointClient = new EndpointClient(
+    platform.protocol,
+    connectEndpoint,
+    endpoint => {
+      coldStarts.recordConnectionFailure(endpoint);
+    },
+  );
   const reachability = new EndpointReachability({
     ...context,
     nowMs: () => clock.nowMs(),
@@ -172,9 +167,10 @@
     tokenBuckets,
     rollouts,
     quarantine,
-    endpointLimits,
-    brittleEndpoints,
-    leavingEndpoints,
+    endpointLimits: guards.limiter,
+    brittleEndpoints: guards.overloadGuard,
+    leavingEndpoints: guards.leaving,
+    coldStarts,
     reachability,
     duties,
     cluster: () => cluster,
@@ -250,6 +246,7 @@
     configuration,
     pool,
     rollouts,
+    coldStarts,
     endpointClient,
     cluster,
     onConfiguration: () => {
@@ -279,8 +276,8 @@
     isReader,
     lastPeerReadAtMs: () =>
       cluster.hintBoard.endpointReadAtMs(replicator.endpointsVersion),
-    onListing: listing => {
-      replicator.handleListing(listing);
+    onListing: (listing, readAtMs) => {
+      replicator.handleListing(listing, readAtMs);
     },
   });
   const loops = [
@@ -303,6 +300,7 @@
       REACHABILITY_INTERVAL_MS,
       () => reachability.step(),
     ),
+    coldStartsLoop,
     ...cluster.loops,
     ...duties.loops,
   ];
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -1,4 +1,5 @@
 import type {
+  ColdStartGuard,
   Configuration,
   ConfigurationStore,
   EndpointListing,
@@ -43,6 +44,7 @@
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
   readonly rollouts: RolloutRegistry;
+  readonly coldStarts: Pick<ColdStartGuard, 'applyListing'>;
   readonly endpointClient: EndpointClient;
   readonly cluster: GatewayCluster;
   /** Called when a configuration has come into force. */
@@ -102,9 +104,9 @@
     this.publish(GossipKey.Configuration, next.version, next);
   }
 
-  /** Applies an endpoint list read from the store and publishes it if its endpoints differ from those that peers hold. */
-  handleListing(listing: EndpointListing): void {
-    this.applyListing(listing, UpdateSource.Store);
+  /** Applies an endpoint list whose read from the store began at `readAtMs`, and publishes it if its endpoints differ from those that peers hold. */
+  handleListing(listing: EndpointListing, readAtMs: number): void {
+    this.applyListing(listing, UpdateSource.Store, readAtMs);
     const sharedVersion = this.gossipVersion(GossipKey.Endpoints);
     if (listing.revision >= sharedVersion)
       this.heldEndpointsVersion = sharedVersion;
@@ -165,8 +167,16 @@
     );
   }
 
-  private applyListing(listing: EndpointListing, source: UpdateSource): void {
-    const { endpointClient, pool } = this.deps;
+  /** `readAtMs` is -Infinity if it is not known when the list was read. */
+  private applyListing(
+    listing: EndpointListing,
+    source: UpdateSource,
+    readAtMs = -Infinity,
+  ): void {
+    const { coldStarts, endpointClient, pool } = this.deps;
+    // A list of the same revision confirms the one in use.
+    if (listing.revision >= pool.revision)
+      coldStarts.applyListing(listing.endpoints, readAtMs);
     const before = statesById(pool);
     const graceUntilMs = this.updateGraceUntilMs();
     if (!pool.apply(listing, graceUntilMs)) return;
--- a/packages/daemon/src/settings/gateway-settings.ts
+++ b/packages/daemon/src/settings/gateway-settings.ts
@@ -56,6 +56,9 @@
       exposureShare: z.number().nonnegative().default(0.1),
       /** Requests that a canary version may receive in addition to its share. */
       exposureSlack: z.number().nonnegative().default(50),
+      /** Maximum requests per second that a cold endpoint may receive from all daemons, as a multiple of what it tolerates, plus a number. */
+      coldOverage: z.number().nonnegative().default(1),
+      coldSlack: z.number().nonnegative().default(0),
     })
     .prefault({}),
   routing: z
