--- a/packages/core/src/cold-starts/cold-share.ts
+++ b/packages/core/src/cold-starts/cold-share.ts
@@ -14,7 +14,7 @@
 }
 
 /** Part of the bound that is left to daemons that are senders only by what they know, as they do not know a daemon before them. */
-const DISAGREEMENT_SHARE = 0.45; // almost as many daemons again as there are senders
+const DISAGREEMENT_SHARE = 1 / 3; // half as many daemons again as there are senders
 /** In any second, buckets that were full give their burst and a second's refill. */
 const SECONDS_OF_LIMIT = 2;
 
--- a/packages/core/src/cold-starts/cold-starts.ts
+++ b/packages/core/src/cold-starts/cold-starts.ts
@@ -23,8 +23,6 @@
 const MAX_STATED_MS = 600_000;
 /** Time by which the end that a peer names may exceed the cold time from now, as clocks differ. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_000;
-/** Time within which a request is written after it was counted; later it is counted anew. */
-const MAX_WRITE_DELAY_MS = 100; // some round trips within a region
 
 export interface ColdStartsDependencies {
   readonly ownId: string;
@@ -82,25 +80,32 @@
   }
 
   recordDispatch(endpoint: EndpointRecord): ColdDispatch {
-    const { coldStartOf, metrics, nowMs } = this.deps;
+    const { coldStartOf, metrics } = this.deps;
     if (coldStartOf(endpoint.group) === undefined) return UNRESTRICTED_DISPATCH;
-    const isCold = this.remainingMs(endpoint) > 0;
-    if (isCold) metrics.increment('coldStarts.dispatches');
-    let countedAtMs = isCold ? nowMs() : -Infinity;
-    // Counted also while the endpoint is warm: it may turn out to have become cold.
-    this.bucketOf(endpoint).take();
+    const bucket = this.bucketOf(endpoint);
+    let isHeld = this.remainingMs(endpoint) > 0;
+    if (isHeld) bucket.hold();
     return {
       mayWrite: () => {
-        if (this.remainingMs(endpoint) === 0) return true;
-        if (nowMs() - countedAtMs <= MAX_WRITE_DELAY_MS) return true;
-        if (this.waitMs(endpoint) > 0) {
-          metrics.increment('coldStarts.withheld');
-          return false;
-        }
-        this.bucketOf(endpoint).take();
-        countedAtMs = nowMs();
+        const isCold = this.remainingMs(endpoint) > 0;
+        const mayWrite =
+          !isCold ||
+          (isHeld ? this.hasShare(bucket) : this.waitMs(endpoint) === 0);
+        if (isCold)
+          metrics.increment('coldStarts.requests', 1, {
+            outcome: mayWrite ? 'written' : 'withheld',
+          });
+        if (!mayWrite) return false;
+        if (isHeld) bucket.spend();
+        // Counted also while the endpoint is warm: it may turn out to have become cold.
+        else bucket.take();
+        isHeld = false;
         return true;
       },
+      end: () => {
+        if (isHeld) bucket.release();
+        isHeld = false;
+      },
     };
   }
 
@@ -207,14 +212,18 @@
     return nowMs() + this.clockOffsetMs;
   }
 
-  /** Returns the bucket of an endpoint, filled up to now. */
+  /** Whether this daemon still has a share, after a pause or a change of the daemons that count. */
+  private hasShare(bucket: ShareBucket): boolean {
+    return this.settling.waitMs() === 0 && Number.isFinite(bucket.waitMs());
+  }
+
+  /** Returns the bucket of an endpoint with this daemon's present share. */
   private bucketOf(endpoint: EndpointRecord): ShareBucket {
     const guarded = this.guardedOf(endpoint);
     const { bucket, sharedColdStart } = guarded;
     const coldStart = this.deps.coldStartOf(endpoint.group);
     if (coldStart !== sharedColdStart) bucket.updateShare();
     guarded.sharedColdStart = coldStart;
-    bucket.refill();
     return bucket;
   }
 
@@ -244,6 +253,7 @@
       sharedColdStart: undefined,
       isCold: false,
     };
+    guarded.bucket.fill();
     this.byId.set(id, guarded);
     return guarded;
   }
--- a/packages/core/src/endpoint-limits/share-bucket.ts
+++ b/packages/core/src/endpoint-limits/share-bucket.ts
@@ -15,6 +15,8 @@
 export class ShareBucket {
   /** Requests that this daemon may send now. */
   private tokens = 0;
+  /** Requests that were taken and are yet to be sent; what they need does not accrue again before. */
+  private held = 0;
   private refilledAtMs: number;
   /** Daemons for which `share` was computed. */
   private daemonIds: readonly string[] = [];
@@ -39,6 +41,11 @@
     this.refilledAtMs = this.deps.nowMs();
   }
 
+  /** Fills the bucket, for a limit that no request has used yet. */
+  fill(): void {
+    this.tokens = Infinity; // as much as the share allows, when that is known
+  }
+
   /** Computes the share again, as the limit has changed. */
   updateShare(daemonIds = this.deps.daemons.ids()): void {
     this.daemonIds = daemonIds;
@@ -56,18 +63,38 @@
 
   /** Counts a request that is sent now. */
   take(): void {
+    this.refill();
     this.tokens = Math.max(0, this.tokens - 1);
   }
 
-  /** Adds what has accrued until now. */
-  refill(): void {
+  /** Takes a request that is sent later, and ends with `spend` or `release`. */
+  hold(): void {
+    this.take();
+    this.held += 1;
+  }
+
+  /** Counts a held request that is sent now. */
+  spend(): void {
+    this.refill();
+    this.held -= 1;
+  }
+
+  /** Returns a held request that is not sent. */
+  release(): void {
+    this.spend();
+    this.tokens += 1;
+    this.refill();
+  }
+
+  private refill(): void {
     const nowMs = this.deps.nowMs();
     const daemonIds = this.deps.daemons.ids();
     if (daemonIds !== this.daemonIds) this.updateShare(daemonIds);
     const { burst, perSecond } = this.share;
     const elapsedMs = Math.max(0, nowMs - this.refilledAtMs);
     const added = (elapsedMs * perSecond) / MS_PER_SECOND;
-    this.tokens = Math.min(burst, this.tokens + added);
+    const capacity = Math.max(0, burst - this.held);
+    this.tokens = Math.min(capacity, this.tokens + added);
     this.refilledAtMs = nowMs;
   }
 }
--- a/packages/core/src/forwarding/cold-start-guard.ts
+++ b/packages/core/src/forwarding/cold-start-guard.ts
@@ -1,17 +1,19 @@
 import type { DataCentre } from '../ports/index.js';
 import type { EndpointRecord } from './endpoint-record.js';
 
-/** A request that is about to be sent to an endpoint. */
+/** A request for which an endpoint was chosen. */
 export interface ColdDispatch {
-  /** Whether the request may still be written; asked right before it is, which may be long after the endpoint was chosen. */
+  /** Whether the request may still be written; to be called once, right before it is, which may be long after the choice. */
   mayWrite(): boolean;
+  /** Ends the dispatch, whether or not the request was written. */
+  end(): void;
 }
 
 /** Keeps the requests of all daemons together below what endpoints tolerate while they are cold. */
 export interface ColdStartGuard {
   /** Returns the milliseconds until this daemon may send the endpoint a request; 0 if it may now or the endpoint is not cold. */
   waitMs(endpoint: EndpointRecord): number;
-  /** Counts a request that is sent to the endpoint now. */
+  /** Counts a request for which the endpoint is chosen now. */
   recordDispatch(endpoint: EndpointRecord): ColdDispatch;
   /** Records how long the endpoint stays cold, as reported in a response. */
   recordStatement(endpoint: EndpointRecord, coldMs: number): void;
@@ -24,7 +26,10 @@
 }
 
 /** Dispatch to an endpoint that may be sent any number of requests. */
-export const UNRESTRICTED_DISPATCH: ColdDispatch = { mayWrite: () => true };
+export const UNRESTRICTED_DISPATCH: ColdDispatch = {
+  mayWrite: () => true,
+  end: () => undefined,
+};
 
 /** Guard of endpoints that are never cold. */
 export const NEVER_COLD: ColdStartGuard = {
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -365,6 +365,7 @@
         lifetime.stop();
         clearBacklog();
         dispatch.end();
+        coldDispatch.end();
         member.running -= 1;
         if (verdict === undefined) return;
         member.health.record(verdict === AttemptVerdict.Failed, atMs);
--- a/packages/core/src/forwarding/upstream.ts
+++ b/packages/core/src/forwarding/upstream.ts
@@ -10,7 +10,7 @@
   readonly body: Uint8Array | undefined;
   /** Whether the endpoint still accepts new requests; asked when a new connection is established. */
   readonly isEndpointUsable: () => boolean;
-  /** Whether the request may still be written; asked right before it is. */
+  /** Whether the request may still be written; asked once, right before it is. */
   readonly mayWrite?: () => boolean;
 }
 
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -101,12 +101,8 @@
         responseHeaders: 'raw',
         highWaterMark: MAX_UNREAD_BYTES,
       };
-      const mayWrite = () => call.mayWrite?.() ?? true;
-      if (!mayWrite())
-        throw new EndpointWithdrawnError('The endpoint is cold.');
-      const context: RequestContext = {
-        isEndpointUsable: () => call.isEndpointUsable() && mayWrite(),
-      };
+      const { isEndpointUsable, mayWrite = () => true } = call;
+      const context: RequestContext = { isEndpointUsable, mayWrite };
       this.contexts.set(options, context);
       const response = await connections.pool.request(options);
       const { body } = response;
--- a/packages/daemon/src/gateway/metered-client.test.ts
+++ b/packages/daemon/src/gateway/metered-client.test.ts
@@ -50,7 +50,10 @@
   it('does not send a request that waited for a connection to an endpoint that has left meanwhile', async () => {
     let isEndpointUsable = true;
     const options = { path: '/', method: 'GET' } as const;
-    contexts.set(options, { isEndpointUsable: () => isEndpointUsable });
+    contexts.set(options, {
+      isEndpointUsable: () => isEndpointUsable,
+      mayWrite: () => true,
+    });
     const response = client.request(options);
     isEndpointUsable = false;
     openConnection();
@@ -58,6 +61,23 @@
     assert.equal(requestCount, 0);
   });
 
+  // A daemon that was paused would send at once what it had chosen an endpoint for long before.
+  it('does not write a request that may no longer be written, on a new or a kept connection', async () => {
+    openConnection();
+    const send = (mayWrite: boolean) => {
+      const options = { path: '/', method: 'GET' } as const;
+      contexts.set(options, {
+        isEndpointUsable: () => true,
+        mayWrite: () => mayWrite,
+      });
+      return client.request(options);
+    };
+    await assert.rejects(send(false), EndpointWithdrawnError);
+    await (await send(true)).body.dump();
+    await assert.rejects(send(false), EndpointWithdrawnError);
+    assert.equal(requestCount, 1);
+  });
+
   // Chunks of one byte kept the daemon busy beyond the limits of other requests.
   it('breaks off a body of many small chunks, and reads one of fewer or larger ones', async () => {
     openConnection();
@@ -78,7 +98,10 @@
 
   it('sends a request whose endpoint is usable when the connection is established', async () => {
     const options = { path: '/', method: 'GET' } as const;
-    contexts.set(options, { isEndpointUsable: () => true });
+    contexts.set(options, {
+      isEndpointUsable: () => true,
+      mayWrite: () => true,
+    });
     const response = client.request(options);
     openConnection();
     const { body, statusCode } = await response;
--- a/packages/daemon/src/gateway/metered-client.ts
+++ b/packages/daemon/src/gateway/metered-client.ts
@@ -72,14 +72,17 @@
   }
 }
 
-/** Thrown where a connection is established to an endpoint that no longer accepts new requests. */
+/** Thrown where a request is about to be sent to an endpoint that no longer accepts it. */
 export class EndpointWithdrawnError extends Error {
   override readonly name = 'EndpointWithdrawnError';
 }
 
 /** What a connection needs to know of a request. */
 export interface RequestContext {
+  /** Asked when a connection is established. */
   readonly isEndpointUsable: () => boolean;
+  /** Asked right before the request is written. */
+  readonly mayWrite: () => boolean;
 }
 
 /**
@@ -120,20 +123,25 @@
   ): boolean {
     this.meter.start();
     const context = this.contexts.get(options);
-    if (context !== undefined) this.last.context = context;
+    if (context !== undefined) {
+      this.last.context = context;
+      checkWrite(handler, context);
+    }
     meterBody(handler, this.meter);
     return super.dispatch(options, handler);
   }
 }
 
 /** Handler of a request as undici's `request` creates it for each call. */
-interface BodyHandler {
+interface RequestHandler {
+  /** Called right before the request is written; if it throws, the request fails with the error and nothing is written. */
+  onConnect?(abort: () => void): void;
   /** Returns false if the parser is to pause. */
   onData?(chunk: Buffer): boolean;
 }
 
 /** Makes the handler record each part of a body before it is buffered. */
-function meterBody(handler: BodyHandler, meter: ResponseMeter): void {
+function meterBody(handler: RequestHandler, meter: ResponseMeter): void {
   const onData = handler.onData?.bind(handler);
   if (onData === undefined) return;
   handler.onData = chunk => {
@@ -141,3 +149,16 @@
     return onData(chunk);
   };
 }
+
+/** Makes the request fail right before it is written, if it may not be by then. */
+function checkWrite(
+  handler: RequestHandler,
+  { mayWrite }: RequestContext,
+): void {
+  const onConnect = handler.onConnect?.bind(handler);
+  handler.onConnect = abort => {
+    if (!mayWrite())
+      throw new EndpointWithdrawnError('The endpoint accepts few requests.');
+    onConnect?.(abort);
+  };
+}
