Test cold endpoints from the wire to the endpoint

An endpoint that only appeared in this daemon's list is no longer passed on as certainly cold: a daemon that was cut off from the store would make it cold for all.

--- a/packages/core/src/cold-starts/cold-endpoint.ts
+++ b/packages/core/src/cold-starts/cold-endpoint.ts
@@ -2,8 +2,10 @@
 
 /** Why an endpoint counts as cold. */
 export enum ColdReason {
-  /** Its incarnation is new. */
+  /** Its incarnation says that it is new. */
   Started = 'started',
+  /** Earlier lists lacked it. */
+  Appeared = 'appeared',
   Entry = 'entry',
   Response = 'response',
   Peer = 'peer',
@@ -41,10 +43,11 @@
   private peersUntilMs = -Infinity;
   private failedAtMs = -Infinity;
 
-  /** `startedAtMs` is the latest time at which it may have started; -Infinity if that is long ago. */
+  /** `startedAtMs` is when it says that it started, `appearedAtMs` when it was first listed after lists without it; -Infinity if that is long ago or not known. */
   constructor(
     readonly record: EndpointRecord,
     private readonly startedAtMs: number,
+    private readonly appearedAtMs: number,
     nowMs: number,
   ) {
     this.listedAtMs = nowMs;
@@ -85,6 +88,7 @@
     return Math.max(
       0,
       this.certainUntilMs(context) - context.timeMs,
+      this.appearedAtMs + context.durationMs - context.nowMs,
       this.suspectedForMs(this.failedAtMs, context),
       this.suspectedForMs(context.evacuationEndedAtMs, context),
     );
@@ -95,6 +99,7 @@
     const { durationMs, evacuationEndedAtMs, nowMs, timeMs } = context;
     const remaining: readonly (readonly [ColdReason, number])[] = [
       [ColdReason.Started, this.startedAtMs + durationMs - nowMs],
+      [ColdReason.Appeared, this.appearedAtMs + durationMs - nowMs],
       [ColdReason.Entry, this.listedUntilMs - nowMs],
       [ColdReason.Response, this.statedUntilMs - nowMs],
       [ColdReason.Peer, this.peersUntilMs - timeMs],
@@ -115,8 +120,8 @@
 
   /**
    * Returns the end of the cold time as far as it is certain, for peers, in
-   * milliseconds since the Unix epoch. What this daemon only suspects is its own
-   * affair: one that is cut off would make all endpoints cold for all daemons.
+   * milliseconds since the Unix epoch. What this daemon only infers is left out:
+   * one that was cut off would make all endpoints cold for all daemons.
    */
   certainUntilMs({ durationMs, nowMs, timeMs }: ColdContext): number {
     const untilMs = Math.max(
--- a/packages/core/src/cold-starts/cold-starts.ts
+++ b/packages/core/src/cold-starts/cold-starts.ts
@@ -231,15 +231,11 @@
     return this.byId.get(endpoint.id) ?? this.add(endpoint, -Infinity);
   }
 
-  /** Adds an incarnation of an endpoint; `listedFirstAtMs` is -Infinity if it may have been listed for long. */
-  private add(
-    endpoint: EndpointRecord,
-    listedFirstAtMs: number,
-  ): GuardedEndpoint {
+  /** Adds an incarnation of an endpoint; `appearedAtMs` is -Infinity if it may have been listed for long. */
+  private add(endpoint: EndpointRecord, appearedAtMs: number): GuardedEndpoint {
     const { bound, coldStartOf, daemons, nowMs, ownId } = this.deps;
     const { bornAtMs, group, id } = endpoint;
     const ageMs = Math.max(0, this.timeMs() - (bornAtMs ?? -Infinity));
-    const startedAtMs = Math.max(listedFirstAtMs, nowMs() - ageMs);
     const shareAmong = (daemonIds: readonly string[]) =>
       shareOfColdLimit(
         id,
@@ -248,7 +244,7 @@
         daemonIds,
       );
     const guarded: GuardedEndpoint = {
-      state: new ColdEndpoint(endpoint, startedAtMs, nowMs()),
+      state: new ColdEndpoint(endpoint, nowMs() - ageMs, appearedAtMs, nowMs()),
       bucket: new ShareBucket({ nowMs, daemons, shareAmong }),
       sharedColdStart: undefined,
       isCold: false,
--- a/packages/core/src/forwarding/endpoint-pool.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -2,8 +2,11 @@
 import { describe, it } from 'node:test';
 
 import { noopLog, noopMetrics, SeededRandom } from '../ports/index.js';
+import type { ColdStartGuard } from './cold-start-guard.js';
+import { NEVER_COLD } from './cold-start-guard.js';
 import { UNLIMITED } from './endpoint-limiter.js';
 import { EndpointPool } from './endpoint-pool.js';
+import type { EndpointRecord } from './endpoint-record.js';
 import { EndpointState } from './endpoint-record.js';
 import { sampleEndpoint } from './fakes/index.js';
 import { LeavingEndpoints } from './leaving-endpoints.js';
@@ -42,6 +45,7 @@
   seed = 1,
   memoryTokens?: number,
   overloadGuard: OverloadGuard = UNGUARDED,
+  coldStarts: ColdStartGuard = NEVER_COLD,
 ): EndpointPool {
   const pool = new EndpointPool(new SeededRandom(seed), {
     dataCentre: 'north-1',
@@ -60,6 +64,7 @@
       metrics: noopMetrics,
     }),
     overloadGuard,
+    coldStarts,
   });
   pool.apply({ revision: 1, endpoints: ids.map(id => sampleEndpoint(id)) });
   return pool;
@@ -88,6 +93,31 @@
     assert.equal(pool.busyForMs('ledger', 0), 200);
   });
 
+  it('sends a cold endpoint only what its guard lets through, and prefers the others', () => {
+    const waits = new Map([['a', 0]]);
+    let ended = 0;
+    const coldStarts = {
+      ...NEVER_COLD,
+      waitMs: ({ id }: EndpointRecord) => waits.get(id) ?? 0,
+      recordDispatch: () => ({
+        mayWrite: () => false,
+        end: () => (ended += 1),
+      }),
+    };
+    const pool = createPool(['a'], 1, undefined, UNGUARDED, coldStarts);
+    const reservation = pool.reserve(query, 0);
+    assert.equal(reservation?.mayWrite?.(), false);
+    reservation.release(undefined, 0);
+    assert.equal(ended, 1);
+    waits.set('a', 400);
+    assert.equal(pool.reserve(query, 0), undefined);
+    assert.equal(pool.busyForMs('ledger', 0), 400);
+    const cold = sampleEndpoint('a', { coldRemainingMs: 8_000 });
+    pool.apply({ revision: 2, endpoints: [cold, sampleEndpoint('bb')] });
+    waits.clear();
+    assert.equal(chooseEndpoint(pool), 'bb');
+  });
+
   it('spreads requests over equivalent endpoints', () => {
     const pool = createPool(['a', 'bb', 'ccc']);
     const counts = new Map<string, number>();
--- a/packages/core/src/hints/hints-of-other-builds.test.ts
+++ b/packages/core/src/hints/hints-of-other-builds.test.ts
@@ -24,6 +24,7 @@
   leavingEndpoints: [
     { endpointId: 'e', address: '10.0.0.1:1', bornAtMs: 0, ageMs: 0 },
   ],
+  coldEndpoints: [{ endpointId: 'e', bornAtMs: 0, coldUntilMs: 0 }],
   holdsDuties: false,
 };
 
@@ -41,9 +42,15 @@
     'endpointLimits',
     'brittleEndpoints',
     'leavingEndpoints',
+    'coldEndpoints',
   ] as const) {
     it(`keeps all but an entry that it cannot read: ${part}`, () => {
-      const unreadable = { ...HINTS[part][0], phase: 'novel', ageMs: 'novel' };
+      const unreadable = {
+        ...HINTS[part][0],
+        phase: 'novel',
+        ageMs: 'novel',
+        coldUntilMs: 'novel',
+      };
       const hints = parse({ [part]: [unreadable, ...HINTS[part]] });
       assert.deepEqual(hints, HINTS);
     });
@@ -53,6 +60,7 @@
     'endpointLimits',
     'brittleEndpoints',
     'leavingEndpoints',
+    'coldEndpoints',
   ] as const) {
     it(`keeps the first entries of a list that is longer than its own: ${part}`, () => {
       const entries = Array.from({ length: 2_000 }, () => HINTS[part][0]);
--- a/packages/daemon/src/gateway/endpoint-client.test.ts
+++ b/packages/daemon/src/gateway/endpoint-client.test.ts
@@ -76,6 +76,36 @@
     assert.equal(await client.refusesConnections(endpoint), true);
   });
 
+  // An endpoint that has started again may be cold.
+  it('tells of connections that an endpoint refuses or resets, not of those that it closes', async () => {
+    const failedIds: string[] = [];
+    const observed = new EndpointClient(
+      new PlainProtocol(),
+      undefined,
+      ({ id }) => failedIds.push(id),
+    );
+    const server = createServer(socket => {
+      socket.once('data', data => {
+        if (String(data).startsWith('POST /reset')) socket.resetAndDestroy();
+        else socket.end();
+      });
+    });
+    await once(server.listen(0, '127.0.0.1'), 'listening');
+    const { port } = server.address() as AddressInfo;
+    for (const [id, address] of [
+      ['refuse', '127.0.0.1:1'],
+      ['reset', `127.0.0.1:${port}`],
+      ['close', `127.0.0.1:${port}`],
+    ] as const) {
+      const request = requestTo(sampleEndpoint(id, { address }));
+      const sent = observed.send({ ...request, target: `/${id}` }, signal);
+      await assert.rejects(sent);
+    }
+    assert.deepEqual(failedIds, ['refuse', 'reset']);
+    await observed.close();
+    server.close();
+  });
+
   it('takes a request whose headers cannot be written for not sent', async () => {
     const endpoint = sampleEndpoint('odd', { address: '127.0.0.1:1' });
     const headers = ['Expect-Instance', 'line\nend'];
