--- a/packages/core/src/cold-starts/cold-starts.ts
+++ b/packages/core/src/cold-starts/cold-starts.ts
@@ -19,6 +19,8 @@
 
 /** Time for which an endpoint is remembered that lists no longer show: after an outage of the store it is not new. */
 const UNLISTED_RETENTION_MS = 600_000; // longer than most outages
+/** Time after which a caller may return that this daemon has no share for; it probably arrives at one that has. */
+const OTHERS_TURN_MS = 1_000; // about the time in which a share allows one request
 /** Longest time for which a response can make an endpoint cold, so that a faulty one does not withhold it for good. */
 const MAX_STATED_MS = 600_000;
 /** Time by which the end that a peer names may exceed the cold time from now, as clocks differ. */
@@ -72,10 +74,12 @@
   waitMs(endpoint: EndpointRecord): number {
     const remainingMs = this.remainingMs(endpoint);
     if (remainingMs === 0) return 0;
-    const waitMs = this.settling.waitMs();
+    const settlingMs = this.settling.waitMs();
+    if (settlingMs > 0) return Math.min(remainingMs, settlingMs);
+    const waitMs = this.bucketOf(endpoint).waitMs();
     return Math.min(
       remainingMs,
-      waitMs > 0 ? waitMs : this.bucketOf(endpoint).waitMs(),
+      Number.isFinite(waitMs) ? waitMs : OTHERS_TURN_MS,
     );
   }
 
--- a/packages/core/src/fakes/index.ts
+++ b/packages/core/src/fakes/index.ts
@@ -3,3 +3,4 @@
 export * from './memory-key-value.js';
 export * from './memory-peers.js';
 export * from './scripted-engine.js';
+export * from './simulated-membership.js';
--- a/packages/core/src/forwarding/cold-start-guard.ts
+++ b/packages/core/src/forwarding/cold-start-guard.ts
@@ -11,7 +11,11 @@
 
 /** Keeps the requests of all daemons together below what endpoints tolerate while they are cold. */
 export interface ColdStartGuard {
-  /** Returns the milliseconds until this daemon may send the endpoint a request; 0 if it may now or the endpoint is not cold. */
+  /**
+   * Returns the milliseconds until this daemon may send the endpoint a request; 0 if
+   * it may now or the endpoint is not cold. Where other daemons use the whole limit,
+   * the time after which to ask again.
+   */
   waitMs(endpoint: EndpointRecord): number;
   /** Counts a request for which the endpoint is chosen now. */
   recordDispatch(endpoint: EndpointRecord): ColdDispatch;
