Share one simulation between the tests of limits that daemons divide

The tests of rate limits and of cold endpoints play the same daemons; the exchange of hints, the membership protocol and the disturbances are now in core/fakes. Events of the test of rate limits and what it asserts are as before.

--- a/packages/core/src/fakes/index.ts
+++ b/packages/core/src/fakes/index.ts
@@ -3,4 +3,5 @@
 export * from './memory-key-value.js';
 export * from './memory-peers.js';
 export * from './scripted-engine.js';
+export * from './sharing-simulation.js';
 export * from './simulated-membership.js';
