Use one endpoint record in the tests of limits, and look up confirmed reads once

Working out which daemon read the list last takes a pass over all peers, on each request to an endpoint whose connection had failed at some time. The result is now remembered once it shows the endpoint as warm. The gauge of cold endpoints no longer counts those that lists no longer show.

--- a/packages/core/src/brittle-endpoints/brittle-endpoints.test.ts
+++ b/packages/core/src/brittle-endpoints/brittle-endpoints.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
+import { warmEndpoint } from '../fakes/index.js';
 import type { EndpointRecord } from '../forwarding/index.js';
-import { EndpointState } from '../forwarding/index.js';
 import { KnownDaemons } from '../membership/index.js';
 import { noopLog, noopMetrics } from '../ports/index.js';
 import { BrittleEndpoints } from './brittle-endpoints.js';
@@ -193,17 +193,5 @@
 }
 
 function endpointOf(id: string, bornAtMs: number): EndpointRecord {
-  return {
-    id,
-    address: '10.0.0.1:80',
-    group: 'ledger',
-    dataCentre: 'north-1',
-    version: 'v1',
-    slots: 4,
-    state: EndpointState.Ready,
-    coldRemainingMs: 0,
-    isReclaimable: false,
-    leavesInMs: undefined,
-    bornAtMs,
-  };
+  return warmEndpoint(id, { bornAtMs });
 }
--- a/packages/core/src/cold-starts/cold-bound.property.test.ts
+++ b/packages/core/src/cold-starts/cold-bound.property.test.ts
@@ -9,13 +9,13 @@
   Disturbance,
   SharingSimulation,
   SIMULATION_STEP_MS,
+  warmEndpoint,
 } from '../fakes/index.js';
 import type { ColdDispatch } from '../forwarding/index.js';
 import type { KnownDaemons } from '../membership/index.js';
 import { noopLog, noopMetrics, SeededRandom } from '../ports/index.js';
 import type { ColdEndpointHint } from './cold-start-hints.js';
 import { ColdStarts } from './cold-starts.js';
-import { warmEndpoint } from './fakes/index.js';
 
 const SEED = 20_261_206;
 const END_MS = 40_000;
--- a/packages/core/src/cold-starts/cold-endpoint.ts
+++ b/packages/core/src/cold-starts/cold-endpoint.ts
@@ -112,9 +112,9 @@
         this.suspectedForMs(evacuationEndedAtMs, context),
       ],
     ];
-    const [[reason]] = remaining.toSorted(
-      ([, left], [, right]) => right - left,
-    ) as [(typeof remaining)[number]];
+    const [reason] = remaining.reduce((longest, each) =>
+      each[1] > longest[1] ? each : longest,
+    );
     return reason;
   }
 
@@ -139,10 +139,10 @@
   ): number {
     if (sinceMs === -Infinity) return 0;
     const atLeastMs = sinceMs + durationMs - nowMs;
-    const shownAtMs = this.isListed
-      ? Math.max(this.readAtMs, listConfirmedAtMs())
-      : this.readAtMs;
-    const isShownWarm = !this.isListedCold && shownAtMs > sinceMs;
+    // Remembered, as it takes long to work out which read was the latest.
+    if (this.isListed && this.readAtMs <= sinceMs)
+      this.readAtMs = Math.max(this.readAtMs, listConfirmedAtMs());
+    const isShownWarm = !this.isListedCold && this.readAtMs > sinceMs;
     return isShownWarm ? atLeastMs : Math.max(RECHECK_MS, atLeastMs);
   }
 }
--- a/packages/core/src/cold-starts/cold-starts.test.ts
+++ b/packages/core/src/cold-starts/cold-starts.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import { beforeEach, describe, it } from 'node:test';
 
+import { warmEndpoint } from '../fakes/index.js';
 import type { ColdStart, EndpointRecord } from '../forwarding/index.js';
 import { KnownDaemons } from '../membership/index.js';
 import { noopLog, noopMetrics } from '../ports/index.js';
 import { ColdStarts } from './cold-starts.js';
-import { warmEndpoint } from './fakes/index.js';
 
 const COLD_MS = 10_000;
 const EPOCH_MS = 1_000_000;
--- a/packages/core/src/cold-starts/cold-starts.ts
+++ b/packages/core/src/cold-starts/cold-starts.ts
@@ -154,7 +154,7 @@
       const context = this.contextOf(guarded.state);
       if (context === undefined) continue;
       const remainingMs = guarded.state.remainingMs(context);
-      if (remainingMs > 0) cold += 1;
+      if (remainingMs > 0 && guarded.state.isListed) cold += 1;
       if (guarded.isCold !== remainingMs > 0)
         this.logChange(guarded, context, remainingMs);
       const coldUntilMs = guarded.state.certainUntilMs(context);
--- a/packages/core/src/endpoint-limits/endpoint-limits.test.ts
+++ b/packages/core/src/endpoint-limits/endpoint-limits.test.ts
@@ -9,9 +9,9 @@
   Disturbance,
   SharingSimulation,
   SIMULATION_STEP_MS,
+  warmEndpoint,
 } from '../fakes/index.js';
 import type { EndpointRecord } from '../forwarding/index.js';
-import { EndpointState } from '../forwarding/index.js';
 import { KnownDaemons } from '../membership/index.js';
 import { noopLog, noopMetrics, SeededRandom } from '../ports/index.js';
 import type { EndpointLimitHint } from './endpoint-limit-hints.js';
@@ -97,19 +97,7 @@
 }
 
 function limitedEndpoint(bornAtMs = 1): EndpointRecord {
-  return {
-    id: 'limited',
-    address: '10.0.0.1:80',
-    group: 'ledger',
-    dataCentre: 'north-1',
-    version: 'v1',
-    slots: 4,
-    state: EndpointState.Ready,
-    coldRemainingMs: 0,
-    isReclaimable: false,
-    leavesInMs: undefined,
-    bornAtMs,
-  };
+  return warmEndpoint('limited', { bornAtMs });
 }
 
 function allowedIn(limitPerSecond: number): number {
--- a/packages/core/src/fakes/index.ts
+++ b/packages/core/src/fakes/index.ts
@@ -5,3 +5,4 @@
 export * from './scripted-engine.js';
 export * from './sharing-simulation.js';
 export * from './simulated-membership.js';
+export * from './warm-endpoint.js';
--- a/packages/core/src/cold-starts/fakes/index.ts
+++ b/packages/core/src/fakes/warm-endpoint.ts
@@ -1,7 +1,7 @@
-import type { EndpointRecord } from '../../forwarding/index.js';
-import { EndpointState } from '../../forwarding/index.js';
+import type { EndpointRecord } from '../forwarding/index.js';
+import { EndpointState } from '../forwarding/index.js';
 
-/** Returns a warm endpoint that started long ago. */
+/** Returns a ready endpoint that started long ago. */
 export function warmEndpoint(
   id: string,
   overrides: Partial<EndpointRecord> = {},
--- a/packages/stand-ins/src/gateway/gateway-cold-starts.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-cold-starts.test.ts
@@ -4,6 +4,7 @@
 
 import { request } from 'undici';
 
+import { busiestWindow } from '@skylarkreach/core/fakes';
 import type { EndpointServer } from '@skylarkreach/platform/stand-ins';
 import { sampleCall } from '@skylarkreach/platform/stand-ins';
 
@@ -62,15 +63,11 @@
 
   /** Returns the most requests that the endpoint got in a second after `fromMs`. */
   function busiestSecond({ runs }: EndpointServer, fromMs: number): number {
-    const timesMs = runs
-      .map(run => run.readAtMs)
-      .filter(atMs => atMs >= fromMs);
-    const counts = timesMs.map(
-      startMs =>
-        timesMs.filter(atMs => atMs >= startMs && atMs < startMs + WINDOW_MS)
-          .length,
+    const timesMs = runs.map(run => run.readAtMs);
+    return busiestWindow(
+      timesMs.filter(atMs => atMs >= fromMs),
+      WINDOW_MS,
     );
-    return Math.max(0, ...counts);
   }
 
   it('stay below the bound of one that starts beside a warm one, and use it fully afterwards', async () => {
