--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -2,6 +2,7 @@
 import type { ColdStartGuard } from './cold-start-guard.js';
 import { NEVER_COLD } from './cold-start-guard.js';
 import { EndpointLifetimes } from './endpoint-lifetimes.js';
+import type { EndpointLoad } from './endpoint-load.js';
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
 import { EndpointState } from './endpoint-record.js';
 import { findRetainable } from './endpoint-retention.js';
@@ -23,13 +24,6 @@
 import { AttemptVerdict } from './pool-reservation.js';
 import { createStatementRecorders } from './statement-recorders.js';
 
-/** Load that one daemon has at an endpoint, as sent to its peers. */
-export interface EndpointLoad {
-  readonly running: number;
-  /** Uncached prompt tokens of the requests whose first event has not arrived. */
-  readonly backlogTokens: number;
-}
-
 /** Cost at a failure share of 1: about one failed attempt and its retry. */
 const FAILURE_PENALTY_MS = 2_000;
 /** Time that each running request adds to the decoding steps of an engine's response. */
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -12,6 +12,7 @@
 export * from './endpoint-choice.js';
 export * from './endpoint-health.js';
 export * from './endpoint-limiter.js';
+export * from './endpoint-load.js';
 export * from './endpoint-pool.js';
 export * from './endpoint-record.js';
 export * from './endpoint-retention.js';
