Send nothing to evacuated data centres

Operators could not take a data centre out of service by one order: daemons read only the configuration and rollouts below op/, and a watch left removed keys out.

The store client now reports removed keys and whether a result is whole; the operator source follows op/evacuate/ZONE; a shared value of its own carries the set with the store revision at which it was true, and the newest revision wins. EndpointPool withholds the endpoints of these data centres. Hints name the version that the sender holds, so that a peer's read confirms the evacuations only of a daemon that has them.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -17,6 +17,7 @@
 /** Features of the core that each feature may import through their index. */
 const allowedFeatures = {
   ports: [],
+  evacuations: ['ports'],
   leases: ['ports'],
   rules: ['ports'],
   membership: ['ports', 'leases', 'rules'],
@@ -26,7 +27,7 @@
   routing: ['ports', 'rules'],
   moves: ['ports', 'leases', 'membership', 'rules'],
   fleet: ['ports', 'leases', 'membership', 'routing'],
-  forwarding: ['ports', 'routing'],
+  forwarding: ['ports', 'routing', 'evacuations'],
   rollouts: ['ports', 'moves', 'forwarding'],
   quarantine: ['ports', 'forwarding'],
   'endpoint-limits': ['ports', 'membership', 'routing', 'forwarding'],
--- /dev/null
+++ b/packages/core/src/evacuations/index.ts
@@ -0,0 +1,1 @@
+export * from './evacuations.js';
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -229,6 +229,7 @@
     return (
       record.state === EndpointState.Ready &&
       nowMs < usableUntilMs &&
+      this.options.isEvacuated?.(record.dataCentre) !== true &&
       !this.options.leaving.has(record) &&
       !this.misdirected.has(record.id, nowMs)
     );
--- a/packages/core/src/forwarding/pool-options.ts
+++ b/packages/core/src/forwarding/pool-options.ts
@@ -16,4 +16,6 @@
   readonly overloadGuard: OverloadGuard;
   readonly leaving: LeavingEndpoints;
   readonly paused: PausedEndpoints;
+  /** Whether the endpoints of a data centre get no requests by order of the operators; none are withheld if absent. */
+  readonly isEvacuated?: (dataCentre: DataCentre) => boolean;
 }
--- a/packages/core/src/forwarding/shared-state.ts
+++ b/packages/core/src/forwarding/shared-state.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 
+import type { EvacuationState } from '../evacuations/index.js';
 import type { Configuration } from './configuration.js';
 import { RouteType } from './configuration.js';
 import type { EndpointListing } from './endpoint-record.js';
@@ -88,6 +89,11 @@
   durationMs: z.number(),
 });
 
+const evacuationsSchema = z.object({
+  revision: z.number(),
+  dataCentres: z.array(z.string()),
+});
+
 /**
  * Parses a configuration that a peer read from the store, which may run another
  * build. Throws `z.ZodError` or `SyntaxError` if a field is missing or unknown
@@ -107,6 +113,11 @@
   return checked(z.array(orderSchema), text) as readonly RolloutOrder[];
 }
 
+/** Parses the evacuated data centres likewise. */
+export function parseSharedEvacuations(text: string): EvacuationState {
+  return checked(evacuationsSchema, text) as EvacuationState;
+}
+
 /**
  * Returns the parsed text if it matches the schema, which accepts only what the
  * type describes; in JSON, fields that are undefined are absent.
--- a/packages/core/src/forwarding/sources.ts
+++ b/packages/core/src/forwarding/sources.ts
@@ -1,3 +1,4 @@
+import type { EvacuationState } from '../evacuations/index.js';
 import type { Configuration } from './configuration.js';
 import type { EndpointListing } from './endpoint-record.js';
 
@@ -24,6 +25,8 @@
   /** Undefined if it has not changed or is malformed. */
   readonly configuration: Configuration | undefined;
   readonly rollouts: readonly RolloutOrder[];
+  /** Evacuated data centres; undefined if they are not known to have changed. */
+  readonly evacuations: EvacuationState | undefined;
   /** Rollouts stored as ended; empty in the results of `watch`. */
   readonly ended: readonly EndedRollout[];
   /** Number of malformed entries. */
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -71,6 +71,8 @@
   operatorReadAgeMs: count.optional(),
   /** Version of the sender's configuration. Absent in hints of daemons that do not know it. */
   configurationVersion: count.optional(),
+  /** Version of the evacuated data centres that the sender holds. Absent in hints of daemons that do not know them. */
+  evacuationsVersion: count.optional(),
   /** Newest lease for the duties that the sender knows of. */
   dutyLease: dutyLeaseHintSchema.optional().catch(undefined),
   rollouts: readableItems(rolloutHintsSchema),
--- a/packages/core/src/hints/hint-store.ts
+++ b/packages/core/src/hints/hint-store.ts
@@ -21,6 +21,7 @@
   private readonly load = new PeerLoad();
   private readonly endpointReads = new PeerReads();
   private readonly operatorReads = new PeerReads();
+  private readonly evacuationReads = new PeerReads();
   readonly dutyLease = new DutyLeaseNews();
 
   /**
@@ -45,6 +46,7 @@
       this.load.remove(lifetime);
       this.endpointReads.delete(lifetime);
       this.operatorReads.delete(lifetime);
+      this.evacuationReads.delete(lifetime);
     }
     return true;
   }
@@ -91,6 +93,11 @@
     return this.operatorReads.latestAtMs(configurationVersion);
   }
 
+  /** Returns the same by the revision of the evacuations; peers that do not state their version confirm none. */
+  evacuationReadAtMs(revision: number): number {
+    return this.evacuationReads.latestAtMs(revision);
+  }
+
   /** Returns whether a peer recently held the lease for the duties. */
   hasHolder(nowMs: number): boolean {
     if (this.dutyLease.holderId(nowMs) !== undefined) return true;
@@ -107,7 +114,7 @@
 
   private recordReads(hints: DaemonHints, builtAfterMs: number): void {
     const { configurationVersion, endpointsVersion, lifetime } = hints;
-    const { endpointReadAgeMs, operatorReadAgeMs } = hints;
+    const { endpointReadAgeMs, evacuationsVersion, operatorReadAgeMs } = hints;
     if (endpointReadAgeMs !== undefined) {
       const atMs = builtAfterMs - endpointReadAgeMs;
       this.endpointReads.record(lifetime, endpointsVersion, atMs);
@@ -116,5 +123,9 @@
       const atMs = builtAfterMs - operatorReadAgeMs;
       this.operatorReads.record(lifetime, configurationVersion, atMs);
     }
+    if (operatorReadAgeMs !== undefined && evacuationsVersion !== undefined) {
+      const atMs = builtAfterMs - operatorReadAgeMs;
+      this.evacuationReads.record(lifetime, evacuationsVersion, atMs);
+    }
   }
 }
--- a/packages/core/src/ports/key-value.ts
+++ b/packages/core/src/ports/key-value.ts
@@ -61,6 +61,12 @@
   readonly revision: number;
   /** Entries under the prefix that changed after `afterRevision`, each key once, in its newest version. */
   readonly entries: readonly KeyValueEntry[];
+  /** Keys under the prefix whose newest change after `afterRevision` is their removal. Absent where the service does not tell. */
+  readonly removedKeys?: readonly string[];
+  /** Whether `entries` are all entries under the prefix instead of those that changed. */
+  readonly isWhole?: boolean;
+  /** Whether all of a whole result was read at `revision`; later pages may be newer. */
+  readonly isSnapshot?: boolean;
 }
 
 /** Maximum size of a value in the key-value service, in bytes. */
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -33,6 +33,8 @@
   /** Latest time at which the operators' state was confirmed, likewise. */
   readonly operatorReadAtMs: () => number;
   readonly configurationVersion: () => number;
+  /** Version of the evacuations that this daemon holds; undefined if it lacks some. */
+  readonly evacuationsVersion: () => number | undefined;
 }
 
 /** Builds the hints that this daemon sends to peers, and applies those it receives. */
@@ -68,6 +70,7 @@
     this.recordOwnLease(nowMs);
     const endpointReadAgeMs = ageMs(nowMs, this.deps.endpointReadAtMs());
     const operatorReadAgeMs = ageMs(nowMs, this.deps.operatorReadAtMs());
+    const evacuationsVersion = this.deps.evacuationsVersion();
     const dutyLease = this.deps.cluster().hintBoard.dutyLease.hint(nowMs);
     return {
       daemonId: this.context.settings.identity.daemonId,
@@ -83,6 +86,7 @@
       ...(Number.isFinite(endpointReadAgeMs) && { endpointReadAgeMs }),
       configurationVersion: this.deps.configurationVersion(),
       ...(Number.isFinite(operatorReadAgeMs) && { operatorReadAgeMs }),
+      ...(evacuationsVersion !== undefined && { evacuationsVersion }),
       ...(dutyLease && { dutyLease }),
       rollouts: rollouts.hints(),
       quarantine: quarantine.hints(),
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -1,5 +1,6 @@
 import { BrittleEndpoints } from '@skylarkreach/core/brittle-endpoints';
 import { EndpointLimits } from '@skylarkreach/core/endpoint-limits';
+import { Evacuations } from '@skylarkreach/core/evacuations';
 import type { CallerLimits } from '@skylarkreach/core/forwarding';
 import {
   ConfigurationStore,
@@ -43,6 +44,7 @@
   PromMetrics,
   RateLimitedLog,
 } from '../telemetry/index.js';
+import { createOperatorWatch } from './create-operator-watch.js';
 import { createMonitor } from './dependency-monitor.js';
 import type { EndpointConnector } from './endpoint-client.js';
 import { EndpointClient } from './endpoint-client.js';
@@ -52,7 +54,7 @@
 import { GatewayDuties } from './gateway-duties.js';
 import { GatewayHints } from './gateway-hints.js';
 import { IngressServer } from './ingress-server.js';
-import { OperatorWatch } from './operator-watch.js';
+import type { OperatorWatch } from './operator-watch.js';
 import { RelayClient } from './relay-client.js';
 import { RelayServer } from './relay-server.js';
 import { RetryBudgets } from './retry-budgets.js';
@@ -70,8 +72,6 @@
 const LISTING_INTERVAL_SHARE = 0.4; // a second read fits within the bound if one fails
 /** Age of the endpoint list from which a daemon that is no reader reads it, as a fraction of the drain bound. */
 const LISTING_FOLLOWED_SHARE = 0.6; // with the jitter, a read still fits within the bound
-/** Age of the operators' state from which a daemon that is no reader reads it, as a fraction of the bound on its application. */
-const CONFIGURATION_FOLLOWED_SHARE = 0.7; // a read still fits within the bound
 /** Interval between checks of whether endpoints are to be probed. */
 const REACHABILITY_INTERVAL_MS = 200;
 /** Memory for the responses that are being received: four of the largest. */
@@ -83,6 +83,7 @@
 export interface GatewayWiring extends GatewayContext {
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
+  readonly evacuations: Evacuations;
   readonly ingress: IngressServer;
   readonly stopSchedule: StopSchedule;
   readonly endpointClient: EndpointClient;
@@ -104,6 +105,7 @@
   const context = createContext(settings, clock, seed);
   const { log, platform } = context;
   const configuration = new ConfigurationStore();
+  const evacuations = new Evacuations();
   const knownDaemons = new KnownDaemons({
     ownId: settings.identity.daemonId,
     nowMs: () => clock.nowMs(),
@@ -129,6 +131,7 @@
     overloadGuard: brittleEndpoints,
     leaving: leavingEndpoints,
     paused: new PausedEndpoints(sharing),
+    isEvacuated: dataCentre => evacuations.isEvacuated(dataCentre),
   });
   const tokenBuckets = new TokenBucketLedger({
     tolerance: {
@@ -182,6 +185,7 @@
     endpointReadAtMs: () => endpointListPoller.lastReadAtMs(),
     operatorReadAtMs: () => operatorWatch.confirmedAtMs(),
     configurationVersion: () => configuration.version,
+    evacuationsVersion: () => replicator.evacuationsVersion,
   });
   const cluster: GatewayCluster = new GatewayCluster(context, hints, ids => {
     knownDaemons.recordListed(ids);
@@ -250,6 +254,7 @@
     configuration,
     pool,
     rollouts,
+    evacuations,
     endpointClient,
     cluster,
     onConfiguration: () => {
@@ -257,18 +262,10 @@
     },
   });
   const isReader = () => cluster.readerRole.isReader();
-  const operatorWatch: OperatorWatch = new OperatorWatch({
-    ...context,
-    isReader,
-    lastPeerReadAtMs: () =>
-      cluster.hintBoard.operatorReadAtMs(replicator.operatorsVersion),
-    maxFollowedAgeMs:
-      settings.bounds.configurationMs * CONFIGURATION_FOLLOWED_SHARE,
-    source: platform.operators,
-    monitor: createMonitor(context, 'operators', LogComponent.Configuration),
-    onState: state => {
-      replicator.handleOperatorState(state);
-    },
+  const operatorWatch: OperatorWatch = createOperatorWatch(context, {
+    cluster,
+    evacuations,
+    replicator,
   });
   const endpointListPoller: EndpointListPoller = new EndpointListPoller({
     ...context,
@@ -310,6 +307,7 @@
     ...context,
     configuration,
     pool,
+    evacuations,
     ingress,
     stopSchedule,
     endpointClient,
--- a/packages/daemon/src/gateway/operator-watch.test.ts
+++ b/packages/daemon/src/gateway/operator-watch.test.ts
@@ -22,6 +22,7 @@
   revision: 1,
   configuration: undefined,
   rollouts: [],
+  evacuations: undefined,
   ended: [],
   malformed: 0,
 };
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -1,3 +1,4 @@
+import type { Evacuations } from '@skylarkreach/core/evacuations';
 import type {
   Configuration,
   ConfigurationStore,
@@ -16,20 +17,17 @@
 import type { RolloutRegistry } from '@skylarkreach/core/rollouts';
 
 import type { EndpointClient } from './endpoint-client.js';
+import { EvacuationReplicator } from './evacuation-replicator.js';
 import type { GatewayCluster } from './gateway-cluster.js';
 import type { GatewayContext } from './gateway-context.js';
+import { UpdateSource } from './update-source.js';
 
 /** Keys of the values that daemons gossip to one another. */
 enum GossipKey {
   Configuration = 'configuration',
   Endpoints = 'endpoints',
   Rollouts = 'rollouts',
-}
-
-/** Origin of an update, as logged. */
-enum UpdateSource {
-  Store = 'store',
-  Peer = 'peer',
+  Evacuations = 'evacuations',
 }
 
 /** Version below those of all configurations. */
@@ -43,6 +41,7 @@
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
   readonly rollouts: RolloutRegistry;
+  readonly evacuations: Evacuations;
   readonly endpointClient: EndpointClient;
   readonly cluster: GatewayCluster;
   /** Called when a configuration has come into force. */
@@ -61,12 +60,21 @@
   private heldEndpointsVersion = 0;
   /** Whether peers sent orders that this daemon could not apply. */
   private lacksOrders = false;
+  private readonly evacuationReplicator: EvacuationReplicator;
 
   constructor(
     private readonly context: GatewayContext,
     private readonly deps: StateReplicatorDependencies,
   ) {
     this.lastConfirmedAtMs = context.clock.nowMs();
+    this.evacuationReplicator = new EvacuationReplicator({
+      ...context,
+      evacuations: deps.evacuations,
+      sharedVersion: () => this.gossipVersion(GossipKey.Evacuations),
+      publish: state => {
+        this.publish(GossipKey.Evacuations, state.revision, state);
+      },
+    });
     deps.cluster.membership.onValue(value => {
       this.tryApplyGossip(value);
     });
@@ -85,9 +93,16 @@
     return this.lacksOrders ? NO_VERSION : this.deps.configuration.version;
   }
 
-  /** Applies operator state read from the store and publishes its rollouts and configuration. */
+  /** Version of the evacuations that this daemon holds; undefined if peers sent one that it could not apply. */
+  get evacuationsVersion(): number | undefined {
+    return this.evacuationReplicator.heldVersion;
+  }
+
+  /** Applies operator state read from the store and publishes its evacuations, rollouts and configuration. */
   handleOperatorState(state: OperatorState): void {
     const { rollouts } = this.deps;
+    // Before the configuration, by which a starting daemon begins to serve.
+    this.evacuationReplicator.handleRead(state.evacuations);
     if (state.malformed > 0) this.reportMalformed(state);
     for (const order of state.rollouts) rollouts.applyOrder(order);
     for (const rollout of state.ended) rollouts.applyOutcome(rollout);
@@ -143,6 +158,8 @@
       for (const order of parseSharedOrders(value))
         this.deps.rollouts.applyOrder(order);
     }
+    if (key === GossipKey.Evacuations.valueOf())
+      this.evacuationReplicator.handleShared(value);
     if (key === GossipKey.Endpoints.valueOf()) {
       const listing = parseSharedListing(value);
       this.sharedEndpointsJson = JSON.stringify(listing.endpoints);
--- /dev/null
+++ b/packages/daemon/src/gateway/update-source.ts
@@ -0,0 +1,5 @@
+/** Origin of an update, as logged. */
+export enum UpdateSource {
+  Store = 'store',
+  Peer = 'peer',
+}
--- a/packages/daemon/src/settings/gateway-settings.ts
+++ b/packages/daemon/src/settings/gateway-settings.ts
@@ -9,6 +9,8 @@
     dataCentre: z.string().min(1),
     /** Whether the whole system starts for the first time. */
     isFirstStart: z.boolean().default(false),
+    /** Region of each data centre; one without a region is no home of any request. */
+    regions: z.record(z.string(), z.string()).default({}),
   }),
   listen: z.strictObject({
     callers: address,
@@ -35,6 +37,8 @@
     .strictObject({
       /** Maximum time from a change of the configuration until it is in force. */
       configurationMs: durationMs.default(2_000),
+      /** Maximum time from the order to evacuate a data centre until its endpoints receive no new requests. */
+      evacuationMs: durationMs.default(5_000),
       /** Maximum time from when an endpoint starts to leave until it receives no new requests. */
       drainMs: durationMs.default(2_000),
       /** Time from SIGTERM until the process is killed. */
