Refuse what no data centre may serve, and keep requests in their home regions

Where all endpoints of a group are evacuated, a daemon that reached none asked its peers first, and the refusal did not name the cause. Routes and workspaces had no home regions.

DataCentreGate finds before admission and at each attempt through a peer whether a data centre may serve the request; if none may, it is refused with 503 (evacuated, noHomeRegion) and a time to come back. A replacement that was reserved for a silent endpoint is checked again when it is used. The fleet plan leaves evacuated data centres out; test connections for reachability do too.

--- a/packages/core/src/duties/fleet-scaler.test.ts
+++ b/packages/core/src/duties/fleet-scaler.test.ts
@@ -68,6 +68,7 @@
   const clock = new ManualClock(1_000);
   const platform = new FakePlatform();
   const load = { running: 0 };
+  const evacuated = new Set<string>();
   const scaler = new FleetScaler({
     clock,
     dutyApi: platform,
@@ -75,6 +76,7 @@
     groups: () => [GROUP],
     endpoints: () => endpoints,
     runningIn: () => load.running,
+    isEvacuated: dataCentre => evacuated.has(dataCentre),
   });
   const stepFor = async (timeMs: number) => {
     const untilMs = clock.nowMs() + timeMs;
@@ -83,10 +85,28 @@
       await scaler.step(() => TOKEN);
     }
   };
-  return { clock, platform, load, scaler, stepFor };
+  return { clock, platform, load, evacuated, scaler, stepFor };
 }
 
 describe('FleetScaler', () => {
+  // Endpoints that get no requests were counted as capacity, and reordered while their data centre was to be left alone.
+  it('orders nothing in an evacuated data centre, and the capacity that it had in the others', async () => {
+    const { evacuated, platform, scaler, stepFor } =
+      createFixture(READY_ENDPOINTS);
+    await scaler.step(() => TOKEN);
+    assert.equal(platform.counts.get('b false'), 1);
+    assert.equal(platform.counts.get('a false'), 0);
+    evacuated.add('b');
+    const ordered = platform.orders.length;
+    await stepFor(25_000);
+    const orders = platform.orders.slice(ordered);
+    assert.ok(orders.every(order => order.dataCentre === 'a'));
+    assert.equal(platform.counts.get('a false'), 1);
+    evacuated.clear();
+    await stepFor(1_000);
+    assert.equal(platform.orders.at(-1)?.dataCentre, 'b');
+  });
+
   it('sends an accepted order again only after the reissue interval', async () => {
     const { platform, scaler, stepFor } = createFixture(READY_ENDPOINTS);
     await scaler.step(() => TOKEN);
--- a/packages/core/src/duties/fleet-scaler.ts
+++ b/packages/core/src/duties/fleet-scaler.ts
@@ -29,6 +29,8 @@
   readonly endpoints: () => readonly EndpointRecord[];
   /** Returns the requests in flight at a group's endpoints, from all daemons. */
   readonly runningIn: (group: string) => number;
+  /** Whether a data centre is to be left as it is, and its endpoints are not to count. */
+  readonly isEvacuated: (dataCentre: DataCentre) => boolean;
 }
 
 /** Last order sent for one kind of endpoint in a data centre. */
@@ -71,14 +73,16 @@
     group: string,
     scaling: ScalingSettings,
   ): readonly ScalingOrder[] {
-    const { clock, endpoints, runningIn } = this.deps;
+    const { clock, endpoints, isEvacuated, runningIn } = this.deps;
     const nowMs = clock.nowMs();
     const peak = this.peaks.get(group) ?? new SlidingWindowMax(PEAK_WINDOW_MS);
     this.peaks.set(group, peak);
     peak.add(runningIn(group), nowMs);
     const plannedCounts = planFleet({
-      scaling,
-      endpoints: endpoints().filter(endpoint => endpoint.group === group),
+      scaling: this.withoutEvacuated(scaling),
+      endpoints: endpoints().filter(
+        each => each.group === group && !isEvacuated(each.dataCentre),
+      ),
       peakInFlight: peak.max(nowMs),
       ...this.lastOrders(group, scaling.bootMs),
     });
@@ -89,6 +93,14 @@
     );
   }
 
+  /** Returns the settings of the data centres that may get orders. */
+  private withoutEvacuated(scaling: ScalingSettings): ScalingSettings {
+    const prices = Object.entries(scaling.pricesByDataCentre).filter(
+      ([dataCentre]) => !this.deps.isEvacuated(dataCentre),
+    );
+    return { ...scaling, pricesByDataCentre: Object.fromEntries(prices) };
+  }
+
   /** Returns the count of an order minus that of the order before it. */
   private countIncrease(order: ScalingOrder): number {
     return (
--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -85,7 +85,10 @@
     if (last.kind === AttemptEndKind.Silent && this.replacement !== undefined) {
       const { replacement } = this;
       this.replacement = undefined;
-      return replacement;
+      const nowMs = this.options.clock.nowMs();
+      if (this.options.endpoints.isStillReady(replacement, nowMs))
+        return replacement;
+      replacement.release(undefined, nowMs);
     }
     if (mayWait && (await this.isLostWithEndpoint(last)))
       this.options.attempts.recordGone();
--- a/packages/core/src/forwarding/configuration.ts
+++ b/packages/core/src/forwarding/configuration.ts
@@ -1,4 +1,5 @@
 import type { DataCentre, Workspace } from '../ports/index.js';
+import type { Region } from './home-regions.js';
 
 /** How often an endpoint may execute a request of a route, and how the response arrives. */
 export enum RouteType {
@@ -37,6 +38,8 @@
   readonly isPublic: boolean;
   /** A broken stream may be resumed at another endpoint after its last complete event. */
   readonly isResumable: boolean;
+  /** Regions whose endpoints alone may serve the route; undefined or empty if all may. */
+  readonly homeRegions: readonly Region[] | undefined;
 }
 
 /** Capacity of one endpoint of a group of model engines. */
@@ -90,6 +93,8 @@
   readonly priority: number | undefined;
   /** Undefined if the workspace has no rate limit. */
   readonly tokenRate: TokenRate | undefined;
+  /** As for a route; a request has to meet both restrictions. */
+  readonly homeRegions: readonly Region[] | undefined;
 }
 
 /** One version of the operators' configuration. */
--- a/packages/core/src/forwarding/create-sequence.ts
+++ b/packages/core/src/forwarding/create-sequence.ts
@@ -12,11 +12,11 @@
 /** Creates the sequence of attempts of one request. */
 export function createSequence(
   deps: ForwarderDependencies,
-  { budget, group, relayed, request, resolved, suspectIds }: RunContext,
+  { budget, group, homes, relayed, request, resolved, suspectIds }: RunContext,
   traits: SequenceTraits,
 ): AttemptSequence {
-  const { clock, crashGuard, dispatchWindow, pool, requestRelay, versions } =
-    deps;
+  const { clock, crashGuard, dispatchWindow } = deps;
+  const { dataCentres, pool, requestRelay, versions } = deps;
   const { attempts, isRepeatable } = traits;
   return new AttemptSequence({
     ...traits,
@@ -26,7 +26,9 @@
     budget,
     endpoints: new EndpointChoice({
       attempts,
+      dataCentres,
       group,
+      homes,
       request,
       isRepeatable,
       pool,
--- a/packages/core/src/forwarding/endpoint-choice.test.ts
+++ b/packages/core/src/forwarding/endpoint-choice.test.ts
@@ -43,6 +43,8 @@
   return new EndpointChoice({
     attempts,
     group: 'ledger',
+    homes: undefined,
+    dataCentres: { findBarrier: () => undefined },
     request: {
       requestId: 'r1',
       method: 'GET',
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -1,7 +1,9 @@
 import type { AttemptHistory } from './attempt-history.js';
+import type { DataCentreGate } from './data-centre-gate.js';
 import type { EndpointPool } from './endpoint-pool.js';
 import type { ForwardRequest } from './forward-request.js';
 import type { VersionConstraint, VersionSelector } from './forwarder.js';
+import type { RequestHomes } from './home-regions.js';
 import type { PoolQuery } from './pool-query.js';
 import type { PoolReservation } from './pool-reservation.js';
 import type { RelayedPart, RequestRelay } from './request-relay.js';
@@ -9,6 +11,9 @@
 export interface EndpointChoiceOptions {
   readonly attempts: AttemptHistory;
   readonly group: string;
+  /** Where the request may go; undefined if it has no home regions. */
+  readonly homes: RequestHomes | undefined;
+  readonly dataCentres: Pick<DataCentreGate, 'findBarrier'>;
   readonly request: ForwardRequest;
   /** Whether the request may be sent again to an endpoint that it reached. */
   readonly isRepeatable: boolean;
@@ -70,6 +75,11 @@
     return this.reserveOutside([attempts.triedIds(), silent], nowMs);
   }
 
+  /** Whether the endpoint of a reservation made earlier still accepts requests. */
+  isStillReady({ endpoint, isPeer }: PoolReservation, nowMs: number): boolean {
+    return isPeer === true || this.options.pool.isReady(endpoint.id, nowMs);
+  }
+
   /** Whether an endpoint that may get the request back still accepts requests. */
   hasLeft(nowMs: number): boolean {
     return this.isAnyReady(new Set(this.returnableIds()), nowMs);
@@ -127,9 +137,16 @@
   }
 
   private reservePeer(nowMs: number): PoolReservation | undefined {
-    const { group, relayed, requestRelay } = this.options;
+    const { dataCentres, group, homes, relayed, requestRelay } = this.options;
     if (relayed !== undefined) return undefined;
-    return requestRelay.reserve(group, new Set(this.triedIds), nowMs);
+    // Peers may send no more to these data centres than this daemon.
+    if (dataCentres.findBarrier(group, homes) !== undefined) return undefined;
+    return requestRelay.reserve(
+      group,
+      new Set(this.triedIds),
+      nowMs,
+      homes?.daemonDataCentres,
+    );
   }
 
   /** Returns whether only another daemon can still reach an endpoint for the request. */
@@ -168,7 +185,7 @@
     not,
     only,
   }: VersionConstraint): Omit<PoolQuery, 'excluded'> {
-    const { group, request } = this.options;
+    const { group, homes, request } = this.options;
     const { promptParts, usage } = request.metadata;
     return {
       group,
@@ -176,6 +193,7 @@
       promptTokens: usage?.promptTokens ?? 0,
       ...(only === undefined ? {} : { onlyVersion: only }),
       ...(not === undefined ? {} : { notVersion: not }),
+      ...(homes && { allowedDataCentres: homes.endpointDataCentres }),
     };
   }
 }
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -12,7 +12,7 @@
   expectedUncachedTokens,
   findPreferredMember,
   isOnTrial,
-  matchesVersion,
+  matchesQuery,
   recordResponse,
 } from './pool-member.js';
 import type { EndpointPoolOptions } from './pool-options.js';
@@ -158,7 +158,7 @@
         member.record.group === query.group &&
         this.isUsable(member, nowMs) &&
         !query.excluded.has(member.record.id) &&
-        matchesVersion(member.record, query) &&
+        matchesQuery(member.record, query) &&
         this.waitMs(member, nowMs) === 0,
     );
     const unlimited = usable.filter(
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 
+import { Evacuations } from '../../evacuations/index.js';
 import {
   ManualClock,
   noopLog,
@@ -17,6 +18,7 @@
   ANY_VERSION,
   ConfigurationStore,
   CrashDetector,
+  DataCentreGate,
   EndpointPool,
   Forwarder,
   ForwardError,
@@ -62,11 +64,13 @@
   readonly observedEnds: (boolean | undefined)[] = [];
   /** What responses told the guard of endpoints. */
   readonly guardedResponses: GuardedResponse[] = [];
+  readonly evacuations = new Evacuations();
   readonly pool = new EndpointPool(new SeededRandom(1), {
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
     timeMs: () => this.clock.nowMs(),
     engineMemoryTokens: () => undefined,
+    isEvacuated: dataCentre => this.evacuations.isEvacuated(dataCentre),
     limiter: UNLIMITED,
     paused: new PausedEndpoints({
       nowMs: () => this.clock.nowMs(),
@@ -133,6 +137,14 @@
       endpointListAgeMs: () => 0,
       tokenBuckets: new TokenBucketLedger(),
       retryBudgetOf: () => this.budget,
+      dataCentres: new DataCentreGate({
+        identity: {
+          dataCentre: 'north-1',
+          regions: { 'north-1': 'north', 'south-1': 'south' },
+        },
+        evacuations: this.evacuations,
+        endpoints: () => this.pool.endpoints(),
+      }),
       versions: {
         choose: () => ANY_VERSION,
         chooseForRetry: () => ANY_VERSION,
--- a/packages/core/src/forwarding/fakes/samples.ts
+++ b/packages/core/src/forwarding/fakes/samples.ts
@@ -24,6 +24,7 @@
     maxAttempts: 2,
     isPublic: false,
     isResumable: false,
+    homeRegions: undefined,
     ...overrides,
   };
 }
@@ -49,6 +50,7 @@
         apiKeys: ['key-1'],
         priority: undefined,
         tokenRate: undefined,
+        homeRegions: undefined,
       },
     ],
     ...overrides,
--- a/packages/core/src/forwarding/fakes/scripted-relay.ts
+++ b/packages/core/src/forwarding/fakes/scripted-relay.ts
@@ -15,6 +15,8 @@
   /** Requests by the peer that they were sent through. */
   readonly sent: { readonly peer: string; readonly lastEventId?: string }[] =
     [];
+  /** Data centres that the last reservation was restricted to. */
+  allowedDataCentres: ReadonlySet<string> | undefined;
   private isCutOff = false;
   private readonly listeners = new Set<() => void>();
 
@@ -40,7 +42,10 @@
   reserve(
     _group: string,
     excludedIds: ReadonlySet<string>,
+    _nowMs?: number,
+    allowedDataCentres?: ReadonlySet<string>,
   ): PoolReservation | undefined {
+    this.allowedDataCentres = allowedDataCentres;
     if (!this.isCutOff) return undefined;
     const id = [...this.responses.keys()].find(each => !excludedIds.has(each));
     if (id === undefined) return undefined;
--- a/packages/core/src/forwarding/forward-error.ts
+++ b/packages/core/src/forwarding/forward-error.ts
@@ -14,6 +14,10 @@
   /** All endpoints have reached the rate limits that they name. */
   RateLimited = 'rateLimited',
   NoEndpoint = 'noEndpoint',
+  /** All data centres that may serve the request are evacuated. */
+  Evacuated = 'evacuated',
+  /** The group has no endpoint in the home regions of the request. */
+  NoHomeRegion = 'noHomeRegion',
   /** The daemon is shutting down. */
   Stopping = 'stopping',
   /** The request timed out and no endpoint has executed it. */
@@ -37,6 +41,8 @@
   [ForwardErrorKind.Overloaded]: 503,
   [ForwardErrorKind.RateLimited]: 503,
   [ForwardErrorKind.NoEndpoint]: 503,
+  [ForwardErrorKind.Evacuated]: 503,
+  [ForwardErrorKind.NoHomeRegion]: 503,
   [ForwardErrorKind.Stopping]: 503,
   [ForwardErrorKind.TimedOutNotRun]: 503,
   [ForwardErrorKind.TimedOut]: 504,
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -322,10 +322,11 @@
     if (reason instanceof ForwardError && !mayHaveRun) return reason;
     if (this.sequence.obstacle === RetryObstacle.Stopping && !mayHaveRun)
       return daemonStoppingError();
-    const { clock, pool } = this.deps;
-    const { group } = this.context;
+    const { clock, dataCentres, pool } = this.deps;
+    const { group, homes } = this.context;
     return toForwardError({
       group,
+      barrier: dataCentres.findBarrier(group, homes),
       isTimedOut,
       mayHaveRun,
       last: last?.kind,
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -11,6 +11,8 @@
 import type { ConfigurationStore } from './configuration-store.js';
 import type { CrashDetector } from './crash-detector.js';
 import type { CrashGuard } from './crash-guard.js';
+import type { DataCentreGate } from './data-centre-gate.js';
+import { dataCentreBarrierError } from './data-centre-gate.js';
 import type { DispatchWindow } from './dispatch-window.js';
 import type { EndpointPool } from './endpoint-pool.js';
 import {
@@ -26,6 +28,7 @@
 } from './forward-request.js';
 import { deadlineOf } from './forward-request.js';
 import { ForwardRun } from './forward-run.js';
+import type { RequestHomes } from './home-regions.js';
 import { fingerprintOf, suspectIdsOf } from './request-fingerprint.js';
 import type { RelayedPart, RequestRelay } from './request-relay.js';
 import type { ResolvedRequest } from './resolve-request.js';
@@ -90,6 +93,7 @@
   readonly tokenBuckets: TokenBucketLedger;
   readonly retryBudgetOf: (group: string) => RetryAllowance;
   readonly versions: VersionSelector;
+  readonly dataCentres: DataCentreGate;
   readonly usageCounter: UsageCounter;
   readonly requestRelay: RequestRelay;
   readonly dispatchWindow: DispatchWindow;
@@ -102,6 +106,12 @@
   readonly suspectIds: readonly string[];
 }
 
+/** Group that serves a request, and where the request may go. */
+interface RequestTarget {
+  readonly group: string;
+  readonly homes: RequestHomes | undefined;
+}
+
 /** Forwards callers' requests to endpoints: resolves the route and workspace, applies the rate limit, runs the attempts, and records the outcome. */
 export class Forwarder {
   constructor(private readonly deps: ForwarderDependencies) {}
@@ -142,8 +152,9 @@
       resolved = this.resolve(request);
       this.rejectLate(request);
       this.rejectBlocked(resolved);
+      const target = this.chooseTarget(request, resolved);
       if (relayed === undefined) this.admit(request, resolved);
-      run = this.createRun(request, resolved, sink, relayed);
+      run = this.createRun(request, resolved, target, sink, relayed);
       await run.serve(signal);
       this.recordOutcome(requests, request, resolved, run, run.outcome);
     } catch (error) {
@@ -206,21 +217,13 @@
   private createRun(
     request: ForwardRequest,
     resolved: IdentifiedRequest,
+    { group, homes }: RequestTarget,
     sink: ResponseWriter,
     relayed: RelayedPart | undefined,
   ): ForwardRun {
-    const group = chooseGroup(resolved.route, request.requestId);
-    if (group === undefined) {
-      throw new ForwardError(
-        ForwardErrorKind.NoEndpoint,
-        `Route ${resolved.route.name} has no target with a weight; give one a weight above 0.`,
-        0,
-      );
-    }
-    const { retryBudgetOf } = this.deps;
-    const budget = retryBudgetOf(group);
+    const budget = this.deps.retryBudgetOf(group);
     const { suspectIds } = resolved;
-    const context = { request, resolved, suspectIds, group, budget };
+    const context = { request, resolved, suspectIds, group, budget, homes };
     return new ForwardRun(
       this.deps,
       relayed === undefined ? context : { ...context, relayed },
@@ -228,6 +231,26 @@
     );
   }
 
+  /** Returns where the request may go. Throws `ForwardError` if no data centre may serve it. */
+  private chooseTarget(
+    { requestId }: ForwardRequest,
+    { homeRegions, route }: IdentifiedRequest,
+  ): RequestTarget {
+    const { dataCentres } = this.deps;
+    const group = chooseGroup(route, requestId);
+    if (group === undefined) {
+      throw new ForwardError(
+        ForwardErrorKind.NoEndpoint,
+        `Route ${route.name} has no target with a weight; give one a weight above 0.`,
+        0,
+      );
+    }
+    const homes = dataCentres.homesOf(homeRegions);
+    const barrier = dataCentres.findBarrier(group, homes);
+    if (barrier !== undefined) throw dataCentreBarrierError(barrier, group);
+    return { group, homes };
+  }
+
   private recordOutcome(
     requests: 'requests' | 'relayedRequests',
     request: ForwardRequest,
--- a/packages/core/src/forwarding/pool-member.ts
+++ b/packages/core/src/forwarding/pool-member.ts
@@ -56,12 +56,13 @@
   };
 }
 
-/** Returns whether the query allows the endpoint's version. */
-export function matchesVersion(
-  { version }: EndpointRecord,
-  { notVersion, onlyVersion }: PoolQuery,
+/** Returns whether the query allows the endpoint's version and data centre. */
+export function matchesQuery(
+  { dataCentre, version }: EndpointRecord,
+  { allowedDataCentres, notVersion, onlyVersion }: PoolQuery,
 ): boolean {
   if (version === notVersion) return false;
+  if (allowedDataCentres?.has(dataCentre) === false) return false;
   return onlyVersion === undefined || version === onlyVersion;
 }
 
--- a/packages/core/src/forwarding/pool-query.ts
+++ b/packages/core/src/forwarding/pool-query.ts
@@ -1,3 +1,4 @@
+import type { DataCentre } from '../ports/index.js';
 import type { PromptPart } from './forward-request.js';
 
 /** Criteria for choosing an endpoint. */
@@ -11,4 +12,6 @@
   readonly excluded: ReadonlySet<string>;
   readonly promptParts: readonly PromptPart[];
   readonly promptTokens: number;
+  /** Data centres whose endpoints may be chosen; any if absent. */
+  readonly allowedDataCentres?: ReadonlySet<DataCentre>;
 }
--- a/packages/core/src/forwarding/request-relay.ts
+++ b/packages/core/src/forwarding/request-relay.ts
@@ -1,3 +1,4 @@
+import type { DataCentre } from '../ports/index.js';
 import { NotSentError } from '../ports/index.js';
 import type { EndpointRecord } from './endpoint-record.js';
 import type { ForwardRequest } from './forward-request.js';
@@ -25,11 +26,12 @@
 export interface RequestRelay {
   /** Whether this daemon reaches no endpoint of a group. */
   isUnreachable(group: string): boolean;
-  /** Reserves a peer that reaches a group's endpoints where this daemon does not; the reservation's endpoint is the peer. Undefined if this daemon reaches them, or no such peer is known. */
+  /** Reserves a peer, in one of the data centres if these are given, that reaches a group's endpoints where this daemon does not; the reservation's endpoint is the peer. Undefined if this daemon reaches them, or no such peer is known. */
   reserve(
     group: string,
     excludedIds: ReadonlySet<string>,
     nowMs: number,
+    allowedDataCentres?: ReadonlySet<DataCentre>,
   ): PoolReservation | undefined;
   /**
    * Sends a request through a peer. Throws `NotSentError` if the peer sent it to no
--- a/packages/core/src/forwarding/resolve-request.ts
+++ b/packages/core/src/forwarding/resolve-request.ts
@@ -2,6 +2,8 @@
 import type { ConfigurationStore } from './configuration-store.js';
 import { ForwardError, ForwardErrorKind } from './forward-error.js';
 import type { RequestMetadata } from './forward-request.js';
+import type { Region } from './home-regions.js';
+import { combineHomeRegions } from './home-regions.js';
 
 /** Retry delay while a daemon that has just started loads the configuration. */
 const CONFIGURATION_RETRY_MS = 500;
@@ -13,6 +15,8 @@
   readonly workspace: ForwardWorkspace | undefined;
   /** Version of the configuration used. */
   readonly configurationVersion: number;
+  /** Regions to which the request is restricted; undefined if it is not. */
+  readonly homeRegions: readonly Region[] | undefined;
 }
 
 /** Looks up the route and the workspace of a request. Throws `ForwardError` if either is unknown or no configuration is loaded. */
@@ -37,7 +41,7 @@
     );
   }
   const needsKey = store.current?.workspaces !== undefined && !route.isPublic;
-  if (!needsKey) return { route, workspace: undefined, configurationVersion };
+  if (!needsKey) return resolved(route, undefined, configurationVersion);
   const workspace =
     metadata.apiKey === undefined
       ? undefined
@@ -48,5 +52,17 @@
       'The API key is unknown; send a valid key.',
     );
   }
-  return { route, workspace, configurationVersion };
+  return resolved(route, workspace, configurationVersion);
+}
+
+function resolved(
+  route: ForwardRoute,
+  workspace: ForwardWorkspace | undefined,
+  configurationVersion: number,
+): ResolvedRequest {
+  const homeRegions = combineHomeRegions(
+    route.homeRegions,
+    workspace?.homeRegions,
+  );
+  return { route, workspace, configurationVersion, homeRegions };
 }
--- a/packages/core/src/forwarding/run-context.ts
+++ b/packages/core/src/forwarding/run-context.ts
@@ -1,5 +1,6 @@
 import type { RetryAllowance } from '../routing/index.js';
 import type { ForwardRequest } from './forward-request.js';
+import type { RequestHomes } from './home-regions.js';
 import type { RelayedPart } from './request-relay.js';
 import type { ResolvedRequest } from './resolve-request.js';
 
@@ -11,6 +12,8 @@
   readonly suspectIds: readonly string[];
   readonly group: string;
   readonly budget: RetryAllowance;
+  /** Where the request may go; undefined if it has no home regions. */
+  readonly homes: RequestHomes | undefined;
   /** Given if a peer passed the request on to this daemon for one attempt. */
   readonly relayed?: RelayedPart;
 }
--- a/packages/core/src/forwarding/run-failure.ts
+++ b/packages/core/src/forwarding/run-failure.ts
@@ -1,4 +1,6 @@
 import { AttemptEndKind } from './attempt-outcome.js';
+import type { DataCentreBarrier } from './data-centre-gate.js';
+import { dataCentreBarrierError } from './data-centre-gate.js';
 import {
   ForwardError,
   ForwardErrorKind,
@@ -8,6 +10,8 @@
 /** State of a run that ended without a response. */
 export interface RunFailure {
   readonly group: string;
+  /** Why no data centre may serve the request; undefined if one may. */
+  readonly barrier: DataCentreBarrier | undefined;
   readonly isTimedOut: boolean;
   readonly mayHaveRun: boolean;
   /** How the last attempt ended; undefined if there was none. */
@@ -25,6 +29,7 @@
 
 /** Returns the error by which the daemon itself answers the request. */
 export function toForwardError({
+  barrier,
   group,
   busyForMs,
   isTimedOut,
@@ -45,6 +50,7 @@
     );
   }
   if (isTimedOut) return timedOutNotRunError();
+  if (barrier !== undefined) return dataCentreBarrierError(barrier, group);
   const returnInMs = limitedForMs();
   const roomInMs = busyForMs();
   if (returnInMs !== undefined) {
--- a/packages/core/src/forwarding/shared-state.ts
+++ b/packages/core/src/forwarding/shared-state.ts
@@ -20,6 +20,7 @@
   maxAttempts: z.number(),
   isPublic: z.boolean(),
   isResumable: z.boolean(),
+  homeRegions: z.array(z.string()).optional(),
 });
 
 const scalingSchema = z.object({
@@ -48,6 +49,7 @@
   apiKeys: z.array(z.string()),
   priority: z.number().optional(),
   tokenRate: tokenRateSchema.optional(),
+  homeRegions: z.array(z.string()).optional(),
 });
 
 const configurationSchema = z.object({
--- a/packages/core/src/reachability/relay-peers.ts
+++ b/packages/core/src/reachability/relay-peers.ts
@@ -1,7 +1,7 @@
 import type { EndpointRecord, PoolReservation } from '../forwarding/index.js';
 import { AttemptVerdict, EndpointState } from '../forwarding/index.js';
 import type { ReceivedHints } from '../hints/index.js';
-import type { DaemonIdentity, Random } from '../ports/index.js';
+import type { DaemonIdentity, DataCentre, Random } from '../ports/index.js';
 import type { EndpointReachability } from './endpoint-reachability.js';
 
 export interface RelayPeersDependencies {
@@ -33,23 +33,27 @@
 
   constructor(private readonly deps: RelayPeersDependencies) {}
 
-  /** Reserves a peer that reaches the endpoints of a group; undefined if none is known that does. */
+  /** Reserves a peer, in one of the data centres if these are given, that reaches the endpoints of a group; undefined if none is known that does. */
   reserve(
     group: string,
     excludedIds: ReadonlySet<string>,
     nowMs: number,
+    allowedDataCentres?: ReadonlySet<DataCentre>,
   ): PoolReservation | undefined {
-    const candidates = this.candidates(group, excludedIds, nowMs);
+    const reaching = this.reachingPeers(group, excludedIds, nowMs);
+    const allowed = reaching.filter(each =>
+      isAllowed(each, allowedDataCentres),
+    );
+    const candidates = this.candidates(group, allowed, nowMs);
     const chosen = this.leastLoaded(candidates);
     return chosen && this.createReservation(chosen.peer, group);
   }
 
   private candidates(
     group: string,
-    excludedIds: ReadonlySet<string>,
+    all: readonly Candidate[],
     nowMs: number,
   ): readonly Candidate[] {
-    const all = this.reachingPeers(group, excludedIds, nowMs);
     const { unreachableSinceMs = nowMs } = this.deps.reachability.of(group);
     const tried = [
       all.filter(each => !this.isAvoided(each.peer.id, nowMs)),
@@ -149,6 +153,17 @@
   }
 }
 
+/** Returns whether a peer may get the body of a request with home regions, which it has to know of. */
+function isAllowed(
+  { hints, peer }: Candidate,
+  allowedDataCentres: ReadonlySet<DataCentre> | undefined,
+): boolean {
+  if (allowedDataCentres === undefined) return true;
+  // Builds that state no version of the evacuations do not know home regions either.
+  const knowsHomeRegions = hints.hints.evacuationsVersion !== undefined;
+  return knowsHomeRegions && allowedDataCentres.has(peer.dataCentre);
+}
+
 function heardAtMs({ hints }: Candidate, group: string): number {
   const heardAgeMs = hints.hints.reachability?.[group]?.heardAgeMs;
   return hints.receivedAtMs - (heardAgeMs ?? Infinity);
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -5,6 +5,7 @@
   UsageLedger,
   UsageReporter,
 } from '@skylarkreach/core/duties';
+import type { Evacuations } from '@skylarkreach/core/evacuations';
 import type {
   ConfigurationStore,
   EndpointPool,
@@ -35,6 +36,7 @@
 export interface GatewayDutiesDependencies {
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
+  readonly evacuations: Evacuations;
   readonly cluster: () => GatewayCluster;
   readonly rollouts: RolloutRegistry;
 }
@@ -94,6 +96,7 @@
       groups: () => deps.configuration.current?.groups ?? [],
       endpoints: () => deps.pool.endpoints(),
       runningIn: group => deps.pool.runningRequests(group),
+      isEvacuated: dataCentre => deps.evacuations.isEvacuated(dataCentre),
     });
     const rolloutWriter = new RolloutWriter({
       clock,
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -1,10 +1,10 @@
 import { BrittleEndpoints } from '@skylarkreach/core/brittle-endpoints';
 import { EndpointLimits } from '@skylarkreach/core/endpoint-limits';
 import { Evacuations } from '@skylarkreach/core/evacuations';
-import type { CallerLimits } from '@skylarkreach/core/forwarding';
 import {
   ConfigurationStore,
   CrashDetector,
+  DataCentreGate,
   EndpointPool,
   Forwarder,
   LeavingEndpoints,
@@ -45,6 +45,7 @@
   RateLimitedLog,
 } from '../telemetry/index.js';
 import { createOperatorWatch } from './create-operator-watch.js';
+import { DEFAULT_LIMITS } from './default-limits.js';
 import { createMonitor } from './dependency-monitor.js';
 import type { EndpointConnector } from './endpoint-client.js';
 import { EndpointClient } from './endpoint-client.js';
@@ -61,13 +62,6 @@
 import { StateReplicator } from './state-replicator.js';
 import { StopSchedule } from './stop-schedule.js';
 
-/** Limits that apply until the first configuration arrives. */
-const DEFAULT_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
 /** Interval between reads of the endpoint list, as a fraction of the drain bound. */
 const LISTING_INTERVAL_SHARE = 0.4; // a second read fits within the bound if one fails
 /** Age of the endpoint list from which a daemon that is no reader reads it, as a fraction of the drain bound. */
@@ -147,7 +141,11 @@
     ...context,
     nowMs: () => clock.nowMs(),
     probe: endpointClient,
-    endpoints: () => pool.endpoints(),
+    // Endpoints that get no requests may be down.
+    endpoints: () =>
+      pool
+        .endpoints()
+        .filter(each => !evacuations.isEvacuated(each.dataCentre)),
   });
   const { exposureShare, exposureSlack } = settings.bounds;
   const rollouts = new RolloutRegistry({
@@ -167,6 +165,7 @@
   const duties: GatewayDuties = new GatewayDuties(context, {
     configuration,
     pool,
+    evacuations,
     rollouts,
     cluster: () => cluster,
   });
@@ -227,6 +226,11 @@
     tokenBuckets,
     retryBudgetOf: group => retryBudgets.forGroup(group),
     versions: rollouts,
+    dataCentres: new DataCentreGate({
+      identity: settings.identity,
+      evacuations,
+      endpoints: () => pool.endpoints(),
+    }),
     usageCounter: duties.usageLedger,
     requestRelay,
     dispatchWindow: stopSchedule,
@@ -261,7 +265,6 @@
       ingress.applyLimits();
     },
   });
-  const isReader = () => cluster.readerRole.isReader();
   const operatorWatch: OperatorWatch = createOperatorWatch(context, {
     cluster,
     evacuations,
@@ -273,7 +276,7 @@
     monitor: createMonitor(context, 'endpoints', LogComponent.Routing),
     intervalMs: settings.bounds.drainMs * LISTING_INTERVAL_SHARE,
     maxFollowedAgeMs: settings.bounds.drainMs * LISTING_FOLLOWED_SHARE,
-    isReader,
+    isReader: () => cluster.readerRole.isReader(),
     lastPeerReadAtMs: () =>
       cluster.hintBoard.endpointReadAtMs(replicator.endpointsVersion),
     onListing: listing => {
--- a/packages/daemon/src/gateway/relay-client.ts
+++ b/packages/daemon/src/gateway/relay-client.ts
@@ -7,6 +7,7 @@
   Upstream,
 } from '@skylarkreach/core/forwarding';
 import { ForwardErrorKind } from '@skylarkreach/core/forwarding';
+import type { DataCentre } from '@skylarkreach/core/ports';
 import { NotSentError } from '@skylarkreach/core/ports';
 import type {
   EndpointReachability,
@@ -49,9 +50,11 @@
     group: string,
     excludedIds: ReadonlySet<string>,
     nowMs: number,
+    allowedDataCentres?: ReadonlySet<DataCentre>,
   ): PoolReservation | undefined {
     if (!this.isUnreachable(group)) return undefined;
-    return this.deps.peers.reserve(group, excludedIds, nowMs);
+    const { peers } = this.deps;
+    return peers.reserve(group, excludedIds, nowMs, allowedDataCentres);
   }
 
   onSilence(group: string, listener: () => void): () => void {
