--- a/packages/core/src/forwarding/configuration.ts
+++ b/packages/core/src/forwarding/configuration.ts
@@ -106,6 +106,8 @@
   readonly limits: CallerLimits;
   /** Undefined if no request needs an API key. */
   readonly workspaces: readonly ForwardWorkspace[] | undefined;
+  /** Whether the daemon that read the configuration knows home regions; absent in builds that leave them out. */
+  readonly knowsHomeRegions?: boolean;
 }
 
 /** Returns the names of the routes that have the group as a target. */
--- a/packages/core/src/forwarding/shared-state.ts
+++ b/packages/core/src/forwarding/shared-state.ts
@@ -63,6 +63,7 @@
     idleTimeoutMs: z.number(),
   }),
   workspaces: z.array(workspaceSchema).optional(),
+  knowsHomeRegions: z.boolean().optional(),
 });
 
 const endpointSchema = z.object({
--- a/packages/core/src/hints/hint-store.test.ts
+++ b/packages/core/src/hints/hint-store.test.ts
@@ -30,6 +30,22 @@
 }
 
 describe('HintStore', () => {
+  // A read by a peer that holds newer evacuations, or does not know them, would keep a daemon from reading its own.
+  it('confirms evacuations only by peers that hold no newer ones than this daemon', () => {
+    const store = new HintStore();
+    const read = { operatorReadAgeMs: 100, configurationVersion: 1 };
+    store.add(hints('old build', 1, read), 1_000, 1_000);
+    assert.equal(store.evacuationReadAtMs(7), -Infinity);
+    const newer = { ...read, evacuationsVersion: 8 };
+    store.add(hints('newer', 1, newer), 1_000, 1_000);
+    assert.equal(store.evacuationReadAtMs(7), -Infinity);
+    assert.equal(store.evacuationReadAtMs(8), 900);
+    const known = { ...read, evacuationsVersion: 7 };
+    store.add(hints('known', 1, known), 800, 800);
+    assert.equal(store.evacuationReadAtMs(7), 700);
+    assert.equal(store.operatorReadAtMs(1), 900);
+  });
+
   it('keeps the latest hints of each lifetime, whatever the order and number of messages', () => {
     const message = fc.record({ daemon: fc.nat(3), sequence: fc.nat(20) });
     fc.assert(
--- a/packages/core/src/reachability/relay-peers.test.ts
+++ b/packages/core/src/reachability/relay-peers.test.ts
@@ -19,6 +19,7 @@
   daemonId: string,
   reach: Reach | undefined,
   receivedAtMs = NOW_MS - 200,
+  evacuationsVersion?: number,
 ): ReceivedHints {
   const hints: DaemonHints = {
     daemonId,
@@ -33,6 +34,7 @@
     rollouts: [],
     holdsDuties: false,
     ...(reach && { reachability: { [GROUP]: reach } }),
+    ...(evacuationsVersion !== undefined && { evacuationsVersion }),
   };
   return { hints, receivedAtMs };
 }
@@ -59,7 +61,7 @@
     livePeers: () =>
       liveIds.map(id => ({
         id,
-        dataCentre: 'north-1',
+        dataCentre: id.startsWith('south') ? 'south-1' : 'north-1',
         peerAddress: `${id}:1`,
         callerUrl: '',
       })),
@@ -99,6 +101,20 @@
     assert.ok(other !== undefined);
   });
 
+  it('reserves a peer for a request with home regions only in the data centres given, and of a build that knows them', () => {
+    const peers = createPeers([
+      received('north/a', REACHES, NOW_MS - 200, 0),
+      received('south/old build', REACHES),
+    ]);
+    const south = new Set(['south-1']);
+    assert.equal(peers.reserve(GROUP, NONE, NOW_MS, south), undefined);
+    const both = new Set(['north-1', 'south-1']);
+    for (let count = 0; count < 20; count += 1) {
+      const reserved = peers.reserve(GROUP, NONE, NOW_MS, both);
+      assert.equal(reserved?.endpoint.id, 'north/a');
+    }
+  });
+
   it('spreads requests over 200 peers, so that none gets more than five times its share', () => {
     const peers = createPeers(
       Array.from({ length: 200 }, (_, index) => received(`d${index}`, REACHES)),
--- a/packages/daemon/src/gateway/index.ts
+++ b/packages/daemon/src/gateway/index.ts
@@ -2,6 +2,7 @@
 export * from './dependency-monitor.js';
 export * from './endpoint-client.js';
 export * from './endpoint-list-poller.js';
+export * from './evacuation-replicator.js';
 export * from './gateway.js';
 export * from './gateway-cluster.js';
 export * from './gateway-context.js';
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -152,6 +152,7 @@
   private applyGossip({ key, value, version }: ReplicatedValue): void {
     if (key === GossipKey.Configuration.valueOf()) {
       const next = parseSharedConfiguration(value);
+      this.checkHomeRegions(next);
       this.applyConfiguration(next, UpdateSource.Peer);
     }
     if (key === GossipKey.Rollouts.valueOf()) {
@@ -168,6 +169,14 @@
     }
   }
 
+  /** Throws if a peer left out home regions that this daemon may have to keep to. */
+  private checkHomeRegions({ knowsHomeRegions }: Configuration): void {
+    const { regions } = this.context.settings.identity;
+    const mayApply = Object.keys(regions).length > 0;
+    if (mayApply && knowsHomeRegions !== true)
+      throw new Error('The configuration was read without home regions.');
+  }
+
   private applyConfiguration(next: Configuration, source: UpdateSource): void {
     if (!this.deps.configuration.apply(next)) return;
     this.deps.onConfiguration();
--- a/packages/stand-ins/src/gateway/gateway-deployment.ts
+++ b/packages/stand-ins/src/gateway/gateway-deployment.ts
@@ -33,6 +33,8 @@
   readonly gateways: RunningGateway[] = [];
   storeAddress = ANY_PORT;
   cloudAddress = ANY_PORT;
+  /** Region of each data centre, in the settings of gateways that are started later. */
+  regions: Readonly<Record<string, string>> = {};
 
   /** `expose` returns the address that is registered for an endpoint's own. */
   constructor(
@@ -112,7 +114,12 @@
 
   private settings(daemonId: string, peerSecret: string): GatewaySettings {
     return gatewaySettingsSchema.parse({
-      identity: { daemonId, dataCentre: 'north-1', isFirstStart: true },
+      identity: {
+        daemonId,
+        dataCentre: 'north-1',
+        isFirstStart: true,
+        regions: this.regions,
+      },
       listen: {
         callers: ANY_PORT,
         readiness: ANY_PORT,
--- a/packages/stand-ins/src/gateway/gateway-evacuations.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-evacuations.test.ts
@@ -116,6 +116,61 @@
     await assertSpared();
   });
 
+  it('refuse a request at once as not run where all endpoints of its group are evacuated', async () => {
+    for (const each of DATA_CENTRES) order(each);
+    await waitFor(...DATA_CENTRES);
+    const before = DATA_CENTRES.map(runsIn);
+    for (const running of deployment.gateways) {
+      const { headers, statusCode } = await send(running);
+      assert.equal(statusCode, 503);
+      assert.ok(Number(headers['retry-after']) > 0);
+    }
+    assert.deepEqual(DATA_CENTRES.map(runsIn), before);
+  });
+
+  it('keep requests in their home regions, and refuse those that no home can serve', async () => {
+    deployment.regions = { 'north-1': 'north', 'south-1': 'south' };
+    const restarted = await deployment.addGateway('daemon-3');
+    const configure = async (version: number, allowedRegions: string[]) => {
+      deployment.writeConfiguration(version, { allowedRegions });
+      await waitUntil(() =>
+        deployment.gateways.every(
+          each => each.gateway.wiring.configuration.version === version,
+        ),
+      );
+    };
+    await configure(2, ['south']);
+    const before = runsIn('south-1');
+    const statuses = await Promise.all(
+      Array.from({ length: BURST }, () => send(restarted)),
+    );
+    assert.ok(statuses.every(({ statusCode }) => statusCode === 200));
+    assert.equal(runsIn('south-1') - before, BURST);
+    await configure(3, ['east']);
+    assert.equal((await send(restarted)).statusCode, 503);
+    // Without a table of regions, no data centre is a home.
+    const [without] = deployment.gateways;
+    assert.ok(without !== undefined);
+    assert.equal((await send(without)).statusCode, 503);
+  });
+
+  // A build that does not know home regions leaves them out of the configuration that it passes on.
+  it('do not apply a configuration of a build that does not know home regions', async () => {
+    deployment.regions = { 'north-1': 'north' };
+    const { wiring } = (await deployment.addGateway('daemon-3')).gateway;
+    const { current } = wiring.configuration;
+    const version = 1_000_000;
+    const shared = { ...current, version, knowsHomeRegions: undefined };
+    const value = JSON.stringify(shared);
+    const { store } = wiring.cluster.membership;
+    store.apply({ key: 'configuration', version, value });
+    assert.equal(wiring.configuration.version, 1);
+    const [without] = deployment.gateways;
+    await waitUntil(
+      () => without?.gateway.wiring.configuration.version === version,
+    );
+  });
+
   it('complete the requests that are in flight there', async () => {
     const slow = await deployment.addEndpoint(
       'slow',
--- /dev/null
+++ b/packages/stand-ins/src/gateway/settings-template.test.ts
@@ -0,0 +1,20 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { parseAnySettings } from '@skylarkreach/daemon';
+import {
+  createMachine,
+  renderSettings,
+} from '@skylarkreach/platform/stand-ins';
+
+describe('the template of the settings', () => {
+  it('gives this build the regions of the data centres and the bound on evacuations', () => {
+    const addresses = { store: '127.0.0.1:1', cloud: '127.0.0.1:2' };
+    const machine = createMachine('127.0.0.1', 'edge-1', addresses, []);
+    const settings = parseAnySettings('x.yaml', renderSettings(machine, true));
+    assert.ok('gateway' in settings);
+    const { bounds, identity } = settings.gateway;
+    assert.equal(identity.regions['south-1'], 'south');
+    assert.equal(bounds.evacuationMs, machine.values['Bounds.EvacuationMs']);
+  });
+});
--- a/packages/stand-ins/src/upgrade/daemon-builds.ts
+++ b/packages/stand-ins/src/upgrade/daemon-builds.ts
@@ -46,6 +46,8 @@
 export interface DaemonBuilds {
   readonly earlier: string;
   readonly present: string;
+  /** Template of the earlier build's settings, which both builds must be able to read: an upgrade leaves the settings as they are. */
+  readonly template: string;
   /** Deletes the programs. */
   readonly remove: () => void;
 }
@@ -61,7 +63,8 @@
     extract(commit, folder);
     const earlier = bundle(folder);
     const present = copyProgram(bundle(ROOT), folder);
-    return { earlier, present, remove };
+    const template = join(folder, 'platform', 'settings.template');
+    return { earlier, present, template, remove };
   } catch (error) {
     remove();
     throw error;
--- a/packages/stand-ins/src/upgrade/daemon-fleet.ts
+++ b/packages/stand-ins/src/upgrade/daemon-fleet.ts
@@ -31,7 +31,11 @@
   private readonly network = `127.${1 + ((process.pid >> 8) & 0x7f)}.${process.pid & 0xff}`;
   private readonly end = new AbortController();
 
-  constructor(private readonly platform: PlatformAddresses) {}
+  /** `template` is that of the settings of all processes. */
+  constructor(
+    private readonly platform: PlatformAddresses,
+    private readonly template: string,
+  ) {}
 
   /** Starts machines with the program and waits until all are ready. */
   async start(count: number, program: string): Promise<void> {
@@ -89,6 +93,7 @@
       this.folder,
       number,
       isFirstStart,
+      this.template,
     );
     this.processes.push(daemon);
     return daemon;
--- a/packages/stand-ins/src/upgrade/daemon-process.ts
+++ b/packages/stand-ins/src/upgrade/daemon-process.ts
@@ -42,10 +42,11 @@
     folder: string,
     number: number,
     isFirstStart: boolean,
+    template: string,
   ) {
     this.id = `${machine.name}/${number}`;
     const file = join(folder, `${machine.name}.yaml`);
-    writeFileSync(file, renderSettings(machine, isFirstStart));
+    writeFileSync(file, renderSettings(machine, isFirstStart, template));
     this.child = spawn(
       process.execPath,
       ['--import', CUTTER, program, '--settings', file],
--- a/packages/stand-ins/src/upgrade/mixed-builds-suite.ts
+++ b/packages/stand-ins/src/upgrade/mixed-builds-suite.ts
@@ -44,7 +44,7 @@
       sparedPorts = Object.values(addresses).map(address =>
         Number(String(address).split(':')[1]),
       );
-      fleet = new DaemonFleet(addresses);
+      fleet = new DaemonFleet(addresses, builds.template);
       callers = new UpgradeCallers(fleet, new SeededRandom(SEED));
       configuration = new ConfigurationProbe(platform.store, fleet);
       for (let count = 0; count < ENDPOINTS_PER_GROUP; count += 1) {
