Play evacuations in the process soak

The soak of daemon processes ordered no evacuation. Profile evacuations spreads the endpoints over three data centres and evacuates them, overlapping, beside kills, stops and cut links to the store; no endpoint may get a request later than 5 s after the order and before its end.

--- a/packages/stand-ins/src/process-soak/endpoint-faults.ts
+++ b/packages/stand-ins/src/process-soak/endpoint-faults.ts
@@ -67,13 +67,21 @@
   private readonly usable: EndpointServer[] = [];
   /** Time until which an endpoint is not silent again. */
   private readonly soundUntilMs = new Map<string, number>();
+  private readonly dataCentreById = new Map<string, string>();
   private added = 0;
 
   constructor(
     private readonly plan: SoakPlan,
     private readonly record: RecordAct,
+    /** Data centres of the endpoints, in turn. */
+    private readonly dataCentres: readonly string[] = ['north-1'],
   ) {}
 
+  /** Returns the data centre of an endpoint; undefined if there was none with the id. */
+  dataCentreOf(id: string): string | undefined {
+    return this.dataCentreById.get(id);
+  }
+
   async start(): Promise<void> {
     await this.deployment.start();
     for (const [group, count] of ENDPOINTS_BY_GROUP)
@@ -225,9 +233,14 @@
       eventGapMs: EVENT_GAP_MS,
       plainRunMs: PLAIN_RUN_MS,
     };
-    const born = Math.floor(Date.now());
+    const Zone =
+      this.dataCentreById.get(id) ??
+      this.dataCentres[this.added % this.dataCentres.length] ??
+      '';
+    this.dataCentreById.set(id, Zone);
+    const entry = { born: Math.floor(Date.now()), Zone };
     this.usable.push(
-      await this.deployment.addEndpoint(group, id, options, { born }),
+      await this.deployment.addEndpoint(group, id, options, entry),
     );
   }
 
--- a/packages/stand-ins/src/process-soak/loss-checks.ts
+++ b/packages/stand-ins/src/process-soak/loss-checks.ts
@@ -35,6 +35,7 @@
   Fail = 'fail',
   State = 'state',
   Probe = 'probe',
+  Evacuate = 'evacuate',
 }
 
 /** Detail of a stop after which the process had to be killed. */
@@ -43,7 +44,7 @@
 /** Something that a soak did, by `performance.now()`. */
 export interface SoakAct {
   readonly kind: ActKind;
-  /** Id of a daemon's process or of an endpoint; empty for the configuration. */
+  /** Id of a daemon's process or of an endpoint, or name of a data centre; empty for the configuration. */
   readonly subject: string;
   detail: string;
   readonly fromMs: number;
--- a/packages/stand-ins/src/process-soak/process-soak.test.ts
+++ b/packages/stand-ins/src/process-soak/process-soak.test.ts
@@ -13,6 +13,7 @@
   [SoakProfile.All, 90, DURATION_MS],
   [SoakProfile.Store, 4, SHORT_DURATION_MS],
   [SoakProfile.Silence, 4, SHORT_DURATION_MS],
+  [SoakProfile.Evacuations, 4, DURATION_MS],
 ];
 
 describe('daemons as processes under overlapping faults', () => {
--- a/packages/stand-ins/src/process-soak/process-soak.ts
+++ b/packages/stand-ins/src/process-soak/process-soak.ts
@@ -1,6 +1,12 @@
 import { findViolations, SoakPlan } from '../gateway/index.js';
 import { DaemonFault, DaemonFaults } from './daemon-faults.js';
 import { EndpointFaults, STREAM_EVENTS } from './endpoint-faults.js';
+import {
+  EvacuationFault,
+  EvacuationFaults,
+  findEvacuatedRuns,
+  SOAK_DATA_CENTRES,
+} from './evacuation-faults.js';
 import type { ProcessCall, SoakAct } from './loss-checks.js';
 import {
   ActKind,
@@ -14,6 +20,11 @@
 import { FAULTS_BY_PROFILE, SoakProfile } from './soak-profile.js';
 import { StoreFault, StoreFaults } from './store-faults.js';
 
+/** Profiles in which a daemon may have to answer with an error of its own. */
+const MAY_LOSE_ANSWERS: ReadonlySet<SoakProfile> = new Set([
+  SoakProfile.All,
+  SoakProfile.Evacuations,
+]);
 /** Series of faults that run beside each other. */
 const SERIES = 2;
 /** Time before a request from which a report names what was done. */
@@ -37,6 +48,7 @@
   private readonly endpoints: EndpointFaults;
   private readonly daemons: DaemonFaults;
   private readonly store: StoreFaults;
+  private readonly evacuations: EvacuationFaults;
   private readonly callers: SoakCallers;
   private readonly acts: SoakAct[] = [];
   private readonly startedAtMs = performance.now();
@@ -54,10 +66,15 @@
       return act;
     };
     this.plan = new SoakPlan(seed);
-    this.endpoints = new EndpointFaults(this.plan, record);
+    this.endpoints = new EndpointFaults(
+      this.plan,
+      record,
+      profile === SoakProfile.Evacuations ? SOAK_DATA_CENTRES : undefined,
+    );
     const { deployment } = this.endpoints;
     this.daemons = new DaemonFaults(program, this.plan, record, deployment);
     this.store = new StoreFaults(this.plan, record, deployment);
+    this.evacuations = new EvacuationFaults(this.plan, record, deployment);
     this.callers = new SoakCallers(this.plan, () => this.daemons.pickRouted());
   }
 
@@ -87,6 +104,7 @@
 
   private apply(fault: ProcessFault): Promise<void> {
     if (isOneOf(DaemonFault, fault)) return this.daemons.apply(fault);
+    if (isOneOf(EvacuationFault, fault)) return this.evacuations.evacuate();
     return isOneOf(StoreFault, fault)
       ? this.store.apply(fault)
       : this.endpoints.apply(fault);
@@ -108,9 +126,10 @@
     const lines = [
       ...findOverdueStops(acts),
       ...findLostRequests({ calls, runs, acts }),
-      ...(this.profile === SoakProfile.All
+      ...(MAY_LOSE_ANSWERS.has(this.profile)
         ? []
         : findFalseErrors({ calls, runs, acts })),
+      ...findEvacuatedRuns(runs, acts, id => this.endpoints.dataCentreOf(id)),
       ...findViolations({
         calls,
         runs,
--- a/packages/stand-ins/src/process-soak/soak-profile.ts
+++ b/packages/stand-ins/src/process-soak/soak-profile.ts
@@ -1,8 +1,10 @@
 import { DaemonFault } from './daemon-faults.js';
 import { EndpointFault } from './endpoint-faults.js';
+import { EvacuationFault } from './evacuation-faults.js';
 import { StoreFault } from './store-faults.js';
 
-export type ProcessFault = DaemonFault | EndpointFault | StoreFault;
+export type ProcessFault =
+  DaemonFault | EndpointFault | EvacuationFault | StoreFault;
 
 /** What a soak plays beside planned work. */
 export enum SoakProfile {
@@ -12,6 +14,8 @@
   Store = 'store',
   /** Silences of sound endpoints alone, which excuse no loss either. */
   Silence = 'silence',
+  /** Evacuations beside kills of daemons and trouble of their links to the store. */
+  Evacuations = 'evacuations',
 }
 
 const PLANNED_WORK: readonly ProcessFault[] = [
@@ -54,4 +58,13 @@
     ...SILENCES,
     DaemonFault.Stop,
   ],
+  [SoakProfile.Evacuations]: [
+    ...PLANNED_WORK,
+    DaemonFault.Kill,
+    DaemonFault.StoreLink,
+    EvacuationFault.Evacuate,
+    EvacuationFault.Evacuate,
+    EvacuationFault.Evacuate,
+    EvacuationFault.Evacuate,
+  ],
 };
