--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -138,7 +138,7 @@
 
   private reservePeer(nowMs: number): PoolReservation | undefined {
     const { dataCentres, group, homes, relayed, requestRelay } = this.options;
-    if (relayed !== undefined) return undefined;
+    if (relayed !== undefined || !this.isCutOff()) return undefined;
     // Peers may send no more to these data centres than this daemon.
     if (dataCentres.findBarrier(group, homes) !== undefined) return undefined;
     return requestRelay.reserve(
