--- a/packages/core/src/duties/fleet-scaler.ts
+++ b/packages/core/src/duties/fleet-scaler.ts
@@ -32,6 +32,8 @@
   readonly runningIn: (group: string) => number;
   /** Time from which the list of endpoints can be relied on to be complete. */
   readonly firstPlanAtMs: number;
+  /** Whether a data centre is to be left as it is, and its endpoints are not to count. */
+  readonly isEvacuated: (dataCentre: DataCentre) => boolean;
 }
 
 /** Last order sent for one kind of endpoint in a data centre. */
@@ -78,15 +80,17 @@
     group: string,
     scaling: ScalingSettings,
   ): readonly ScalingOrder[] {
-    const { clock, endpoints, runningIn } = this.deps;
+    const { clock, endpoints, isEvacuated, runningIn } = this.deps;
     const nowMs = clock.nowMs();
     const peak = this.peaks.get(group) ?? new SlidingWindowMax(PEAK_WINDOW_MS);
     this.peaks.set(group, peak);
     peak.add(runningIn(group), nowMs);
     const peakInFlight = peak.max(nowMs);
-    const members = endpoints().filter(endpoint => endpoint.group === group);
+    const members = endpoints().filter(
+      each => each.group === group && !isEvacuated(each.dataCentre),
+    );
     const plannedCounts = planFleet({
-      scaling,
+      scaling: this.withoutEvacuated(scaling),
       endpoints: members,
       peakInFlight,
       minRequired: this.provisionedFor(group).minRequired(
@@ -111,6 +115,14 @@
     return provisioned;
   }
 
+  /** Returns the settings of the data centres that may get orders. */
+  private withoutEvacuated(scaling: ScalingSettings): ScalingSettings {
+    const prices = Object.entries(scaling.pricesByDataCentre).filter(
+      ([dataCentre]) => !this.deps.isEvacuated(dataCentre),
+    );
+    return { ...scaling, pricesByDataCentre: Object.fromEntries(prices) };
+  }
+
   /** Returns the count of an order minus that of the order before it. */
   private countIncrease(order: ScalingOrder): number {
     return (
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -15,7 +15,7 @@
   expectedUncachedTokens,
   findPreferredMember,
   isOnTrial,
-  matchesVersion,
+  matchesQuery,
   recordResponse,
 } from './pool-member.js';
 import type { EndpointPoolOptions } from './pool-options.js';
@@ -157,7 +157,7 @@
         member.record.group === query.group &&
         this.isUsable(member, nowMs) &&
         !query.excluded.has(member.record.id) &&
-        matchesVersion(member.record, query) &&
+        matchesQuery(member.record, query) &&
         this.waitMs(member, nowMs) === 0,
     );
     const unlimited = usable.filter(
@@ -229,6 +229,7 @@
     return (
       record.state === EndpointState.Ready &&
       nowMs < usableUntilMs &&
+      this.options.isEvacuated?.(record.dataCentre) !== true &&
       !this.options.leaving.has(record) &&
       !this.misdirected.has(record.id, nowMs)
     );
--- a/packages/core/src/forwarding/pool-options.ts
+++ b/packages/core/src/forwarding/pool-options.ts
@@ -19,4 +19,6 @@
   readonly paused: PausedEndpoints;
   /** Absent where no endpoint is ever cold. */
   readonly coldStarts?: ColdStartGuard;
+  /** Whether the endpoints of a data centre get no requests by order of the operators; none are withheld if absent. */
+  readonly isEvacuated?: (dataCentre: DataCentre) => boolean;
 }
--- a/packages/core/src/forwarding/shared-state.ts
+++ b/packages/core/src/forwarding/shared-state.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 
+import type { EvacuationState } from '../evacuations/index.js';
 import type { Configuration } from './configuration.js';
 import { RouteType } from './configuration.js';
 import type { EndpointListing } from './endpoint-record.js';
@@ -19,6 +20,7 @@
   maxAttempts: z.number(),
   isPublic: z.boolean(),
   isResumable: z.boolean(),
+  homeRegions: z.array(z.string()).optional(),
 });
 
 const scalingSchema = z.object({
@@ -53,6 +55,7 @@
   apiKeys: z.array(z.string()),
   priority: z.number().optional(),
   tokenRate: tokenRateSchema.optional(),
+  homeRegions: z.array(z.string()).optional(),
 });
 
 const configurationSchema = z.object({
@@ -66,6 +69,7 @@
     idleTimeoutMs: z.number(),
   }),
   workspaces: z.array(workspaceSchema).optional(),
+  knowsHomeRegions: z.boolean().optional(),
 });
 
 const endpointSchema = z.object({
@@ -94,6 +98,11 @@
   durationMs: z.number(),
 });
 
+const evacuationsSchema = z.object({
+  revision: z.number(),
+  dataCentres: z.array(z.string()),
+});
+
 /**
  * Parses a configuration that a peer read from the store, which may run another
  * build. Throws `z.ZodError` or `SyntaxError` if a field is missing or unknown
@@ -113,6 +122,11 @@
   return checked(z.array(orderSchema), text) as readonly RolloutOrder[];
 }
 
+/** Parses the evacuated data centres likewise. */
+export function parseSharedEvacuations(text: string): EvacuationState {
+  return checked(evacuationsSchema, text) as EvacuationState;
+}
+
 /**
  * Returns the parsed text if it matches the schema, which accepts only what the
  * type describes; in JSON, fields that are undefined are absent.
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -7,6 +7,7 @@
   UsageReporter,
   UsageTeller,
 } from '@skylarkreach/core/duties';
+import type { Evacuations } from '@skylarkreach/core/evacuations';
 import type {
   ConfigurationStore,
   EndpointPool,
@@ -41,6 +42,7 @@
 export interface GatewayDutiesDependencies {
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
+  readonly evacuations: Evacuations;
   readonly cluster: () => GatewayCluster;
   readonly rollouts: RolloutRegistry;
 }
@@ -111,6 +113,7 @@
       endpoints: () => deps.pool.endpoints(),
       runningIn: group => deps.pool.runningRequests(group),
       firstPlanAtMs: clock.nowMs() + LISTING_SETTLE_MS,
+      isEvacuated: dataCentre => deps.evacuations.isEvacuated(dataCentre),
     });
     const rolloutWriter = new RolloutWriter({
       clock,
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -1,7 +1,8 @@
-import type { CallerLimits } from '@skylarkreach/core/forwarding';
+import { Evacuations } from '@skylarkreach/core/evacuations';
 import {
   ConfigurationStore,
   CrashDetector,
+  DataCentreGate,
   EndpointPool,
   Forwarder,
   ResponseMemory,
@@ -38,6 +39,8 @@
   PromMetrics,
   RateLimitedLog,
 } from '../telemetry/index.js';
+import { createOperatorWatch } from './create-operator-watch.js';
+import { DEFAULT_LIMITS } from './default-limits.js';
 import { createMonitor } from './dependency-monitor.js';
 import type { EndpointConnector } from './endpoint-client.js';
 import { EndpointClient } from './endpoint-client.js';
@@ -48,26 +51,17 @@
 import { GatewayDuties } from './gateway-duties.js';
 import { GatewayHints } from './gateway-hints.js';
 import { IngressServer } from './ingress-server.js';
-import { OperatorWatch } from './operator-watch.js';
+import type { OperatorWatch } from './operator-watch.js';
 import { RelayClient } from './relay-client.js';
 import { RelayServer } from './relay-server.js';
 import { RetryBudgets } from './retry-budgets.js';
 import { StateReplicator } from './state-replicator.js';
 import { StopSchedule } from './stop-schedule.js';
 
-/** Limits that apply until the first configuration arrives. */
-const DEFAULT_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
 /** Interval between reads of the endpoint list, as a fraction of the drain bound. */
 const LISTING_INTERVAL_SHARE = 0.4; // a second read fits within the bound if one fails
 /** Age of the endpoint list from which a daemon that is no reader reads it, as a fraction of the drain bound. */
 const LISTING_FOLLOWED_SHARE = 0.6; // with the jitter, a read still fits within the bound
-/** Age of the operators' state from which a daemon that is no reader reads it, as a fraction of the bound on its application. */
-const CONFIGURATION_FOLLOWED_SHARE = 0.7; // a read still fits within the bound
 /** Interval between checks of whether endpoints are to be probed. */
 const REACHABILITY_INTERVAL_MS = 200;
 /** Memory for the responses that are being received: four of the largest. */
@@ -79,6 +73,7 @@
 export interface GatewayWiring extends GatewayContext {
   readonly configuration: ConfigurationStore;
   readonly pool: EndpointPool;
+  readonly evacuations: Evacuations;
   readonly ingress: IngressServer;
   readonly stopSchedule: StopSchedule;
   readonly endpointClient: EndpointClient;
@@ -100,6 +95,7 @@
   const context = createContext(settings, clock, seed);
   const { log, platform } = context;
   const configuration = new ConfigurationStore();
+  const evacuations = new Evacuations();
   const groupOf = (name: string) =>
     configuration.current?.groups.find(group => group.name === name);
   const { coldStartsLoop, knownDaemons, ...guards } = createEndpointGuards(
@@ -112,12 +108,16 @@
     },
   );
   const { coldStarts } = guards;
+  evacuations.onEnd(dataCentre => {
+    coldStarts.recordEvacuationEnd(dataCentre);
+  });
   const pool = new EndpointPool(context.random, {
     dataCentre: settings.identity.dataCentre,
     prefillTokensPerMs: settings.routing.prefillTokensPerMs,
     timeMs: () => duties.trueTime.nowMs(),
     engineMemoryTokens: group => groupOf(group)?.engine?.cacheTokens,
     ...guards,
+    isEvacuated: dataCentre => evacuations.isEvacuated(dataCentre),
   });
   const tokenBuckets = new TokenBucketLedger({
     tolerance: {
@@ -139,7 +139,11 @@
     ...context,
     nowMs: () => clock.nowMs(),
     probe: endpointClient,
-    endpoints: () => pool.endpoints(),
+    // Endpoints that get no requests may be down.
+    endpoints: () =>
+      pool
+        .endpoints()
+        .filter(each => !evacuations.isEvacuated(each.dataCentre)),
   });
   const { exposureShare, exposureSlack } = settings.bounds;
   const rollouts = new RolloutRegistry({
@@ -159,6 +163,7 @@
   const duties: GatewayDuties = new GatewayDuties(context, {
     configuration,
     pool,
+    evacuations,
     rollouts,
     cluster: () => cluster,
   });
@@ -178,6 +183,7 @@
     endpointReadAtMs: () => endpointListPoller.lastReadAtMs(),
     operatorReadAtMs: () => operatorWatch.confirmedAtMs(),
     configurationVersion: () => configuration.version,
+    evacuationsVersion: () => replicator.evacuationsVersion,
   });
   const cluster: GatewayCluster = new GatewayCluster(context, hints, ids => {
     knownDaemons.recordListed(ids);
@@ -219,6 +225,11 @@
     tokenBuckets,
     retryBudgetOf: group => retryBudgets.forGroup(group),
     versions: rollouts,
+    dataCentres: new DataCentreGate({
+      identity: settings.identity,
+      evacuations,
+      endpoints: () => pool.endpoints(),
+    }),
     usageCounter: duties.usageLedger,
     requestRelay,
     dispatchWindow: stopSchedule,
@@ -247,25 +258,17 @@
     pool,
     rollouts,
     coldStarts,
+    evacuations,
     endpointClient,
     cluster,
     onConfiguration: () => {
       ingress.applyLimits();
     },
   });
-  const isReader = () => cluster.readerRole.isReader();
-  const operatorWatch: OperatorWatch = new OperatorWatch({
-    ...context,
-    isReader,
-    lastPeerReadAtMs: () =>
-      cluster.hintBoard.operatorReadAtMs(replicator.operatorsVersion),
-    maxFollowedAgeMs:
-      settings.bounds.configurationMs * CONFIGURATION_FOLLOWED_SHARE,
-    source: platform.operators,
-    monitor: createMonitor(context, 'operators', LogComponent.Configuration),
-    onState: state => {
-      replicator.handleOperatorState(state);
-    },
+  const operatorWatch: OperatorWatch = createOperatorWatch(context, {
+    cluster,
+    evacuations,
+    replicator,
   });
   const endpointListPoller: EndpointListPoller = new EndpointListPoller({
     ...context,
@@ -273,7 +276,7 @@
     monitor: createMonitor(context, 'endpoints', LogComponent.Routing),
     intervalMs: settings.bounds.drainMs * LISTING_INTERVAL_SHARE,
     maxFollowedAgeMs: settings.bounds.drainMs * LISTING_FOLLOWED_SHARE,
-    isReader,
+    isReader: () => cluster.readerRole.isReader(),
     lastPeerReadAtMs: () =>
       cluster.hintBoard.endpointReadAtMs(replicator.endpointsVersion),
     onListing: (listing, readAtMs) => {
@@ -309,6 +312,7 @@
     ...context,
     configuration,
     pool,
+    evacuations,
     ingress,
     stopSchedule,
     endpointClient,
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -1,3 +1,4 @@
+import type { Evacuations } from '@skylarkreach/core/evacuations';
 import type {
   ColdStartGuard,
   Configuration,
@@ -18,25 +19,22 @@
 import { parseSharedRollback } from '@skylarkreach/core/rollouts';
 
 import type { EndpointClient } from './endpoint-client.js';
+import { EvacuationReplicator } from './evacuation-replicator.js';
 import type { GatewayCluster } from './gateway-cluster.js';
 import type { GatewayContext } from './gateway-context.js';
+import { UpdateSource } from './update-source.js';
 
 /** Keys of the values that daemons gossip to one another. */
 enum GossipKey {
   Configuration = 'configuration',
   Endpoints = 'endpoints',
   Rollouts = 'rollouts',
+  Evacuations = 'evacuations',
 }
 
 /** Prefix of the keys of rollback decisions, one for each group, so that decisions need no merging; the version is the revision of the order. */
 const ROLLBACK_KEY_PREFIX = 'rollback/';
 
-/** Origin of an update, as logged. */
-enum UpdateSource {
-  Store = 'store',
-  Peer = 'peer',
-}
-
 /** Version below those of all configurations. */
 const NO_VERSION = -1;
 /** Time without a successful read of the endpoint list by any daemon that counts as an outage of the store. */
@@ -49,6 +47,7 @@
   readonly pool: EndpointPool;
   readonly rollouts: RolloutRegistry;
   readonly coldStarts: Pick<ColdStartGuard, 'applyListing'>;
+  readonly evacuations: Evacuations;
   readonly endpointClient: EndpointClient;
   readonly cluster: GatewayCluster;
   /** Called when a configuration has come into force. */
@@ -67,12 +66,21 @@
   private heldEndpointsVersion = 0;
   /** Whether peers sent orders that this daemon could not apply. */
   private lacksOrders = false;
+  private readonly evacuationReplicator: EvacuationReplicator;
 
   constructor(
     private readonly context: GatewayContext,
     private readonly deps: StateReplicatorDependencies,
   ) {
     this.lastConfirmedAtMs = context.clock.nowMs();
+    this.evacuationReplicator = new EvacuationReplicator({
+      ...context,
+      evacuations: deps.evacuations,
+      sharedVersion: () => this.gossipVersion(GossipKey.Evacuations),
+      publish: state => {
+        this.publish(GossipKey.Evacuations, state.revision, state);
+      },
+    });
     deps.cluster.membership.onValue(value => {
       this.tryApplyGossip(value);
     });
@@ -99,9 +107,16 @@
     return this.lacksOrders ? NO_VERSION : this.deps.configuration.version;
   }
 
-  /** Applies operator state read from the store and publishes its rollouts and configuration. */
+  /** Version of the evacuations that this daemon holds; undefined if peers sent one that it could not apply. */
+  get evacuationsVersion(): number | undefined {
+    return this.evacuationReplicator.heldVersion;
+  }
+
+  /** Applies operator state read from the store and publishes its evacuations, rollouts and configuration. */
   handleOperatorState(state: OperatorState): void {
     const { rollouts } = this.deps;
+    // Before the configuration, by which a starting daemon begins to serve.
+    this.evacuationReplicator.handleRead(state.evacuations);
     if (state.malformed > 0) this.reportMalformed(state);
     for (const order of state.rollouts) rollouts.applyOrder(order);
     for (const rollout of state.ended) rollouts.applyOutcome(rollout);
@@ -151,6 +166,7 @@
   private applyGossip({ key, value, version }: ReplicatedValue): void {
     if (key === GossipKey.Configuration.valueOf()) {
       const next = parseSharedConfiguration(value);
+      this.checkHomeRegions(next);
       this.applyConfiguration(next, UpdateSource.Peer);
     }
     if (key === GossipKey.Rollouts.valueOf()) {
@@ -159,6 +175,8 @@
     }
     if (key.startsWith(ROLLBACK_KEY_PREFIX))
       this.deps.rollouts.applyRollback(parseSharedRollback(value));
+    if (key === GossipKey.Evacuations.valueOf())
+      this.evacuationReplicator.handleShared(value);
     if (key === GossipKey.Endpoints.valueOf()) {
       const listing = parseSharedListing(value);
       this.sharedEndpointsJson = JSON.stringify(listing.endpoints);
@@ -167,6 +185,14 @@
     }
   }
 
+  /** Throws if a peer left out home regions that this daemon may have to keep to. */
+  private checkHomeRegions({ knowsHomeRegions }: Configuration): void {
+    const { regions } = this.context.settings.identity;
+    const mayApply = Object.keys(regions).length > 0;
+    if (mayApply && knowsHomeRegions !== true)
+      throw new Error('The configuration was read without home regions.');
+  }
+
   private applyConfiguration(next: Configuration, source: UpdateSource): void {
     if (!this.deps.configuration.apply(next)) return;
     this.deps.onConfiguration();
