--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -27,6 +27,7 @@
 /** Bounds of the sites in force. */
 const BOUNDS = {
   ConfigApplyMs: 2_000,
+  EvacuationMs: 5_000,
   DrainTimeoutMs: 2_000,
   GracePeriodS: 8,
   LeaseMs: 3_000,
@@ -105,6 +106,7 @@
         NodeName: `edge-${index + 1}`,
         Role: 'daemon',
         Zone,
+        Zones: Object.fromEntries(zones.map(zone => [zone, 'north'])),
         Ip,
         InternalPorts: [ports.Peers, ports.Peers + 15],
         Seeds,
