--- a/packages/stand-ins/src/gateway/settings-template.test.ts
+++ b/packages/stand-ins/src/gateway/settings-template.test.ts
@@ -17,4 +17,21 @@
     assert.equal(identity.regions['south-1'], 'south');
     assert.equal(bounds.evacuationMs, machine.values['Bounds.EvacuationMs']);
   });
+
+  // A field without a value kept every daemon from starting on platforms that state no such bound.
+  it('leaves out the bounds that the platform does not state', () => {
+    const addresses = { store: '127.0.0.1:1', cloud: '127.0.0.1:2' };
+    const machine = createMachine('127.0.0.1', 'edge-1', addresses, []);
+    const {
+      'Bounds.EvacuationMs': evacuationMs,
+      'Bounds.ColdOverage': coldOverage,
+      ...values
+    } = machine.values;
+    assert.ok(evacuationMs !== undefined && coldOverage !== undefined);
+    const text = renderSettings({ ...machine, values }, true);
+    const settings = parseAnySettings('x.yaml', text);
+    assert.ok('gateway' in settings);
+    assert.equal(settings.gateway.bounds.evacuationMs, 5_000);
+    assert.equal(settings.gateway.bounds.coldOverage, 1);
+  });
 });
