Add a queue for first attempts at a gateway

Gateways send every request at once, also where engines have no capacity, and engines reject much of it. A request may now wait in a queue of its group before its endpoint is reserved, ordered by whether it can still meet its objective, by priority, by workspace and by deadline. Requests in flight are limited by what endpoints report and reject. Off by default (queue.isEnabled).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -30,6 +30,7 @@
   rollouts: ['ports', 'moves', 'forwarding'],
   quarantine: ['ports', 'forwarding'],
   'endpoint-limits': ['ports', 'membership', 'routing', 'forwarding'],
+  'dispatch-queue': ['ports', 'forwarding'],
   hints: ['ports', 'forwarding', 'quarantine', 'rollouts', 'endpoint-limits'],
   duties: ['ports', 'leases', 'forwarding', 'hints'],
   pipeline: [
--- /dev/null
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -0,0 +1,274 @@
+import type {
+  GatedCall,
+  GroupRoom,
+  PoolReservation,
+  ReportedLoad,
+} from '../forwarding/index.js';
+import {
+  daemonStoppingError,
+  ForwardError,
+  ForwardErrorKind,
+} from '../forwarding/index.js';
+import { LogComponent } from '../ports/index.js';
+import { DispatchQueue } from './dispatch-queue.js';
+import type { QueueGateDependencies, Reserve } from './queue-gate.js';
+import type { QueueDecision, QueuedRequest } from './queued-request.js';
+import { QueueDecisionKind, QueueRefusal } from './queued-request.js';
+import { ServiceTimes } from './service-times.js';
+
+/** Longest time between two looks at a queue in which requests wait. */
+const ADVANCE_INTERVAL_MS = 50; // a fraction of the shortest latency objective
+/** Share of its time limit above which a request's expected service time is not taken, so that slow responses cannot make a group refuse all. */
+const MAX_SERVICE_SHARE = 0.5;
+
+interface Waiter {
+  readonly request: QueuedRequest;
+  readonly call: GatedCall;
+  readonly reserve: Reserve;
+  readonly resolve: (reservation: PoolReservation | undefined) => void;
+  readonly reject: (error: unknown) => void;
+}
+
+/** Request that was sent and holds a place. */
+interface Sent {
+  readonly route: string;
+  readonly sentAtMs: number;
+  hasResponded: boolean;
+}
+
+/** Timers, waiting callers and telemetry of the queue of one group. */
+export class GroupGate {
+  private readonly queue: DispatchQueue;
+  private readonly waiters = new Map<string, Waiter>();
+  private readonly sent = new Map<string, Sent>();
+  private readonly serviceTimes = new ServiceTimes();
+  private isTimerRunning = false;
+  private checkedVersion = 0;
+
+  constructor(
+    private readonly group: string,
+    private readonly deps: QueueGateDependencies,
+  ) {
+    this.queue = new DispatchQueue(deps);
+  }
+
+  async reserve(
+    key: string,
+    call: GatedCall,
+    reserve: Reserve,
+    signal: AbortSignal,
+    isStopping: boolean,
+  ): Promise<PoolReservation | undefined> {
+    const nowMs = this.deps.clock.nowMs();
+    const request = this.toQueued(key, call);
+    const decision = this.queue.offer(request, this.room(nowMs), nowMs);
+    if (decision.kind === QueueDecisionKind.Refuse) {
+      const error = this.refuse(decision, call, nowMs);
+      throw error;
+    }
+    const sent = new Promise<PoolReservation | undefined>((resolve, reject) => {
+      this.waiters.set(key, { request, call, reserve, resolve, reject });
+    });
+    if (decision.kind === QueueDecisionKind.Send) {
+      this.send(key, nowMs);
+    } else if (isStopping) {
+      this.refuseWaiting();
+    }
+    this.advance(nowMs);
+    if (!this.waiters.has(key)) return sent;
+    const onAbort = () => {
+      this.leave(key);
+    };
+    signal.addEventListener('abort', onAbort, { once: true });
+    if (signal.aborted) onAbort();
+    void this.runTimer();
+    try {
+      return await sent;
+    } finally {
+      signal.removeEventListener('abort', onAbort);
+    }
+  }
+
+  recordResponse(key: string, nowMs: number): void {
+    const sent = this.sent.get(key);
+    if (sent === undefined || sent.hasResponded) return;
+    sent.hasResponded = true;
+    this.serviceTimes.record(sent.route, nowMs - sent.sentAtMs);
+  }
+
+  /** Frees the place of a request, whether it waits or was sent. */
+  close(key: string): void {
+    this.leave(key);
+    if (!this.sent.delete(key)) return;
+    this.queue.release();
+    this.advanceWaiting();
+  }
+
+  recordLoad(load: ReportedLoad, nowMs: number): void {
+    this.queue.recordLoad(load, nowMs);
+    this.advanceWaiting();
+  }
+
+  recordRejection(nowMs: number): void {
+    this.queue.recordRejection(nowMs);
+  }
+
+  refuseWaiting(): void {
+    this.apply(this.queue.refuseWaiting(), this.deps.clock.nowMs());
+  }
+
+  dumpState(nowMs: number): unknown {
+    return {
+      waiting: this.queue.length,
+      inFlight: this.queue.inFlight,
+      inFlightLimit: this.queue.inFlightLimit(nowMs),
+      room: this.room(nowMs),
+    };
+  }
+
+  private toQueued(key: string, call: GatedCall): QueuedRequest {
+    const { bytes, deadlineAtMs, objectiveAtMs, priority } = call;
+    const { receivedAtMs, route, workspace } = call;
+    const maxServiceMs = (deadlineAtMs - receivedAtMs) * MAX_SERVICE_SHARE;
+    return {
+      requestId: key,
+      workspace,
+      priority,
+      receivedAtMs,
+      objectiveAtMs,
+      deadlineAtMs,
+      expectedServiceMs: Math.min(
+        this.serviceTimes.expectedMs(route),
+        maxServiceMs,
+      ),
+      bytes,
+    };
+  }
+
+  private room(nowMs: number): GroupRoom {
+    return this.deps.room(this.group, nowMs);
+  }
+
+  private advanceWaiting(): void {
+    if (this.waiters.size > 0) this.advance(this.deps.clock.nowMs());
+  }
+
+  private advance(nowMs: number): void {
+    this.recheckAfterChange();
+    this.apply(this.queue.advance(this.room(nowMs), nowMs), nowMs);
+    this.report(nowMs);
+  }
+
+  private apply(decisions: readonly QueueDecision[], nowMs: number): void {
+    for (const decision of decisions) {
+      if (decision.kind === QueueDecisionKind.Refuse) {
+        const waiter = this.takeWaiter(decision.requestId);
+        waiter?.reject(this.refuse(decision, waiter.call, nowMs));
+      } else {
+        this.send(decision.requestId, nowMs);
+      }
+    }
+  }
+
+  private send(key: string, nowMs: number): void {
+    const waiter = this.waiters.get(key);
+    if (waiter === undefined) return;
+    const { call, request, reserve, resolve } = waiter;
+    const reservation = reserve(nowMs);
+    if (reservation === undefined && this.isClosedForNow(nowMs)) {
+      this.queue.putBack(request);
+      return;
+    }
+    this.waiters.delete(key);
+    const { route } = call;
+    this.sent.set(key, { route, sentAtMs: nowMs, hasResponded: false });
+    const waitedMs = nowMs - call.receivedAtMs;
+    const { metrics } = this.deps;
+    metrics.timingMs('queue.wait', waitedMs, { group: this.group });
+    resolve(reservation);
+  }
+
+  /** Whether the group has endpoints, and none of them may be sent a request now. */
+  private isClosedForNow(nowMs: number): boolean {
+    const { openSlots, totalSlots } = this.room(nowMs);
+    return totalSlots > 0 && openSlots === 0;
+  }
+
+  /** Ends the wait of a request whose caller has left or whose deadline has passed. */
+  private leave(key: string): void {
+    this.queue.remove(key);
+    this.takeWaiter(key)?.resolve(undefined);
+  }
+
+  private takeWaiter(key: string): Waiter | undefined {
+    const waiter = this.waiters.get(key);
+    this.waiters.delete(key);
+    return waiter;
+  }
+
+  /** Refuses waiting requests whose route or workspace a new configuration lacks. */
+  private recheckAfterChange(): void {
+    const version = this.deps.configurationVersion();
+    if (version === this.checkedVersion) return;
+    this.checkedVersion = version;
+    for (const [key, { call, reject }] of this.waiters) {
+      try {
+        call.recheck();
+      } catch (error) {
+        this.queue.remove(key);
+        this.waiters.delete(key);
+        reject(error);
+      }
+    }
+  }
+
+  /** Looks at the queue at intervals while requests wait: one timer for all of them. */
+  private async runTimer(): Promise<void> {
+    if (this.isTimerRunning) return;
+    this.isTimerRunning = true;
+    const { clock, nextPoll } = this.deps;
+    while (this.waiters.size > 0) {
+      await clock.waitUntil(clock.nowMs() + ADVANCE_INTERVAL_MS);
+      // After a pause of the process, callers that have left are found first.
+      await nextPoll();
+      this.advanceWaiting();
+    }
+    this.isTimerRunning = false;
+  }
+
+  private refuse(
+    decision: QueueDecision & { readonly kind: QueueDecisionKind.Refuse },
+    { requestId, route }: GatedCall,
+    nowMs: number,
+  ): ForwardError {
+    const { log, metrics } = this.deps;
+    const { reason, retryInMs } = decision;
+    const { group, queue } = this;
+    metrics.increment('queue.refusals', 1, { group, reason });
+    log.info(LogComponent.Forwarding, 'A queue has refused a request.', {
+      requestId,
+      group,
+      route,
+      reason,
+      retryInMs: Math.round(retryInMs),
+      waiting: queue.length,
+      inFlight: queue.inFlight,
+      inFlightLimit: Math.round(queue.inFlightLimit(nowMs)),
+    });
+    if (reason === QueueRefusal.Stopping) return daemonStoppingError();
+    return new ForwardError(
+      ForwardErrorKind.Overloaded,
+      `The endpoints of group ${group} are overloaded; send the request again later.`,
+      retryInMs,
+    );
+  }
+
+  private report(nowMs: number): void {
+    const { metrics } = this.deps;
+    const { group, queue } = this;
+    const tags = { group };
+    metrics.gauge('queue.waiting', queue.length, tags);
+    metrics.gauge('queue.inFlight', queue.inFlight, tags);
+    metrics.gauge('queue.inFlightLimit', queue.inFlightLimit(nowMs), tags);
+  }
+}
--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -5,6 +5,7 @@
 import type { AttemptOutcome } from './attempt-outcome.js';
 import { AttemptEndKind } from './attempt-outcome.js';
 import type { CrashGuard } from './crash-guard.js';
+import type { GatePass } from './dispatch-gate.js';
 import type { DispatchWindow } from './dispatch-window.js';
 import type { EndpointChoice } from './endpoint-choice.js';
 import type { PoolReservation } from './pool-reservation.js';
@@ -72,6 +73,24 @@
     return reservation;
   }
 
+  /**
+   * Reserves the endpoint of the first attempt once the request may be sent.
+   * Throws `ForwardError` if it is refused.
+   */
+  async firstWithin(pass: GatePass): Promise<PoolReservation | undefined> {
+    const { clock, endpoints, signal } = this.options;
+    // A daemon that reaches no endpoint knows nothing of their capacity.
+    if (endpoints.isCutOff()) return this.first();
+    const reservation = await pass.reserve(
+      nowMs => endpoints.reserve(nowMs),
+      signal,
+    );
+    if (reservation !== undefined && !signal.aborted) return reservation;
+    reservation?.release(undefined, clock.nowMs());
+    this.obstacle = RetryObstacle.NoEndpoint;
+    return undefined;
+  }
+
   /**
    * Reserves the endpoint of the attempt that follows another; resolves with
    * undefined if none does. A response that has begun may wait until one can: its
--- a/packages/core/src/forwarding/create-sequence.ts
+++ b/packages/core/src/forwarding/create-sequence.ts
@@ -32,6 +32,7 @@
       pool,
       versions,
       requestRelay,
+      prefersRoom: deps.dispatchGate !== undefined,
       relayed,
     }),
     suspectIds,
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -15,6 +15,8 @@
   readonly pool: EndpointPool;
   readonly versions: VersionSelector;
   readonly requestRelay: RequestRelay;
+  /** Whether endpoints without known capacity are chosen last. */
+  readonly prefersRoom?: boolean;
   /** Given if a peer passed the request on to this daemon. */
   readonly relayed: RelayedPart | undefined;
 }
@@ -145,25 +147,37 @@
     exclusions: readonly ReadonlySet<string>[],
     nowMs: number,
   ): PoolReservation | undefined {
-    const { attempts, group, pool, versions } = this.options;
+    const { attempts, group, versions } = this.options;
     const rule =
       this.triedIds.length === 0
         ? versions.choose(group)
         : versions.chooseForRetry(group);
     const query = this.queryFor(rule);
     for (const excluded of exclusions) {
-      const reserved = pool.reserve({ ...query, excluded }, nowMs);
+      const reserved = this.reserveIn({ ...query, excluded }, nowMs);
       if (reserved !== undefined) return reserved;
     }
     if (rule.only === undefined) return undefined;
     // The version on trial has no usable endpoint; fall back to any other version.
     const { onlyVersion, ...rest } = query;
-    return pool.reserve(
+    return this.reserveIn(
       { ...rest, excluded: attempts.triedIds(), notVersion: onlyVersion ?? '' },
       nowMs,
     );
   }
 
+  private reserveIn(
+    query: PoolQuery,
+    nowMs: number,
+  ): PoolReservation | undefined {
+    const { pool, prefersRoom } = this.options;
+    const withRoom =
+      prefersRoom === true
+        ? pool.reserve({ ...query, requiresRoom: true }, nowMs)
+        : undefined;
+    return withRoom ?? pool.reserve(query, nowMs);
+  }
+
   private queryFor({
     not,
     only,
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -1,8 +1,11 @@
 import type { Random } from '../ports/index.js';
+import type { GroupRoom } from './dispatch-gate.js';
 import { EndpointLifetimes } from './endpoint-lifetimes.js';
+import type { EndpointLoad } from './endpoint-load.js';
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
 import { EndpointState } from './endpoint-record.js';
 import { findRetainable } from './endpoint-retention.js';
+import { hasRecentReport, matchesRoom, roomOf } from './group-room.js';
 import { MisdirectedEndpoints } from './misdirected-endpoints.js';
 import type { PoolMember } from './pool-member.js';
 import {
@@ -20,21 +23,12 @@
 import type { PoolReservation } from './pool-reservation.js';
 import { AttemptVerdict } from './pool-reservation.js';
 
-/** Load that one daemon has at an endpoint, as sent to its peers. */
-export interface EndpointLoad {
-  readonly running: number;
-  /** Uncached prompt tokens of the requests whose first event has not arrived. */
-  readonly backlogTokens: number;
-}
-
 /** Cost at a failure share of 1: about one failed attempt and its retry. */
 const FAILURE_PENALTY_MS = 2_000;
 /** Time that each running request adds to the decoding steps of an engine's response. */
 const RUNNING_REQUEST_COST_MS = 4; // 0.03 ms per step, as the users specify, for some 100 steps
 /** Cost of sending to another data centre: one round trip. */
 const REMOTE_DATA_CENTRE_COST_MS = 1;
-/** Age from which an endpoint's load report is ignored. */
-const MAX_LOAD_REPORT_AGE_MS = 1_000; // most requests take less
 /** Weight of the uncached tokens of a request: their prefill delays all later requests too. */
 const UNCACHED_TOKEN_WEIGHT = 6; // docs/decisions/0010-platform.md, 'Weighed'
 /** Maximum random addition to a cost, so that daemons with equal state do not all choose the same endpoint. */
@@ -138,9 +132,7 @@
 
   /** Returns the endpoints of a group that accept new requests. */
   readyEndpoints(group: string, nowMs: number): readonly EndpointRecord[] {
-    return [...this.membersById.values()]
-      .filter(each => each.record.group === group && this.isUsable(each, nowMs))
-      .map(each => each.record);
+    return this.usableMembers(group, nowMs).map(each => each.record);
   }
 
   /** Returns whether an endpoint accepts new requests. */
@@ -153,13 +145,12 @@
   /** Reserves the endpoint with the lowest expected latency; returns undefined if none is usable. */
   reserve(query: PoolQuery, nowMs: number): PoolReservation | undefined {
     const { limiter } = this.options;
-    const usable = [...this.membersById.values()].filter(
+    const usable = this.usableMembers(query.group, nowMs).filter(
       member =>
-        member.record.group === query.group &&
-        this.isUsable(member, nowMs) &&
         !query.excluded.has(member.record.id) &&
         matchesVersion(member.record, query) &&
-        this.waitMs(member, nowMs) === 0,
+        this.waitMs(member, nowMs) === 0 &&
+        matchesRoom(member, query, this.runningAt(member, nowMs)),
     );
     const unlimited = usable.filter(
       member => limiter.waitMs(member.record) === undefined,
@@ -201,13 +192,19 @@
    * undefined if one may be now, or none accepts new requests.
    */
   busyForMs(group: string, nowMs: number): number | undefined {
-    const waitsMs = [...this.membersById.values()]
-      .filter(each => each.record.group === group && this.isUsable(each, nowMs))
-      .map(each => this.waitMs(each, nowMs));
+    const waitsMs = this.usableMembers(group, nowMs).map(each =>
+      this.waitMs(each, nowMs),
+    );
     const waitMs = Math.min(...waitsMs);
     return waitMs > 0 && Number.isFinite(waitMs) ? waitMs : undefined;
   }
 
+  /** Returns the capacity of a group's endpoints that accept new requests. */
+  room(group: string, nowMs: number): GroupRoom {
+    const isOpen = (member: PoolMember) => this.waitMs(member, nowMs) === 0;
+    return roomOf(this.usableMembers(group, nowMs), isOpen, nowMs);
+  }
+
   /** Returns the endpoints with the state that their selection depends on, for the operators. */
   dumpState(nowMs: number): unknown {
     return [...this.membersById.values()].map(member => ({
@@ -222,6 +219,12 @@
     }));
   }
 
+  private usableMembers(group: string, nowMs: number): readonly PoolMember[] {
+    return [...this.membersById.values()].filter(
+      each => each.record.group === group && this.isUsable(each, nowMs),
+    );
+  }
+
   private isUsable(
     { record, usableUntilMs }: PoolMember,
     nowMs: number,
@@ -296,9 +299,8 @@
     const knownRunning =
       member.running + (this.peerWorkById.get(member.record.id)?.running ?? 0);
     const { reportedLoad } = member;
-    const isReportRecent =
-      nowMs - member.loadReportedAtMs < MAX_LOAD_REPORT_AGE_MS;
-    if (reportedLoad === undefined || !isReportRecent) return knownRunning;
+    if (reportedLoad === undefined || !hasRecentReport(member, nowMs))
+      return knownRunning;
     const reportedRunning =
       reportedLoad.running + reportedLoad.waiting + member.sentSinceLoadReport;
     return Math.max(knownRunning, reportedRunning);
@@ -339,6 +341,7 @@
         member.reportedLoad = load;
         member.loadReportedAtMs = atMs;
         member.sentSinceLoadReport = 0;
+        this.options.loadObserver?.recordLoad(query.group, load, atMs);
       },
       recordLeaving: () => {
         this.options.leaving.record(member.record);
@@ -351,6 +354,8 @@
         if (!isRejection || limitPerSecond !== undefined)
           limiter.recordResponse(member.record, limitPerSecond, nowMs);
         dispatch.recordResponse({ isRejection, maxRejectionsPerSecond });
+        if (isRejection)
+          this.options.loadObserver?.recordRejection(query.group, nowMs);
       },
       recordSilence: atMs => {
         member.health.record(true, atMs);
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -16,6 +16,7 @@
 import { daemonStoppingError, ForwardError } from './forward-error.js';
 import { deadlineOf } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
+import { openPass, urgencyOf } from './gated-call.js';
 import { runPeerAttempt } from './peer-attempt.js';
 import type { PoolReservation } from './pool-reservation.js';
 import { RetryObstacle } from './retry-obstacle.js';
@@ -39,6 +40,7 @@
   private readonly sequence: AttemptSequence;
   private readonly relay: StreamRelay | undefined;
   private readonly record: RunRecord;
+  private readonly pass: ReturnType<typeof openPass>;
   private isTimedOut = false;
   private isUsageCounted = false;
   /** Response to send if no later attempt gives a better one. */
@@ -54,6 +56,7 @@
     const { group, request, resolved } = context;
     this.deadlineAtMs = deadlineOf(request, resolved.route);
     this.attempts = new AttemptHistory(context.relayed?.excludedIds);
+    this.pass = openPass(deps, context, this.deadlineAtMs);
     this.sequence = createSequence(deps, context, {
       attempts: this.attempts,
       signal: this.runAbort.signal,
@@ -69,7 +72,9 @@
   /** Resolves once the response is sent or the caller has disconnected; the signal is aborted then, or with a `ForwardError` that ends the request. Throws `ForwardError` only before any part of the response is sent. */
   async serve(signal: AbortSignal): Promise<void> {
     const { budget, relayed } = this.context;
-    if (relayed === undefined) budget.recordFirstAttempt();
+    // A request that waits for capacity counts once it is sent.
+    if (relayed === undefined && this.pass === undefined)
+      budget.recordFirstAttempt();
     const onAbort = () => {
       this.runAbort.abort();
     };
@@ -84,6 +89,7 @@
       signal.removeEventListener('abort', onAbort);
       timer.abort();
       this.sequence.close();
+      this.pass?.close();
       this.heldResponse?.memory.close();
     }
   }
@@ -107,7 +113,11 @@
 
   private async runAttempts(signal: AbortSignal): Promise<void> {
     let last: AttemptOutcome | undefined;
-    let reservation = this.sequence.first();
+    const { pass, sequence } = this;
+    let reservation =
+      pass === undefined ? sequence.first() : await sequence.firstWithin(pass);
+    if (pass !== undefined && reservation !== undefined)
+      this.context.budget.recordFirstAttempt();
     while (reservation !== undefined) {
       last = await (reservation.isPeer === true
         ? this.attemptThrough(reservation)
@@ -212,7 +222,7 @@
         endpointId: endpoint.id,
         workspace: resolved.workspace?.workspace,
         lastEventId: this.relay?.lastEventId,
-        urgency: undefined,
+        urgency: urgencyOf(this.deps, this.context),
       }),
     });
     stopListening();
@@ -336,7 +346,9 @@
 
   /** Records that an endpoint has started the request, and counts it once for its workspace. */
   private recordStarted(startedAgoMs: number): void {
-    this.record.recordResponse(this.deps.clock.nowMs());
+    const nowMs = this.deps.clock.nowMs();
+    this.record.recordResponse(nowMs);
+    this.pass?.recordResponse(nowMs);
     // The daemon that took a request from its caller counts it.
     if (this.isUsageCounted || this.context.relayed !== undefined) return;
     this.isUsageCounted = true;
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -11,6 +11,7 @@
 import type { ConfigurationStore } from './configuration-store.js';
 import type { CrashDetector } from './crash-detector.js';
 import type { CrashGuard } from './crash-guard.js';
+import type { DaemonShedder, DispatchGate } from './dispatch-gate.js';
 import type { DispatchWindow } from './dispatch-window.js';
 import type { EndpointPool } from './endpoint-pool.js';
 import {
@@ -94,6 +95,12 @@
   readonly requestRelay: RequestRelay;
   readonly dispatchWindow: DispatchWindow;
   readonly responseMemory: ResponseMemory;
+  /** Where requests wait for capacity; they never wait if absent. */
+  readonly dispatchGate?: DispatchGate | undefined;
+  /** Refuses what this daemon is too slow to forward, if given. */
+  readonly shedder?: DaemonShedder | undefined;
+  /** Whether engines are told the priority of requests. */
+  readonly sendsPriority?: () => boolean;
 }
 
 /** Request with its route, its workspace and what identifies repetitions of it. */
@@ -164,6 +171,29 @@
     if (!dispatchWindow.isOpenUntil(deadlineAtMs)) throw daemonStoppingError();
   }
 
+  /** Throws `ForwardError` if this daemon is too slow for a request of which only the head was read. */
+  rejectExcess(head: RequestHead): void {
+    const { clock, configuration, metrics, shedder } = this.deps;
+    if (shedder === undefined) return;
+    const { metadata, receivedAtMs, target } = head;
+    const route = configuration.findRoute(metadata.host, target);
+    if (route === undefined) return;
+    const workspace = configuration.findByKey(metadata.apiKey ?? '');
+    const request = {
+      priority: workspace?.priority ?? route.priority,
+      objectiveAtMs: receivedAtMs + route.latencyObjectiveMs,
+      deadlineAtMs: deadlineOf(head, route),
+    };
+    const retryInMs = shedder.refusedForMs(request, clock.nowMs());
+    if (retryInMs === undefined) return;
+    metrics.increment('daemon.shed', 1, { route: route.name });
+    throw new ForwardError(
+      ForwardErrorKind.Overloaded,
+      'This daemon is overloaded; send the request again later.',
+      retryInMs,
+    );
+  }
+
   private resolve(request: ForwardRequest): IdentifiedRequest {
     const { configuration } = this.deps;
     const { metadata, target } = request;
--- /dev/null
+++ b/packages/core/src/forwarding/gated-call.ts
@@ -0,0 +1,50 @@
+import type { GatePass } from './dispatch-gate.js';
+import type { ForwarderDependencies } from './forwarder.js';
+import { resolveRequest } from './resolve-request.js';
+import type { RunContext } from './run-context.js';
+
+/** Greatest number that stands for a priority at engines. */
+const MAX_URGENCY = 9; // as the users specify
+
+/**
+ * Opens the place of a request in the queue of its group. Undefined if there is
+ * no queue, or if a peer passed the request on, where it has waited.
+ */
+export function openPass(
+  { configuration, dispatchGate }: ForwarderDependencies,
+  context: RunContext,
+  deadlineAtMs: number,
+): GatePass | undefined {
+  const { group, relayed, request, resolved } = context;
+  if (relayed !== undefined) return undefined;
+  const { body, metadata, receivedAtMs, requestId, target } = request;
+  const { route, workspace } = resolved;
+  return dispatchGate?.open({
+    requestId,
+    group,
+    route: route.name,
+    workspace: workspace?.workspace ?? '',
+    priority: priorityOf(context),
+    receivedAtMs,
+    objectiveAtMs: receivedAtMs + route.latencyObjectiveMs,
+    deadlineAtMs,
+    bytes: body?.byteLength ?? 0,
+    recheck: () => {
+      resolveRequest(configuration, metadata, target);
+    },
+  });
+}
+
+/** Returns the priority that engines are told; undefined if they are told none. */
+export function urgencyOf(
+  { sendsPriority }: ForwarderDependencies,
+  context: RunContext,
+): number | undefined {
+  if (sendsPriority?.() !== true) return undefined;
+  return Math.min(priorityOf(context), MAX_URGENCY);
+}
+
+function priorityOf({ resolved }: RunContext): number {
+  const { route, workspace } = resolved;
+  return workspace?.priority ?? route.priority;
+}
--- a/packages/core/src/forwarding/pool-options.ts
+++ b/packages/core/src/forwarding/pool-options.ts
@@ -1,4 +1,5 @@
 import type { DataCentre } from '../ports/index.js';
+import type { LoadObserver } from './dispatch-gate.js';
 import type { EndpointLimiter } from './endpoint-limiter.js';
 import type { LeavingEndpoints } from './leaving-endpoints.js';
 import type { OverloadGuard } from './overload-guard.js';
@@ -16,4 +17,6 @@
   readonly overloadGuard: OverloadGuard;
   readonly leaving: LeavingEndpoints;
   readonly paused: PausedEndpoints;
+  /** Told of the load and the rejections of endpoints, if given. */
+  readonly loadObserver?: LoadObserver | undefined;
 }
--- a/packages/core/src/forwarding/pool-query.ts
+++ b/packages/core/src/forwarding/pool-query.ts
@@ -11,4 +11,6 @@
   readonly excluded: ReadonlySet<string>;
   readonly promptParts: readonly PromptPart[];
   readonly promptTokens: number;
+  /** Skips endpoints whose known load leaves no capacity. */
+  readonly requiresRoom?: boolean;
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway-queue.ts
@@ -0,0 +1,59 @@
+import { QueueGate } from '@skylarkreach/core/dispatch-queue';
+import type {
+  ConfigurationStore,
+  EndpointPool,
+  ForwarderDependencies,
+} from '@skylarkreach/core/forwarding';
+import { LogComponent } from '@skylarkreach/core/ports';
+
+import { nextPoll } from '../http/index.js';
+import type { Loop } from '../loops/index.js';
+import { createPollerLoop } from '../loops/index.js';
+import type { GatewayCluster } from './gateway-cluster.js';
+import type { GatewayContext } from './gateway-context.js';
+import { LoopDelayMeter } from './loop-delay-meter.js';
+
+/** Parts of a gateway that are created after its queues. */
+export interface GatewayQueueSources {
+  readonly pool: EndpointPool;
+  readonly cluster: GatewayCluster;
+}
+
+/** Queues of a gateway with what measures its own load; without both where the settings do not enable them. */
+export class GatewayQueue {
+  readonly gate: QueueGate | undefined;
+  readonly loops: readonly Loop[];
+  /** Part of the forwarder's dependencies. */
+  readonly forwarding: Pick<
+    ForwarderDependencies,
+    'dispatchGate' | 'shedder' | 'sendsPriority'
+  >;
+
+  constructor(
+    context: GatewayContext,
+    configuration: ConfigurationStore,
+    sources: () => GatewayQueueSources,
+  ) {
+    const { queue } = context.settings;
+    const sendsPriority = () => queue.sendsPriority;
+    if (!queue.isEnabled) {
+      this.loops = [];
+      this.forwarding = { sendsPriority };
+      return;
+    }
+    this.gate = new QueueGate({
+      ...context,
+      nextPoll,
+      limits: () => queue,
+      daemonCount: () => sources().cluster.size,
+      room: (group, nowMs) => sources().pool.room(group, nowMs),
+      configurationVersion: () => configuration.version,
+    });
+    const meter = new LoopDelayMeter(context);
+    this.loops = [
+      createPollerLoop(context, LogComponent.Daemon, 'loopDelay', meter),
+    ];
+    const { shedder } = meter;
+    this.forwarding = { dispatchGate: this.gate, shedder, sendsPriority };
+  }
+}
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -19,7 +19,6 @@
 import {
   EndpointReachability,
   ObservedUpstream,
-  RelayPeers,
 } from '@skylarkreach/core/reachability';
 import { RolloutRegistry } from '@skylarkreach/core/rollouts';
 import {
@@ -35,7 +34,6 @@
 import { nextPoll } from '../http/index.js';
 import type { Loop } from '../loops/index.js';
 import { createIntervalLoop, createPollerLoop } from '../loops/index.js';
-import { MessageSigner } from '../peers/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import {
   createNonBlockingOutput,
@@ -51,9 +49,10 @@
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayDuties } from './gateway-duties.js';
 import { GatewayHints } from './gateway-hints.js';
+import { GatewayQueue } from './gateway-queue.js';
 import { IngressServer } from './ingress-server.js';
 import { OperatorWatch } from './operator-watch.js';
-import { RelayClient } from './relay-client.js';
+import { createRelayClient } from './relay-client.js';
 import { RelayServer } from './relay-server.js';
 import { RetryBudgets } from './retry-budgets.js';
 import { StateReplicator } from './state-replicator.js';
@@ -91,6 +90,7 @@
   readonly relayServer: RelayServer;
   readonly cluster: GatewayCluster;
   readonly duties: GatewayDuties;
+  readonly queue: GatewayQueue;
   readonly loops: readonly Loop[];
 }
 
@@ -118,7 +118,11 @@
   const endpointLimits = new EndpointLimits(sharing);
   const brittleEndpoints = new BrittleEndpoints(sharing);
   const leavingEndpoints = new LeavingEndpoints(sharing);
-  const pool = new EndpointPool(context.random, {
+  const queue = new GatewayQueue(context, configuration, () => ({
+    pool,
+    cluster,
+  }));
+  const pool: EndpointPool = new EndpointPool(context.random, {
     dataCentre: settings.identity.dataCentre,
     prefillTokensPerMs: settings.routing.prefillTokensPerMs,
     timeMs: () => duties.trueTime.nowMs(),
@@ -129,6 +133,7 @@
     overloadGuard: brittleEndpoints,
     leaving: leavingEndpoints,
     paused: new PausedEndpoints(sharing),
+    loadObserver: queue.gate,
   });
   const tokenBuckets = new TokenBucketLedger({
     tolerance: {
@@ -157,10 +162,7 @@
       routes: routeNamesFor(configuration.current, group),
     }),
   });
-  const quarantine = new RequestQuarantine({
-    ...context,
-    nowMs: () => clock.nowMs(),
-  });
+  const quarantine = new RequestQuarantine(sharing);
   const duties: GatewayDuties = new GatewayDuties(context, {
     configuration,
     pool,
@@ -187,16 +189,10 @@
     knownDaemons.recordListed(ids);
   });
   const peerConnections = new EndpointClient(platform.protocol);
-  const requestRelay = new RelayClient({
+  const requestRelay = createRelayClient(context, {
     reachability,
     upstream: peerConnections,
-    signer: new MessageSigner(settings.peerSecret, clock),
-    peers: new RelayPeers({
-      ...context,
-      reachability,
-      livePeers: () => cluster.membership.live(),
-      freshHints: nowMs => cluster.hintBoard.freshHints(nowMs),
-    }),
+    cluster,
   });
   const retryBudgets = new RetryBudgets(
     settings.bounds,
@@ -227,6 +223,7 @@
     requestRelay,
     dispatchWindow: stopSchedule,
     responseMemory: new ResponseMemory(context, RESPONSE_MEMORY_BYTES),
+    ...queue.forwarding,
   });
   const limits = () => configuration.current?.limits ?? DEFAULT_LIMITS;
   const relayServer = new RelayServer({
@@ -303,6 +300,7 @@
       REACHABILITY_INTERVAL_MS,
       () => reachability.step(),
     ),
+    ...queue.loops,
     ...cluster.loops,
     ...duties.loops,
   ];
@@ -317,6 +315,7 @@
     relayServer,
     cluster,
     duties,
+    queue,
     loops,
   };
 }
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -79,12 +79,15 @@
   /** Applies changed seeds and bounds at once, and logs changed sections that need a restart. */
   applySettings(next: GatewaySettings): void {
     const { log, settings } = this.wiring;
-    const needsRestart = RESTART_SECTIONS.filter(
+    const needsRestart: string[] = RESTART_SECTIONS.filter(
       section =>
         JSON.stringify(next[section]) !== JSON.stringify(settings[section]),
     );
     settings.platform.seeds = next.platform.seeds;
     Object.assign(settings.bounds, next.bounds);
+    const { isEnabled } = settings.queue;
+    if (next.queue.isEnabled !== isEnabled) needsRestart.push('queue');
+    Object.assign(settings.queue, next.queue, { isEnabled });
     log.info(LogComponent.Daemon, 'The settings have changed.', {
       needsRestart: needsRestart.join(','),
     });
@@ -116,6 +119,7 @@
       answersInProgress: ingress.answersInProgress,
     });
     ingress.startDraining();
+    this.wiring.queue.gate?.startStopping();
     const { cluster, duties, relayServer } = this.wiring;
     void duties.release();
     void cluster.membership.leave();
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -190,6 +190,7 @@
       exchange.requestId = requestId;
       const head = { metadata, target: request.url ?? '/', receivedAtMs };
       this.deps.forwarder.rejectLate(head);
+      this.deps.forwarder.rejectExcess(head);
       this.reader.checkHeaders(request);
       const body = await Promise.race([
         this.reader.readBody(request),
@@ -290,6 +291,7 @@
     const isEarly =
       kind === ForwardErrorKind.BadRequest ||
       kind === ForwardErrorKind.Stopping ||
+      kind === ForwardErrorKind.Overloaded ||
       kind === ForwardErrorKind.TimedOutNotRun ||
       kind === ForwardErrorKind.BodyTooLarge ||
       kind === ForwardErrorKind.HeadersTooLarge ||
--- a/packages/daemon/src/gateway/relay-client.ts
+++ b/packages/daemon/src/gateway/relay-client.ts
@@ -8,12 +8,12 @@
 } from '@skylarkreach/core/forwarding';
 import { ForwardErrorKind } from '@skylarkreach/core/forwarding';
 import { NotSentError } from '@skylarkreach/core/ports';
-import type {
-  EndpointReachability,
-  RelayPeers,
-} from '@skylarkreach/core/reachability';
+import type { EndpointReachability } from '@skylarkreach/core/reachability';
+import { RelayPeers } from '@skylarkreach/core/reachability';
 
-import type { MessageSigner } from '../peers/index.js';
+import { MessageSigner } from '../peers/index.js';
+import type { GatewayCluster } from './gateway-cluster.js';
+import type { GatewayContext } from './gateway-context.js';
 import {
   encodeRelayMessage,
   RELAY_PATH,
@@ -131,3 +131,28 @@
   }
   return { byName, others };
 }
+
+/** Creates the relay client of a gateway, which finds peers by its cluster's hints. */
+export function createRelayClient(
+  context: GatewayContext,
+  {
+    cluster,
+    reachability,
+    upstream,
+  }: Pick<RelayClientDependencies, 'reachability' | 'upstream'> & {
+    readonly cluster: GatewayCluster;
+  },
+): RelayClient {
+  const { clock, settings } = context;
+  return new RelayClient({
+    reachability,
+    upstream,
+    signer: new MessageSigner(settings.peerSecret, clock),
+    peers: new RelayPeers({
+      ...context,
+      reachability,
+      livePeers: () => cluster.membership.live(),
+      freshHints: nowMs => cluster.hintBoard.freshHints(nowMs),
+    }),
+  });
+}
--- a/packages/daemon/src/settings/gateway-settings.ts
+++ b/packages/daemon/src/settings/gateway-settings.ts
@@ -64,6 +64,18 @@
       prefillTokensPerMs: z.number().positive().default(90),
     })
     .prefault({}),
+  /** Queues in which requests wait for the capacity of their group. */
+  queue: z
+    .strictObject({
+      isEnabled: z.boolean().default(false),
+      /** Maximum number of requests that wait for one group. */
+      maxRequests: z.number().int().positive().default(256),
+      /** Maximum sum of the bodies of the requests that wait for one group. */
+      maxBytes: z.number().int().positive().default(16_777_216),
+      /** Whether engines are told the priority of requests. */
+      sendsPriority: z.boolean().default(false),
+    })
+    .prefault({}),
 });
 
 export type GatewaySettings = z.output<typeof gatewaySettingsSchema>;
