--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -1,5 +1,6 @@
 import type { GroupRoom, ReportedLoad } from '../forwarding/index.js';
 import type { Random } from '../ports/index.js';
+import { findDisplaced } from './displacement.js';
 import { DrainRate } from './drain-rate.js';
 import { InFlightLimit } from './in-flight-limit.js';
 import type {
@@ -8,7 +9,13 @@
   QueueLimits,
 } from './queued-request.js';
 import { QueueDecisionKind, QueueRefusal } from './queued-request.js';
-import { compareClasses, compareRequests, isTooLate } from './request-order.js';
+import {
+  compareClasses,
+  compareRequests,
+  isTooLate,
+  isUseful,
+} from './request-order.js';
+import { spreadReturnMs } from './return-time.js';
 import { WorkspaceShares } from './workspace-shares.js';
 
 /** One in this many requests that leave the queue is the oldest, so that no kind of request starves. */
@@ -21,9 +28,8 @@
 const WAIT_CHECK_INTERVAL_MS = 250;
 /** Expected time to a free place while the rate is not known. */
 const UNKNOWN_WAIT_MS = 500; // the time in which a first event arrives
-/** Share of its remaining time for which a caller waits at most before it returns. */
-const MAX_RETURN_SHARE = 1 / 3; // as callers do
-const MIN_RETURN_MS = 50;
+/** Share of the limit up to which requests are sent that can no longer meet their objective. */
+const LATE_SHARE = 0.75; // a late response is worth a tenth; the rest is for the useful ones that arrive next
 
 export interface DispatchQueueOptions {
   readonly random: Random;
@@ -41,12 +47,12 @@
  */
 export class DispatchQueue {
   private waiting: readonly QueuedRequest[] = [];
-  private waitingBytes = 0;
   private inFlightCount = 0;
-  private sentFromQueue = 0;
+  private restsUntilMs = -Infinity;
+  private sentFromQueue = 1;
   private beyondLimitAtMs: readonly number[] = [];
   private checkWaitsAtMs = 0;
-  private evicted: readonly QueuedRequest[] = [];
+  private displaced: readonly QueuedRequest[] = [];
   private equalShare = 0;
   private readonly shares = new WorkspaceShares();
   private readonly limit = new InFlightLimit();
@@ -76,7 +82,8 @@
     this.updateShare(room);
     if (nowMs >= request.deadlineAtMs)
       return this.refuse(request, QueueRefusal.TooLate, nowMs);
-    if (this.waiting.length === 0 && this.hasRoom(room, nowMs))
+    const isFirst = this.waiting.length === 0;
+    if (isFirst && this.hasRoom(room, nowMs) && this.maySend(request, nowMs))
       return this.send(request, nowMs);
     const ahead = this.waiting.filter(
       other => compareRequests(other, request, nowMs) <= 0,
@@ -92,10 +99,10 @@
   /** Returns the requests to send now, in order, and those to refuse. Called when capacity may have become available, and at least every 50 ms. */
   advance(room: GroupRoom, nowMs: number): readonly QueueDecision[] {
     this.updateShare(room);
-    const decisions = this.evicted.map(each =>
+    const decisions = this.displaced.map(each =>
       this.refuse(each, QueueRefusal.QueueFull, nowMs),
     );
-    this.evicted = [];
+    this.displaced = [];
     const late = this.waiting.filter(each => isTooLate(each, nowMs));
     decisions.push(...this.refuseAll(late, QueueRefusal.TooLate, nowMs));
     while (this.waiting.length > 0 && this.hasRoom(room, nowMs)) {
@@ -113,26 +120,33 @@
   remove(requestId: string): void {
     const request = this.waiting.find(each => each.requestId === requestId);
     if (request !== undefined) this.take(request);
-    this.evicted = this.evicted.filter(each => each.requestId !== requestId);
+    this.displaced = this.displaced.filter(
+      each => each.requestId !== requestId,
+    );
   }
 
   /** Puts a request back that was to be sent and for which no endpoint could be reserved. */
   putBack(request: QueuedRequest): void {
-    this.release();
+    this.inFlightCount -= 1;
     this.add(request);
   }
 
-  /** Frees the place of a request that was sent. */
-  release(): void {
+  /**
+   * Frees the place that a request held for `heldMs`. Under a limit below one the
+   * place then rests, so that the limit holds on average.
+   */
+  release(heldMs: number, nowMs: number): void {
     this.inFlightCount -= 1;
+    this.limit.recordHold(heldMs);
+    const limit = this.inFlightLimit(nowMs);
+    if (limit < 1) this.restsUntilMs = nowMs + heldMs * (1 / limit - 1);
   }
 
   /** Refuses all waiting requests, as the daemon stops; another one can take them at once. */
   refuseWaiting(): readonly QueueDecision[] {
-    const refused = [...this.evicted, ...this.waiting];
-    this.evicted = [];
+    const refused = [...this.displaced, ...this.waiting];
+    this.displaced = [];
     this.waiting = [];
-    this.waitingBytes = 0;
     return refused.map(({ requestId }) => ({
       kind: QueueDecisionKind.Refuse,
       requestId,
@@ -160,7 +174,9 @@
     // Without endpoints the request is refused, or passed to a peer, on the way.
     if (room.totalSlots === 0) return true;
     if (room.openSlots === 0) return false;
-    if (this.inFlightCount < this.inFlightLimit(nowMs)) return true;
+    const limit = this.inFlightLimit(nowMs);
+    const isRested = limit >= 1 || nowMs >= this.restsUntilMs;
+    if (this.inFlightCount < limit && isRested) return true;
     if (!room.isKnown) return this.inFlightCount < this.equalShare;
     this.beyondLimitAtMs = this.beyondLimitAtMs.filter(
       atMs => nowMs - atMs < REPORT_TTL_MS,
@@ -176,20 +192,31 @@
     return { kind: QueueDecisionKind.Send, requestId: request.requestId };
   }
 
+  /** Takes the request that is next in the order, or the oldest one if it is its turn; undefined if none may be sent. */
   private takeNext(nowMs: number): QueuedRequest | undefined {
-    this.sentFromQueue += 1;
+    const [first] = this.waiting;
+    if (first === undefined) return undefined;
     const isOldestsTurn = this.sentFromQueue % OLDEST_INTERVAL === 0;
-    const next = this.waiting.reduce((best, each) =>
-      (isOldestsTurn
-        ? each.receivedAtMs - best.receivedAtMs
-        : this.compare(each, best, nowMs)) < 0
-        ? each
-        : best,
+    const isBefore = (one: QueuedRequest, other: QueuedRequest) =>
+      isOldestsTurn
+        ? one.receivedAtMs < other.receivedAtMs
+        : this.compare(one, other, nowMs) < 0;
+    const next = this.waiting.reduce(
+      (best, each) => (isBefore(each, best) ? each : best),
+      first,
     );
+    if (!isOldestsTurn && !this.maySend(next, nowMs)) return undefined;
+    this.sentFromQueue += 1;
     this.take(next);
     return next;
   }
 
+  /** Whether the part of the limit that the request may use has a place: all of it if the request is useful. */
+  private maySend(request: QueuedRequest, nowMs: number): boolean {
+    const lateLimit = this.inFlightLimit(nowMs) * LATE_SHARE;
+    return isUseful(request, nowMs) || this.inFlightCount < lateLimit;
+  }
+
   /** Compares requests by class, then the turns of their workspaces, then by deadline. */
   private compare(
     first: QueuedRequest,
@@ -228,31 +255,20 @@
 
   /** Makes place for a request by displacing less valuable ones; returns false if it is the least valuable itself. */
   private makePlace(request: QueuedRequest, nowMs: number): boolean {
-    const { maxBytes, maxRequests } = this.options.limits();
-    if (request.bytes > maxBytes) return false;
-    const displaced: QueuedRequest[] = [];
-    let rest = this.waiting;
-    let restBytes = this.waitingBytes;
-    while (rest.length >= maxRequests || restBytes + request.bytes > maxBytes) {
-      const worst = findWorst([...rest, request], nowMs);
-      if (worst === undefined || worst === request) return false;
-      displaced.push(worst);
-      rest = rest.filter(each => each !== worst);
-      restBytes -= worst.bytes;
-    }
+    const limits = this.options.limits();
+    const displaced = findDisplaced(this.waiting, request, limits, nowMs);
+    if (displaced === undefined) return false;
     for (const each of displaced) this.take(each);
-    this.evicted = [...this.evicted, ...displaced];
+    this.displaced = [...this.displaced, ...displaced];
     return true;
   }
 
   private add(request: QueuedRequest): void {
     this.waiting = [...this.waiting, request];
-    this.waitingBytes += request.bytes;
   }
 
   private take(request: QueuedRequest): void {
     this.waiting = this.waiting.filter(each => each !== request);
-    this.waitingBytes -= request.bytes;
   }
 
   private refuseAll(
@@ -269,41 +285,11 @@
     reason: QueueRefusal,
     nowMs: number,
   ): QueueDecision {
-    const retryInMs = this.returnInMs(deadlineAtMs - nowMs, nowMs);
-    return { kind: QueueDecisionKind.Refuse, requestId, reason, retryInMs };
-  }
-
-  /** Returns the time after which the queue has drained, spread so that refused callers do not return at once. */
-  private returnInMs(remainingMs: number, nowMs: number): number {
     const drainedInMs =
       this.expectedWaitMs(this.waiting.length, nowMs) ?? UNKNOWN_WAIT_MS;
-    const maxMs = Math.max(0, remainingMs) * MAX_RETURN_SHARE;
-    const spread = 0.5 + this.options.random.nextFloat() / 2;
-    return Math.max(MIN_RETURN_MS, Math.min(drainedInMs, maxMs) * spread);
+    const remainingMs = deadlineAtMs - nowMs;
+    const { random } = this.options;
+    const retryInMs = spreadReturnMs(drainedInMs, remainingMs, random);
+    return { kind: QueueDecisionKind.Refuse, requestId, reason, retryInMs };
   }
 }
-
-/** Returns the request that is displaced first: of the last class, of the workspace that has most there, the one with the latest deadline. */
-function findWorst(
-  requests: readonly QueuedRequest[],
-  nowMs: number,
-): QueuedRequest | undefined {
-  const [first] = requests;
-  if (first === undefined) return undefined;
-  const last = requests.reduce((worst, each) =>
-    compareClasses(each, worst, nowMs) > 0 ? each : worst,
-  );
-  const inClass = requests.filter(
-    each => compareClasses(each, last, nowMs) === 0,
-  );
-  const counts = new Map<string, number>();
-  for (const { workspace } of inClass)
-    counts.set(workspace, (counts.get(workspace) ?? 0) + 1);
-  const countOf = ({ workspace }: QueuedRequest) => counts.get(workspace) ?? 0;
-  return inClass.reduce((worst, each) =>
-    (countOf(each) - countOf(worst) || each.deadlineAtMs - worst.deadlineAtMs) >
-    0
-      ? each
-      : worst,
-  );
-}
--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -99,8 +99,11 @@
   /** Frees the place of a request, whether it waits or was sent. */
   close(key: string): void {
     this.leave(key);
-    if (!this.sent.delete(key)) return;
-    this.queue.release();
+    const sent = this.sent.get(key);
+    if (sent === undefined) return;
+    this.sent.delete(key);
+    const nowMs = this.deps.clock.nowMs();
+    this.queue.release(nowMs - sent.sentAtMs, nowMs);
     this.advanceWaiting();
   }
 
--- a/packages/core/src/dispatch-queue/in-flight-limit.ts
+++ b/packages/core/src/dispatch-queue/in-flight-limit.ts
@@ -1,21 +1,31 @@
 import type { ReportedLoad } from '../forwarding/index.js';
 
 /** Limit of a daemon that has learned nothing, as a multiple of its equal share of the slots. */
-const START_FACTOR = 1.25; // engines hold about twice their slots waiting, so a quarter beyond them is not rejected
-/** Least limit, as a multiple of the equal share: news are seconds old, and refusing beside a free slot is as bad as a late response. */
-const MIN_FACTOR = 0.5;
+const START_FACTOR = 1.25; // demand differs between daemons, and engines hold twice their slots waiting
+/** Least limit, as a multiple of the equal share. */
+const MIN_FACTOR = 0.5; // news are seconds old, and refusing beside a free slot is as bad as a late response
 /** Least limit of a daemon that has learned nothing, in requests. */
 const MIN_START_LIMIT = 3; // plain calls arrive in pairs at a daemon whose share of the slots is below one
-/** Least limit in requests. */
-const MIN_LIMIT = 1;
-/** Waiting requests from which an endpoint counts as congested, as a share of its slots. */
-const CONGESTED_WAITING_SHARE = 0.25; // a slot comes free for these within about the shortest latency objective
-/** Requests that a report of a free slot adds to the limit. */
+/** Requests for each slot from which the limit decreases, where requests hold their slots for long. */
+const HIGH_PRESSURE = 1.1; // 0.9 and 1 held requests back at four fifths of the capacity
+/** Time that requests may wait at endpoints before the limit decreases. */
+const ENDPOINT_WAIT_MS = 50; // a third of the shortest latency objective
+/** Greatest pressure that this time allows. */
+const MAX_HIGH_PRESSURE = 1.5; // endpoints reject from about three requests for each slot
+/** Distance below the upper pressure from which the limit increases: some slot of the group is free then, or soon. */
+const PRESSURE_BAND = 0.1;
+/** Weight of the newest request in the mean time for which requests hold their places. */
+const HOLD_WEIGHT = 0.1; // averages about the last ten requests
+/** Requests that a report adds to the limit under low pressure. */
 const INCREASE_REQUESTS = 0.5; // seven reports a second double a share of 20 within 6 s
-/** Weight of the newest report in the share of congested ones. */
-const REPORT_WEIGHT = 0.125; // about a second of responses
-/** Factor by which a rejection decreases the limit. */
-const REJECTION_FACTOR = 0.8;
+/** Time over which reports are averaged, and bounds of the weight of one. */
+const AVERAGING_MS = 1_000; // rare reports must count for more: with a fixed weight the limit followed 5 s late
+const MIN_REPORT_WEIGHT = 0.125;
+const MAX_REPORT_WEIGHT = 0.5;
+/** Largest decrease by one report, as a share of the limit. */
+const MAX_DECREASE = 0.5;
+/** Decrease by a rejection, as a share of the limit. */
+const REJECTION_DECREASE = 0.2;
 /** Least time between decreases, so that the answers to requests sent after the last one count for the next. */
 const DECREASE_INTERVAL_MS = 500; // about the time to a first event
 /** Time without reports after which what was learned no longer counts. */
@@ -23,22 +33,24 @@
 
 /**
  * Limit of this daemon's requests in flight at one group, learned by additive
- * increase and multiplicative decrease (Chiu and Jain, 1989). The decrease grows
- * with the share of congested reports as in DCTCP (Alizadeh et al., 2010): among 80
- * daemons each reads a few reports a second, and a single full endpoint says little.
- * It is kept as a multiple of the equal share, so that it follows the fleet.
+ * increase and multiplicative decrease (Chiu and Jain, 1989). As in DCTCP (Alizadeh
+ * et al., 2010) the decrease grows with the congestion: the mean of reported
+ * requests for each slot. A single full endpoint says little of its group, as
+ * each of 80 daemons reads but a few reports a second, of other endpoints each
+ * time. The limit is kept as a multiple of the equal share, so that it follows the fleet.
  */
 export class InFlightLimit {
   private factor = START_FACTOR;
   private hasLearned = false;
-  private congestedShare = 0;
+  private pressure = 0;
+  private holdMs = Infinity;
   private mayDecreaseAtMs = -Infinity;
   private reportedAtMs = -Infinity;
 
-  /** Returns the limit in requests; `equalShare` is the number of slots divided by the number of daemons. */
+  /** Returns the limit in requests, which may be below one; `equalShare` is the number of slots divided by the number of daemons. */
   current(equalShare: number, nowMs: number): number {
     this.forgetOld(nowMs);
-    const limit = Math.max(MIN_LIMIT, this.factor * equalShare);
+    const limit = this.factor * equalShare;
     return this.hasLearned ? limit : Math.max(MIN_START_LIMIT, limit);
   }
 
@@ -50,34 +62,47 @@
     nowMs: number,
   ): void {
     this.forgetOld(nowMs);
+    const byAge = (nowMs - this.reportedAtMs) / AVERAGING_MS;
+    const weight = Math.max(MIN_REPORT_WEIGHT, byAge);
     this.reportedAtMs = nowMs;
-    const isCongested = waiting > Math.max(1, slots * CONGESTED_WAITING_SHARE);
-    this.recordCongestion(isCongested);
-    if (isCongested) {
-      this.decrease(1 - this.congestedShare / 2, equalShare, nowMs);
-    } else if (waiting === 0 && running < slots && isBinding) {
+    const load = (running + waiting) / Math.max(1, slots);
+    const change = load - this.pressure;
+    this.pressure += Math.min(MAX_REPORT_WEIGHT, weight) * change;
+    const excess = this.pressure - this.highPressure();
+    if (excess > 0) {
+      this.decrease(Math.min(MAX_DECREASE, excess / 2), equalShare, nowMs);
+    } else if (excess < -PRESSURE_BAND && isBinding) {
       const limit = this.current(equalShare, nowMs);
       this.setLimit(limit + INCREASE_REQUESTS, equalShare);
     }
   }
 
+  /** A rejection while reports show free slots is a matter of the choice of endpoints, not of the limit. */
   recordRejection(equalShare: number, nowMs: number): void {
     this.forgetOld(nowMs);
     this.reportedAtMs = nowMs;
-    this.recordCongestion(true);
-    const byShare = 1 - this.congestedShare / 2;
-    this.decrease(Math.min(REJECTION_FACTOR, byShare), equalShare, nowMs);
+    const isLow = this.pressure < this.highPressure() - PRESSURE_BAND;
+    if (this.pressure > 0 && isLow) return;
+    this.decrease(REJECTION_DECREASE, equalShare, nowMs);
   }
 
-  private recordCongestion(isCongested: boolean): void {
-    const change = Number(isCongested) - this.congestedShare;
-    this.congestedShare += REPORT_WEIGHT * change;
+  /** Records for how long a request held its place. */
+  recordHold(heldMs: number): void {
+    this.holdMs = Number.isFinite(this.holdMs)
+      ? this.holdMs + HOLD_WEIGHT * (heldMs - this.holdMs)
+      : heldMs;
   }
 
-  private decrease(factor: number, equalShare: number, nowMs: number): void {
+  /** Short requests leave their slots so soon that some may wait for each: 50 ms are a whole round of plain calls, and a sixtieth of a stream. */
+  private highPressure(): number {
+    const allowed = HIGH_PRESSURE + ENDPOINT_WAIT_MS / Math.max(1, this.holdMs);
+    return Math.min(MAX_HIGH_PRESSURE, allowed);
+  }
+
+  private decrease(share: number, equalShare: number, nowMs: number): void {
     if (nowMs < this.mayDecreaseAtMs) return;
     this.mayDecreaseAtMs = nowMs + DECREASE_INTERVAL_MS;
-    this.setLimit(this.current(equalShare, nowMs) * factor, equalShare);
+    this.setLimit(this.current(equalShare, nowMs) * (1 - share), equalShare);
   }
 
   private setLimit(limit: number, equalShare: number): void {
@@ -88,7 +113,7 @@
 
   private forgetOld(nowMs: number): void {
     if (nowMs - this.reportedAtMs < MEMORY_MS) return;
-    this.congestedShare = 0;
+    this.pressure = 0;
     this.hasLearned = false;
     this.factor = Math.max(START_FACTOR, this.factor);
     this.reportedAtMs = nowMs;
--- a/packages/core/src/dispatch-queue/loop-delay.ts
+++ b/packages/core/src/dispatch-queue/loop-delay.ts
@@ -1,5 +1,6 @@
 import type { DaemonShedder, SheddableRequest } from '../forwarding/index.js';
 import type { Random } from '../ports/index.js';
+import { spreadReturnMs } from './return-time.js';
 
 /** Interval at which the delay of the event loop is sampled. */
 export const LOOP_SAMPLE_INTERVAL_MS = 100; // ten timers a second cost next to nothing
@@ -11,9 +12,6 @@
 const TURNS = 4;
 /** Priority number from which none is shed. */
 const NO_PRIORITY = 10; // engines know 0 to 9
-/** Share of its remaining time for which a caller waits at most before it returns. */
-const MAX_RETURN_SHARE = 1 / 3;
-const MIN_RETURN_MS = 50;
 
 /**
  * Sheds requests while this process itself is too slow, by the standing delay of
@@ -64,8 +62,6 @@
     const isLate = nowMs + forwardMs > deadlineAtMs;
     if (!isLate && Math.min(priority, NO_PRIORITY - 1) < this.shedFrom)
       return undefined;
-    const maxMs = Math.max(0, deadlineAtMs - nowMs) * MAX_RETURN_SHARE;
-    const spread = 0.5 + this.random.nextFloat() / 2;
-    return Math.max(MIN_RETURN_MS, Math.min(forwardMs, maxMs) * spread);
+    return spreadReturnMs(forwardMs, deadlineAtMs - nowMs, this.random);
   }
 }
--- a/packages/core/src/forwarding/group-room.ts
+++ b/packages/core/src/forwarding/group-room.ts
@@ -4,8 +4,6 @@
 
 /** Age from which an endpoint's load report is ignored. */
 const MAX_LOAD_REPORT_AGE_MS = 1_000; // most requests take less
-/** Requests that an endpoint may hold beyond its slots while it counts as having room, as a share of the slots. */
-const WAITING_ROOM_SHARE = 0.25; // engines hold twice their slots waiting; a quarter keeps them busy while news are under way
 
 /** Returns the capacity of endpoints that accept new requests; `isOpen` returns whether this daemon may send one a request now. */
 export function roomOf(
@@ -49,8 +47,7 @@
   running: number,
 ): boolean {
   if (requiresRoom !== true) return true;
-  const slots = Math.max(1, record.slots);
-  return running < slots + Math.max(1, slots * WAITING_ROOM_SHARE);
+  return running < Math.max(1, record.slots);
 }
 
 function countSlots(members: readonly PoolMember[]): number {
