--- /dev/null
+++ b/packages/core/src/dispatch-queue/dispatch-queue.test.ts
@@ -0,0 +1,275 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import fc from 'fast-check';
+
+import { sampleQueue, sampleQueued, sampleRoom } from './fakes/index.js';
+import type { DispatchQueue, QueueDecision, QueuedRequest } from './index.js';
+import { QueueDecisionKind, QueueRefusal } from './index.js';
+
+const SEED = 20_261_206;
+const FULL = sampleRoom(4, { isKnown: true });
+const { Refuse, Send, Wait } = QueueDecisionKind;
+
+/** Sends requests until the daemon's limit of 5 in flight, a quarter above the 4 slots, is reached. */
+function occupy(queue: DispatchQueue): void {
+  for (let sent = 0; sent < 5; sent += 1) {
+    const request = sampleQueued(`busy-${sent}`, { workspace: 'busy' });
+    assert.equal(queue.offer(request, FULL, 0).kind, Send);
+  }
+}
+
+function fullQueue(limits = {}): DispatchQueue {
+  const queue = sampleQueue(limits);
+  occupy(queue);
+  return queue;
+}
+
+function offerAll(queue: DispatchQueue, requests: readonly QueuedRequest[]) {
+  return requests.map(each => queue.offer(each, FULL, 0).kind);
+}
+
+function sentIds(decisions: readonly QueueDecision[]): readonly string[] {
+  return decisions
+    .filter(({ kind }) => kind === Send)
+    .map(({ requestId }) => requestId);
+}
+
+/** Frees one place after another, and returns the ids in the order in which they were sent. */
+function drain(queue: DispatchQueue, nowMs: number): readonly string[] {
+  const ids: string[] = [];
+  while (queue.length > 0) {
+    queue.release(1_000, nowMs);
+    const sent = sentIds(queue.advance(FULL, nowMs));
+    if (sent.length === 0 && queue.inFlight === 0) break;
+    ids.push(...sent);
+  }
+  return ids;
+}
+
+function refusalsOf(decisions: readonly QueueDecision[]) {
+  return decisions.flatMap(each => (each.kind === Refuse ? [each] : []));
+}
+
+describe('DispatchQueue', () => {
+  it('sends at once while there is room, and holds the next request', () => {
+    const queue = fullQueue();
+    assert.equal(queue.offer(sampleQueued('next'), FULL, 0).kind, Wait);
+    queue.release(1_000, 100);
+    assert.deepEqual(sentIds(queue.advance(FULL, 100)), ['next']);
+  });
+
+  it('sends useful requests first, then by priority, then by deadline', () => {
+    const queue = fullQueue();
+    const requests = [
+      sampleQueued('late', { priority: 0, objectiveAtMs: 50 }),
+      sampleQueued('less urgent', { priority: 2, deadlineAtMs: 1_500 }),
+      sampleQueued('far', { deadlineAtMs: 5_000 }),
+      sampleQueued('near'),
+      sampleQueued('urgent', { priority: 0, deadlineAtMs: 9_000 }),
+    ];
+    offerAll(queue, requests);
+    const expected = ['urgent', 'near', 'far', 'less urgent', 'late'];
+    assert.deepEqual(drain(queue, 10), expected);
+  });
+
+  it('never lets a less urgent request overtake an equally useful one, but for the share of the oldest', () => {
+    const priorities = fc.array(fc.nat({ max: 3 }), { maxLength: 40 });
+    fc.assert(
+      fc.property(priorities, order => {
+        const queue = fullQueue();
+        const requests = order.map((priority, index) =>
+          sampleQueued(`r${index}`, { priority, workspace: `w${index % 3}` }),
+        );
+        offerAll(queue, requests);
+        const sent = drain(queue, 10);
+        assert.equal(sent.length, order.length);
+        const byOrder = sent.filter((_, index) => (index + 1) % 10 !== 0);
+        const sentPriorities = byOrder.map(
+          id => order[Number(id.slice(1))] ?? 0,
+        );
+        const sorted = [...sentPriorities].sort((one, other) => one - other);
+        assert.deepEqual(sentPriorities, sorted);
+      }),
+      { seed: SEED },
+    );
+  });
+
+  it('gives each of two workspaces half, whichever floods the queue', () => {
+    const queue = fullQueue();
+    const flood = Array.from({ length: 40 }, (_, index) =>
+      sampleQueued(`flood-${index}`, {
+        workspace: 'flood',
+        deadlineAtMs: 3_000,
+      }),
+    );
+    const few = Array.from({ length: 8 }, (_, index) =>
+      sampleQueued(`few-${index}`, { workspace: 'few' }),
+    );
+    offerAll(queue, [...flood, ...few]);
+    const first = drain(queue, 10).slice(0, 20);
+    assert.equal(first.filter(id => id.startsWith('few')).length, 8);
+  });
+
+  it('sends a request of the least urgent kind within ten others', () => {
+    const queue = fullQueue();
+    const old = sampleQueued('old', { priority: 9, deadlineAtMs: 60_000 });
+    queue.offer(old, FULL, 0);
+    const sent: string[] = [];
+    for (let step = 1; step <= 10; step += 1) {
+      const nowMs = step * 10;
+      const urgent = sampleQueued(`urgent-${step}`, {
+        priority: 0,
+        receivedAtMs: nowMs,
+      });
+      queue.offer(urgent, FULL, nowMs);
+      queue.release(1_000, nowMs);
+      sent.push(...sentIds(queue.advance(FULL, nowMs)));
+    }
+    assert.ok(sent.includes('old'));
+  });
+
+  it('keeps a part of the limit free of requests that are late', () => {
+    const queue = fullQueue();
+    const late = { objectiveAtMs: 0 };
+    offerAll(queue, [sampleQueued('late', late)]);
+    queue.release(1_000, 10);
+    assert.deepEqual(queue.advance(FULL, 10), []);
+    queue.offer(sampleQueued('useful'), FULL, 10);
+    assert.deepEqual(sentIds(queue.advance(FULL, 10)), ['useful']);
+  });
+
+  it('refuses a request once it cannot be answered by its deadline, also after a pause of the daemon', () => {
+    const queue = fullQueue();
+    offerAll(queue, [
+      sampleQueued('short', { deadlineAtMs: 1_000 }),
+      sampleQueued('long', { deadlineAtMs: 60_000, objectiveAtMs: 50_000 }),
+    ]);
+    assert.deepEqual(queue.advance(FULL, 800), []);
+    queue.release(1_000, 30_000);
+    const decisions = queue.advance(FULL, 30_000);
+    assert.equal(refusalsOf(decisions)[0]?.requestId, 'short');
+    assert.deepEqual(sentIds(decisions), ['long']);
+  });
+
+  it('refuses at once what the queue will not reach in time, by the rate at which it drains', () => {
+    const queue = fullQueue();
+    const waiting = Array.from({ length: 30 }, (_, index) =>
+      sampleQueued(`w${index}`, {
+        deadlineAtMs: 90_000,
+        objectiveAtMs: 80_000,
+      }),
+    );
+    offerAll(queue, waiting);
+    // One place in 100 ms.
+    for (let nowMs = 100; nowMs <= 1_000; nowMs += 100) {
+      queue.release(1_000, nowMs);
+      queue.advance(FULL, nowMs);
+    }
+    const late = { deadlineAtMs: 2_000, objectiveAtMs: 1_200, priority: 9 };
+    const decision = queue.offer(sampleQueued('late', late), FULL, 1_000);
+    assert.equal(decision.kind, Refuse);
+    const urgent = { deadlineAtMs: 2_000, objectiveAtMs: 2_000, priority: 0 };
+    const next = queue.offer(sampleQueued('urgent', urgent), FULL, 1_000);
+    assert.equal(next.kind, Wait);
+  });
+
+  it('asks refused callers to return at different times, within a third of what they have left', () => {
+    const queue = fullQueue({ maxRequests: 1 });
+    queue.offer(sampleQueued('waiting', { priority: 0 }), FULL, 0);
+    const times = Array.from({ length: 20 }, (_, index) => {
+      const deadlineAtMs = 600 + index * 100;
+      const request = sampleQueued(`r${index}`, { deadlineAtMs });
+      const [refusal] = refusalsOf([queue.offer(request, FULL, 0)]);
+      assert.equal(refusal?.reason, QueueRefusal.QueueFull);
+      assert.ok(refusal.retryInMs <= deadlineAtMs / 3);
+      assert.ok(refusal.retryInMs >= 50);
+      return Math.round(refusal.retryInMs);
+    });
+    assert.ok(new Set(times).size >= 15);
+  });
+
+  it('stays within its bounds in requests and bytes, and keeps the most valuable', () => {
+    const request = fc.record({
+      priority: fc.nat({ max: 3 }),
+      bytes: fc.nat({ max: 400 }),
+    });
+    fc.assert(
+      fc.property(fc.array(request, { maxLength: 40 }), offers => {
+        const queue = fullQueue({ maxRequests: 8, maxBytes: 1_000 });
+        const refused = new Set<string>();
+        const offered = offers.map((each, index) =>
+          sampleQueued(`r${index}`, each),
+        );
+        for (const each of offered) {
+          const decisions = [
+            queue.offer(each, FULL, 0),
+            ...queue.advance(FULL, 0),
+          ];
+          for (const { requestId } of refusalsOf(decisions))
+            refused.add(requestId);
+          const kept = offered
+            .slice(0, offered.indexOf(each) + 1)
+            .filter(({ requestId }) => !refused.has(requestId));
+          assert.equal(kept.length, queue.length);
+          assert.ok(kept.length <= 8);
+          const bytes = kept.reduce((sum, { bytes: size }) => sum + size, 0);
+          assert.ok(bytes <= 1_000);
+        }
+      }),
+      { seed: SEED },
+    );
+  });
+
+  it('displaces the workspace that fills the queue, and not a more urgent request', () => {
+    const queue = fullQueue({ maxRequests: 4 });
+    const flood = Array.from({ length: 4 }, (_, index) =>
+      sampleQueued(`flood-${index}`, { workspace: 'flood' }),
+    );
+    offerAll(queue, flood);
+    const other = sampleQueued('other', { workspace: 'other' });
+    assert.equal(queue.offer(other, FULL, 0).kind, Wait);
+    const [displaced] = refusalsOf(queue.advance(FULL, 0));
+    assert.match(displaced?.requestId ?? '', /^flood/);
+    const less = sampleQueued('less', { workspace: 'third', priority: 2 });
+    assert.equal(queue.offer(less, FULL, 0).kind, Refuse);
+  });
+
+  it('frees the place of a caller that has left, and sends nothing for it', () => {
+    const queue = fullQueue({ maxRequests: 1 });
+    queue.offer(sampleQueued('gone'), FULL, 0);
+    queue.remove('gone');
+    assert.equal(queue.offer(sampleQueued('next'), FULL, 0).kind, Wait);
+    queue.release(1_000, 10);
+    assert.deepEqual(sentIds(queue.advance(FULL, 10)), ['next']);
+  });
+
+  it('refuses all that wait when the daemon stops, to return at once', () => {
+    const queue = fullQueue();
+    offerAll(queue, [sampleQueued('a'), sampleQueued('b')]);
+    const refusals = refusalsOf(queue.refuseWaiting());
+    assert.deepEqual(
+      refusals.map(({ reason, retryInMs }) => [reason, retryInMs]),
+      [
+        [QueueRefusal.Stopping, 0],
+        [QueueRefusal.Stopping, 0],
+      ],
+    );
+    assert.equal(queue.length, 0);
+  });
+
+  it('sends one request beyond its limit for each endpoint that reports a free slot', () => {
+    const queue = fullQueue();
+    const room = sampleRoom(4, { isKnown: true, freeSlots: 1 });
+    assert.equal(queue.offer(sampleQueued('a'), room, 10).kind, Send);
+    assert.equal(queue.offer(sampleQueued('b'), room, 10).kind, Wait);
+  });
+
+  it('holds requests while all endpoints withhold themselves, and lets them go where there is none', () => {
+    const queue = sampleQueue();
+    const closed = sampleRoom(4, { openSlots: 0 });
+    assert.equal(queue.offer(sampleQueued('a'), closed, 0).kind, Wait);
+    assert.deepEqual(queue.advance(closed, 50), []);
+    assert.deepEqual(sentIds(queue.advance(sampleRoom(0), 100)), ['a']);
+  });
+});
--- /dev/null
+++ b/packages/core/src/dispatch-queue/fakes/index.ts
@@ -0,0 +1,1 @@
+export * from './samples.js';
--- a/packages/core/src/dispatch-queue/in-flight-limit.ts
+++ b/packages/core/src/dispatch-queue/in-flight-limit.ts
@@ -116,6 +116,5 @@
     this.pressure = 0;
     this.hasLearned = false;
     this.factor = Math.max(START_FACTOR, this.factor);
-    this.reportedAtMs = nowMs;
   }
 }
--- /dev/null
+++ b/packages/core/src/dispatch-queue/queue-gate.test.ts
@@ -0,0 +1,193 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import type { GatePass, PoolReservation } from '../forwarding/index.js';
+import { ForwardError, ForwardErrorKind } from '../forwarding/index.js';
+import {
+  ManualClock,
+  noopLog,
+  noopMetrics,
+  SeededRandom,
+} from '../ports/index.js';
+import { sampleCall, sampleRoom } from './fakes/index.js';
+import { QueueGate } from './index.js';
+
+const RESERVATION = { endpoint: { id: 'e1' } } as PoolReservation;
+
+class GateHarness {
+  readonly clock = new ManualClock();
+  readonly sentIds: string[] = [];
+  /** Ends of the waits by the ids of the requests. */
+  readonly ends = new Map<string, string>();
+  room = sampleRoom(1);
+  configurationVersion = 1;
+  maxRequests = 256;
+  readonly gate = new QueueGate({
+    clock: this.clock,
+    nextPoll: () => Promise.resolve(),
+    log: noopLog,
+    metrics: noopMetrics,
+    random: new SeededRandom(1),
+    limits: () => ({ maxRequests: this.maxRequests, maxBytes: 1_000_000 }),
+    daemonCount: () => 1,
+    room: () => this.room,
+    configurationVersion: () => this.configurationVersion,
+  });
+
+  /** Offers a request; its end is recorded. */
+  offer(
+    requestId: string,
+    overrides: Parameters<typeof sampleCall>[0] = {},
+    signal = new AbortController().signal,
+  ): GatePass {
+    const pass = this.gate.open(sampleCall({ requestId, ...overrides }));
+    const reserve = () => {
+      if (this.room.openSlots === 0) return undefined;
+      this.sentIds.push(requestId);
+      return RESERVATION;
+    };
+    pass.reserve(reserve, signal).then(
+      reservation => this.ends.set(requestId, reservation ? 'sent' : 'none'),
+      (error: unknown) => {
+        assert.ok(error instanceof ForwardError);
+        const retryInMs = Math.round(error.retryInMs ?? -1);
+        this.ends.set(requestId, `${error.kind} ${retryInMs}`);
+      },
+    );
+    return pass;
+  }
+
+  /** Fills the three places of a daemon that has learned nothing. */
+  fill(): readonly GatePass[] {
+    return ['a', 'b', 'c'].map(id => this.offer(id));
+  }
+
+  advance(byMs: number): Promise<void> {
+    return this.clock.advanceTo(this.clock.nowMs() + byMs);
+  }
+}
+
+describe('QueueGate', () => {
+  it('sends a waiting request as soon as another one ends, without waiting for its timer', async () => {
+    const harness = new GateHarness();
+    const [first] = harness.fill();
+    harness.offer('d');
+    await harness.advance(10);
+    assert.deepEqual(harness.sentIds, ['a', 'b', 'c']);
+    first?.close();
+    assert.deepEqual(harness.sentIds, ['a', 'b', 'c', 'd']);
+  });
+
+  it('keeps two requests with one id apart', async () => {
+    const harness = new GateHarness();
+    const [first] = harness.fill();
+    harness.offer('same').close();
+    harness.offer('same');
+    first?.close();
+    await harness.advance(0);
+    assert.deepEqual(harness.sentIds, ['a', 'b', 'c', 'same']);
+    assert.equal(harness.ends.get('same'), 'sent');
+  });
+
+  it('sends nothing for a caller that leaves while its request waits', async () => {
+    const harness = new GateHarness();
+    const [first] = harness.fill();
+    const caller = new AbortController();
+    harness.offer('gone', {}, caller.signal);
+    caller.abort();
+    first?.close();
+    await harness.advance(200);
+    assert.deepEqual(harness.sentIds, ['a', 'b', 'c']);
+    assert.equal(harness.ends.get('gone'), 'none');
+  });
+
+  it('refuses a request within 50 ms of when it is too late', async () => {
+    const harness = new GateHarness();
+    harness.fill();
+    harness.offer('short', { deadlineAtMs: 400 });
+    await harness.advance(390);
+    assert.equal(harness.ends.get('short'), undefined);
+    await harness.advance(60);
+    assert.match(harness.ends.get('short') ?? '', /^overloaded/);
+  });
+
+  it('has no timer while nothing waits', async () => {
+    const harness = new GateHarness();
+    const [first] = harness.fill();
+    harness.offer('d');
+    await harness.advance(10);
+    assert.notEqual(harness.clock.earliestDeadlineMs(), undefined);
+    first?.close();
+    await harness.advance(60);
+    assert.equal(harness.clock.earliestDeadlineMs(), undefined);
+  });
+
+  it('refuses all that wait when it stops, and later ones that would wait, to return at once', async () => {
+    const harness = new GateHarness();
+    const [first] = harness.fill();
+    harness.offer('d');
+    harness.gate.startStopping();
+    harness.offer('e');
+    await harness.advance(0);
+    const refused = `${ForwardErrorKind.Stopping} 0`;
+    assert.equal(harness.ends.get('d'), refused);
+    assert.equal(harness.ends.get('e'), refused);
+    first?.close();
+    harness.offer('f');
+    await harness.advance(0);
+    assert.equal(harness.sentIds.at(-1), 'f');
+  });
+
+  it('refuses waiting requests that a new configuration no longer admits', async () => {
+    const harness = new GateHarness();
+    harness.fill();
+    const removed = new ForwardError(ForwardErrorKind.UnknownRoute, 'removed');
+    harness.offer('kept');
+    harness.offer('removed', {
+      recheck: () => {
+        throw removed;
+      },
+    });
+    await harness.advance(60);
+    assert.equal(harness.ends.get('removed'), undefined);
+    harness.configurationVersion = 2;
+    await harness.advance(60);
+    const refused = `${ForwardErrorKind.UnknownRoute} -1`;
+    assert.equal(harness.ends.get('removed'), refused);
+    assert.equal(harness.ends.get('kept'), undefined);
+  });
+
+  it('applies a changed bound to the next request', async () => {
+    const harness = new GateHarness();
+    harness.fill();
+    harness.offer('d');
+    harness.maxRequests = 1;
+    harness.offer('e', { deadlineAtMs: 5_000 });
+    await harness.advance(0);
+    assert.match(harness.ends.get('e') ?? '', /^overloaded/);
+  });
+
+  it('holds a request until an endpoint may be sent one again', async () => {
+    const harness = new GateHarness();
+    harness.room = sampleRoom(1, { openSlots: 0 });
+    harness.offer('a');
+    await harness.advance(200);
+    assert.equal(harness.ends.get('a'), undefined);
+    harness.room = sampleRoom(1);
+    await harness.advance(60);
+    assert.equal(harness.ends.get('a'), 'sent');
+  });
+
+  it('refuses what became too late while the process was paused, and sends the rest', async () => {
+    const harness = new GateHarness();
+    const [first] = harness.fill();
+    harness.offer('short', { deadlineAtMs: 900 });
+    harness.offer('long', { deadlineAtMs: 60_000 });
+    await harness.advance(10);
+    // The clock of a paused process jumps.
+    await harness.advance(20_000);
+    first?.close();
+    await harness.advance(0);
+    assert.deepEqual(harness.sentIds, ['a', 'b', 'c', 'long']);
+  });
+});
