Check waiting requests again before they are sent, and test the path through the forwarder

A request that waits may lose its route or be found to crash endpoints meanwhile. A daemon that knows no live peer yet counts the listed ones, so that all daemons starting at once do not each take the whole group.

--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -127,10 +127,15 @@
 
   /** Puts a request back that was to be sent and for which no endpoint could be reserved. */
   putBack(request: QueuedRequest): void {
-    this.inFlightCount -= 1;
+    this.withdraw();
     this.add(request);
   }
 
+  /** Frees the place of a request that was to be sent and was not. */
+  withdraw(): void {
+    this.inFlightCount -= 1;
+  }
+
   /**
    * Frees the place that a request held for `heldMs`. Under a limit below one the
    * place then rests, so that the limit holds on average.
--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -22,6 +22,7 @@
 const MAX_SERVICE_SHARE = 0.5;
 
 interface Waiter {
+  readonly sinceMs: number;
   readonly request: QueuedRequest;
   readonly call: GatedCall;
   readonly reserve: Reserve;
@@ -67,7 +68,8 @@
       throw error;
     }
     const sent = new Promise<PoolReservation | undefined>((resolve, reject) => {
-      this.waiters.set(key, { request, call, reserve, resolve, reject });
+      const waiter = { request, call, reserve, resolve, reject };
+      this.waiters.set(key, { ...waiter, sinceMs: nowMs });
     });
     if (decision.kind === QueueDecisionKind.Send) {
       this.send(key, nowMs);
@@ -120,15 +122,6 @@
     this.apply(this.queue.refuseWaiting(), this.deps.clock.nowMs());
   }
 
-  dumpState(nowMs: number): unknown {
-    return {
-      waiting: this.queue.length,
-      inFlight: this.queue.inFlight,
-      inFlightLimit: this.queue.inFlightLimit(nowMs),
-      room: this.room(nowMs),
-    };
-  }
-
   private toQueued(key: string, call: GatedCall): QueuedRequest {
     const { bytes, deadlineAtMs, objectiveAtMs, priority } = call;
     const { receivedAtMs, route, workspace } = call;
@@ -177,6 +170,10 @@
     const waiter = this.waiters.get(key);
     if (waiter === undefined) return;
     const { call, request, reserve, resolve } = waiter;
+    if (nowMs > waiter.sinceMs && !this.isAdmitted(key, waiter)) {
+      this.queue.withdraw();
+      return;
+    }
     const reservation = reserve(nowMs);
     if (reservation === undefined && this.isClosedForNow(nowMs)) {
       this.queue.putBack(request);
@@ -214,14 +211,19 @@
     const version = this.deps.configurationVersion();
     if (version === this.checkedVersion) return;
     this.checkedVersion = version;
-    for (const [key, { call, reject }] of this.waiters) {
-      try {
-        call.recheck();
-      } catch (error) {
-        this.queue.remove(key);
-        this.waiters.delete(key);
-        reject(error);
-      }
+    for (const [key, waiter] of this.waiters)
+      if (!this.isAdmitted(key, waiter)) this.queue.remove(key);
+  }
+
+  /** Checks a request again that has waited; ends its wait with the error if it is no longer admitted. */
+  private isAdmitted(key: string, { call, reject }: Waiter): boolean {
+    try {
+      call.recheck();
+      return true;
+    } catch (error) {
+      this.waiters.delete(key);
+      reject(error);
+      return false;
     }
   }
 
@@ -237,6 +239,7 @@
       this.advanceWaiting();
     }
     this.isTimerRunning = false;
+    this.report(clock.nowMs());
   }
 
   private refuse(
--- a/packages/core/src/dispatch-queue/queue-gate.ts
+++ b/packages/core/src/dispatch-queue/queue-gate.ts
@@ -65,13 +65,6 @@
     for (const gate of this.gates.values()) gate.refuseWaiting();
   }
 
-  /** Returns the state of each queue, for the operators. */
-  dumpState(nowMs: number): unknown {
-    return Object.fromEntries(
-      [...this.gates].map(([group, gate]) => [group, gate.dumpState(nowMs)]),
-    );
-  }
-
   private gateOf(group: string): GroupGate {
     let gate = this.gates.get(group);
     if (gate === undefined) {
--- a/packages/core/src/forwarding/endpoint-pool.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -253,4 +253,29 @@
     }
     assert.equal(trials, 1);
   });
+
+  it('counts the slots that recent reports show free, at most one of each endpoint', () => {
+    const pool = createPool(['a', 'bb']);
+    const none = { freeSlots: 0, totalSlots: 8, openSlots: 8, isKnown: false };
+    assert.deepEqual(pool.room('ledger', 0), none);
+    const reservation = pool.reserve(query, 0);
+    reservation?.recordLoad({ running: 1, waiting: 0, slots: 4 }, 100);
+    const known = { ...none, freeSlots: 1, isKnown: true };
+    assert.deepEqual(pool.room('ledger', 100), known);
+    assert.deepEqual(pool.room('ledger', 1_200), none);
+    reservation?.recordLoad({ running: 4, waiting: 2, slots: 4 }, 1_300);
+    assert.equal(pool.room('ledger', 1_300).freeSlots, 0);
+    reservation?.recordPause(500);
+    assert.equal(pool.room('ledger', 1_300).openSlots, 4);
+    assert.equal(pool.room('other', 0).totalSlots, 0);
+  });
+
+  it('skips endpoints without known room where the query requires it', () => {
+    const pool = createPool(['a', 'bb']);
+    const roomy = { ...query, requiresRoom: true };
+    for (let sent = 0; sent < 8; sent += 1)
+      assert.notEqual(pool.reserve(roomy, 0), undefined);
+    assert.equal(pool.reserve(roomy, 0), undefined);
+    assert.notEqual(pool.reserve(query, 0), undefined);
+  });
 });
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -8,6 +8,7 @@
 } from '../../ports/index.js';
 import { RetryBudget } from '../../routing/index.js';
 import type {
+  DispatchGate,
   EndpointRecord,
   ForwardRoute,
   GuardedResponse,
@@ -44,6 +45,9 @@
   readonly retries?: number;
   /** Responses of the peers by their ids; there are no peers if absent. */
   readonly peers?: ReadonlyMap<string, ScriptedResponse>;
+  /** Gate for which first attempts wait; they do not wait if absent. */
+  readonly dispatchGate?: DispatchGate;
+  readonly sendsPriority?: boolean;
 }
 
 /** Harness for the forwarder of one daemon, with scripted endpoints. */
@@ -98,7 +102,13 @@
   constructor(
     script: readonly ScriptedResponse[],
     private readonly route: ForwardRoute,
-    { endpoints = ENDPOINTS, peers, retries = 10 }: HarnessOptions = {},
+    {
+      dispatchGate,
+      endpoints = ENDPOINTS,
+      peers,
+      retries = 10,
+      sendsPriority = false,
+    }: HarnessOptions = {},
   ) {
     this.upstream = new ScriptedUpstream(script, this.clock);
     const configuration = new ConfigurationStore();
@@ -144,6 +154,8 @@
         }),
       },
       requestRelay: this.relay,
+      dispatchGate,
+      sendsPriority: () => sendsPriority,
       responseMemory: new ResponseMemory(
         { clock: this.clock, log: noopLog, metrics: noopMetrics },
         RESPONSE_MEMORY_BYTES,
--- a/packages/core/src/forwarding/fakes/plain-protocol.ts
+++ b/packages/core/src/forwarding/fakes/plain-protocol.ts
@@ -22,12 +22,13 @@
   }
 
   dispatchHeaders(headers: RawHeaders, metadata: DispatchMetadata): RawHeaders {
-    const { lastEventId, remainingMs } = metadata;
+    const { lastEventId, remainingMs, urgency } = metadata;
     return [
       ...headers,
       'Remaining',
       String(remainingMs),
       ...(lastEventId === undefined ? [] : ['Last', lastEventId]),
+      ...(urgency === undefined ? [] : ['Urgency', String(urgency)]),
     ];
   }
 
--- a/packages/core/src/forwarding/forward-error.ts
+++ b/packages/core/src/forwarding/forward-error.ts
@@ -73,6 +73,15 @@
   );
 }
 
+/** Returns the error for a request that itself, or a part of its prompt, crashes endpoints. */
+export function requestBlockedError(blockedForMs: number): ForwardError {
+  return new ForwardError(
+    ForwardErrorKind.RequestBlocked,
+    'The request or a part of its prompt has crashed several endpoints; change it, or send it again much later.',
+    blockedForMs,
+  );
+}
+
 /** Returns the error for a request that was not executed, as the daemon is stopping. */
 export function daemonStoppingError(): ForwardError {
   return new ForwardError(
--- /dev/null
+++ b/packages/core/src/forwarding/forward-queue.test.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import {
+  ForwarderHarness,
+  sampleEndpoint,
+  sampleRoute,
+  ScriptedGate,
+} from './fakes/index.js';
+import { ForwardError, ForwardErrorKind } from './forward-error.js';
+
+const route = sampleRoute({ priority: 12, timeoutMs: 2_000 });
+
+function create(options = {}) {
+  const gate = new ScriptedGate();
+  const harness = new ForwarderHarness([{}], route, {
+    dispatchGate: gate,
+    ...options,
+  });
+  return { gate, harness };
+}
+
+describe('a request that waits for capacity', () => {
+  it('is sent once it may be, to an endpoint that is listed then', async () => {
+    const { gate, harness } = create();
+    const served = harness.serve();
+    await harness.clock.advanceTo(1_500);
+    assert.equal(harness.upstream.calls.length, 0);
+    harness.listRecords([sampleEndpoint('new')]);
+    gate.sendNext();
+    assert.equal(await served, undefined);
+    assert.equal(harness.upstream.calls[0]?.endpoint.id, 'new');
+    assert.equal(gate.closed, 1);
+    const [call] = gate.calls;
+    assert.equal(call?.objectiveAtMs, 1_000 + route.latencyObjectiveMs);
+    assert.equal(call.deadlineAtMs, 3_000);
+  });
+
+  it('gets the refusal of the queue, and frees its place', async () => {
+    const { gate, harness } = create();
+    const served = harness.serve();
+    const kind = ForwardErrorKind.Overloaded;
+    gate.refuseNext(new ForwardError(kind, 'full', 250));
+    const error = await served;
+    assert.equal(error?.retryInMs, 250);
+    assert.equal(harness.upstream.calls.length, 0);
+    assert.equal(gate.closed, 1);
+  });
+
+  it('is not sent after its caller has left, nor after its deadline', async () => {
+    const left = create();
+    const served = left.harness.serve();
+    left.harness.callerAbort.abort();
+    assert.equal(await served, undefined);
+    left.gate.sendNext();
+    assert.equal(left.harness.upstream.calls.length, 0);
+    const late = create();
+    const serving = late.harness.serve();
+    await late.harness.clock.advanceTo(3_500);
+    const error = await serving;
+    assert.equal(error?.kind, ForwardErrorKind.TimedOutNotRun);
+    assert.equal(late.harness.upstream.calls.length, 0);
+  });
+
+  it('gives its endpoint back if its caller leaves as it is sent', async () => {
+    const { gate, harness } = create();
+    const served = harness.serve();
+    gate.sendNext();
+    harness.callerAbort.abort();
+    await served;
+    assert.equal(harness.upstream.calls.length, 0);
+    assert.equal(harness.pool.ownLoad().size, 0);
+  });
+
+  it('is checked again for what may have changed meanwhile', async () => {
+    const { gate, harness } = create();
+    const served = harness.serve();
+    const [call] = gate.calls;
+    assert.doesNotThrow(() => {
+      call?.recheck();
+    });
+    harness.crashGuard.blockAll = true;
+    assert.throws(() => {
+      call?.recheck();
+    }, ForwardError);
+    harness.callerAbort.abort();
+    await served;
+  });
+
+  it('tells engines its priority only where that is set, at most 9', async () => {
+    for (const sendsPriority of [false, true]) {
+      const harness = new ForwarderHarness([{}], route, { sendsPriority });
+      await harness.serve();
+      const headers = harness.upstream.calls[0]?.headers ?? [];
+      const index = headers.indexOf('Urgency');
+      assert.equal(headers[index + 1], sendsPriority ? '9' : 'Request-Id');
+      assert.equal(index >= 0, sendsPriority);
+    }
+  });
+});
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -18,6 +18,7 @@
   daemonStoppingError,
   ForwardError,
   ForwardErrorKind,
+  requestBlockedError,
   timedOutNotRunError,
 } from './forward-error.js';
 import type {
@@ -207,11 +208,7 @@
   private rejectBlocked({ suspectIds }: IdentifiedRequest): void {
     const blockedForMs = this.deps.crashGuard.blockedForMs(suspectIds);
     if (blockedForMs === undefined) return;
-    throw new ForwardError(
-      ForwardErrorKind.RequestBlocked,
-      'The request or a part of its prompt has crashed several endpoints; change it, or send it again much later.',
-      blockedForMs,
-    );
+    throw requestBlockedError(blockedForMs);
   }
 
   /** Deducts the request's tokens from its workspace's token bucket. Throws `ForwardError` if the rate limit is exceeded. */
--- a/packages/core/src/forwarding/gated-call.ts
+++ b/packages/core/src/forwarding/gated-call.ts
@@ -1,4 +1,5 @@
 import type { GatePass } from './dispatch-gate.js';
+import { requestBlockedError } from './forward-error.js';
 import type { ForwarderDependencies } from './forwarder.js';
 import { resolveRequest } from './resolve-request.js';
 import type { RunContext } from './run-context.js';
@@ -11,7 +12,7 @@
  * no queue, or if a peer passed the request on, where it has waited.
  */
 export function openPass(
-  { configuration, dispatchGate }: ForwarderDependencies,
+  { configuration, crashGuard, dispatchGate }: ForwarderDependencies,
   context: RunContext,
   deadlineAtMs: number,
 ): GatePass | undefined {
@@ -31,6 +32,8 @@
     bytes: body?.byteLength ?? 0,
     recheck: () => {
       resolveRequest(configuration, metadata, target);
+      const blockedForMs = crashGuard.blockedForMs(context.suspectIds);
+      if (blockedForMs !== undefined) throw requestBlockedError(blockedForMs);
     },
   });
 }
--- a/packages/daemon/src/gateway/gateway-queue.ts
+++ b/packages/daemon/src/gateway/gateway-queue.ts
@@ -4,6 +4,7 @@
   EndpointPool,
   ForwarderDependencies,
 } from '@skylarkreach/core/forwarding';
+import type { KnownDaemons } from '@skylarkreach/core/membership';
 import { LogComponent } from '@skylarkreach/core/ports';
 
 import { nextPoll } from '../http/index.js';
@@ -17,6 +18,7 @@
 export interface GatewayQueueSources {
   readonly pool: EndpointPool;
   readonly cluster: GatewayCluster;
+  readonly knownDaemons: KnownDaemons;
 }
 
 /** Queues of a gateway with what measures its own load; without both where the settings do not enable them. */
@@ -45,7 +47,7 @@
       ...context,
       nextPoll,
       limits: () => queue,
-      daemonCount: () => sources().cluster.size,
+      daemonCount: () => countDaemons(sources()),
       room: (group, nowMs) => sources().pool.room(group, nowMs),
       configurationVersion: () => configuration.version,
     });
@@ -57,3 +59,8 @@
     this.forwarding = { dispatchGate: this.gate, shedder, sendsPriority };
   }
 }
+
+/** Returns the number of live daemons, or of listed ones while no other is known to be alive. */
+function countDaemons({ cluster, knownDaemons }: GatewayQueueSources): number {
+  return cluster.size > 1 ? cluster.size : knownDaemons.ids().length;
+}
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -121,6 +121,7 @@
   const queue = new GatewayQueue(context, configuration, () => ({
     pool,
     cluster,
+    knownDaemons,
   }));
   const pool: EndpointPool = new EndpointPool(context.random, {
     dataCentre: settings.identity.dataCentre,
