--- a/packages/stand-ins/src/gateway/gateway-deployment.ts
+++ b/packages/stand-ins/src/gateway/gateway-deployment.ts
@@ -33,6 +33,8 @@
   readonly gateways: RunningGateway[] = [];
   storeAddress = ANY_PORT;
   cloudAddress = ANY_PORT;
+  /** Section `queue` of the settings of daemons that are added. */
+  queue: Partial<GatewaySettings['queue']> = {};
 
   /** `expose` returns the address that is registered for an endpoint's own. */
   constructor(
@@ -125,6 +127,7 @@
         cloudAddress: this.cloudAddress,
       },
       peerSecret,
+      queue: this.queue,
       telemetry: { logLevel: LogLevel.Silent },
     });
   }
