Refuse late requests at once where no endpoint of a group takes any, and describe the queue

Only requests that can still meet their objective wait then. A limit below one now rests also where no load is reported, at most a second.

--- a/packages/core/src/dispatch-queue/dispatch-queue.test.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.test.ts
@@ -3,9 +3,10 @@
 
 import fc from 'fast-check';
 
+import { SeededRandom } from '../ports/index.js';
 import { sampleQueue, sampleQueued, sampleRoom } from './fakes/index.js';
-import type { DispatchQueue, QueueDecision, QueuedRequest } from './index.js';
-import { QueueDecisionKind, QueueRefusal } from './index.js';
+import type { QueueDecision, QueuedRequest } from './index.js';
+import { DispatchQueue, QueueDecisionKind, QueueRefusal } from './index.js';
 
 const SEED = 20_261_206;
 const FULL = sampleRoom(4, { isKnown: true });
@@ -52,6 +53,24 @@
 }
 
 describe('DispatchQueue', () => {
+  it('sends fewer requests than one at a time where its share of the slots is below one', () => {
+    const queue = new DispatchQueue({
+      random: new SeededRandom(1),
+      limits: () => ({ maxRequests: 256, maxBytes: 1_000_000 }),
+      daemonCount: () => 80,
+    });
+    const room = sampleRoom(24, { isKnown: true });
+    queue.offer(sampleQueued('first'), room, 0);
+    for (let nowMs = 0; nowMs < 5_000; nowMs += 100)
+      queue.recordLoad({ running: 6, waiting: 12, slots: 6 }, nowMs);
+    assert.ok(queue.inFlightLimit(5_000) < 1);
+    queue.release(30, 5_000);
+    const late = { objectiveAtMs: 9_000, deadlineAtMs: 9_000 };
+    queue.offer(sampleQueued('second', late), room, 5_000);
+    assert.deepEqual(queue.advance(room, 5_010), []);
+    assert.deepEqual(sentIds(queue.advance(room, 6_000)), ['second']);
+  });
+
   it('sends at once while there is room, and holds the next request', () => {
     const queue = fullQueue();
     assert.equal(queue.offer(sampleQueued('next'), FULL, 0).kind, Wait);
@@ -272,4 +291,13 @@
     assert.deepEqual(queue.advance(closed, 50), []);
     assert.deepEqual(sentIds(queue.advance(sampleRoom(0), 100)), ['a']);
   });
+
+  it('lets requests that are late go where all endpoints withhold themselves, to be refused at once', () => {
+    const queue = sampleQueue();
+    const closed = sampleRoom(4, { openSlots: 0 });
+    queue.offer(sampleQueued('a'), closed, 0);
+    assert.deepEqual(sentIds(queue.advance(closed, 1_000)), ['a']);
+    const late = sampleQueued('late', { objectiveAtMs: 50 });
+    assert.equal(queue.offer(late, closed, 0).kind, Send);
+  });
 });
--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -30,6 +30,8 @@
 const UNKNOWN_WAIT_MS = 500; // the time in which a first event arrives
 /** Share of the limit up to which requests are sent that can no longer meet their objective. */
 const LATE_SHARE = 0.75; // a late response is worth a tenth; the rest is for the useful ones that arrive next
+/** Longest rest of a place under a limit below one. */
+const MAX_REST_MS = 1_000; // as long as reports count; then a request may be sent on trial
 
 export interface DispatchQueueOptions {
   readonly random: Random;
@@ -82,6 +84,8 @@
     this.updateShare(room);
     if (nowMs >= request.deadlineAtMs)
       return this.refuse(request, QueueRefusal.TooLate, nowMs);
+    if (isClosed(room) && !isUseful(request, nowMs))
+      return this.send(request, nowMs);
     const isFirst = this.waiting.length === 0;
     if (isFirst && this.hasRoom(room, nowMs) && this.maySend(request, nowMs))
       return this.send(request, nowMs);
@@ -111,6 +115,7 @@
       this.rate.recordSend(nowMs);
       decisions.push(this.send(next, nowMs));
     }
+    if (isClosed(room)) decisions.push(...this.sendLate(nowMs));
     decisions.push(...this.refuseHopeless(nowMs));
     if (this.waiting.length === 0) this.rate.clear();
     return decisions;
@@ -144,7 +149,9 @@
     this.inFlightCount -= 1;
     this.limit.recordHold(heldMs);
     const limit = this.inFlightLimit(nowMs);
-    if (limit < 1) this.restsUntilMs = nowMs + heldMs * (1 / limit - 1);
+    if (limit >= 1) return;
+    const restMs = Math.min(MAX_REST_MS, heldMs * (1 / limit - 1));
+    this.restsUntilMs = nowMs + restMs;
   }
 
   /** Refuses all waiting requests, as the daemon stops; another one can take them at once. */
@@ -178,17 +185,24 @@
   private hasRoom(room: GroupRoom, nowMs: number): boolean {
     // Without endpoints the request is refused, or passed to a peer, on the way.
     if (room.totalSlots === 0) return true;
-    if (room.openSlots === 0) return false;
+    if (isClosed(room)) return false;
     const limit = this.inFlightLimit(nowMs);
     const isRested = limit >= 1 || nowMs >= this.restsUntilMs;
     if (this.inFlightCount < limit && isRested) return true;
-    if (!room.isKnown) return this.inFlightCount < this.equalShare;
+    if (!room.isKnown) return isRested && this.inFlightCount < this.equalShare;
     this.beyondLimitAtMs = this.beyondLimitAtMs.filter(
       atMs => nowMs - atMs < REPORT_TTL_MS,
     );
     return this.beyondLimitAtMs.length < room.freeSlots;
   }
 
+  /** Sends those that can no longer meet their objective while no endpoint takes any: they are refused on the way, with the time at which one does. */
+  private sendLate(nowMs: number): readonly QueueDecision[] {
+    const late = this.waiting.filter(each => !isUseful(each, nowMs));
+    for (const request of late) this.take(request);
+    return late.map(each => this.send(each, nowMs));
+  }
+
   private send(request: QueuedRequest, nowMs: number): QueueDecision {
     if (this.inFlightCount >= this.inFlightLimit(nowMs))
       this.beyondLimitAtMs = [...this.beyondLimitAtMs, nowMs];
@@ -298,3 +312,8 @@
     return { kind: QueueDecisionKind.Refuse, requestId, reason, retryInMs };
   }
 }
+
+/** Whether none of a group's endpoints may be sent a request now. */
+function isClosed({ openSlots, totalSlots }: GroupRoom): boolean {
+  return totalSlots > 0 && openSlots === 0;
+}
--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -14,6 +14,7 @@
 import type { QueueGateDependencies, Reserve } from './queue-gate.js';
 import type { QueueDecision, QueuedRequest } from './queued-request.js';
 import { QueueDecisionKind, QueueRefusal } from './queued-request.js';
+import { isUseful } from './request-order.js';
 import { ServiceTimes } from './service-times.js';
 
 /** Longest time between two looks at a queue in which requests wait. */
@@ -175,7 +176,8 @@
       return;
     }
     const reservation = reserve(nowMs);
-    if (reservation === undefined && this.isClosedForNow(nowMs)) {
+    const mayWait = isUseful(request, nowMs);
+    if (reservation === undefined && mayWait && this.isClosedForNow(nowMs)) {
       this.queue.putBack(request);
       return;
     }
