--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -38,6 +38,7 @@
     'forwarding',
     'endpoint-limits',
   ],
+  'dispatch-queue': ['ports', 'forwarding'],
   hints: [
     'ports',
     'forwarding',
--- /dev/null
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -0,0 +1,319 @@
+import type { GroupRoom, ReportedLoad } from '../forwarding/index.js';
+import type { Random } from '../ports/index.js';
+import { findDisplaced } from './displacement.js';
+import { DrainRate } from './drain-rate.js';
+import { InFlightLimit } from './in-flight-limit.js';
+import type {
+  QueueDecision,
+  QueuedRequest,
+  QueueLimits,
+} from './queued-request.js';
+import { QueueDecisionKind, QueueRefusal } from './queued-request.js';
+import {
+  compareClasses,
+  compareRequests,
+  isTooLate,
+  isUseful,
+} from './request-order.js';
+import { spreadReturnMs } from './return-time.js';
+import { WorkspaceShares } from './workspace-shares.js';
+
+/** One in this many requests that leave the queue is the oldest, so that no kind of request starves. */
+const OLDEST_INTERVAL = 10; // costs the more useful ones a tenth of the capacity
+/** Time for which a report of a free slot allows a request beyond the limit. */
+const REPORT_TTL_MS = 1_000; // as long as the pool uses a report
+/** Share of the limit from which it counts as binding. */
+const BINDING_SHARE = 0.8;
+/** Interval between checks of the expected waits; each sorts the queue. */
+const WAIT_CHECK_INTERVAL_MS = 250;
+/** Expected time to a free place while the rate is not known. */
+const UNKNOWN_WAIT_MS = 500; // the time in which a first event arrives
+/** Share of the limit up to which requests are sent that can no longer meet their objective. */
+const LATE_SHARE = 0.75; // a late response is worth a tenth; the rest is for the useful ones that arrive next
+/** Longest rest of a place under a limit below one. */
+const MAX_REST_MS = 1_000; // as long as reports count; then a request may be sent on trial
+
+export interface DispatchQueueOptions {
+  readonly random: Random;
+  /** Returns the limits in force. */
+  readonly limits: () => QueueLimits;
+  /** Returns the number of live daemons, this one included. */
+  readonly daemonCount: () => number;
+}
+
+/**
+ * Requests of one group that wait at this daemon, and those in flight. Meant for
+ * groups whose demand may exceed their capacity, in front of up to about a hundred
+ * endpoints and behind up to about a hundred daemons whose news of one another are
+ * seconds old. A linear scan finds the next request: queues hold a few hundred.
+ */
+export class DispatchQueue {
+  private waiting: readonly QueuedRequest[] = [];
+  private inFlightCount = 0;
+  private restsUntilMs = -Infinity;
+  private sentFromQueue = 1;
+  private beyondLimitAtMs: readonly number[] = [];
+  private checkWaitsAtMs = 0;
+  private displaced: readonly QueuedRequest[] = [];
+  private equalShare = 0;
+  private readonly shares = new WorkspaceShares();
+  private readonly limit = new InFlightLimit();
+  private readonly rate = new DrainRate();
+
+  constructor(private readonly options: DispatchQueueOptions) {}
+
+  /** Number of waiting requests. */
+  get length(): number {
+    return this.waiting.length;
+  }
+
+  get inFlight(): number {
+    return this.inFlightCount;
+  }
+
+  /** Returns the limit of this daemon's requests in flight. */
+  inFlightLimit(nowMs: number): number {
+    return this.limit.current(this.equalShare, nowMs);
+  }
+
+  /**
+   * Decides on a new request: whether it may be sent now, waits, or is refused.
+   * A request that another one displaces is refused by the next `advance`.
+   */
+  offer(request: QueuedRequest, room: GroupRoom, nowMs: number): QueueDecision {
+    this.updateShare(room);
+    if (nowMs >= request.deadlineAtMs)
+      return this.refuse(request, QueueRefusal.TooLate, nowMs);
+    if (isClosed(room) && !isUseful(request, nowMs))
+      return this.send(request, nowMs);
+    const isFirst = this.waiting.length === 0;
+    if (isFirst && this.hasRoom(room, nowMs) && this.maySend(request, nowMs))
+      return this.send(request, nowMs);
+    const ahead = this.waiting.filter(
+      other => compareRequests(other, request, nowMs) <= 0,
+    ).length;
+    if (isTooLate(request, nowMs + (this.expectedWaitMs(ahead, nowMs) ?? 0)))
+      return this.refuse(request, QueueRefusal.TooLate, nowMs);
+    if (!this.makePlace(request, nowMs))
+      return this.refuse(request, QueueRefusal.QueueFull, nowMs);
+    this.add(request);
+    return { kind: QueueDecisionKind.Wait, requestId: request.requestId };
+  }
+
+  /** Returns the requests to send now, in order, and those to refuse. Called when capacity may have become available, and at least every 50 ms. */
+  advance(room: GroupRoom, nowMs: number): readonly QueueDecision[] {
+    this.updateShare(room);
+    const decisions = this.displaced.map(each =>
+      this.refuse(each, QueueRefusal.QueueFull, nowMs),
+    );
+    this.displaced = [];
+    const late = this.waiting.filter(each => isTooLate(each, nowMs));
+    decisions.push(...this.refuseAll(late, QueueRefusal.TooLate, nowMs));
+    while (this.waiting.length > 0 && this.hasRoom(room, nowMs)) {
+      const next = this.takeNext(nowMs);
+      if (next === undefined) break;
+      this.rate.recordSend(nowMs);
+      decisions.push(this.send(next, nowMs));
+    }
+    if (isClosed(room)) decisions.push(...this.sendLate(nowMs));
+    decisions.push(...this.refuseHopeless(nowMs));
+    if (this.waiting.length === 0) this.rate.clear();
+    return decisions;
+  }
+
+  /** Removes a waiting request whose caller no longer wants it. */
+  remove(requestId: string): void {
+    const request = this.waiting.find(each => each.requestId === requestId);
+    if (request !== undefined) this.take(request);
+    this.displaced = this.displaced.filter(
+      each => each.requestId !== requestId,
+    );
+  }
+
+  /** Puts a request back that was to be sent and for which no endpoint could be reserved. */
+  putBack(request: QueuedRequest): void {
+    this.withdraw();
+    this.add(request);
+  }
+
+  /** Frees the place of a request that was to be sent and was not. */
+  withdraw(): void {
+    this.inFlightCount -= 1;
+  }
+
+  /**
+   * Frees the place that a request held for `heldMs`. Under a limit below one the
+   * place then rests, so that the limit holds on average.
+   */
+  release(heldMs: number, nowMs: number): void {
+    this.inFlightCount -= 1;
+    this.limit.recordHold(heldMs);
+    const limit = this.inFlightLimit(nowMs);
+    if (limit >= 1) return;
+    const restMs = Math.min(MAX_REST_MS, heldMs * (1 / limit - 1));
+    this.restsUntilMs = nowMs + restMs;
+  }
+
+  /** Refuses all waiting requests, as the daemon stops; another one can take them at once. */
+  refuseWaiting(): readonly QueueDecision[] {
+    const refused = [...this.displaced, ...this.waiting];
+    this.displaced = [];
+    this.waiting = [];
+    return refused.map(({ requestId }) => ({
+      kind: QueueDecisionKind.Refuse,
+      requestId,
+      reason: QueueRefusal.Stopping,
+      retryInMs: 0,
+    }));
+  }
+
+  recordLoad(load: ReportedLoad, nowMs: number): void {
+    const limit = this.inFlightLimit(nowMs);
+    const isBinding =
+      this.waiting.length > 0 || this.inFlightCount >= limit * BINDING_SHARE;
+    this.limit.recordLoad(load, this.equalShare, isBinding, nowMs);
+  }
+
+  recordRejection(nowMs: number): void {
+    this.limit.recordRejection(this.equalShare, nowMs);
+  }
+
+  private updateShare({ totalSlots }: GroupRoom): void {
+    this.equalShare = totalSlots / Math.max(1, this.options.daemonCount());
+  }
+
+  private hasRoom(room: GroupRoom, nowMs: number): boolean {
+    // Without endpoints the request is refused, or passed to a peer, on the way.
+    if (room.totalSlots === 0) return true;
+    if (isClosed(room)) return false;
+    const limit = this.inFlightLimit(nowMs);
+    const isRested = limit >= 1 || nowMs >= this.restsUntilMs;
+    if (this.inFlightCount < limit && isRested) return true;
+    if (!room.isKnown) return isRested && this.inFlightCount < this.equalShare;
+    this.beyondLimitAtMs = this.beyondLimitAtMs.filter(
+      atMs => nowMs - atMs < REPORT_TTL_MS,
+    );
+    return this.beyondLimitAtMs.length < room.freeSlots;
+  }
+
+  /** Sends those that can no longer meet their objective while no endpoint takes any: they are refused on the way, with the time at which one does. */
+  private sendLate(nowMs: number): readonly QueueDecision[] {
+    const late = this.waiting.filter(each => !isUseful(each, nowMs));
+    for (const request of late) this.take(request);
+    return late.map(each => this.send(each, nowMs));
+  }
+
+  private send(request: QueuedRequest, nowMs: number): QueueDecision {
+    if (this.inFlightCount >= this.inFlightLimit(nowMs))
+      this.beyondLimitAtMs = [...this.beyondLimitAtMs, nowMs];
+    this.inFlightCount += 1;
+    this.shares.charge(request);
+    return { kind: QueueDecisionKind.Send, requestId: request.requestId };
+  }
+
+  /** Takes the request that is next in the order, or the oldest one if it is its turn; undefined if none may be sent. */
+  private takeNext(nowMs: number): QueuedRequest | undefined {
+    const [first] = this.waiting;
+    if (first === undefined) return undefined;
+    const isOldestsTurn = this.sentFromQueue % OLDEST_INTERVAL === 0;
+    const isBefore = (one: QueuedRequest, other: QueuedRequest) =>
+      isOldestsTurn
+        ? one.receivedAtMs < other.receivedAtMs
+        : this.compare(one, other, nowMs) < 0;
+    const next = this.waiting.reduce(
+      (best, each) => (isBefore(each, best) ? each : best),
+      first,
+    );
+    if (!isOldestsTurn && !this.maySend(next, nowMs)) return undefined;
+    this.sentFromQueue += 1;
+    this.take(next);
+    return next;
+  }
+
+  /** Whether the part of the limit that the request may use has a place: all of it if the request is useful. */
+  private maySend(request: QueuedRequest, nowMs: number): boolean {
+    const lateLimit = this.inFlightLimit(nowMs) * LATE_SHARE;
+    return isUseful(request, nowMs) || this.inFlightCount < lateLimit;
+  }
+
+  /** Compares requests by class, then the turns of their workspaces, then by deadline. */
+  private compare(
+    first: QueuedRequest,
+    second: QueuedRequest,
+    nowMs: number,
+  ): number {
+    return (
+      compareClasses(first, second, nowMs) ||
+      this.shares.startTag(first.workspace) -
+        this.shares.startTag(second.workspace) ||
+      first.deadlineAtMs - second.deadlineAtMs
+    );
+  }
+
+  /** Refuses those that will not be sent in time at the rate at which the queue drains. */
+  private refuseHopeless(nowMs: number): readonly QueueDecision[] {
+    if (nowMs < this.checkWaitsAtMs) return [];
+    this.checkWaitsAtMs = nowMs + WAIT_CHECK_INTERVAL_MS;
+    if (this.rate.perMs(nowMs) === undefined) return [];
+    const ordered = [...this.waiting].sort((first, second) =>
+      this.compare(first, second, nowMs),
+    );
+    const hopeless: QueuedRequest[] = [];
+    for (const [index, request] of ordered.entries()) {
+      const ahead = index - hopeless.length;
+      const waitMs = this.expectedWaitMs(ahead, nowMs) ?? 0;
+      if (isTooLate(request, nowMs + waitMs)) hopeless.push(request);
+    }
+    return this.refuseAll(hopeless, QueueRefusal.TooLate, nowMs);
+  }
+
+  private expectedWaitMs(ahead: number, nowMs: number): number | undefined {
+    const perMs = this.rate.perMs(nowMs);
+    return perMs === undefined ? undefined : ahead / perMs;
+  }
+
+  /** Makes place for a request by displacing less valuable ones; returns false if it is the least valuable itself. */
+  private makePlace(request: QueuedRequest, nowMs: number): boolean {
+    const limits = this.options.limits();
+    const displaced = findDisplaced(this.waiting, request, limits, nowMs);
+    if (displaced === undefined) return false;
+    for (const each of displaced) this.take(each);
+    this.displaced = [...this.displaced, ...displaced];
+    return true;
+  }
+
+  private add(request: QueuedRequest): void {
+    this.waiting = [...this.waiting, request];
+  }
+
+  private take(request: QueuedRequest): void {
+    this.waiting = this.waiting.filter(each => each !== request);
+  }
+
+  private refuseAll(
+    requests: readonly QueuedRequest[],
+    reason: QueueRefusal,
+    nowMs: number,
+  ): readonly QueueDecision[] {
+    for (const request of requests) this.take(request);
+    return requests.map(each => this.refuse(each, reason, nowMs));
+  }
+
+  private refuse(
+    { deadlineAtMs, requestId }: QueuedRequest,
+    reason: QueueRefusal,
+    nowMs: number,
+  ): QueueDecision {
+    const drainedInMs =
+      this.expectedWaitMs(this.waiting.length, nowMs) ?? UNKNOWN_WAIT_MS;
+    const remainingMs = deadlineAtMs - nowMs;
+    const { random } = this.options;
+    const retryInMs = spreadReturnMs(drainedInMs, remainingMs, random);
+    return { kind: QueueDecisionKind.Refuse, requestId, reason, retryInMs };
+  }
+}
+
+/** Whether none of a group's endpoints may be sent a request now. */
+function isClosed({ openSlots, totalSlots }: GroupRoom): boolean {
+  return totalSlots > 0 && openSlots === 0;
+}
--- a/packages/core/src/forwarding/create-sequence.ts
+++ b/packages/core/src/forwarding/create-sequence.ts
@@ -34,6 +34,7 @@
       pool,
       versions,
       requestRelay,
+      prefersRoom: deps.dispatchGate !== undefined,
       relayed,
     }),
     suspectIds,
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -1,11 +1,13 @@
 import type { Random } from '../ports/index.js';
 import type { ColdStartGuard } from './cold-start-guard.js';
 import { NEVER_COLD } from './cold-start-guard.js';
+import type { GroupRoom } from './dispatch-gate.js';
 import { EndpointLifetimes } from './endpoint-lifetimes.js';
 import type { EndpointLoad } from './endpoint-load.js';
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
 import { EndpointState } from './endpoint-record.js';
 import { findRetainable } from './endpoint-retention.js';
+import { hasRecentReport, matchesRoom, roomOf } from './group-room.js';
 import { MisdirectedEndpoints } from './misdirected-endpoints.js';
 import type { PoolMember } from './pool-member.js';
 import {
@@ -30,8 +32,6 @@
 const RUNNING_REQUEST_COST_MS = 4; // 0.03 ms per step, as the users specify, for some 100 steps
 /** Cost of sending to another data centre: one round trip. */
 const REMOTE_DATA_CENTRE_COST_MS = 1;
-/** Age from which an endpoint's load report is ignored. */
-const MAX_LOAD_REPORT_AGE_MS = 1_000; // most requests take less
 /** Weight of the uncached tokens of a request: their prefill delays all later requests too. */
 const UNCACHED_TOKEN_WEIGHT = 6; // docs/decisions/0010-platform.md, 'Weighed'
 /** Maximum random addition to a cost, so that daemons with equal state do not all choose the same endpoint. */
@@ -137,9 +137,7 @@
 
   /** Returns the endpoints of a group that accept new requests. */
   readyEndpoints(group: string, nowMs: number): readonly EndpointRecord[] {
-    return [...this.membersById.values()]
-      .filter(each => each.record.group === group && this.isUsable(each, nowMs))
-      .map(each => each.record);
+    return this.usableMembers(group, nowMs).map(each => each.record);
   }
 
   /** Returns whether an endpoint accepts new requests. */
@@ -152,13 +150,12 @@
   /** Reserves the endpoint with the lowest expected latency; returns undefined if none is usable. */
   reserve(query: PoolQuery, nowMs: number): PoolReservation | undefined {
     const { limiter } = this.options;
-    const usable = [...this.membersById.values()].filter(
+    const usable = this.usableMembers(query.group, nowMs).filter(
       member =>
-        member.record.group === query.group &&
-        this.isUsable(member, nowMs) &&
         !query.excluded.has(member.record.id) &&
         matchesQuery(member.record, query) &&
-        this.waitMs(member, nowMs) === 0,
+        this.waitMs(member, nowMs) === 0 &&
+        matchesRoom(member, query, this.runningAt(member, nowMs)),
     );
     const unlimited = usable.filter(
       member => limiter.waitMs(member.record) === undefined,
@@ -200,13 +197,19 @@
    * undefined if one may be now, or none accepts new requests.
    */
   busyForMs(group: string, nowMs: number): number | undefined {
-    const waitsMs = [...this.membersById.values()]
-      .filter(each => each.record.group === group && this.isUsable(each, nowMs))
-      .map(each => this.waitMs(each, nowMs));
+    const waitsMs = this.usableMembers(group, nowMs).map(each =>
+      this.waitMs(each, nowMs),
+    );
     const waitMs = Math.min(...waitsMs);
     return waitMs > 0 && Number.isFinite(waitMs) ? waitMs : undefined;
   }
 
+  /** Returns the capacity of a group's endpoints that accept new requests. */
+  room(group: string, nowMs: number): GroupRoom {
+    const isOpen = (member: PoolMember) => this.waitMs(member, nowMs) === 0;
+    return roomOf(this.usableMembers(group, nowMs), isOpen, nowMs);
+  }
+
   /** Returns the endpoints with the state that their selection depends on, for the operators. */
   dumpState(nowMs: number): unknown {
     return [...this.membersById.values()].map(member => ({
@@ -222,6 +225,12 @@
     }));
   }
 
+  private usableMembers(group: string, nowMs: number): readonly PoolMember[] {
+    return [...this.membersById.values()].filter(
+      each => each.record.group === group && this.isUsable(each, nowMs),
+    );
+  }
+
   private isUsable(
     { record, usableUntilMs }: PoolMember,
     nowMs: number,
@@ -298,9 +307,8 @@
     const knownRunning =
       member.running + (this.peerWorkById.get(member.record.id)?.running ?? 0);
     const { reportedLoad } = member;
-    const isReportRecent =
-      nowMs - member.loadReportedAtMs < MAX_LOAD_REPORT_AGE_MS;
-    if (reportedLoad === undefined || !isReportRecent) return knownRunning;
+    if (reportedLoad === undefined || !hasRecentReport(member, nowMs))
+      return knownRunning;
     const reportedRunning =
       reportedLoad.running + reportedLoad.waiting + member.sentSinceLoadReport;
     return Math.max(knownRunning, reportedRunning);
@@ -343,6 +351,7 @@
         member.reportedLoad = load;
         member.loadReportedAtMs = atMs;
         member.sentSinceLoadReport = 0;
+        this.options.loadObserver?.recordLoad(query.group, load, atMs);
       },
       ...createStatementRecorders({
         ...this.options,
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -13,12 +13,14 @@
 import type { CrashGuard } from './crash-guard.js';
 import type { DataCentreGate } from './data-centre-gate.js';
 import { dataCentreBarrierError } from './data-centre-gate.js';
+import type { DaemonShedder, DispatchGate } from './dispatch-gate.js';
 import type { DispatchWindow } from './dispatch-window.js';
 import type { EndpointPool } from './endpoint-pool.js';
 import {
   daemonStoppingError,
   ForwardError,
   ForwardErrorKind,
+  requestBlockedError,
   timedOutNotRunError,
 } from './forward-error.js';
 import type {
@@ -98,6 +100,12 @@
   readonly requestRelay: RequestRelay;
   readonly dispatchWindow: DispatchWindow;
   readonly responseMemory: ResponseMemory;
+  /** Where requests wait for capacity; they never wait if absent. */
+  readonly dispatchGate?: DispatchGate | undefined;
+  /** Refuses what this daemon is too slow to forward, if given. */
+  readonly shedder?: DaemonShedder | undefined;
+  /** Whether engines are told the priority of requests. */
+  readonly sendsPriority?: () => boolean;
 }
 
 /** Request with its route, its workspace and what identifies repetitions of it. */
@@ -175,6 +183,29 @@
     if (!dispatchWindow.isOpenUntil(deadlineAtMs)) throw daemonStoppingError();
   }
 
+  /** Throws `ForwardError` if this daemon is too slow for a request of which only the head was read. */
+  rejectExcess(head: RequestHead): void {
+    const { clock, configuration, metrics, shedder } = this.deps;
+    if (shedder === undefined) return;
+    const { metadata, receivedAtMs, target } = head;
+    const route = configuration.findRoute(metadata.host, target);
+    if (route === undefined) return;
+    const workspace = configuration.findByKey(metadata.apiKey ?? '');
+    const request = {
+      priority: workspace?.priority ?? route.priority,
+      objectiveAtMs: receivedAtMs + route.latencyObjectiveMs,
+      deadlineAtMs: deadlineOf(head, route),
+    };
+    const retryInMs = shedder.refusedForMs(request, clock.nowMs());
+    if (retryInMs === undefined) return;
+    metrics.increment('daemon.shed', 1, { route: route.name });
+    throw new ForwardError(
+      ForwardErrorKind.Overloaded,
+      'This daemon is overloaded; send the request again later.',
+      retryInMs,
+    );
+  }
+
   private resolve(request: ForwardRequest): IdentifiedRequest {
     const { configuration } = this.deps;
     const { metadata, target } = request;
@@ -188,11 +219,7 @@
   private rejectBlocked({ suspectIds }: IdentifiedRequest): void {
     const blockedForMs = this.deps.crashGuard.blockedForMs(suspectIds);
     if (blockedForMs === undefined) return;
-    throw new ForwardError(
-      ForwardErrorKind.RequestBlocked,
-      'The request or a part of its prompt has crashed several endpoints; change it, or send it again much later.',
-      blockedForMs,
-    );
+    throw requestBlockedError(blockedForMs);
   }
 
   /** Deducts the request's tokens from its workspace's token bucket. Throws `ForwardError` if the rate limit is exceeded. */
--- a/packages/core/src/forwarding/pool-options.ts
+++ b/packages/core/src/forwarding/pool-options.ts
@@ -1,5 +1,6 @@
 import type { DataCentre } from '../ports/index.js';
 import type { ColdStartGuard } from './cold-start-guard.js';
+import type { LoadObserver } from './dispatch-gate.js';
 import type { EndpointLimiter } from './endpoint-limiter.js';
 import type { LeavingEndpoints } from './leaving-endpoints.js';
 import type { OverloadGuard } from './overload-guard.js';
@@ -21,4 +22,6 @@
   readonly coldStarts?: ColdStartGuard;
   /** Whether the endpoints of a data centre get no requests by order of the operators; none are withheld if absent. */
   readonly isEvacuated?: (dataCentre: DataCentre) => boolean;
+  /** Told of the load and the rejections of endpoints, if given. */
+  readonly loadObserver?: LoadObserver | undefined;
 }
--- a/packages/core/src/forwarding/pool-query.ts
+++ b/packages/core/src/forwarding/pool-query.ts
@@ -14,4 +14,6 @@
   readonly promptTokens: number;
   /** Data centres whose endpoints may be chosen; any if absent. */
   readonly allowedDataCentres?: ReadonlySet<DataCentre>;
+  /** Skips endpoints whose known load leaves no capacity. */
+  readonly requiresRoom?: boolean;
 }
--- a/packages/core/src/forwarding/statement-recorders.ts
+++ b/packages/core/src/forwarding/statement-recorders.ts
@@ -6,7 +6,7 @@
 
 export interface StatementRecorderOptions extends Pick<
   EndpointPoolOptions,
-  'leaving' | 'limiter' | 'paused'
+  'leaving' | 'limiter' | 'loadObserver' | 'paused'
 > {
   readonly coldStarts: ColdStartGuard;
   readonly endpoint: EndpointRecord;
@@ -26,6 +26,7 @@
   endpoint,
   leaving,
   limiter,
+  loadObserver,
   paused,
   sentAtMs,
 }: StatementRecorderOptions): StatementRecorders {
@@ -44,6 +45,7 @@
       if (!isRejection || limitPerSecond !== undefined)
         limiter.recordResponse(endpoint, limitPerSecond, sentAtMs);
       dispatch.recordResponse({ isRejection, maxRejectionsPerSecond });
+      if (isRejection) loadObserver?.recordRejection(endpoint.group, sentAtMs);
     },
   };
 }
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -15,7 +15,6 @@
 import {
   EndpointReachability,
   ObservedUpstream,
-  RelayPeers,
 } from '@skylarkreach/core/reachability';
 import { RolloutRegistry } from '@skylarkreach/core/rollouts';
 import {
@@ -31,7 +30,6 @@
 import { nextPoll } from '../http/index.js';
 import type { Loop } from '../loops/index.js';
 import { createIntervalLoop, createPollerLoop } from '../loops/index.js';
-import { MessageSigner } from '../peers/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import {
   createNonBlockingOutput,
@@ -50,9 +48,10 @@
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayDuties } from './gateway-duties.js';
 import { GatewayHints } from './gateway-hints.js';
+import { GatewayQueue } from './gateway-queue.js';
 import { IngressServer } from './ingress-server.js';
 import type { OperatorWatch } from './operator-watch.js';
-import { RelayClient } from './relay-client.js';
+import { createRelayClient } from './relay-client.js';
 import { RelayServer } from './relay-server.js';
 import { RetryBudgets } from './retry-budgets.js';
 import { StateReplicator } from './state-replicator.js';
@@ -82,6 +81,7 @@
   readonly relayServer: RelayServer;
   readonly cluster: GatewayCluster;
   readonly duties: GatewayDuties;
+  readonly queue: GatewayQueue;
   readonly loops: readonly Loop[];
 }
 
@@ -111,13 +111,19 @@
   evacuations.onEnd(dataCentre => {
     coldStarts.recordEvacuationEnd(dataCentre);
   });
-  const pool = new EndpointPool(context.random, {
+  const queue = new GatewayQueue(context, configuration, () => ({
+    pool,
+    cluster,
+    knownDaemons,
+  }));
+  const pool: EndpointPool = new EndpointPool(context.random, {
     dataCentre: settings.identity.dataCentre,
     prefillTokensPerMs: settings.routing.prefillTokensPerMs,
     timeMs: () => duties.trueTime.nowMs(),
     engineMemoryTokens: group => groupOf(group)?.engine?.cacheTokens,
     ...guards,
     isEvacuated: dataCentre => evacuations.isEvacuated(dataCentre),
+    loadObserver: queue.gate,
   });
   const tokenBuckets = new TokenBucketLedger({
     tolerance: {
@@ -189,16 +195,10 @@
     knownDaemons.recordListed(ids);
   });
   const peerConnections = new EndpointClient(platform.protocol);
-  const requestRelay = new RelayClient({
+  const requestRelay = createRelayClient(context, {
     reachability,
     upstream: peerConnections,
-    signer: new MessageSigner(settings.peerSecret, clock),
-    peers: new RelayPeers({
-      ...context,
-      reachability,
-      livePeers: () => cluster.membership.live(),
-      freshHints: nowMs => cluster.hintBoard.freshHints(nowMs),
-    }),
+    cluster,
   });
   const retryBudgets = new RetryBudgets(
     settings.bounds,
@@ -234,6 +234,7 @@
     requestRelay,
     dispatchWindow: stopSchedule,
     responseMemory: new ResponseMemory(context, RESPONSE_MEMORY_BYTES),
+    ...queue.forwarding,
   });
   const limits = () => configuration.current?.limits ?? DEFAULT_LIMITS;
   const relayServer = new RelayServer({
@@ -304,6 +305,7 @@
       () => reachability.step(),
     ),
     coldStartsLoop,
+    ...queue.loops,
     ...cluster.loops,
     ...duties.loops,
     duties.createTellingLoop(context, cluster),
@@ -320,6 +322,7 @@
     relayServer,
     cluster,
     duties,
+    queue,
     loops,
   };
 }
--- a/packages/stand-ins/src/gateway/gateway-deployment.ts
+++ b/packages/stand-ins/src/gateway/gateway-deployment.ts
@@ -35,6 +35,8 @@
   cloudAddress = ANY_PORT;
   /** Region of each data centre, in the settings of gateways that are started later. */
   regions: Readonly<Record<string, string>> = {};
+  /** Section `queue` of the settings of daemons that are added. */
+  queue: Partial<GatewaySettings['queue']> = {};
 
   /** `expose` returns the address that is registered for an endpoint's own. */
   constructor(
@@ -132,6 +134,7 @@
         cloudAddress: this.cloudAddress,
       },
       peerSecret,
+      queue: this.queue,
       telemetry: { logLevel: LogLevel.Silent },
     });
   }
