Move the cost of an endpoint behind PlacementPolicy

The pool computed the cost of each endpoint itself, so that another rule could not be selected. The cost functions are now LeastLatencyPlacement; the pool asks its policy, which is LeastLatencyPlacement unless the options name another. Rendezvous hashing returns the first two endpoints instead of one; this rule uses the first.

--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -3,17 +3,18 @@
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
 import { EndpointState } from './endpoint-record.js';
 import { findRetainable } from './endpoint-retention.js';
+import { LeastLatencyPlacement } from './least-latency-placement.js';
 import { MisdirectedEndpoints } from './misdirected-endpoints.js';
+import type { PeerLoadAt, PlacementPolicy } from './placement-policy.js';
 import type { PoolMember } from './pool-member.js';
 import {
   createPoolMember,
   expectedResponseMs,
-  expectedServiceMs,
-  expectedUncachedTokens,
-  findPreferredMember,
+  findPreferredMembers,
   isOnTrial,
   matchesVersion,
   recordResponse,
+  runningAt,
 } from './pool-member.js';
 import type { EndpointPoolOptions } from './pool-options.js';
 import type { PoolQuery } from './pool-query.js';
@@ -27,20 +28,9 @@
   readonly backlogTokens: number;
 }
 
-/** Cost at a failure share of 1: about one failed attempt and its retry. */
-const FAILURE_PENALTY_MS = 2_000;
-/** Time that each running request adds to the decoding steps of an engine's response. */
-const RUNNING_REQUEST_COST_MS = 4; // 0.03 ms per step, as the users specify, for some 100 steps
-/** Cost of sending to another data centre: one round trip. */
-const REMOTE_DATA_CENTRE_COST_MS = 1;
-/** Age from which an endpoint's load report is ignored. */
-const MAX_LOAD_REPORT_AGE_MS = 1_000; // most requests take less
-/** Weight of the uncached tokens of a request: their prefill delays all later requests too. */
-const UNCACHED_TOKEN_WEIGHT = 6; // docs/decisions/0010-platform.md, 'Weighed'
-/** Maximum random addition to a cost, so that daemons with equal state do not all choose the same endpoint. */
-const JITTER_MS = 2; // below the cost of one running request
+const NO_PEER_LOAD: PeerLoadAt = { running: 0, backlogTokens: 0 };
 
-/** Endpoints known to this daemon, with a load balancer that reserves the one with the lowest expected latency. */
+/** Endpoints known to this daemon, with a load balancer that reserves the one with the lowest expected cost. */
 export class EndpointPool {
   private membersById = new Map<string, PoolMember>();
   private listedRevision = 0;
@@ -48,11 +38,14 @@
   private readonly misdirected = new MisdirectedEndpoints();
 
   private readonly lifetimes: EndpointLifetimes;
+  private readonly placement: PlacementPolicy;
 
   constructor(
-    private readonly random: Random,
+    random: Random,
     private readonly options: EndpointPoolOptions,
   ) {
+    this.placement =
+      options.placement ?? new LeastLatencyPlacement({ ...options, random });
     this.lifetimes = new EndpointLifetimes(options.timeMs);
   }
 
@@ -150,7 +143,7 @@
     return this.options.paused.waitMs(member.record) === 0;
   }
 
-  /** Reserves the endpoint with the lowest expected latency; returns undefined if none is usable. */
+  /** Reserves the endpoint with the lowest expected cost; returns undefined if none is usable. */
   reserve(query: PoolQuery, nowMs: number): PoolReservation | undefined {
     const { limiter } = this.options;
     const usable = [...this.membersById.values()].filter(
@@ -164,16 +157,13 @@
     const unlimited = usable.filter(
       member => limiter.waitMs(member.record) === undefined,
     );
-    const preferred = findPreferredMember(unlimited, query.promptParts);
+    const preferred = findPreferredMembers(unlimited, query.promptParts);
+    const placed = { ...query, preferred };
     let best: PoolMember | undefined;
     let bestMs = Infinity;
     for (const member of usable) {
-      const expectedMs = this.expectedLatencyMs(
-        member,
-        query,
-        member === preferred,
-        nowMs,
-      );
+      const peerLoad = this.peerWorkById.get(member.record.id) ?? NO_PEER_LOAD;
+      const expectedMs = this.placement.costMs(member, placed, peerLoad, nowMs);
       if (expectedMs >= bestMs) continue;
       best = member;
       bestMs = expectedMs;
@@ -238,7 +228,11 @@
   private waitMs(member: PoolMember, nowMs: number): number {
     const { limiter, overloadGuard, paused } = this.options;
     const load = {
-      running: this.runningAt(member, nowMs),
+      running: runningAt(
+        member,
+        this.peerWorkById.get(member.record.id)?.running ?? 0,
+        nowMs,
+      ),
       expectedResponseMs: expectedResponseMs(member, nowMs),
     };
     return Math.max(
@@ -248,62 +242,6 @@
     );
   }
 
-  private expectedLatencyMs(
-    member: PoolMember,
-    query: PoolQuery,
-    isPreferred: boolean,
-    nowMs: number,
-  ): number {
-    const { record } = member;
-    const penaltyMs =
-      member.health.failureShare(nowMs) * FAILURE_PENALTY_MS +
-      (record.dataCentre === this.options.dataCentre
-        ? 0
-        : REMOTE_DATA_CENTRE_COST_MS) +
-      record.coldRemainingMs / 10 +
-      this.random.nextFloat() * JITTER_MS;
-    const running = this.runningAt(member, nowMs);
-    return query.promptTokens > 0
-      ? penaltyMs +
-          this.expectedEngineMs(member, query, isPreferred, running, nowMs)
-      : penaltyMs + expectedServiceMs(member, running, nowMs);
-  }
-
-  private expectedEngineMs(
-    member: PoolMember,
-    query: PoolQuery,
-    isPreferred: boolean,
-    running: number,
-    nowMs: number,
-  ): number {
-    const peerBacklogTokens =
-      this.peerWorkById.get(member.record.id)?.backlogTokens ?? 0;
-    const queuedRequests = Math.max(0, running + 1 - member.record.slots);
-    const prefillTokens =
-      member.backlogTokens +
-      peerBacklogTokens +
-      expectedUncachedTokens(member, query, isPreferred) *
-        UNCACHED_TOKEN_WEIGHT;
-    const prefillMs = prefillTokens / this.options.prefillTokensPerMs;
-    const slotWaitMs =
-      (queuedRequests / member.record.slots) *
-      expectedResponseMs(member, nowMs);
-    return prefillMs + running * RUNNING_REQUEST_COST_MS + slotWaitMs;
-  }
-
-  /** Returns the running requests at an endpoint: own and peers', or if greater those that it reported plus those sent since. */
-  private runningAt(member: PoolMember, nowMs: number): number {
-    const knownRunning =
-      member.running + (this.peerWorkById.get(member.record.id)?.running ?? 0);
-    const { reportedLoad } = member;
-    const isReportRecent =
-      nowMs - member.loadReportedAtMs < MAX_LOAD_REPORT_AGE_MS;
-    if (reportedLoad === undefined || !isReportRecent) return knownRunning;
-    const reportedRunning =
-      reportedLoad.running + reportedLoad.waiting + member.sentSinceLoadReport;
-    return Math.max(knownRunning, reportedRunning);
-  }
-
   private createReservation(
     member: PoolMember,
     query: PoolQuery,
--- a/packages/core/src/forwarding/pool-member.ts
+++ b/packages/core/src/forwarding/pool-member.ts
@@ -31,6 +31,8 @@
 const DEFAULT_RESPONSE_MS = 20; // service time of a plain request, as the users specify
 /** Weight of the newest response in an endpoint's moving average. */
 const RESPONSE_AVERAGE_WEIGHT = 0.1; // averages about the last ten responses, a second of traffic
+/** Age from which an endpoint's load report is ignored. */
+const MAX_LOAD_REPORT_AGE_MS = 1_000; // most requests take less
 /** Time without a response after which the average of an idle endpoint no longer counts, so that it gets a trial. */
 const AVERAGE_TTL_MS = 2_000;
 /** Share of the shared parts of a prompt that is expected to be uncached at their preferred endpoint. */
@@ -123,23 +125,48 @@
 }
 
 /**
- * Returns the endpoint that all daemons prefer for a prompt's shared parts, so
- * that these are cached there: rendezvous hashing (highest random weight, Thaler
- * and Ravishankar, 1998) by the last shared part. Undefined if no part is shared.
+ * Returns the endpoints that all daemons prefer for a prompt's shared parts, in
+ * this order, so that these are cached there: rendezvous hashing (highest random
+ * weight, Thaler and Ravishankar, 1998) by the last shared part. Empty if no
+ * part is shared.
  */
-export function findPreferredMember(
+export function findPreferredMembers(
   members: readonly PoolMember[],
   parts: readonly PromptPart[],
-): PoolMember | undefined {
+): readonly PoolMember[] {
   const key = parts.at(-2)?.id;
-  if (key === undefined) return undefined;
-  let preferred: PoolMember | undefined;
-  let highest = -1;
+  if (key === undefined) return [];
+  let first: PoolMember | undefined;
+  let second: PoolMember | undefined;
+  let firstWeight = -1;
+  let secondWeight = -1;
   for (const member of members) {
     const weight = hash32(`${key} ${member.record.id}`);
-    if (weight <= highest) continue;
-    preferred = member;
-    highest = weight;
+    if (weight > firstWeight) {
+      second = first;
+      secondWeight = firstWeight;
+      first = member;
+      firstWeight = weight;
+    } else if (weight > secondWeight) {
+      second = member;
+      secondWeight = weight;
+    }
   }
-  return preferred;
+  return [first, second].filter(member => member !== undefined);
+}
+
+/** Returns the running requests at an endpoint: own and peers', or if greater those that it reported plus those sent since. */
+export function runningAt(
+  member: PoolMember,
+  peersRunning: number,
+  nowMs: number,
+): number {
+  const knownRunning = member.running + peersRunning;
+  const { reportedLoad } = member;
+  const isReportRecent =
+    nowMs - member.loadReportedAtMs < MAX_LOAD_REPORT_AGE_MS;
+  if (reportedLoad === undefined || !isReportRecent) return knownRunning;
+  const reportedRunning =
+    reportedLoad.running + reportedLoad.waiting + member.sentSinceLoadReport;
+  return Math.max(knownRunning, reportedRunning);
 }
--- a/packages/core/src/forwarding/pool-options.ts
+++ b/packages/core/src/forwarding/pool-options.ts
@@ -3,6 +3,7 @@
 import type { LeavingEndpoints } from './leaving-endpoints.js';
 import type { OverloadGuard } from './overload-guard.js';
 import type { PausedEndpoints } from './paused-endpoints.js';
+import type { PlacementPolicy } from './placement-policy.js';
 
 export interface EndpointPoolOptions {
   readonly dataCentre: DataCentre;
@@ -16,4 +17,6 @@
   readonly overloadGuard: OverloadGuard;
   readonly leaving: LeavingEndpoints;
   readonly paused: PausedEndpoints;
+  /** `LeastLatencyPlacement` if absent. */
+  readonly placement?: PlacementPolicy;
 }
