Place requests by least work where the settings say so

Engines of a group differ in speed by a factor of two, and a daemon hears of an engine by its own responses only every 14 s at 80 daemons before 98 engines. LeastWorkPlacement estimates the time to the first event from the newest report of an endpoint's load, which daemons now pass on to one another (LoadReports, an optional text in the hints), from the fourth figure of Server-Load and from learned rates, and counts the second endpoint of the rendezvous hashing as one that caches the shared part too. Selected by routing.placement: leastWork; the default is unchanged. Length-Hint and the fourth figure are decoded.

The weights are not settled yet.

--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -5,7 +5,11 @@
 import { findRetainable } from './endpoint-retention.js';
 import { LeastLatencyPlacement } from './least-latency-placement.js';
 import { MisdirectedEndpoints } from './misdirected-endpoints.js';
-import type { PeerLoadAt, PlacementPolicy } from './placement-policy.js';
+import type {
+  PeerLoadAt,
+  PlacementPolicy,
+  PlacementQuery,
+} from './placement-policy.js';
 import type { PoolMember } from './pool-member.js';
 import {
   createPoolMember,
@@ -170,7 +174,7 @@
     }
     return best === undefined
       ? undefined
-      : this.createReservation(best, query, nowMs);
+      : this.createReservation(best, placed, nowMs);
   }
 
   /**
@@ -209,6 +213,7 @@
       isMisdirected: this.misdirected.has(member.record.id, nowMs),
       isLeaving: this.options.leaving.has(member.record),
       pausedForMs: this.options.paused.waitMs(member.record),
+      learned: this.placement.dumpMember?.(member, nowMs),
     }));
   }
 
@@ -244,7 +249,7 @@
 
   private createReservation(
     member: PoolMember,
-    query: PoolQuery,
+    query: PlacementQuery,
     nowMs: number,
   ): PoolReservation {
     const uncachedTokens =
@@ -252,6 +257,13 @@
         ? member.promptCache.uncachedTokens(query.promptParts)
         : 0;
     const wasOnTrial = isOnTrial(member, nowMs);
+    const peerLoad = this.peerWorkById.get(member.record.id) ?? NO_PEER_LOAD;
+    const observation = this.placement.observe?.(
+      member,
+      query,
+      peerLoad,
+      nowMs,
+    );
     member.running += 1;
     member.sentSinceLoadReport += 1;
     member.backlogTokens += uncachedTokens;
@@ -269,14 +281,18 @@
     return {
       endpoint: member.record,
       lifetime: lifetime.signal,
+      placementFields: () => observation?.fields() ?? {},
       recordFirstEvent: atMs => {
         clearBacklog();
+        observation?.recordFirstEvent(atMs);
         recordResponse(member, atMs - nowMs, wasOnTrial, atMs);
       },
+      recordEvents: count => observation?.recordEvents(count),
       recordLoad: (load, atMs) => {
         member.reportedLoad = load;
         member.loadReportedAtMs = atMs;
         member.sentSinceLoadReport = 0;
+        observation?.recordLoad(load, atMs);
       },
       recordLeaving: () => {
         this.options.leaving.record(member.record);
@@ -300,6 +316,7 @@
         clearBacklog();
         dispatch.end();
         member.running -= 1;
+        observation?.end(verdict === AttemptVerdict.Succeeded, atMs);
         if (verdict === undefined) return;
         member.health.record(verdict === AttemptVerdict.Failed, atMs);
       },
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -243,6 +243,7 @@
         this.reservation.recordFirstEvent(nowMs);
       this.firstEventAtMs ??= nowMs;
       this.options.observation.recordEvents(newEvents, nowMs);
+      this.reservation.recordEvents?.(newEvents);
       this.silence.pause();
       await stream.flush();
       pacedAtMs =
--- a/packages/core/src/forwarding/forward-request.ts
+++ b/packages/core/src/forwarding/forward-request.ts
@@ -26,6 +26,8 @@
   /** Parts of the prompt in order; the last one belongs to this request or its session alone, the others may be shared. */
   readonly promptParts: readonly PromptPart[];
   readonly lastEventId: string | undefined;
+  /** Output tokens that the caller expects, often far off; absent if it names none. */
+  readonly outputTokensHint?: number;
 }
 
 /** Caller's request, read completely and not yet dispatched. */
@@ -88,6 +90,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How many times as long as normally work takes there at this moment, 1 is normal; absent if it is not reported. */
+  readonly slowdown?: number;
 }
 
 /** Metadata that the protocol adds to a request to an endpoint. */
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -217,6 +217,7 @@
     });
     stopListening();
     this.record.limitPerSecond = attempt.limitPerSecond;
+    this.record.placement = reservation.placementFields?.() ?? {};
     this.recordResult(result, reservation, sentAtMs);
     const { suspectIds } = this.context;
     const { requestId } = request;
--- a/packages/core/src/forwarding/placement-policy.ts
+++ b/packages/core/src/forwarding/placement-policy.ts
@@ -1,3 +1,5 @@
+import type { LogFields } from '../ports/index.js';
+import type { ReportedLoad } from './forward-request.js';
 import type { PoolMember } from './pool-member.js';
 import type { PoolQuery } from './pool-query.js';
 
@@ -15,6 +17,19 @@
   readonly preferred: readonly PoolMember[];
 }
 
+/** Receives the progress of a request at the endpoint that was reserved for it. */
+export interface PlacementObservation {
+  /** Fields of the request's log line that say why the endpoint was chosen. */
+  fields(): LogFields;
+  recordLoad(load: ReportedLoad, nowMs: number): void;
+  /** Records that the first event of a stream or a complete response has arrived. */
+  recordFirstEvent(nowMs: number): void;
+  /** Records further events of a stream, the first ones included. */
+  recordEvents(count: number): void;
+  /** Records that the request has left the endpoint; `hasSucceeded` is false if its times say nothing. */
+  end(hasSucceeded: boolean, nowMs: number): void;
+}
+
 /** Estimates what a request costs at each endpoint. */
 export interface PlacementPolicy {
   /** Returns the expected cost in milliseconds of the query at the endpoint; the pool reserves the endpoint with the lowest cost. */
@@ -24,4 +39,13 @@
     load: PeerLoadAt,
     nowMs: number,
   ): number;
+  /** Called with each request that is sent to an endpoint; absent if the policy learns nothing. */
+  observe?(
+    member: PoolMember,
+    query: PlacementQuery,
+    load: PeerLoadAt,
+    nowMs: number,
+  ): PlacementObservation;
+  /** Returns what was learned of an endpoint, for the operators. */
+  dumpMember?(member: PoolMember, nowMs: number): unknown;
 }
--- a/packages/core/src/forwarding/pool-query.ts
+++ b/packages/core/src/forwarding/pool-query.ts
@@ -11,4 +11,6 @@
   readonly excluded: ReadonlySet<string>;
   readonly promptParts: readonly PromptPart[];
   readonly promptTokens: number;
+  /** Output tokens to expect; absent if nothing is known. */
+  readonly expectedOutputTokens?: number;
 }
--- a/packages/core/src/forwarding/pool-reservation.ts
+++ b/packages/core/src/forwarding/pool-reservation.ts
@@ -1,3 +1,4 @@
+import type { LogFields } from '../ports/index.js';
 import type { EndpointRecord } from './endpoint-record.js';
 import type { EndpointStatements, ReportedLoad } from './forward-request.js';
 
@@ -8,8 +9,12 @@
   readonly isPeer?: boolean;
   /** Aborted once the endpoint is known to have lost what it ran; absent for a peer. */
   readonly lifetime?: AbortSignal;
+  /** Returns why the endpoint was chosen, for the log; absent for a peer. */
+  placementFields?(): LogFields;
   /** Records that the first event of a stream or a complete response has arrived, so that its prompt is prefilled. */
   recordFirstEvent(nowMs: number): void;
+  /** Records events of a stream, the first ones included; absent for a peer. */
+  recordEvents?(count: number): void;
   recordLoad(load: ReportedLoad, nowMs: number): void;
   /** Records what the head of a valid response, or of a rejection of the request, says of the endpoint. */
   recordStatements(statements: EndpointStatements, isRejection: boolean): void;
--- a/packages/core/src/forwarding/run-record.ts
+++ b/packages/core/src/forwarding/run-record.ts
@@ -23,6 +23,8 @@
   lastPeerId: string | undefined;
   /** Rate limit that the last attempt's endpoint named. */
   limitPerSecond: number | undefined;
+  /** Why the last attempt's endpoint was chosen. */
+  placement: LogFields = {};
   /** Age of the endpoint list at the dispatch of the last attempt. */
   endpointListAgeMs = 0;
   /** Time from the request's arrival to the dispatch of its last attempt. */
@@ -52,6 +54,7 @@
       ...(obstacle !== undefined && { notRetried: obstacle }),
       dispatchedAfterMs: Math.round(this.dispatchedAfterMs),
       endpointListAgeMs: Math.round(this.endpointListAgeMs),
+      ...this.placement,
       ...(relay && {
         events: relay.attemptEvents,
         isFramed: relay.isAttemptFramed,
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -4,6 +4,7 @@
 import { endpointLimitHintsSchema } from '../endpoint-limits/index.js';
 import type { EndpointLoad, LifetimeGrants } from '../forwarding/index.js';
 import { leavingEndpointHintsSchema } from '../forwarding/index.js';
+import { loadReportHintsSchema } from '../placement/index.js';
 import { definePeerMethod, readableItems } from '../ports/index.js';
 import { quarantineHintsSchema } from '../quarantine/index.js';
 import { rolloutHintsSchema } from '../rollouts/index.js';
@@ -82,6 +83,8 @@
   brittleEndpoints: brittleEndpointHintsSchema.optional().catch(undefined),
   /** Absent in hints of daemons that do not know it. */
   leavingEndpoints: leavingEndpointHintsSchema.optional().catch(undefined),
+  /** Newest reports of endpoints' load. Absent in hints of daemons that do not place by work. */
+  loadReports: loadReportHintsSchema.optional().catch(undefined),
   /** By group. Absent in hints of daemons that cannot pass requests on. */
   reachability: z.record(text, reachabilitySchema).optional().catch(undefined),
   /** Whether the sender holds the lease for the duties towards the platform. */
--- /dev/null
+++ b/packages/core/src/placement/index.ts
@@ -0,0 +1,2 @@
+export * from './least-work-placement.js';
+export * from './load-reports.js';
--- /dev/null
+++ b/packages/core/src/placement/learned-speeds.ts
@@ -0,0 +1,80 @@
+import type { PoolMember } from '../forwarding/index.js';
+import { MovingAverage } from './moving-average.js';
+
+/** Weight of the newest request in an endpoint's rates. */
+const ENDPOINT_WEIGHT = 0.1; // a daemon sends an endpoint a request every few seconds
+/** Weight of the newest request in a group's averages. */
+const GROUP_WEIGHT = 0.02; // some 50 requests, seven seconds of one daemon's
+/** Number of requests at which an endpoint's rate counts half, and that of its group half. */
+const PRIOR_REQUESTS = 2;
+/** Bounds of a rate relative to the group: engines differ by a factor of less than three. */
+const MIN_RATE = 1 / 3;
+const MAX_RATE = 3;
+/** Rate relative to the group below which an endpoint gets trials. */
+const SLOW_RATE = 0.6; // the slowest of the engines that the users specify lies above
+/** Time without a response after which a slow endpoint gets a trial. */
+const TRIAL_AFTER_MS = 2_000; // within 3 s, as the users require
+
+/** Averages over the requests that this daemon sent to one group. */
+export class GroupAverages {
+  /** Time from sending to the first event. */
+  readonly firstMs = new MovingAverage(100, GROUP_WEIGHT);
+  /** Time from sending to the end of the response. */
+  readonly totalMs = new MovingAverage(200, GROUP_WEIGHT);
+  /** Prompt tokens that a request is expected to have prefilled. */
+  readonly uncachedTokens = new MovingAverage(4_000, GROUP_WEIGHT);
+  /** Requests that endpoints reported as running and waiting. */
+  readonly active = new MovingAverage(0, GROUP_WEIGHT);
+  /** Logarithm of the observed time to the first event relative to the estimate. */
+  readonly firstLog = new MovingAverage(0, GROUP_WEIGHT);
+  /** Logarithm of the time for an event after the first one, in milliseconds. */
+  readonly eventLog = new MovingAverage(0, GROUP_WEIGHT);
+}
+
+/** Rates of one endpoint relative to its group, from the requests that this daemon sent to it. */
+export class EndpointRates {
+  private readonly firstLog = new MovingAverage(0, ENDPOINT_WEIGHT);
+  private readonly eventLog = new MovingAverage(0, ENDPOINT_WEIGHT);
+  private observedAtMs = -Infinity;
+
+  constructor(private readonly group: GroupAverages) {}
+
+  /** Prefill rate relative to the group, 1 if nothing is known. */
+  get prefillRate(): number {
+    return relativeRate(this.firstLog, this.group.firstLog);
+  }
+
+  /** Rate of events relative to the group, 1 if nothing is known. */
+  get tokenRate(): number {
+    return relativeRate(this.eventLog, this.group.eventLog);
+  }
+
+  /** Returns the prefill rate to count on; that of the group if the endpoint looked slow and is due for a trial. */
+  rateAt({ running }: PoolMember, nowMs: number): number {
+    const rate = Math.sqrt(this.prefillRate * this.tokenRate);
+    const isTrialDue =
+      running === 0 && nowMs - this.observedAtMs >= TRIAL_AFTER_MS;
+    return rate < SLOW_RATE && isTrialDue ? 1 : rate;
+  }
+
+  /** Records a first event that came `observedMs` after the request was sent, where `expectedMs` is the time on an endpoint of the group's average rate. */
+  recordFirst(observedMs: number, expectedMs: number, nowMs: number): void {
+    const log = Math.log(Math.max(1, observedMs) / Math.max(1, expectedMs));
+    this.group.firstLog.add(log);
+    this.firstLog.add(log);
+    this.observedAtMs = nowMs;
+  }
+
+  /** Records the mean time between two events of a response. */
+  recordEvents(eventMs: number): void {
+    const log = Math.log(Math.max(0.1, eventMs));
+    this.group.eventLog.add(log);
+    this.eventLog.add(log);
+  }
+}
+
+function relativeRate(own: MovingAverage, group: MovingAverage): number {
+  const trust = own.count / (own.count + PRIOR_REQUESTS);
+  const rate = Math.exp((group.value - own.value) * trust);
+  return Math.min(MAX_RATE, Math.max(MIN_RATE, rate));
+}
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -7,6 +7,7 @@
   TokenBucketLedger,
 } from '@skylarkreach/core/forwarding';
 import type { DaemonHints, ReachabilityHint } from '@skylarkreach/core/hints';
+import type { LoadReports } from '@skylarkreach/core/placement';
 import type { RequestQuarantine } from '@skylarkreach/core/quarantine';
 import type { EndpointReachability } from '@skylarkreach/core/reachability';
 import type { RolloutRegistry } from '@skylarkreach/core/rollouts';
@@ -23,6 +24,8 @@
   readonly endpointLimits: EndpointLimits;
   readonly brittleEndpoints: BrittleEndpoints;
   readonly leavingEndpoints: LeavingEndpoints;
+  /** Undefined if requests are not placed by work. */
+  readonly loadReports: LoadReports | undefined;
   readonly reachability: EndpointReachability;
   readonly duties: GatewayDuties;
   readonly cluster: () => GatewayCluster;
@@ -89,6 +92,9 @@
       endpointLimits: endpointLimits.hints(),
       brittleEndpoints: brittleEndpoints.hints(),
       leavingEndpoints: leavingEndpoints.hints(),
+      ...(this.deps.loadReports && {
+        loadReports: this.deps.loadReports.hints(),
+      }),
       reachability: reachabilityHints(this.deps.reachability, nowMs),
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
@@ -114,6 +120,8 @@
     endpointLimits.applyPeer(hints.endpointLimits ?? []);
     brittleEndpoints.applyPeer(hints.brittleEndpoints ?? []);
     leavingEndpoints.applyPeer(hints.leavingEndpoints ?? []);
+    if (hints.loadReports !== undefined)
+      this.deps.loadReports?.applyPeer(hints.loadReports);
     pool.applyPeerLoad(hintBoard.work(nowMs));
   }
 
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -1,6 +1,5 @@
 import { BrittleEndpoints } from '@skylarkreach/core/brittle-endpoints';
 import { EndpointLimits } from '@skylarkreach/core/endpoint-limits';
-import type { CallerLimits } from '@skylarkreach/core/forwarding';
 import {
   ConfigurationStore,
   CrashDetector,
@@ -43,6 +42,8 @@
   PromMetrics,
   RateLimitedLog,
 } from '../telemetry/index.js';
+import { createLeastWork } from './create-least-work.js';
+import { DEFAULT_LIMITS } from './default-limits.js';
 import { createMonitor } from './dependency-monitor.js';
 import type { EndpointConnector } from './endpoint-client.js';
 import { EndpointClient } from './endpoint-client.js';
@@ -59,13 +60,6 @@
 import { StateReplicator } from './state-replicator.js';
 import { StopSchedule } from './stop-schedule.js';
 
-/** Limits that apply until the first configuration arrives. */
-const DEFAULT_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
 /** Interval between reads of the endpoint list, as a fraction of the drain bound. */
 const LISTING_INTERVAL_SHARE = 0.4; // a second read fits within the bound if one fails
 /** Age of the endpoint list from which a daemon that is no reader reads it, as a fraction of the drain bound. */
@@ -118,6 +112,7 @@
   const endpointLimits = new EndpointLimits(sharing);
   const brittleEndpoints = new BrittleEndpoints(sharing);
   const leavingEndpoints = new LeavingEndpoints(sharing);
+  const byWork = createLeastWork(context, () => duties.trueTime.nowMs());
   const pool = new EndpointPool(context.random, {
     dataCentre: settings.identity.dataCentre,
     prefillTokensPerMs: settings.routing.prefillTokensPerMs,
@@ -129,6 +124,7 @@
     overloadGuard: brittleEndpoints,
     leaving: leavingEndpoints,
     paused: new PausedEndpoints(sharing),
+    ...byWork,
   });
   const tokenBuckets = new TokenBucketLedger({
     tolerance: {
@@ -175,6 +171,7 @@
     endpointLimits,
     brittleEndpoints,
     leavingEndpoints,
+    loadReports: byWork?.reports,
     reachability,
     duties,
     cluster: () => cluster,
--- a/packages/daemon/src/settings/gateway-settings.ts
+++ b/packages/daemon/src/settings/gateway-settings.ts
@@ -2,6 +2,14 @@
 
 import { address, durationMs, LogLevel } from './fields.js';
 
+/** Rule by which the endpoint of a request is chosen. */
+export enum PlacementRule {
+  /** Least expected latency, where all engines of a group are taken to be equally fast. */
+  LeastLatency = 'leastLatency',
+  /** Least work, by what is learned of each endpoint. */
+  LeastWork = 'leastWork',
+}
+
 /** Schema of the `gateway` section of a settings file, for a daemon that serves as a platform's gateway. */
 export const gatewaySettingsSchema = z.strictObject({
   identity: z.strictObject({
@@ -62,6 +70,7 @@
     .strictObject({
       /** Prompt tokens that an engine processes per millisecond (prefill). */
       prefillTokensPerMs: z.number().positive().default(90),
+      placement: z.enum(PlacementRule).default(PlacementRule.LeastLatency),
     })
     .prefault({}),
 });
