Let a busy endpoint lose a shared prompt to four in order, and measure it

The first four of the rendezvous hashing now count as caching it, the first most; waits are estimated from the average of the passed-on reports. Output tokens are estimated by route, workspace and hint. npm run measure -- routing has rows for least in flight, two random choices, least latency and least work.

--- a/packages/core/src/forwarding/create-sequence.ts
+++ b/packages/core/src/forwarding/create-sequence.ts
@@ -2,6 +2,7 @@
 import { AttemptSequence } from './attempt-sequence.js';
 import { EndpointChoice } from './endpoint-choice.js';
 import type { ForwarderDependencies } from './forwarder.js';
+import { outputTraitsOf } from './output-estimator.js';
 import type { RunContext } from './run-context.js';
 
 export type SequenceTraits = Pick<
@@ -33,6 +34,9 @@
       versions,
       requestRelay,
       relayed,
+      expectedOutputTokens: deps.outputEstimator?.estimate(
+        outputTraitsOf(request, resolved),
+      )?.tokens,
     }),
     suspectIds,
     // The daemon that took the request from its caller decides on a retry.
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -17,6 +17,8 @@
   readonly requestRelay: RequestRelay;
   /** Given if a peer passed the request on to this daemon. */
   readonly relayed: RelayedPart | undefined;
+  /** Output tokens to expect; undefined if nothing is known. */
+  readonly expectedOutputTokens?: number | undefined;
 }
 
 /** Chooses the endpoints of one request's attempts. */
@@ -168,12 +170,13 @@
     not,
     only,
   }: VersionConstraint): Omit<PoolQuery, 'excluded'> {
-    const { group, request } = this.options;
+    const { expectedOutputTokens, group, request } = this.options;
     const { promptParts, usage } = request.metadata;
     return {
       group,
       promptParts,
       promptTokens: usage?.promptTokens ?? 0,
+      ...(expectedOutputTokens !== undefined && { expectedOutputTokens }),
       ...(only === undefined ? {} : { onlyVersion: only }),
       ...(not === undefined ? {} : { notVersion: not }),
     };
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -16,6 +16,7 @@
 import { daemonStoppingError, ForwardError } from './forward-error.js';
 import { deadlineOf } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
+import { outputTraitsOf } from './output-estimator.js';
 import { runPeerAttempt } from './peer-attempt.js';
 import type { PoolReservation } from './pool-reservation.js';
 import { RetryObstacle } from './retry-obstacle.js';
@@ -232,9 +233,21 @@
       return isOver || upstream.dropsConnections(endpoint);
     };
     observation.end(isFailure(result));
+    this.recordOutput(result);
     return result;
   }
 
+  /** Records the output of a stream that one endpoint answered whole. */
+  private recordOutput({ kind }: AttemptOutcome): void {
+    const { relay, sequence } = this;
+    const isWhole = kind === AttemptEndKind.Answered && sequence.attempts === 1;
+    const { request, resolved } = this.context;
+    const isResumed = request.metadata.lastEventId !== undefined;
+    if (relay === undefined || !isWhole || isResumed) return;
+    const traits = outputTraitsOf(request, resolved);
+    this.deps.outputEstimator?.record(traits, relay.attemptEvents);
+  }
+
   private hold(response: BufferedResponse): void {
     this.heldResponse?.memory.close();
     this.heldResponse = response;
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -26,6 +26,7 @@
 } from './forward-request.js';
 import { deadlineOf } from './forward-request.js';
 import { ForwardRun } from './forward-run.js';
+import type { OutputEstimator } from './output-estimator.js';
 import { fingerprintOf, suspectIdsOf } from './request-fingerprint.js';
 import type { RelayedPart, RequestRelay } from './request-relay.js';
 import type { ResolvedRequest } from './resolve-request.js';
@@ -91,6 +92,8 @@
   readonly retryBudgetOf: (group: string) => RetryAllowance;
   readonly versions: VersionSelector;
   readonly usageCounter: UsageCounter;
+  /** Absent if the placement of requests does not depend on their output. */
+  readonly outputEstimator?: OutputEstimator;
   readonly requestRelay: RequestRelay;
   readonly dispatchWindow: DispatchWindow;
   readonly responseMemory: ResponseMemory;
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -24,6 +24,7 @@
 export * from './idle-timer.js';
 export * from './least-latency-placement.js';
 export * from './leaving-endpoints.js';
+export * from './output-estimator.js';
 export * from './overload-guard.js';
 export * from './paused-endpoints.js';
 export * from './peer-attempt.js';
--- a/packages/core/src/forwarding/placement-policy.ts
+++ b/packages/core/src/forwarding/placement-policy.ts
@@ -39,13 +39,13 @@
     load: PeerLoadAt,
     nowMs: number,
   ): number;
-  /** Called with each request that is sent to an endpoint; absent if the policy learns nothing. */
+  /** Called with each request that is sent to an endpoint; absent if the policy learns nothing, undefined if it learns nothing from this one. */
   observe?(
     member: PoolMember,
     query: PlacementQuery,
     load: PeerLoadAt,
     nowMs: number,
-  ): PlacementObservation;
+  ): PlacementObservation | undefined;
   /** Returns what was learned of an endpoint, for the operators. */
   dumpMember?(member: PoolMember, nowMs: number): unknown;
 }
--- a/packages/core/src/forwarding/pool-member.ts
+++ b/packages/core/src/forwarding/pool-member.ts
@@ -31,6 +31,8 @@
 const DEFAULT_RESPONSE_MS = 20; // service time of a plain request, as the users specify
 /** Weight of the newest response in an endpoint's moving average. */
 const RESPONSE_AVERAGE_WEIGHT = 0.1; // averages about the last ten responses, a second of traffic
+/** Number of endpoints that daemons prefer for a shared part. */
+const MAX_PREFERRED = 4; // a part that a tenth of the requests share takes more than two engines
 /** Age from which an endpoint's load report is ignored. */
 const MAX_LOAD_REPORT_AGE_MS = 1_000; // most requests take less
 /** Time without a response after which the average of an idle endpoint no longer counts, so that it gets a trial. */
@@ -136,23 +138,16 @@
 ): readonly PoolMember[] {
   const key = parts.at(-2)?.id;
   if (key === undefined) return [];
-  let first: PoolMember | undefined;
-  let second: PoolMember | undefined;
-  let firstWeight = -1;
-  let secondWeight = -1;
+  const ranked: { readonly member: PoolMember; readonly weight: number }[] = [];
   for (const member of members) {
     const weight = hash32(`${key} ${member.record.id}`);
-    if (weight > firstWeight) {
-      second = first;
-      secondWeight = firstWeight;
-      first = member;
-      firstWeight = weight;
-    } else if (weight > secondWeight) {
-      second = member;
-      secondWeight = weight;
-    }
+    const isFull = ranked.length === MAX_PREFERRED;
+    if (isFull && weight <= (ranked.at(-1)?.weight ?? 0)) continue;
+    if (isFull) ranked.pop();
+    const rank = ranked.findIndex(other => weight > other.weight);
+    ranked.splice(rank < 0 ? ranked.length : rank, 0, { member, weight });
   }
-  return [first, second].filter(member => member !== undefined);
+  return ranked.map(({ member }) => member);
 }
 
 /** Returns the running requests at an endpoint: own and peers', or if greater those that it reported plus those sent since. */
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -1,2 +1,3 @@
 export * from './least-work-placement.js';
 export * from './load-reports.js';
+export * from './output-estimates.js';
--- a/packages/core/src/placement/learned-speeds.ts
+++ b/packages/core/src/placement/learned-members.ts
@@ -15,6 +15,9 @@
 /** Time without a response after which a slow endpoint gets a trial. */
 const TRIAL_AFTER_MS = 2_000; // within 3 s, as the users require
 
+/** Number of own sends to one endpoint that are kept. */
+const MAX_SENT = 64; // more than a daemon sends one endpoint between two reports
+
 /** Averages over the requests that this daemon sent to one group. */
 export class GroupAverages {
   /** Time from sending to the first event. */
@@ -39,6 +42,11 @@
 
   constructor(private readonly group: GroupAverages) {}
 
+  /** Number of requests that the prefill rate is learned from, up to that at which older ones count less. */
+  get requests(): number {
+    return this.firstLog.count;
+  }
+
   /** Prefill rate relative to the group, 1 if nothing is known. */
   get prefillRate(): number {
     return relativeRate(this.firstLog, this.group.firstLog);
@@ -78,3 +86,51 @@
   const rate = Math.exp((group.value - own.value) * trust);
   return Math.min(MAX_RATE, Math.max(MIN_RATE, rate));
 }
+
+/** Times at which this daemon sent requests to one endpoint. */
+export class SentTimes {
+  private timesMs: number[] = [];
+
+  add(atMs: number): void {
+    this.timesMs.push(atMs);
+    if (this.timesMs.length > MAX_SENT) this.timesMs.shift();
+  }
+
+  /** Returns the number of requests sent after `afterMs`. */
+  since(afterMs: number): number {
+    let count = 0;
+    for (const atMs of this.timesMs) if (atMs > afterMs) count += 1;
+    return count;
+  }
+}
+
+/** What this daemon has learned of one endpoint. */
+export interface LearnedMember {
+  readonly group: GroupAverages;
+  readonly rates: EndpointRates;
+  readonly sent: SentTimes;
+}
+
+/** What this daemon has learned of all endpoints; a new incarnation of an endpoint starts like the others of its group. */
+export class LearnedMembers {
+  private readonly byMember = new WeakMap<PoolMember, LearnedMember>();
+  private readonly groups = new Map<string, GroupAverages>();
+
+  get(member: PoolMember): LearnedMember {
+    const known = this.byMember.get(member);
+    if (known !== undefined) return known;
+    const group = this.groupOf(member.record.group);
+    const rates = new EndpointRates(group);
+    const learned = { group, rates, sent: new SentTimes() };
+    this.byMember.set(member, learned);
+    return learned;
+  }
+
+  private groupOf(name: string): GroupAverages {
+    const known = this.groups.get(name);
+    if (known !== undefined) return known;
+    const group = new GroupAverages();
+    this.groups.set(name, group);
+    return group;
+  }
+}
--- a/packages/core/src/placement/least-work-placement.ts
+++ b/packages/core/src/placement/least-work-placement.ts
@@ -7,7 +7,7 @@
 } from '../forwarding/index.js';
 import { LeastLatencyPlacement, sumTokens } from '../forwarding/index.js';
 import type { DataCentre, Metrics, Random } from '../ports/index.js';
-import { EndpointRates, GroupAverages } from './learned-speeds.js';
+import { LearnedMembers } from './learned-members.js';
 import type { LoadReports } from './load-reports.js';
 
 export interface LeastWorkOptions {
@@ -29,59 +29,45 @@
   readonly stretch: number;
 }
 
-/** Costs of a request at an endpoint, in milliseconds. */
+/** Estimate for one request at one endpoint. */
 interface WorkEstimate {
-  /** Time to the first event. */
+  /** Time to the first event in milliseconds. */
   readonly firstMs: number;
-  /** The same at the group's average rate. */
+  /** The same on an endpoint of the group's average rate. */
   readonly averageFirstMs: number;
-  /** Time that the request adds to those that run there. */
+  /** Time that the request takes from others there, in milliseconds. */
   readonly harmMs: number;
   readonly uncachedTokens: number;
-  readonly outlook: Outlook;
-}
-
-interface LearnedMember {
-  readonly rates: EndpointRates;
-  readonly group: GroupAverages;
-  /** Times at which this daemon sent requests that the newest report does not include. */
-  sentAtMs: number[];
-}
-
-export interface LeastWorkTuning {
-  harmWeight: number;
-  harmBase: number;
-  missShares: readonly number[];
-  jitterShare: number;
-  slowdownMs: number;
-  decayFactor: number;
-  stepMsPerRunning: number;
-  useRates: boolean;
-  stretchPower: number;
-  waitFactor: number;
+  readonly ageMs: number | undefined;
 }
-export const TUNING: LeastWorkTuning = {
-  harmWeight: 0,
-  harmBase: 5,
-  missShares: [0.2, 0.3],
-  jitterShare: 0.1,
-  slowdownMs: 300,
-  decayFactor: 1,
-  stepMsPerRunning: 0.07,
-  useRates: true,
-  stretchPower: 1,
-  waitFactor: 0.5,
-};
 
 /** Age of a report's figures when its response arrives. */
 const REPORT_AGE_MS = 150; // endpoints report figures of 100 to 200 ms before
+/** Time constant with which a reported slowdown loses its meaning. */
+const SLOWDOWN_DECAY_MS = 300; // other work slows a machine down for some hundred milliseconds
+/** Share of the shared parts of a prompt that is expected to be uncached at each of its preferred endpoints, in their order. */
+const PREFERRED_MISS_SHARES = [0.1, 0.2, 0.3, 0.4]; // docs/design/placement.md, 'Weighed'
+/** Weight of a request's own prefill in the harm to others: it delays those that run, and evicts what they have cached. */
+const PREFILL_HARM_WEIGHT = 5; // with the prefill itself the weight that docs/decisions/0010-platform.md found, 'Weighed'
+/** Share of the prompts whose first event is due that is still to be read, and that precedes the request. */
+const WAITING_SHARE = 0.2; // docs/design/placement.md, 'Weighed'
+/** Time that each running request adds to a decoding step. */
+const STEP_MS_PER_REQUEST = 0.07; // 0.04 to 0.1, as the users specify
+/** Output tokens of a request of which nothing is known. */
 const DEFAULT_OUTPUT_TOKENS = 20;
-const MAX_SENT = 64;
+/** Maximum random addition to a cost, as a share of it, so that daemons with equal news do not all choose the same endpoint. */
+const JITTER_SHARE = 0.2; // docs/design/placement.md, 'Weighed'
 
+/**
+ * Expected time to the first event of a request plus the time that it takes from
+ * those that run there. Meant for tens of daemons before about as many engines
+ * whose prompts take most of their time, where a daemon sends an engine a request
+ * every few seconds only, and knows of the rest by peers. Requests without a
+ * prompt, and endpoints whose estimate is not finite, are placed by least latency.
+ */
 export class LeastWorkPlacement implements PlacementPolicy {
   private readonly fallback: LeastLatencyPlacement;
-  private readonly learned = new WeakMap<PoolMember, LearnedMember>();
-  private readonly groups = new Map<string, GroupAverages>();
+  private readonly members = new LearnedMembers();
 
   constructor(private readonly options: LeastWorkOptions) {
     this.fallback = new LeastLatencyPlacement(options);
@@ -93,12 +79,13 @@
     load: PeerLoadAt,
     nowMs: number,
   ): number {
+    if (query.promptTokens === 0)
+      return this.fallback.costMs(member, query, load, nowMs);
     const { firstMs, harmMs } = this.estimate(member, query, load, nowMs);
-    const jitter = 1 + this.options.random.nextFloat() * TUNING.jitterShare;
-    const costMs =
-      this.fallback.penaltyMs(member, nowMs) + (firstMs + harmMs) * jitter;
-    return Number.isFinite(costMs)
-      ? costMs
+    const jitter = 1 + this.options.random.nextFloat() * JITTER_SHARE;
+    const workMs = (firstMs + harmMs) * jitter;
+    return Number.isFinite(workMs)
+      ? workMs + this.fallback.penaltyMs(member, nowMs)
       : this.fallback.costMs(member, query, load, nowMs);
   }
 
@@ -107,49 +94,62 @@
     query: PlacementQuery,
     load: PeerLoadAt,
     nowMs: number,
-  ): PlacementObservation {
+  ): PlacementObservation | undefined {
+    if (query.promptTokens === 0) return undefined;
+    const { metrics, reports } = this.options;
     const estimate = this.estimate(member, query, load, nowMs);
-    const learned = this.learnedOf(member);
-    learned.sentAtMs.push(nowMs);
-    if (learned.sentAtMs.length > MAX_SENT) learned.sentAtMs.shift();
-    const { rates, group } = learned;
-    if (query.promptTokens > 0)
-      group.uncachedTokens.add(estimate.uncachedTokens);
-    let firstAtMs: number | undefined;
+    const { group, rates, sent } = this.members.get(member);
+    sent.add(nowMs);
+    group.uncachedTokens.add(estimate.uncachedTokens);
+    let firstMs: number | undefined;
     let events = 0;
     return {
       fields: () => ({
         estimatedFirstMs: Math.round(estimate.firstMs),
-        ...(estimate.outlook.ageMs !== undefined && {
-          loadAgeMs: Math.round(estimate.outlook.ageMs),
+        ...(firstMs !== undefined && {
+          estimateErrorMs: Math.round(firstMs - estimate.firstMs),
+        }),
+        ...(estimate.ageMs !== undefined && {
+          loadAgeMs: Math.round(estimate.ageMs),
         }),
       }),
       recordLoad: reported => {
-        this.options.reports.record(member.record.id, reported);
+        reports.record(member.record.id, reported);
         group.active.add(reported.running + reported.waiting);
-        learned.sentAtMs = learned.sentAtMs.filter(
-          sentAtMs => sentAtMs > nowMs - REPORT_AGE_MS,
-        );
       },
       recordFirstEvent: atMs => {
-        firstAtMs = atMs;
-        rates.recordFirst(atMs - nowMs, estimate.averageFirstMs, atMs);
-        group.firstMs.add(atMs - nowMs);
+        firstMs = atMs - nowMs;
+        rates.recordFirst(firstMs, estimate.averageFirstMs, atMs);
+        group.firstMs.add(firstMs);
+        const errorMs = firstMs - estimate.firstMs;
+        metrics.timingMs('placement_estimateError', Math.abs(errorMs), {
+          direction: errorMs > 0 ? 'tooLow' : 'tooHigh',
+        });
       },
       recordEvents: count => {
         events += count;
       },
       end: (hasSucceeded, atMs) => {
-        if (!hasSucceeded || firstAtMs === undefined) return;
-        group.totalMs.add(atMs - nowMs);
-        if (events > 2) rates.recordEvents((atMs - firstAtMs) / (events - 1));
+        if (!hasSucceeded || firstMs === undefined) return;
+        const totalMs = atMs - nowMs;
+        group.totalMs.add(totalMs);
+        if (events > 1) rates.recordEvents((totalMs - firstMs) / (events - 1));
       },
     };
   }
 
-  dumpMember(member: PoolMember): unknown {
-    const { rates } = this.learnedOf(member);
-    return { prefillRate: rates.prefillRate, tokenRate: rates.tokenRate };
+  dumpMember(member: PoolMember, nowMs: number): unknown {
+    const { group, rates } = this.members.get(member);
+    const report = this.options.reports.newest(member.record.id);
+    return {
+      prefillRate: rates.prefillRate,
+      tokenRate: rates.tokenRate,
+      requests: rates.requests,
+      groupFirstMs: group.firstMs.value,
+      groupTotalMs: group.totalMs.value,
+      newestLoad: report?.load,
+      newestLoadAgeMs: report && Math.round(nowMs - report.receivedAtMs),
+    };
   }
 
   private estimate(
@@ -158,86 +158,60 @@
     load: PeerLoadAt,
     nowMs: number,
   ): WorkEstimate {
-    const { group } = this.learnedOf(member);
-    const outlook = this.outlookOf(member, load, nowMs);
-    const slots = Math.max(1, member.record.slots);
-    const queued = Math.max(0, outlook.active + 1 - slots);
-    const slotWaitMs = (queued / slots) * group.totalMs.value;
-    if (query.promptTokens === 0) {
-      const averageFirstMs = group.firstMs.value + slotWaitMs;
-      const firstMs = averageFirstMs * outlook.stretch;
-      const harmMs = outlook.active;
-      return {
-        firstMs,
-        averageFirstMs,
-        harmMs,
-        uncachedTokens: 0,
-        outlook,
-      };
-    }
     const perMs = this.options.prefillTokensPerMs;
+    const { group } = this.members.get(member);
+    const { active, ageMs, stretch } = this.outlook(member, load, nowMs);
+    const slots = Math.max(1, member.record.slots);
+    const totalMs = group.totalMs.value;
+    const slotWaitMs = (Math.max(0, active + 1 - slots) / slots) * totalMs;
+    // By Little's law, the share of the requests whose first event is due is that of the time until it.
+    const dueShare = Math.min(1, group.firstMs.value / totalMs);
+    const dueTokens = active * dueShare * group.uncachedTokens.value;
+    const knownTokens = member.backlogTokens + load.backlogTokens;
+    const waitMs = Math.max(dueTokens * WAITING_SHARE, knownTokens) / perMs;
     const uncachedTokens = expectedUncachedTokens(member, query);
     const prefillMs = uncachedTokens / perMs;
-    // By Little's law, the share of requests that wait for their first event is that of the time until it.
-    const prefillShare = Math.min(1, group.firstMs.value / group.totalMs.value);
-    const waitingMs =
-      ((outlook.active * prefillShare * group.uncachedTokens.value) / perMs) *
-      TUNING.waitFactor;
-    const ownBacklogMs = (member.backlogTokens + load.backlogTokens) / perMs;
-    const averageFirstMs =
-      Math.max(waitingMs, ownBacklogMs) + prefillMs + slotWaitMs;
-    const firstMs = averageFirstMs * outlook.stretch;
+    const averageFirstMs = waitMs + prefillMs + slotWaitMs;
     const tokens = query.expectedOutputTokens ?? DEFAULT_OUTPUT_TOKENS;
-    const harmMs =
-      (TUNING.harmBase + outlook.active * TUNING.harmWeight) * prefillMs +
-      outlook.active * tokens * TUNING.stepMsPerRunning * 2;
-    return { firstMs, averageFirstMs, harmMs, uncachedTokens, outlook };
+    // The request slows the others' steps down, and they its own.
+    const stepsMs = 2 * active * tokens * STEP_MS_PER_REQUEST;
+    return {
+      firstMs: averageFirstMs * stretch,
+      averageFirstMs,
+      harmMs: prefillMs * PREFILL_HARM_WEIGHT + stepsMs,
+      uncachedTokens,
+      ageMs,
+    };
   }
 
-  private outlookOf(
+  /**
+   * Returns the load to expect. A report loses its meaning in about the time that
+   * its requests take; the endpoint then has what it had on average.
+   */
+  private outlook(
     member: PoolMember,
     load: PeerLoadAt,
     nowMs: number,
   ): Outlook {
-    const { group, rates, sentAtMs } = this.learnedOf(member);
-    const rate = TUNING.useRates ? rates.rateAt(member, nowMs) : 1;
-    const known = member.running + load.running;
-    const timed = this.options.reports.newest(member.record.id);
-    if (timed === undefined) {
+    const { group, rates, sent } = this.members.get(member);
+    const rate = rates.rateAt(member, nowMs);
+    const report = this.options.reports.newest(member.record.id);
+    if (report === undefined) {
+      const known = member.running + load.running;
       const active = Math.max(known, group.active.value);
       return { active, ageMs: undefined, stretch: 1 / rate };
     }
-    const ageMs = nowMs - timed.receivedAtMs + REPORT_AGE_MS;
-    const reported = timed.load.running + timed.load.waiting;
-    const slots = Math.max(1, timed.load.slots);
-    const lastsMs =
-      group.totalMs.value * Math.max(1, reported / slots) * TUNING.decayFactor;
-    const remaining = Math.exp(-ageMs / lastsMs);
-    const mean = timed.averageActive;
-    const reportedAtMs = nowMs - ageMs;
-    const sent = sentAtMs.filter(atMs => atMs > reportedAtMs).length;
-    const active = Math.max(
-      member.running,
-      mean + (reported - mean) * remaining + sent * remaining,
-    );
-    const slowdown =
-      1 +
-      ((timed.load.slowdown ?? 1) - 1) * Math.exp(-ageMs / TUNING.slowdownMs);
-    return { active, ageMs, stretch: (slowdown / rate) ** TUNING.stretchPower };
-  }
-
-  private learnedOf(member: PoolMember): LearnedMember {
-    const known = this.learned.get(member);
-    if (known !== undefined) return known;
-    const groupName = member.record.group;
-    let group = this.groups.get(groupName);
-    if (group === undefined) {
-      group = new GroupAverages();
-      this.groups.set(groupName, group);
-    }
-    const learned = { group, rates: new EndpointRates(group), sentAtMs: [] };
-    this.learned.set(member, learned);
-    return learned;
+    const { averageActive, receivedAtMs } = report;
+    const { running, slowdown = 1, slots, waiting } = report.load;
+    const ageMs = Math.max(0, nowMs - receivedAtMs) + REPORT_AGE_MS;
+    const rounds = Math.max(1, (running + waiting) / Math.max(1, slots));
+    const remaining = Math.exp(-ageMs / (group.totalMs.value * rounds));
+    const change =
+      running + waiting - averageActive + sent.since(nowMs - ageMs);
+    const active = Math.max(member.running, averageActive + change * remaining);
+    const slowdownNow =
+      1 + (slowdown - 1) * Math.exp(-ageMs / SLOWDOWN_DECAY_MS);
+    return { active, ageMs, stretch: slowdownNow / rate };
   }
 }
 
@@ -248,7 +222,7 @@
 ): number {
   if (promptParts.length === 0) return promptTokens;
   const knownTokens = member.promptCache.uncachedTokens(promptParts);
-  const missShare = TUNING.missShares[preferred.indexOf(member)];
+  const missShare = PREFERRED_MISS_SHARES[preferred.indexOf(member)];
   if (missShare === undefined) return knownTokens;
   const sharedTokens = sumTokens(promptParts.slice(0, -1));
   const ownTokens = promptParts.at(-1)?.tokens ?? 0;
--- a/packages/core/src/placement/load-reports.ts
+++ b/packages/core/src/placement/load-reports.ts
@@ -2,39 +2,44 @@
 
 import type { ReportedLoad } from '../forwarding/index.js';
 
-/** Load of an endpoint that its response, or a peer's, reported. */
+/** Newest load that an endpoint reported in a response to this daemon or to a peer. */
 export interface TimedLoad {
   readonly load: ReportedLoad;
   /** Time by this daemon's clock at which a daemon received the report. */
   readonly receivedAtMs: number;
   /** The same by the clock on which the daemons agree. It identifies the report, however many daemons pass it on. */
   readonly clusterAtMs: number;
-  /** Moving average over the reports of the endpoint of its running and waiting requests. */
+  /** Moving average over the endpoint's reports of its running and waiting requests. */
   readonly averageActive: number;
 }
 
-type Report = Omit<TimedLoad, 'averageActive'>;
-
 export interface LoadReportsOptions {
   readonly nowMs: () => number;
   /** Returns milliseconds since the Unix epoch on which most daemons agree. */
   readonly clusterMs: () => number;
 }
 
+/** Report as a peer sent it. */
+interface SharedReport {
+  readonly id: string;
+  readonly load: ReportedLoad;
+  readonly ageMs: number;
+}
+
 /** Maximum number of endpoints in one message. */
 const MAX_SHARED_REPORTS = 256; // about 10 kB
 /** Maximum number of endpoints whose newest report is kept. */
 const MAX_REPORTS = 16_384; // more than the 12,000 endpoints planned for
 /** Age from which a report is not passed on. */
-const MAX_SHARED_AGE_MS = 2_000; // two rounds of exchanges reach most of 80 daemons; a queue lasts longer than that
-/** Weight of the newest report in an endpoint's average. */
-export const AVERAGE_WEIGHT = { w: 0.3 };
+const MAX_SHARED_AGE_MS = 2_000; // four rounds of exchanges, after which it has reached all of 80 daemons
 /** Age at which a report is deleted. */
 const RETENTION_MS = 10_000; // longer than the longest queue at an engine
-/** Time by which a report may lie in the future, as daemons' clocks differ. */
+/** Time by which a message may lie in the future, as daemons' clocks differ. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_000;
+/** Weight of the newest report in an endpoint's average. */
+const AVERAGE_WEIGHT = 0.1; // about the last ten reports
 const MAX_TEXT_LENGTH = 65_536;
-const FIELD_SEPARATOR = ' '; // endpoint ids come from header values without spaces
+const FIELD_SEPARATOR = ' '; // ids of endpoints are header values without spaces
 const REPORT_SEPARATOR = '\n';
 const PERCENT = 100;
 
@@ -65,24 +70,24 @@
 
   /** Records a report that a response brought now. */
   record(endpointId: string, load: ReportedLoad): void {
-    const { clusterMs, nowMs } = this.options;
-    const clusterAtMs = Math.round(clusterMs());
-    this.store(endpointId, { load, clusterAtMs, receivedAtMs: nowMs() });
+    const clusterAtMs = Math.round(this.options.clusterMs());
+    this.store(endpointId, load, clusterAtMs, this.options.nowMs());
   }
 
+  /** Returns undefined if no recent report of the endpoint is known. */
   newest(endpointId: string): TimedLoad | undefined {
     return this.byId.get(endpointId);
   }
 
-  /** Returns the reports to pass on to peers, the newest if there are too many. */
+  /** Returns the reports to pass on to peers, the last to arrive if there are too many. */
   hints(): LoadReportHints {
     const atMs = Math.round(this.options.clusterMs());
     const lines: string[] = [];
-    for (const [id, timed] of this.byId) {
-      const ageMs = Math.max(0, atMs - timed.clusterAtMs);
+    for (const [id, { clusterAtMs, load }] of this.byId) {
+      const ageMs = Math.max(0, atMs - clusterAtMs);
       if (ageMs >= RETENTION_MS) this.byId.delete(id);
       else if (ageMs < MAX_SHARED_AGE_MS)
-        lines.push(formatReport(id, timed.load, ageMs));
+        lines.push(formatReport(id, load, ageMs));
     }
     const shared = lines.slice(-MAX_SHARED_REPORTS);
     return { atMs, reports: shared.join(REPORT_SEPARATOR) };
@@ -99,21 +104,25 @@
       const report = parseReport(line);
       if (report === undefined) continue;
       const clusterAtMs = atMs - report.ageMs;
-      const receivedAtMs = nowMs - Math.max(0, clusterMs - clusterAtMs);
-      this.store(report.id, { load: report.load, clusterAtMs, receivedAtMs });
+      const ageMs = Math.max(0, clusterMs - clusterAtMs);
+      if (ageMs < RETENTION_MS)
+        this.store(report.id, report.load, clusterAtMs, nowMs - ageMs);
     }
   }
 
-  private store(id: string, report: Report): void {
+  private store(
+    id: string,
+    load: ReportedLoad,
+    clusterAtMs: number,
+    receivedAtMs: number,
+  ): void {
     const known = this.byId.get(id);
-    if (known !== undefined && known.clusterAtMs >= report.clusterAtMs) return;
+    if (known !== undefined && known.clusterAtMs >= clusterAtMs) return;
+    const active = load.running + load.waiting;
+    const before = known?.averageActive ?? active;
+    const averageActive = before + AVERAGE_WEIGHT * (active - before);
     this.byId.delete(id);
-    const { running, waiting } = report.load;
-    const active = running + waiting;
-    const averageBefore = known?.averageActive ?? active;
-    const averageActive =
-      averageBefore + AVERAGE_WEIGHT.w * (active - averageBefore);
-    this.byId.set(id, { ...report, averageActive });
+    this.byId.set(id, { load, clusterAtMs, receivedAtMs, averageActive });
     if (this.byId.size <= MAX_REPORTS) return;
     for (const oldest of this.byId.keys()) {
       this.byId.delete(oldest);
@@ -129,11 +138,8 @@
   return `${id} ${running} ${waiting} ${slots} ${percent} ${ageMs}`;
 }
 
-function parseReport(
-  line: string,
-):
-  | { readonly id: string; readonly load: ReportedLoad; readonly ageMs: number }
-  | undefined {
+/** Returns undefined for a line that it cannot read, as another build may send. */
+function parseReport(line: string): SharedReport | undefined {
   const [id, ...fields] = line.split(FIELD_SEPARATOR);
   const [running, waiting, slots, percent, ageMs] = fields.map(Number);
   if (id === undefined || id === '') return undefined;
--- a/packages/daemon/src/gateway/create-least-work.ts
+++ b/packages/daemon/src/gateway/create-least-work.ts
@@ -1,4 +1,8 @@
-import { LeastWorkPlacement, LoadReports } from '@skylarkreach/core/placement';
+import {
+  LeastWorkPlacement,
+  LoadReports,
+  OutputEstimates,
+} from '@skylarkreach/core/placement';
 
 import { PlacementRule } from '../settings/index.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -18,5 +22,5 @@
     dataCentre: identity.dataCentre,
     prefillTokensPerMs: routing.prefillTokensPerMs,
   });
-  return { placement, reports };
+  return { placement, reports, outputEstimator: new OutputEstimates(metrics) };
 }
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -124,7 +124,7 @@
     overloadGuard: brittleEndpoints,
     leaving: leavingEndpoints,
     paused: new PausedEndpoints(sharing),
-    ...byWork,
+    ...(byWork && { placement: byWork.placement }),
   });
   const tokenBuckets = new TokenBucketLedger({
     tolerance: {
@@ -221,6 +221,7 @@
     retryBudgetOf: group => retryBudgets.forGroup(group),
     versions: rollouts,
     usageCounter: duties.usageLedger,
+    ...(byWork && { outputEstimator: byWork.outputEstimator }),
     requestRelay,
     dispatchWindow: stopSchedule,
     responseMemory: new ResponseMemory(context, RESPONSE_MEMORY_BYTES),
--- a/packages/measure/src/routing/placement-engine.ts
+++ b/packages/measure/src/routing/placement-engine.ts
@@ -68,17 +68,13 @@
     return true;
   }
 
-  /** Returns the load at the last moment at which it was reported. */
+  /** Returns the load at the last moment at which it was measured for a report. */
   load(): ReportedLoad {
-    const { report } = this;
     const nowMs = this.loop.nowMs();
-    if (nowMs - this.reportedAtMs < REPORT_INTERVAL_MS) return report;
+    if (nowMs - this.reportedAtMs < REPORT_INTERVAL_MS) return this.report;
     this.report = this.currentLoad();
     this.reportedAtMs = nowMs;
-    // An idle engine goes on reporting; the figures are then those of the last interval.
-    return nowMs - this.reportedAtMs > 2 * REPORT_INTERVAL_MS
-      ? this.report
-      : report;
+    return this.report;
   }
 
   private currentLoad(): ReportedLoad {
--- a/packages/measure/src/routing/placement-play.ts
+++ b/packages/measure/src/routing/placement-play.ts
@@ -50,7 +50,8 @@
 const QUIET_MS = 900;
 const NOISE_MS = 300;
 const NOISE_SLOWDOWN = 2.5;
-const PREFILL_TOKENS_PER_MS = 90;
+/** Prefill rate that the daemons assume. */
+export const PREFILL_TOKENS_PER_MS = 90;
 
 /** Plays a load on daemons with real pools and policies before simulated engines. */
 export class PlacementPlay {
--- a/packages/measure/src/routing/routing-experiment.ts
+++ b/packages/measure/src/routing/routing-experiment.ts
@@ -15,6 +15,7 @@
 } from '../experiment/index.js';
 import { upperBoundTarget } from '../experiment/index.js';
 import { PrefixHashRouter, RoundRobinRouter } from './baseline-routers.js';
+import { runPlacements } from './placement-experiment.js';
 import type { RunResults } from './run-results.js';
 import { Simulation } from './simulation.js';
 import type { WorkItem, WorkloadShape } from './workload.js';
@@ -80,7 +81,8 @@
 /** Compares routing strategies by recomputed tokens and latency. */
 export const routingExperiment: Experiment = {
   name: 'routing',
-  description: 'recomputed tokens and latency by routing strategy',
+  description:
+    'recomputed tokens and latency by routing strategy, late calls by placement rule',
   run: runRouting,
 };
 
@@ -96,7 +98,12 @@
     }
     targets.push(...evaluateTargets(shape.name, results));
   }
-  return { rows, targets };
+  if (options.extra.deployment !== undefined) return { rows, targets };
+  const placements = await runPlacements(options);
+  return {
+    rows: [...rows, ...placements.rows],
+    targets: [...targets, ...placements.targets],
+  };
 }
 
 function selectShapes(options: ExperimentOptions): readonly WorkloadShape[] {
