--- a/packages/core/src/hints/hints-of-other-builds.test.ts
+++ b/packages/core/src/hints/hints-of-other-builds.test.ts
@@ -24,6 +24,7 @@
   leavingEndpoints: [
     { endpointId: 'e', address: '10.0.0.1:1', bornAtMs: 0, ageMs: 0 },
   ],
+  loadReports: { atMs: 1, reports: 'e 1 0 8 100 50' },
   holdsDuties: false,
 };
 
@@ -61,7 +62,12 @@
     });
   }
 
-  for (const part of ['quarantine', 'reachability', 'dutyLease'] as const) {
+  for (const part of [
+    'quarantine',
+    'reachability',
+    'dutyLease',
+    'loadReports',
+  ] as const) {
     it(`leaves out a part that it cannot read: ${part}`, () => {
       assert.equal(parse({ [part]: 'novel' })[part], undefined);
     });
--- a/packages/core/src/placement/learned-members.ts
+++ b/packages/core/src/placement/learned-members.ts
@@ -87,7 +87,7 @@
   return Math.min(MAX_RATE, Math.max(MIN_RATE, rate));
 }
 
-/** Times at which this daemon sent requests to one endpoint. */
+/** Times at which this daemon sent the requests that run at one endpoint. */
 export class SentTimes {
   private timesMs: number[] = [];
 
@@ -96,7 +96,13 @@
     if (this.timesMs.length > MAX_SENT) this.timesMs.shift();
   }
 
-  /** Returns the number of requests sent after `afterMs`. */
+  /** Removes a request that has ended. */
+  remove(atMs: number): void {
+    const index = this.timesMs.indexOf(atMs);
+    if (index >= 0) this.timesMs.splice(index, 1);
+  }
+
+  /** Returns the number of running requests sent after `afterMs`. */
   since(afterMs: number): number {
     let count = 0;
     for (const atMs of this.timesMs) if (atMs > afterMs) count += 1;
--- a/packages/core/src/placement/least-work-placement.ts
+++ b/packages/core/src/placement/least-work-placement.ts
@@ -130,6 +130,7 @@
         events += count;
       },
       end: (hasSucceeded, atMs) => {
+        sent.remove(nowMs);
         if (!hasSucceeded || firstMs === undefined) return;
         const totalMs = atMs - nowMs;
         group.totalMs.add(totalMs);
