--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -11,6 +11,7 @@
   EndpointRecord,
   ForwardRoute,
   GuardedResponse,
+  OutputEstimator,
   RequestMetadata,
 } from '../index.js';
 import {
@@ -44,6 +45,7 @@
   readonly retries?: number;
   /** Responses of the peers by their ids; there are no peers if absent. */
   readonly peers?: ReadonlyMap<string, ScriptedResponse>;
+  readonly outputEstimator?: OutputEstimator;
 }
 
 /** Harness for the forwarder of one daemon, with scripted endpoints. */
@@ -98,7 +100,12 @@
   constructor(
     script: readonly ScriptedResponse[],
     private readonly route: ForwardRoute,
-    { endpoints = ENDPOINTS, peers, retries = 10 }: HarnessOptions = {},
+    {
+      endpoints = ENDPOINTS,
+      outputEstimator,
+      peers,
+      retries = 10,
+    }: HarnessOptions = {},
   ) {
     this.upstream = new ScriptedUpstream(script, this.clock);
     const configuration = new ConfigurationStore();
@@ -148,6 +155,7 @@
         { clock: this.clock, log: noopLog, metrics: noopMetrics },
         RESPONSE_MEMORY_BYTES,
       ),
+      ...(outputEstimator && { outputEstimator }),
       usageCounter: {
         count: workspace => {
           this.usageWorkspaces.push(workspace);
--- a/packages/stand-ins/src/gateway/gateway-deployment.ts
+++ b/packages/stand-ins/src/gateway/gateway-deployment.ts
@@ -1,6 +1,11 @@
 import type { Address } from '@skylarkreach/core/ports';
 import type { GatewayAddresses, GatewaySettings } from '@skylarkreach/daemon';
-import { Gateway, gatewaySettingsSchema, LogLevel } from '@skylarkreach/daemon';
+import {
+  Gateway,
+  gatewaySettingsSchema,
+  LogLevel,
+  PlacementRule,
+} from '@skylarkreach/daemon';
 import type {
   EndpointServerOptions,
   SampleConfigurationOptions,
@@ -31,6 +36,8 @@
   readonly cloud = new CloudServer();
   readonly endpoints: EndpointServer[] = [];
   readonly gateways: RunningGateway[] = [];
+  /** Rule by which gateways that are started choose endpoints. */
+  placement: PlacementRule = PlacementRule.LeastLatency;
   storeAddress = ANY_PORT;
   cloudAddress = ANY_PORT;
 
@@ -126,6 +133,7 @@
       },
       peerSecret,
       telemetry: { logLevel: LogLevel.Silent },
+      routing: { placement: this.placement },
     });
   }
 }
--- /dev/null
+++ b/packages/stand-ins/src/gateway/gateway-placement.test.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { request } from 'undici';
+
+import { PlacementRule } from '@skylarkreach/daemon';
+import { sampleCall } from '@skylarkreach/platform/stand-ins';
+
+import type { RunningGateway } from './gateway-deployment.js';
+import { GatewayDeployment } from './gateway-deployment.js';
+
+const DEADLINE_MS = 4_000;
+const REPORT = { running: 2, waiting: 0, slots: 8, slowdown: 1.5 };
+const POLL_MS = 50;
+
+/** Endpoint in a daemon's dump, with what it learned of it. */
+interface DumpedEndpoint {
+  readonly learned?: { readonly newestLoad?: unknown };
+}
+
+describe('gateways that place requests by work', () => {
+  let deployment: GatewayDeployment;
+
+  beforeEach(async () => {
+    deployment = new GatewayDeployment();
+    await deployment.start();
+    const engine = await deployment.addEndpoint('engines', 'engine');
+    engine.reportedLoad = '2,0,8,150';
+  });
+
+  afterEach(async () => {
+    await deployment.destroy();
+  });
+
+  async function start(
+    daemonId: string,
+    placement: PlacementRule,
+  ): Promise<RunningGateway> {
+    deployment.placement = placement;
+    return deployment.addGateway(daemonId);
+  }
+
+  async function stream({ addresses }: RunningGateway, id: string) {
+    const { headers, path } = sampleCall(id, DEADLINE_MS, true);
+    const url = `http://${addresses.callers}${path}`;
+    const { body, statusCode } = await request(url, { headers });
+    await body.dump();
+    return statusCode;
+  }
+
+  function knownLoad({ gateway }: RunningGateway): unknown {
+    const { clock, pool } = gateway.wiring;
+    const [endpoint] = pool.dumpState(clock.nowMs()) as DumpedEndpoint[];
+    return endpoint?.learned?.newestLoad;
+  }
+
+  it('tell one another the load that endpoints report', async () => {
+    const first = await start('daemon-1', PlacementRule.LeastWork);
+    const second = await start('daemon-2', PlacementRule.LeastWork);
+    const deadlineAtMs = performance.now() + 20_000;
+    for (let sent = 0; knownLoad(second) === undefined; sent += 1) {
+      assert.ok(performance.now() < deadlineAtMs, 'no report came');
+      assert.equal(await stream(first, `request-${sent}`), 200);
+      await delay(POLL_MS);
+    }
+    assert.deepEqual(knownLoad(second), REPORT);
+  });
+
+  it('serve beside a daemon that places by latency and knows no reports', async () => {
+    const first = await start('daemon-1', PlacementRule.LeastWork);
+    const second = await start('daemon-2', PlacementRule.LeastLatency);
+    for (const [index, gateway] of [first, second, first, second].entries())
+      assert.equal(await stream(gateway, `request-${index}`), 200);
+    assert.deepEqual(knownLoad(first), REPORT);
+    assert.equal(knownLoad(second), undefined);
+  });
+});
