--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,6 +28,7 @@
   moves: ['ports', 'leases', 'membership', 'rules'],
   fleet: ['ports', 'leases', 'membership', 'routing'],
   forwarding: ['ports', 'routing', 'evacuations'],
+  placement: ['ports', 'routing', 'forwarding'],
   rollouts: ['ports', 'moves', 'forwarding'],
   quarantine: ['ports', 'forwarding'],
   'endpoint-limits': ['ports', 'membership', 'routing', 'forwarding'],
@@ -42,6 +43,7 @@
   hints: [
     'ports',
     'forwarding',
+    'placement',
     'quarantine',
     'rollouts',
     'endpoint-limits',
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -13,6 +13,7 @@
   EndpointRecord,
   ForwardRoute,
   GuardedResponse,
+  OutputEstimator,
   RequestMetadata,
 } from '../index.js';
 import {
@@ -50,6 +51,7 @@
   /** Gate for which first attempts wait; they do not wait if absent. */
   readonly dispatchGate?: DispatchGate;
   readonly sendsPriority?: boolean;
+  readonly outputEstimator?: OutputEstimator;
 }
 
 /** Harness for the forwarder of one daemon, with scripted endpoints. */
@@ -109,6 +111,7 @@
     {
       dispatchGate,
       endpoints = ENDPOINTS,
+      outputEstimator,
       peers,
       retries = 10,
       sendsPriority = false,
@@ -172,6 +175,7 @@
         { clock: this.clock, log: noopLog, metrics: noopMetrics },
         RESPONSE_MEMORY_BYTES,
       ),
+      ...(outputEstimator && { outputEstimator }),
       usageCounter: {
         count: workspace => {
           this.usageWorkspaces.push(workspace);
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -31,6 +31,7 @@
 import { deadlineOf } from './forward-request.js';
 import { ForwardRun } from './forward-run.js';
 import type { RequestHomes } from './home-regions.js';
+import type { OutputEstimator } from './output-estimator.js';
 import { fingerprintOf, suspectIdsOf } from './request-fingerprint.js';
 import type { RelayedPart, RequestRelay } from './request-relay.js';
 import type { ResolvedRequest } from './resolve-request.js';
@@ -97,6 +98,8 @@
   readonly versions: VersionSelector;
   readonly dataCentres: DataCentreGate;
   readonly usageCounter: UsageCounter;
+  /** Absent if the placement of requests does not depend on their output. */
+  readonly outputEstimator?: OutputEstimator;
   readonly requestRelay: RequestRelay;
   readonly dispatchWindow: DispatchWindow;
   readonly responseMemory: ResponseMemory;
--- a/packages/core/src/forwarding/group-room.ts
+++ b/packages/core/src/forwarding/group-room.ts
@@ -1,10 +1,8 @@
 import type { GroupRoom } from './dispatch-gate.js';
 import type { PoolMember } from './pool-member.js';
+import { hasRecentReport } from './pool-member.js';
 import type { PoolQuery } from './pool-query.js';
 
-/** Age from which an endpoint's load report is ignored. */
-const MAX_LOAD_REPORT_AGE_MS = 1_000; // most requests take less
-
 /** Returns the capacity of endpoints that accept new requests; `isOpen` returns whether this daemon may send one a request now. */
 export function roomOf(
   members: readonly PoolMember[],
@@ -21,15 +19,6 @@
   };
 }
 
-/** Returns whether the endpoint has reported its load of late. */
-export function hasRecentReport(
-  { loadReportedAtMs, reportedLoad }: PoolMember,
-  nowMs: number,
-): boolean {
-  const ageMs = nowMs - loadReportedAtMs;
-  return reportedLoad !== undefined && ageMs < MAX_LOAD_REPORT_AGE_MS;
-}
-
 /** Returns the slots that the endpoint's last report shows free, less the requests sent since. */
 function reportedFreeSlots({
   reportedLoad,
--- a/packages/core/src/forwarding/pool-options.ts
+++ b/packages/core/src/forwarding/pool-options.ts
@@ -5,6 +5,7 @@
 import type { LeavingEndpoints } from './leaving-endpoints.js';
 import type { OverloadGuard } from './overload-guard.js';
 import type { PausedEndpoints } from './paused-endpoints.js';
+import type { PlacementPolicy } from './placement-policy.js';
 
 export interface EndpointPoolOptions {
   readonly dataCentre: DataCentre;
@@ -24,4 +25,6 @@
   readonly isEvacuated?: (dataCentre: DataCentre) => boolean;
   /** Told of the load and the rejections of endpoints, if given. */
   readonly loadObserver?: LoadObserver | undefined;
+  /** `LeastLatencyPlacement` if absent. */
+  readonly placement?: PlacementPolicy;
 }
--- a/packages/core/src/forwarding/pool-query.ts
+++ b/packages/core/src/forwarding/pool-query.ts
@@ -16,4 +16,6 @@
   readonly allowedDataCentres?: ReadonlySet<DataCentre>;
   /** Skips endpoints whose known load leaves no capacity. */
   readonly requiresRoom?: boolean;
+  /** Output tokens to expect; absent if nothing is known. */
+  readonly expectedOutputTokens?: number;
 }
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -5,6 +5,7 @@
 import { endpointLimitHintsSchema } from '../endpoint-limits/index.js';
 import type { EndpointLoad, LifetimeGrants } from '../forwarding/index.js';
 import { leavingEndpointHintsSchema } from '../forwarding/index.js';
+import { loadReportHintsSchema } from '../placement/index.js';
 import { definePeerMethod, readableItems } from '../ports/index.js';
 import { quarantineHintsSchema } from '../quarantine/index.js';
 import { rolloutHintsSchema } from '../rollouts/index.js';
@@ -88,6 +89,8 @@
   leavingEndpoints: leavingEndpointHintsSchema.optional().catch(undefined),
   /** Absent in hints of daemons that do not know it. */
   coldEndpoints: coldEndpointHintsSchema.optional().catch(undefined),
+  /** Newest reports of endpoints' load. Absent in hints of daemons that do not place by work. */
+  loadReports: loadReportHintsSchema.optional().catch(undefined),
   /** By group. Absent in hints of daemons that cannot pass requests on. */
   reachability: z.record(text, reachabilitySchema).optional().catch(undefined),
   /** Whether the sender holds the lease for the duties towards the platform. */
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -8,6 +8,7 @@
   TokenBucketLedger,
 } from '@skylarkreach/core/forwarding';
 import type { DaemonHints, ReachabilityHint } from '@skylarkreach/core/hints';
+import type { LoadReports } from '@skylarkreach/core/placement';
 import type { RequestQuarantine } from '@skylarkreach/core/quarantine';
 import type { EndpointReachability } from '@skylarkreach/core/reachability';
 import type { RolloutRegistry } from '@skylarkreach/core/rollouts';
@@ -25,6 +26,8 @@
   readonly brittleEndpoints: BrittleEndpoints;
   readonly leavingEndpoints: LeavingEndpoints;
   readonly coldStarts: ColdStarts;
+  /** Undefined if requests are not placed by work. */
+  readonly loadReports: LoadReports | undefined;
   readonly reachability: EndpointReachability;
   readonly duties: GatewayDuties;
   readonly cluster: () => GatewayCluster;
@@ -95,6 +98,9 @@
       brittleEndpoints: brittleEndpoints.hints(),
       leavingEndpoints: leavingEndpoints.hints(),
       coldEndpoints: this.deps.coldStarts.hints(),
+      ...(this.deps.loadReports && {
+        loadReports: this.deps.loadReports.hints(),
+      }),
       reachability: reachabilityHints(this.deps.reachability, nowMs),
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
@@ -121,6 +127,8 @@
     brittleEndpoints.applyPeer(hints.brittleEndpoints ?? []);
     leavingEndpoints.applyPeer(hints.leavingEndpoints ?? []);
     this.deps.coldStarts.applyPeer(hints.coldEndpoints ?? []);
+    if (hints.loadReports !== undefined)
+      this.deps.loadReports?.applyPeer(hints.loadReports);
     pool.applyPeerLoad(hintBoard.work(nowMs));
   }
 
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -37,6 +37,7 @@
   PromMetrics,
   RateLimitedLog,
 } from '../telemetry/index.js';
+import { createLeastWork } from './create-least-work.js';
 import { createOperatorWatch } from './create-operator-watch.js';
 import { DEFAULT_LIMITS } from './default-limits.js';
 import { createMonitor } from './dependency-monitor.js';
@@ -111,6 +112,7 @@
   evacuations.onEnd(dataCentre => {
     coldStarts.recordEvacuationEnd(dataCentre);
   });
+  const byWork = createLeastWork(context, () => duties.trueTime.nowMs());
   const queue = new GatewayQueue(context, configuration, () => ({
     pool,
     cluster,
@@ -124,6 +126,7 @@
     ...guards,
     isEvacuated: dataCentre => evacuations.isEvacuated(dataCentre),
     loadObserver: queue.gate,
+    ...(byWork && { placement: byWork.placement }),
   });
   const tokenBuckets = new TokenBucketLedger({
     tolerance: {
@@ -182,6 +185,7 @@
     brittleEndpoints: guards.overloadGuard,
     leavingEndpoints: guards.leaving,
     coldStarts,
+    loadReports: byWork?.reports,
     reachability,
     duties,
     cluster: () => cluster,
@@ -231,6 +235,7 @@
       endpoints: () => pool.endpoints(),
     }),
     usageCounter: duties.usageLedger,
+    ...(byWork && { outputEstimator: byWork.outputEstimator }),
     requestRelay,
     dispatchWindow: stopSchedule,
     responseMemory: new ResponseMemory(context, RESPONSE_MEMORY_BYTES),
