--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -74,18 +74,24 @@
   }
 
   /**
-   * Reserves the endpoint of the first attempt once the request may be sent.
-   * Throws `ForwardError` if it is refused.
+   * Reserves the endpoint of the first attempt once the request may be sent, and
+   * counts the attempt then. Throws `ForwardError` if it is refused.
    */
   async firstWithin(pass: GatePass): Promise<PoolReservation | undefined> {
-    const { clock, endpoints, signal } = this.options;
+    const { budget, clock, endpoints, signal } = this.options;
     // A daemon that reaches no endpoint knows nothing of their capacity.
-    if (endpoints.isCutOff()) return this.first();
+    if (endpoints.isCutOff()) {
+      budget.recordFirstAttempt();
+      return this.first();
+    }
     const reservation = await pass.reserve(
       nowMs => endpoints.reserve(nowMs),
       signal,
     );
-    if (reservation !== undefined && !signal.aborted) return reservation;
+    if (reservation !== undefined && !signal.aborted) {
+      budget.recordFirstAttempt();
+      return reservation;
+    }
     reservation?.release(undefined, clock.nowMs());
     this.obstacle = RetryObstacle.NoEndpoint;
     return undefined;
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -12,12 +12,13 @@
 import { callAt } from './call-at.js';
 import { RouteType } from './configuration.js';
 import { createSequence } from './create-sequence.js';
+import { dispatchHeadersOf } from './dispatch-headers.js';
 import { ForwardAttempt } from './forward-attempt.js';
 import { daemonStoppingError, ForwardError } from './forward-error.js';
 import { deadlineOf } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
-import { openPass, urgencyOf } from './gated-call.js';
-import { outputTraitsOf } from './output-estimator.js';
+import { openPass } from './gated-call.js';
+import { recordOutput } from './output-estimator.js';
 import { runPeerAttempt } from './peer-attempt.js';
 import type { PoolReservation } from './pool-reservation.js';
 import { RetryObstacle } from './retry-obstacle.js';
@@ -116,7 +117,10 @@
 
   private async runAttempts(signal: AbortSignal): Promise<void> {
     let last: AttemptOutcome | undefined;
-    let reservation = signal.aborted ? undefined : await this.reserveFirst();
+    const { pass, sequence } = this;
+    let reservation: PoolReservation | undefined;
+    if (pass !== undefined) reservation = await sequence.firstWithin(pass);
+    else if (!signal.aborted) reservation = sequence.first();
     while (reservation !== undefined) {
       last = await (reservation.isPeer === true
         ? this.attemptThrough(reservation)
@@ -125,7 +129,7 @@
       if (hasCallerLeft(signal)) break;
       // The daemon that took the request from its caller decides on a wait.
       const mayWait = this.hasBegun() && this.context.relayed === undefined;
-      reservation = await this.sequence.next(last, mayWait);
+      reservation = await sequence.next(last, mayWait);
     }
     if (hasCallerLeft(signal)) {
       this.outcome = RunOutcome.CallerDisconnected;
@@ -146,15 +150,6 @@
     this.sendResponse(response);
   }
 
-  /** Reserves the endpoint of the first attempt, once the request may be sent. */
-  private async reserveFirst(): Promise<PoolReservation | undefined> {
-    const { pass, sequence } = this;
-    if (pass === undefined) return sequence.first();
-    const reservation = await sequence.firstWithin(pass);
-    if (reservation !== undefined) this.context.budget.recordFirstAttempt();
-    return reservation;
-  }
-
   private async attemptThrough(
     reservation: PoolReservation,
   ): Promise<AttemptOutcome> {
@@ -193,7 +188,7 @@
   private async attempt(reservation: PoolReservation): Promise<AttemptOutcome> {
     const { resolved, request } = this.context;
     const { endpoint } = reservation;
-    const { clock, pool, protocol, upstream, versions } = this.deps;
+    const { clock, pool, upstream, versions } = this.deps;
     const sentAtMs = clock.nowMs();
     this.record.lastEndpointId = endpoint.id;
     this.record.recordDispatch(sentAtMs);
@@ -226,12 +221,10 @@
       body: request.body,
       isEndpointUsable: () => pool.isReady(endpoint.id, clock.nowMs()),
       mayWrite: () => reservation.mayWrite?.() ?? true,
-      headers: protocol.dispatchHeaders(request.headers, {
+      headers: dispatchHeadersOf(this.deps, this.context, {
         remainingMs: this.remainingMs(sentAtMs),
         endpointId: endpoint.id,
-        workspace: resolved.workspace?.workspace,
         lastEventId: this.relay?.lastEventId,
-        urgency: urgencyOf(this.deps, this.context),
       }),
     });
     stopListening();
@@ -239,11 +232,8 @@
     this.record.placement = reservation.placementFields?.() ?? {};
     this.recordResult(result, reservation, sentAtMs);
     const { suspectIds } = this.context;
-    const { requestId } = request;
-    const inspected = this.deps.crashDetector.inspect(
-      { requestId, suspectIds, endpoint, sentAtMs },
-      result,
-    );
+    const sent = { ...request, suspectIds, endpoint, sentAtMs };
+    const inspected = this.deps.crashDetector.inspect(sent, result);
     // A crash has to be known before the request goes on to another endpoint.
     this.isLastEndpointGone = async () => {
       await inspected;
@@ -251,21 +241,12 @@
       return isOver || upstream.dropsConnections(endpoint);
     };
     observation.end(isFailure(result));
-    this.recordOutput(result);
+    const isOnlyAttempt = this.sequence.attempts === 1;
+    if (result.kind === AttemptEndKind.Answered && isOnlyAttempt)
+      recordOutput(this.deps, this.context, this.relay);
     return result;
   }
 
-  /** Records the output of a stream that one endpoint answered whole. */
-  private recordOutput({ kind }: AttemptOutcome): void {
-    const { relay, sequence } = this;
-    const isWhole = kind === AttemptEndKind.Answered && sequence.attempts === 1;
-    const { request, resolved } = this.context;
-    const isResumed = request.metadata.lastEventId !== undefined;
-    if (relay === undefined || !isWhole || isResumed) return;
-    const traits = outputTraitsOf(request, resolved);
-    this.deps.outputEstimator?.record(traits, relay.attemptEvents);
-  }
-
   private hold(response: BufferedResponse): void {
     this.heldResponse?.memory.close();
     this.heldResponse = response;
--- a/packages/core/src/forwarding/gated-call.ts
+++ b/packages/core/src/forwarding/gated-call.ts
@@ -4,9 +4,6 @@
 import { resolveRequest } from './resolve-request.js';
 import type { RunContext } from './run-context.js';
 
-/** Greatest number that stands for a priority at engines. */
-const MAX_URGENCY = 9; // as the users specify
-
 /**
  * Opens the place of a request in the queue of its group. Undefined if there is
  * no queue, or if a peer passed the request on, where it has waited.
@@ -38,16 +35,8 @@
   });
 }
 
-/** Returns the priority that engines are told; undefined if they are told none. */
-export function urgencyOf(
-  { sendsPriority }: ForwarderDependencies,
-  context: RunContext,
-): number | undefined {
-  if (sendsPriority?.() !== true) return undefined;
-  return Math.min(priorityOf(context), MAX_URGENCY);
-}
-
-function priorityOf({ resolved }: RunContext): number {
+/** Returns the priority of a request's workspace, else of its route; 0 is the highest. */
+export function priorityOf({ resolved }: RunContext): number {
   const { route, workspace } = resolved;
   return workspace?.priority ?? route.priority;
 }
--- a/packages/core/src/forwarding/output-estimator.ts
+++ b/packages/core/src/forwarding/output-estimator.ts
@@ -1,5 +1,7 @@
 import type { ForwardRequest } from './forward-request.js';
 import type { ResolvedRequest } from './resolve-request.js';
+import type { RunContext } from './run-context.js';
+import type { StreamRelay } from './stream-relay.js';
 
 /** What the output tokens of a request are estimated by. */
 export interface OutputTraits {
@@ -34,3 +36,17 @@
     hint: metadata.outputTokensHint,
   };
 }
+
+/** Records the output of a stream that one endpoint gave whole. */
+export function recordOutput(
+  {
+    outputEstimator,
+  }: { readonly outputEstimator?: OutputEstimator | undefined },
+  { request, resolved }: Pick<RunContext, 'request' | 'resolved'>,
+  relay: StreamRelay | undefined,
+): void {
+  const isResumed = request.metadata.lastEventId !== undefined;
+  if (relay === undefined || isResumed) return;
+  const traits = outputTraitsOf(request, resolved);
+  outputEstimator?.record(traits, relay.attemptEvents);
+}
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -37,14 +37,14 @@
   PromMetrics,
   RateLimitedLog,
 } from '../telemetry/index.js';
+import { createEndpointListPoller } from './create-endpoint-list-poller.js';
 import { createLeastWork } from './create-least-work.js';
 import { createOperatorWatch } from './create-operator-watch.js';
 import { DEFAULT_LIMITS } from './default-limits.js';
-import { createMonitor } from './dependency-monitor.js';
 import type { EndpointConnector } from './endpoint-client.js';
 import { EndpointClient } from './endpoint-client.js';
 import { createEndpointGuards } from './endpoint-guards.js';
-import { EndpointListPoller } from './endpoint-list-poller.js';
+import type { EndpointListPoller } from './endpoint-list-poller.js';
 import { GatewayCluster } from './gateway-cluster.js';
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayDuties } from './gateway-duties.js';
@@ -58,10 +58,6 @@
 import { StateReplicator } from './state-replicator.js';
 import { StopSchedule } from './stop-schedule.js';
 
-/** Interval between reads of the endpoint list, as a fraction of the drain bound. */
-const LISTING_INTERVAL_SHARE = 0.4; // a second read fits within the bound if one fails
-/** Age of the endpoint list from which a daemon that is no reader reads it, as a fraction of the drain bound. */
-const LISTING_FOLLOWED_SHARE = 0.6; // with the jitter, a read still fits within the bound
 /** Interval between checks of whether endpoints are to be probed. */
 const REACHABILITY_INTERVAL_MS = 200;
 /** Memory for the responses that are being received: four of the largest. */
@@ -276,19 +272,10 @@
     evacuations,
     replicator,
   });
-  const endpointListPoller: EndpointListPoller = new EndpointListPoller({
-    ...context,
-    source: platform.endpoints,
-    monitor: createMonitor(context, 'endpoints', LogComponent.Routing),
-    intervalMs: settings.bounds.drainMs * LISTING_INTERVAL_SHARE,
-    maxFollowedAgeMs: settings.bounds.drainMs * LISTING_FOLLOWED_SHARE,
-    isReader: () => cluster.readerRole.isReader(),
-    lastPeerReadAtMs: () =>
-      cluster.hintBoard.endpointReadAtMs(replicator.endpointsVersion),
-    onListing: (listing, readAtMs) => {
-      replicator.handleListing(listing, readAtMs);
-    },
-  });
+  const endpointListPoller: EndpointListPoller = createEndpointListPoller(
+    context,
+    { cluster, replicator },
+  );
   const loops = [
     createPollerLoop(
       context,
