--- a/packages/core/src/dispatch-queue/in-flight-limit.test.ts
+++ b/packages/core/src/dispatch-queue/in-flight-limit.test.ts
@@ -59,9 +59,9 @@
     const before = limit.current(SHARE, 0);
     limit.recordRejection(SHARE, 10);
     limit.recordRejection(SHARE, 20);
-    assert.equal(limit.current(SHARE, 20), before * 0.8);
+    assert.equal(limit.current(SHARE, 20), before / 2);
     limit.recordRejection(SHARE, 600);
-    assert.ok(limit.current(SHARE, 600) < before * 0.65);
+    assert.ok(limit.current(SHARE, 600) < before / 2);
   });
 
   it('forgets a decrease after a time without reports, so that an idle group serves', () => {
--- a/packages/core/src/dispatch-queue/in-flight-limit.ts
+++ b/packages/core/src/dispatch-queue/in-flight-limit.ts
@@ -22,10 +22,10 @@
 const AVERAGING_MS = 1_000; // rare reports must count for more: with a fixed weight the limit followed 5 s late
 const MIN_REPORT_WEIGHT = 0.125;
 const MAX_REPORT_WEIGHT = 0.5;
-/** Largest decrease by one report, as a share of the limit. */
-const MAX_DECREASE = 0.5;
+/** Most by which a report counts above the upper pressure. */
+const MAX_EXCESS = 0.4; // a report comes from where this daemon sends, so more often from endpoints that are full alone
 /** Decrease by a rejection, as a share of the limit. */
-const REJECTION_DECREASE = 0.2;
+const REJECTION_DECREASE = 0.5; // endpoints reject only at about three times their slots
 /** Least time between decreases, so that the answers to requests sent after the last one count for the next. */
 const DECREASE_INTERVAL_MS = 500; // about the time to a first event
 /** Time without reports after which what was learned no longer counts. */
@@ -45,6 +45,7 @@
   private pressure = 0;
   private holdMs = Infinity;
   private mayDecreaseAtMs = -Infinity;
+  private mayCountRejectionAtMs = -Infinity;
   private reportedAtMs = -Infinity;
 
   /** Returns the limit in requests, which may be below one; `equalShare` is the number of slots divided by the number of daemons. */
@@ -65,12 +66,14 @@
     const byAge = (nowMs - this.reportedAtMs) / AVERAGING_MS;
     const weight = Math.max(MIN_REPORT_WEIGHT, byAge);
     this.reportedAtMs = nowMs;
-    const load = (running + waiting) / Math.max(1, slots);
+    const maxLoad = this.highPressure() + MAX_EXCESS;
+    const reported = (running + waiting) / Math.max(1, slots);
+    const load = Math.min(maxLoad, reported);
     const change = load - this.pressure;
     this.pressure += Math.min(MAX_REPORT_WEIGHT, weight) * change;
     const excess = this.pressure - this.highPressure();
     if (excess > 0) {
-      this.decrease(Math.min(MAX_DECREASE, excess / 2), equalShare, nowMs);
+      this.decrease(excess / 2, equalShare, nowMs);
     } else if (excess < -PRESSURE_BAND && isBinding) {
       const limit = this.current(equalShare, nowMs);
       this.setLimit(limit + INCREASE_REQUESTS, equalShare);
@@ -83,6 +86,9 @@
     this.reportedAtMs = nowMs;
     const isLow = this.pressure < this.highPressure() - PRESSURE_BAND;
     if (this.pressure > 0 && isLow) return;
+    if (nowMs < this.mayCountRejectionAtMs) return;
+    this.mayCountRejectionAtMs = nowMs + DECREASE_INTERVAL_MS;
+    this.mayDecreaseAtMs = -Infinity;
     this.decrease(REJECTION_DECREASE, equalShare, nowMs);
   }
 
