--- a/packages/core/src/forwarding/pool-member.ts
+++ b/packages/core/src/forwarding/pool-member.ts
@@ -32,7 +32,7 @@
 /** Weight of the newest response in an endpoint's moving average. */
 const RESPONSE_AVERAGE_WEIGHT = 0.1; // averages about the last ten responses, a second of traffic
 /** Number of endpoints that daemons prefer for a shared part. */
-const MAX_PREFERRED = 4; // a part that a tenth of the requests share takes more than two engines
+const MAX_PREFERRED = 8; // docs/design/placement.md, 'Weighed'
 /** Age from which an endpoint's load report is ignored. */
 const MAX_LOAD_REPORT_AGE_MS = 1_000; // most requests take less
 /** Time without a response after which the average of an idle endpoint no longer counts, so that it gets a trial. */
--- a/packages/core/src/placement/least-work-placement.ts
+++ b/packages/core/src/placement/least-work-placement.ts
@@ -45,8 +45,9 @@
 const REPORT_AGE_MS = 150; // endpoints report figures of 100 to 200 ms before
 /** Time constant with which a reported slowdown loses its meaning. */
 const SLOWDOWN_DECAY_MS = 300; // other work slows a machine down for some hundred milliseconds
-/** Share of the shared parts of a prompt that is expected to be uncached at each of its preferred endpoints, in their order. */
-const PREFERRED_MISS_SHARES = [0.1, 0.2, 0.3, 0.4]; // docs/design/placement.md, 'Weighed'
+/** Share of the shared parts of a prompt that is expected to be uncached at the first of its preferred endpoints, and how much more at each further one. */
+const FIRST_MISS_SHARE = 0.1; // docs/design/placement.md, 'Weighed'
+const MISS_SHARE_STEP = 0.05; // docs/design/placement.md, 'Weighed'
 /** Weight of a request's own prefill in the harm to others: it delays those that run, and evicts what they have cached. */
 const PREFILL_HARM_WEIGHT = 5; // with the prefill itself the weight that docs/decisions/0010-platform.md found, 'Weighed'
 /** Share of the prompts whose first event is due that is still to be read, and that precedes the request. */
@@ -223,8 +224,9 @@
 ): number {
   if (promptParts.length === 0) return promptTokens;
   const knownTokens = member.promptCache.uncachedTokens(promptParts);
-  const missShare = PREFERRED_MISS_SHARES[preferred.indexOf(member)];
-  if (missShare === undefined) return knownTokens;
+  const rank = preferred.indexOf(member);
+  if (rank < 0) return knownTokens;
+  const missShare = FIRST_MISS_SHARE + MISS_SHARE_STEP * rank;
   const sharedTokens = sumTokens(promptParts.slice(0, -1));
   const ownTokens = promptParts.at(-1)?.tokens ?? 0;
   return Math.min(knownTokens, ownTokens + sharedTokens * missShare);
--- a/packages/measure/src/routing/placement-experiment.ts
+++ b/packages/measure/src/routing/placement-experiment.ts
@@ -29,7 +29,7 @@
 }
 
 const DAEMON_COUNTS = [9, 80, 300];
-const DURATION_MS = 8_000;
+const DURATION_MS = 12_000;
 const FULL_DURATION_MS = 40_000;
 const PERCENT = 100;
 
