Show endpoints with their learned rates on the metrics address

A gateway served no dump, so that what the pool knows could not be seen. /dump/endpoints shows it as JSON.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -14,8 +14,14 @@
 const FLUSH_MS = 500; // a part of CUTOFF_MARGIN_MS of stop-schedule.ts
 const MS_PER_SECOND = 1_000;
 /** Settings sections that are read only at start, so that a change needs a restart. */
-const RESTART_SECTIONS = ['identity', 'listen', 'peerSecret'] as const;
+const RESTART_SECTIONS = [
+  'identity',
+  'listen',
+  'peerSecret',
+  'routing',
+] as const;
 const METRICS_PATH = '/metrics';
+const ENDPOINTS_PATH = '/dump/endpoints';
 
 export interface GatewayOptions {
   readonly clock?: Clock;
@@ -49,6 +55,7 @@
         status: 200,
         text: await this.wiring.metrics.text(),
       }),
+      [ENDPOINTS_PATH]: () => ({ status: 200, text: this.dumpEndpoints() }),
     });
   }
 
@@ -165,6 +172,12 @@
     } while (ingress.answersInProgress + relayServer.answersInProgress > 0);
   }
 
+  /** Returns the endpoints with what this daemon knows of them, as JSON. */
+  private dumpEndpoints(): string {
+    const { clock, pool } = this.wiring;
+    return JSON.stringify(pool.dumpState(clock.nowMs()));
+  }
+
   private readinessResponse(): TextResponse {
     return this.isReady
       ? { status: 200, text: 'ready' }
--- a/packages/stand-ins/src/gateway/gateway-placement.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-placement.test.ts
@@ -49,9 +49,11 @@
     return statusCode;
   }
 
-  function knownLoad({ gateway }: RunningGateway): unknown {
-    const { clock, pool } = gateway.wiring;
-    const [endpoint] = pool.dumpState(clock.nowMs()) as DumpedEndpoint[];
+  /** Returns the load of the endpoint as the daemon's dump shows it. */
+  async function knownLoad({ addresses }: RunningGateway): Promise<unknown> {
+    const url = `http://${addresses.metrics}/dump/endpoints`;
+    const { body } = await request(url);
+    const [endpoint] = (await body.json()) as DumpedEndpoint[];
     return endpoint?.learned?.newestLoad;
   }
 
@@ -59,12 +61,12 @@
     const first = await start('daemon-1', PlacementRule.LeastWork);
     const second = await start('daemon-2', PlacementRule.LeastWork);
     const deadlineAtMs = performance.now() + 20_000;
-    for (let sent = 0; knownLoad(second) === undefined; sent += 1) {
+    for (let sent = 0; (await knownLoad(second)) === undefined; sent += 1) {
       assert.ok(performance.now() < deadlineAtMs, 'no report came');
       assert.equal(await stream(first, `request-${sent}`), 200);
       await delay(POLL_MS);
     }
-    assert.deepEqual(knownLoad(second), REPORT);
+    assert.deepEqual(await knownLoad(second), REPORT);
   });
 
   it('serve beside a daemon that places by latency and knows no reports', async () => {
@@ -72,7 +74,7 @@
     const second = await start('daemon-2', PlacementRule.LeastLatency);
     for (const [index, gateway] of [first, second, first, second].entries())
       assert.equal(await stream(gateway, `request-${index}`), 200);
-    assert.deepEqual(knownLoad(first), REPORT);
-    assert.equal(knownLoad(second), undefined);
+    assert.deepEqual(await knownLoad(first), REPORT);
+    assert.equal(await knownLoad(second), undefined);
   });
 });
