--- a/packages/core/src/placement/learned-members.ts
+++ b/packages/core/src/placement/learned-members.ts
@@ -14,7 +14,6 @@
 const SLOW_RATE = 0.6; // the slowest of the engines that the users specify lies above
 /** Time without a response after which a slow endpoint gets a trial. */
 const TRIAL_AFTER_MS = 2_000; // within 3 s, as the users require
-
 /** Number of own sends to one endpoint that are kept. */
 const MAX_SENT = 64; // more than a daemon sends one endpoint between two reports
 
@@ -57,7 +56,7 @@
     return relativeRate(this.eventLog, this.group.eventLog);
   }
 
-  /** Returns the prefill rate to count on; that of the group if the endpoint looked slow and is due for a trial. */
+  /** Returns the rate to count on, the geometric mean of both; that of the group if the endpoint looked slow and is due for a trial. */
   rateAt({ running }: PoolMember, nowMs: number): number {
     const rate = Math.sqrt(this.prefillRate * this.tokenRate);
     const isTrialDue =
