Add tests of a gateway process before callers outside the limits

The tests start the daemon's program on loopback addresses before a crowd of callers. A test checks that the process lives, that its peak of resident memory and of open descriptors stays below the machine's, and that one ordinary request is answered while the crowd is still connected. They run one after the other, after all other files (`*.alone.test.ts`).

The settings callers.memoryMb and callers.maxDescriptors are accepted, as the tests state them, and are not read yet.

--- a/packages/daemon/src/settings/gateway-settings.ts
+++ b/packages/daemon/src/settings/gateway-settings.ts
@@ -58,6 +58,15 @@
       exposureSlack: z.number().nonnegative().default(50),
     })
     .prefault({}),
+  /** Limits of the machine, which the crowd of callers may not exceed. */
+  callers: z
+    .strictObject({
+      /** Memory of the machine, in units of 1,000,000 bytes. */
+      memoryMb: z.number().positive().default(210),
+      /** Descriptors that the process may open. */
+      maxDescriptors: z.int().positive().default(2_212),
+    })
+    .prefault({}),
   routing: z
     .strictObject({
       /** Prompt tokens that an engine processes per millisecond (prefill). */
--- a/packages/stand-ins/src/gateway/program-fixture.ts
+++ b/packages/stand-ins/src/gateway/program-fixture.ts
@@ -11,6 +11,7 @@
 
 import type { Settings } from '@skylarkreach/daemon';
 import { LogLevel } from '@skylarkreach/daemon';
+import type { SampleConfigurationOptions } from '@skylarkreach/platform/stand-ins';
 import {
   CloudServer,
   EndpointServer,
@@ -43,6 +44,7 @@
 export interface GatewaySections {
   readonly listen?: Partial<typeof LISTEN>;
   readonly bounds?: Readonly<Record<string, number>>;
+  readonly callers?: Readonly<Record<string, number>>;
 }
 
 /** Process that runs the daemon's program. */
@@ -141,12 +143,13 @@
   }
 
   /** Writes the settings of a gateway. */
-  configureGateway({ listen, bounds }: GatewaySections): void {
+  configureGateway({ listen, bounds, callers }: GatewaySections): void {
     this.configure({
       gateway: {
         ...this.gatewaySettings,
         listen: { ...LISTEN, ...listen },
         ...(bounds && { bounds }),
+        ...(callers && { callers }),
       },
     });
   }
@@ -175,6 +178,11 @@
     this.store.register(`${service}-1`, service, address, { Slots: 1_000 });
   }
 
+  /** Stores a configuration of the platform with other limits for callers. */
+  configureLimits(options: SampleConfigurationOptions): void {
+    this.store.configure(3, options);
+  }
+
   /** Starts the program; `module` is the text of a module that is run before it, `flags` are those of Node.js. */
   run(module = '', flags: readonly string[] = []): Program {
     const preload = `data:text/javascript,${encodeURIComponent(module)}`;
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -30,17 +30,27 @@
   );
   process.exit(EXIT_NO_TESTS);
 }
-const result = spawnSync(
-  'node',
-  [
-    '--test',
-    '--enable-source-maps',
-    `--test-timeout=${TEST_TIMEOUT_MS}`,
-    ...files,
-  ],
-  {
-    cwd: root,
-    stdio: 'inherit',
-  },
-);
-process.exit(result.status ?? 1);
+
+/** Tests that measure a whole process run one after the other, after all others. */
+const isRunAlone = file => file.endsWith('.alone.test.js');
+
+/** Runs test files and returns the exit status; `options` are further ones of the runner. */
+function run(testFiles, options = []) {
+  if (testFiles.length === 0) return 0;
+  const result = spawnSync(
+    'node',
+    [
+      '--test',
+      '--enable-source-maps',
+      `--test-timeout=${TEST_TIMEOUT_MS}`,
+      ...options,
+      ...testFiles,
+    ],
+    { cwd: root, stdio: 'inherit' },
+  );
+  return result.status ?? 1;
+}
+
+const status = run(files.filter(file => !isRunAlone(file)));
+const statusAlone = run(files.filter(isRunAlone), ['--test-concurrency=1']);
+process.exit(status || statusAlone);
