Account for the memory of requests that are being read

RequestMemory bounds the sum over all connections and decides which request gives way; BodyBuffer copies chunks into blocks that are used again.

--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -8,12 +8,12 @@
   failed,
   verdictOfResult,
 } from './attempt-outcome.js';
+import { BodyBuffer } from './body-buffer.js';
 import type {
   EndpointStatements,
   ResponseMetadata,
 } from './forward-request.js';
 import type { AttemptObservation } from './forwarder.js';
-import { GrowingBuffer } from './growing-buffer.js';
 import type { IdleTimerDependencies } from './idle-timer.js';
 import type { PoolReservation } from './pool-reservation.js';
 import type { ResponseMemory, ResponseShare } from './response-memory.js';
@@ -200,13 +200,8 @@
   private async readBuffered(
     response: EndpointResponse,
   ): Promise<AttemptOutcome> {
-    const body = new GrowingBuffer(MAX_BUFFERED_BYTES);
-    for await (const chunk of response.body) {
-      this.silence.recordProgress();
-      if (!body.fits(chunk)) return failed('the answer is too large');
-      await this.hold(body.capacityWith(chunk));
-      body.append(chunk);
-    }
+    const body = await this.readBody(response.body);
+    if (body === undefined) return failed('the answer is too large');
     const { headers, isFramed, status } = response;
     // An endpoint that crashes may close its connection in order.
     if (body.length === 0 && !isFramed && status < MIN_REDIRECT_STATUS)
@@ -221,10 +216,28 @@
     return {
       kind: AttemptEndKind.Answered,
       crashEvidence: effectOfEnd(isFramed && status < MIN_ERROR_STATUS),
-      response: { status, headers, body: body.bytes, memory },
+      response: { status, headers, body, memory },
     };
   }
 
+  /** Returns a whole body; undefined if it is too large. */
+  private async readBody(
+    chunks: EndpointResponse['body'],
+  ): Promise<Uint8Array | undefined> {
+    const body = new BodyBuffer(MAX_BUFFERED_BYTES);
+    try {
+      for await (const chunk of chunks) {
+        this.silence.recordProgress();
+        if (!body.fits(chunk)) return undefined;
+        await this.hold(body.capacityWith(chunk));
+        body.append(chunk);
+      }
+      return body.take();
+    } finally {
+      body.discard();
+    }
+  }
+
   private async readStream(
     response: EndpointResponse,
     stream: StreamConsumer,
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,6 +1,7 @@
 export * from './attempt-outcome.js';
 export * from './attempt-sequence.js';
 export * from './attempt-timeouts.js';
+export * from './body-buffer.js';
 export * from './call-at.js';
 export * from './choose-group.js';
 export * from './configuration.js';
@@ -33,6 +34,7 @@
 export * from './pool-reservation.js';
 export * from './prompt-cache.js';
 export * from './request-fingerprint.js';
+export * from './request-memory.js';
 export * from './request-relay.js';
 export * from './resolve-request.js';
 export * from './response-memory.js';
