--- a/packages/core/src/pipeline/request-error.ts
+++ b/packages/core/src/pipeline/request-error.ts
@@ -23,6 +23,8 @@
   OutcomeUnknown = 'outcomeUnknown',
   EndpointFailed = 'endpointFailed',
   CallerTooSlow = 'callerTooSlow',
+  /** This daemon has no memory for the request. */
+  Overloaded = 'overloaded',
   /** A resume token is malformed, forged or belongs to another request or workspace. */
   ResumeRefused = 'resumeRefused',
   ResumeExpired = 'resumeExpired',
@@ -47,6 +49,7 @@
   [RequestErrorKind.OutcomeUnknown]: 502,
   [RequestErrorKind.EndpointFailed]: 502,
   [RequestErrorKind.CallerTooSlow]: 408,
+  [RequestErrorKind.Overloaded]: 503,
   [RequestErrorKind.ResumeRefused]: 403,
   [RequestErrorKind.ResumeExpired]: 410,
   [RequestErrorKind.StreamLost]: 409,
--- a/packages/daemon/src/callers/caller-server.ts
+++ b/packages/daemon/src/callers/caller-server.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import type { RequestMemory } from '@skylarkreach/core/forwarding';
 import type {
   CallerRequest,
   ModelPipeline,
@@ -24,6 +25,7 @@
 import type { OpenResponse, OpenResponses } from '../hand-off/index.js';
 import type { HttpExchange } from '../http/index.js';
 import {
+  bearerToken,
   BodyError,
   BodyErrorKind,
   HttpRouter,
@@ -45,6 +47,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly limits: Settings['limits'];
+  readonly requestMemory: RequestMemory;
   readonly directory: TokenDirectory;
   readonly resumeTokens: ResumeTokenSigner;
   readonly responses: OpenResponses;
@@ -52,6 +55,8 @@
   readonly isReady: () => boolean;
 }
 
+/** Time after which a request that found no memory may be sent again: that within which sound bodies are read. */
+const NO_MEMORY_RETRY_MS = 1_000;
 const DEFAULT_CONTENT_TYPE = 'application/json';
 
 /** HTTP API for callers. */
@@ -123,7 +128,7 @@
     const { request, response } = exchange;
     this.throwIfStopping();
     const headers = this.readHeaders(request);
-    const text = await this.readBody(request);
+    const text = await this.readBody(exchange);
     const body = parseChatBody(text, this.deps.limits.maxTokens);
     this.throwIfStopping();
     const workspace = workspaceOf(headers, this.deps.directory);
@@ -169,7 +174,7 @@
     const { params, request, response, url } = exchange;
     this.throwIfStopping();
     const headers = this.readHeaders(request);
-    const body = await this.readBody(request);
+    const body = await this.readBody(exchange);
     this.throwIfStopping();
     const call = {
       ...headers,
@@ -224,18 +229,37 @@
     return Promise.resolve();
   }
 
-  private async readBody(request: IncomingMessage): Promise<string> {
+  /** Reads a body, whose memory is held until the response has ended. Throws `RequestError`. */
+  private async readBody(exchange: HttpExchange): Promise<string> {
+    const { request, response } = exchange;
     const { bodyTimeoutMs, maxBodyBytes } = this.deps.limits;
+    const memory = this.deps.requestMemory.open(this.callerOf(request));
+    response.once('close', () => {
+      memory.close();
+    });
     try {
-      return await readBody(request, {
+      const text = await readBody(request, {
         maxBytes: maxBodyBytes,
         timeout: AbortSignal.timeout(bodyTimeoutMs),
+        memory,
       });
+      memory.isComplete = true;
+      return text;
     } catch (error) {
-      throw error instanceof BodyError ? toRequestError(error) : error;
+      throw error instanceof BodyError
+        ? toRequestError(error, this.deps.clock)
+        : error;
     }
   }
 
+  /** Returns who a request is counted for: the workspace of its token, else its address. */
+  private callerOf(request: IncomingMessage): string {
+    const token = bearerToken(request);
+    const workspace =
+      token === undefined ? undefined : this.deps.directory.workspaceOf(token);
+    return workspace ?? request.socket.remoteAddress ?? '';
+  }
+
   private sendError(
     error: unknown,
     request: IncomingMessage,
@@ -269,7 +293,16 @@
   );
 }
 
-function toRequestError(error: BodyError): RequestError {
+function toRequestError(error: BodyError, clock: Clock): RequestError {
+  if (error.kind === BodyErrorKind.NoMemory) {
+    return new RequestError({
+      kind: RequestErrorKind.Overloaded,
+      message: error.message,
+      remedy: 'Send the request again later.',
+      outcome: RequestOutcome.NotRun,
+      retryAtMs: clock.nowMs() + NO_MEMORY_RETRY_MS,
+    });
+  }
   const kinds = {
     [BodyErrorKind.TooLarge]: RequestErrorKind.TooLarge,
     [BodyErrorKind.TooSlow]: RequestErrorKind.CallerTooSlow,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,6 +4,7 @@
 import { SystemClock } from './adapters/index.js';
 import { HttpListener } from './http/index.js';
 import type { Settings } from './settings/index.js';
+import { shareMachine } from './settings/index.js';
 import type { DaemonWiring } from './wiring.js';
 import { wireDaemon } from './wiring.js';
 
@@ -42,17 +43,39 @@
       maxHeaderBytes: settings.limits.maxHeaderBytes,
       headersTimeoutMs: settings.limits.bodyTimeoutMs,
     };
+    const { log, metrics } = this.wiring.pipelineDeps;
+    const machine = shareMachine(settings.callers);
+    const limitOf = (listener: string, maxConnections: number) => ({
+      listener,
+      maxConnections,
+      maxPartialHeadBytes: machine.partialHeadBytes,
+      log,
+      metrics,
+    });
+    const { callerConnections, operatorConnections, peerConnections } = machine;
     this.listeners = [
       new HttpListener(
-        { ...listenerOptions, address: settings.listen.callers },
+        {
+          ...listenerOptions,
+          address: settings.listen.callers,
+          limit: limitOf('callers', callerConnections),
+        },
         (request, response) => void callers.handle(request, response),
       ),
       new HttpListener(
-        { ...listenerOptions, address: settings.listen.operators },
+        {
+          ...listenerOptions,
+          address: settings.listen.operators,
+          limit: limitOf('operators', operatorConnections),
+        },
         (request, response) => void operators.handle(request, response),
       ),
       new HttpListener(
-        { ...listenerOptions, address: settings.listen.peers },
+        {
+          ...listenerOptions,
+          address: settings.listen.peers,
+          limit: limitOf('peers', peerConnections),
+        },
         (request, response) => void peerServer.serve(request, response),
       ),
     ];
--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -45,7 +45,7 @@
     hooks: ClusterHooks,
     onDaemonsListed: (ids: readonly string[]) => void,
   ) {
-    const { clock, http, log, metrics, platform, settings } = context;
+    const { clock, http, log, machine, metrics, platform, settings } = context;
     const { identity, listen, peerSecret } = settings;
     this.identity = {
       id: identity.daemonId,
@@ -54,7 +54,12 @@
       callerUrl: `http://${listen.callers}`,
     };
     const httpPeer = new HttpPeer(http, peerSecret, clock, metrics);
-    const peerServer = new PeerServer(peerSecret, metrics, clock);
+    const peerServer = new PeerServer(
+      peerSecret,
+      metrics,
+      clock,
+      context.peerMemory,
+    );
     this.peerServer = peerServer;
     this.listener = new HttpListener(
       {
@@ -63,6 +68,13 @@
         headersTimeoutMs: HEADERS_TIMEOUT_MS,
         clock,
         keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
+        limit: {
+          listener: 'peers',
+          maxConnections: machine.peerConnections,
+          maxPartialHeadBytes: machine.partialHeadBytes,
+          log,
+          metrics,
+        },
       },
       (request, response) => {
         if (request.url === RELAY_PATH && this.serveRelay !== undefined) {
--- a/packages/daemon/src/gateway/gateway-context.ts
+++ b/packages/daemon/src/gateway/gateway-context.ts
@@ -3,6 +3,7 @@
   EndpointSource,
   ForwardProtocol,
   OperatorSource,
+  RequestMemory,
 } from '@skylarkreach/core/forwarding';
 import type {
   Clock,
@@ -13,7 +14,7 @@
 import type { RolloutStatusSink } from '@skylarkreach/core/rollouts';
 
 import type { HttpClient } from '../adapters/index.js';
-import type { GatewaySettings } from '../settings/index.js';
+import type { GatewaySettings, MachineShares } from '../settings/index.js';
 import type { PromMetrics } from '../telemetry/index.js';
 
 /** Platform services, reached through ports that don't depend on the platform's formats. */
@@ -33,6 +34,12 @@
   readonly random: Random;
   readonly log: Log;
   readonly metrics: PromMetrics;
+  /** What each use of the machine may take of it. */
+  readonly machine: MachineShares;
+  /** Memory of callers' requests. */
+  readonly requestMemory: RequestMemory;
+  /** Memory of peers' messages, which callers cannot take. */
+  readonly peerMemory: RequestMemory;
   readonly http: HttpClient;
   readonly platform: PlatformPorts;
 }
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -1,6 +1,5 @@
 import { BrittleEndpoints } from '@skylarkreach/core/brittle-endpoints';
 import { EndpointLimits } from '@skylarkreach/core/endpoint-limits';
-import type { CallerLimits } from '@skylarkreach/core/forwarding';
 import {
   ConfigurationStore,
   CrashDetector,
@@ -8,6 +7,7 @@
   Forwarder,
   LeavingEndpoints,
   PausedEndpoints,
+  RequestMemory,
   ResponseMemory,
   routeNamesFor,
   TokenBucketLedger,
@@ -37,8 +37,10 @@
 import { createIntervalLoop, createPollerLoop } from '../loops/index.js';
 import { MessageSigner } from '../peers/index.js';
 import type { GatewaySettings } from '../settings/index.js';
+import { shareMachine } from '../settings/index.js';
 import {
   createNonBlockingOutput,
+  DEFAULT_LOG_RATE,
   PinoLog,
   PromMetrics,
   RateLimitedLog,
@@ -55,17 +57,11 @@
 import { OperatorWatch } from './operator-watch.js';
 import { RelayClient } from './relay-client.js';
 import { RelayServer } from './relay-server.js';
+import { DEFAULT_LIMITS } from './request-reader.js';
 import { RetryBudgets } from './retry-budgets.js';
 import { StateReplicator } from './state-replicator.js';
 import { StopSchedule } from './stop-schedule.js';
 
-/** Limits that apply until the first configuration arrives. */
-const DEFAULT_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
 /** Interval between reads of the endpoint list, as a fraction of the drain bound. */
 const LISTING_INTERVAL_SHARE = 0.4; // a second read fits within the bound if one fails
 /** Age of the endpoint list from which a daemon that is no reader reads it, as a fraction of the drain bound. */
@@ -74,10 +70,6 @@
 const CONFIGURATION_FOLLOWED_SHARE = 0.7; // a read still fits within the bound
 /** Interval between checks of whether endpoints are to be probed. */
 const REACHABILITY_INTERVAL_MS = 200;
-/** Memory for the responses that are being received: four of the largest. */
-const RESPONSE_MEMORY_BYTES = 16_777_216;
-/** Maximum log lines per second of one kind: several times the request rate of one daemon at the planned size. */
-const LOG_LINES_PER_SECOND = 50;
 
 /** Components of a gateway daemon. */
 export interface GatewayWiring extends GatewayContext {
@@ -226,7 +218,7 @@
     usageCounter: duties.usageLedger,
     requestRelay,
     dispatchWindow: stopSchedule,
-    responseMemory: new ResponseMemory(context, RESPONSE_MEMORY_BYTES),
+    responseMemory: new ResponseMemory(context, context.machine.responseBytes),
   });
   const limits = () => configuration.current?.limits ?? DEFAULT_LIMITS;
   const relayServer = new RelayServer({
@@ -244,6 +236,7 @@
     forwarder,
     protocol: platform.protocol,
     limits,
+    workspaceOf: apiKey => configuration.findByKey(apiKey)?.workspace,
   });
 
   const replicator = new StateReplicator(context, {
@@ -332,17 +325,20 @@
     identity.daemonId,
     createNonBlockingOutput(),
   );
-  const rate = { linesPerSecond: LOG_LINES_PER_SECOND };
   const http = new HttpClient(clock);
+  const log = new RateLimitedLog(output, clock, DEFAULT_LOG_RATE);
   const metrics = new PromMetrics();
+  const machine = shareMachine(settings.callers);
+  const parts = { clock, log, metrics };
   const store = new StoreClient(http, clock, platform.storeAddress, metrics);
   return {
+    ...parts,
     settings,
-    clock,
     http,
     random: new SeededRandom(seed),
-    log: new RateLimitedLog(output, clock, rate),
-    metrics,
+    machine,
+    requestMemory: new RequestMemory(parts, machine.requestBytes),
+    peerMemory: new RequestMemory(parts, machine.peerBytes),
     platform: {
       protocol: new PlatformProtocol(),
       keyValue: store,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -14,7 +14,12 @@
 const FLUSH_MS = 500; // a part of CUTOFF_MARGIN_MS of stop-schedule.ts
 const MS_PER_SECOND = 1_000;
 /** Settings sections that are read only at start, so that a change needs a restart. */
-const RESTART_SECTIONS = ['identity', 'listen', 'peerSecret'] as const;
+const RESTART_SECTIONS = [
+  'identity',
+  'listen',
+  'peerSecret',
+  'callers',
+] as const;
 const METRICS_PATH = '/metrics';
 
 export interface GatewayOptions {
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
 import type {
@@ -7,15 +8,16 @@
   Forwarder,
   ForwardProtocol,
   ForwardRequest,
+  RequestMemory,
+  RequestMetadata,
+  RequestShare,
 } from '@skylarkreach/core/forwarding';
 import {
   daemonStoppingError,
   ForwardError,
   ForwardErrorKind,
-  RunOutcome,
 } from '@skylarkreach/core/forwarding';
 import type { Address, Clock, Log, Metrics } from '@skylarkreach/core/ports';
-import { LogComponent } from '@skylarkreach/core/ports';
 
 import type { Connection } from '../http/index.js';
 import {
@@ -23,25 +25,32 @@
   closeIdleConnections,
   ConnectionDrain,
   ConnectionEnd,
+  ConnectionLimit,
   Connections,
   LingeringCloser,
   listenOn,
   nextPoll,
   onClientError,
-  OtherEnd,
 } from '../http/index.js';
+import type { MachineShares } from '../settings/index.js';
 import { CallerConnectionMetrics } from './caller-connections.js';
 import {
   kindOfClientError,
+  noMemoryError,
   RequestReader,
   toForwardError,
 } from './request-reader.js';
+import { DropPoint, RequestRecords } from './request-records.js';
 import { ResponseSink } from './response-sink.js';
 
 export interface IngressServerDependencies {
   readonly forwarder: Forwarder;
   readonly protocol: ForwardProtocol;
   readonly limits: () => CallerLimits;
+  readonly requestMemory: RequestMemory;
+  readonly machine: MachineShares;
+  /** Returns the name of the workspace that has an API key. */
+  readonly workspaceOf: (apiKey: string) => string | undefined;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -51,21 +60,14 @@
 const PARSER_MAX_HEADER_BYTES = 65_536;
 /** Interval between checks for connections that exceed the header timeout. */
 const CONNECTION_CHECK_INTERVAL_MS = 500; // a sixth of the shortest header timeout in use
-/** Point at which a request is dropped, as its connection can carry no response. */
-enum DropPoint {
-  /** Its head was read after the end of the connection. */
-  Head = 'head',
-  /** The connection ended with a response before this one. */
-  Turn = 'turn',
-  /** The caller's end of the connection was read right after the request. */
-  Poll = 'poll',
-}
 
 /** Request with its response. */
 interface Exchange {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly connection: Connection;
+  /** Whether the responses to earlier requests on the connection are still due. */
+  readonly isPipelined: boolean;
   requestId?: string | undefined;
   /** The forwarder records the outcome. */
   isForwarded: boolean;
@@ -78,6 +80,7 @@
   private readonly connections: Connections;
   private readonly drain: ConnectionDrain;
   private readonly closer: LingeringCloser;
+  private readonly records: RequestRecords;
   private isDraining = false;
 
   constructor(private readonly deps: IngressServerDependencies) {
@@ -98,6 +101,15 @@
       new CallerConnectionMetrics(metrics),
     );
     const { connections, server } = this;
+    this.records = new RequestRecords(deps, connections);
+    new ConnectionLimit(server, connections, {
+      listener: 'callers',
+      maxConnections: deps.machine.callerConnections,
+      maxPartialHeadBytes: deps.machine.partialHeadBytes,
+      unreadTimeoutMs: () => limits().idleTimeoutMs,
+      log: deps.log,
+      metrics,
+    });
     onClientError(server, connections, (error, socket) => {
       this.handleClientError(error, socket);
     });
@@ -168,7 +180,7 @@
     // The request crossed the end of its connection and could not be answered.
     if (!isOpen(socket)) {
       const { requestId } = this.deps.protocol.readRequest(request.rawHeaders);
-      this.recordDropped(socket, DropPoint.Head, requestId);
+      this.records.recordDropped(socket, DropPoint.Head, requestId);
       return;
     }
     const receivedAtMs = this.deps.clock.nowMs();
@@ -182,8 +194,10 @@
       request,
       response,
       connection,
+      isPipelined: turn !== undefined,
       isForwarded: false,
     };
+    let memory: RequestShare | undefined;
     try {
       const metadata = this.deps.protocol.readRequest(request.rawHeaders);
       const { requestId } = metadata;
@@ -191,25 +205,36 @@
       const head = { metadata, target: request.url ?? '/', receivedAtMs };
       this.deps.forwarder.rejectLate(head);
       this.reader.checkHeaders(request);
+      memory = this.deps.requestMemory.open(this.callerOf(metadata, socket));
+      // A refusal that waits for its turn would keep the memory of the request.
+      if (turn !== undefined) {
+        memory.onEvicted = () => {
+          connection.destroy(ConnectionEnd.OverLimit);
+        };
+      }
+      connection.requestsBeingRead += 1;
       const body = await Promise.race([
-        this.reader.readBody(request),
+        this.reader.readBody(request, memory),
         whenAborted(signal),
-      ]);
+      ]).finally(() => {
+        connection.requestsBeingRead -= 1;
+      });
       if (requestId === undefined) throw missingRequestIdError();
       await turn;
       // The connection may have ended with the response before this one.
       if (turn !== undefined && !isOpen(socket)) {
-        this.recordDropped(socket, DropPoint.Turn, requestId);
+        this.records.recordDropped(socket, DropPoint.Turn, requestId);
         return;
       }
       // A daemon that is behind reads a request before the end of its connection.
       await nextPoll();
       if (!isOpen(socket)) {
-        this.recordDropped(socket, DropPoint.Poll, requestId);
+        this.records.recordDropped(socket, DropPoint.Poll, requestId);
         socket.destroy();
         return;
       }
       signal.throwIfAborted();
+      if (!memory.isOpen) throw noMemoryError();
       if (this.drain.refuses(socket)) throw daemonStoppingError();
       const forwardRequest: ForwardRequest = {
         ...head,
@@ -219,41 +244,32 @@
         body,
       };
       exchange.isForwarded = true;
+      memory.isComplete = true;
       await this.deps.forwarder.handle(forwardRequest, sink, signal);
     } catch (error) {
       this.sendError(error, exchange);
+    } finally {
+      memory?.close();
     }
   }
 
-  /** Records a request that gets no response, as its connection has ended. */
-  private recordDropped(
-    socket: Duplex,
-    at: DropPoint,
-    requestId: string | undefined,
-  ): void {
-    const { log, metrics } = this.deps;
-    const end = this.connections.of(socket).pastEnd;
-    const endedBy = end?.reason ?? OtherEnd.Caller;
-    metrics.increment('callers.droppedRequests', 1, { at, endedBy });
-    if (end === undefined) {
-      const outcome = RunOutcome.CallerDisconnected;
-      metrics.increment('requests', 1, { outcome });
-    }
-    log.info(
-      LogComponent.Forwarding,
-      'A request was dropped, as its connection had ended.',
-      {
-        requestId: requestId ?? '',
-        at,
-        endedBy,
-        ...(end && { endedAgoMs: end.agoMs }),
-      },
-    );
+  /** Returns who a request is counted for: the workspace of its key, else its address. */
+  private callerOf({ apiKey }: RequestMetadata, socket: Socket): string {
+    const workspace =
+      apiKey === undefined ? undefined : this.deps.workspaceOf(apiKey);
+    return workspace ?? socket.remoteAddress ?? '';
   }
 
   private sendError(
     error: unknown,
-    { request, response, connection, requestId, isForwarded }: Exchange,
+    {
+      request,
+      response,
+      connection,
+      requestId,
+      isForwarded,
+      isPipelined,
+    }: Exchange,
   ): void {
     if (response.headersSent || response.destroyed) {
       connection.recordEnd(ConnectionEnd.Aborted);
@@ -261,11 +277,21 @@
       return;
     }
     const forwardError = toForwardError(error);
+    if (
+      forwardError.kind === ForwardErrorKind.Overloaded &&
+      isPipelined &&
+      !isForwarded
+    ) {
+      this.records.recordRejected(forwardError, requestId, connection.address);
+      connection.destroy(ConnectionEnd.OverLimit);
+      return;
+    }
     // Unread bytes of the body must not be parsed as the next request.
     const mustClose =
       !request.complete ||
       (this.isDraining && connection.lastResponse === response);
-    if (!isForwarded) this.reportEarlyRejection(forwardError, requestId);
+    if (!isForwarded)
+      this.records.recordRejected(forwardError, requestId, connection.address);
     const text = JSON.stringify({
       kind: forwardError.kind,
       title: forwardError.message,
@@ -282,31 +308,6 @@
     response.end(text);
   }
 
-  /** Counts and logs a request that was rejected before it was read whole. The forwarder logs all others. */
-  private reportEarlyRejection(
-    { kind, message }: ForwardError,
-    requestId: string | undefined,
-  ): void {
-    const isEarly =
-      kind === ForwardErrorKind.BadRequest ||
-      kind === ForwardErrorKind.Stopping ||
-      kind === ForwardErrorKind.TimedOutNotRun ||
-      kind === ForwardErrorKind.BodyTooLarge ||
-      kind === ForwardErrorKind.HeadersTooLarge ||
-      kind === ForwardErrorKind.CallerTooSlow;
-    if (!isEarly) return;
-    this.deps.metrics.increment('requests', 1, { outcome: kind });
-    this.deps.log.info(
-      LogComponent.Forwarding,
-      'A request was rejected before it was fully read.',
-      {
-        requestId: requestId ?? '',
-        outcome: kind,
-        reason: message,
-      },
-    );
-  }
-
   /** Rejects bytes that are not a valid request, and closes the connection after the responses in progress on it. */
   private handleClientError(
     error: NodeJS.ErrnoException,
@@ -317,13 +318,9 @@
     const code = error.code ?? 'unknown';
     const kind = kindOfClientError(code);
     if (code !== 'ECONNRESET') {
-      this.reportEarlyRejection(
-        new ForwardError(
-          kind,
-          `The HTTP server rejected the request (${code}).`,
-        ),
-        undefined,
-      );
+      const reason = `The HTTP server rejected the request (${code}).`;
+      const rejection = new ForwardError(kind, reason);
+      this.records.recordRejected(rejection, undefined, connection.address);
     }
     const last = connection.lastResponse;
     if (last !== undefined) {
--- a/packages/daemon/src/gateway/relay-server.ts
+++ b/packages/daemon/src/gateway/relay-server.ts
@@ -6,6 +6,8 @@
   ForwardProtocol,
   ForwardRequest,
   RawHeaders,
+  RequestMemory,
+  RequestShare,
 } from '@skylarkreach/core/forwarding';
 import {
   daemonStoppingError,
@@ -14,7 +16,12 @@
 } from '@skylarkreach/core/forwarding';
 import type { Clock, Metrics } from '@skylarkreach/core/ports';
 
-import { abortResponse, readBytes } from '../http/index.js';
+import {
+  abortResponse,
+  BodyError,
+  BodyErrorKind,
+  readBytes,
+} from '../http/index.js';
 import type { PeerServer } from '../peers/index.js';
 import type { RelayMessage } from './relay-message.js';
 import {
@@ -22,6 +29,7 @@
   MAX_RELAY_HEAD_BYTES,
   RelayHeader,
 } from './relay-message.js';
+import { noMemoryError } from './request-reader.js';
 import { ResponseSink } from './response-sink.js';
 
 export interface RelayServerDependencies {
@@ -31,6 +39,7 @@
   readonly protocol: ForwardProtocol;
   readonly peerServer: PeerServer;
   readonly limits: () => CallerLimits;
+  readonly peerMemory: RequestMemory;
 }
 
 /** Time within which a peer sends the whole message. */
@@ -70,26 +79,39 @@
   ): Promise<void> {
     const receivedAtMs = this.deps.clock.nowMs();
     const disconnected = this.trackResponse(response);
+    const caller = `peers/${request.socket.remoteAddress ?? ''}`;
+    const memory = this.deps.peerMemory.open(caller);
     try {
-      const message = await this.readMessage(request);
+      const message = await this.readMessage(request, memory);
+      memory.isComplete = true;
       if (message === undefined) {
         this.deps.metrics.increment('relay.refused');
         response.writeHead(401, { connection: 'close' }).end();
         return;
       }
       await this.forward(message, receivedAtMs, response, disconnected);
-    } catch {
+    } catch (error) {
+      const isUnread =
+        error instanceof BodyError && error.kind === BodyErrorKind.NoMemory;
+      if (isUnread) {
+        refuse(response, noMemoryError(), '');
+        return;
+      }
       // The peer takes a broken connection for a lost response.
       abortResponse(response);
+    } finally {
+      memory.close();
     }
   }
 
   private async readMessage(
     request: IncomingMessage,
+    memory: RequestShare,
   ): Promise<RelayMessage | undefined> {
     const bytes = await readBytes(request, {
       maxBytes: this.deps.limits().maxBodyBytes + MAX_RELAY_HEAD_BYTES,
       timeout: AbortSignal.timeout(MESSAGE_TIMEOUT_MS),
+      memory,
     });
     const failure = this.deps.peerServer.verifySignature(request, bytes);
     return failure === undefined ? decodeRelayMessage(bytes) : undefined;
@@ -117,13 +139,7 @@
       const isRefusal =
         error instanceof ForwardError && !MAY_HAVE_RUN.has(error.kind);
       if (!isRefusal || response.headersSent || response.destroyed) throw error;
-      response.sendDate = false;
-      response.writeHead(error.httpStatus, {
-        [RelayHeader.NotRun]: error.kind,
-        [RelayHeader.Endpoint]: endpointId,
-        'content-length': '0',
-      });
-      response.end();
+      refuse(response, error, endpointId);
     }
   }
 
@@ -153,6 +169,21 @@
   }
 }
 
+/** Tells a peer that its request has not run. */
+function refuse(
+  response: ServerResponse,
+  { httpStatus, kind }: ForwardError,
+  endpointId: string,
+): void {
+  response.sendDate = false;
+  response.writeHead(httpStatus, {
+    [RelayHeader.NotRun]: kind,
+    [RelayHeader.Endpoint]: endpointId,
+    'content-length': '0',
+  });
+  response.end();
+}
+
 /** Sink that names the endpoint of the response to the peer. */
 class RelaySink extends ResponseSink {
   constructor(
--- a/packages/daemon/src/gateway/request-reader.ts
+++ b/packages/daemon/src/gateway/request-reader.ts
@@ -1,18 +1,29 @@
 import type { IncomingMessage } from 'node:http';
 
-import type { CallerLimits } from '@skylarkreach/core/forwarding';
+import type { CallerLimits, RequestShare } from '@skylarkreach/core/forwarding';
 import { ForwardError, ForwardErrorKind } from '@skylarkreach/core/forwarding';
 
 import { BodyError, BodyErrorKind, readBytes } from '../http/index.js';
 
+/** Limits that apply until the first configuration arrives. */
+export const DEFAULT_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
 const ERROR_KIND_BY_BODY_ERROR: Readonly<
   Record<BodyErrorKind, ForwardErrorKind>
 > = {
   [BodyErrorKind.TooLarge]: ForwardErrorKind.BodyTooLarge,
   [BodyErrorKind.TooSlow]: ForwardErrorKind.CallerTooSlow,
   [BodyErrorKind.CutOff]: ForwardErrorKind.BadRequest,
+  [BodyErrorKind.NoMemory]: ForwardErrorKind.Overloaded,
 };
 
+/** Time after which a request that found no memory may be sent again: that within which sound bodies are read. */
+const NO_MEMORY_RETRY_MS = 1_000;
+
 /** Error kinds by the code of the server's `clientError` event; other codes are bad requests. */
 const ERROR_KIND_BY_CLIENT_ERROR_CODE: Readonly<
   Record<string, ForwardErrorKind>
@@ -38,7 +49,11 @@
   }
 
   /** Returns the body; undefined if the request has none. Throws `ForwardError` or `BodyError`. */
-  async readBody(request: IncomingMessage): Promise<Uint8Array | undefined> {
+  async readBody(
+    request: IncomingMessage,
+    memory: RequestShare,
+  ): Promise<Uint8Array | undefined> {
+    if (!memory.tryHold(0)) throw noMemoryError();
     const { headers } = request;
     const hasBody =
       headers['content-length'] !== undefined ||
@@ -54,10 +69,20 @@
     return readBytes(request, {
       maxBytes: maxBodyBytes,
       timeout: AbortSignal.timeout(Math.ceil(idleTimeoutMs)),
+      memory,
     });
   }
 }
 
+/** Returns the error for a request that gets no memory; it has not run. */
+export function noMemoryError(): ForwardError {
+  return new ForwardError(
+    ForwardErrorKind.Overloaded,
+    'The requests in progress take all memory of this daemon; send the request again.',
+    NO_MEMORY_RETRY_MS,
+  );
+}
+
 /** Returns the kind of error for the code of a `clientError` event. */
 export function kindOfClientError(code: string): ForwardErrorKind {
   return ERROR_KIND_BY_CLIENT_ERROR_CODE[code] ?? ForwardErrorKind.BadRequest;
@@ -67,6 +92,7 @@
 export function toForwardError(error: unknown): ForwardError {
   if (error instanceof ForwardError) return error;
   if (error instanceof BodyError) {
+    if (error.kind === BodyErrorKind.NoMemory) return noMemoryError();
     return new ForwardError(
       ERROR_KIND_BY_BODY_ERROR[error.kind],
       error.message,
--- a/packages/daemon/src/gateway/text-server.test.ts
+++ b/packages/daemon/src/gateway/text-server.test.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 
 import { request } from 'undici';
@@ -29,4 +31,18 @@
     }
     assert.deepEqual(statuses, [500, 500, 200, 404]);
   });
+
+  // Whoever held connections open took the descriptors of the process, and probes found none.
+  it('answers a probe while many connections are held open', async () => {
+    server = new TextServer({ '/page': () => ({ status: 200, text: 'page' }) });
+    const address = await server.listen('127.0.0.1:0');
+    const port = Number(address.split(':')[1]);
+    const held = Array.from({ length: 40 }, () => connect(port, '127.0.0.1'));
+    for (const socket of held) socket.on('error', () => undefined);
+    await Promise.all(held.map(socket => once(socket, 'connect')));
+    const { body, statusCode } = await request(`http://${address}/page`);
+    await body.dump();
+    assert.equal(statusCode, 200);
+    for (const socket of held) socket.destroy();
+  });
 });
--- /dev/null
+++ b/packages/daemon/src/http/connection-limit.test.ts
@@ -0,0 +1,127 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import type { Server } from 'node:http';
+import { createServer } from 'node:http';
+import type { Socket } from 'node:net';
+import { connect } from 'node:net';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+
+import { noopLog, noopMetrics } from '@skylarkreach/core/ports';
+
+import { SystemClock } from '../adapters/index.js';
+import { ConnectionLimit } from './connection-limit.js';
+import { Connections } from './connections.js';
+import { listenOn } from './http-listener.js';
+import { closeIdleConnections } from './idle-connections.js';
+
+const MAX_CONNECTIONS = 4;
+const MAX_PARTIAL_HEAD_BYTES = 20_000;
+const UNREAD_TIMEOUT_MS = 300;
+const LARGE_BYTES = 32 * 1_024 * 1_024; // more than the buffers of a connection
+
+describe('ConnectionLimit', () => {
+  let server: Server;
+  let sockets: Socket[];
+  let port: number;
+  let closed: string[];
+
+  beforeEach(async () => {
+    sockets = [];
+    closed = [];
+    const clock = new SystemClock();
+    // Paths other than these two get no response.
+    server = createServer((request, response) => {
+      if (request.url === '/ok') response.end('ok');
+      if (request.url === '/large') response.end(Buffer.alloc(LARGE_BYTES));
+    });
+    const connections = new Connections(server, clock);
+    server.on('request', ({ socket }, response) => {
+      connections.track(response, connections.of(socket));
+    });
+    const metrics = {
+      ...noopMetrics,
+      increment: (_name: string, _count?: number, tags?: object) =>
+        closed.push(Object.values(tags ?? {}).join(' ')),
+    };
+    new ConnectionLimit(server, connections, {
+      listener: 'test',
+      maxConnections: MAX_CONNECTIONS,
+      maxPartialHeadBytes: MAX_PARTIAL_HEAD_BYTES,
+      unreadTimeoutMs: () => UNREAD_TIMEOUT_MS,
+      log: noopLog,
+      metrics,
+    });
+    closeIdleConnections(server, connections, clock);
+    port = Number((await listenOn(server, '127.0.0.1:0')).split(':')[1]);
+  });
+
+  afterEach(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+    server.closeAllConnections();
+  });
+
+  async function open(text = ''): Promise<Socket> {
+    const socket = connect(port, '127.0.0.1');
+    sockets.push(socket);
+    socket.on('error', () => undefined); // a reset is one way to close
+    await once(socket, 'connect');
+    if (text !== '') socket.write(text);
+    return socket;
+  }
+
+  const get = (path: string) => `GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`;
+
+  // Connections without a request took all descriptors of a process.
+  it('closes the oldest connection without a request for a new one', async () => {
+    const busy = await open(get('/ok'));
+    await once(busy, 'data');
+    const unused = await open();
+    await open();
+    await open();
+    const ended = once(unused, 'close');
+    unused.resume();
+    const added = await open(get('/ok'));
+    await Promise.all([ended, once(added, 'data')]);
+    assert.deepEqual(closed, ['test connections']);
+    assert.ok(!busy.destroyed);
+  });
+
+  it('closes a new connection if the others carry requests that may have run', async () => {
+    for (let number = 0; number < MAX_CONNECTIONS; number += 1) {
+      const requested = once(server, 'request');
+      await open(get('/silent'));
+      await requested;
+    }
+    const added = await open();
+    added.resume();
+    await once(added, 'close');
+    assert.equal(sockets.filter(({ destroyed }) => destroyed).length, 1);
+  });
+
+  it('closes a connection with too many requests that wait for their responses', async () => {
+    const socket = await open(get('/silent').repeat(40));
+    socket.resume();
+    await once(socket, 'close');
+    assert.deepEqual(closed, ['test pipelined']);
+  });
+
+  it('closes the connections with the largest heads read in part', async () => {
+    const head = 'GET / HTTP/1.1\r\nhost: a\r\nb: ';
+    const large = await open(head + 'x'.repeat(15_000));
+    const small = await open(head + 'x'.repeat(9_000));
+    large.resume();
+    await once(large, 'close');
+    assert.deepEqual(closed, ['test partialHeads']);
+    assert.ok(!small.destroyed);
+  });
+
+  it('closes a connection whose response is not read, and none that is silent', async () => {
+    const silent = await open(get('/silent'));
+    const unread = await open(get('/large'));
+    unread.pause();
+    while (closed.length === 0) await once(server, 'timeout');
+    assert.deepEqual(closed, ['test unread']);
+    assert.ok(!silent.destroyed);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/http/connection-limit.ts
@@ -0,0 +1,183 @@
+import type { Server } from 'node:http';
+import type { Socket } from 'node:net';
+
+import type { Log, Metrics } from '@skylarkreach/core/ports';
+import { LogComponent } from '@skylarkreach/core/ports';
+
+import type { Connection } from './connection.js';
+import { ConnectionEnd } from './connection.js';
+import type { Connections } from './connections.js';
+
+/** Why a connection was closed; tags the metric. */
+export enum LimitReason {
+  /** More connections are open than are allowed. */
+  Connections = 'connections',
+  /** More requests were sent on it than are allowed before the first response. */
+  Pipelined = 'pipelined',
+  /** Heads that were read in part take too much memory. */
+  PartialHeads = 'partialHeads',
+  /** Its caller does not read the response. */
+  Unread = 'unread',
+}
+
+export interface ConnectionLimitOptions {
+  /** Name of the listener, in the log and in the tags of the metric. */
+  readonly listener: string;
+  readonly maxConnections: number;
+  /** Bytes that heads may take which were read in part, over all connections. */
+  readonly maxPartialHeadBytes: number;
+  /** Time for which a caller may leave its response unread. */
+  readonly unreadTimeoutMs: () => number;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** Requests in progress on one connection; callers that pipeline wait for a few responses at most. */
+const MAX_PIPELINED = 16;
+/** Interval between checks for partial heads and unread output. */
+const CHECK_INTERVAL_MS = 250; // a tenth of the shortest timeout for headers in use
+
+/** How much may be lost with a connection, the least first. */
+enum Rank {
+  /** Its last response was sent. */
+  Lingering,
+  /** No request has come on it. */
+  Unused,
+  /** It has no request in progress. */
+  Idle,
+  /** All its requests are still being read, so that none has run. */
+  Reading,
+  Busy,
+}
+
+/**
+ * Bounds the connections of a server, the requests in progress on each, the heads
+ * that were read in part and the time for which output stays unread. Meant for
+ * crowds of callers that hold connections open. A new connection takes the place
+ * of one with which the least is lost: of those, the oldest of the address that
+ * has the most. If all connections carry requests that may have run, the new one
+ * is closed.
+ */
+export class ConnectionLimit {
+  constructor(
+    private readonly server: Server,
+    private readonly connections: Connections,
+    private readonly options: ConnectionLimitOptions,
+  ) {
+    server.on('connection', socket => {
+      if (connections.count > options.maxConnections) this.makeRoom(socket);
+    });
+    // Before the listener that serves requests, which drops those of closed connections.
+    server.prependListener('request', ({ socket }) => {
+      const connection = connections.of(socket);
+      if (connection.responseCount >= MAX_PIPELINED)
+        this.close(connection, LimitReason.Pipelined);
+    });
+    server.on('timeout', (socket: Socket) => {
+      const connection = connections.of(socket);
+      if (connection.responseCount > 0 && socket.writableLength > 0)
+        this.close(connection, LimitReason.Unread);
+    });
+    server.once('listening', () => {
+      this.startChecks();
+    });
+  }
+
+  private startChecks(): void {
+    const timer = setInterval(() => {
+      this.closePartialHeads();
+      this.limitUnreadOutput();
+    }, CHECK_INTERVAL_MS);
+    timer.unref();
+    this.server.once('close', () => {
+      clearInterval(timer);
+    });
+  }
+
+  /** Closes the connections with the largest partial heads until the others keep within the limit. */
+  private closePartialHeads(): void {
+    const partial = this.connections.open.filter(
+      connection =>
+        connection.responseCount === 0 &&
+        !connection.isLingering &&
+        connection.hasUnsettledInput,
+    );
+    let bytes = 0;
+    for (const { unsettledBytes } of partial) bytes += unsettledBytes;
+    if (bytes <= this.options.maxPartialHeadBytes) return;
+    // The sort is stable: of equal ones, the oldest comes first.
+    partial.sort((left, right) => right.unsettledBytes - left.unsettledBytes);
+    for (const connection of partial) {
+      if (bytes <= this.options.maxPartialHeadBytes) return;
+      bytes -= connection.unsettledBytes;
+      this.close(connection, LimitReason.PartialHeads);
+    }
+  }
+
+  /** Sets a timeout on connections with unread output; it passes only if the caller reads nothing meanwhile. */
+  private limitUnreadOutput(): void {
+    const timeoutMs = Math.ceil(this.options.unreadTimeoutMs());
+    for (const { responseCount, socket } of this.connections.open) {
+      const isUnread = responseCount > 0 && socket.writableLength > 0;
+      if (isUnread && socket.timeout !== timeoutMs)
+        socket.setTimeout(timeoutMs);
+    }
+  }
+
+  private makeRoom(socket: Socket): void {
+    const added = this.connections.of(socket);
+    const victim = this.findVictim(added) ?? added;
+    this.close(victim, LimitReason.Connections);
+  }
+
+  private findVictim(added: Connection): Connection | undefined {
+    const open = this.connections.open.filter(each => each !== added);
+    const countByAddress = new Map<string, number>();
+    const countOf = ({ address }: Connection) =>
+      countByAddress.get(address) ?? 0;
+    for (const connection of open)
+      countByAddress.set(connection.address, countOf(connection) + 1);
+    let victim: Connection | undefined;
+    let victimRank = Rank.Busy;
+    for (const connection of open) {
+      const rank = rankOf(connection);
+      const isPreferred =
+        rank < victimRank ||
+        (rank === victimRank &&
+          victim !== undefined &&
+          countOf(connection) > countOf(victim));
+      if (!isPreferred) continue;
+      victim = connection;
+      victimRank = rank;
+    }
+    return victim;
+  }
+
+  private close(connection: Connection, reason: LimitReason): void {
+    if (connection.socket.destroyed) return;
+    const { listener, log, metrics } = this.options;
+    metrics.increment('callers.closedOverLimit', 1, { listener, reason });
+    log.warn(
+      LogComponent.Forwarding,
+      'A connection is closed, as its callers exceed a limit.',
+      {
+        listener,
+        reason,
+        address: connection.address,
+        requests: connection.requestCount,
+        inProgress: connection.responseCount,
+        connections: this.connections.count,
+      },
+    );
+    connection.destroy(ConnectionEnd.OverLimit);
+  }
+}
+
+function rankOf(connection: Connection): Rank {
+  if (connection.isLingering) return Rank.Lingering;
+  if (connection.responseCount === 0)
+    return connection.requestCount === 0 ? Rank.Unused : Rank.Idle;
+  return connection.requestsBeingRead === connection.responseCount
+    ? Rank.Reading
+    : Rank.Busy;
+}
--- a/packages/daemon/src/http/connection.ts
+++ b/packages/daemon/src/http/connection.ts
@@ -17,6 +17,8 @@
   Rejected = 'rejected',
   /** A response was cut, so that the caller sees that it is incomplete. */
   Aborted = 'aborted',
+  /** The callers' connections, or the requests on this one, exceed a limit of this daemon. */
+  OverLimit = 'overLimit',
 }
 
 /** Ends of connections that this daemon did not decide on. */
@@ -53,6 +55,8 @@
 export class Connection {
   /** Number of requests whose heads were read. */
   requestCount = 0;
+  /** Number of requests whose bodies have not arrived whole. */
+  requestsBeingRead = 0;
   /** Whether its requests are refused, because it was accepted too late. */
   isLate = false;
   /** Whether what still arrives is discarded, as its last response was sent. */
@@ -63,10 +67,20 @@
   private end: EndRecord | undefined;
   private readonly inProgress = new Map<ServerResponse, TrackedResponse>();
 
+  /** Address of the caller, without its port. */
+  readonly address: string;
+
   constructor(
     readonly socket: Socket,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.address = socket.remoteAddress ?? '';
+  }
+
+  /** Number of responses in progress. */
+  get responseCount(): number {
+    return this.inProgress.size;
+  }
 
   /** Responses in progress, in the order of their requests. */
   get responses(): readonly TrackedResponse[] {
@@ -97,9 +111,14 @@
     this.settledBytes = this.socket.bytesRead;
   }
 
+  /** Bytes read that belong to no request that has begun. */
+  get unsettledBytes(): number {
+    return this.socket.bytesRead - this.settledBytes;
+  }
+
   /** Whether the head of a request was read in part. */
   get hasUnsettledInput(): boolean {
-    return this.socket.bytesRead > this.settledBytes;
+    return this.unsettledBytes > 0;
   }
 
   /** Whether no byte was read for a time, by the checks made so far. */
--- a/packages/daemon/src/http/connections.ts
+++ b/packages/daemon/src/http/connections.ts
@@ -42,6 +42,11 @@
     });
   }
 
+  /** Number of open connections. */
+  get count(): number {
+    return this.connections.size;
+  }
+
   /** The open connections. */
   get open(): readonly Connection[] {
     return [...this.connections];
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -10,6 +10,8 @@
 
 import type { Connection } from './connection.js';
 import { ConnectionDrain } from './connection-drain.js';
+import type { ConnectionLimitOptions } from './connection-limit.js';
+import { ConnectionLimit } from './connection-limit.js';
 import { Connections } from './connections.js';
 import { closeIdleConnections } from './idle-connections.js';
 import { LingeringCloser } from './lingering-closer.js';
@@ -21,8 +23,13 @@
   readonly clock: Clock;
   /** Time for which an idle connection is kept, which callers are told; defaults to that of Node.js. */
   readonly keepAliveTimeoutMs?: number;
+  /** Limits on the connections; none by default. */
+  readonly limit?: Omit<ConnectionLimitOptions, 'unreadTimeoutMs'>;
 }
 
+/** Time for which a response may stay unread: longer than any sound caller of these listeners pauses. */
+const UNREAD_TIMEOUT_MS = 15_000; // the idle timeout of the users' configuration
+
 /** HTTP server bound to one address. */
 export class HttpListener {
   private readonly server: Server;
@@ -54,6 +61,12 @@
       () => server.keepAliveTimeout,
     );
     closeIdleConnections(server, this.connections, clock);
+    if (options.limit !== undefined) {
+      new ConnectionLimit(server, this.connections, {
+        ...options.limit,
+        unreadTimeoutMs: () => UNREAD_TIMEOUT_MS,
+      });
+    }
     this.drain = new ConnectionDrain(server, this.connections, clock);
   }
 
--- a/packages/daemon/src/http/idle-connections.ts
+++ b/packages/daemon/src/http/idle-connections.ts
@@ -32,6 +32,7 @@
   );
   server.on('timeout', (socket: Socket) => {
     const connection = connections.of(socket);
+    if (connection.responseCount > 0) return;
     const reusableUntilMs = connection.reusableUntilMs(server.keepAliveTimeout);
     const remainingMs = reusableUntilMs + MARGIN_MS - clock.nowMs();
     // The timeout may have changed since the server set its timer.
--- a/packages/daemon/src/http/index.ts
+++ b/packages/daemon/src/http/index.ts
@@ -2,6 +2,7 @@
 export * from './client-errors.js';
 export * from './connection.js';
 export * from './connection-drain.js';
+export * from './connection-limit.js';
 export * from './connections.js';
 export * from './http-listener.js';
 export * from './http-router.js';
--- a/packages/daemon/src/http/read-body.ts
+++ b/packages/daemon/src/http/read-body.ts
@@ -1,5 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 
+import type { RequestShare } from '@skylarkreach/core/forwarding';
+import { BodyBuffer } from '@skylarkreach/core/forwarding';
+
 import { nextPoll } from './next-poll.js';
 
 /** Reason why a request body could not be read. */
@@ -7,6 +10,8 @@
   TooLarge = 'tooLarge',
   TooSlow = 'tooSlow',
   CutOff = 'cutOff',
+  /** The daemon has no memory for the body. */
+  NoMemory = 'noMemory',
 }
 
 export class BodyError extends Error {
@@ -24,6 +29,8 @@
   readonly maxBytes: number;
   /** Signal that is aborted when the time to receive the body is over. */
   readonly timeout: AbortSignal;
+  /** Account of the memory that the body takes; undefined if only its size is bounded. */
+  readonly memory?: RequestShare | undefined;
 }
 
 /** Reads a body as UTF-8 text, within limits of size and time. Throws `BodyError`. */
@@ -34,19 +41,31 @@
   return (await readBytes(request, limits)).toString('utf8');
 }
 
-/** Reads a body within limits of size and time. Throws `BodyError`. */
+/** Reads a body within limits of size, time and memory. Throws `BodyError`. */
 export function readBytes(
   request: IncomingMessage,
   limits: BodyLimits,
 ): Promise<Buffer> {
+  const { maxBytes, memory, timeout } = limits;
+  const onEvictedElse = memory?.onEvicted;
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
-    const fail = (kind: BodyErrorKind, message: string) => {
+    // Chunks are copied: each would otherwise be an object of its own.
+    const body = new BodyBuffer(maxBytes);
+    const settle = () => {
       request.removeAllListeners('data');
+      timeout.removeEventListener('abort', onTimeout);
+      if (memory !== undefined && onEvictedElse !== undefined)
+        memory.onEvicted = onEvictedElse;
+    };
+    const fail = (kind: BodyErrorKind, message: string) => {
+      settle();
+      body.discard();
       request.pause();
       reject(new BodyError(message, kind));
     };
+    const onEvicted = () => {
+      fail(BodyErrorKind.NoMemory, 'The daemon has no memory for the body.');
+    };
     const onTimeout = () => {
       // What arrived while this daemon was behind is read first.
       void nextPoll().then(() => {
@@ -54,22 +73,24 @@
         fail(BodyErrorKind.TooSlow, 'The body did not arrive in time.');
       });
     };
-    if (limits.timeout.aborted) onTimeout();
-    else limits.timeout.addEventListener('abort', onTimeout, { once: true });
+    if (timeout.aborted) onTimeout();
+    else timeout.addEventListener('abort', onTimeout, { once: true });
+    if (memory !== undefined) memory.onEvicted = onEvicted;
     request.on('data', (chunk: Buffer) => {
-      receivedBytes += chunk.length;
-      if (receivedBytes > limits.maxBytes) {
-        fail(
-          BodyErrorKind.TooLarge,
-          `The body exceeds ${limits.maxBytes} bytes.`,
-        );
-      } else {
-        chunks.push(chunk);
+      if (!body.fits(chunk)) {
+        const message = `The body exceeds ${maxBytes} bytes.`;
+        fail(BodyErrorKind.TooLarge, message);
+        return;
       }
+      const neededBytes = body.capacityWith(chunk);
+      const isRefused =
+        neededBytes > body.capacity && memory?.tryHold(neededBytes) === false;
+      if (isRefused) onEvicted();
+      else body.append(chunk);
     });
     request.on('end', () => {
-      limits.timeout.removeEventListener('abort', onTimeout);
-      resolve(Buffer.concat(chunks));
+      settle();
+      resolve(body.take());
     });
     const onPrematureClose = () => {
       if (request.complete) return;
--- a/packages/daemon/src/operators/operator-server.ts
+++ b/packages/daemon/src/operators/operator-server.ts
@@ -1,11 +1,18 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import type { RequestMemory } from '@skylarkreach/core/forwarding';
 import type { StateSource } from '@skylarkreach/core/ports';
 import { PlatformError } from '@skylarkreach/core/ports';
 
 import type { HttpHandler } from '../http/index.js';
-import { bearerToken, BodyError, HttpRouter, readBody } from '../http/index.js';
+import {
+  bearerToken,
+  BodyError,
+  BodyErrorKind,
+  HttpRouter,
+  readBody,
+} from '../http/index.js';
 import type { Settings } from '../settings/index.js';
 
 const MAX_BODY_BYTES = 1_000_000;
@@ -34,6 +41,7 @@
 export interface OperatorServerDependencies {
   readonly operators: Settings['credentials']['operators'];
   readonly status: () => unknown;
+  readonly requestMemory: RequestMemory;
 }
 
 /** HTTP server for operators. Every request needs an operator's bearer token. */
@@ -100,14 +108,20 @@
     operatorRequest: Omit<OperatorRequest, 'body'>,
     request: IncomingMessage,
   ): Promise<OperatorResponse> {
+    const memory = this.deps.requestMemory.open(
+      `operators/${operatorRequest.operator}`,
+    );
     try {
       const body = await readBody(request, {
         maxBytes: MAX_BODY_BYTES,
         timeout: AbortSignal.timeout(BODY_TIMEOUT_MS),
+        memory,
       });
       return await handler({ ...operatorRequest, body });
     } catch (error) {
       if (error instanceof BodyError) {
+        if (error.kind === BodyErrorKind.NoMemory)
+          return failure(503, error.message, 'Send the request again later.');
         return failure(413, error.message, 'Send a smaller body.');
       }
       if (error instanceof PlatformError) {
@@ -118,6 +132,8 @@
         );
       }
       return failure(500, String(error), 'Read the daemon log.');
+    } finally {
+      memory.close();
     }
   }
 
--- a/packages/daemon/src/operators/rule-routes.ts
+++ b/packages/daemon/src/operators/rule-routes.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 
-import type { Clock } from '@skylarkreach/core/ports';
+import type { Clock, StateSource } from '@skylarkreach/core/ports';
 import type {
   EditResult,
   KnownNames,
@@ -146,3 +146,11 @@
     return undefined;
   }
 }
+
+/** Returns what the dump shows of the rules. */
+export function createRulesStateSource(rules: RuleStore): StateSource {
+  return {
+    name: 'rules',
+    dumpState: () => ({ revision: rules.revision, text: rules.text }),
+  };
+}
--- a/packages/daemon/src/peers/peer-server.ts
+++ b/packages/daemon/src/peers/peer-server.ts
@@ -3,6 +3,7 @@
 import { JSONRPCServer } from 'json-rpc-2.0';
 import { z } from 'zod';
 
+import type { RequestMemory } from '@skylarkreach/core/forwarding';
 import type {
   Address,
   Clock,
@@ -32,6 +33,8 @@
   Replayed = 'replayed',
   TooLarge = 'tooLarge',
   Malformed = 'malformed',
+  /** There is no memory for the message. */
+  NoMemory = 'noMemory',
   /** A method that this build does not have; the response says so. */
   UnknownMethod = 'unknownMethod',
   /** Parameters that this build cannot read; the response says so. */
@@ -50,6 +53,7 @@
   [PeerRefusal.Replayed]: 401,
   [PeerRefusal.TooLarge]: 413,
   [PeerRefusal.Malformed]: 400,
+  [PeerRefusal.NoMemory]: 503,
 };
 
 const REFUSAL_BY_FAILURE: Readonly<
@@ -67,6 +71,13 @@
   params: z.unknown(),
 });
 
+const REFUSAL_BY_BODY_ERROR: Readonly<Record<BodyErrorKind, MessageRefusal>> = {
+  [BodyErrorKind.TooLarge]: PeerRefusal.TooLarge,
+  [BodyErrorKind.TooSlow]: PeerRefusal.Malformed,
+  [BodyErrorKind.CutOff]: PeerRefusal.Malformed,
+  [BodyErrorKind.NoMemory]: PeerRefusal.NoMemory,
+};
+
 type RpcRequest = z.output<typeof requestSchema>;
 
 /** Thrown where a message is refused. */
@@ -87,6 +98,8 @@
     peerSecret: string,
     private readonly metrics: Metrics,
     clock: Clock,
+    /** Account of the memory of messages that are being read; undefined if only their size is bounded. */
+    private readonly requestMemory?: RequestMemory,
   ) {
     this.verifier = new MessageVerifier(peerSecret, clock);
   }
@@ -148,13 +161,30 @@
     if (request.headers[SignatureHeader.Signature] === undefined) {
       throw new RefusedMessageError(PeerRefusal.Unauthenticated);
     }
-    const body = await readMessageBody(request);
+    const body = await this.readMessageBody(request);
     const failure = this.verifySignature(request, body);
     if (failure !== undefined)
       throw new RefusedMessageError(REFUSAL_BY_FAILURE[failure]);
     return parseRequest(body);
   }
 
+  private async readMessageBody(request: IncomingMessage): Promise<string> {
+    const caller = `peers/${request.socket.remoteAddress ?? ''}`;
+    const memory = this.requestMemory?.open(caller);
+    try {
+      return await readBody(request, {
+        maxBytes: MAX_PEER_MESSAGE_BYTES,
+        timeout: AbortSignal.timeout(BODY_TIMEOUT_MS),
+        memory,
+      });
+    } catch (error) {
+      if (!(error instanceof BodyError)) throw error;
+      throw new RefusedMessageError(REFUSAL_BY_BODY_ERROR[error.kind]);
+    } finally {
+      memory?.close();
+    }
+  }
+
   /** Returns the reason for which a message was not sent by a peer to this daemon; undefined if it was. */
   verifySignature(
     request: IncomingMessage,
@@ -182,21 +212,6 @@
   }
 }
 
-async function readMessageBody(request: IncomingMessage): Promise<string> {
-  try {
-    return await readBody(request, {
-      maxBytes: MAX_PEER_MESSAGE_BYTES,
-      timeout: AbortSignal.timeout(BODY_TIMEOUT_MS),
-    });
-  } catch (error) {
-    if (!(error instanceof BodyError)) throw error;
-    const isTooLarge = error.kind === BodyErrorKind.TooLarge;
-    throw new RefusedMessageError(
-      isTooLarge ? PeerRefusal.TooLarge : PeerRefusal.Malformed,
-    );
-  }
-}
-
 function parseRequest(body: string): RpcRequest {
   try {
     return requestSchema.parse(JSON.parse(body));
--- a/packages/daemon/src/settings/gateway-settings.ts
+++ b/packages/daemon/src/settings/gateway-settings.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 
 import { address, durationMs, LogLevel } from './fields.js';
+import { machineSettingsSchema } from './machine-settings.js';
 
 /** Schema of the `gateway` section of a settings file, for a daemon that serves as a platform's gateway. */
 export const gatewaySettingsSchema = z.strictObject({
@@ -58,15 +59,7 @@
       exposureSlack: z.number().nonnegative().default(50),
     })
     .prefault({}),
-  /** Limits of the machine, which the crowd of callers may not exceed. */
-  callers: z
-    .strictObject({
-      /** Memory of the machine, in units of 1,000,000 bytes. */
-      memoryMb: z.number().positive().default(210),
-      /** Descriptors that the process may open. */
-      maxDescriptors: z.int().positive().default(2_212),
-    })
-    .prefault({}),
+  callers: machineSettingsSchema,
   routing: z
     .strictObject({
       /** Prompt tokens that an engine processes per millisecond (prefill). */
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -2,6 +2,7 @@
 
 import { address, durationMs, LogLevel } from './fields.js';
 import { fleetSettingsSchema } from './fleet-settings.js';
+import { machineSettingsSchema } from './machine-settings.js';
 
 const sha256 = z
   .string()
@@ -73,6 +74,7 @@
       defaultDeadlineMs: durationMs.default(60_000),
     })
     .prefault({}),
+  callers: machineSettingsSchema,
   claims: z
     .strictObject({
       retentionMs: durationMs.default(86_400_000),
--- a/packages/daemon/src/telemetry/rate-limited-log.ts
+++ b/packages/daemon/src/telemetry/rate-limited-log.ts
@@ -17,6 +17,8 @@
   leftOut: number;
 }
 
+/** Several times the request rate of one daemon at the planned size. */
+export const DEFAULT_LOG_RATE: LogRateLimit = { linesPerSecond: 50 };
 const WINDOW_MS = 1_000;
 
 /**
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -3,6 +3,7 @@
   FairAdmission,
 } from '@skylarkreach/core/admission';
 import type { JournalClaims } from '@skylarkreach/core/claims';
+import { RequestMemory } from '@skylarkreach/core/forwarding';
 import { MoveRegistry } from '@skylarkreach/core/moves';
 import type { PipelineDependencies } from '@skylarkreach/core/pipeline';
 import {
@@ -21,7 +22,6 @@
   Log,
   Metrics,
   Random,
-  StateSource,
 } from '@skylarkreach/core/ports';
 import { LogComponent, SeededRandom } from '@skylarkreach/core/ports';
 import { ExpectedFinishRouter } from '@skylarkreach/core/routing';
@@ -54,10 +54,20 @@
 } from './membership/index.js';
 import type { MoveWiring } from './moves/index.js';
 import { KindRateMeter, wireMoves } from './moves/index.js';
-import { addRuleRoutes, OperatorServer } from './operators/index.js';
+import {
+  addRuleRoutes,
+  createRulesStateSource,
+  OperatorServer,
+} from './operators/index.js';
 import { HttpPeer, PeerServer } from './peers/index.js';
 import type { Settings } from './settings/index.js';
-import { createMetrics, PinoLog } from './telemetry/index.js';
+import { shareMachine } from './settings/index.js';
+import {
+  createMetrics,
+  DEFAULT_LOG_RATE,
+  PinoLog,
+  RateLimitedLog,
+} from './telemetry/index.js';
 
 const LISTING_POLL_INTERVAL_MS = 1_000;
 const LOAD_POLL_INTERVAL_MS = 500;
@@ -100,6 +110,7 @@
   readonly engine: EngineClient;
   readonly rules: RuleStore;
   readonly peer: HttpPeer;
+  readonly requestMemory: RequestMemory;
   readonly registry: PeerServer;
   readonly identity: BoundIdentity;
 }
@@ -139,12 +150,11 @@
     self: shared.identity,
   });
   operators.addStateSource(moves.stateSource);
-  const fleet = wireFleet(settings, {
-    ...shared,
-    router: pipelineDeps.router,
-  });
+  const { router } = pipelineDeps;
+  const fleet = wireFleet(settings, { ...shared, router });
   for (const source of fleet.sources) operators.addStateSource(source);
-  const endpointPoll = createEndpointPoll(shared, pipelineDeps);
+  const { cloud, engine, log } = shared;
+  const endpointPoll = new EndpointPoller(cloud, engine, router, clock, log);
   return {
     pipelineDeps,
     operators,
@@ -179,7 +189,11 @@
   const { cloudAddress, keyValueAddress, token } = platform;
   const metrics = createMetrics(telemetry.statsdAddress, identity.dataCentre);
   const http = new HttpClient(clock);
-  const log = new PinoLog(telemetry.logLevel, identity.daemonId);
+  const output = new PinoLog(telemetry.logLevel, identity.daemonId);
+  const log = new RateLimitedLog(output, clock, DEFAULT_LOG_RATE);
+  const machine = shareMachine(settings.callers);
+  const parts = { clock, log, metrics };
+  const peerMemory = new RequestMemory(parts, machine.peerBytes);
   const keyValue = new HttpKeyValue(http, keyValueAddress, token);
   return {
     settings,
@@ -194,7 +208,13 @@
     engine: new HttpEngine(http),
     rules: new RuleStore(),
     peer: new HttpPeer(http, credentials.peerSecret, clock, metrics),
-    registry: new PeerServer(credentials.peerSecret, metrics, clock),
+    requestMemory: new RequestMemory(parts, machine.requestBytes),
+    registry: new PeerServer(
+      credentials.peerSecret,
+      metrics,
+      clock,
+      peerMemory,
+    ),
     identity: new BoundIdentity(settings),
   };
 }
@@ -272,6 +292,7 @@
     resumeTokens: survival.resumeTokens,
     responses: survival.responses,
     limits: shared.settings.limits,
+    requestMemory: shared.requestMemory,
     isReady: state.isReady,
     clock: shared.clock,
     log: shared.log,
@@ -289,6 +310,7 @@
   const { credentials } = settings;
   const operators = new OperatorServer({
     operators: credentials.operators,
+    requestMemory: shared.requestMemory,
     status: () => ({
       daemonId: identity.id,
       dataCentre: identity.dataCentre,
@@ -320,21 +342,6 @@
   return operators;
 }
 
-function createRulesStateSource(rules: RuleStore): StateSource {
-  return {
-    name: 'rules',
-    dumpState: () => ({ revision: rules.revision, text: rules.text }),
-  };
-}
-
-function createEndpointPoll(
-  shared: SharedDependencies,
-  pipelineDeps: PipelineDependencies,
-): EndpointPoller {
-  const { clock, cloud, engine, log } = shared;
-  return new EndpointPoller(cloud, engine, pipelineDeps.router, clock, log);
-}
-
 function createLoops(
   shared: SharedDependencies,
   cluster: Cluster,
--- a/packages/stand-ins/src/upgrade/daemon-builds.ts
+++ b/packages/stand-ins/src/upgrade/daemon-builds.ts
@@ -60,7 +60,9 @@
   try {
     extract(commit, folder);
     const earlier = bundle(folder);
+    copyTemplate(folder, earlier);
     const present = copyProgram(bundle(ROOT), folder);
+    copyTemplate(ROOT, present);
     return { earlier, present, remove };
   } catch (error) {
     remove();
@@ -83,6 +85,17 @@
   return join(folder, PROGRAM);
 }
 
+/** Copies the template of a build's settings from its checkout. */
+function copyTemplate(root: string, program: string): void {
+  const template = join(root, 'platform', 'settings.template');
+  copyFileSync(template, templateBeside(program));
+}
+
+/** Returns the path of the template of a build's settings, which lies beside its program. */
+export function templateBeside(program: string): string {
+  return join(dirname(program), 'settings.template');
+}
+
 function extract(commit: string, folder: string): void {
   const archive = join(folder, 'earlier.tar');
   const git = ['archive', '--output', archive, commit, '--'];
--- a/packages/stand-ins/src/upgrade/daemon-process.ts
+++ b/packages/stand-ins/src/upgrade/daemon-process.ts
@@ -1,7 +1,7 @@
 import type { ChildProcess } from 'node:child_process';
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { writeFileSync } from 'node:fs';
+import { readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -12,6 +12,7 @@
 import type { MachineSettings } from '@skylarkreach/platform/stand-ins';
 import { renderSettings } from '@skylarkreach/platform/stand-ins';
 
+import { templateBeside } from './daemon-builds.js';
 import type { LinkMessage } from './link-cutter.js';
 
 const START_TIMEOUT_MS = 15_000;
@@ -45,7 +46,8 @@
   ) {
     this.id = `${machine.name}/${number}`;
     const file = join(folder, `${machine.name}.yaml`);
-    writeFileSync(file, renderSettings(machine, isFirstStart));
+    const template = readFileSync(templateBeside(program), 'utf8');
+    writeFileSync(file, renderSettings(template, machine, isFirstStart));
     this.child = spawn(
       process.execPath,
       ['--import', CUTTER, program, '--settings', file],
