--- a/packages/stand-ins/src/gateway/program-fixture.ts
+++ b/packages/stand-ins/src/gateway/program-fixture.ts
@@ -155,7 +155,10 @@
   }
 
   /** Writes the settings of a daemon that is no gateway and reaches no platform. */
-  configureDaemon(listen: Partial<Settings['listen']>): void {
+  configureDaemon(
+    listen: Partial<Settings['listen']>,
+    callers?: Settings['callers'],
+  ): void {
     const settings = daemonSettings({
       identity: { daemonId: 'daemon-1', dataCentre: 'north-1' },
       keyValueAddress: NOBODY,
@@ -164,7 +167,11 @@
       services: [],
       workspaceTokens: {},
     });
-    this.configure({ ...settings, listen: { ...settings.listen, ...listen } });
+    this.configure({
+      ...settings,
+      listen: { ...settings.listen, ...listen },
+      ...(callers && { callers }),
+    });
   }
 
   private configure(settings: unknown): void {
