Rank connections by whether their requests arrived whole

Held bodies at the listeners for peers and of the other front counted as requests that may have run, so that they shut out new connections. Also a request that is granted no more than it holds evicts nothing, and a listener drops requests read after their connection was closed.

--- a/packages/core/src/forwarding/request-memory.test.ts
+++ b/packages/core/src/forwarding/request-memory.test.ts
@@ -91,6 +91,18 @@
     assert.ok(held < 1_000 && memory.heldBytes <= 2 * LIMIT_BYTES);
   });
 
+  it('grants a request less than it holds while small ones exceed the limit', () => {
+    const share = open('a1');
+    assert.ok(share.tryHold(LIMIT_BYTES / 2));
+    for (let number = 0; number < 100; number += 1) {
+      const other = open('b');
+      other.isComplete = other.tryHold(SMALL_BYTES);
+    }
+    assert.equal(share.isOpen, false);
+    const small = open('c');
+    assert.ok(small.tryHold(SMALL_BYTES) && small.tryHold(0));
+  });
+
   it('grants nothing to a request that was evicted, and holds nothing once all are closed', async () => {
     const shares = ['a1', 'a2', 'a3'].map(open);
     const [first] = shares;
--- a/packages/core/src/forwarding/request-memory.ts
+++ b/packages/core/src/forwarding/request-memory.ts
@@ -99,7 +99,7 @@
   tryResize(share: RequestShare, bytes: number): boolean {
     if (!this.shares.has(share)) return false;
     const addedBytes = bytes - share.bytes;
-    while (this.usedBytes + addedBytes > this.limitBytes) {
+    while (addedBytes > 0 && this.usedBytes + addedBytes > this.limitBytes) {
       const victim = this.findVictim(share, addedBytes);
       if (victim === undefined) {
         const limitBytes = this.limitBytes * SMALL_LIMIT_FACTOR;
--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -212,13 +212,10 @@
           connection.destroy(ConnectionEnd.OverLimit);
         };
       }
-      connection.requestsBeingRead += 1;
       const body = await Promise.race([
         this.reader.readBody(request, memory),
         whenAborted(signal),
-      ]).finally(() => {
-        connection.requestsBeingRead -= 1;
-      });
+      ]);
       if (requestId === undefined) throw missingRequestIdError();
       await turn;
       // The connection may have ended with the response before this one.
--- a/packages/daemon/src/http/connection-limit.test.ts
+++ b/packages/daemon/src/http/connection-limit.test.ts
@@ -99,6 +99,20 @@
     assert.equal(sockets.filter(({ destroyed }) => destroyed).length, 1);
   });
 
+  // Bodies held open would shut out all other callers until their timeout.
+  it('closes the oldest connection whose body is still being read for a new one', async () => {
+    const head =
+      'POST /silent HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n';
+    for (let number = 0; number < MAX_CONNECTIONS; number += 1) {
+      const requested = once(server, 'request');
+      await open(number === 1 ? head : get('/silent'));
+      await requested;
+    }
+    const added = await open(get('/ok'));
+    await once(added, 'data');
+    assert.deepEqual(closed, ['test connections']);
+  });
+
   it('closes a connection with too many requests that wait for their responses', async () => {
     const socket = await open(get('/silent').repeat(40));
     socket.resume();
--- a/packages/daemon/src/http/connection-limit.ts
+++ b/packages/daemon/src/http/connection-limit.ts
@@ -35,7 +35,7 @@
 /** Requests in progress on one connection; callers that pipeline wait for a few responses at most. */
 const MAX_PIPELINED = 16;
 /** Interval between checks for partial heads and unread output. */
-const CHECK_INTERVAL_MS = 250; // a tenth of the shortest timeout for headers in use
+const CHECK_INTERVAL_MS = 250; // a twelfth of the timeout for headers in use
 
 /** How much may be lost with a connection, the least first. */
 enum Rank {
@@ -177,7 +177,8 @@
   if (connection.isLingering) return Rank.Lingering;
   if (connection.responseCount === 0)
     return connection.requestCount === 0 ? Rank.Unused : Rank.Idle;
-  return connection.requestsBeingRead === connection.responseCount
-    ? Rank.Reading
-    : Rank.Busy;
+  const isReading = connection.responses.every(
+    ({ response }) => !response.req.complete,
+  );
+  return isReading ? Rank.Reading : Rank.Busy;
 }
--- a/packages/daemon/src/http/connection.ts
+++ b/packages/daemon/src/http/connection.ts
@@ -55,8 +55,6 @@
 export class Connection {
   /** Number of requests whose heads were read. */
   requestCount = 0;
-  /** Number of requests whose bodies have not arrived whole. */
-  requestsBeingRead = 0;
   /** Whether its requests are refused, because it was accepted too late. */
   isLate = false;
   /** Whether what still arrives is discarded, as its last response was sent. */
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -93,6 +93,8 @@
   }
 
   private serve(request: IncomingMessage, response: ServerResponse): void {
+    // A request that follows those for which its connection was closed.
+    if (request.socket.destroyed) return;
     const connection = this.connections.of(request.socket);
     this.connections.track(response, connection);
     if (this.isClosing) announceEnd(connection);
