--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -5,6 +5,7 @@
   DataCentreGate,
   EndpointPool,
   Forwarder,
+  RequestMemory,
   ResponseMemory,
   routeNamesFor,
   TokenBucketLedger,
@@ -31,8 +32,10 @@
 import type { Loop } from '../loops/index.js';
 import { createIntervalLoop, createPollerLoop } from '../loops/index.js';
 import type { GatewaySettings } from '../settings/index.js';
+import { shareMachine } from '../settings/index.js';
 import {
   createNonBlockingOutput,
+  DEFAULT_LOG_RATE,
   PinoLog,
   PromMetrics,
   RateLimitedLog,
@@ -60,10 +63,6 @@
 
 /** Interval between checks of whether endpoints are to be probed. */
 const REACHABILITY_INTERVAL_MS = 200;
-/** Memory for the responses that are being received: four of the largest. */
-const RESPONSE_MEMORY_BYTES = 16_777_216;
-/** Maximum log lines per second of one kind: several times the request rate of one daemon at the planned size. */
-const LOG_LINES_PER_SECOND = 50;
 
 /** Components of a gateway daemon. */
 export interface GatewayWiring extends GatewayContext {
@@ -234,7 +233,7 @@
     ...(byWork && { outputEstimator: byWork.outputEstimator }),
     requestRelay,
     dispatchWindow: stopSchedule,
-    responseMemory: new ResponseMemory(context, RESPONSE_MEMORY_BYTES),
+    responseMemory: new ResponseMemory(context, context.machine.responseBytes),
     ...queue.forwarding,
   });
   const limits = () => configuration.current?.limits ?? DEFAULT_LIMITS;
@@ -253,6 +252,7 @@
     forwarder,
     protocol: platform.protocol,
     limits,
+    workspaceOf: apiKey => configuration.findByKey(apiKey)?.workspace,
   });
 
   const replicator = new StateReplicator(context, {
@@ -330,17 +330,20 @@
     identity.daemonId,
     createNonBlockingOutput(),
   );
-  const rate = { linesPerSecond: LOG_LINES_PER_SECOND };
   const http = new HttpClient(clock);
+  const log = new RateLimitedLog(output, clock, DEFAULT_LOG_RATE);
   const metrics = new PromMetrics();
+  const machine = shareMachine(settings.callers);
+  const parts = { clock, log, metrics };
   const store = new StoreClient(http, clock, platform.storeAddress, metrics);
   return {
+    ...parts,
     settings,
-    clock,
     http,
     random: new SeededRandom(seed),
-    log: new RateLimitedLog(output, clock, rate),
-    metrics,
+    machine,
+    requestMemory: new RequestMemory(parts, machine.requestBytes),
+    peerMemory: new RequestMemory(parts, machine.peerBytes),
     platform: {
       protocol: new PlatformProtocol(),
       keyValue: store,
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -19,6 +19,7 @@
   'listen',
   'peerSecret',
   'routing',
+  'callers',
 ] as const;
 const METRICS_PATH = '/metrics';
 const ENDPOINTS_PATH = '/dump/endpoints';
--- a/packages/daemon/src/gateway/relay-server.test.ts
+++ b/packages/daemon/src/gateway/relay-server.test.ts
@@ -4,8 +4,9 @@
 import { afterEach, describe, it } from 'node:test';
 
 import type { Forwarder } from '@skylarkreach/core/forwarding';
+import { RequestMemory } from '@skylarkreach/core/forwarding';
 import { PlainProtocol } from '@skylarkreach/core/forwarding/fakes';
-import { noopMetrics } from '@skylarkreach/core/ports';
+import { noopLog, noopMetrics } from '@skylarkreach/core/ports';
 
 import { SystemClock } from '../adapters/index.js';
 import { HttpListener } from '../http/index.js';
@@ -44,6 +45,10 @@
     protocol,
     metrics: noopMetrics,
     limits: () => LIMITS,
+    peerMemory: new RequestMemory(
+      { clock, log: noopLog, metrics: noopMetrics },
+      1_048_576,
+    ),
     peerServer: { verifySignature: () => undefined } as unknown as PeerServer,
     forwarder: {
       handleRelayed: () => {
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -11,6 +11,8 @@
 import type { Connection } from './connection.js';
 import { ConnectionEnd } from './connection.js';
 import { ConnectionDrain } from './connection-drain.js';
+import type { ConnectionLimitOptions } from './connection-limit.js';
+import { ConnectionLimit } from './connection-limit.js';
 import { Connections } from './connections.js';
 import { closeIdleConnections } from './idle-connections.js';
 import { LingeringCloser } from './lingering-closer.js';
@@ -22,10 +24,14 @@
   readonly clock: Clock;
   /** Time for which an idle connection is kept, which callers are told; defaults to that of Node.js. */
   readonly keepAliveTimeoutMs?: number;
+  /** Limits on the connections; none by default. */
+  readonly limit?: Omit<ConnectionLimitOptions, 'unreadTimeoutMs'>;
 }
 
 /** Time in which a listener that closes answers what has arrived: the rest of a request may take 1 s, and its answer as long again. */
 const CLOSE_TIMEOUT_MS = 3_000;
+/** Time for which a response may stay unread: longer than any sound caller of these listeners pauses. */
+const UNREAD_TIMEOUT_MS = 15_000; // the idle timeout of the users' configuration
 
 /** HTTP server bound to one address. */
 export class HttpListener {
@@ -58,6 +64,12 @@
       () => server.keepAliveTimeout,
     );
     closeIdleConnections(server, this.connections, clock);
+    if (options.limit !== undefined) {
+      new ConnectionLimit(server, this.connections, {
+        ...options.limit,
+        unreadTimeoutMs: () => UNREAD_TIMEOUT_MS,
+      });
+    }
     this.drain = new ConnectionDrain(server, this.connections, clock);
   }
 
@@ -95,6 +107,8 @@
   }
 
   private serve(request: IncomingMessage, response: ServerResponse): void {
+    // A request that follows those for which its connection was closed.
+    if (request.socket.destroyed) return;
     const connection = this.connections.of(request.socket);
     this.connections.track(response, connection);
     if (this.isClosing) announceEnd(connection);
--- a/packages/daemon/src/settings/gateway-settings.ts
+++ b/packages/daemon/src/settings/gateway-settings.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 
 import { address, durationMs, LogLevel } from './fields.js';
+import { machineSettingsSchema } from './machine-settings.js';
 
 /** Rule by which the endpoint of a request is chosen. */
 export enum PlacementRule {
@@ -75,6 +76,7 @@
       coldSlack: z.number().nonnegative().default(0),
     })
     .prefault({}),
+  callers: machineSettingsSchema,
   routing: z
     .strictObject({
       /** Prompt tokens that an engine processes per millisecond (prefill). */
--- a/packages/stand-ins/src/gateway/program-fixture.ts
+++ b/packages/stand-ins/src/gateway/program-fixture.ts
@@ -11,6 +11,7 @@
 
 import type { Settings } from '@skylarkreach/daemon';
 import { LogLevel } from '@skylarkreach/daemon';
+import type { SampleConfigurationOptions } from '@skylarkreach/platform/stand-ins';
 import {
   CloudServer,
   EndpointServer,
@@ -43,6 +44,7 @@
 export interface GatewaySections {
   readonly listen?: Partial<typeof LISTEN>;
   readonly bounds?: Readonly<Record<string, number>>;
+  readonly callers?: Readonly<Record<string, number>>;
 }
 
 /** Process that runs the daemon's program. */
@@ -141,18 +143,22 @@
   }
 
   /** Writes the settings of a gateway. */
-  configureGateway({ listen, bounds }: GatewaySections): void {
+  configureGateway({ listen, bounds, callers }: GatewaySections): void {
     this.configure({
       gateway: {
         ...this.gatewaySettings,
         listen: { ...LISTEN, ...listen },
         ...(bounds && { bounds }),
+        ...(callers && { callers }),
       },
     });
   }
 
   /** Writes the settings of a daemon that is no gateway and reaches no platform. */
-  configureDaemon(listen: Partial<Settings['listen']>): void {
+  configureDaemon(
+    listen: Partial<Settings['listen']>,
+    callers?: Settings['callers'],
+  ): void {
     const settings = daemonSettings({
       identity: { daemonId: 'daemon-1', dataCentre: 'north-1' },
       keyValueAddress: NOBODY,
@@ -161,7 +167,11 @@
       services: [],
       workspaceTokens: {},
     });
-    this.configure({ ...settings, listen: { ...settings.listen, ...listen } });
+    this.configure({
+      ...settings,
+      listen: { ...settings.listen, ...listen },
+      ...(callers && { callers }),
+    });
   }
 
   private configure(settings: unknown): void {
@@ -175,6 +185,11 @@
     this.store.register(`${service}-1`, service, address, { Slots: 1_000 });
   }
 
+  /** Stores a configuration of the platform with other limits for callers. */
+  configureLimits(options: SampleConfigurationOptions): void {
+    this.store.configure(3, options);
+  }
+
   /** Starts the program; `module` is the text of a module that is run before it, `flags` are those of Node.js. */
   run(module = '', flags: readonly string[] = []): Program {
     const preload = `data:text/javascript,${encodeURIComponent(module)}`;
--- a/packages/stand-ins/src/gateway/settings-template.test.ts
+++ b/packages/stand-ins/src/gateway/settings-template.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
 import { describe, it } from 'node:test';
 
 import { parseAnySettings } from '@skylarkreach/daemon';
@@ -7,11 +8,19 @@
   renderSettings,
 } from '@skylarkreach/platform/stand-ins';
 
+const TEMPLATE = readFileSync(
+  new URL('../../../../platform/settings.template', import.meta.url),
+  'utf8',
+);
+
 describe('the template of the settings', () => {
   it('gives this build the regions of the data centres and the bound on evacuations', () => {
     const addresses = { store: '127.0.0.1:1', cloud: '127.0.0.1:2' };
     const machine = createMachine('127.0.0.1', 'edge-1', addresses, []);
-    const settings = parseAnySettings('x.yaml', renderSettings(machine, true));
+    const settings = parseAnySettings(
+      'x.yaml',
+      renderSettings(TEMPLATE, machine, true),
+    );
     assert.ok('gateway' in settings);
     const { bounds, identity } = settings.gateway;
     assert.equal(identity.regions['south-1'], 'south');
@@ -28,7 +37,7 @@
       ...values
     } = machine.values;
     assert.ok(evacuationMs !== undefined && coldOverage !== undefined);
-    const text = renderSettings({ ...machine, values }, true);
+    const text = renderSettings(TEMPLATE, { ...machine, values }, true);
     const settings = parseAnySettings('x.yaml', text);
     assert.ok('gateway' in settings);
     assert.equal(settings.gateway.bounds.evacuationMs, 5_000);
--- a/packages/stand-ins/src/upgrade/daemon-builds.ts
+++ b/packages/stand-ins/src/upgrade/daemon-builds.ts
@@ -46,8 +46,6 @@
 export interface DaemonBuilds {
   readonly earlier: string;
   readonly present: string;
-  /** Template of the earlier build's settings, which both builds must be able to read: an upgrade leaves the settings as they are. */
-  readonly template: string;
   /** Deletes the programs. */
   readonly remove: () => void;
 }
@@ -62,9 +60,10 @@
   try {
     extract(commit, folder);
     const earlier = bundle(folder);
+    copyTemplate(folder, earlier);
     const present = copyProgram(bundle(ROOT), folder);
-    const template = join(folder, 'platform', 'settings.template');
-    return { earlier, present, template, remove };
+    copyTemplate(ROOT, present);
+    return { earlier, present, remove };
   } catch (error) {
     remove();
     throw error;
@@ -86,6 +85,17 @@
   return join(folder, PROGRAM);
 }
 
+/** Copies the template of a build's settings from its checkout. */
+function copyTemplate(root: string, program: string): void {
+  const template = join(root, 'platform', 'settings.template');
+  copyFileSync(template, templateBeside(program));
+}
+
+/** Returns the path of the template of a build's settings, which lies beside its program. */
+export function templateBeside(program: string): string {
+  return join(dirname(program), 'settings.template');
+}
+
 function extract(commit: string, folder: string): void {
   const archive = join(folder, 'earlier.tar');
   const git = ['archive', '--output', archive, commit, '--'];
--- a/packages/stand-ins/src/upgrade/daemon-fleet.ts
+++ b/packages/stand-ins/src/upgrade/daemon-fleet.ts
@@ -31,11 +31,7 @@
   private readonly network = `127.${1 + ((process.pid >> 8) & 0x7f)}.${process.pid & 0xff}`;
   private readonly end = new AbortController();
 
-  /** `template` is that of the settings of all processes. */
-  constructor(
-    private readonly platform: PlatformAddresses,
-    private readonly template: string,
-  ) {}
+  constructor(private readonly platform: PlatformAddresses) {}
 
   /** Starts machines with the program and waits until all are ready. */
   async start(count: number, program: string): Promise<void> {
@@ -93,7 +89,6 @@
       this.folder,
       number,
       isFirstStart,
-      this.template,
     );
     this.processes.push(daemon);
     return daemon;
