Deduct a workspace's tokens as a request leaves the queue

A request that the queue refused had used its tokens besides.

Change: the rate limit is checked on arrival, and the tokens are deducted right before the first attempt.

--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -26,6 +26,8 @@
   readonly deadlineAtMs: number;
   readonly isRepeatable: boolean;
   readonly maxAttempts: number;
+  /** Deducts the tokens of a request that waited for capacity; throws `ForwardError` if there are too few. */
+  readonly takeTokens?: (() => void) | undefined;
   /** Resolves with whether the endpoint of the last attempt has ended or is cut off from this daemon. */
   readonly isLastEndpointGone: () => Promise<boolean>;
 }
@@ -75,26 +77,27 @@
 
   /**
    * Reserves the endpoint of the first attempt once the request may be sent, and
-   * counts the attempt then. Throws `ForwardError` if it is refused.
+   * counts the attempt and its tokens then. Throws `ForwardError` if it is refused.
    */
   async firstWithin(pass: GatePass): Promise<PoolReservation | undefined> {
-    const { budget, clock, endpoints, signal } = this.options;
+    const { budget, clock, endpoints, signal, takeTokens } = this.options;
     // A daemon that reaches no endpoint knows nothing of their capacity.
-    if (endpoints.isCutOff()) {
-      budget.recordFirstAttempt();
-      return this.first();
+    const reservation = endpoints.isCutOff()
+      ? this.first()
+      : await pass.reserve(nowMs => endpoints.reserve(nowMs), signal);
+    if (reservation === undefined || signal.aborted) {
+      reservation?.release(undefined, clock.nowMs());
+      this.obstacle = RetryObstacle.NoEndpoint;
+      return undefined;
     }
-    const reservation = await pass.reserve(
-      nowMs => endpoints.reserve(nowMs),
-      signal,
-    );
-    if (reservation !== undefined && !signal.aborted) {
-      budget.recordFirstAttempt();
-      return reservation;
+    try {
+      takeTokens?.();
+    } catch (error) {
+      reservation.release(undefined, clock.nowMs());
+      throw error;
     }
-    reservation?.release(undefined, clock.nowMs());
-    this.obstacle = RetryObstacle.NoEndpoint;
-    return undefined;
+    budget.recordFirstAttempt();
+    return reservation;
   }
 
   /**
--- a/packages/core/src/forwarding/create-sequence.ts
+++ b/packages/core/src/forwarding/create-sequence.ts
@@ -13,11 +13,13 @@
 /** Creates the sequence of attempts of one request. */
 export function createSequence(
   deps: ForwarderDependencies,
-  { budget, group, homes, relayed, request, resolved, suspectIds }: RunContext,
+  context: RunContext,
   traits: SequenceTraits,
 ): AttemptSequence {
   const { clock, crashGuard, dispatchWindow } = deps;
   const { dataCentres, pool, requestRelay, versions } = deps;
+  const { budget, group, homes, relayed, request } = context;
+  const { resolved, suspectIds, takeTokens } = context;
   const { attempts, isRepeatable } = traits;
   return new AttemptSequence({
     ...traits,
@@ -42,6 +44,7 @@
       )?.tokens,
     }),
     suspectIds,
+    takeTokens,
     // The daemon that took the request from its caller decides on a retry.
     ...(relayed === undefined
       ? { maxAttempts: resolved.route.maxAttempts }
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -15,6 +15,7 @@
   GuardedResponse,
   OutputEstimator,
   RequestMetadata,
+  TokenRate,
 } from '../index.js';
 import {
   ANY_VERSION,
@@ -51,6 +52,8 @@
   /** Gate for which first attempts wait; they do not wait if absent. */
   readonly dispatchGate?: DispatchGate;
   readonly sendsPriority?: boolean;
+  /** Rate limit of the caller's workspace. */
+  readonly tokenRate?: TokenRate;
   readonly outputEstimator?: OutputEstimator;
 }
 
@@ -71,6 +74,7 @@
   /** What responses told the guard of endpoints. */
   readonly guardedResponses: GuardedResponse[] = [];
   readonly evacuations = new Evacuations();
+  readonly tokenBuckets = new TokenBucketLedger();
   readonly pool = new EndpointPool(new SeededRandom(1), {
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
@@ -115,11 +119,12 @@
       peers,
       retries = 10,
       sendsPriority = false,
+      tokenRate,
     }: HarnessOptions = {},
   ) {
     this.upstream = new ScriptedUpstream(script, this.clock);
     const configuration = new ConfigurationStore();
-    configuration.apply(sampleConfiguration([route]));
+    configuration.apply(sampleConfiguration([route], {}, tokenRate));
     this.listEndpoints(endpoints);
     const refill = () => this.budgetRefill;
     this.budget = new RetryBudget({
@@ -148,7 +153,7 @@
       configuration,
       pool: this.pool,
       endpointListAgeMs: () => 0,
-      tokenBuckets: new TokenBucketLedger(),
+      tokenBuckets: this.tokenBuckets,
       retryBudgetOf: () => this.budget,
       dataCentres: new DataCentreGate({
         identity: {
--- a/packages/core/src/forwarding/fakes/samples.ts
+++ b/packages/core/src/forwarding/fakes/samples.ts
@@ -1,4 +1,4 @@
-import type { Configuration, ForwardRoute } from '../index.js';
+import type { Configuration, ForwardRoute, TokenRate } from '../index.js';
 import type { EndpointRecord } from '../index.js';
 import type { ResponseMetadata } from '../index.js';
 import { RouteType } from '../index.js';
@@ -33,6 +33,7 @@
 export function sampleConfiguration(
   routes: readonly ForwardRoute[],
   overrides: Partial<Configuration> = {},
+  tokenRate?: TokenRate,
 ): Configuration {
   return {
     version: 1,
@@ -49,7 +50,7 @@
         workspace: 'kowhai',
         apiKeys: ['key-1'],
         priority: undefined,
-        tokenRate: undefined,
+        tokenRate,
         homeRegions: undefined,
       },
     ],
--- a/packages/core/src/forwarding/forward-error.ts
+++ b/packages/core/src/forwarding/forward-error.ts
@@ -96,3 +96,15 @@
     0,
   );
 }
+
+/** Returns the error for a request beyond the token rate of its workspace. */
+export function allowanceSpentError(
+  workspace: string,
+  retryInMs: number,
+): ForwardError {
+  return new ForwardError(
+    ForwardErrorKind.AllowanceSpent,
+    `Workspace ${workspace} has exceeded its token rate; send the request again later.`,
+    retryInMs,
+  );
+}
--- a/packages/core/src/forwarding/forward-queue.test.ts
+++ b/packages/core/src/forwarding/forward-queue.test.ts
@@ -87,6 +87,31 @@
     await served;
   });
 
+  // Tokens that were deducted on arrival let requests reach endpoints together with later ones, beyond the rate limit.
+  it('uses tokens once it is sent, and none if the queue refuses it', async () => {
+    const tokenRate = {
+      tokensPerSecond: 1,
+      burstTokens: 1_000,
+      plainTokens: 0,
+    };
+    const usage = { promptTokens: 900, maxTokens: 0 };
+    const { gate, harness } = create({ tokenRate });
+    const refused = harness.serve({ usage });
+    gate.refuseNext(new ForwardError(ForwardErrorKind.Overloaded, 'full', 250));
+    assert.equal((await refused)?.kind, ForwardErrorKind.Overloaded);
+    const first = harness.serve({ usage });
+    const second = harness.serve({ usage });
+    gate.sendNext();
+    assert.equal(await first, undefined);
+    gate.sendNext();
+    assert.equal((await second)?.kind, ForwardErrorKind.AllowanceSpent);
+    assert.equal(harness.upstream.calls.length, 1);
+    assert.equal(harness.pool.ownLoad().size, 0);
+    const third = await harness.serve({ usage });
+    assert.equal(third?.kind, ForwardErrorKind.AllowanceSpent);
+    assert.deepEqual(harness.tokenBuckets.grantedTotals(), { kowhai: 900 });
+  });
+
   it('tells engines its priority only where that is set, at most 9', async () => {
     for (const sendsPriority of [false, true]) {
       const harness = new ForwarderHarness([{}], route, { sendsPriority });
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -8,6 +8,7 @@
 import { LogComponent } from '../ports/index.js';
 import type { RetryAllowance } from '../routing/index.js';
 import { chooseGroup } from './choose-group.js';
+import type { ForwardWorkspace } from './configuration.js';
 import type { ConfigurationStore } from './configuration-store.js';
 import type { CrashDetector } from './crash-detector.js';
 import type { CrashGuard } from './crash-guard.js';
@@ -17,6 +18,7 @@
 import type { DispatchWindow } from './dispatch-window.js';
 import type { EndpointPool } from './endpoint-pool.js';
 import {
+  allowanceSpentError,
   daemonStoppingError,
   ForwardError,
   ForwardErrorKind,
@@ -225,23 +227,40 @@
     throw requestBlockedError(blockedForMs);
   }
 
+  /**
+   * Throws `ForwardError` if the rate limit of the request's workspace is exceeded.
+   * The tokens of a request that may wait for capacity are deducted once it is sent.
+   */
+  private admit(request: ForwardRequest, { workspace }: ResolvedRequest): void {
+    if (this.deps.dispatchGate === undefined) {
+      this.takeTokens(request, workspace);
+      return;
+    }
+    if (workspace?.tokenRate === undefined) return;
+    const waitMs = this.deps.tokenBuckets.waitMs(
+      workspace.workspace,
+      workspace.tokenRate,
+      requestedTokens(request) ?? workspace.tokenRate.plainTokens,
+      this.deps.clock.nowMs(),
+    );
+    if (waitMs !== undefined)
+      throw allowanceSpentError(workspace.workspace, waitMs);
+  }
+
   /** Deducts the request's tokens from its workspace's token bucket. Throws `ForwardError` if the rate limit is exceeded. */
-  private admit(request: ForwardRequest, { workspace }: ResolvedRequest) {
+  private takeTokens(
+    request: ForwardRequest,
+    workspace: ForwardWorkspace | undefined,
+  ): void {
     if (workspace?.tokenRate === undefined) return;
-    const { tokenRate } = workspace;
-    const tokens = requestedTokens(request) ?? tokenRate.plainTokens;
     const waitMs = this.deps.tokenBuckets.tryAcquire(
       workspace.workspace,
-      tokenRate,
-      tokens,
+      workspace.tokenRate,
+      requestedTokens(request) ?? workspace.tokenRate.plainTokens,
       this.deps.clock.nowMs(),
     );
-    if (waitMs === undefined) return;
-    throw new ForwardError(
-      ForwardErrorKind.AllowanceSpent,
-      `Workspace ${workspace.workspace} has exceeded its token rate; send the request again later.`,
-      waitMs,
-    );
+    if (waitMs !== undefined)
+      throw allowanceSpentError(workspace.workspace, waitMs);
   }
 
   private createRun(
@@ -254,9 +273,14 @@
     const budget = this.deps.retryBudgetOf(group);
     const { suspectIds } = resolved;
     const context = { request, resolved, suspectIds, group, budget, homes };
+    const takeTokens = () => {
+      this.takeTokens(request, resolved.workspace);
+    };
     return new ForwardRun(
       this.deps,
-      relayed === undefined ? context : { ...context, relayed },
+      relayed === undefined
+        ? { ...context, takeTokens }
+        : { ...context, relayed },
       sink,
     );
   }
--- a/packages/core/src/forwarding/run-context.ts
+++ b/packages/core/src/forwarding/run-context.ts
@@ -14,6 +14,8 @@
   readonly budget: RetryAllowance;
   /** Where the request may go; undefined if it has no home regions. */
   readonly homes: RequestHomes | undefined;
+  /** Deducts the request's tokens once it has waited for capacity. Throws `ForwardError` if the rate limit is exceeded by then. Absent if a peer passed the request on, which has deducted them. */
+  readonly takeTokens?: () => void;
   /** Given if a peer passed the request on to this daemon for one attempt. */
   readonly relayed?: RelayedPart;
 }
--- a/packages/core/src/forwarding/token-bucket-ledger.ts
+++ b/packages/core/src/forwarding/token-bucket-ledger.ts
@@ -80,17 +80,28 @@
     rate: TokenRate,
     tokens: number,
     nowMs: number,
+  ): number | undefined {
+    const waitMs = this.waitMs(workspace, rate, tokens, nowMs);
+    if (waitMs !== undefined) return waitMs;
+    const bucket = this.bucketOf(workspace, rate, nowMs);
+    bucket.window.add(tokens, nowMs, nowMs);
+    bucket.granted += tokens;
+    return undefined;
+  }
+
+  /** Returns the milliseconds after which tokens may be acquired; undefined if they may be now. */
+  waitMs(
+    workspace: Workspace,
+    rate: TokenRate,
+    tokens: number,
+    nowMs: number,
   ): number | undefined {
     const bucket = this.bucketOf(workspace, rate, nowMs);
     const balance = bucket.window.balance(nowMs);
     const neededTokens =
       Math.min(tokens, rate.burstTokens * MIN_BALANCE_SHARE) -
       overdraftFor(tokens, rate);
-    if (balance >= neededTokens) {
-      bucket.window.add(tokens, nowMs, nowMs);
-      bucket.granted += tokens;
-      return undefined;
-    }
+    if (balance >= neededTokens) return undefined;
     const missingTokens = neededTokens - balance;
     return Math.max(
       MIN_RETRY_WAIT_MS,
