--- a/packages/measure/src/routing/placement-experiment.ts
+++ b/packages/measure/src/routing/placement-experiment.ts
@@ -28,9 +28,13 @@
   LeastWork = 'least work',
 }
 
-const DAEMON_COUNTS = [9, 80, 300];
-const DURATION_MS = 12_000;
-const FULL_DURATION_MS = 40_000;
+/** Sizes that are played, each for long enough that one late call is less than 0.1% of the calls. */
+const SIZES = [
+  { daemons: 9, durationMs: 60_000 },
+  { daemons: 80, durationMs: 12_000 },
+  { daemons: 300, durationMs: 12_000 },
+];
+const FULL_DURATION_FACTOR = 4;
 const PERCENT = 100;
 
 /** Creates the policy of one daemon; undefined stands for that of the pool. */
@@ -58,16 +62,24 @@
 }
 
 /** Compares the rules of a gateway by what callers get, each on the same calls. */
-export async function runPlacements(
-  options: ExperimentOptions,
-): Promise<ExperimentReport> {
+export async function runPlacements({
+  full,
+  seed,
+}: ExperimentOptions): Promise<ExperimentReport> {
   const rows: ReportRow[] = [];
   const targets: TargetResult[] = [];
   for (const shape of PLACEMENT_SHAPES) {
-    for (const daemons of DAEMON_COUNTS) {
+    for (const { daemons, durationMs } of SIZES) {
       const lateShares = new Map<PlacementWay, number>();
       for (const way of Object.values(PlacementWay)) {
-        const results = await play(shape, daemons, way, options);
+        const results = await new PlacementPlay({
+          shape,
+          daemons,
+          durationMs: full ? durationMs * FULL_DURATION_FACTOR : durationMs,
+          seed,
+          createPolicy: (random, reports) =>
+            createPlacement(way, random, reports),
+        }).run();
         rows.push(reportRow(shape, daemons, way, results));
         lateShares.set(way, results.lateShare);
       }
@@ -77,21 +89,6 @@
   return { rows, targets };
 }
 
-function play(
-  shape: PlacementShape,
-  daemons: number,
-  way: PlacementWay,
-  { full, seed }: ExperimentOptions,
-): Promise<PlacementResults> {
-  return new PlacementPlay({
-    shape,
-    daemons,
-    durationMs: full ? FULL_DURATION_MS : DURATION_MS,
-    seed,
-    createPolicy: (random, reports) => createPlacement(way, random, reports),
-  }).run();
-}
-
 function reportRow(
   shape: PlacementShape,
   daemons: number,
