Do not count configurations of earlier builds as malformed

A configuration that an earlier build read has no home regions; it was thrown out as malformed, which mixed builds must not report. It is counted and logged by itself now.

--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -166,8 +166,8 @@
   private applyGossip({ key, value, version }: ReplicatedValue): void {
     if (key === GossipKey.Configuration.valueOf()) {
       const next = parseSharedConfiguration(value);
-      this.checkHomeRegions(next);
-      this.applyConfiguration(next, UpdateSource.Peer);
+      if (this.mayLackHomeRegions(next)) this.reportIncomplete(next);
+      else this.applyConfiguration(next, UpdateSource.Peer);
     }
     if (key === GossipKey.Rollouts.valueOf()) {
       for (const order of parseSharedOrders(value))
@@ -185,12 +185,21 @@
     }
   }
 
-  /** Throws if a peer left out home regions that this daemon may have to keep to. */
-  private checkHomeRegions({ knowsHomeRegions }: Configuration): void {
+  /** Whether a peer of an earlier build may have left out home regions that this daemon has to keep to. */
+  private mayLackHomeRegions({ knowsHomeRegions }: Configuration): boolean {
     const { regions } = this.context.settings.identity;
-    const mayApply = Object.keys(regions).length > 0;
-    if (mayApply && knowsHomeRegions !== true)
-      throw new Error('The configuration was read without home regions.');
+    return Object.keys(regions).length > 0 && knowsHomeRegions !== true;
+  }
+
+  /** This daemon reads the store by itself, as the peer's reads do not confirm a version that it does not hold. */
+  private reportIncomplete({ version }: Configuration): void {
+    const { log, metrics } = this.context;
+    metrics.increment('configuration.incomplete', 1);
+    log.info(
+      LogComponent.Configuration,
+      'A configuration from a peer may lack home regions and is not applied.',
+      { version },
+    );
   }
 
   private applyConfiguration(next: Configuration, source: UpdateSource): void {
