--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -93,6 +93,8 @@
   loadReports: loadReportHintsSchema.optional().catch(undefined),
   /** By group. Absent in hints of daemons that cannot pass requests on. */
   reachability: z.record(text, reachabilitySchema).optional().catch(undefined),
+  /** Whether the sender can be told usage counts. Absent in hints of daemons that do not know it. */
+  takesUsageCounts: z.boolean().optional().catch(undefined),
   /** Whether the sender holds the lease for the duties towards the platform. */
   holdsDuties: z.boolean(),
 });
--- a/packages/core/src/hints/hint-store.test.ts
+++ b/packages/core/src/hints/hint-store.test.ts
@@ -46,6 +46,17 @@
     assert.equal(store.operatorReadAtMs(1), 900);
   });
 
+  // Daemons of an earlier build refused the calls, which an operator takes for a reason to roll back.
+  it('knows a daemon that can be told usage counts by the hints of its last lifetime', () => {
+    const store = new HintStore();
+    const able = { takesUsageCounts: true };
+    store.add(hints('a', 1, able), 1_000);
+    assert.equal(store.takesUsageCounts('a'), true);
+    store.add(hints('a', 1, { lifetime: 'a/2' }), 2_000);
+    assert.equal(store.takesUsageCounts('a'), false);
+    assert.equal(store.takesUsageCounts('b'), false);
+  });
+
   it('keeps the latest hints of each lifetime, whatever the order and number of messages', () => {
     const message = fc.record({ daemon: fc.nat(3), sequence: fc.nat(20) });
     fc.assert(
--- a/packages/core/src/hints/hint-store.ts
+++ b/packages/core/src/hints/hint-store.ts
@@ -71,6 +71,20 @@
     return agesMs.length === 0 ? undefined : Math.min(...agesMs);
   }
 
+  /** Returns whether a daemon has said that it can be told usage counts. */
+  takesUsageCounts(daemonId: string): boolean {
+    const newest = [...this.byLifetime.values()]
+      .filter(received => received.hints.daemonId === daemonId)
+      .reduce<ReceivedHints | undefined>(
+        (latest, each) =>
+          latest === undefined || each.receivedAtMs >= latest.receivedAtMs
+            ? each
+            : latest,
+        undefined,
+      );
+    return newest?.hints.takesUsageCounts === true;
+  }
+
   /** Returns the summed work of all peers with fresh hints, by endpoint. The map changes with later calls. */
   work(nowMs: number): ReadonlyMap<string, EndpointLoad> {
     for (const [lifetime, { receivedAtMs }] of this.byLifetime) {
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -157,7 +157,13 @@
       registry: cluster.peerServer,
       ledger: this.usageLedger,
       isEnabled: () => settings.bounds.usageCheckpointSeconds > 0,
-      holder: () => cluster.dutyHolder(),
+      holder: () => {
+        const holder = cluster.dutyHolder();
+        // A daemon of an earlier build does not know the method.
+        const isKnown =
+          holder !== undefined && cluster.hintBoard.takesUsageCounts(holder.id);
+        return isKnown ? holder : undefined;
+      },
       peerCount: () => cluster.size - 1,
     });
     return createIntervalLoop(
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -102,6 +102,7 @@
         loadReports: this.deps.loadReports.hints(),
       }),
       reachability: reachabilityHints(this.deps.reachability, nowMs),
+      takesUsageCounts: true,
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
   }
