Count a request that is put back into the queue as not sent

A request for which no endpoint could be reserved goes back into the queue. Its workspace paid for it at each attempt, each attempt counted as a turn for the oldest request and as a send in the drain rate, and a queue that was empty between an attempt and the return forgot its rate. Where endpoints took one request at a time, the turns of the oldest could all fall on requests that went back, one workspace got all capacity, and late requests were not refused early.

--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -82,11 +82,12 @@
    */
   offer(request: QueuedRequest, room: GroupRoom, nowMs: number): QueueDecision {
     this.updateShare(room);
+    const isFirst = this.waiting.length === 0;
+    if (isFirst) this.rate.clear();
     if (nowMs >= request.deadlineAtMs)
       return this.refuse(request, QueueRefusal.TooLate, nowMs);
     if (isClosed(room) && !isUseful(request, nowMs))
       return this.send(request, nowMs);
-    const isFirst = this.waiting.length === 0;
     if (isFirst && this.hasRoom(room, nowMs) && this.maySend(request, nowMs))
       return this.send(request, nowMs);
     const ahead = this.waiting.filter(
@@ -117,7 +118,6 @@
     }
     if (isClosed(room)) decisions.push(...this.sendLate(nowMs));
     decisions.push(...this.refuseHopeless(nowMs));
-    if (this.waiting.length === 0) this.rate.clear();
     return decisions;
   }
 
@@ -130,10 +130,18 @@
     );
   }
 
-  /** Puts a request back that was to be sent and for which no endpoint could be reserved. */
+  /**
+   * Puts a request back that was to be sent and for which no endpoint could be
+   * reserved. It does not count as sent: otherwise its workspace would pay for it
+   * at each attempt, and the turns of the oldest request could all fall on sends
+   * that are put back.
+   */
   putBack(request: QueuedRequest): void {
     this.withdraw();
     this.add(request);
+    this.shares.refund(request);
+    this.rate.removeSend();
+    this.sentFromQueue -= 1;
   }
 
   /** Frees the place of a request that was to be sent and was not. */
--- a/packages/core/src/dispatch-queue/drain-rate.ts
+++ b/packages/core/src/dispatch-queue/drain-rate.ts
@@ -1,5 +1,7 @@
 /** Number of the latest sends that the rate is taken from. */
 const MAX_SENDS = 16; // a few seconds at one daemon
+/** Number of the latest sends that are kept, so that those that are put back displace none that count. */
+const MAX_KEPT_SENDS = 128; // above the places of one daemon
 /** Number of sends below which no rate is known. */
 const MIN_SENDS = 4;
 
@@ -8,7 +10,12 @@
   private sentAtMs: readonly number[] = [];
 
   recordSend(nowMs: number): void {
-    this.sentAtMs = [...this.sentAtMs, nowMs].slice(-MAX_SENDS);
+    this.sentAtMs = [...this.sentAtMs, nowMs].slice(-MAX_KEPT_SENDS);
+  }
+
+  /** Drops the latest send, of a request that was put back. */
+  removeSend(): void {
+    this.sentAtMs = this.sentAtMs.slice(0, -1);
   }
 
   /** Forgets the rate: without waiting requests, sends show the demand instead. */
@@ -18,9 +25,10 @@
 
   /** Returns the sends per millisecond; undefined if not known. A stall lowers it. */
   perMs(nowMs: number): number | undefined {
-    const [firstAtMs] = this.sentAtMs;
-    if (firstAtMs === undefined || this.sentAtMs.length < MIN_SENDS)
+    const latestAtMs = this.sentAtMs.slice(-MAX_SENDS);
+    const [firstAtMs] = latestAtMs;
+    if (firstAtMs === undefined || latestAtMs.length < MIN_SENDS)
       return undefined;
-    return (this.sentAtMs.length - 1) / Math.max(1, nowMs - firstAtMs);
+    return (latestAtMs.length - 1) / Math.max(1, nowMs - firstAtMs);
   }
 }
--- a/packages/core/src/dispatch-queue/workspace-shares.ts
+++ b/packages/core/src/dispatch-queue/workspace-shares.ts
@@ -19,16 +19,29 @@
     return Math.max(this.virtualTimeMs, this.paidMs.get(workspace) ?? 0);
   }
 
-  charge({ expectedServiceMs, workspace }: QueuedRequest): void {
+  charge(request: QueuedRequest): void {
+    const { workspace } = request;
     const start = this.startTag(workspace);
     this.virtualTimeMs = start;
-    const costMs = Math.max(MIN_COST_MS, expectedServiceMs);
-    this.paidMs.set(workspace, start + costMs);
+    this.paidMs.set(workspace, start + costOf(request));
     if (this.paidMs.size > MAX_WORKSPACES) this.forgetIdle();
   }
 
+  /** Takes back the charge for a request that was not sent after all. */
+  refund(request: QueuedRequest): void {
+    const paidMs = this.paidMs.get(request.workspace);
+    if (paidMs === undefined) return;
+    const start = Math.max(0, paidMs - costOf(request));
+    this.paidMs.set(request.workspace, start);
+    this.virtualTimeMs = Math.min(this.virtualTimeMs, start);
+  }
+
   private forgetIdle(): void {
     for (const [workspace, paidMs] of this.paidMs)
       if (paidMs <= this.virtualTimeMs) this.paidMs.delete(workspace);
   }
 }
+
+function costOf({ expectedServiceMs }: QueuedRequest): number {
+  return Math.max(MIN_COST_MS, expectedServiceMs);
+}
