Learn no hold time from requests that reach no endpoint

A request that leaves the queue while no endpoint takes any holds its place for no time. These times counted as short responses, so that the limit in flight allowed requests to wait at endpoints that hold theirs for seconds.

Test: the new one of queue-gate.test.ts failed before, passes now.

--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -34,6 +34,8 @@
 /** Request that was sent and holds a place. */
 interface Sent {
   readonly route: string;
+  /** Whether an endpoint was reserved for it; if not, it ends at once. */
+  readonly isReserved: boolean;
   readonly sentAtMs: number;
   hasResponded: boolean;
 }
@@ -106,7 +108,8 @@
     if (sent === undefined) return;
     this.sent.delete(key);
     const nowMs = this.deps.clock.nowMs();
-    this.queue.release(nowMs - sent.sentAtMs, nowMs);
+    if (sent.isReserved) this.queue.release(nowMs - sent.sentAtMs, nowMs);
+    else this.queue.withdraw();
     this.advanceWaiting();
   }
 
@@ -183,7 +186,9 @@
     }
     this.waiters.delete(key);
     const { route } = call;
-    this.sent.set(key, { route, sentAtMs: nowMs, hasResponded: false });
+    const isReserved = reservation !== undefined;
+    const sent = { route, isReserved, sentAtMs: nowMs, hasResponded: false };
+    this.sent.set(key, sent);
     const waitedMs = nowMs - call.receivedAtMs;
     const { metrics } = this.deps;
     metrics.timingMs('queue.wait', waitedMs, { group: this.group });
