Observe the load again when a daemon becomes the holder of the duties again

The load peak and the observation of an earlier lease counted for the next one: a daemon that got the lease again took a single sample for the load, and released endpoints that another holder had ordered.

Test: the new one of fleet-scaler.test.ts failed before, passes now.

--- a/packages/core/src/duties/fleet-scaler.test.ts
+++ b/packages/core/src/duties/fleet-scaler.test.ts
@@ -36,6 +36,7 @@
   readonly counts = new Map<string, number>();
   hasNoReclaimable = false;
   isDown = false;
+  maxEndpoints = GROUP.scaling.maxEndpoints;
 
   reportUsage(): Promise<ReportOutcome> {
     return Promise.resolve(ReportOutcome.Accepted);
@@ -49,7 +50,7 @@
     const otherKind = this.counts.get(
       `${dataCentre} ${String(!isReclaimable)}`,
     );
-    assert.ok(count + (otherKind ?? 0) <= GROUP.scaling.maxEndpoints);
+    assert.ok(count + (otherKind ?? 0) <= this.maxEndpoints);
     if (isReclaimable && this.hasNoReclaimable) {
       this.counts.set(key, Math.min(count, this.counts.get(key) ?? 0));
       return Promise.resolve(ScalingOutcome.Unavailable);
@@ -68,6 +69,7 @@
 function createFixture(
   endpoints: readonly EndpointRecord[] = [],
   firstPlanAtMs = 0,
+  group = GROUP,
 ) {
   const clock = new ManualClock(1_000);
   const platform = new FakePlatform();
@@ -77,7 +79,7 @@
     clock,
     dutyApi: platform,
     log: noopLog,
-    groups: () => [GROUP],
+    groups: () => [group],
     endpoints: () => endpoints,
     runningIn: () => load.running,
     firstPlanAtMs,
@@ -186,4 +188,23 @@
     await scaler.step(() => ({ ...TOKEN, fencingNumber: 3 }));
     assert.equal(platform.orders.length, 8);
   });
+
+  // The daemon had observed load under its first lease, and took one moment without load for the load of its second.
+  it('keeps what it finds when it becomes the holder again, until it has observed the load again', async () => {
+    const endpoints = Array.from({ length: 6 }, () => READY_ENDPOINTS).flat();
+    const scaling = { ...GROUP.scaling, maxEndpoints: 100 };
+    const group = { ...GROUP, scaling };
+    const { clock, load, platform, scaler, stepFor } = createFixture(
+      endpoints,
+      0,
+      group,
+    );
+    platform.maxEndpoints = scaling.maxEndpoints;
+    load.running = 40;
+    await stepFor(10_000);
+    await clock.advanceTo(clock.nowMs() + 60_000);
+    load.running = 0;
+    await scaler.step(() => ({ ...TOKEN, fencingNumber: 3 }));
+    assert.ok((platform.counts.get('a true') ?? 0) >= 18);
+  });
 });
--- a/packages/core/src/duties/fleet-scaler.ts
+++ b/packages/core/src/duties/fleet-scaler.ts
@@ -50,7 +50,7 @@
   private readonly issuedOrders = new Map<string, IssuedOrder>();
   /** Load peaks, by group. */
   private readonly peaks = new Map<string, SlidingWindowMax>();
-  /** Endpoints found at the first plan, by group. */
+  /** Endpoints found at the first plan under the fencing number, by group. */
   private readonly provisioned = new Map<string, ProvisionedCapacity>();
   private fencingNumber: number | undefined;
 
@@ -65,6 +65,9 @@
     if (this.fencingNumber !== initialToken.fencingNumber) {
       this.fencingNumber = initialToken.fencingNumber;
       this.issuedOrders.clear();
+      // Another daemon planned meanwhile, and the load of that time was not observed.
+      this.peaks.clear();
+      this.provisioned.clear();
     }
     for (const { name, scaling } of this.deps.groups()) {
       if (scaling === undefined) continue;
