Keep the size of an idle fleet, without spare endpoints for spare ones

The endpoints that a daemon found when it began to plan counted as required by the load, so that the plan added the headroom and those for the loss of a data centre to them. The next holder of the duties counted those in turn: computed with planFleet, 28 idle reclaimable endpoints in four data centres became 77, 209 and 561 by three changes of the holder (headroom; without it 41, 57, 77). A data centre with more than its share lost endpoints before the others had started theirs.

Until the load decides, the plan now keeps what is ready, and fills up evenly to the size that was found. The effect on earnings was not measured.

--- a/packages/core/src/duties/fleet-plan.ts
+++ b/packages/core/src/duties/fleet-plan.ts
@@ -17,7 +17,7 @@
   readonly endpoints: readonly EndpointRecord[];
   /** Recent maximum of the requests in flight at the endpoints. */
   readonly peakInFlight: number;
-  /** Endpoints that the group needs whatever its load. */
+  /** Endpoints that the group keeps whatever its load; 0 once its load decides. */
   readonly minRequired: number;
   readonly reclaimableOrders: ReadonlyMap<DataCentre, LastOrder>;
   readonly onDemandOrders: ReadonlyMap<DataCentre, LastOrder>;
@@ -65,14 +65,17 @@
  */
 export function planFleet(state: FleetState): readonly PlannedCount[] {
   const { minRequired, peakInFlight, scaling } = state;
-  const required = Math.max(
+  const requiredByLoad = Math.max(
     MIN_REQUIRED_ENDPOINTS,
-    minRequired,
     Math.ceil(peakInFlight / IN_FLIGHT_PER_ENDPOINT) + 1,
   );
-  const reclaimableTarget = reclaimablePerDataCentre(
-    scaling,
-    required * reclaimableHeadroom(scaling),
+  const required = Math.max(minRequired, requiredByLoad);
+  const reclaimableTarget = Math.max(
+    keptPerDataCentre(scaling, minRequired),
+    reclaimablePerDataCentre(
+      scaling,
+      requiredByLoad * reclaimableHeadroom(scaling),
+    ),
   );
   const dataCentres = dataCentresByPrice(scaling).map(dataCentre =>
     dataCentreStateOf(dataCentre, reclaimableTarget, state),
@@ -92,14 +95,15 @@
     dataCentres,
     dataCentres.map(each => onDemandCapacity(each, reclaimableTarget, scaling)),
   );
-  return dataCentres.flatMap(({ dataCentre }, index) => {
+  return dataCentres.flatMap(({ dataCentre, ready }, index) => {
     const count = onDemandCounts[index] ?? 0;
     const remaining = scaling.maxEndpoints - count;
+    const kept = minRequired > 0 ? ready : 0;
     return [
       {
         dataCentre,
         isReclaimable: true,
-        count: Math.min(reclaimableTarget, remaining),
+        count: Math.min(Math.max(reclaimableTarget, kept), remaining),
       },
       { dataCentre, isReclaimable: false, count },
     ];
@@ -163,6 +167,21 @@
   return reclaimablePrice <= MAX_HEADROOM_PRICE ? RECLAIMABLE_HEADROOM : 1;
 }
 
+/**
+ * Returns the reclaimable endpoints in each data centre that keep the group at its
+ * size. They include no spare ones: the size contains those that an earlier holder
+ * of the duties ordered, and would grow with each change of the holder.
+ */
+function keptPerDataCentre(
+  { maxEndpoints, pricesByDataCentre, reclaimablePrice }: ScalingSettings,
+  minRequired: number,
+): number {
+  if (reclaimablePrice === undefined) return 0;
+  const dataCentreCount = Object.keys(pricesByDataCentre).length;
+  const share = Math.floor(minRequired / Math.max(1, dataCentreCount));
+  return Math.min(maxEndpoints - 1, share);
+}
+
 function reclaimablePerDataCentre(
   scaling: ScalingSettings,
   required: number,
