Leave out loads and estimate errors that are not finite

A load whose figures add up to infinity, as another build or a faulty endpoint may report, left an average that was never a number again, and a histogram that throws for such a value did so in the middle of a response.

Tests: the new ones of load-reports.test.ts and least-work-placement.test.ts failed before, pass now.

--- a/packages/core/src/placement/least-work-placement.test.ts
+++ b/packages/core/src/placement/least-work-placement.test.ts
@@ -19,6 +19,7 @@
   UNGUARDED,
   UNLIMITED,
 } from '../forwarding/index.js';
+import type { Metrics } from '../ports/index.js';
 import { noopLog, noopMetrics, SeededRandom } from '../ports/index.js';
 import { LeastWorkPlacement } from './least-work-placement.js';
 import { LoadReports } from './load-reports.js';
@@ -67,12 +68,15 @@
   readonly pool: EndpointPool;
   private revision = 0;
 
-  constructor(ids: readonly string[], seed = 1) {
+  constructor(
+    ids: readonly string[],
+    seed = 1,
+    metrics: Metrics = noopMetrics,
+  ) {
     const random = new SeededRandom(seed);
     const sharing = { nowMs: () => 0, log: noopLog, metrics: noopMetrics };
     const shared = { random, dataCentre: 'north-1', prefillTokensPerMs: 90 };
     const { reports } = this;
-    const metrics = noopMetrics;
     this.placement = new LeastWorkPlacement({ ...shared, reports, metrics });
     this.pool = new EndpointPool(random, {
       ...shared,
@@ -229,4 +233,17 @@
       { seed: 11, numRuns: 300 },
     );
   });
+
+  // The histogram of the estimate's error threw in the middle of a response.
+  it('records no error of an estimate that is not finite', () => {
+    const timings: number[] = [];
+    const daemon = new TestDaemon(['a'], 1, {
+      ...noopMetrics,
+      timingMs: (_, elapsedMs) => timings.push(elapsedMs),
+    });
+    const slowdown = Number.MAX_VALUE;
+    daemon.reports.record('a', { ...IDLE, running: 100, slowdown });
+    daemon.send(() => 50);
+    assert.ok(timings.every(each => Number.isFinite(each)));
+  });
 });
--- a/packages/core/src/placement/least-work-placement.ts
+++ b/packages/core/src/placement/least-work-placement.ts
@@ -123,6 +123,8 @@
         rates.recordFirst(firstMs, estimate.averageFirstMs, atMs);
         group.firstMs.add(firstMs);
         const errorMs = firstMs - estimate.firstMs;
+        // Histograms throw for a value that is not finite.
+        if (!Number.isFinite(errorMs)) return;
         metrics.timingMs('placement_estimateError', Math.abs(errorMs), {
           direction: errorMs > 0 ? 'tooLow' : 'tooHigh',
         });
--- a/packages/core/src/placement/load-reports.test.ts
+++ b/packages/core/src/placement/load-reports.test.ts
@@ -47,6 +47,14 @@
     assert.equal(own.newest('a')?.load.running, 9);
   });
 
+  // The average of an endpoint that once reported such a load was not a number from then on.
+  it('leaves out a load whose sum is not finite', () => {
+    const reports = createReports({ atMs: START_MS });
+    const most = Number.MAX_VALUE;
+    reports.record('a', { ...LOAD, running: most, waiting: most });
+    assert.equal(reports.newest('a'), undefined);
+  });
+
   it('leaves out lines of another build and messages that it cannot use', () => {
     const reports = createReports({ atMs: START_MS });
     const lines = ['', 'a', '0 b 1 x 3 ', '0 c 1 -2 3 ', '0 d 1 0 16  novel'];
--- a/packages/core/src/placement/load-reports.ts
+++ b/packages/core/src/placement/load-reports.ts
@@ -121,9 +121,10 @@
     clusterAtMs: number,
     receivedAtMs: number,
   ): void {
-    if (!this.isNewer(id, clusterAtMs)) return;
-    const known = this.byId.get(id);
     const active = load.running + load.waiting;
+    // The average would never be finite again.
+    if (!Number.isFinite(active) || !this.isNewer(id, clusterAtMs)) return;
+    const known = this.byId.get(id);
     const before = known?.averageActive ?? active;
     const averageActive = before + AVERAGE_WEIGHT * (active - before);
     this.byId.delete(id);
