Reserve no endpoint for a request whose caller has left before it is queued

The reservation was given back, but had counted against the rate limit of the endpoint and its limit while cold.

Test: the new one of queue-gate.test.ts failed before, passes now.

--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -63,6 +63,7 @@
     signal: AbortSignal,
     isStopping: boolean,
   ): Promise<PoolReservation | undefined> {
+    if (signal.aborted) return undefined;
     const nowMs = this.deps.clock.nowMs();
     const request = this.toQueued(key, call);
     const decision = this.queue.offer(request, this.room(nowMs), nowMs);
@@ -85,7 +86,6 @@
       this.leave(key);
     };
     signal.addEventListener('abort', onAbort, { once: true });
-    if (signal.aborted) onAbort();
     void this.runTimer();
     try {
       return await sent;
--- a/packages/core/src/dispatch-queue/queue-gate.test.ts
+++ b/packages/core/src/dispatch-queue/queue-gate.test.ts
@@ -157,6 +157,15 @@
     assert.equal(harness.ends.get('kept'), undefined);
   });
 
+  // The endpoint that was reserved for it counted the request against its rate limit.
+  it('reserves no endpoint for a request whose caller has left before', async () => {
+    const harness = new GateHarness();
+    harness.offer('left', {}, AbortSignal.abort());
+    await harness.advance(0);
+    assert.deepEqual(harness.sentIds, []);
+    assert.equal(harness.ends.get('left'), 'none');
+  });
+
   it('applies a changed bound to the next request', async () => {
     const harness = new GateHarness();
     harness.fill();
