Look for no endpoint again once a queue finds that none takes a request

Where an endpoint opened for one request, each of the others that the limit allowed looked at all endpoints three times before it went back into the queue.

--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -76,7 +76,7 @@
       this.waiters.set(key, { ...waiter, sinceMs: nowMs });
     });
     if (decision.kind === QueueDecisionKind.Send) {
-      this.send(key, nowMs);
+      this.send(key, nowMs, false);
     } else if (isStopping) {
       this.refuseWaiting();
     }
@@ -161,29 +161,37 @@
   }
 
   private apply(decisions: readonly QueueDecision[], nowMs: number): void {
+    let isClosed = false;
     for (const decision of decisions) {
       if (decision.kind === QueueDecisionKind.Refuse) {
         const waiter = this.takeWaiter(decision.requestId);
         waiter?.reject(this.refuse(decision, waiter.call, nowMs));
       } else {
-        this.send(decision.requestId, nowMs);
+        isClosed = this.send(decision.requestId, nowMs, isClosed);
       }
     }
   }
 
-  private send(key: string, nowMs: number): void {
+  /**
+   * Sends a request, or puts it back. `isClosed` says that no endpoint of the group
+   * may be sent a request now, as one before it found; returns whether that is known then.
+   */
+  private send(key: string, nowMs: number, isClosed: boolean): boolean {
     const waiter = this.waiters.get(key);
-    if (waiter === undefined) return;
+    if (waiter === undefined) return isClosed;
     const { call, request, reserve, resolve } = waiter;
     if (nowMs > waiter.sinceMs && !this.isAdmitted(key, waiter)) {
       this.queue.withdraw();
-      return;
+      return isClosed;
     }
-    const reservation = reserve(nowMs);
     const mayWait = isUseful(request, nowMs);
-    if (reservation === undefined && mayWait && this.isClosedForNow(nowMs)) {
-      this.queue.putBack(request);
-      return;
+    // Looking at all endpoints for each of these requests took processor time by the product of both.
+    const reservation = isClosed && mayWait ? undefined : reserve(nowMs);
+    if (reservation === undefined && mayWait) {
+      if (isClosed || this.isClosedForNow(nowMs)) {
+        this.queue.putBack(request);
+        return true;
+      }
     }
     this.waiters.delete(key);
     const { route } = call;
@@ -194,6 +202,7 @@
     const { metrics } = this.deps;
     metrics.timingMs('queue.wait', waitedMs, { group: this.group });
     resolve(reservation);
+    return isClosed;
   }
 
   /** Whether the group has endpoints, and none of them may be sent a request now. */
--- a/packages/core/src/dispatch-queue/queue-gate.test.ts
+++ b/packages/core/src/dispatch-queue/queue-gate.test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import type { GatePass, PoolReservation } from '../forwarding/index.js';
+import type {
+  GatePass,
+  GroupRoom,
+  PoolReservation,
+} from '../forwarding/index.js';
 import { ForwardError, ForwardErrorKind } from '../forwarding/index.js';
 import {
   ManualClock,
@@ -22,6 +26,9 @@
   room = sampleRoom(1);
   configurationVersion = 1;
   maxRequests = 256;
+  reserveCalls = 0;
+  /** Room once a request was sent, if it changes then. */
+  roomAfterSend: GroupRoom | undefined;
   readonly gate = new QueueGate({
     clock: this.clock,
     nextPoll: () => Promise.resolve(),
@@ -42,8 +49,10 @@
   ): GatePass {
     const pass = this.gate.open(sampleCall({ requestId, ...overrides }));
     const reserve = () => {
+      this.reserveCalls += 1;
       if (this.room.openSlots === 0) return undefined;
       this.sentIds.push(requestId);
+      this.room = this.roomAfterSend ?? this.room;
       return RESERVATION;
     };
     pass.reserve(reserve, signal).then(
@@ -217,6 +226,22 @@
     }
   });
 
+  // Each of the waiting requests looked at all endpoints for each one that was sent.
+  it('looks for an endpoint no further once it finds that none takes a request', async () => {
+    const harness = new GateHarness();
+    const closed = sampleRoom(40, { openSlots: 0 });
+    harness.room = closed;
+    for (let index = 0; index < 20; index += 1) harness.offer(`r-${index}`);
+    harness.room = sampleRoom(40);
+    harness.roomAfterSend = closed;
+    await harness.advance(60);
+    assert.equal(harness.sentIds.length, 1);
+    assert.equal(harness.reserveCalls, 2);
+    harness.room = sampleRoom(40);
+    await harness.advance(60);
+    assert.equal(harness.sentIds.length, 2);
+  });
+
   it('refuses what became too late while the process was paused, and sends the rest', async () => {
     const harness = new GateHarness();
     const [first] = harness.fill();
