Give an error in the choice of an endpoint to the request that it is chosen for

It reached the request that happened to free the place, or ended the timer of the queue, and the place of the failing request was never freed.

Test: the new one of queue-gate.test.ts failed before, passes now.

--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -186,7 +186,15 @@
     }
     const mayWait = isUseful(request, nowMs);
     // Looking at all endpoints for each of these requests took processor time by the product of both.
-    const reservation = isClosed && mayWait ? undefined : reserve(nowMs);
+    let reservation: PoolReservation | undefined;
+    try {
+      if (!isClosed || !mayWait) reservation = reserve(nowMs);
+    } catch (error) {
+      // Thrown on, it would end the request that happened to free the place.
+      this.queue.withdraw();
+      this.takeWaiter(key)?.reject(error);
+      return isClosed;
+    }
     if (reservation === undefined && mayWait) {
       if (isClosed || this.isClosedForNow(nowMs)) {
         this.queue.putBack(request);
--- a/packages/core/src/dispatch-queue/queue-gate.test.ts
+++ b/packages/core/src/dispatch-queue/queue-gate.test.ts
@@ -242,6 +242,25 @@
     assert.equal(harness.sentIds.length, 2);
   });
 
+  // The error reached the request that freed the place, and the place was never freed again.
+  it('gives an error in the choice of an endpoint to the request that it is chosen for', async () => {
+    const harness = new GateHarness();
+    const passes = harness.fill();
+    const failing = harness.gate.open(sampleCall({ requestId: 'failing' }));
+    const failed = assert.rejects(
+      failing.reserve(() => {
+        throw new Error('no choice');
+      }, new AbortController().signal),
+      /no choice/,
+    );
+    harness.offer('next', { deadlineAtMs: 5_000 });
+    passes[0]?.close();
+    await failed;
+    failing.close();
+    await harness.advance(60);
+    assert.equal(harness.ends.get('next'), 'sent');
+  });
+
   it('refuses what became too late while the process was paused, and sends the rest', async () => {
     const harness = new GateHarness();
     const [first] = harness.fill();
