Leave the free slot of a report to a request that is put back

A request sent beyond the limit used up the free slot of a report for a second although no endpoint was reserved for it. The times of such sends also accumulated, and were copied with each one, while no endpoint reported its load.

Test: the new one of put-back.test.ts failed without the change in putBack, passes now; the accumulation has no test of its own.

--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -136,8 +136,10 @@
    * at each attempt, and the turns of the oldest request could all fall on sends
    * that are put back.
    */
-  putBack(request: QueuedRequest): void {
+  putBack(request: QueuedRequest, nowMs: number): void {
     this.withdraw();
+    if (this.inFlightCount >= this.inFlightLimit(nowMs))
+      this.beyondLimitAtMs = this.beyondLimitAtMs.slice(0, -1);
     this.add(request);
     this.shares.refund(request);
     this.rate.removeSend();
@@ -199,10 +201,12 @@
     const isRested = limit >= 1 || nowMs >= this.restsUntilMs;
     if (this.inFlightCount < limit && isRested) return true;
     if (!room.isKnown) return isRested && this.inFlightCount < this.equalShare;
-    this.beyondLimitAtMs = this.beyondLimitAtMs.filter(
-      atMs => nowMs - atMs < REPORT_TTL_MS,
-    );
-    return this.beyondLimitAtMs.length < room.freeSlots;
+    return this.recentBeyondLimit(nowMs).length < room.freeSlots;
+  }
+
+  /** Returns the times of the sends beyond the limit that use up a free slot of the reports in use. */
+  private recentBeyondLimit(nowMs: number): readonly number[] {
+    return this.beyondLimitAtMs.filter(atMs => nowMs - atMs < REPORT_TTL_MS);
   }
 
   /** Sends those that can no longer meet their objective while no endpoint takes any: they are refused on the way, with the time at which one does. */
@@ -214,7 +218,7 @@
 
   private send(request: QueuedRequest, nowMs: number): QueueDecision {
     if (this.inFlightCount >= this.inFlightLimit(nowMs))
-      this.beyondLimitAtMs = [...this.beyondLimitAtMs, nowMs];
+      this.beyondLimitAtMs = [...this.recentBeyondLimit(nowMs), nowMs];
     this.inFlightCount += 1;
     this.shares.charge(request);
     return { kind: QueueDecisionKind.Send, requestId: request.requestId };
--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -197,7 +197,7 @@
     }
     if (reservation === undefined && mayWait) {
       if (isClosed || this.isClosedForNow(nowMs)) {
-        this.queue.putBack(request);
+        this.queue.putBack(request, nowMs);
         return true;
       }
     }
--- a/packages/core/src/dispatch-queue/put-back.test.ts
+++ b/packages/core/src/dispatch-queue/put-back.test.ts
@@ -24,7 +24,7 @@
       .advance(ROOM, turn)
       .filter(({ kind }) => kind === QueueDecisionKind.Send)
       .flatMap(({ requestId }) => byId.get(requestId) ?? []);
-    for (const request of rest) queue.putBack(request);
+    for (const request of rest) queue.putBack(request, turn);
     assert.ok(first !== undefined);
     const next = { ...first, requestId: `new-${turn}`, receivedAtMs: turn };
     byId.set(next.requestId, next);
@@ -88,4 +88,20 @@
     const decision = queue.offer(late, CLOSED, 800);
     assert.equal(decision.kind, QueueDecisionKind.Refuse);
   });
+
+  // It used up the slot that an endpoint had reported free, and waited a second for the next report.
+  it('leaves the free slot of a report to a request that is put back', () => {
+    const queue = sampleQueue();
+    const full = sampleRoom(4, { isKnown: true });
+    for (let sent = 0; sent < 5; sent += 1)
+      queue.offer(sampleQueued(`busy-${sent}`), full, 0);
+    const request = sampleQueued('r');
+    assert.equal(queue.offer(request, full, 0).kind, QueueDecisionKind.Wait);
+    const free = { ...full, freeSlots: 1 };
+    assert.equal(queue.advance(free, 10).length, 1);
+    queue.putBack(request, 10);
+    assert.equal(queue.advance(free, 60).length, 1);
+    queue.offer(sampleQueued('next'), full, 60);
+    assert.equal(queue.advance(free, 70).length, 0);
+  });
 });
