--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -82,11 +82,12 @@
    */
   offer(request: QueuedRequest, room: GroupRoom, nowMs: number): QueueDecision {
     this.updateShare(room);
+    const isFirst = this.waiting.length === 0;
+    if (isFirst) this.rate.clear();
     if (nowMs >= request.deadlineAtMs)
       return this.refuse(request, QueueRefusal.TooLate, nowMs);
     if (isClosed(room) && !isUseful(request, nowMs))
       return this.send(request, nowMs);
-    const isFirst = this.waiting.length === 0;
     if (isFirst && this.hasRoom(room, nowMs) && this.maySend(request, nowMs))
       return this.send(request, nowMs);
     const ahead = this.waiting.filter(
@@ -117,7 +118,6 @@
     }
     if (isClosed(room)) decisions.push(...this.sendLate(nowMs));
     decisions.push(...this.refuseHopeless(nowMs));
-    if (this.waiting.length === 0) this.rate.clear();
     return decisions;
   }
 
@@ -130,10 +130,20 @@
     );
   }
 
-  /** Puts a request back that was to be sent and for which no endpoint could be reserved. */
-  putBack(request: QueuedRequest): void {
+  /**
+   * Puts a request back that was to be sent and for which no endpoint could be
+   * reserved. It does not count as sent: otherwise its workspace would pay for it
+   * at each attempt, and the turns of the oldest request could all fall on sends
+   * that are put back.
+   */
+  putBack(request: QueuedRequest, nowMs: number): void {
     this.withdraw();
+    if (this.inFlightCount >= this.inFlightLimit(nowMs))
+      this.beyondLimitAtMs = this.beyondLimitAtMs.slice(0, -1);
     this.add(request);
+    this.shares.refund(request);
+    this.rate.removeSend();
+    this.sentFromQueue -= 1;
   }
 
   /** Frees the place of a request that was to be sent and was not. */
@@ -145,9 +155,10 @@
    * Frees the place that a request held for `heldMs`. Under a limit below one the
    * place then rests, so that the limit holds on average.
    */
-  release(heldMs: number, nowMs: number): void {
+  release(heldMs: number, nowMs: number, hasResponded = true): void {
     this.inFlightCount -= 1;
-    this.limit.recordHold(heldMs);
+    // Rejections are quick, and say nothing of the time that requests take.
+    if (hasResponded) this.limit.recordHold(heldMs);
     const limit = this.inFlightLimit(nowMs);
     if (limit >= 1) return;
     const restMs = Math.min(MAX_REST_MS, heldMs * (1 / limit - 1));
@@ -190,10 +201,12 @@
     const isRested = limit >= 1 || nowMs >= this.restsUntilMs;
     if (this.inFlightCount < limit && isRested) return true;
     if (!room.isKnown) return isRested && this.inFlightCount < this.equalShare;
-    this.beyondLimitAtMs = this.beyondLimitAtMs.filter(
-      atMs => nowMs - atMs < REPORT_TTL_MS,
-    );
-    return this.beyondLimitAtMs.length < room.freeSlots;
+    return this.recentBeyondLimit(nowMs).length < room.freeSlots;
+  }
+
+  /** Returns the times of the sends beyond the limit that use up a free slot of the reports in use. */
+  private recentBeyondLimit(nowMs: number): readonly number[] {
+    return this.beyondLimitAtMs.filter(atMs => nowMs - atMs < REPORT_TTL_MS);
   }
 
   /** Sends those that can no longer meet their objective while no endpoint takes any: they are refused on the way, with the time at which one does. */
@@ -205,7 +218,7 @@
 
   private send(request: QueuedRequest, nowMs: number): QueueDecision {
     if (this.inFlightCount >= this.inFlightLimit(nowMs))
-      this.beyondLimitAtMs = [...this.beyondLimitAtMs, nowMs];
+      this.beyondLimitAtMs = [...this.recentBeyondLimit(nowMs), nowMs];
     this.inFlightCount += 1;
     this.shares.charge(request);
     return { kind: QueueDecisionKind.Send, requestId: request.requestId };
--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -34,6 +34,8 @@
 /** Request that was sent and holds a place. */
 interface Sent {
   readonly route: string;
+  /** Whether an endpoint was reserved for it; if not, it ends at once. */
+  readonly isReserved: boolean;
   readonly sentAtMs: number;
   hasResponded: boolean;
 }
@@ -61,6 +63,7 @@
     signal: AbortSignal,
     isStopping: boolean,
   ): Promise<PoolReservation | undefined> {
+    if (signal.aborted) return undefined;
     const nowMs = this.deps.clock.nowMs();
     const request = this.toQueued(key, call);
     const decision = this.queue.offer(request, this.room(nowMs), nowMs);
@@ -73,7 +76,7 @@
       this.waiters.set(key, { ...waiter, sinceMs: nowMs });
     });
     if (decision.kind === QueueDecisionKind.Send) {
-      this.send(key, nowMs);
+      this.send(key, nowMs, false);
     } else if (isStopping) {
       this.refuseWaiting();
     }
@@ -83,7 +86,6 @@
       this.leave(key);
     };
     signal.addEventListener('abort', onAbort, { once: true });
-    if (signal.aborted) onAbort();
     void this.runTimer();
     try {
       return await sent;
@@ -106,7 +108,9 @@
     if (sent === undefined) return;
     this.sent.delete(key);
     const nowMs = this.deps.clock.nowMs();
-    this.queue.release(nowMs - sent.sentAtMs, nowMs);
+    const { hasResponded, isReserved, sentAtMs } = sent;
+    if (isReserved) this.queue.release(nowMs - sentAtMs, nowMs, hasResponded);
+    else this.queue.withdraw();
     this.advanceWaiting();
   }
 
@@ -157,37 +161,56 @@
   }
 
   private apply(decisions: readonly QueueDecision[], nowMs: number): void {
+    let isClosed = false;
     for (const decision of decisions) {
       if (decision.kind === QueueDecisionKind.Refuse) {
         const waiter = this.takeWaiter(decision.requestId);
         waiter?.reject(this.refuse(decision, waiter.call, nowMs));
       } else {
-        this.send(decision.requestId, nowMs);
+        isClosed = this.send(decision.requestId, nowMs, isClosed);
       }
     }
   }
 
-  private send(key: string, nowMs: number): void {
+  /**
+   * Sends a request, or puts it back. `isClosed` says that no endpoint of the group
+   * may be sent a request now, as one before it found; returns whether that is known then.
+   */
+  private send(key: string, nowMs: number, isClosed: boolean): boolean {
     const waiter = this.waiters.get(key);
-    if (waiter === undefined) return;
+    if (waiter === undefined) return isClosed;
     const { call, request, reserve, resolve } = waiter;
     if (nowMs > waiter.sinceMs && !this.isAdmitted(key, waiter)) {
       this.queue.withdraw();
-      return;
+      return isClosed;
     }
-    const reservation = reserve(nowMs);
     const mayWait = isUseful(request, nowMs);
-    if (reservation === undefined && mayWait && this.isClosedForNow(nowMs)) {
-      this.queue.putBack(request);
-      return;
+    // Looking at all endpoints for each of these requests took processor time by the product of both.
+    let reservation: PoolReservation | undefined;
+    try {
+      if (!isClosed || !mayWait) reservation = reserve(nowMs);
+    } catch (error) {
+      // Thrown on, it would end the request that happened to free the place.
+      this.queue.withdraw();
+      this.takeWaiter(key)?.reject(error);
+      return isClosed;
+    }
+    if (reservation === undefined && mayWait) {
+      if (isClosed || this.isClosedForNow(nowMs)) {
+        this.queue.putBack(request, nowMs);
+        return true;
+      }
     }
     this.waiters.delete(key);
     const { route } = call;
-    this.sent.set(key, { route, sentAtMs: nowMs, hasResponded: false });
+    const isReserved = reservation !== undefined;
+    const sent = { route, isReserved, sentAtMs: nowMs, hasResponded: false };
+    this.sent.set(key, sent);
     const waitedMs = nowMs - call.receivedAtMs;
     const { metrics } = this.deps;
     metrics.timingMs('queue.wait', waitedMs, { group: this.group });
     resolve(reservation);
+    return isClosed;
   }
 
   /** Whether the group has endpoints, and none of them may be sent a request now. */
--- a/packages/core/src/dispatch-queue/queue-gate.test.ts
+++ b/packages/core/src/dispatch-queue/queue-gate.test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import type { GatePass, PoolReservation } from '../forwarding/index.js';
+import type {
+  GatePass,
+  GroupRoom,
+  PoolReservation,
+} from '../forwarding/index.js';
 import { ForwardError, ForwardErrorKind } from '../forwarding/index.js';
 import {
   ManualClock,
@@ -22,6 +26,9 @@
   room = sampleRoom(1);
   configurationVersion = 1;
   maxRequests = 256;
+  reserveCalls = 0;
+  /** Room once a request was sent, if it changes then. */
+  roomAfterSend: GroupRoom | undefined;
   readonly gate = new QueueGate({
     clock: this.clock,
     nextPoll: () => Promise.resolve(),
@@ -42,8 +49,10 @@
   ): GatePass {
     const pass = this.gate.open(sampleCall({ requestId, ...overrides }));
     const reserve = () => {
+      this.reserveCalls += 1;
       if (this.room.openSlots === 0) return undefined;
       this.sentIds.push(requestId);
+      this.room = this.roomAfterSend ?? this.room;
       return RESERVATION;
     };
     pass.reserve(reserve, signal).then(
@@ -157,6 +166,15 @@
     assert.equal(harness.ends.get('kept'), undefined);
   });
 
+  // The endpoint that was reserved for it counted the request against its rate limit.
+  it('reserves no endpoint for a request whose caller has left before', async () => {
+    const harness = new GateHarness();
+    harness.offer('left', {}, AbortSignal.abort());
+    await harness.advance(0);
+    assert.deepEqual(harness.sentIds, []);
+    assert.equal(harness.ends.get('left'), 'none');
+  });
+
   it('applies a changed bound to the next request', async () => {
     const harness = new GateHarness();
     harness.fill();
@@ -178,6 +196,71 @@
     assert.equal(harness.ends.get('a'), 'sent');
   });
 
+  // Their places were held for a moment, so that responses counted as short and endpoints' waiting requests as no overload.
+  it('learns nothing of the length of responses from requests that get none', async () => {
+    for (const openSlots of [0, 16]) {
+      const harness = new GateHarness();
+      const { gate } = harness;
+      const room = sampleRoom(16, { isKnown: true });
+      harness.room = room;
+      const stream = harness.offer('stream');
+      stream.recordResponse(100);
+      await harness.advance(3_000);
+      stream.close();
+      // No endpoint takes them, or the one that does rejects them.
+      harness.room = { ...room, openSlots };
+      for (let index = 0; index < 60; index += 1)
+        harness.offer(`late-${index}`, { objectiveAtMs: 0 }).close();
+      harness.room = room;
+      const load = { running: 16, waiting: 5, slots: 16 };
+      for (let report = 0; report < 40; report += 1) {
+        await harness.advance(100);
+        gate.recordLoad('engines', load, harness.clock.nowMs());
+      }
+      const times = { objectiveAtMs: 20_000, deadlineAtMs: 20_000 };
+      for (let index = 0; index < 20; index += 1)
+        harness.offer(`next-${index}`, times);
+      await harness.advance(0);
+      const sent = harness.sentIds.filter(id => id.startsWith('next'));
+      assert.ok(sent.length < 16);
+    }
+  });
+
+  // Each of the waiting requests looked at all endpoints for each one that was sent.
+  it('looks for an endpoint no further once it finds that none takes a request', async () => {
+    const harness = new GateHarness();
+    const closed = sampleRoom(40, { openSlots: 0 });
+    harness.room = closed;
+    for (let index = 0; index < 20; index += 1) harness.offer(`r-${index}`);
+    harness.room = sampleRoom(40);
+    harness.roomAfterSend = closed;
+    await harness.advance(60);
+    assert.equal(harness.sentIds.length, 1);
+    assert.equal(harness.reserveCalls, 2);
+    harness.room = sampleRoom(40);
+    await harness.advance(60);
+    assert.equal(harness.sentIds.length, 2);
+  });
+
+  // The error reached the request that freed the place, and the place was never freed again.
+  it('gives an error in the choice of an endpoint to the request that it is chosen for', async () => {
+    const harness = new GateHarness();
+    const passes = harness.fill();
+    const failing = harness.gate.open(sampleCall({ requestId: 'failing' }));
+    const failed = assert.rejects(
+      failing.reserve(() => {
+        throw new Error('no choice');
+      }, new AbortController().signal),
+      /no choice/,
+    );
+    harness.offer('next', { deadlineAtMs: 5_000 });
+    passes[0]?.close();
+    await failed;
+    failing.close();
+    await harness.advance(60);
+    assert.equal(harness.ends.get('next'), 'sent');
+  });
+
   it('refuses what became too late while the process was paused, and sends the rest', async () => {
     const harness = new GateHarness();
     const [first] = harness.fill();
