--- a/packages/stand-ins/src/upgrade/daemon-builds.ts
+++ b/packages/stand-ins/src/upgrade/daemon-builds.ts
@@ -16,9 +16,9 @@
 }
 
 /** The last landing. */
-const PRODUCTION_COMMIT = 'a2ee7e1';
+const PRODUCTION_COMMIT = 'c25a05e';
 /** The landing before; a deployment may skip one. */
-const OLDER_COMMIT = '22e274b';
+const OLDER_COMMIT = 'a2ee7e1';
 
 export const PRODUCTION: EarlierBuild = {
   name: 'build in production',
