Bound requests to a cold endpoint that were chosen for its earlier incarnation

A request that waited for a connection while its endpoint started again was checked against the new token bucket but taken from the old one, so any number of them passed: 6 of 6 in the test, where 1 is the share.

--- a/packages/core/src/cold-starts/cold-starts.test.ts
+++ b/packages/core/src/cold-starts/cold-starts.test.ts
@@ -186,6 +186,25 @@
     assert.equal(written.length, 1);
   });
 
+  it('refuses beyond its share what was chosen for an earlier incarnation, before or while that was cold', () => {
+    for (const coldRemainingMs of [0, 60_000]) {
+      list({ coldRemainingMs });
+      advanceTo(nowMs + 2_000);
+      const early = Array.from({ length: 5 }, () =>
+        guard.recordDispatch(endpoint),
+      );
+      const restarted = list({
+        bornAtMs: EPOCH_MS + nowMs,
+        coldRemainingMs: 60_000,
+      });
+      const late = guard.recordDispatch(restarted);
+      const written = [...early, late].filter(each => each.mayWrite());
+      assert.equal(written.length, 1);
+      for (const each of [...early, late]) each.end();
+      advanceTo(nowMs + COLD_MS);
+    }
+  });
+
   it('passes on how long endpoints stay cold, which does not grow by being passed on', () => {
     const peer = createGuard(['d0']);
     peer.applyListing([endpoint], 0);
--- a/packages/core/src/cold-starts/cold-starts.ts
+++ b/packages/core/src/cold-starts/cold-starts.ts
@@ -86,30 +86,38 @@
   recordDispatch(endpoint: EndpointRecord): ColdDispatch {
     const { coldStartOf, metrics } = this.deps;
     if (coldStartOf(endpoint.group) === undefined) return UNRESTRICTED_DISPATCH;
-    const bucket = this.bucketOf(endpoint);
-    let isHeld = this.remainingMs(endpoint) > 0;
-    if (isHeld) bucket.hold();
+    let held: ShareBucket | undefined;
+    if (this.remainingMs(endpoint) > 0) {
+      held = this.bucketOf(endpoint);
+      held.hold();
+    }
+    const endHold = () => {
+      held?.release();
+      held = undefined;
+    };
     return {
       mayWrite: () => {
+        const bucket = this.bucketOf(endpoint);
+        // The endpoint has started again, which has a bucket of its own.
+        if (held !== bucket) endHold();
         const isCold = this.remainingMs(endpoint) > 0;
         const mayWrite =
           !isCold ||
-          (isHeld ? this.hasShare(bucket) : this.waitMs(endpoint) === 0);
+          (held === undefined
+            ? this.waitMs(endpoint) === 0
+            : this.hasShare(held));
         if (isCold)
           metrics.increment('coldStarts.requests', 1, {
             outcome: mayWrite ? 'written' : 'withheld',
           });
         if (!mayWrite) return false;
-        if (isHeld) bucket.spend();
         // Counted also while the endpoint is warm: it may turn out to have become cold.
-        else bucket.take();
-        isHeld = false;
+        if (held === undefined) bucket.take();
+        else held.spend();
+        held = undefined;
         return true;
       },
-      end: () => {
-        if (isHeld) bucket.release();
-        isHeld = false;
-      },
+      end: endHold,
     };
   }
 
