Skip windows by the clock where the usage reports cannot be read

After a kill of all daemons the ledger is empty when the reports are read, so no window was skipped; the counts that were restored afterwards made windows be reported a second time, possibly with other counts.

--- a/packages/core/src/duties/usage-checkpoint.test.ts
+++ b/packages/core/src/duties/usage-checkpoint.test.ts
@@ -88,6 +88,28 @@
     assert.deepEqual(second.reported, [{ kowhai: 5 }]);
   });
 
+  it('does not report windows again whose counts come back after reports that cannot be read', async () => {
+    const clock = new ManualClock(10_000);
+    const store = new MemoryKeyValue(clock);
+    const first = startHolder(clock, store, 1);
+    await first.store();
+    first.ledger.count('kowhai', 0);
+    await clock.advanceTo(11_500);
+    await first.store();
+    await store.put({
+      key: 'skylarkreach/usage',
+      value: '{',
+      expectedVersion: 0,
+      deadlineAtMs: 12_000,
+    });
+    await clock.advanceTo(16_600);
+    const second = startHolder(clock, store, 2);
+    await second.report();
+    await second.store();
+    await second.report();
+    assert.deepEqual(second.reported, []);
+  });
+
   it('counts once what comes back from the store and from peers, in any order', () => {
     const message = fc.tuple(fc.constantFrom('a/1', 'b/1', 'b/2'), fc.nat(9));
     const property = fc.property(fc.array(message), sent => {
--- a/packages/core/src/duties/usage-ledger.ts
+++ b/packages/core/src/duties/usage-ledger.ts
@@ -100,6 +100,11 @@
       .sort((left, right) => left - right);
   }
 
+  /** Returns the id of the window that has not ended yet. */
+  openWindowId(): number {
+    return this.windowIdAt(this.clusterTimeMs());
+  }
+
   /** Returns the time since the end of a window, in milliseconds. */
   endedAgoMs(windowId: number): number {
     return this.clusterTimeMs() - (windowId + 1) * this.windowMs;
--- a/packages/core/src/duties/usage-reporter.ts
+++ b/packages/core/src/duties/usage-reporter.ts
@@ -116,7 +116,8 @@
   /** Leaves out the windows that have ended, which may have been reported with other counts than those known here. */
   private skipEndedWindows(): void {
     const { ledger, log } = this.deps;
-    this.firstWindowId = Math.max(...ledger.endedWindows(0), -1) + 1;
+    // Not from the windows in the ledger: counts of earlier ones may still be restored.
+    this.firstWindowId = ledger.openWindowId();
     log.error(
       LogComponent.Duties,
       'The stored usage reports cannot be read; the windows until now are not reported.',
