--- a/packages/core/src/duties/fleet-scaler.test.ts
+++ b/packages/core/src/duties/fleet-scaler.test.ts
@@ -112,6 +112,17 @@
     assert.equal(platform.orders.at(-1)?.dataCentre, 'b');
   });
 
+  it('leaves out the orders of a step in a data centre whose evacuation begins during the step', async () => {
+    const { evacuated, platform, scaler } = createFixture(READY_ENDPOINTS);
+    const orderEndpoints = platform.orderEndpoints.bind(platform);
+    platform.orderEndpoints = order => {
+      evacuated.add('a').add('b');
+      return orderEndpoints(order);
+    };
+    await scaler.step(() => TOKEN);
+    assert.equal(platform.orders.length, 1);
+  });
+
   it('sends an accepted order again only after the reissue interval', async () => {
     const { platform, scaler, stepFor } = createFixture(READY_ENDPOINTS);
     await scaler.step(() => TOKEN);
--- a/packages/core/src/duties/fleet-scaler.ts
+++ b/packages/core/src/duties/fleet-scaler.ts
@@ -71,6 +71,8 @@
       for (const order of this.plan(name, scaling)) {
         const token = currentToken();
         if (token === undefined) return;
+        // The evacuation may have begun during the call before.
+        if (this.deps.isEvacuated(order.dataCentre)) continue;
         await this.issue(order, token);
       }
     }
