Keep the stored usage reports across a restore of the store

After a restore from an older copy the holder of the duties read the older reports, stored the windows after them again with its present counts, and a successor sent these beside the ones that had been reported.

--- a/packages/core/src/duties/usage-reporter.ts
+++ b/packages/core/src/duties/usage-reporter.ts
@@ -98,7 +98,7 @@
       this.storedVersion = entry?.version ?? 0;
       const reports = entry === undefined ? [] : parseReports(entry.value);
       if (reports === undefined) this.skipEndedWindows();
-      this.storedReports = reports ?? [];
+      this.storedReports = this.withNewerKnown(reports ?? []);
       return true;
     } catch (error) {
       if (!(error instanceof PlatformError)) throw error;
@@ -113,6 +113,15 @@
     }
   }
 
+  /** Adds the reports that this daemon stored after those read: the store may have been restored from an older copy. */
+  private withNewerKnown(reports: readonly UsageReport[]): UsageReport[] {
+    const lastReadId = reports.at(-1)?.windowId ?? -Infinity;
+    const newer = this.storedReports.filter(
+      ({ windowId }) => windowId > lastReadId,
+    );
+    return [...reports, ...newer].slice(-RETAINED_REPORTS);
+  }
+
   /** Leaves out the windows that have ended, which may have been reported with other counts than those known here. */
   private skipEndedWindows(): void {
     const { ledger, log } = this.deps;
--- a/packages/core/src/duties/usage.test.ts
+++ b/packages/core/src/duties/usage.test.ts
@@ -162,6 +162,34 @@
     ]);
   });
 
+  it('is not reported again with other counts after the store was restored from an older copy', async () => {
+    const clock = new ManualClock(10_000);
+    const ledger = new UsageLedger(WINDOW_MS, () => clock.nowMs());
+    const platform = new FakePlatform();
+    const store = new MemoryKeyValue(clock);
+    ledger.count('kowhai', 0);
+    await clock.advanceTo(16_500);
+    const reporter = createReporter(clock, store, platform, ledger);
+    await reporter.step(tokenOf('a', 1));
+    await store.put({
+      key: 'skylarkreach/usage',
+      value: '[]',
+      expectedVersion: 1,
+      deadlineAtMs: 17_000,
+    });
+    ledger.count('kowhai', 6_000);
+    ledger.count('kowhai', 0);
+    await clock.advanceTo(21_600);
+    await reporter.step(tokenOf('a', 2));
+    const successor = createReporter(clock, store, platform, ledger);
+    await successor.step(tokenOf('b', 3));
+    const reports = platform.reports.filter(each => each.windowId === 2);
+    assert.deepEqual(reports, [
+      { windowId: 2, counts: { kowhai: 1 } },
+      { windowId: 2, counts: { kowhai: 1 } },
+    ]);
+  });
+
   it('waits for missing counts of daemons, up to a limit', async () => {
     const clock = new ManualClock(10_000);
     const store = new MemoryKeyValue(clock);
