--- a/packages/core/src/hints/hint-store.test.ts
+++ b/packages/core/src/hints/hint-store.test.ts
@@ -118,6 +118,19 @@
     store.add(hints('b', 1, newer), 1_000, 1_000);
     assert.equal(store.endpointReadAtMs(1), 900);
     assert.equal(store.endpointReadAtMs(5), 990);
+    assert.equal(store.endpointReadAtMs(1), 900);
+  });
+
+  it('takes account of each read and of each daemon that is forgotten, though it remembers its last result', () => {
+    const store = new HintStore();
+    store.add(hints('a', 1, { endpointReadAgeMs: 100 }), 1_000, 1_000);
+    store.add(hints('b', 1, { endpointReadAgeMs: 50 }), 1_000, 1_000);
+    assert.equal(store.endpointReadAtMs(1), 950);
+    const later = { endpointReadAgeMs: 50, endpointsVersion: 5 };
+    store.add(hints('b', 2, later), 1_100, 1_100);
+    assert.equal(store.endpointReadAtMs(1), 900);
+    store.add(hints('c', 1, {}), 60_000);
+    assert.equal(store.endpointReadAtMs(1), -Infinity);
   });
 
   it('does not take a read in hints that were delayed in transit for a recent one', () => {
