--- a/packages/core/src/forwarding/endpoint-pool.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -118,6 +118,17 @@
     assert.equal(chooseEndpoint(pool), 'bb');
   });
 
+  it('does not take a request that it withholds itself for a failure of the endpoint', () => {
+    const withheld = { mayWrite: () => false, end: () => undefined };
+    const coldStarts = { ...NEVER_COLD, recordDispatch: () => withheld };
+    const pool = createPool(['a'], 1, undefined, UNGUARDED, coldStarts);
+    const reservation = pool.reserve(query, 0);
+    assert.equal(reservation?.mayWrite?.(), false);
+    reservation.release(AttemptVerdict.Failed, 0);
+    const [state] = pool.dumpState(0) as { readonly failureShare: number }[];
+    assert.equal(state?.failureShare, 0);
+  });
+
   it('spreads requests over equivalent endpoints', () => {
     const pool = createPool(['a', 'bb', 'ccc']);
     const counts = new Map<string, number>();
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -293,6 +293,7 @@
     const lifetime = this.lifetimes.watch(member.record);
     let ownBacklogTokens = uncachedTokens;
     let isActive = true;
+    let isWithheld = false;
     const clearBacklog = () => {
       member.backlogTokens -= ownBacklogTokens;
       ownBacklogTokens = 0;
@@ -300,7 +301,10 @@
     return {
       endpoint: member.record,
       lifetime: lifetime.signal,
-      mayWrite: () => coldDispatch.mayWrite(),
+      mayWrite: () => {
+        isWithheld = !coldDispatch.mayWrite();
+        return !isWithheld;
+      },
       placementFields: () => observation?.fields() ?? {},
       recordFirstEvent: atMs => {
         clearBacklog();
@@ -334,7 +338,8 @@
         coldDispatch.end();
         member.running -= 1;
         observation?.end(verdict === AttemptVerdict.Succeeded, atMs);
-        if (verdict === undefined) return;
+        // A request that this daemon withholds says nothing about the endpoint.
+        if (verdict === undefined || isWithheld) return;
         member.health.record(verdict === AttemptVerdict.Failed, atMs);
       },
     };
