--- a/packages/core/src/duties/usage-reporter.ts
+++ b/packages/core/src/duties/usage-reporter.ts
@@ -68,6 +68,7 @@
       if (token === undefined) return;
       if (!(await this.sendReport(report, token))) return;
     }
+    this.forgetSentBefore(this.storedReports[0]?.windowId ?? -Infinity);
   }
 
   /** First window whose report is not stored. */
@@ -87,6 +88,11 @@
       );
   }
 
+  private forgetSentBefore(firstWindowId: number): void {
+    for (const windowId of this.sentWindowIds)
+      if (windowId < firstWindowId) this.sentWindowIds.delete(windowId);
+  }
+
   /** Reads the stored reports. Returns false where the key-value service does not answer. */
   private async loadStoredReports(): Promise<boolean> {
     const { clock, keyValue, log } = this.deps;
