Refuse waiting requests whose home regions have been restricted

A request that waited in the queue kept the home regions of its arrival, and reached endpoints outside those that the configuration allowed by then. It is refused as not run; one whose regions were extended goes on as it was.

--- a/packages/core/src/forwarding/dispatch-gate.ts
+++ b/packages/core/src/forwarding/dispatch-gate.ts
@@ -26,7 +26,7 @@
   readonly deadlineAtMs: number;
   /** Size of the body in bytes. */
   readonly bytes: number;
-  /** Throws `ForwardError` if the request is no longer admitted: its route or workspace was removed, or it was found to crash endpoints. */
+  /** Throws `ForwardError` if the request is no longer admitted: its route or workspace was removed, its home regions exclude some that it had, or it was found to crash endpoints. */
   readonly recheck: () => void;
 }
 
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -73,6 +73,7 @@
   readonly observedEnds: (boolean | undefined)[] = [];
   /** What responses told the guard of endpoints. */
   readonly guardedResponses: GuardedResponse[] = [];
+  readonly configuration = new ConfigurationStore();
   readonly evacuations = new Evacuations();
   readonly tokenBuckets = new TokenBucketLedger();
   readonly pool = new EndpointPool(new SeededRandom(1), {
@@ -123,8 +124,7 @@
     }: HarnessOptions = {},
   ) {
     this.upstream = new ScriptedUpstream(script, this.clock);
-    const configuration = new ConfigurationStore();
-    configuration.apply(sampleConfiguration([route], {}, tokenRate));
+    this.configuration.apply(sampleConfiguration([route], {}, tokenRate));
     this.listEndpoints(endpoints);
     const refill = () => this.budgetRefill;
     this.budget = new RetryBudget({
@@ -150,7 +150,7 @@
         reachesEndpoints: () => Promise.resolve(this.reachesEndpoints),
       }),
       crashGuard: this.crashGuard,
-      configuration,
+      configuration: this.configuration,
       pool: this.pool,
       endpointListAgeMs: () => 0,
       tokenBuckets: this.tokenBuckets,
--- a/packages/core/src/forwarding/forward-error.ts
+++ b/packages/core/src/forwarding/forward-error.ts
@@ -88,6 +88,15 @@
   );
 }
 
+/** Returns the error for a request that has waited while its home regions were restricted further. */
+export function homeRegionsChangedError(): ForwardError {
+  return new ForwardError(
+    ForwardErrorKind.NoHomeRegion,
+    'The regions that the route and the workspace allow have changed; send the request again.',
+    0,
+  );
+}
+
 /** Returns the error for a request that was not executed, as the daemon is stopping. */
 export function daemonStoppingError(): ForwardError {
   return new ForwardError(
--- a/packages/core/src/forwarding/forward-queue.test.ts
+++ b/packages/core/src/forwarding/forward-queue.test.ts
@@ -3,6 +3,7 @@
 
 import {
   ForwarderHarness,
+  sampleConfiguration,
   sampleEndpoint,
   sampleRoute,
   ScriptedGate,
@@ -87,6 +88,32 @@
     await served;
   });
 
+  // Its home regions were those of its arrival, so that it reached endpoints outside the present ones.
+  it('is no longer admitted once its home regions exclude some that it had', async () => {
+    const changes = [
+      [undefined, ['north'], true],
+      [['north', 'south'], ['north'], true],
+      [['north'], ['north', 'south'], false],
+      [['north'], undefined, false],
+    ] as const;
+    for (const [before, after, isRefused] of changes) {
+      const gate = new ScriptedGate();
+      const options = { dispatchGate: gate };
+      const arrived = { ...route, homeRegions: before };
+      const harness = new ForwarderHarness([{}], arrived, options);
+      const served = harness.serve();
+      const routes = [{ ...route, homeRegions: after }];
+      harness.configuration.apply(sampleConfiguration(routes, { version: 2 }));
+      const recheck = () => {
+        gate.calls[0]?.recheck();
+      };
+      if (isRefused) assert.throws(recheck, ForwardError);
+      else assert.doesNotThrow(recheck);
+      harness.callerAbort.abort();
+      await served;
+    }
+  });
+
   // Tokens that were deducted on arrival let requests reach endpoints together with later ones, beyond the rate limit.
   it('uses tokens once it is sent, and none if the queue refuses it', async () => {
     const tokenRate = {
--- a/packages/core/src/forwarding/gated-call.ts
+++ b/packages/core/src/forwarding/gated-call.ts
@@ -1,6 +1,10 @@
 import type { GatePass } from './dispatch-gate.js';
-import { requestBlockedError } from './forward-error.js';
+import {
+  homeRegionsChangedError,
+  requestBlockedError,
+} from './forward-error.js';
 import type { ForwarderDependencies } from './forwarder.js';
+import { includesAll } from './home-regions.js';
 import { resolveRequest } from './resolve-request.js';
 import type { RunContext } from './run-context.js';
 
@@ -28,7 +32,9 @@
     deadlineAtMs,
     bytes: body?.byteLength ?? 0,
     recheck: () => {
-      resolveRequest(configuration, metadata, target);
+      const { homeRegions } = resolveRequest(configuration, metadata, target);
+      if (!includesAll(homeRegions, resolved.homeRegions))
+        throw homeRegionsChangedError();
       const blockedForMs = crashGuard.blockedForMs(context.suspectIds);
       if (blockedForMs !== undefined) throw requestBlockedError(blockedForMs);
     },
--- a/packages/core/src/forwarding/home-regions.ts
+++ b/packages/core/src/forwarding/home-regions.ts
@@ -24,6 +24,15 @@
   return one?.filter(region => other.includes(region));
 }
 
+/** Returns whether home regions include all others; undefined stands for no restriction. */
+export function includesAll(
+  regions: readonly Region[] | undefined,
+  others: readonly Region[] | undefined,
+): boolean {
+  if (regions === undefined) return true;
+  return others?.every(region => regions.includes(region)) === true;
+}
+
 /** Regions of the data centres, as one daemon's settings have them. */
 export class RegionMap {
   constructor(
