Release the context of a request to an endpoint when it ends

Each idle client of an endpoint's pool kept the context of its last request, and with it the run and the body of up to 4 MiB, which no account of memory counted any more.

--- a/packages/daemon/src/gateway/metered-client.test.ts
+++ b/packages/daemon/src/gateway/metered-client.test.ts
@@ -18,6 +18,7 @@
   /** Called by the poll in which a connection is established. */
   let onConnected: () => void;
   let client: MeteredClient;
+  let last: { context?: RequestContext | undefined };
   const contexts = new WeakMap<object, RequestContext>();
   const server = createServer(
     (_request: IncomingMessage, response: ServerResponse) => {
@@ -48,7 +49,15 @@
       });
     };
     const origin = `http://127.0.0.1:${port}`;
-    client = new MeteredClient(origin, {}, connectLate, contexts);
+    last = {};
+    client = new MeteredClient(
+      origin,
+      {},
+      connectLate,
+      contexts,
+      undefined,
+      last,
+    );
   });
 
   afterEach(async () => {
@@ -100,6 +109,23 @@
     assert.equal(requestCount, 1);
   });
 
+  // A client stays in its pool for good, and a context refers to the request with its body.
+  it('retains no context of a request that has ended', async () => {
+    openConnection();
+    for (const mayWrite of [true, false]) {
+      const options = { path: '/', method: 'GET' } as const;
+      contexts.set(options, {
+        isEndpointUsable: () => true,
+        mayWrite: () => mayWrite,
+      });
+      const response = client.request(options);
+      assert.notEqual(last.context, undefined);
+      if (mayWrite) await (await response).body.dump();
+      else await assert.rejects(response, EndpointWithdrawnError);
+      assert.equal(last.context, undefined);
+    }
+  });
+
   // Chunks of one byte kept the daemon busy beyond the limits of other requests.
   it('breaks off a body of many small chunks, and reads one of fewer or larger ones', async () => {
     openConnection();
--- a/packages/daemon/src/gateway/metered-client.ts
+++ b/packages/daemon/src/gateway/metered-client.ts
@@ -99,8 +99,8 @@
     /** Contexts by the options of the request. */
     private readonly contexts: WeakMap<object, RequestContext>,
     private readonly meter = new ResponseMeter(),
-    /** Context of the request that was dispatched last. */
-    private readonly last: { context?: RequestContext } = {},
+    /** Context of the request that was dispatched last, until it ends: it refers to the request's body, and idle clients stay in their pool. */
+    private readonly last: { context?: RequestContext | undefined } = {},
   ) {
     super(origin, {
       ...options,
@@ -139,6 +139,9 @@
     if (context !== undefined) {
       this.last.context = context;
       checkWrite(handler, context);
+      onEnd(handler, () => {
+        if (this.last.context === context) this.last.context = undefined;
+      });
     }
     meterBody(handler, this.meter);
     return super.dispatch(options, handler);
@@ -151,6 +154,22 @@
   onConnect?(abort: () => void): void;
   /** Returns false if the parser is to pause. */
   onData?(chunk: Buffer): boolean;
+  onComplete?(trailers: string[] | null): void;
+  onError?(error: Error): void;
+}
+
+/** Calls the listener once the request has succeeded or failed. */
+function onEnd(handler: RequestHandler, listener: () => void): void {
+  const onComplete = handler.onComplete?.bind(handler);
+  const onError = handler.onError?.bind(handler);
+  handler.onComplete = trailers => {
+    listener();
+    onComplete?.(trailers);
+  };
+  handler.onError = error => {
+    listener();
+    onError?.(error);
+  };
 }
 
 /** Makes the handler record each part of a body before it is buffered. */
