--- a/packages/core/src/duties/usage-reporter.ts
+++ b/packages/core/src/duties/usage-reporter.ts
@@ -68,6 +68,7 @@
       if (token === undefined) return;
       if (!(await this.sendReport(report, token))) return;
     }
+    this.forgetSentBefore(this.storedReports[0]?.windowId ?? -Infinity);
   }
 
   /** First window whose report is not stored. */
@@ -87,6 +88,11 @@
       );
   }
 
+  private forgetSentBefore(firstWindowId: number): void {
+    for (const windowId of this.sentWindowIds)
+      if (windowId < firstWindowId) this.sentWindowIds.delete(windowId);
+  }
+
   /** Reads the stored reports. Returns false where the key-value service does not answer. */
   private async loadStoredReports(): Promise<boolean> {
     const { clock, keyValue, log } = this.deps;
@@ -98,7 +104,7 @@
       this.storedVersion = entry?.version ?? 0;
       const reports = entry === undefined ? [] : parseReports(entry.value);
       if (reports === undefined) this.skipEndedWindows();
-      this.storedReports = reports ?? [];
+      this.storedReports = this.withNewerKnown(reports ?? []);
       return true;
     } catch (error) {
       if (!(error instanceof PlatformError)) throw error;
@@ -113,10 +119,20 @@
     }
   }
 
+  /** Adds the reports that this daemon stored after those read: the store may have been restored from an older copy. */
+  private withNewerKnown(reports: readonly UsageReport[]): UsageReport[] {
+    const lastReadId = reports.at(-1)?.windowId ?? -Infinity;
+    const newer = this.storedReports.filter(
+      ({ windowId }) => windowId > lastReadId,
+    );
+    return [...reports, ...newer].slice(-RETAINED_REPORTS);
+  }
+
   /** Leaves out the windows that have ended, which may have been reported with other counts than those known here. */
   private skipEndedWindows(): void {
     const { ledger, log } = this.deps;
-    this.firstWindowId = Math.max(...ledger.endedWindows(0), -1) + 1;
+    // Not from the windows in the ledger: counts of earlier ones may still be restored.
+    this.firstWindowId = ledger.openWindowId();
     log.error(
       LogComponent.Duties,
       'The stored usage reports cannot be read; the windows until now are not reported.',
