--- a/packages/daemon/src/gateway/relay-server.test.ts
+++ b/packages/daemon/src/gateway/relay-server.test.ts
@@ -30,9 +30,11 @@
   excludedIds: [],
 });
 
+const MAX_BODY_BYTES = 4_194_304;
+const PEER_MEMORY_BYTES = 1_048_576;
 const LIMITS = {
   maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_096,
+  maxBodyBytes: MAX_BODY_BYTES,
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
@@ -47,7 +49,7 @@
     limits: () => LIMITS,
     peerMemory: new RequestMemory(
       { clock, log: noopLog, metrics: noopMetrics },
-      1_048_576,
+      PEER_MEMORY_BYTES,
     ),
     peerServer: { verifySignature: () => undefined } as unknown as PeerServer,
     forwarder: {
@@ -85,4 +87,18 @@
     await server.whenIdle();
     assert.equal(sentOn, 0);
   });
+
+  // The peer's next request on the connection would wait behind the unread rest.
+  it('closes the connection of a message that it has no memory for', async () => {
+    const address = await listener.listen();
+    const socket = connect(Number(address.split(':')[1]), '127.0.0.1');
+    await once(socket, 'connect');
+    socket.write(
+      `POST /relay HTTP/1.1\r\nhost: a\r\ncontent-length: ${MAX_BODY_BYTES}\r\n\r\n`,
+    );
+    socket.write(Buffer.alloc(PEER_MEMORY_BYTES + 1));
+    const [head] = (await once(socket, 'data')) as [Buffer];
+    socket.destroy();
+    assert.match(String(head), /^HTTP\/1\.1 503 .*\r\nconnection: close\r\n/is);
+  });
 });
--- a/packages/daemon/src/gateway/relay-server.ts
+++ b/packages/daemon/src/gateway/relay-server.ts
@@ -184,6 +184,8 @@
   endpointId: string,
 ): void {
   response.sendDate = false;
+  // The peer's next request would wait behind the unread rest of the message.
+  if (!response.req.complete) response.shouldKeepAlive = false;
   response.writeHead(httpStatus, {
     [RelayHeader.NotRun]: kind,
     [RelayHeader.Endpoint]: endpointId,
