Give back the memory of a pipelined request whose connection closes

Node.js closes only the response whose turn it is. The memory of a request is held until its response closes, so that each request that waited behind another one kept its share for good once its caller had left, and its handler went on.

--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -110,12 +110,22 @@
     // A request that follows those for which its connection was closed.
     if (request.socket.destroyed) return;
     const connection = this.connections.of(request.socket);
-    this.connections.track(response, connection);
+    const { ended } = this.connections.track(response, connection);
+    void ended.then(() => {
+      closeUnlessClosed(response);
+    });
     if (this.isClosing) announceEnd(connection);
     this.listener(request, response);
   }
 }
 
+/** Closes a response that waits behind another one as its connection closes, which Node.js does not: its handler would go on and keep its memory. */
+function closeUnlessClosed(response: ServerResponse): void {
+  if (response.closed) return;
+  response.destroy();
+  response.emit('close');
+}
+
 /** Has the last of the responses in progress say that its connection closes after it. */
 function announceEnd({ responses }: Connection): void {
   for (const { response } of responses)
