Answer requests whose target is no URL with 404

The router threw in the operators' listener, before its handler of errors: the request had no response and its connection stayed open. At the callers' listener it was taken for a failure of an endpoint (502).

--- a/packages/daemon/src/http/http-router.ts
+++ b/packages/daemon/src/http/http-router.ts
@@ -17,6 +17,9 @@
   readonly handler: HttpHandler;
 }
 
+/** Base of the targets of requests, which are paths. */
+const BASE_URL = 'http://localhost';
+
 /** Router that finds the handler of a request by method and path. */
 export class HttpRouter {
   private readonly routes: Route[] = [];
@@ -30,12 +33,14 @@
     return this;
   }
 
-  /** Returns the handler bound to its exchange, or undefined if no route matches. */
+  /** Returns the handler bound to its exchange, or undefined if no route matches or the target is no URL. */
   find(
     request: IncomingMessage,
     response: ServerResponse,
   ): (() => Promise<void>) | undefined {
-    const url = new URL(request.url ?? '/', 'http://localhost');
+    const target = request.url ?? '/';
+    if (!URL.canParse(target, BASE_URL)) return undefined;
+    const url = new URL(target, BASE_URL);
     for (const route of this.routes) {
       const match = route.pattern.exec(url.pathname);
       if (match === null || !this.acceptsMethod(route, request)) continue;
