--- a/packages/daemon/src/operators/operator-server.ts
+++ b/packages/daemon/src/operators/operator-server.ts
@@ -165,6 +165,8 @@
   response: ServerResponse,
   operatorResponse: OperatorResponse,
 ): void {
+  // The next request on the connection would wait behind the unread rest of a refused body.
+  if (!response.req.complete) response.shouldKeepAlive = false;
   response.writeHead(operatorResponse.status, {
     'content-type': 'application/json',
   });
