Keep a pipelined connection that a refusal need not close

A refusal by a daemon that is behind holds no memory, but closed the connection, and the response of a request that ran was lost with it. A request that found no memory after the response before it had ended was not told that it has not run.

--- a/packages/daemon/src/gateway/ingress-server.ts
+++ b/packages/daemon/src/gateway/ingress-server.ts
@@ -66,9 +66,9 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly connection: Connection;
-  /** Whether the responses to earlier requests on the connection are still due. */
-  readonly isPipelined: boolean;
   requestId?: string | undefined;
+  /** Memory of the request; undefined until its head is accepted. */
+  memory?: RequestShare | undefined;
   /** The forwarder records the outcome. */
   isForwarded: boolean;
 }
@@ -194,10 +194,8 @@
       request,
       response,
       connection,
-      isPipelined: turn !== undefined,
       isForwarded: false,
     };
-    let memory: RequestShare | undefined;
     try {
       const metadata = this.deps.protocol.readRequest(request.rawHeaders);
       const { requestId } = metadata;
@@ -206,13 +204,12 @@
       this.deps.forwarder.rejectLate(head);
       this.deps.forwarder.rejectExcess(head);
       this.reader.checkHeaders(request);
-      memory = this.deps.requestMemory.open(this.callerOf(metadata, socket));
-      // A refusal that waits for its turn would keep the memory of the request.
-      if (turn !== undefined) {
-        memory.onEvicted = () => {
-          connection.destroy(ConnectionEnd.OverLimit);
-        };
-      }
+      const caller = this.callerOf(metadata, socket);
+      const memory = this.deps.requestMemory.open(caller);
+      exchange.memory = memory;
+      memory.onEvicted = () => {
+        if (isWaiting(exchange)) connection.destroy(ConnectionEnd.OverLimit);
+      };
       const body = await Promise.race([
         this.reader.readBody(request, memory),
         whenAborted(signal),
@@ -247,7 +244,7 @@
     } catch (error) {
       this.sendError(error, exchange);
     } finally {
-      memory?.close();
+      exchange.memory?.close();
     }
   }
 
@@ -258,28 +255,21 @@
     return workspace ?? socket.remoteAddress ?? '';
   }
 
-  private sendError(
-    error: unknown,
-    {
-      request,
-      response,
-      connection,
-      requestId,
-      isForwarded,
-      isPipelined,
-    }: Exchange,
-  ): void {
+  private sendError(error: unknown, exchange: Exchange): void {
+    const { request, response, connection, requestId, isForwarded, memory } =
+      exchange;
     if (response.headersSent || response.destroyed) {
       connection.recordEnd(ConnectionEnd.Aborted);
       abortResponse(response);
       return;
     }
     const forwardError = toForwardError(error);
-    if (
+    const isOutOfMemory =
       forwardError.kind === ForwardErrorKind.Overloaded &&
-      isPipelined &&
-      !isForwarded
-    ) {
+      memory !== undefined &&
+      !isForwarded;
+    // A refusal that waits for its turn would keep the memory of the request.
+    if (isOutOfMemory && isWaiting(exchange)) {
       this.records.recordRejected(forwardError, requestId, connection.address);
       connection.destroy(ConnectionEnd.OverLimit);
       return;
@@ -338,6 +328,11 @@
   }
 }
 
+/** Returns whether the response to an earlier request on the connection is still due. */
+function isWaiting({ connection, response }: Exchange): boolean {
+  return connection.responses[0]?.response !== response;
+}
+
 /** Returns whether a response can still be sent on a connection. */
 function isOpen(socket: Duplex): boolean {
   return socket.writable;
