Close unread connections also if their callers go on to send bytes

Each byte that came restarted the timeout of the socket, so that a caller that sent one now and then kept its response, and the memory of it, for as long as it liked. The checks now look at what was sent themselves. The test of an unread response waits for the close instead of the timeout, which may come later.

--- a/packages/daemon/src/http/connection-limit.test.ts
+++ b/packages/daemon/src/http/connection-limit.test.ts
@@ -13,10 +13,12 @@
 import { Connections } from './connections.js';
 import { listenOn } from './http-listener.js';
 import { closeIdleConnections } from './idle-connections.js';
+import { nextPoll } from './next-poll.js';
 
 const MAX_CONNECTIONS = 4;
 const MAX_PARTIAL_HEAD_BYTES = 20_000;
 const UNREAD_TIMEOUT_MS = 300;
+const PARTIAL_HEAD = 'GET / HTTP/1.1\r\nhost: a\r\nb: ';
 const LARGE_BYTES = 32 * 1_024 * 1_024; // more than the buffers of a connection
 
 describe('ConnectionLimit', () => {
@@ -134,8 +136,36 @@
     const silent = await open(get('/silent'));
     const unread = await open(get('/large'));
     unread.pause();
-    while (closed.length === 0) await once(server, 'timeout');
+    while (closed.length === 0) await nextPoll();
     assert.deepEqual(closed, ['test unread']);
     assert.ok(!silent.destroyed);
   });
+
+  // Each byte that came restarted the timeout, so that the response was kept for as long as the caller liked.
+  it('closes a connection whose caller sends bytes but does not read its response', async () => {
+    const unread = await open(`${get('/large')}${PARTIAL_HEAD}`);
+    unread.pause();
+    const timer = setInterval(() => unread.write('x'), UNREAD_TIMEOUT_MS / 4);
+    const deadlineAtMs = Date.now() + 20 * UNREAD_TIMEOUT_MS;
+    while (closed.length === 0 && Date.now() < deadlineAtMs) await nextPoll();
+    clearInterval(timer);
+    assert.deepEqual(closed, ['test unread']);
+  });
+
+  it('keeps the connection of a caller that reads slowly and sends bytes', async () => {
+    const slow = await open(`${get('/large')}${PARTIAL_HEAD}`);
+    let count = 0;
+    slow.on('data', () => {
+      count += 1;
+      if (count % 4 === 0) slow.pause();
+    });
+    const timer = setInterval(() => {
+      slow.write('x');
+      slow.resume();
+    }, 10);
+    await new Promise(resolve => setTimeout(resolve, 4 * UNREAD_TIMEOUT_MS));
+    clearInterval(timer);
+    assert.ok(count > 0);
+    assert.deepEqual(closed, []);
+  });
 });
--- a/packages/daemon/src/http/connection-limit.ts
+++ b/packages/daemon/src/http/connection-limit.ts
@@ -37,6 +37,16 @@
 /** Interval between checks for partial heads and unread output. */
 const CHECK_INTERVAL_MS = 250; // a twelfth of the timeout for headers in use
 
+/** Unread output of a connection at a check. */
+interface UnreadOutput {
+  /** Bytes of the writes that were completed. */
+  readonly sentBytes: number;
+  /** Bytes of the current write that are still to be sent. */
+  readonly queuedBytes: number;
+  /** Checks since one of the two has changed. */
+  readonly checkCount: number;
+}
+
 /** How much may be lost with a connection, the least first. */
 enum Rank {
   /** Its last response was sent. */
@@ -59,6 +69,8 @@
  * is closed.
  */
 export class ConnectionLimit {
+  private readonly unread = new WeakMap<Connection, UnreadOutput>();
+
   constructor(
     private readonly server: Server,
     private readonly connections: Connections,
@@ -114,16 +126,35 @@
     }
   }
 
-  /** Sets a timeout on connections with unread output; it passes only if the caller reads nothing meanwhile. */
+  /** Sets a timeout on connections with unread output; it passes only if the caller neither reads nor sends anything meanwhile. */
   private limitUnreadOutput(): void {
     const timeoutMs = Math.ceil(this.options.unreadTimeoutMs());
-    for (const { responseCount, socket } of this.connections.open) {
+    for (const connection of this.connections.open) {
+      const { responseCount, socket } = connection;
       const isUnread = responseCount > 0 && socket.writableLength > 0;
-      if (isUnread && socket.timeout !== timeoutMs)
-        socket.setTimeout(timeoutMs);
+      if (!isUnread) {
+        this.unread.delete(connection);
+        continue;
+      }
+      if (socket.timeout !== timeoutMs) socket.setTimeout(timeoutMs);
+      if (this.unreadForMs(connection) >= timeoutMs)
+        this.close(connection, LimitReason.Unread);
     }
   }
 
+  /** Returns the time, in whole intervals of checks, for which none of the output was sent. */
+  private unreadForMs(connection: Connection): number {
+    const { socket } = connection;
+    const sentBytes = socket.bytesWritten - socket.writableLength;
+    const queuedBytes = queuedBytesOf(socket);
+    const last = this.unread.get(connection);
+    const isStuck =
+      last?.sentBytes === sentBytes && last.queuedBytes === queuedBytes;
+    const checkCount = isStuck ? last.checkCount + 1 : 0;
+    this.unread.set(connection, { sentBytes, queuedBytes, checkCount });
+    return checkCount * CHECK_INTERVAL_MS;
+  }
+
   private makeRoom(socket: Socket): void {
     const added = this.connections.of(socket);
     const victim = this.findVictim(added) ?? added;
@@ -173,6 +204,14 @@
   }
 }
 
+/** Returns the bytes of the current write that are still to be sent; Node.js restarts the timeout of a socket by the same figure. */
+function queuedBytesOf(socket: Socket): number {
+  const { _handle: handle } = socket as Socket & {
+    readonly _handle?: { readonly writeQueueSize?: number } | null;
+  };
+  return handle?.writeQueueSize ?? 0;
+}
+
 function rankOf(connection: Connection): Rank {
   if (connection.isLingering) return Rank.Lingering;
   if (connection.responseCount === 0)
