--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -232,19 +232,12 @@
    * The tokens of a request that may wait for capacity are deducted once it is sent.
    */
   private admit(request: ForwardRequest, { workspace }: ResolvedRequest): void {
-    if (this.deps.dispatchGate === undefined) {
-      this.takeTokens(request, workspace);
-      return;
-    }
-    if (workspace?.tokenRate === undefined) return;
-    const waitMs = this.deps.tokenBuckets.waitMs(
-      workspace.workspace,
-      workspace.tokenRate,
-      requestedTokens(request) ?? workspace.tokenRate.plainTokens,
-      this.deps.clock.nowMs(),
-    );
-    if (waitMs !== undefined)
-      throw allowanceSpentError(workspace.workspace, waitMs);
+    const { dispatchGate, tokenBuckets } = this.deps;
+    if (dispatchGate === undefined) this.takeTokens(request, workspace);
+    else
+      this.checkTokens(request, workspace, (...charge) =>
+        tokenBuckets.waitMs(...charge),
+      );
   }
 
   /** Deducts the request's tokens from its workspace's token bucket. Throws `ForwardError` if the rate limit is exceeded. */
@@ -252,15 +245,23 @@
     request: ForwardRequest,
     workspace: ForwardWorkspace | undefined,
   ): void {
-    if (workspace?.tokenRate === undefined) return;
-    const waitMs = this.deps.tokenBuckets.tryAcquire(
-      workspace.workspace,
-      workspace.tokenRate,
-      requestedTokens(request) ?? workspace.tokenRate.plainTokens,
-      this.deps.clock.nowMs(),
+    this.checkTokens(request, workspace, (...charge) =>
+      this.deps.tokenBuckets.tryAcquire(...charge),
     );
-    if (waitMs !== undefined)
-      throw allowanceSpentError(workspace.workspace, waitMs);
+  }
+
+  /** Throws `ForwardError` if `waitMsFor` returns that the request's tokens are not available yet. */
+  private checkTokens(
+    request: ForwardRequest,
+    workspace: ForwardWorkspace | undefined,
+    waitMsFor: TokenBucketLedger['waitMs'],
+  ): void {
+    if (workspace?.tokenRate === undefined) return;
+    const { tokenRate, workspace: name } = workspace;
+    const tokens = requestedTokens(request) ?? tokenRate.plainTokens;
+    const nowMs = this.deps.clock.nowMs();
+    const waitMs = waitMsFor(name, tokenRate, tokens, nowMs);
+    if (waitMs !== undefined) throw allowanceSpentError(name, waitMs);
   }
 
   private createRun(
