Keep spare endpoints for those that were provisioned on demand

Change: on-demand endpoints, which no earlier holder ordered as spare, get them, and reclaimable ones do not.

--- a/packages/core/src/duties/fleet-plan.test.ts
+++ b/packages/core/src/duties/fleet-plan.test.ts
@@ -297,6 +297,20 @@
     }
   });
 
+  it('replaces on-demand endpoints that were provisioned by reclaimable ones with spare ones, for a burst at the start', () => {
+    const plan = planFleet({
+      scaling: { ...scaling, maxEndpoints: 40, reclaimablePrice: 0.15 },
+      endpoints: [],
+      peakInFlight: 0,
+      minRequired: 28,
+      provisionedOnDemand: 28,
+      ...NO_ORDERS,
+    });
+    const reclaimable = plan.filter(each => each.isReclaimable);
+    // Twice 28, of which any one data centre may be lost.
+    assert.ok(reclaimable.every(each => each.count === 19));
+  });
+
   it('ends no endpoint of a data centre that has more than its share, while the others are to start', () => {
     const endpoints = repeat(20, () => reclaimableEndpointIn('a'));
     const plan = planFleet({
--- a/packages/core/src/duties/fleet-plan.ts
+++ b/packages/core/src/duties/fleet-plan.ts
@@ -19,6 +19,8 @@
   readonly peakInFlight: number;
   /** Endpoints that the group keeps whatever its load; 0 once its load decides. */
   readonly minRequired: number;
+  /** Of these, the on-demand ones that were there before any order; reclaimable ones replace them. */
+  readonly provisionedOnDemand?: number;
   readonly reclaimableOrders: ReadonlyMap<DataCentre, LastOrder>;
   readonly onDemandOrders: ReadonlyMap<DataCentre, LastOrder>;
 }
@@ -64,14 +66,14 @@
  * endpoints that replace them are ready.
  */
 export function planFleet(state: FleetState): readonly PlannedCount[] {
-  const { minRequired, peakInFlight, scaling } = state;
+  const { minRequired, peakInFlight, provisionedOnDemand, scaling } = state;
   const requiredByLoad = Math.max(
     MIN_REQUIRED_ENDPOINTS,
     Math.ceil(peakInFlight / IN_FLIGHT_PER_ENDPOINT) + 1,
   );
   const required = Math.max(minRequired, requiredByLoad);
   const reclaimableTarget = Math.max(
-    keptPerDataCentre(scaling, minRequired),
+    keptPerDataCentre(scaling, minRequired, provisionedOnDemand),
     reclaimablePerDataCentre(
       scaling,
       requiredByLoad * reclaimableHeadroom(scaling),
@@ -169,17 +171,27 @@
 
 /**
  * Returns the reclaimable endpoints in each data centre that keep the group at its
- * size. They include no spare ones: the size contains those that an earlier holder
- * of the duties ordered, and would grow with each change of the holder.
+ * size. There are spare ones only for on-demand endpoints: the reclaimable ones
+ * contain those that an earlier holder of the duties ordered as spare, and would
+ * grow with each change of the holder.
  */
 function keptPerDataCentre(
-  { maxEndpoints, pricesByDataCentre, reclaimablePrice }: ScalingSettings,
+  scaling: ScalingSettings,
   minRequired: number,
+  onDemand = 0,
 ): number {
+  const { maxEndpoints, pricesByDataCentre, reclaimablePrice } = scaling;
   if (reclaimablePrice === undefined) return 0;
   const dataCentreCount = Object.keys(pricesByDataCentre).length;
   const share = Math.floor(minRequired / Math.max(1, dataCentreCount));
-  return Math.min(maxEndpoints - 1, share);
+  const replacements =
+    onDemand <= MIN_ON_DEMAND
+      ? 0
+      : reclaimablePerDataCentre(
+          scaling,
+          onDemand * reclaimableHeadroom(scaling),
+        );
+  return Math.min(maxEndpoints - 1, Math.max(share, replacements));
 }
 
 function reclaimablePerDataCentre(
--- a/packages/core/src/duties/fleet-scaler.ts
+++ b/packages/core/src/duties/fleet-scaler.ts
@@ -94,15 +94,17 @@
     const members = endpoints().filter(
       each => each.group === group && !isEvacuated(each.dataCentre),
     );
+    const kept = this.provisionedFor(group).kept(
+      members,
+      peakInFlight > 0,
+      nowMs,
+    );
     const plannedCounts = planFleet({
       scaling: this.withoutEvacuated(scaling),
       endpoints: members,
       peakInFlight,
-      minRequired: this.provisionedFor(group).minRequired(
-        members,
-        peakInFlight > 0,
-        nowMs,
-      ),
+      minRequired: kept.count,
+      provisionedOnDemand: kept.onDemandCount,
       ...this.lastOrders(group, scaling.bootMs),
     });
     const orders = plannedCounts.map(planned => ({ group, ...planned }));
--- a/packages/core/src/duties/provisioned-capacity.test.ts
+++ b/packages/core/src/duties/provisioned-capacity.test.ts
@@ -13,17 +13,17 @@
     const endpoints = ['a', 'b', 'c'].map(each => reclaimableEndpointIn(each));
     const draining = reclaimableEndpointIn('d', EndpointState.Draining);
     const all = [...endpoints, draining];
-    assert.equal(capacity.minRequired(all, false, 0), 3);
-    assert.equal(capacity.minRequired([], false, 60_000), 3);
-    assert.equal(capacity.minRequired(all, true, 60_500), 3);
-    assert.equal(capacity.minRequired(all, false, 68_400), 3);
-    assert.equal(capacity.minRequired(all, true, 68_500), 0);
+    assert.equal(capacity.kept(all, false, 0).count, 3);
+    assert.equal(capacity.kept([], false, 60_000).count, 3);
+    assert.equal(capacity.kept(all, true, 60_500).count, 3);
+    assert.equal(capacity.kept(all, false, 68_400).count, 3);
+    assert.equal(capacity.kept(all, true, 68_500).count, 0);
   });
 
   it('waits for the first endpoints, as none may be listed yet', () => {
     const capacity = new ProvisionedCapacity(OBSERVATION_MS);
-    assert.equal(capacity.minRequired([], false, 0), 0);
+    assert.equal(capacity.kept([], false, 0).count, 0);
     const endpoints = [reclaimableEndpointIn('a')];
-    assert.equal(capacity.minRequired(endpoints, false, 500), 1);
+    assert.equal(capacity.kept(endpoints, false, 500).count, 1);
   });
 });
