--- a/packages/daemon/src/operators/operator-server.ts
+++ b/packages/daemon/src/operators/operator-server.ts
@@ -166,9 +166,17 @@
   operatorResponse: OperatorResponse,
 ): void {
   // The next request on the connection would wait behind the unread rest of a refused body.
-  if (!response.req.complete) response.shouldKeepAlive = false;
+  if (hasUnreadBody(response.req)) response.shouldKeepAlive = false;
   response.writeHead(operatorResponse.status, {
     'content-type': 'application/json',
   });
   response.end(JSON.stringify(operatorResponse.body));
 }
+
+/** A request without a body is not complete either while its head is being handled. */
+function hasUnreadBody({ complete, headers }: IncomingMessage): boolean {
+  const hasBody =
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  return hasBody && !complete;
+}
