Count each window of usage once in the test of reports after a kill

The test added up all reports. A new holder repeats the stored ones, so that it failed where a window had ended before the kill: 108 counted of 84 in two whole runs. It now takes each window once, and checks besides that no window is reported with two different counts.

--- a/packages/stand-ins/src/gateway/gateway-usage.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-usage.test.ts
@@ -34,11 +34,20 @@
     await delay(STORED_MS);
     for (const running of [...gateways])
       await deployment.removeGateway(running);
-    const reported = () =>
-      deployment.cloud
-        .usageReports()
-        .flatMap(({ counts }) => Object.values(counts))
+    // A new holder sends the stored reports again, which the platform ignores if their counts are the same.
+    const reported = () => {
+      const countsByWindow = new Map<
+        number,
+        Readonly<Record<string, number>>
+      >();
+      for (const { counts, windowId } of deployment.cloud.usageReports()) {
+        assert.deepEqual(countsByWindow.get(windowId) ?? counts, counts);
+        countsByWindow.set(windowId, counts);
+      }
+      return [...countsByWindow.values()]
+        .flatMap(counts => Object.values(counts))
         .reduce((sum, each) => sum + each, 0);
+    };
     const successor = await deployment.addGateway('daemon-9');
     successor.gateway.wiring.settings.bounds.usageCheckpointSeconds = 1;
     for (let check = 0; check < CHECKS && reported() < counted; check += 1)
