Refuse a request that cannot end in time although a place is free

DispatchQueue.offer checked the expected service time only of requests that had to wait. With a free place it sent one whose fastest response came after its deadline. It is now refused on arrival, as not run, as a waiting one is.

npm test -- dispatch-queue/dispatch-queue: 18 of 18 passed; the new test failed before the change.

--- a/packages/core/src/dispatch-queue/dispatch-queue.test.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.test.ts
@@ -171,6 +171,20 @@
     assert.deepEqual(sentIds(decisions), ['long']);
   });
 
+  // It was sent, ran and ended after its caller had left.
+  it('refuses a request that cannot be answered by its deadline although a place is free', () => {
+    const queue = sampleQueue();
+    const late = { deadlineAtMs: 1_000, expectedServiceMs: 300 };
+    for (const room of [FULL, sampleRoom(0)]) {
+      const decision = queue.offer(sampleQueued('late', late), room, 700);
+      const [refusal] = refusalsOf([decision]);
+      assert.equal(refusal?.reason, QueueRefusal.TooLate);
+      assert.equal(queue.inFlight, 0);
+    }
+    const inTime = queue.offer(sampleQueued('in time', late), FULL, 699);
+    assert.equal(inTime.kind, Send);
+  });
+
   it('refuses at once what the queue will not reach in time, by the rate at which it drains', () => {
     const queue = fullQueue();
     const waiting = Array.from({ length: 30 }, (_, index) =>
--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -84,7 +84,7 @@
     this.updateShare(room);
     const isFirst = this.waiting.length === 0;
     if (isFirst) this.rate.clear();
-    if (nowMs >= request.deadlineAtMs)
+    if (isTooLate(request, nowMs))
       return this.refuse(request, QueueRefusal.TooLate, nowMs);
     if (isClosed(room) && !isUseful(request, nowMs))
       return this.send(request, nowMs);
