Check a request's tokens before an endpoint is reserved

A request whose workspace used up its tokens while it waited was refused with 429 after its endpoint had been reserved, so that it counted against the endpoint's own rate limit and against the share of a cold one. The tokens are now checked before the reservation and deducted in the same turn; nothing is deducted if no endpoint takes the request. A request that is refused as it leaves the queue also no longer counts in the turn of its workspace, in the rate at which the queue drains and among the turns of the oldest.

--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -130,17 +130,21 @@
     );
   }
 
+  /** Puts a request back that was to be sent and for which no endpoint could be reserved. */
+  putBack(request: QueuedRequest, nowMs: number): void {
+    this.cancelSend(request, nowMs);
+    this.add(request);
+  }
+
   /**
-   * Puts a request back that was to be sent and for which no endpoint could be
-   * reserved. It does not count as sent: otherwise its workspace would pay for it
-   * at each attempt, and the turns of the oldest request could all fall on sends
-   * that are put back.
+   * Frees the place of a request that was to be sent and is put back or refused. It
+   * does not count as sent: otherwise its workspace would pay for it at each
+   * attempt, and the turns of the oldest request could all fall on such sends.
    */
-  putBack(request: QueuedRequest, nowMs: number): void {
+  cancelSend(request: QueuedRequest, nowMs: number): void {
     this.withdraw();
     if (this.inFlightCount >= this.inFlightLimit(nowMs))
       this.beyondLimitAtMs = this.beyondLimitAtMs.slice(0, -1);
-    this.add(request);
     this.shares.refund(request);
     this.rate.removeSend();
     this.sentFromQueue -= 1;
--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -181,7 +181,7 @@
     if (waiter === undefined) return isClosed;
     const { call, request, reserve, resolve } = waiter;
     if (nowMs > waiter.sinceMs && !this.isAdmitted(key, waiter)) {
-      this.queue.withdraw();
+      this.queue.cancelSend(request, nowMs);
       return isClosed;
     }
     const mayWait = isUseful(request, nowMs);
@@ -191,7 +191,7 @@
       if (!isClosed || !mayWait) reservation = reserve(nowMs);
     } catch (error) {
       // Thrown on, it would end the request that happened to free the place.
-      this.queue.withdraw();
+      this.queue.cancelSend(request, nowMs);
       this.takeWaiter(key)?.reject(error);
       return isClosed;
     }
--- a/packages/core/src/dispatch-queue/queue-gate.test.ts
+++ b/packages/core/src/dispatch-queue/queue-gate.test.ts
@@ -261,6 +261,34 @@
     assert.equal(harness.ends.get('next'), 'sent');
   });
 
+  // Each request refused on its way to an endpoint used a turn of its workspace.
+  it('charges a workspace nothing for requests that are refused as they leave the queue', async () => {
+    const harness = new GateHarness();
+    const passes = harness.fill();
+    const times = { deadlineAtMs: 60_000, objectiveAtMs: 60_000 };
+    const refused = new ForwardError(ForwardErrorKind.AllowanceSpent, 'spent');
+    for (let index = 0; index < 4; index += 1) {
+      const pass = harness.gate.open(
+        sampleCall({ ...times, workspace: 'refused', priority: 0 }),
+      );
+      const reserve = () => {
+        throw refused;
+      };
+      void assert.rejects(
+        pass.reserve(reserve, new AbortController().signal),
+        /spent/,
+      );
+    }
+    passes[0]?.close();
+    harness.offer('other', { ...times, workspace: 'kowhai' });
+    harness.offer('served', { ...times, workspace: 'refused' });
+    harness.offer('last', { ...times, workspace: 'refused' });
+    passes[1]?.close();
+    passes[2]?.close();
+    await harness.advance(60);
+    assert.deepEqual(harness.sentIds.slice(3), ['served', 'other', 'last']);
+  });
+
   it('refuses what became too late while the process was paused, and sends the rest', async () => {
     const harness = new GateHarness();
     const [first] = harness.fill();
--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -11,6 +11,7 @@
 import type { PoolReservation } from './pool-reservation.js';
 import type { RetryState } from './retry-obstacle.js';
 import { findRetryObstacle, RetryObstacle } from './retry-obstacle.js';
+import type { TokenCharge } from './run-context.js';
 
 export interface AttemptSequenceOptions {
   readonly attempts: AttemptHistory;
@@ -26,8 +27,8 @@
   readonly deadlineAtMs: number;
   readonly isRepeatable: boolean;
   readonly maxAttempts: number;
-  /** Deducts the tokens of a request that waited for capacity; throws `ForwardError` if there are too few. */
-  readonly takeTokens?: (() => void) | undefined;
+  /** Tokens of a request that waits for capacity. */
+  readonly tokenCharge?: TokenCharge | undefined;
   /** Resolves with whether the endpoint of the last attempt has ended or is cut off from this daemon. */
   readonly isLastEndpointGone: () => Promise<boolean>;
 }
@@ -80,26 +81,33 @@
    * counts the attempt and its tokens then. Throws `ForwardError` if it is refused.
    */
   async firstWithin(pass: GatePass): Promise<PoolReservation | undefined> {
-    const { budget, clock, endpoints, signal, takeTokens } = this.options;
+    const { budget, clock, endpoints, signal } = this.options;
     // A daemon that reaches no endpoint knows nothing of their capacity.
     const reservation = endpoints.isCutOff()
-      ? this.first()
-      : await pass.reserve(nowMs => endpoints.reserve(nowMs), signal);
+      ? this.reserveCharged(clock.nowMs())
+      : await pass.reserve(nowMs => this.reserveCharged(nowMs), signal);
     if (reservation === undefined || signal.aborted) {
       reservation?.release(undefined, clock.nowMs());
       this.obstacle = RetryObstacle.NoEndpoint;
       return undefined;
     }
-    try {
-      takeTokens?.();
-    } catch (error) {
-      reservation.release(undefined, clock.nowMs());
-      throw error;
-    }
     budget.recordFirstAttempt();
     return reservation;
   }
 
+  /**
+   * Reserves an endpoint and deducts the tokens in the same turn. The tokens are
+   * checked first: a reservation counts against the endpoint's own rate limit and
+   * its share while it is cold, also if it is released unused.
+   */
+  private reserveCharged(nowMs: number): PoolReservation | undefined {
+    const { endpoints, tokenCharge } = this.options;
+    tokenCharge?.check();
+    const reservation = endpoints.reserve(nowMs);
+    if (reservation !== undefined) tokenCharge?.take();
+    return reservation;
+  }
+
   /**
    * Reserves the endpoint of the attempt that follows another; resolves with
    * undefined if none does. A response that has begun may wait until one can: its
--- a/packages/core/src/forwarding/create-sequence.ts
+++ b/packages/core/src/forwarding/create-sequence.ts
@@ -19,7 +19,7 @@
   const { clock, crashGuard, dispatchWindow } = deps;
   const { dataCentres, pool, requestRelay, versions } = deps;
   const { budget, group, homes, relayed, request } = context;
-  const { resolved, suspectIds, takeTokens } = context;
+  const { resolved, suspectIds, tokenCharge } = context;
   const { attempts, isRepeatable } = traits;
   return new AttemptSequence({
     ...traits,
@@ -44,7 +44,7 @@
       )?.tokens,
     }),
     suspectIds,
-    takeTokens,
+    tokenCharge,
     // The daemon that took the request from its caller decides on a retry.
     ...(relayed === undefined
       ? { maxAttempts: resolved.route.maxAttempts }
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -76,13 +76,20 @@
   readonly configuration = new ConfigurationStore();
   readonly evacuations = new Evacuations();
   readonly tokenBuckets = new TokenBucketLedger();
+  /** Ids of the endpoints whose own rate limits have counted a request, in order. */
+  readonly limitedIds: string[] = [];
   readonly pool = new EndpointPool(new SeededRandom(1), {
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
     timeMs: () => this.clock.nowMs(),
     engineMemoryTokens: () => undefined,
     isEvacuated: dataCentre => this.evacuations.isEvacuated(dataCentre),
-    limiter: UNLIMITED,
+    limiter: {
+      ...UNLIMITED,
+      recordDispatch: ({ id }) => {
+        this.limitedIds.push(id);
+      },
+    },
     paused: new PausedEndpoints({
       nowMs: () => this.clock.nowMs(),
       log: noopLog,
--- a/packages/core/src/forwarding/fakes/scripted-gate.ts
+++ b/packages/core/src/forwarding/fakes/scripted-gate.ts
@@ -1,3 +1,5 @@
+import assert from 'node:assert/strict';
+
 import type {
   DispatchGate,
   ForwardError,
@@ -22,7 +24,12 @@
       reserve: (reserve, signal) =>
         new Promise<PoolReservation | undefined>((resolve, reject) => {
           const send = () => {
-            resolve(reserve(call.receivedAtMs));
+            try {
+              resolve(reserve(call.receivedAtMs));
+            } catch (error) {
+              assert.ok(error instanceof Error);
+              reject(error);
+            }
           };
           signal.addEventListener('abort', () => {
             resolve(undefined);
--- a/packages/core/src/forwarding/forward-queue.test.ts
+++ b/packages/core/src/forwarding/forward-queue.test.ts
@@ -139,6 +139,42 @@
     assert.deepEqual(harness.tokenBuckets.grantedTotals(), { kowhai: 900 });
   });
 
+  // It had used a part of the endpoint's own rate limit, and of what cold endpoints get.
+  it('does not count against an endpoint if its tokens are used up as it leaves the queue', async () => {
+    const tokenRate = {
+      tokensPerSecond: 1,
+      burstTokens: 1_000,
+      plainTokens: 0,
+    };
+    const usage = { promptTokens: 900, maxTokens: 0 };
+    const { gate, harness } = create({ tokenRate });
+    const served = [harness.serve({ usage }), harness.serve({ usage })];
+    // Both leave the queue in the same turn.
+    gate.sendNext();
+    gate.sendNext();
+    const errors = await Promise.all(served);
+    assert.deepEqual(
+      errors.map(error => error?.kind),
+      [undefined, ForwardErrorKind.AllowanceSpent],
+    );
+    assert.equal(harness.limitedIds.length, 1);
+  });
+
+  it('uses no tokens if no endpoint takes it', async () => {
+    const tokenRate = {
+      tokensPerSecond: 1,
+      burstTokens: 1_000,
+      plainTokens: 0,
+    };
+    const usage = { promptTokens: 900, maxTokens: 0 };
+    const { gate, harness } = create({ tokenRate });
+    const served = harness.serve({ usage });
+    harness.listEndpoints([]);
+    gate.sendNext();
+    assert.equal((await served)?.kind, ForwardErrorKind.NoEndpoint);
+    assert.deepEqual(harness.tokenBuckets.grantedTotals(), {});
+  });
+
   it('tells engines its priority only where that is set, at most 9', async () => {
     for (const sendsPriority of [false, true]) {
       const harness = new ForwarderHarness([{}], route, { sendsPriority });
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -232,12 +232,19 @@
    * The tokens of a request that may wait for capacity are deducted once it is sent.
    */
   private admit(request: ForwardRequest, { workspace }: ResolvedRequest): void {
-    const { dispatchGate, tokenBuckets } = this.deps;
-    if (dispatchGate === undefined) this.takeTokens(request, workspace);
-    else
-      this.checkTokens(request, workspace, (...charge) =>
-        tokenBuckets.waitMs(...charge),
-      );
+    if (this.deps.dispatchGate === undefined)
+      this.takeTokens(request, workspace);
+    else this.findTokens(request, workspace);
+  }
+
+  /** Throws `ForwardError` if the request exceeds the rate limit of its workspace now. */
+  private findTokens(
+    request: ForwardRequest,
+    workspace: ForwardWorkspace | undefined,
+  ): void {
+    this.checkTokens(request, workspace, (...charge) =>
+      this.deps.tokenBuckets.waitMs(...charge),
+    );
   }
 
   /** Deducts the request's tokens from its workspace's token bucket. Throws `ForwardError` if the rate limit is exceeded. */
@@ -274,13 +281,18 @@
     const budget = this.deps.retryBudgetOf(group);
     const { suspectIds } = resolved;
     const context = { request, resolved, suspectIds, group, budget, homes };
-    const takeTokens = () => {
-      this.takeTokens(request, resolved.workspace);
+    const tokenCharge = {
+      check: () => {
+        this.findTokens(request, resolved.workspace);
+      },
+      take: () => {
+        this.takeTokens(request, resolved.workspace);
+      },
     };
     return new ForwardRun(
       this.deps,
       relayed === undefined
-        ? { ...context, takeTokens }
+        ? { ...context, tokenCharge }
         : { ...context, relayed },
       sink,
     );
