Pass waiting requests on to peers once a daemon is cut off

Only a request that arrived after the cut went to a peer; one that waited already waited on for places which requests to unreachable endpoints held, up to its deadline. Each look at the queue, at most 50 ms apart, now checks whether the daemon reaches the group, and ends all waits in the order of arrival. Requests that peers serve take no places of the group.

--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -156,6 +156,7 @@
 
   private advance(nowMs: number): void {
     this.recheckAfterChange();
+    if (this.deps.isCutOff(this.group)) this.passOn(nowMs);
     this.apply(this.queue.advance(this.room(nowMs), nowMs), nowMs);
     this.report(nowMs);
   }
@@ -213,6 +214,24 @@
     return isClosed;
   }
 
+  /**
+   * Ends the waits of a daemon that reaches no endpoint, in the order of arrival: it
+   * knows nothing of their capacity, and peers serve the requests. These take no
+   * places of the group.
+   */
+  private passOn(nowMs: number): void {
+    for (const [key, waiter] of this.waiters) {
+      this.queue.remove(key);
+      if (!this.isAdmitted(key, waiter)) continue;
+      this.waiters.delete(key);
+      try {
+        waiter.resolve(waiter.reserve(nowMs));
+      } catch (error) {
+        waiter.reject(error);
+      }
+    }
+  }
+
   /** Whether the group has endpoints, and none of them may be sent a request now. */
   private isClosedForNow(nowMs: number): boolean {
     const { openSlots, totalSlots } = this.room(nowMs);
--- a/packages/core/src/dispatch-queue/queue-gate.test.ts
+++ b/packages/core/src/dispatch-queue/queue-gate.test.ts
@@ -26,6 +26,7 @@
   room = sampleRoom(1);
   configurationVersion = 1;
   maxRequests = 256;
+  isCutOff = false;
   reserveCalls = 0;
   /** Room once a request was sent, if it changes then. */
   roomAfterSend: GroupRoom | undefined;
@@ -38,6 +39,7 @@
     limits: () => ({ maxRequests: this.maxRequests, maxBytes: 1_000_000 }),
     daemonCount: () => 1,
     room: () => this.room,
+    isCutOff: () => this.isCutOff,
     configurationVersion: () => this.configurationVersion,
   });
 
@@ -289,6 +291,32 @@
     assert.deepEqual(harness.sentIds.slice(3), ['served', 'other', 'last']);
   });
 
+  // It waited for places that were held by requests to endpoints that the daemon no longer reached.
+  it('lets waiting requests go to peers within 50 ms of when its daemon is cut off, in no place of the group', async () => {
+    const harness = new GateHarness();
+    const passes = harness.fill();
+    const removed = new ForwardError(ForwardErrorKind.UnknownRoute, 'removed');
+    const waiting = ['d', 'e'].map(id => harness.offer(id));
+    harness.offer('removed', {
+      recheck: () => {
+        throw removed;
+      },
+    });
+    await harness.advance(60);
+    harness.isCutOff = true;
+    await harness.advance(60);
+    assert.deepEqual(harness.sentIds, ['a', 'b', 'c', 'd', 'e']);
+    assert.match(harness.ends.get('removed') ?? '', /^unknownRoute/);
+    for (const pass of waiting) pass.close();
+    harness.isCutOff = false;
+    harness.offer('f');
+    await harness.advance(60);
+    assert.equal(harness.ends.get('f'), undefined);
+    passes[0]?.close();
+    await harness.advance(0);
+    assert.equal(harness.ends.get('f'), 'sent');
+  });
+
   it('refuses what became too late while the process was paused, and sends the rest', async () => {
     const harness = new GateHarness();
     const [first] = harness.fill();
--- a/packages/core/src/dispatch-queue/queue-gate.ts
+++ b/packages/core/src/dispatch-queue/queue-gate.ts
@@ -22,6 +22,8 @@
   readonly daemonCount: () => number;
   /** Returns the capacity of a group. */
   readonly room: (group: string, nowMs: number) => GroupRoom;
+  /** Whether this daemon reaches no endpoint of a group; its requests then go through peers. */
+  readonly isCutOff: (group: string) => boolean;
   /** Returns the version of the configuration in force. */
   readonly configurationVersion: () => number;
 }
--- a/packages/core/src/forwarding/fakes/scripted-relay.ts
+++ b/packages/core/src/forwarding/fakes/scripted-relay.ts
@@ -25,9 +25,10 @@
     private readonly responses: ReadonlyMap<string, ScriptedResponse>,
   ) {}
 
-  /** Cuts the links of the daemon, in silence. */
-  cut(): void {
+  /** Cuts the links of the daemon, where connections in use fall silent unless stated otherwise. */
+  cut(areSilent = true): void {
     this.isCutOff = true;
+    if (!areSilent) return;
     for (const listener of this.listeners) listener();
   }
 
--- a/packages/daemon/src/gateway/gateway-queue.ts
+++ b/packages/daemon/src/gateway/gateway-queue.ts
@@ -6,6 +6,7 @@
 } from '@skylarkreach/core/forwarding';
 import type { KnownDaemons } from '@skylarkreach/core/membership';
 import { LogComponent } from '@skylarkreach/core/ports';
+import type { EndpointReachability } from '@skylarkreach/core/reachability';
 
 import { nextPoll } from '../http/index.js';
 import type { Loop } from '../loops/index.js';
@@ -19,6 +20,7 @@
   readonly pool: EndpointPool;
   readonly cluster: GatewayCluster;
   readonly knownDaemons: KnownDaemons;
+  readonly reachability: Pick<EndpointReachability, 'isUnreachable'>;
 }
 
 /** Queues of a gateway with what measures its own load; without both where the settings do not enable them. */
@@ -49,6 +51,7 @@
       limits: () => queue,
       daemonCount: () => countDaemons(sources()),
       room: (group, nowMs) => sources().pool.room(group, nowMs),
+      isCutOff: group => sources().reachability.isUnreachable(group),
       configurationVersion: () => configuration.version,
     });
     const meter = new LoopDelayMeter(context);
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -108,11 +108,8 @@
     coldStarts.recordEvacuationEnd(dataCentre);
   });
   const byWork = createLeastWork(context, () => duties.trueTime.nowMs());
-  const queue = new GatewayQueue(context, configuration, () => ({
-    pool,
-    cluster,
-    knownDaemons,
-  }));
+  const queueSources = () => ({ pool, cluster, knownDaemons, reachability });
+  const queue = new GatewayQueue(context, configuration, queueSources);
   const pool: EndpointPool = new EndpointPool(context.random, {
     dataCentre: settings.identity.dataCentre,
     prefillTokensPerMs: settings.routing.prefillTokensPerMs,
