Index endpoints by group and count the capacity of a group incrementally

Each choice of an endpoint filtered the endpoints of all groups several times, hashed all of them for the shared part of the prompt, and counted the capacity of the group up to three times with the queue enabled.

Endpoints are indexed by group once for each listing.

The ordering of endpoints by rendezvous hashing moves from pool-member to preferred-members; the test of the placement asks that class instead.

--- a/packages/core/src/forwarding/endpoint-health.ts
+++ b/packages/core/src/forwarding/endpoint-health.ts
@@ -17,6 +17,7 @@
 
   /** Returns the share of failed attempts, from 0 to 1. */
   failureShare(nowMs: number): number {
+    if (this.failures === 0) return 0;
     this.decay(nowMs);
     return this.failures / (this.attempts + PRIOR_ATTEMPTS);
   }
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -5,44 +5,40 @@
 import { EndpointLifetimes } from './endpoint-lifetimes.js';
 import type { EndpointLoad } from './endpoint-load.js';
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
-import { EndpointState } from './endpoint-record.js';
 import { findRetainable } from './endpoint-retention.js';
-import { matchesRoom, roomOf } from './group-room.js';
+import { matchesRoom } from './group-room.js';
 import { LeastLatencyPlacement } from './least-latency-placement.js';
+import { MemberGuards } from './member-guards.js';
+import { MemberIndex } from './member-index.js';
 import { MisdirectedEndpoints } from './misdirected-endpoints.js';
-import type {
-  PeerLoadAt,
-  PlacementPolicy,
-  PlacementQuery,
-} from './placement-policy.js';
+import type { PlacementPolicy, PlacementQuery } from './placement-policy.js';
 import type { PoolMember } from './pool-member.js';
 import {
   createPoolMember,
-  expectedResponseMs,
-  findPreferredMembers,
   isOnTrial,
   matchesQuery,
   recordResponse,
-  runningAt,
 } from './pool-member.js';
 import type { EndpointPoolOptions } from './pool-options.js';
 import type { PoolQuery } from './pool-query.js';
 import type { PoolReservation } from './pool-reservation.js';
 import { AttemptVerdict } from './pool-reservation.js';
+import { PreferredMembers } from './preferred-members.js';
+import { RoomCounts } from './room-counts.js';
 import { createStatementRecorders } from './statement-recorders.js';
 
-const NO_PEER_LOAD: PeerLoadAt = { running: 0, backlogTokens: 0 };
-
 /** Endpoints known to this daemon, with a load balancer that reserves the one with the lowest expected cost. */
 export class EndpointPool {
-  private membersById = new Map<string, PoolMember>();
+  private members = new MemberIndex([]);
   private listedRevision = 0;
-  private peerWorkById: ReadonlyMap<string, EndpointLoad> = new Map();
   private readonly misdirected = new MisdirectedEndpoints();
 
   private readonly lifetimes: EndpointLifetimes;
   private readonly coldStarts: ColdStartGuard;
+  private readonly guards: MemberGuards;
   private readonly placement: PlacementPolicy;
+  private readonly preferred = new PreferredMembers();
+  private readonly rooms: RoomCounts;
 
   constructor(
     random: Random,
@@ -52,6 +48,12 @@
       options.placement ?? new LeastLatencyPlacement({ ...options, random });
     this.lifetimes = new EndpointLifetimes(options.timeMs);
     this.coldStarts = options.coldStarts ?? NEVER_COLD;
+    this.guards = new MemberGuards(options, this.coldStarts, this.misdirected);
+    this.rooms = new RoomCounts({
+      isEvacuated: dataCentre => options.isEvacuated?.(dataCentre) === true,
+      isUsable: (member, nowMs) => this.guards.isUsable(member, nowMs),
+      isOpen: (member, nowMs) => this.guards.isOpen(member, nowMs),
+    });
   }
 
   /** Revision of the newest listing; 0 if none is known. */
@@ -69,7 +71,7 @@
     if (listing.revision <= this.listedRevision) return false;
     const next = new Map<string, PoolMember>();
     for (const record of listing.endpoints) {
-      const member = this.membersById.get(record.id);
+      const member = this.members.get(record.id);
       const isSame =
         member?.record.address === record.address &&
         member.record.bornAtMs === record.bornAtMs;
@@ -84,46 +86,43 @@
       next.set(record.id, nextMember);
     }
     if (Number.isFinite(retainUntilMs)) {
-      for (const member of findRetainable(this.membersById, next)) {
+      for (const member of findRetainable(this.members.byId, next)) {
         member.usableUntilMs = Math.min(member.usableUntilMs, retainUntilMs);
         next.set(member.record.id, member);
       }
     }
-    this.membersById = next;
+    this.members = new MemberIndex(next.values());
+    this.preferred.clear();
+    this.rooms.clear();
     this.listedRevision = listing.revision;
     this.lifetimes.applyListing(listing.endpoints);
     return true;
   }
 
   endpoints(): readonly EndpointRecord[] {
-    return [...this.membersById.values()].map(each => each.record);
+    return this.members.all.map(each => each.record);
   }
 
   /** Replaces the load that all peers together have at each endpoint. */
   applyPeerLoad(work: ReadonlyMap<string, EndpointLoad>): void {
-    this.peerWorkById = work;
+    this.guards.applyPeerLoad(work);
   }
 
   /** Returns the load that this daemon has at each endpoint with running requests. */
   ownLoad(): ReadonlyMap<string, EndpointLoad> {
-    const busyMembers = [...this.membersById].filter(
-      ([, member]) => member.running > 0,
-    );
-    return new Map(
-      busyMembers.map(([id, { running, backlogTokens }]) => [
-        id,
-        { running, backlogTokens },
-      ]),
-    );
+    const load = new Map<string, EndpointLoad>();
+    for (const { backlogTokens, record, running } of this.members.all) {
+      if (running > 0) load.set(record.id, { running, backlogTokens });
+    }
+    return load;
   }
 
   /** Returns the running requests of all daemons in a group, excluding endpoints of `exceptVersion`. */
   runningRequests(group: string, exceptVersion?: string): number {
     let running = 0;
-    for (const [id, member] of this.membersById) {
-      const { record } = member;
-      if (record.group !== group || record.version === exceptVersion) continue;
-      running += member.running + (this.peerWorkById.get(id)?.running ?? 0);
+    for (const member of this.members.inGroup(group)) {
+      if (member.record.version === exceptVersion) continue;
+      running += member.running + this.guards.peerLoadAt(member).running;
     }
     return running;
   }
@@ -132,6 +131,8 @@
   recordMisdirected(endpoint: EndpointRecord, nowMs: number): void {
     this.lifetimes.recordReplaced(endpoint);
     this.misdirected.record(endpoint.id, nowMs);
+    const member = this.members.get(endpoint.id);
+    if (member !== undefined) this.rooms.markChanged(member);
   }
 
   /** Returns the endpoints of a group that accept new requests. */
@@ -141,30 +142,31 @@
 
   /** Returns whether an endpoint accepts new requests. */
   isReady(id: string, nowMs: number): boolean {
-    const member = this.membersById.get(id);
-    if (member === undefined || !this.isUsable(member, nowMs)) return false;
+    const member = this.members.get(id);
+    if (member === undefined || !this.guards.isUsable(member, nowMs))
+      return false;
     return this.options.paused.waitMs(member.record) === 0;
   }
 
   /** Reserves the endpoint with the lowest expected cost; returns undefined if none is usable. */
   reserve(query: PoolQuery, nowMs: number): PoolReservation | undefined {
-    const { limiter } = this.options;
-    const usable = this.usableMembers(query.group, nowMs).filter(
-      member =>
-        !query.excluded.has(member.record.id) &&
-        matchesQuery(member.record, query) &&
-        this.waitMs(member, nowMs) === 0 &&
-        matchesRoom(member, query, this.runningAt(member, nowMs)),
+    const matches = (member: PoolMember) => this.matches(member, query, nowMs);
+    const members = this.members.inGroup(query.group);
+    const isEligible = (member: PoolMember) =>
+      matches(member) &&
+      this.options.limiter.waitMs(member.record) === undefined;
+    const preferred = this.preferred.find(
+      query.group,
+      members,
+      query.promptParts,
+      isEligible,
     );
-    const unlimited = usable.filter(
-      member => limiter.waitMs(member.record) === undefined,
-    );
-    const preferred = findPreferredMembers(unlimited, query.promptParts);
     const placed = { ...query, preferred };
     let best: PoolMember | undefined;
     let bestMs = Infinity;
-    for (const member of usable) {
-      const peerLoad = this.peerLoadAt(member);
+    for (const member of members) {
+      if (!matches(member)) continue;
+      const peerLoad = this.guards.peerLoadAt(member);
       const expectedMs = this.placement.costMs(member, placed, peerLoad, nowMs);
       if (expectedMs >= bestMs) continue;
       best = member;
@@ -193,25 +195,26 @@
    * undefined if one may be now, or none accepts new requests.
    */
   busyForMs(group: string, nowMs: number): number | undefined {
-    const waitsMs = this.usableMembers(group, nowMs).map(each =>
-      this.waitMs(each, nowMs),
-    );
-    const waitMs = Math.min(...waitsMs);
+    let waitMs = Infinity;
+    for (const member of this.members.inGroup(group)) {
+      if (waitMs === 0) break;
+      if (this.guards.isUsable(member, nowMs))
+        waitMs = Math.min(waitMs, this.guards.waitMs(member, nowMs));
+    }
     return waitMs > 0 && Number.isFinite(waitMs) ? waitMs : undefined;
   }
 
   /** Returns the capacity of a group's endpoints that accept new requests. */
   room(group: string, nowMs: number): GroupRoom {
-    const isOpen = (member: PoolMember) => this.waitMs(member, nowMs) === 0;
-    return roomOf(this.usableMembers(group, nowMs), isOpen, nowMs);
+    return this.rooms.of(group, this.members.inGroup(group), nowMs);
   }
 
   /** Returns the endpoints with the state that their selection depends on, for the operators. */
   dumpState(nowMs: number): unknown {
-    return [...this.membersById.values()].map(member => ({
+    return this.members.all.map(member => ({
       ...member.record,
       running: member.running,
-      peersRunning: this.peerWorkById.get(member.record.id)?.running ?? 0,
+      peersRunning: this.guards.peerLoadAt(member).running,
       reported: member.reportedLoad,
       failureShare: member.health.failureShare(nowMs),
       isMisdirected: this.misdirected.has(member.record.id, nowMs),
@@ -223,48 +226,26 @@
   }
 
   private usableMembers(group: string, nowMs: number): readonly PoolMember[] {
-    return [...this.membersById.values()].filter(
-      each => each.record.group === group && this.isUsable(each, nowMs),
-    );
+    return this.members
+      .inGroup(group)
+      .filter(each => this.guards.isUsable(each, nowMs));
   }
 
-  private isUsable(
-    { record, usableUntilMs }: PoolMember,
+  /** Returns whether a request may be sent to the endpoint now. */
+  private matches(
+    member: PoolMember,
+    query: PoolQuery,
     nowMs: number,
   ): boolean {
     return (
-      record.state === EndpointState.Ready &&
-      nowMs < usableUntilMs &&
-      this.options.isEvacuated?.(record.dataCentre) !== true &&
-      !this.options.leaving.has(record) &&
-      !this.misdirected.has(record.id, nowMs)
+      this.guards.isUsable(member, nowMs) &&
+      !query.excluded.has(member.record.id) &&
+      matchesQuery(member.record, query) &&
+      this.guards.isOpen(member, nowMs) &&
+      matchesRoom(member, query, () => this.guards.runningAt(member, nowMs))
     );
   }
 
-  /** Returns the milliseconds until this daemon may send an endpoint a request. */
-  private waitMs(member: PoolMember, nowMs: number): number {
-    const { limiter, overloadGuard, paused } = this.options;
-    const load = {
-      running: this.runningAt(member, nowMs),
-      expectedResponseMs: expectedResponseMs(member, nowMs),
-    };
-    return Math.max(
-      paused.waitMs(member.record),
-      limiter.waitMs(member.record) ?? 0,
-      overloadGuard.waitMs(member.record, load),
-      this.coldStarts.waitMs(member.record),
-    );
-  }
-
-  private runningAt(member: PoolMember, nowMs: number): number {
-    const peersRunning = this.peerLoadAt(member).running;
-    return runningAt(member, peersRunning, nowMs);
-  }
-
-  private peerLoadAt({ record }: PoolMember): PeerLoadAt {
-    return this.peerWorkById.get(record.id) ?? NO_PEER_LOAD;
-  }
-
   private createReservation(
     member: PoolMember,
     query: PlacementQuery,
@@ -275,7 +256,7 @@
         ? member.promptCache.uncachedTokens(query.promptParts)
         : 0;
     const wasOnTrial = isOnTrial(member, nowMs);
-    const peerLoad = this.peerLoadAt(member);
+    const peerLoad = this.guards.peerLoadAt(member);
     const observation = this.placement.observe?.(
       member,
       query,
@@ -291,6 +272,10 @@
     const dispatch = overloadGuard.recordDispatch(member.record);
     const coldDispatch = this.coldStarts.recordDispatch(member.record);
     const lifetime = this.lifetimes.watch(member.record);
+    const markChanged = () => {
+      this.rooms.markChanged(member);
+    };
+    markChanged();
     let ownBacklogTokens = uncachedTokens;
     let isActive = true;
     let isWithheld = false;
@@ -316,6 +301,7 @@
         member.reportedLoad = load;
         member.loadReportedAtMs = atMs;
         member.sentSinceLoadReport = 0;
+        markChanged();
         this.options.loadObserver?.recordLoad(query.group, load, atMs);
         observation?.recordLoad(load, atMs);
       },
@@ -325,6 +311,7 @@
         endpoint: member.record,
         dispatch,
         sentAtMs: nowMs,
+        onStatement: markChanged,
       }),
       recordSilence: atMs => {
         member.health.record(true, atMs);
@@ -337,6 +324,7 @@
         dispatch.end();
         coldDispatch.end();
         member.running -= 1;
+        markChanged();
         observation?.end(verdict === AttemptVerdict.Succeeded, atMs);
         // A request that this daemon withholds says nothing about the endpoint.
         if (verdict === undefined || isWithheld) return;
--- a/packages/core/src/forwarding/group-room.ts
+++ b/packages/core/src/forwarding/group-room.ts
@@ -1,21 +1,40 @@
-import type { GroupRoom } from './dispatch-gate.js';
 import type { PoolMember } from './pool-member.js';
 import { hasRecentReport } from './pool-member.js';
 import type { PoolQuery } from './pool-query.js';
 
-/** Returns the capacity of endpoints that accept new requests; `isOpen` returns whether this daemon may send one a request now. */
-export function roomOf(
-  members: readonly PoolMember[],
-  isOpen: (member: PoolMember) => boolean,
+/** What one endpoint adds to the capacity of its group. */
+export interface MemberRoom {
+  /** 1 if its last report shows a free slot. */
+  readonly freeSlots: number;
+  readonly totalSlots: number;
+  readonly openSlots: number;
+  /** 1 if it has reported its load of late. */
+  readonly reports: number;
+}
+
+const NOTHING: MemberRoom = {
+  freeSlots: 0,
+  totalSlots: 0,
+  openSlots: 0,
+  reports: 0,
+};
+
+/** Returns what an endpoint adds; `isUsable` is whether it accepts new requests, `isOpen` whether this daemon may send it one now. */
+export function memberRoomOf(
+  member: PoolMember,
+  isUsable: boolean,
+  isOpen: boolean,
   nowMs: number,
-): GroupRoom {
-  const open = members.filter(isOpen);
-  const reported = open.filter(each => hasRecentReport(each, nowMs));
+): MemberRoom {
+  if (!isUsable) return NOTHING;
+  const totalSlots = Math.max(1, member.record.slots);
+  if (!isOpen) return { ...NOTHING, totalSlots };
+  const isReported = hasRecentReport(member, nowMs);
   return {
-    freeSlots: reported.filter(each => reportedFreeSlots(each) > 0).length,
-    totalSlots: countSlots(members),
-    openSlots: countSlots(open),
-    isKnown: reported.length > 0,
+    freeSlots: isReported && reportedFreeSlots(member) > 0 ? 1 : 0,
+    totalSlots,
+    openSlots: totalSlots,
+    reports: isReported ? 1 : 0,
   };
 }
 
@@ -29,19 +48,12 @@
   return Math.max(0, slots - running - waiting - sentSinceLoadReport);
 }
 
-/** Returns whether the query allows an endpoint at which `running` requests are known to run or wait. */
+/** Returns whether the query allows an endpoint; `running` returns the requests that are known to run or wait there. */
 export function matchesRoom(
   { record }: PoolMember,
   { requiresRoom }: PoolQuery,
-  running: number,
+  running: () => number,
 ): boolean {
   if (requiresRoom !== true) return true;
-  return running < Math.max(1, record.slots);
-}
-
-function countSlots(members: readonly PoolMember[]): number {
-  return members.reduce(
-    (sum, { record }) => sum + Math.max(1, record.slots),
-    0,
-  );
+  return running() < Math.max(1, record.slots);
 }
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -42,6 +42,7 @@
 export * from './pool-options.js';
 export * from './pool-query.js';
 export * from './pool-reservation.js';
+export * from './preferred-members.js';
 export * from './prompt-cache.js';
 export * from './request-fingerprint.js';
 export * from './request-memory.js';
--- a/packages/core/src/forwarding/pool-member.ts
+++ b/packages/core/src/forwarding/pool-member.ts
@@ -1,7 +1,6 @@
-import { hash32 } from '../routing/index.js';
 import { EndpointHealth } from './endpoint-health.js';
 import type { EndpointRecord } from './endpoint-record.js';
-import type { PromptPart, ReportedLoad } from './forward-request.js';
+import type { ReportedLoad } from './forward-request.js';
 import type { PoolQuery } from './pool-query.js';
 import { PromptCache, sumTokens } from './prompt-cache.js';
 
@@ -31,8 +30,6 @@
 const DEFAULT_RESPONSE_MS = 20; // service time of a plain request, as the users specify
 /** Weight of the newest response in an endpoint's moving average. */
 const RESPONSE_AVERAGE_WEIGHT = 0.1; // averages about the last ten responses, a second of traffic
-/** Number of endpoints that daemons prefer for a shared part. */
-const MAX_PREFERRED = 8; // docs/design/placement.md, 'Weighed'
 /** Age from which an endpoint's load report is ignored. */
 const MAX_LOAD_REPORT_AGE_MS = 1_000; // most requests take less
 /** Time without a response after which the average of an idle endpoint no longer counts, so that it gets a trial. */
@@ -127,30 +124,6 @@
   );
 }
 
-/**
- * Returns the endpoints that all daemons prefer for a prompt's shared parts, in
- * this order, so that these are cached there: rendezvous hashing (highest random
- * weight, Thaler and Ravishankar, 1998) by the last shared part. Empty if no
- * part is shared.
- */
-export function findPreferredMembers(
-  members: readonly PoolMember[],
-  parts: readonly PromptPart[],
-): readonly PoolMember[] {
-  const key = parts.at(-2)?.id;
-  if (key === undefined) return [];
-  const ranked: { readonly member: PoolMember; readonly weight: number }[] = [];
-  for (const member of members) {
-    const weight = hash32(`${key} ${member.record.id}`);
-    const isFull = ranked.length === MAX_PREFERRED;
-    if (isFull && weight <= (ranked.at(-1)?.weight ?? 0)) continue;
-    if (isFull) ranked.pop();
-    const rank = ranked.findIndex(other => weight > other.weight);
-    ranked.splice(rank < 0 ? ranked.length : rank, 0, { member, weight });
-  }
-  return ranked.map(({ member }) => member);
-}
-
 /** Returns whether the endpoint has reported its load of late. */
 export function hasRecentReport(
   { loadReportedAtMs, reportedLoad }: PoolMember,
--- a/packages/core/src/forwarding/prompt-cache.ts
+++ b/packages/core/src/forwarding/prompt-cache.ts
@@ -13,9 +13,13 @@
 
   /** Returns the tokens of the prompt after its longest cached prefix. */
   uncachedTokens(parts: readonly PromptPart[]): number {
-    const firstMissing = parts.findIndex(part => !this.tokensById.has(part.id));
-    if (firstMissing < 0) return 0;
-    return sumTokens(parts.slice(firstMissing));
+    let uncached = 0;
+    let isCached = true;
+    for (const { id, tokens } of parts) {
+      isCached &&= this.tokensById.has(id);
+      if (!isCached) uncached += tokens;
+    }
+    return uncached;
   }
 
   /** Records that the endpoint caches the prompt, and evicts the least recently used parts. */
--- a/packages/core/src/forwarding/statement-recorders.ts
+++ b/packages/core/src/forwarding/statement-recorders.ts
@@ -12,6 +12,8 @@
   readonly endpoint: EndpointRecord;
   readonly dispatch: GuardedDispatch;
   readonly sentAtMs: number;
+  /** Called after each statement, as it may change whether the endpoint gets requests. */
+  readonly onStatement: () => void;
 }
 
 export type StatementRecorders = Pick<
@@ -27,24 +29,29 @@
   leaving,
   limiter,
   loadObserver,
+  onStatement,
   paused,
   sentAtMs,
 }: StatementRecorderOptions): StatementRecorders {
   return {
     recordLeaving: () => {
       leaving.record(endpoint);
+      onStatement();
     },
     recordPause: pauseMs => {
       paused.record(endpoint, pauseMs);
+      onStatement();
     },
     recordCold: coldForMs => {
       coldStarts.recordStatement(endpoint, coldForMs);
+      onStatement();
     },
     recordStatements: (statements, isRejection) => {
       const { limitPerSecond, maxRejectionsPerSecond } = statements;
       if (!isRejection || limitPerSecond !== undefined)
         limiter.recordResponse(endpoint, limitPerSecond, sentAtMs);
       dispatch.recordResponse({ isRejection, maxRejectionsPerSecond });
+      onStatement();
       if (isRejection) loadObserver?.recordRejection(endpoint.group, sentAtMs);
     },
   };
--- a/packages/core/src/placement/least-work-placement.test.ts
+++ b/packages/core/src/placement/least-work-placement.test.ts
@@ -13,9 +13,9 @@
   createPoolMember,
   EndpointPool,
   EndpointState,
-  findPreferredMembers,
   LeavingEndpoints,
   PausedEndpoints,
+  PreferredMembers,
   UNGUARDED,
   UNLIMITED,
 } from '../forwarding/index.js';
@@ -137,7 +137,12 @@
       return daemon.choose({ ...SHARED_QUERY, promptParts: otherParts });
     });
     const members = ids.map(id => createPoolMember(recordOf(id)));
-    const order = findPreferredMembers(members, SHARED_QUERY.promptParts);
+    const order = new PreferredMembers().find(
+      SHARED_QUERY.group,
+      members,
+      SHARED_QUERY.promptParts,
+      () => true,
+    );
     const [first, ...next] = order.map(({ record }) => record.id);
     assert.equal(preferred, first);
     for (const alternative of alternatives)
--- a/packages/core/src/routing/bounded-map.ts
+++ b/packages/core/src/routing/bounded-map.ts
@@ -26,6 +26,10 @@
     return this.entries.values();
   }
 
+  clear(): void {
+    this.entries.clear();
+  }
+
   delete(key: Key): void {
     this.entries.delete(key);
   }
