--- a/packages/core/src/hints/cluster-time.test.ts
+++ b/packages/core/src/hints/cluster-time.test.ts
@@ -54,4 +54,35 @@
     monotonicMs = 6_000;
     assert.equal(time.nowMs(), 6_000);
   });
+
+  // The offsets are kept sorted; a wrong index would let the offset of one peer stand for another's.
+  it('is the median of the own clock and of the offsets that are not too old', () => {
+    const reading = fc.record({
+      daemon: fc.nat(5),
+      waitMs: fc.nat(3_000),
+      offsetMs: fc.integer({ min: -50, max: 50 }),
+    });
+    const property = fc.property(fc.array(reading), readings => {
+      let monotonicMs = 0;
+      const time = new ClusterTime(
+        () => monotonicMs + 7,
+        () => monotonicMs,
+      );
+      const offsets = new Map<number, { offsetMs: number; atMs: number }>();
+      for (const { daemon, offsetMs, waitMs } of readings) {
+        monotonicMs += waitMs;
+        time.observe(`d${daemon}`, monotonicMs + offsetMs);
+        offsets.set(daemon, { offsetMs, atMs: monotonicMs });
+        const sorted = [...offsets.values()]
+          .filter(({ atMs }) => monotonicMs - atMs <= 5_000)
+          .map(each => each.offsetMs)
+          .concat(7)
+          .sort((left, right) => left - right);
+        const [low, high] = [(sorted.length - 1) >>> 1, sorted.length >>> 1];
+        const median = ((sorted[low] ?? 0) + (sorted[high] ?? 0)) / 2;
+        assert.equal(time.nowMs(), monotonicMs + median);
+      }
+    });
+    fc.assert(property, { seed: SEED });
+  });
 });
