Find the hints of a daemon without a scan of all hints

Whether recent counts of all daemons have arrived was found by a scan of all hints for each live daemon, for each window that waits for its report; each message that arrived looked at the age of all hints.

The store of hints keeps the last ones of each daemon, and all in the order of their arrival, so that a look for expired ones ends at the first that has not expired.

--- a/packages/core/src/hints/hint-store.ts
+++ b/packages/core/src/hints/hint-store.ts
@@ -17,7 +17,10 @@
 
 /** Latest hints of each peer daemon. */
 export class HintStore {
+  /** In the order of their arrival. */
   private readonly byLifetime = new Map<string, ReceivedHints>();
+  /** Last hints to arrive from each daemon, by its id. */
+  private readonly byDaemon = new Map<string, ReceivedHints>();
   private readonly load = new PeerLoad();
   private readonly endpointReads = new PeerReads();
   private readonly operatorReads = new PeerReads();
@@ -35,19 +38,15 @@
     if (stored !== undefined && stored.hints.sequence >= hints.sequence) {
       return false;
     }
-    this.byLifetime.set(hints.lifetime, { hints, receivedAtMs: nowMs });
+    const received = { hints, receivedAtMs: nowMs };
+    this.byLifetime.delete(hints.lifetime);
+    this.byLifetime.set(hints.lifetime, received);
+    this.byDaemon.set(hints.daemonId, received);
     this.load.replace(hints.lifetime, hints.work);
     this.recordReads(hints, builtAfterMs);
     if (hints.dutyLease !== undefined)
       this.dutyLease.record(hints.dutyLease, nowMs);
-    for (const [lifetime, { receivedAtMs }] of this.byLifetime) {
-      if (nowMs - receivedAtMs <= RETENTION_MS) continue;
-      this.byLifetime.delete(lifetime);
-      this.load.remove(lifetime);
-      this.endpointReads.delete(lifetime);
-      this.operatorReads.delete(lifetime);
-      this.evacuationReads.delete(lifetime);
-    }
+    this.deleteExpired(nowMs);
     return true;
   }
 
@@ -65,30 +64,20 @@
 
   /** Returns the time since the last hints of a daemon; undefined where none are stored. */
   silentForMs(daemonId: string, nowMs: number): number | undefined {
-    const agesMs = [...this.byLifetime.values()]
-      .filter(received => received.hints.daemonId === daemonId)
-      .map(received => nowMs - received.receivedAtMs);
-    return agesMs.length === 0 ? undefined : Math.min(...agesMs);
+    const received = this.byDaemon.get(daemonId);
+    return received && nowMs - received.receivedAtMs;
   }
 
   /** Returns whether a daemon has said that it can be told usage counts. */
   takesUsageCounts(daemonId: string): boolean {
-    const newest = [...this.byLifetime.values()]
-      .filter(received => received.hints.daemonId === daemonId)
-      .reduce<ReceivedHints | undefined>(
-        (latest, each) =>
-          latest === undefined || each.receivedAtMs >= latest.receivedAtMs
-            ? each
-            : latest,
-        undefined,
-      );
-    return newest?.hints.takesUsageCounts === true;
+    return this.byDaemon.get(daemonId)?.hints.takesUsageCounts === true;
   }
 
   /** Returns the summed work of all peers with fresh hints, by endpoint. The map changes with later calls. */
   work(nowMs: number): ReadonlyMap<string, EndpointLoad> {
     for (const [lifetime, { receivedAtMs }] of this.byLifetime) {
-      if (nowMs - receivedAtMs >= FRESHNESS_MS) this.load.remove(lifetime);
+      if (nowMs - receivedAtMs < FRESHNESS_MS) break;
+      this.load.remove(lifetime);
     }
     return this.load.total;
   }
@@ -126,6 +115,20 @@
     }));
   }
 
+  private deleteExpired(nowMs: number): void {
+    for (const [lifetime, received] of this.byLifetime) {
+      if (nowMs - received.receivedAtMs <= RETENTION_MS) break;
+      this.byLifetime.delete(lifetime);
+      const { daemonId } = received.hints;
+      if (this.byDaemon.get(daemonId) === received)
+        this.byDaemon.delete(daemonId);
+      this.load.remove(lifetime);
+      this.endpointReads.delete(lifetime);
+      this.operatorReads.delete(lifetime);
+      this.evacuationReads.delete(lifetime);
+    }
+  }
+
   private recordReads(hints: DaemonHints, builtAfterMs: number): void {
     const { configurationVersion, endpointsVersion, lifetime } = hints;
     const { endpointReadAgeMs, evacuationsVersion, operatorReadAgeMs } = hints;
