Leave counts of reported windows out of hints and messages

Each hint message carried the usage counts of all seven retained windows, although the platform has the reports of all but the last two or three.

The holder of the duties notes up to which window the platform has accepted all reports, and the daemons pass this on in the optional hint usageReportedBefore. Counts of earlier windows are neither sent nor merged, and no holder fixes such a window again, also from a store that was restored. Builds that do not know the hint send and get all windows.

--- a/packages/core/src/duties/usage-reporter.ts
+++ b/packages/core/src/duties/usage-reporter.ts
@@ -50,15 +50,14 @@
 
   /** Stores and sends the reports that are due. `currentToken` returns undefined once the lease is lost. */
   async step(currentToken: () => FencingToken | undefined): Promise<void> {
+    const { hasRestored, ledger } = this.deps;
     const initialToken = currentToken();
     if (initialToken === undefined) return;
     if (this.loadedFencingNumber !== initialToken.fencingNumber) {
       if (!(await this.loadStoredReports())) return;
       this.loadedFencingNumber = initialToken.fencingNumber;
     }
-    const dueWindowIds = this.deps.hasRestored(initialToken)
-      ? this.dueWindowIds()
-      : [];
+    const dueWindowIds = hasRestored(initialToken) ? this.dueWindowIds() : [];
     for (const windowId of dueWindowIds) {
       if (!(await this.storeReport(windowId))) return;
     }
@@ -69,12 +68,21 @@
       if (!(await this.sendReport(report, token))) return;
     }
     this.forgetSentBefore(this.storedReports[0]?.windowId ?? -Infinity);
+    ledger.closeBefore(this.firstUnstoredId);
   }
 
-  /** First window whose report is not stored. */
+  /** First window to be reported: neither is its report stored, nor is it known that the platform has it. */
   get nextWindowId(): number {
-    const lastStoredId = this.storedReports.at(-1)?.windowId ?? -Infinity;
-    return Math.max(this.firstWindowId, lastStoredId + 1);
+    const firstUnreportedId = this.deps.ledger.firstUnreportedId ?? -Infinity;
+    return Math.max(
+      this.firstWindowId,
+      this.firstUnstoredId,
+      firstUnreportedId,
+    );
+  }
+
+  private get firstUnstoredId(): number {
+    return (this.storedReports.at(-1)?.windowId ?? -Infinity) + 1;
   }
 
   private dueWindowIds(): readonly number[] {
--- a/packages/core/src/duties/usage.test.ts
+++ b/packages/core/src/duties/usage.test.ts
@@ -190,6 +190,48 @@
     ]);
   });
 
+  // A holder that heard of the reports by hints fixed their windows again, from a store that was restored.
+  it('is not reported again by a successor once the platform has it, whatever the store says', async () => {
+    const clock = new ManualClock(10_000);
+    const platform = new FakePlatform();
+    const start = () => new UsageLedger(WINDOW_MS, () => clock.nowMs());
+    const [ledger, successorLedger] = [start(), start()];
+    ledger.count('kowhai', 0);
+    await clock.advanceTo(16_500);
+    const store = new MemoryKeyValue(clock);
+    const reporter = createReporter(clock, store, platform, ledger);
+    await reporter.step(tokenOf('a', 1));
+    assert.equal(ledger.firstUnreportedId, 3);
+    assert.deepEqual(ledger.ownUsage(), []);
+    successorLedger.closeBefore(3);
+    successorLedger.count('kowhai', 6_000);
+    const restored = new MemoryKeyValue(clock);
+    const successor = createReporter(
+      clock,
+      restored,
+      platform,
+      successorLedger,
+    );
+    await successor.step(tokenOf('b', 2));
+    assert.equal(platform.received, 1);
+  });
+
+  // Counts of a window whose report was not accepted would be missing where the store loses that report.
+  it('keeps a window open until the platform has its report, and ignores that a window to come has one', async () => {
+    const clock = new ManualClock(10_000);
+    const platform = new FakePlatform();
+    const ledger = new UsageLedger(WINDOW_MS, () => clock.nowMs());
+    ledger.count('kowhai', 0);
+    await clock.advanceTo(16_500);
+    platform.isDown = true;
+    const store = new MemoryKeyValue(clock);
+    const reporter = createReporter(clock, store, platform, ledger);
+    await reporter.step(tokenOf('a', 1));
+    ledger.closeBefore(4);
+    assert.equal(ledger.firstUnreportedId, undefined);
+    assert.equal(ledger.ownUsage().length, 1);
+  });
+
   it('waits for missing counts of daemons, up to a limit', async () => {
     const clock = new ManualClock(10_000);
     const store = new MemoryKeyValue(clock);
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -65,7 +65,10 @@
     .readonly()
     .optional()
     .catch(undefined),
+  /** The sender's counts of windows that may still have to be reported. */
   usage: z.array(windowUsageSchema),
+  /** First window that the platform may still lack a usage report of; counts of earlier ones are not sent. Absent where that is not known. */
+  usageReportedBefore: count.optional().catch(undefined),
   /** Time since the sender, or a daemon that it heard of, began its last successful read of the endpoints. */
   endpointReadAgeMs: count.optional(),
   /** Version of the sender's list of endpoints. */
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -76,6 +76,7 @@
     const operatorReadAgeMs = ageMs(nowMs, this.deps.operatorReadAtMs());
     const evacuationsVersion = this.deps.evacuationsVersion();
     const dutyLease = this.deps.cluster().hintBoard.dutyLease.hint(nowMs);
+    const usageReportedBefore = duties.usageLedger.firstUnreportedId;
     return {
       daemonId: this.context.settings.identity.daemonId,
       lifetime: this.lifetime,
@@ -86,6 +87,7 @@
       grantedTokens: tokenBuckets.grantedTotals(),
       passedOnGrants: tokenBuckets.grantsToPassOn(nowMs),
       usage: duties.usageLedger.ownUsage(),
+      ...(usageReportedBefore !== undefined && { usageReportedBefore }),
       endpointsVersion: this.deps.endpointsVersion(),
       ...(Number.isFinite(endpointReadAgeMs) && { endpointReadAgeMs }),
       configurationVersion: this.deps.configurationVersion(),
@@ -120,6 +122,8 @@
     const { hintBoard } = this.deps.cluster();
     const nowMs = this.context.clock.nowMs();
     duties.trueTime.observe(hints.daemonId, hints.wallMs);
+    if (hints.usageReportedBefore !== undefined)
+      duties.usageLedger.closeBefore(hints.usageReportedBefore);
     duties.usageLedger.applyPeer(hints);
     this.applyGrants(hints, nowMs);
     rollouts.applyPeer(hints.lifetime, hints.rollouts);
