Apply a rollout's stored outcome only to the order that it ended

A status names the version, not the order. A daemon that started after a version had been ordered again, and before the new status was written, took the new rollout for rolled back. Outcomes now carry the revision at which they were written, and one older than the order is left out.

The new test failed before (phase rolledBack instead of canary); the tests of rollouts and state-replicator pass.

--- a/packages/core/src/forwarding/sources.ts
+++ b/packages/core/src/forwarding/sources.ts
@@ -14,6 +14,8 @@
 
 /** Stored result of a rollout that has ended. */
 export interface EndedRollout {
+  /** Revision of the store at which the result was written. */
+  readonly revision: number;
   readonly group: string;
   readonly toVersion: string;
   readonly hasSucceeded: boolean;
--- a/packages/core/src/rollouts/rollout-registry.ts
+++ b/packages/core/src/rollouts/rollout-registry.ts
@@ -55,10 +55,16 @@
     log.info(LogComponent.Moves, 'A rollout order was received.', { ...order });
   }
 
-  /** Applies the recorded outcome of a rollout that ended before this process read its order. */
-  applyOutcome({ group, hasSucceeded, toVersion }: EndedRollout): void {
+  /**
+   * Applies the recorded outcome of a rollout that ended before this process read
+   * its order. An outcome written before the order belongs to an earlier order of
+   * the same version.
+   */
+  applyOutcome(ended: EndedRollout): void {
+    const { group, hasSucceeded, revision, toVersion } = ended;
     const rollout = this.rolloutsByGroup.get(group);
     if (rollout?.order.toVersion !== toVersion) return;
+    if (revision < rollout.order.revision) return;
     rollout.phase = hasSucceeded
       ? RolloutPhase.Succeeded
       : RolloutPhase.RolledBack;
