--- a/packages/core/src/hints/hints-of-other-builds.test.ts
+++ b/packages/core/src/hints/hints-of-other-builds.test.ts
@@ -75,6 +75,7 @@
     'reachability',
     'dutyLease',
     'loadReports',
+    'reportedWindowId',
   ] as const) {
     it(`leaves out a part that it cannot read: ${part}`, () => {
       assert.equal(parse({ [part]: 'novel' })[part], undefined);
