Send a starting daemon the evacuations before the configuration

A digest states 16 keys in turn, and each rollback decision is a key. With 12 or more rollbacks, a daemon that started while the store was down could get the configuration, begin to serve, and learn of the evacuations only a digest later. The four shared values are now in every digest, with the evacuations first; the other keys take turns in the rest.

The new test failed before (the first values received were others). The tests of membership, evacuation and gateway-changes pass.

--- a/packages/core/src/membership/replicated-value-store.test.ts
+++ b/packages/core/src/membership/replicated-value-store.test.ts
@@ -63,6 +63,25 @@
     );
   });
 
+  it('sends a starting daemon the keys of every digest at once and in order, however many others there are', () => {
+    const running = createStore(
+      Array.from({ length: 40 }, (_, at) => ({
+        key: `many/${at}`,
+        version: 1,
+      })),
+      ['first', 'second'],
+    );
+    for (const key of ['second', 'first'])
+      running.apply({ key, version: 1, value: key });
+    const starting = new ReplicatedValueStore();
+    const received: string[] = [];
+    starting.onValue(({ key }) => received.push(key));
+    pullNewer(running, starting);
+    assert.deepEqual(received.slice(0, 2), ['first', 'second']);
+    for (let pulls = 0; pulls < 2; pulls += 1) pullNewer(running, starting);
+    assert.equal(starting.versions().length, 42);
+  });
+
   it('requests the full value when the base of a patch is not stored', () => {
     const store = new ReplicatedValueStore();
     store.apply(valueAt(1));
@@ -112,8 +131,11 @@
   });
 });
 
-function createStore(entries: readonly { key: string; version: number }[]) {
-  const store = new ReplicatedValueStore();
+function createStore(
+  entries: readonly { key: string; version: number }[],
+  keysOfEveryDigest: readonly string[] = [],
+) {
+  const store = new ReplicatedValueStore(keysOfEveryDigest);
   for (const entry of entries) {
     store.apply({ ...entry, value: `value ${entry.version}` });
   }
--- a/packages/core/src/membership/replicated-value-store.ts
+++ b/packages/core/src/membership/replicated-value-store.ts
@@ -40,6 +40,12 @@
   private confirmedUntilMs = 0;
   private lastConfirmedAtMs = Number.NEGATIVE_INFINITY;
 
+  /**
+   * `keysOfEveryDigest` come first in every digest, so that a starting daemon
+   * gets their values at once and in this order however many other keys there are.
+   */
+  constructor(private readonly keysOfEveryDigest: readonly string[] = []) {}
+
   /** Registers a listener that is called with each newer version stored from now on. */
   onValue(listener: ValueListener): void {
     this.listeners.push(listener);
@@ -86,16 +92,24 @@
   }
 
   /**
-   * Returns the versions of a bounded range of the keys. Successive calls cycle
-   * through all keys.
+   * Returns the versions of the keys of every digest and of a bounded range of the
+   * others. Successive calls cycle through all keys.
    */
   nextDigest(): readonly KeyVersion[] {
-    const keys = [...this.valuesByKey.keys()];
-    const start = this.nextDigestStart < keys.length ? this.nextDigestStart : 0;
-    this.nextDigestStart = start + MAX_DIGEST_KEYS;
-    return keys
-      .slice(start, start + MAX_DIGEST_KEYS)
-      .map(key => ({ key, version: this.version(key) }));
+    const first = this.keysOfEveryDigest.filter(key =>
+      this.valuesByKey.has(key),
+    );
+    const others = [...this.valuesByKey.keys()].filter(
+      key => !first.includes(key),
+    );
+    const start =
+      this.nextDigestStart < others.length ? this.nextDigestStart : 0;
+    const end = start + MAX_DIGEST_KEYS - first.length;
+    this.nextDigestStart = end;
+    return [...first, ...others.slice(start, end)].map(key => ({
+      key,
+      version: this.version(key),
+    }));
   }
 
   /** Returns the keys of a peer's digest that are newer there, with the versions stored here. */
--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -13,6 +13,7 @@
 import { HttpPeer, PeerServer } from '../peers/index.js';
 import { DaemonRegistry } from './daemon-registry.js';
 import type { GatewayContext } from './gateway-context.js';
+import { GOSSIP_KEYS_OF_EVERY_DIGEST } from './gossip-key.js';
 import { HINT_INTERVAL_MS, HintExchange } from './hint-exchange.js';
 import { RELAY_PATH } from './relay-message.js';
 
@@ -90,6 +91,7 @@
       ...context,
       peer: httpPeer,
       registry: peerServer,
+      keysOfEveryDigest: GOSSIP_KEYS_OF_EVERY_DIGEST,
       seeds: new DaemonRegistry(
         platform.keyValue,
         this.identity,
--- /dev/null
+++ b/packages/daemon/src/gateway/gossip-key.ts
@@ -0,0 +1,15 @@
+/** Keys of the values that daemons gossip to one another. */
+export enum GossipKey {
+  Configuration = 'configuration',
+  Endpoints = 'endpoints',
+  Rollouts = 'rollouts',
+  Evacuations = 'evacuations',
+}
+
+/** Keys in every digest. The evacuations come before the configuration, by which a starting daemon begins to serve. */
+export const GOSSIP_KEYS_OF_EVERY_DIGEST: readonly GossipKey[] = [
+  GossipKey.Evacuations,
+  GossipKey.Configuration,
+  GossipKey.Endpoints,
+  GossipKey.Rollouts,
+];
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -22,16 +22,9 @@
 import { EvacuationReplicator } from './evacuation-replicator.js';
 import type { GatewayCluster } from './gateway-cluster.js';
 import type { GatewayContext } from './gateway-context.js';
+import { GossipKey } from './gossip-key.js';
 import { UpdateSource } from './update-source.js';
 
-/** Keys of the values that daemons gossip to one another. */
-enum GossipKey {
-  Configuration = 'configuration',
-  Endpoints = 'endpoints',
-  Rollouts = 'rollouts',
-  Evacuations = 'evacuations',
-}
-
 /** Prefix of the keys of rollback decisions, one for each group, so that decisions need no merging; the version is the revision of the order. */
 const ROLLBACK_KEY_PREFIX = 'rollback/';
 
--- a/packages/daemon/src/membership/membership-service.ts
+++ b/packages/daemon/src/membership/membership-service.ts
@@ -44,6 +44,8 @@
   readonly peer: PeerClient;
   readonly registry: PeerRegistry;
   readonly seeds: SeedSource;
+  /** Keys of which every digest states the version, as in `ReplicatedValueStore`. */
+  readonly keysOfEveryDigest?: readonly string[];
   /** Rules to watch and broadcast; undefined where the daemon has none. */
   readonly rules?: ReplicatedRules;
 }
@@ -70,7 +72,7 @@
   readonly name = 'membership';
   readonly loops: readonly Loop[];
   readonly swim: SwimMembership;
-  readonly store = new ReplicatedValueStore();
+  readonly store: ReplicatedValueStore;
   readonly relayRole: RelayRole;
   readonly broadcaster: ValueBroadcaster;
   private readonly ruleWatch: RuleWatcher | undefined;
@@ -84,7 +86,8 @@
     identity: DaemonIdentity,
     private readonly deps: MembershipServiceDependencies,
   ) {
-    const { clock, peer, random, rules, seeds } = deps;
+    const { clock, keysOfEveryDigest, peer, random, rules, seeds } = deps;
+    this.store = new ReplicatedValueStore(keysOfEveryDigest);
     this.swim = new SwimMembership(identity, random, clock.nowMs());
     this.relayRole = new RelayRole(identity);
     this.broadcaster = new ValueBroadcaster(
