Keep the retries of all daemons within the slack across restarts, and share it in turn

Up to 46 daemons at a slack of 58: a daemon that started again got its share of the slack anew, so that the sum exceeded the slack where more than a quarter started again within a window. A daemon that starts after the first start of the system now earns its balance with requests.

Over 46 daemons, whose shares are below one retry, the slack was not used at all: a daemon with fewer than ten requests of a group in 5 s made no retry. The daemons now also use one retry of the slack each in turn, by the cluster's time; the turns that are valid in any window are fewer than the slack.

Both new tests failed before (retries above the bound for 2 to 46 daemons; none made by 47 daemons with few requests). The tests of retry-budgets, routing, gateway-repeats, gateway-silence and gateway-partition pass.

--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -11,3 +11,4 @@
 export * from './retry-budget.js';
 export * from './retry-policy.js';
 export * from './router.js';
+export * from './turn-budget.js';
--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -168,6 +168,12 @@
     return ranked.findIndex(daemon => daemon.id === identity.id);
   }
 
+  /** Returns the number of live daemons whose id comes before this one's. */
+  rankById(): number {
+    const { id } = this.identity;
+    return this.membership.live().filter(peer => peer.id < id).length;
+  }
+
   /** Returns the peer that holds the duties; undefined if none is known. */
   dutyHolder(): DaemonIdentity | undefined {
     const holderId = this.hintBoard.dutyLease.holderId(
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -57,7 +57,7 @@
 import type { OperatorWatch } from './operator-watch.js';
 import { createRelayClient } from './relay-client.js';
 import { RelayServer } from './relay-server.js';
-import { RetryBudgets } from './retry-budgets.js';
+import { createRetryBudgets } from './retry-budgets.js';
 import { StateReplicator } from './state-replicator.js';
 import { StopSchedule } from './stop-schedule.js';
 
@@ -199,11 +199,7 @@
     upstream: peerConnections,
     cluster,
   });
-  const retryBudgets = new RetryBudgets(
-    settings.bounds,
-    () => cluster.size,
-    clock,
-  );
+  const retryBudgets = createRetryBudgets(context, cluster, duties.trueTime);
   const stopSchedule = new StopSchedule(clock);
   const forwarder = new Forwarder({
     ...context,
--- a/packages/daemon/src/gateway/retry-budgets.test.ts
+++ b/packages/daemon/src/gateway/retry-budgets.test.ts
@@ -16,11 +16,13 @@
   private readonly budgets: RetryBudgets[];
 
   constructor(private readonly size: number) {
-    this.budgets = Array.from({ length: size }, () => this.create());
+    this.budgets = Array.from({ length: size }, (_, index) =>
+      this.create(index, true),
+    );
   }
 
   restart(index: number): void {
-    this.budgets[index] = this.create();
+    this.budgets[index] = this.create(index, false);
   }
 
   request(index: number): void {
@@ -55,9 +57,15 @@
     }
   }
 
-  private create(): RetryBudgets {
+  private create(rank: number, isFirstStart: boolean): RetryBudgets {
     const clock = { nowMs: () => this.nowMs };
-    return new RetryBudgets(bounds, () => this.size, clock);
+    const fleet = {
+      isFirstStart,
+      daemonCount: () => this.size,
+      rank: () => rank,
+      clusterTimeMs: () => this.nowMs,
+    };
+    return new RetryBudgets(bounds, fleet, clock);
   }
 }
 
@@ -122,6 +130,33 @@
     );
   });
 
+  it('stay within their bound for 2 to 46 daemons that all start again at any time', () => {
+    fc.assert(
+      fc.property(fc.integer({ min: 2, max: 46 }), steps, (size, each) => {
+        play(size, Infinity, each);
+      }),
+      { seed: 9, numRuns: 60 },
+    );
+  });
+
+  it('allow each of many daemons with few requests a retry in turn, within the slack', () => {
+    for (const size of [47, 64, 300]) {
+      const fleet = new Fleet(size);
+      const retries = Array.from({ length: size }, () => 0);
+      const untilMs = (size + 1) * 250;
+      for (; fleet.nowMs < untilMs; fleet.nowMs += 100) {
+        for (let index = 0; index < size; index += 1) {
+          const before = fleet.retryAtMs.length;
+          fleet.retry(index);
+          retries[index] =
+            (retries[index] ?? 0) + fleet.retryAtMs.length - before;
+        }
+      }
+      assert.ok(Math.min(...retries) >= 1, `${size} daemons`);
+      fleet.check();
+    }
+  });
+
   it('stay within their bound where requests come before a window and at its end', () => {
     for (const requests of [5, 10]) {
       const all = { range: [0, 1], isRestarted: false, isRetried: true };
--- a/packages/daemon/src/gateway/retry-budgets.ts
+++ b/packages/daemon/src/gateway/retry-budgets.ts
@@ -1,14 +1,33 @@
+import type { ClusterTime } from '@skylarkreach/core/hints';
 import type { Clock } from '@skylarkreach/core/ports';
 import type { RetryAllowance } from '@skylarkreach/core/routing';
-import { RecentRequestsBudget, RetryBudget } from '@skylarkreach/core/routing';
+import {
+  RecentRequestsBudget,
+  RetryBudget,
+  TurnBudget,
+} from '@skylarkreach/core/routing';
 
 import type { GatewaySettings } from '../settings/index.js';
+import type { GatewayCluster } from './gateway-cluster.js';
+import type { GatewayContext } from './gateway-context.js';
 
 type RetryBounds = Pick<
   GatewaySettings['bounds'],
   'repeatShare' | 'repeatSlack' | 'repeatWindowSeconds'
 >;
 
+/** What a daemon knows of all daemons that share the budgets. */
+export interface RetryFleet {
+  /** Returns the number of live daemons, this one included. */
+  daemonCount(): number;
+  /** Returns the position of this daemon among the live ones in an order that all of them know. */
+  rank(): number;
+  /** Returns the time on which the daemons agree, in milliseconds. */
+  clusterTimeMs(): number;
+  /** Whether all daemons start for the first time, so that none has used retries before. */
+  readonly isFirstStart: boolean;
+}
+
 /** Fraction of the allowed retries that daemons use; the rest covers load spread unevenly among them. */
 const USED_RETRY_SHARE = 0.8;
 const MS_PER_SECOND = 1_000;
@@ -17,10 +36,9 @@
 export class RetryBudgets {
   private readonly byGroup = new Map<string, RetryAllowance>();
 
-  /** `daemonCount` returns the number of live daemons, this one included. */
   constructor(
     private readonly bounds: RetryBounds,
-    private readonly daemonCount: () => number,
+    private readonly fleet: RetryFleet,
     private readonly clock: Pick<Clock, 'nowMs'>,
   ) {}
 
@@ -36,46 +54,75 @@
 
   private createBudget(): RetryAllowance {
     const { repeatShare, repeatSlack, repeatWindowSeconds } = this.bounds;
-    const ownSlack = () =>
-      (repeatSlack * USED_RETRY_SHARE) / this.daemonCount();
+    const { fleet } = this;
+    const windowMs = repeatWindowSeconds * MS_PER_SECOND;
+    const usedSlack = () => repeatSlack * USED_RETRY_SHARE;
+    const ownSlack = () => usedSlack() / fleet.daemonCount();
     const shared = new RetryBudget({
       refillPerFirstAttempt: repeatShare * USED_RETRY_SHARE,
-      initialBalance: ownSlack(),
+      // Before a restart, the daemon may have used its share in the same window.
+      initialBalance: fleet.isFirstStart ? ownSlack() : 0,
       get capacity() {
         return ownSlack();
       },
     });
     const paid = new RecentRequestsBudget({
       retryShare: repeatShare,
-      windowMs: repeatWindowSeconds * MS_PER_SECOND,
+      windowMs,
       nowMs: () => this.clock.nowMs(),
     });
-    return new DividedBudget(shared, paid, () => ownSlack() >= 1);
+    const turns = new TurnBudget({
+      retries: usedSlack,
+      windowMs,
+      daemonCount: () => fleet.daemonCount(),
+      rank: () => fleet.rank(),
+      clusterTimeMs: () => fleet.clusterTimeMs(),
+    });
+    return new DividedBudget(shared, [paid, turns], () => ownSlack() >= 1);
   }
 }
 
-/** Budget of one daemon; where its share of the slack is below one retry, requests of late pay for retries. */
+/** Returns the retry budgets of the daemon that is wired in `context`. */
+export function createRetryBudgets(
+  { clock, settings }: GatewayContext,
+  cluster: GatewayCluster,
+  clusterTime: ClusterTime,
+): RetryBudgets {
+  const fleet: RetryFleet = {
+    daemonCount: () => cluster.size,
+    rank: () => cluster.rankById(),
+    clusterTimeMs: () => clusterTime.nowMs(),
+    isFirstStart: settings.identity.isFirstStart,
+  };
+  return new RetryBudgets(settings.bounds, fleet, clock);
+}
+
+/**
+ * Budget of one daemon. Where its share of the slack is below one retry, requests of
+ * late pay for retries, and the daemons use the slack in turn.
+ */
 class DividedBudget implements RetryAllowance {
   constructor(
     private readonly shared: RetryAllowance,
-    private readonly paid: RetryAllowance,
+    private readonly others: readonly RetryAllowance[],
     private readonly hasShare: () => boolean,
   ) {}
 
   recordFirstAttempt(): void {
     this.shared.recordFirstAttempt();
-    if (!this.hasShare()) this.paid.recordFirstAttempt();
+    if (this.hasShare()) return;
+    for (const budget of this.others) budget.recordFirstAttempt();
   }
 
   get isAvailable(): boolean {
-    return this.current().isAvailable;
+    return this.current().some(budget => budget.isAvailable);
   }
 
   tryAcquire(): boolean {
-    return this.current().tryAcquire();
+    return this.current().some(budget => budget.tryAcquire());
   }
 
-  private current(): RetryAllowance {
-    return this.hasShare() ? this.shared : this.paid;
+  private current(): readonly RetryAllowance[] {
+    return this.hasShare() ? [this.shared] : this.others;
   }
 }
