--- a/packages/core/src/rules/rule-editor.test.ts
+++ b/packages/core/src/rules/rule-editor.test.ts
@@ -24,10 +24,12 @@
   readonly clock = new ManualClock();
   readonly store = new MemoryKeyValue(this.clock);
   readonly faults: Fault[] = [];
+  /** Fault of every read. */
+  readFault = Fault.None;
   private readonly faultyStore = new FaultyKeyValue(
     this.store,
     this.clock,
-    operation => (operation === 'put' ? this.nextFault() : Fault.None),
+    operation => this.faultOf(operation),
   );
   readonly editor = new RuleEditor(this.faultyStore, this.clock);
 
@@ -60,7 +62,8 @@
     return this.apply(editId, base, `${base.text}${added}\n`);
   }
 
-  private nextFault(): Fault {
+  private faultOf(operation: string): Fault {
+    if (operation !== 'put') return this.readFault;
     return this.faults.shift() ?? Fault.None;
   }
 }
@@ -122,6 +125,13 @@
     assert.equal(unknown.outcome, EditOutcome.Unknown);
   });
 
+  it('does not say that an edit may be written where only answers to reads were lost', async () => {
+    const fixture = new EditorFixture();
+    fixture.readFault = Fault.AnswerLost;
+    const result = await fixture.append('e1', ruleLine('a'));
+    assert.equal(result.outcome, EditOutcome.Unavailable);
+  });
+
   it('rejects a file with errors and a base revision that does not exist', async () => {
     const fixture = new EditorFixture();
     const invalid = await fixture.append('e1', 'colour=red');
--- a/packages/core/src/rules/rule-editor.ts
+++ b/packages/core/src/rules/rule-editor.ts
@@ -66,6 +66,12 @@
   readonly revision: number;
 }
 
+/** What is known of the attempts at one edit. */
+interface EditProgress {
+  /** Whether the answer to a write of the edit was lost. */
+  mayBeWritten: boolean;
+}
+
 const MAX_ATTEMPTS = 20;
 
 const EMPTY_DOCUMENT: RuleDocument = { text: '', recentEdits: [] };
@@ -83,20 +89,19 @@
 
   /** Applies one edit, with retries. An edit is written at most once per `editId`. */
   async apply(edit: EditRequest): Promise<EditResult> {
-    let mayBeWritten = false;
+    const progress: EditProgress = { mayBeWritten: false };
     for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
       if (this.clock.nowMs() >= edit.deadlineAtMs) break;
       try {
-        const result = await this.attemptEdit(edit);
+        const result = await this.attemptEdit(edit, progress);
         if (result !== undefined) return result;
       } catch (error) {
         if (!(error instanceof PlatformError)) throw error;
         if (!(error instanceof AnswerLostError)) break;
-        mayBeWritten = true;
       }
     }
     return createResult(
-      mayBeWritten ? EditOutcome.Unknown : EditOutcome.Unavailable,
+      progress.mayBeWritten ? EditOutcome.Unknown : EditOutcome.Unavailable,
     );
   }
 
@@ -116,6 +121,7 @@
   /** Reads, merges and writes once. Returns undefined when a concurrent write intervened. */
   private async attemptEdit(
     edit: EditRequest,
+    progress: EditProgress,
   ): Promise<EditResult | undefined> {
     const { document, revision } = await this.read(edit.deadlineAtMs);
     const existingEdit = await this.findEdit(edit, document);
@@ -138,12 +144,14 @@
       return createResult(EditOutcome.Unchanged, revision);
     }
     const value = await this.createValue(edit, document, revision, merged.text);
-    const putResult = await this.keyValue.put({
-      key: RULES_KEY,
-      value,
-      expectedVersion: revision,
-      deadlineAtMs: edit.deadlineAtMs,
-    });
+    const { deadlineAtMs } = edit;
+    const put = { key: RULES_KEY, value, expectedVersion: revision };
+    const putResult = await this.keyValue
+      .put({ ...put, deadlineAtMs })
+      .catch((error: unknown) => {
+        if (error instanceof AnswerLostError) progress.mayBeWritten = true;
+        throw error;
+      });
     if (putResult.outcome !== PutOutcome.Written) return undefined;
     const { version } = putResult;
     const entry = { key: RULES_KEY, value, version };
