--- a/packages/core/src/duties/index.ts
+++ b/packages/core/src/duties/index.ts
@@ -3,7 +3,6 @@
 export * from './duty-holder.js';
 export * from './fleet-plan.js';
 export * from './fleet-scaler.js';
-export * from './reported-windows.js';
 export * from './sliding-window-max.js';
 export * from './usage-checkpoint.js';
 export * from './usage-ledger.js';
--- a/packages/core/src/duties/usage-reporter.ts
+++ b/packages/core/src/duties/usage-reporter.ts
@@ -4,7 +4,6 @@
 import { LogComponent, PlatformError, PutOutcome } from '../ports/index.js';
 import type { DutyApi, FencingToken, UsageReport } from './duty-api.js';
 import { ReportOutcome } from './duty-api.js';
-import type { ReportedWindows } from './reported-windows.js';
 import type { UsageLedger } from './usage-ledger.js';
 
 const USAGE_KEY = 'skylarkreach/usage';
@@ -30,7 +29,6 @@
   readonly maxWaitMs: number;
   /** Returns whether the ledger has the counts that earlier holders of the duties have stored. */
   readonly hasRestored: (token: FencingToken) => boolean;
-  readonly reported: ReportedWindows;
 }
 
 /**
@@ -73,13 +71,10 @@
     this.forgetSentBefore(this.storedReports[0]?.windowId ?? -Infinity);
   }
 
-  /** First window whose report is neither stored nor sent. */
+  /** First window whose report is not stored. */
   get nextWindowId(): number {
     const lastStoredId = this.storedReports.at(-1)?.windowId ?? -Infinity;
-    // A restore of the store may have removed reports that another holder has sent.
-    const { lastWindowId: lastReportedId } = this.deps.reported;
-    const lastId = Math.max(lastStoredId, lastReportedId);
-    return Math.max(this.firstWindowId, lastId + 1);
+    return Math.max(this.firstWindowId, lastStoredId + 1);
   }
 
   private dueWindowIds(): readonly number[] {
@@ -187,7 +182,6 @@
       const deadlineAtMs = clock.nowMs() + CALL_TIMEOUT_MS;
       const outcome = await dutyApi.reportUsage(report, token, deadlineAtMs);
       this.sentWindowIds.add(windowId);
-      this.deps.reported.record(windowId);
       if (outcome === ReportOutcome.Rejected) {
         log.error(
           LogComponent.Duties,
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -95,8 +95,6 @@
   reachability: z.record(text, reachabilitySchema).optional().catch(undefined),
   /** Whether the sender can be told usage counts. Absent in hints of daemons that do not know it. */
   takesUsageCounts: z.boolean().optional().catch(undefined),
-  /** Last window whose usage the sender knows to be reported. Absent in hints of daemons that know of none. */
-  reportedWindowId: count.optional().catch(undefined),
   /** Whether the sender holds the lease for the duties towards the platform. */
   holdsDuties: z.boolean(),
 });
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -2,7 +2,6 @@
   DutyCallTracker,
   DutyHolder,
   FleetScaler,
-  ReportedWindows,
   UsageCheckpoint,
   UsageLedger,
   UsageReporter,
@@ -52,7 +51,6 @@
 export class GatewayDuties {
   readonly trueTime: ClusterTime;
   readonly usageLedger: UsageLedger;
-  readonly reportedWindows = new ReportedWindows();
   readonly dutyHolder: DutyHolder;
   readonly loops: readonly Loop[];
   private readonly dutyCalls: DutyCallTracker;
@@ -106,7 +104,6 @@
       isComplete: () => deps.cluster().hasAllHintsWithin(PEER_SILENCE_LIMIT_MS),
       maxWaitMs: bounds.usageDueSeconds * MS_PER_SECOND * REPORT_CUTOFF_SHARE,
       hasRestored: token => usageCheckpoint.hasRestored(token),
-      reported: this.reportedWindows,
     });
     const fleetScaler = new FleetScaler({
       clock,
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -75,7 +75,6 @@
     const endpointReadAgeMs = ageMs(nowMs, this.deps.endpointReadAtMs());
     const operatorReadAgeMs = ageMs(nowMs, this.deps.operatorReadAtMs());
     const evacuationsVersion = this.deps.evacuationsVersion();
-    const reportedWindowId = duties.reportedWindows.hint();
     const dutyLease = this.deps.cluster().hintBoard.dutyLease.hint(nowMs);
     return {
       daemonId: this.context.settings.identity.daemonId,
@@ -104,7 +103,6 @@
       }),
       reachability: reachabilityHints(this.deps.reachability, nowMs),
       takesUsageCounts: true,
-      ...(reportedWindowId !== undefined && { reportedWindowId }),
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
   }
@@ -123,8 +121,6 @@
     const nowMs = this.context.clock.nowMs();
     duties.trueTime.observe(hints.daemonId, hints.wallMs);
     duties.usageLedger.applyPeer(hints);
-    if (hints.reportedWindowId !== undefined)
-      duties.reportedWindows.record(hints.reportedWindowId);
     this.applyGrants(hints, nowMs);
     rollouts.applyPeer(hints.lifetime, hints.rollouts);
     if (hints.quarantine !== undefined) quarantine.applyPeer(hints.quarantine);
