--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -13,6 +13,7 @@
 import { HttpPeer, PeerServer } from '../peers/index.js';
 import { DaemonRegistry } from './daemon-registry.js';
 import type { GatewayContext } from './gateway-context.js';
+import { GOSSIP_KEYS_OF_EVERY_DIGEST } from './gossip-key.js';
 import { HINT_INTERVAL_MS, HintExchange } from './hint-exchange.js';
 import { RELAY_PATH } from './relay-message.js';
 
@@ -90,6 +91,7 @@
       ...context,
       peer: httpPeer,
       registry: peerServer,
+      keysOfEveryDigest: GOSSIP_KEYS_OF_EVERY_DIGEST,
       seeds: new DaemonRegistry(
         platform.keyValue,
         this.identity,
@@ -166,6 +168,12 @@
     return ranked.findIndex(daemon => daemon.id === identity.id);
   }
 
+  /** Returns the number of live daemons whose id comes before this one's. */
+  rankById(): number {
+    const { id } = this.identity;
+    return this.membership.live().filter(peer => peer.id < id).length;
+  }
+
   /** Returns the peer that holds the duties; undefined if none is known. */
   dutyHolder(): DaemonIdentity | undefined {
     const holderId = this.hintBoard.dutyLease.holderId(
