Cancel the waits of a request without a stack trace for each

Each request ends several waits by an AbortController: the deadline, the timer for silent endpoints, the wait for the head of the response, the call itself. `abort` without a reason creates a DOMException with a stack trace each time, and a cancelled promise of node:timers an AbortError besides. `cancel` aborts with one reason that is created once, and `waitForMs` rejects with the reason of its signal, as `Clock` specifies. The wait for the head removes its listener instead of aborting a second signal. The balance of a token bucket walks over its bins without a division for each.

--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -1,4 +1,4 @@
-import { NotSentError } from '../ports/index.js';
+import { cancel, NotSentError } from '../ports/index.js';
 import type { AttemptOutcome } from './attempt-outcome.js';
 import {
   AttemptEndKind,
@@ -82,12 +82,12 @@
         reservation.recordSilence(deps.clock.nowMs());
       },
       onAbandoned: () => {
-        this.upstreamAbort.abort();
+        cancel(this.upstreamAbort);
       },
     });
     this.memory = deps.responseMemory.open(() => {
       this.isEvicted = true;
-      this.upstreamAbort.abort();
+      cancel(this.upstreamAbort);
     });
     this.upstreamAbort.signal.addEventListener('abort', () => {
       // The memory of a complete response is that of the request.
@@ -104,7 +104,7 @@
     const { signal } = this.options;
     const { lifetime } = this.reservation;
     const onRequestEnd = () => {
-      this.upstreamAbort.abort();
+      cancel(this.upstreamAbort);
     };
     signal.addEventListener('abort', onRequestEnd, { once: true });
     lifetime?.addEventListener('abort', onRequestEnd, { once: true });
@@ -121,7 +121,7 @@
       lifetime?.removeEventListener('abort', onRequestEnd);
       this.silence.stop();
       // Closes the connection unless the response was read to its end.
-      this.upstreamAbort.abort();
+      cancel(this.upstreamAbort);
     }
     this.reservation.release(verdictOfResult(result), this.deps.clock.nowMs());
     return result;
@@ -131,23 +131,23 @@
   private async send(call: EndpointRequest): Promise<EndpointResponse> {
     const { nextPoll, upstream } = this.deps;
     const { signal } = this.options;
-    const listening = new AbortController();
+    let end: (error: Error) => void = () => undefined;
     const ended = new Promise<never>((_, reject) => {
-      const onAbort = () => {
-        void nextPoll().then(() => {
-          reject(new Error('The request has ended.'));
-        });
-      };
-      const options = { once: true, signal: listening.signal };
-      signal.addEventListener('abort', onAbort, options);
+      end = reject;
     });
+    const onAbort = () => {
+      void nextPoll().then(() => {
+        end(new Error('The request has ended.'));
+      });
+    };
+    signal.addEventListener('abort', onAbort, { once: true });
     try {
       return await Promise.race([
         upstream.send(call, this.upstreamAbort.signal),
         ended,
       ]);
     } finally {
-      listening.abort();
+      signal.removeEventListener('abort', onAbort);
     }
   }
 
@@ -326,7 +326,7 @@
     // A refusal holds whether or not its body is complete.
     const bodyEnd = readAll(body).catch(() => undefined);
     await Promise.race([bodyEnd, timeout]);
-    timer.abort();
+    cancel(timer);
   }
 
   private resultOfError(error: unknown): AttemptOutcome {
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -1,5 +1,5 @@
 import type { LogFields } from '../ports/index.js';
-import { LogComponent } from '../ports/index.js';
+import { cancel, LogComponent } from '../ports/index.js';
 import { AttemptHistory } from './attempt-history.js';
 import type { AttemptOutcome, BufferedResponse } from './attempt-outcome.js';
 import {
@@ -78,20 +78,20 @@
     if (relayed === undefined && this.pass === undefined)
       budget.recordFirstAttempt();
     const onAbort = () => {
-      this.runAbort.abort();
+      cancel(this.runAbort);
     };
     // A signal that is aborted already has no further event.
     if (signal.aborted) onAbort();
     signal.addEventListener('abort', onAbort, { once: true });
     const timer = callAt(this.deps, this.deadlineAtMs, () => {
       this.isTimedOut = true;
-      this.runAbort.abort();
+      cancel(this.runAbort);
     });
     try {
       await this.runAttempts(signal);
     } finally {
       signal.removeEventListener('abort', onAbort);
-      timer.abort();
+      cancel(timer);
       this.sequence.close();
       this.pass?.close();
       this.heldResponse?.memory.close();
--- a/packages/core/src/forwarding/grant-window.ts
+++ b/packages/core/src/forwarding/grant-window.ts
@@ -67,8 +67,10 @@
     const { maxTokens, refillPerMs } = this.limit;
     let granted = 0;
     let balance = maxTokens;
+    let index = indexOf(this.newestBin);
     for (let bin = this.newestBin; bin > this.newestBin - BINS; bin -= 1) {
-      const tokens = this.at(bin);
+      const tokens = this.bins[index] ?? 0;
+      index = index === 0 ? BINS - 1 : index - 1;
       if (tokens === 0) continue;
       granted += tokens;
       const refilled = refillPerMs * Math.max(0, nowMs - bin * BIN_MS);
@@ -81,7 +83,7 @@
   }
 
   private at(bin: number): number {
-    return this.bins[((bin % BINS) + BINS) % BINS] ?? 0;
+    return this.bins[indexOf(bin)] ?? 0;
   }
 
   private advance(nowMs: number): void {
@@ -108,6 +110,10 @@
   }
 }
 
+function indexOf(bin: number): number {
+  return ((bin % BINS) + BINS) % BINS;
+}
+
 function binOf(atMs: number): number {
   return Math.floor(atMs / BIN_MS);
 }
--- a/packages/core/src/forwarding/idle-timer.ts
+++ b/packages/core/src/forwarding/idle-timer.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../ports/index.js';
+import { cancel } from '../ports/index.js';
 
 export interface IdleTimerDependencies {
   readonly clock: Clock;
@@ -27,14 +28,14 @@
     this.idleAtMs = this.deps.clock.nowMs() + timeoutMs;
     // A wait that ends before the new time rechecks the time and continues.
     if (this.isStopped || this.idleAtMs >= this.waitingUntilMs) return;
-    this.waitAbort.abort();
+    cancel(this.waitAbort);
     this.waitAbort = new AbortController();
     void this.waitForIdle(this.waitAbort.signal);
   }
 
   stop(): void {
     this.isStopped = true;
-    this.waitAbort.abort();
+    cancel(this.waitAbort);
   }
 
   private async waitForIdle(signal: AbortSignal): Promise<void> {
--- a/packages/core/src/ports/index.ts
+++ b/packages/core/src/ports/index.ts
@@ -1,3 +1,4 @@
+export * from './cancellation.js';
 export * from './clock.js';
 export * from './cloud.js';
 export * from './engine.js';
--- a/packages/daemon/src/adapters/system-clock.ts
+++ b/packages/daemon/src/adapters/system-clock.ts
@@ -1,5 +1,3 @@
-import { setTimeout as delay } from 'node:timers/promises';
-
 import type { Clock } from '@skylarkreach/core/ports';
 
 /** Longest delay that a Node.js timer supports. */
@@ -16,12 +14,34 @@
   }
 }
 
-/** Waits for the given time, up to the longest delay of a timer. Rejects with an `AbortError` if the signal is aborted first. */
-export async function waitForMs(
+/**
+ * Waits for the given time, up to the longest delay of a timer. Rejects with the
+ * reason of the signal if it is aborted first; the promises of `node:timers` create
+ * an error with a stack trace for each.
+ */
+export function waitForMs(
   remainingMs: number,
   signal?: AbortSignal,
 ): Promise<void> {
-  if (remainingMs <= 0) return;
+  if (remainingMs <= 0) return Promise.resolve();
   const delayMs = Math.min(Math.ceil(remainingMs), MAX_TIMER_MS);
-  await delay(delayMs, undefined, { signal });
+  return new Promise((resolve, reject) => {
+    if (signal?.aborted === true) {
+      reject(reasonOf(signal));
+      return;
+    }
+    const onAbort = () => {
+      clearTimeout(timer);
+      if (signal !== undefined) reject(reasonOf(signal));
+    };
+    const timer = setTimeout(() => {
+      signal?.removeEventListener('abort', onAbort);
+      resolve();
+    }, delayMs);
+    signal?.addEventListener('abort', onAbort, { once: true });
+  });
+}
+
+function reasonOf({ reason }: AbortSignal): Error {
+  return reason instanceof Error ? reason : new Error(String(reason));
 }
