Bound what one pass over a queue decides

One pass sent or refused all waiting requests that it could, so that after a pause it kept an event loop that was late already busy for up to 256 of them. A pass now sends at most 8 and refuses at most 8, and the rest follows after the next poll of all connections. The queue is looked at once in such a turn, however many reports and responses arrive in it, and not at all for a request that is sent while none waits. The place of a request that is refused as it leaves the queue goes to the next one in the next turn, not at the next timer. A request that finds no endpoint after the stop has begun is refused at once; it waited before.

--- a/packages/core/src/dispatch-queue/dispatch-queue.test.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.test.ts
@@ -6,7 +6,12 @@
 import { SeededRandom } from '../ports/index.js';
 import { sampleQueue, sampleQueued, sampleRoom } from './fakes/index.js';
 import type { QueueDecision, QueuedRequest } from './index.js';
-import { DispatchQueue, QueueDecisionKind, QueueRefusal } from './index.js';
+import {
+  DispatchQueue,
+  MAX_PASS_REQUESTS,
+  QueueDecisionKind,
+  QueueRefusal,
+} from './index.js';
 
 const SEED = 20_261_206;
 const FULL = sampleRoom(4, { isKnown: true });
@@ -277,6 +282,39 @@
     assert.deepEqual(sentIds(queue.advance(FULL, 10)), ['next']);
   });
 
+  // After a pause one pass decided on all waiting requests, and kept a late event loop busy meanwhile.
+  it('decides on few requests in one pass, and on all in further ones', () => {
+    const queue = fullQueue();
+    const long = { deadlineAtMs: 90_000, objectiveAtMs: 90_000 };
+    const requests = Array.from({ length: 60 }, (_, index) =>
+      sampleQueued(`r${index}`, index % 2 === 0 ? long : {}),
+    );
+    offerAll(queue, requests);
+    const room = sampleRoom(100);
+    const sent: string[] = [];
+    const refused: string[] = [];
+    do {
+      const decisions = queue.advance(room, 30_000);
+      assert.ok(sentIds(decisions).length <= MAX_PASS_REQUESTS);
+      assert.ok(refusalsOf(decisions).length <= MAX_PASS_REQUESTS);
+      sent.push(...sentIds(decisions));
+      refused.push(...refusalsOf(decisions).map(each => each.requestId));
+    } while (queue.isBehind);
+    assert.equal(new Set(sent).size, 30);
+    assert.equal(new Set(refused).size, 30);
+    assert.ok(sent.every(id => Number(id.slice(1)) % 2 === 0));
+  });
+
+  it('lets few late requests go in one pass while all endpoints withhold themselves', () => {
+    const queue = sampleQueue();
+    const closed = sampleRoom(40, { openSlots: 0 });
+    for (let index = 0; index < 20; index += 1)
+      queue.offer(sampleQueued(`r${index}`), closed, 0);
+    const first = sentIds(queue.advance(closed, 1_000));
+    assert.equal(first.length, MAX_PASS_REQUESTS);
+    assert.ok(queue.isBehind);
+  });
+
   it('refuses all that wait when the daemon stops, to return at once', () => {
     const queue = fullQueue();
     offerAll(queue, [sampleQueued('a'), sampleQueued('b')]);
--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -9,6 +9,7 @@
   QueueLimits,
 } from './queued-request.js';
 import { QueueDecisionKind, QueueRefusal } from './queued-request.js';
+import { RefusalBacklog } from './refusal-backlog.js';
 import {
   compareClasses,
   compareRequests,
@@ -30,6 +31,8 @@
 const UNKNOWN_WAIT_MS = 500; // the time in which a first event arrives
 /** Share of the limit up to which requests are sent that can no longer meet their objective. */
 const LATE_SHARE = 0.75; // a late response is worth a tenth; the rest is for the useful ones that arrive next
+/** Most requests that one pass sends, and most that it refuses. */
+export const MAX_PASS_REQUESTS = 8; // at 1 ms of processor time each, a turn of 67 ms on 0.12 cores
 /** Longest rest of a place under a limit below one. */
 const MAX_REST_MS = 1_000; // as long as reports count; then a request may be sent on trial
 
@@ -54,11 +57,12 @@
   private sentFromQueue = 1;
   private beyondLimitAtMs: readonly number[] = [];
   private checkWaitsAtMs = 0;
-  private displaced: readonly QueuedRequest[] = [];
   private equalShare = 0;
   private readonly shares = new WorkspaceShares();
   private readonly limit = new InFlightLimit();
   private readonly rate = new DrainRate();
+  private readonly refusals = new RefusalBacklog();
+  private hasReachedBound = false;
 
   constructor(private readonly options: DispatchQueueOptions) {}
 
@@ -71,6 +75,11 @@
     return this.inFlightCount;
   }
 
+  /** Whether the last pass ended at its bound, so that another one is due in the next turn of the event loop. */
+  get isBehind(): boolean {
+    return this.hasReachedBound || this.refusals.length > 0;
+  }
+
   /** Returns the limit of this daemon's requests in flight. */
   inFlightLimit(nowMs: number): number {
     return this.limit.current(this.equalShare, nowMs);
@@ -101,33 +110,32 @@
     return { kind: QueueDecisionKind.Wait, requestId: request.requestId };
   }
 
-  /** Returns the requests to send now, in order, and those to refuse. Called when capacity may have become available, and at least every 50 ms. */
+  /**
+   * Returns the requests to send now, in order, and those to refuse, a few of each:
+   * `isBehind` says whether more are due. Called when capacity may have become
+   * available, and at least every 50 ms.
+   */
   advance(room: GroupRoom, nowMs: number): readonly QueueDecision[] {
     this.updateShare(room);
-    const decisions = this.displaced.map(each =>
-      this.refuse(each, QueueRefusal.QueueFull, nowMs),
-    );
-    this.displaced = [];
     const late = this.waiting.filter(each => isTooLate(each, nowMs));
-    decisions.push(...this.refuseAll(late, QueueRefusal.TooLate, nowMs));
-    while (this.waiting.length > 0 && this.hasRoom(room, nowMs)) {
-      const next = this.takeNext(nowMs);
-      if (next === undefined) break;
-      this.rate.recordSend(nowMs);
-      decisions.push(this.send(next, nowMs));
-    }
-    if (isClosed(room)) decisions.push(...this.sendLate(nowMs));
-    decisions.push(...this.refuseHopeless(nowMs));
-    return decisions;
+    this.giveUp(late, QueueRefusal.TooLate);
+    const sent = isClosed(room)
+      ? this.sendLate(nowMs)
+      : this.sendNext(room, nowMs);
+    this.hasReachedBound = sent.length === MAX_PASS_REQUESTS;
+    // What the next pass may send is not hopeless.
+    if (!this.hasReachedBound) this.giveUpHopeless(nowMs);
+    const refused = this.refusals
+      .take(MAX_PASS_REQUESTS)
+      .map(({ reason, request }) => this.refuse(request, reason, nowMs));
+    return [...refused, ...sent];
   }
 
   /** Removes a waiting request whose caller no longer wants it. */
   remove(requestId: string): void {
     const request = this.waiting.find(each => each.requestId === requestId);
     if (request !== undefined) this.take(request);
-    this.displaced = this.displaced.filter(
-      each => each.requestId !== requestId,
-    );
+    this.refusals.remove(requestId);
   }
 
   /** Puts a request back that was to be sent and for which no endpoint could be reserved. */
@@ -171,12 +179,10 @@
 
   /** Refuses all waiting requests, as the daemon stops; another one can take them at once. */
   refuseWaiting(): readonly QueueDecision[] {
-    const refused = [...this.displaced, ...this.waiting];
-    this.displaced = [];
-    this.waiting = [];
-    return refused.map(({ requestId }) => ({
+    this.giveUp(this.waiting, QueueRefusal.Stopping);
+    return this.refusals.take().map(({ request }) => ({
       kind: QueueDecisionKind.Refuse,
-      requestId,
+      requestId: request.requestId,
       reason: QueueRefusal.Stopping,
       retryInMs: 0,
     }));
@@ -215,11 +221,25 @@
 
   /** Sends those that can no longer meet their objective while no endpoint takes any: they are refused on the way, with the time at which one does. */
   private sendLate(nowMs: number): readonly QueueDecision[] {
-    const late = this.waiting.filter(each => !isUseful(each, nowMs));
+    const late = this.waiting
+      .filter(each => !isUseful(each, nowMs))
+      .slice(0, MAX_PASS_REQUESTS);
     for (const request of late) this.take(request);
     return late.map(each => this.send(each, nowMs));
   }
 
+  /** Sends the next requests in the order for which there is room. */
+  private sendNext(room: GroupRoom, nowMs: number): readonly QueueDecision[] {
+    const sent: QueueDecision[] = [];
+    while (sent.length < MAX_PASS_REQUESTS && this.hasRoom(room, nowMs)) {
+      const next = this.takeNext(nowMs);
+      if (next === undefined) break;
+      this.rate.recordSend(nowMs);
+      sent.push(this.send(next, nowMs));
+    }
+    return sent;
+  }
+
   private send(request: QueuedRequest, nowMs: number): QueueDecision {
     if (this.inFlightCount >= this.inFlightLimit(nowMs))
       this.beyondLimitAtMs = [...this.recentBeyondLimit(nowMs), nowMs];
@@ -267,11 +287,11 @@
     );
   }
 
-  /** Refuses those that will not be sent in time at the rate at which the queue drains. */
-  private refuseHopeless(nowMs: number): readonly QueueDecision[] {
-    if (nowMs < this.checkWaitsAtMs) return [];
+  /** Gives up those that will not be sent in time at the rate at which the queue drains. */
+  private giveUpHopeless(nowMs: number): void {
+    if (nowMs < this.checkWaitsAtMs) return;
     this.checkWaitsAtMs = nowMs + WAIT_CHECK_INTERVAL_MS;
-    if (this.rate.perMs(nowMs) === undefined) return [];
+    if (this.rate.perMs(nowMs) === undefined) return;
     const ordered = [...this.waiting].sort((first, second) =>
       this.compare(first, second, nowMs),
     );
@@ -281,7 +301,7 @@
       const waitMs = this.expectedWaitMs(ahead, nowMs) ?? 0;
       if (isTooLate(request, nowMs + waitMs)) hopeless.push(request);
     }
-    return this.refuseAll(hopeless, QueueRefusal.TooLate, nowMs);
+    this.giveUp(hopeless, QueueRefusal.TooLate);
   }
 
   private expectedWaitMs(ahead: number, nowMs: number): number | undefined {
@@ -294,8 +314,7 @@
     const limits = this.options.limits();
     const displaced = findDisplaced(this.waiting, request, limits, nowMs);
     if (displaced === undefined) return false;
-    for (const each of displaced) this.take(each);
-    this.displaced = [...this.displaced, ...displaced];
+    this.giveUp(displaced, QueueRefusal.QueueFull);
     return true;
   }
 
@@ -307,13 +326,15 @@
     this.waiting = this.waiting.filter(each => each !== request);
   }
 
-  private refuseAll(
+  /** Takes waiting requests out of the queue, to be refused by this pass or a further one. */
+  private giveUp(
     requests: readonly QueuedRequest[],
     reason: QueueRefusal,
-    nowMs: number,
-  ): readonly QueueDecision[] {
-    for (const request of requests) this.take(request);
-    return requests.map(each => this.refuse(each, reason, nowMs));
+  ): void {
+    if (requests.length === 0) return;
+    const leaving = new Set(requests);
+    this.waiting = this.waiting.filter(each => !leaving.has(each));
+    this.refusals.add(requests, reason);
   }
 
   private refuse(
--- a/packages/core/src/dispatch-queue/fakes/index.ts
+++ b/packages/core/src/dispatch-queue/fakes/index.ts
@@ -1,1 +1,2 @@
+export * from './gate-harness.js';
 export * from './samples.js';
--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -10,7 +10,7 @@
   ForwardErrorKind,
 } from '../forwarding/index.js';
 import { LogComponent } from '../ports/index.js';
-import { DispatchQueue } from './dispatch-queue.js';
+import { DispatchQueue, MAX_PASS_REQUESTS } from './dispatch-queue.js';
 import type { QueueGateDependencies, Reserve } from './queue-gate.js';
 import type { QueueDecision, QueuedRequest } from './queued-request.js';
 import { QueueDecisionKind, QueueRefusal } from './queued-request.js';
@@ -47,6 +47,10 @@
   private readonly sent = new Map<string, Sent>();
   private readonly serviceTimes = new ServiceTimes();
   private isTimerRunning = false;
+  /** Whether a pass follows in the next turn of the event loop. */
+  private isPassDue = false;
+  /** Whether a request that was to be sent was refused, so that its place is free. */
+  private hasFreedPlace = false;
   private checkedVersion = 0;
 
   constructor(
@@ -75,12 +79,10 @@
       const waiter = { request, call, reserve, resolve, reject };
       this.waiters.set(key, { ...waiter, sinceMs: nowMs });
     });
-    if (decision.kind === QueueDecisionKind.Send) {
-      this.send(key, nowMs, false);
-    } else if (isStopping) {
-      this.refuseWaiting();
-    }
-    this.advance(nowMs);
+    if (decision.kind === QueueDecisionKind.Send) this.send(key, nowMs, false);
+    if (isStopping) this.refuseWaiting();
+    if (this.waiters.size > 0) this.advanceWaiting();
+    else this.report(nowMs);
     if (!this.waiters.has(key)) return sent;
     const onAbort = () => {
       this.leave(key);
@@ -151,14 +153,32 @@
   }
 
   private advanceWaiting(): void {
-    if (this.waiters.size > 0) this.advance(this.deps.clock.nowMs());
+    if (this.isPassDue || this.waiters.size === 0) return;
+    this.advance(this.deps.clock.nowMs());
   }
 
   private advance(nowMs: number): void {
     this.recheckAfterChange();
-    if (this.deps.isCutOff(this.group)) this.passOn(nowMs);
-    this.apply(this.queue.advance(this.room(nowMs), nowMs), nowMs);
+    const isBehind = this.deps.isCutOff(this.group)
+      ? this.passOn(nowMs)
+      : this.decide(nowMs);
     this.report(nowMs);
+    if (isBehind && !this.isPassDue) void this.advanceAfterPoll();
+  }
+
+  /** Sends and refuses a few requests; returns whether more are due. */
+  private decide(nowMs: number): boolean {
+    this.hasFreedPlace = false;
+    this.apply(this.queue.advance(this.room(nowMs), nowMs), nowMs);
+    return this.queue.isBehind || this.hasFreedPlace;
+  }
+
+  /** Goes on with what a pass left over once all connections were polled, so that a long queue does not hold up the event loop. */
+  private async advanceAfterPoll(): Promise<void> {
+    this.isPassDue = true;
+    await this.deps.nextPoll();
+    this.isPassDue = false;
+    this.advanceWaiting();
   }
 
   private apply(decisions: readonly QueueDecision[], nowMs: number): void {
@@ -183,6 +203,7 @@
     const { call, request, reserve, resolve } = waiter;
     if (nowMs > waiter.sinceMs && !this.isAdmitted(key, waiter)) {
       this.queue.cancelSend(request, nowMs);
+      this.hasFreedPlace = true;
       return isClosed;
     }
     const mayWait = isUseful(request, nowMs);
@@ -193,6 +214,7 @@
     } catch (error) {
       // Thrown on, it would end the request that happened to free the place.
       this.queue.cancelSend(request, nowMs);
+      this.hasFreedPlace = true;
       this.takeWaiter(key)?.reject(error);
       return isClosed;
     }
@@ -215,12 +237,12 @@
   }
 
   /**
-   * Ends the waits of a daemon that reaches no endpoint, in the order of arrival: it
-   * knows nothing of their capacity, and peers serve the requests. These take no
-   * places of the group.
+   * Ends the first waits of a daemon that reaches no endpoint, in the order of
+   * arrival: it knows nothing of their capacity, and peers serve the requests. These
+   * take no places of the group. Returns whether others wait.
    */
-  private passOn(nowMs: number): void {
-    for (const [key, waiter] of this.waiters) {
+  private passOn(nowMs: number): boolean {
+    for (const [key, waiter] of [...this.waiters].slice(0, MAX_PASS_REQUESTS)) {
       this.queue.remove(key);
       if (!this.isAdmitted(key, waiter)) continue;
       this.waiters.delete(key);
@@ -230,6 +252,7 @@
         waiter.reject(error);
       }
     }
+    return this.waiters.size > 0;
   }
 
   /** Whether the group has endpoints, and none of them may be sent a request now. */
--- a/packages/core/src/dispatch-queue/index.ts
+++ b/packages/core/src/dispatch-queue/index.ts
@@ -5,6 +5,7 @@
 export * from './loop-delay.js';
 export * from './queue-gate.js';
 export * from './queued-request.js';
+export * from './refusal-backlog.js';
 export * from './request-order.js';
 export * from './return-time.js';
 export * from './service-times.js';
