Count the rejection of a request once for the limit in flight

Each rejected attempt of a request was told to the queue, so that its retries could halve the limit again every half second. The run now tells the queue of its first rejection by an endpoint only; the place of a request is given back once, as before. A peer's endpoints are counted at the peer. InFlightLimit also took the time at which a rejected request was sent for that of the last report: a late rejection of one sent 5 s before made it forget all that it had learned. An older time no longer replaces a newer one.

--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -195,8 +195,8 @@
     this.limit.recordLoad(load, this.equalShare, isBinding, nowMs);
   }
 
-  recordRejection(nowMs: number): void {
-    this.limit.recordRejection(this.equalShare, nowMs);
+  recordRejection(sentAtMs: number): void {
+    this.limit.recordRejection(this.equalShare, sentAtMs);
   }
 
   private updateShare({ totalSlots }: GroupRoom): void {
--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -121,8 +121,8 @@
     this.advanceWaiting();
   }
 
-  recordRejection(nowMs: number): void {
-    this.queue.recordRejection(nowMs);
+  recordRejection(sentAtMs: number): void {
+    this.queue.recordRejection(sentAtMs);
   }
 
   refuseWaiting(): void {
--- a/packages/core/src/dispatch-queue/in-flight-limit.test.ts
+++ b/packages/core/src/dispatch-queue/in-flight-limit.test.ts
@@ -72,6 +72,16 @@
     assert.equal(limit.current(SHARE, nowMs + 6_000), before);
   });
 
+  // The age of the request counted as that of the last report, so that all that was learned was forgotten.
+  it('forgets nothing by the rejection of a request that was sent long ago', () => {
+    const limit = new InFlightLimit();
+    const nowMs = feed(limit, FULL, 60);
+    const before = limit.current(SHARE, nowMs);
+    assert.ok(before < SHARE);
+    limit.recordRejection(SHARE, nowMs - 4_900);
+    assert.ok(limit.current(SHARE, nowMs + 200) <= before);
+  });
+
   it('follows the number of slots and of daemons', () => {
     const limit = new InFlightLimit();
     const nowMs = feed(limit, FULL, 6);
--- a/packages/core/src/dispatch-queue/in-flight-limit.ts
+++ b/packages/core/src/dispatch-queue/in-flight-limit.ts
@@ -80,16 +80,19 @@
     }
   }
 
-  /** A rejection while reports show free slots is a matter of the choice of endpoints, not of the limit. */
-  recordRejection(equalShare: number, nowMs: number): void {
-    this.forgetOld(nowMs);
-    this.reportedAtMs = nowMs;
+  /**
+   * Records the rejection of a request that was sent at `sentAtMs`. While reports
+   * show free slots it is a matter of the choice of endpoints, not of the limit.
+   */
+  recordRejection(equalShare: number, sentAtMs: number): void {
+    this.forgetOld(sentAtMs);
+    this.reportedAtMs = Math.max(this.reportedAtMs, sentAtMs);
     const isLow = this.pressure < this.highPressure() - PRESSURE_BAND;
     if (this.pressure > 0 && isLow) return;
-    if (nowMs < this.mayCountRejectionAtMs) return;
-    this.mayCountRejectionAtMs = nowMs + DECREASE_INTERVAL_MS;
+    if (sentAtMs < this.mayCountRejectionAtMs) return;
+    this.mayCountRejectionAtMs = sentAtMs + DECREASE_INTERVAL_MS;
     this.mayDecreaseAtMs = -Infinity;
-    this.decrease(REJECTION_DECREASE, equalShare, nowMs);
+    this.decrease(REJECTION_DECREASE, equalShare, sentAtMs);
   }
 
   /** Records for how long a request held its place. */
--- a/packages/core/src/dispatch-queue/queue-gate.ts
+++ b/packages/core/src/dispatch-queue/queue-gate.ts
@@ -57,8 +57,8 @@
     this.gates.get(group)?.recordLoad(load, nowMs);
   }
 
-  recordRejection(group: string, nowMs: number): void {
-    this.gates.get(group)?.recordRejection(nowMs);
+  recordRejection(group: string, sentAtMs: number): void {
+    this.gates.get(group)?.recordRejection(sentAtMs);
   }
 
   /** Refuses the waiting requests, and from now on all that would have to wait, so that their callers reach another daemon. */
--- a/packages/core/src/forwarding/dispatch-gate.ts
+++ b/packages/core/src/forwarding/dispatch-gate.ts
@@ -50,13 +50,13 @@
 /** Decides when requests are sent that compete for the capacity of a group. */
 export interface DispatchGate {
   open(call: GatedCall): GatePass;
+  /** Records that an endpoint of the group rejected a request that was sent at `sentAtMs`; called once for each request. */
+  recordRejection(group: string, sentAtMs: number): void;
 }
 
 /** Receives what endpoints tell of their load. */
 export interface LoadObserver {
   recordLoad(group: string, load: ReportedLoad, nowMs: number): void;
-  /** Records that an endpoint of the group rejected a request. */
-  recordRejection(group: string, nowMs: number): void;
 }
 
 /** Importance of a request of which only the head is known. */
--- a/packages/core/src/forwarding/fakes/scripted-gate.ts
+++ b/packages/core/src/forwarding/fakes/scripted-gate.ts
@@ -13,6 +13,8 @@
   readonly calls: GatedCall[] = [];
   /** Number of places that were freed. */
   closed = 0;
+  /** Number of rejections that were counted. */
+  rejections = 0;
   private readonly waiting: {
     readonly send: () => void;
     readonly refuse: (error: ForwardError) => void;
@@ -43,6 +45,10 @@
     };
   }
 
+  recordRejection(): void {
+    this.rejections += 1;
+  }
+
   /** Lets the oldest request go. */
   sendNext(): void {
     this.waiting.shift()?.send();
--- a/packages/core/src/forwarding/forward-queue.test.ts
+++ b/packages/core/src/forwarding/forward-queue.test.ts
@@ -175,6 +175,22 @@
     assert.deepEqual(harness.tokenBuckets.grantedTotals(), {});
   });
 
+  // Each of its attempts that was rejected could halve the limit in flight once more.
+  it('counts as rejected once, however many endpoints reject it', async () => {
+    const gate = new ScriptedGate();
+    const refusal = { status: 503, metadata: { isNotRun: true } };
+    const harness = new ForwarderHarness(
+      [refusal, refusal, {}],
+      { ...route, maxAttempts: 3 },
+      { dispatchGate: gate },
+    );
+    const served = harness.serve();
+    gate.sendNext();
+    assert.equal(await served, undefined);
+    assert.equal(harness.upstream.calls.length, 3);
+    assert.equal(gate.rejections, 1);
+  });
+
   it('tells engines its priority only where that is set, at most 9', async () => {
     for (const sendsPriority of [false, true]) {
       const harness = new ForwarderHarness([{}], route, { sendsPriority });
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -17,7 +17,7 @@
 import { daemonStoppingError, ForwardError } from './forward-error.js';
 import { deadlineOf } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
-import { openPass } from './gated-call.js';
+import { openPass, recordFirstRejection } from './gated-call.js';
 import { recordOutput } from './output-estimator.js';
 import { runPeerAttempt } from './peer-attempt.js';
 import type { PoolReservation } from './pool-reservation.js';
@@ -269,6 +269,7 @@
     const nowMs = clock.nowMs();
     this.record.lastEnd = result.kind;
     this.attempts.recordEnd(result.kind, result.hasSentEvents);
+    recordFirstRejection(this.deps, this.context, this.attempts, sentAtMs);
     switch (result.kind) {
       case AttemptEndKind.Misdirected:
         pool.recordMisdirected(endpoint, nowMs);
--- a/packages/core/src/forwarding/gated-call.ts
+++ b/packages/core/src/forwarding/gated-call.ts
@@ -1,3 +1,5 @@
+import type { AttemptHistory, AttemptRecord } from './attempt-history.js';
+import { AttemptEndKind } from './attempt-outcome.js';
 import type { GatePass } from './dispatch-gate.js';
 import {
   homeRegionsChangedError,
@@ -41,6 +43,24 @@
   });
 }
 
+/**
+ * Tells the queue if the last attempt, sent at `sentAtMs`, is the first one that an
+ * endpoint rejected. Further rejections of a request show no more of the group's
+ * capacity; those at a peer's endpoints are counted there.
+ */
+export function recordFirstRejection(
+  { dispatchGate }: ForwarderDependencies,
+  { group }: RunContext,
+  { all }: AttemptHistory,
+  sentAtMs: number,
+): void {
+  const isRejected = ({ end, isPeer }: AttemptRecord) =>
+    end === AttemptEndKind.NotRun && !isPeer;
+  const first = all.find(isRejected);
+  if (first !== undefined && first === all.at(-1))
+    dispatchGate?.recordRejection(group, sentAtMs);
+}
+
 /** Returns the priority of a request's workspace, else of its route; 0 is the highest. */
 export function priorityOf({ resolved }: RunContext): number {
   const { route, workspace } = resolved;
--- a/packages/core/src/forwarding/pool-options.ts
+++ b/packages/core/src/forwarding/pool-options.ts
@@ -23,7 +23,7 @@
   readonly coldStarts?: ColdStartGuard;
   /** Whether the endpoints of a data centre get no requests by order of the operators; none are withheld if absent. */
   readonly isEvacuated?: (dataCentre: DataCentre) => boolean;
-  /** Told of the load and the rejections of endpoints, if given. */
+  /** Told of the load of endpoints, if given. */
   readonly loadObserver?: LoadObserver | undefined;
   /** `LeastLatencyPlacement` if absent. */
   readonly placement?: PlacementPolicy;
--- a/packages/core/src/forwarding/statement-recorders.ts
+++ b/packages/core/src/forwarding/statement-recorders.ts
@@ -6,7 +6,7 @@
 
 export interface StatementRecorderOptions extends Pick<
   EndpointPoolOptions,
-  'leaving' | 'limiter' | 'loadObserver' | 'paused'
+  'leaving' | 'limiter' | 'paused'
 > {
   readonly coldStarts: ColdStartGuard;
   readonly endpoint: EndpointRecord;
@@ -26,7 +26,6 @@
   endpoint,
   leaving,
   limiter,
-  loadObserver,
   paused,
   sentAtMs,
 }: StatementRecorderOptions): StatementRecorders {
@@ -45,7 +44,6 @@
       if (!isRejection || limitPerSecond !== undefined)
         limiter.recordResponse(endpoint, limitPerSecond, sentAtMs);
       dispatch.recordResponse({ isRejection, maxRejectionsPerSecond });
-      if (isRejection) loadObserver?.recordRejection(endpoint.group, sentAtMs);
     },
   };
 }
