--- a/packages/core/src/forwarding/statement-recorders.ts
+++ b/packages/core/src/forwarding/statement-recorders.ts
@@ -6,7 +6,7 @@
 
 export interface StatementRecorderOptions extends Pick<
   EndpointPoolOptions,
-  'leaving' | 'limiter' | 'loadObserver' | 'paused'
+  'leaving' | 'limiter' | 'paused'
 > {
   readonly coldStarts: ColdStartGuard;
   readonly endpoint: EndpointRecord;
@@ -28,7 +28,6 @@
   endpoint,
   leaving,
   limiter,
-  loadObserver,
   onStatement,
   paused,
   sentAtMs,
@@ -52,7 +51,6 @@
         limiter.recordResponse(endpoint, limitPerSecond, sentAtMs);
       dispatch.recordResponse({ isRejection, maxRejectionsPerSecond });
       onStatement();
-      if (isRejection) loadObserver?.recordRejection(endpoint.group, sentAtMs);
     },
   };
 }
