Collect usage counts by data centre

All daemons told the holder of the duties their usage counts, up to 80 messages a second, which a holder with 0.12 cores cannot afford beside its other work.

Each daemon now tells a collector, the first of its data centre by rendezvous hashing without the holder, with the same method usage.tell. Whoever is told counts passes those that the holder has not confirmed on by the new method usage.tellCollected, at most twice a second; a daemon that is alone in its data centre sends its own. The answer to usage.tell says whether the counts go on; a collector that fails or cannot reach the holder is not chosen for 5 s, and after two failures the counts are sent directly. The news of the lease says whether the holder accepts collected counts, so that it reaches all daemons; the hint collectsUsage says who passes counts on. A holder of an earlier build is told directly, as before. core/duties may import core/membership for the rendezvous hash.

The test of UsageTeller moved to usage-collection.test.ts, as the case of a holder of an earlier build. A test there failed with each of these changes by hand: a new holder gets changes only; a failed message counts as confirmed; a collector is not asked again; later changes are left out.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -49,7 +49,7 @@
     'endpoint-limits',
     'cold-starts',
   ],
-  duties: ['ports', 'leases', 'forwarding', 'hints'],
+  duties: ['ports', 'leases', 'membership', 'forwarding', 'hints'],
   pipeline: [
     'ports',
     'rules',
--- a/packages/core/src/duties/index.ts
+++ b/packages/core/src/duties/index.ts
@@ -1,3 +1,4 @@
+export * from './collector-choice.js';
 export * from './duty-api.js';
 export * from './duty-call-tracker.js';
 export * from './duty-holder.js';
@@ -5,6 +6,9 @@
 export * from './fleet-scaler.js';
 export * from './sliding-window-max.js';
 export * from './usage-checkpoint.js';
+export * from './usage-collector.js';
+export * from './usage-forwarder.js';
 export * from './usage-ledger.js';
 export * from './usage-reporter.js';
+export * from './usage-rows.js';
 export * from './usage-teller.js';
--- a/packages/core/src/duties/usage-checkpoint.ts
+++ b/packages/core/src/duties/usage-checkpoint.ts
@@ -16,17 +16,12 @@
 } from '../ports/index.js';
 import type { FencingToken } from './duty-api.js';
 import type { LifetimeUsage, UsageLedger } from './usage-ledger.js';
+import { fromUsageRow, toUsageRow, usageRowSchema } from './usage-rows.js';
 
 const COUNTS_KEY = 'skylarkreach/usage-counts';
 const CALL_TIMEOUT_MS = 800;
 
-/** Counts of one lifetime in one window: window, lifetime, counts by workspace. */
-const rowSchema = z.tuple([
-  z.number().nonnegative(),
-  z.string().min(1),
-  z.record(z.string(), z.number().nonnegative()),
-]);
-const countsSchema = z.object({ rows: readableItems(rowSchema) });
+const countsSchema = z.object({ rows: readableItems(usageRowSchema) });
 
 export interface UsageCheckpointDependencies {
   readonly clock: Clock;
@@ -102,9 +97,7 @@
   private async store(): Promise<void> {
     const { clock, firstWindowId, keyValue, ledger, metrics } = this.deps;
     const { changeCount } = ledger;
-    const rows = ledger
-      .allUsage(firstWindowId())
-      .map(each => [each.windowId, each.lifetime, each.counts]);
+    const rows = ledger.allUsage(firstWindowId()).map(toUsageRow);
     const value = JSON.stringify({ rows });
     if (Buffer.byteLength(value) > MAX_VALUE_BYTES) {
       const error = new RangeError(`They take ${value.length} bytes.`);
@@ -138,9 +131,7 @@
     if (entry === undefined) return [];
     try {
       const { rows } = countsSchema.parse(JSON.parse(entry.value));
-      return rows.map(([windowId, lifetime, counts]) => {
-        return { windowId, lifetime, counts };
-      });
+      return rows.map(fromUsageRow);
     } catch (error) {
       const { log } = this.deps;
       log.error(LogComponent.Duties, 'The stored usage counts are malformed.', {
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -98,6 +98,8 @@
   reachability: z.record(text, reachabilitySchema).optional().catch(undefined),
   /** Whether the sender can be told usage counts. Absent in hints of daemons that do not know it. */
   takesUsageCounts: z.boolean().optional().catch(undefined),
+  /** Whether the sender passes the usage counts that it is told on to the holder of the duties. Absent in hints of daemons that do not know it. */
+  collectsUsage: z.boolean().optional().catch(undefined),
   /** Whether the sender holds the lease for the duties towards the platform. */
   holdsDuties: z.boolean(),
 });
--- a/packages/core/src/hints/duty-lease-news.test.ts
+++ b/packages/core/src/hints/duty-lease-news.test.ts
@@ -32,4 +32,15 @@
     news.record(held(1, 0), 0);
     assert.equal(news.hint(31_000), undefined);
   });
+
+  // All daemons would call the holder themselves each time that an earlier build passed the news on.
+  it('remembers that a holder accepts collected counts if a daemon passes its news on without it, but not for the next holder', () => {
+    const news = new DutyLeaseNews();
+    const lease = { fencingNumber: 1, holderId: 'a', isHeld: true };
+    news.record({ ...lease, ageMs: 0, takesCollectedUsage: true }, 1_000);
+    news.record({ ...lease, ageMs: 0 }, 2_000);
+    assert.equal(news.heldLease(2_000)?.takesCollectedUsage, true);
+    news.record({ ...lease, fencingNumber: 2, ageMs: 0 }, 2_000);
+    assert.equal(news.heldLease(2_000)?.takesCollectedUsage, undefined);
+  });
 });
--- a/packages/core/src/hints/duty-lease-news.ts
+++ b/packages/core/src/hints/duty-lease-news.ts
@@ -12,6 +12,8 @@
   holderId: z.string().min(1),
   /** False once the holder has given the lease up or lost it. */
   isHeld: z.boolean(),
+  /** Whether the holder accepts usage counts of several daemons in one message. Absent where it does not know them. */
+  takesCollectedUsage: z.boolean().optional().catch(undefined),
   /** Time since the holder said so. */
   ageMs: z.number().nonnegative(),
 });
@@ -28,20 +30,28 @@
   record({ ageMs, ...lease }: DutyLeaseHint, nowMs: number): void {
     const atMs = nowMs - ageMs;
     const { known } = this;
+    let { takesCollectedUsage } = lease;
     if (known !== undefined) {
       if (lease.fencingNumber < known.fencingNumber) return;
       const isSame = lease.fencingNumber === known.fencingNumber;
       if (isSame && !known.isHeld) return;
       if (isSame && lease.isHeld && atMs <= known.atMs) return;
+      // A daemon that does not know the field passes the news on without it.
+      if (isSame) takesCollectedUsage ??= known.takesCollectedUsage;
     }
-    this.known = { ...lease, atMs };
+    this.known = { ...lease, takesCollectedUsage, atMs };
   }
 
   /** Returns the id of the daemon that recently held the lease; undefined if none did. */
   holderId(nowMs: number): string | undefined {
+    return this.heldLease(nowMs)?.holderId;
+  }
+
+  /** Returns the lease if a daemon recently held it. */
+  heldLease(nowMs: number): Omit<DutyLeaseHint, 'ageMs'> | undefined {
     const { known } = this;
     const isFresh = known?.isHeld === true && nowMs - known.atMs < FRESHNESS_MS;
-    return isFresh ? known.holderId : undefined;
+    return isFresh ? known : undefined;
   }
 
   /** Returns what to pass on to peers. */
--- a/packages/core/src/hints/hint-store.ts
+++ b/packages/core/src/hints/hint-store.ts
@@ -73,6 +73,13 @@
     return this.byDaemon.get(daemonId)?.hints.takesUsageCounts === true;
   }
 
+  /** Returns whether a daemon passes usage counts on; undefined where none of its hints are stored. */
+  collectsUsage(daemonId: string): boolean | undefined {
+    const received = this.byDaemon.get(daemonId);
+    if (received === undefined) return undefined;
+    return received.hints.collectsUsage === true;
+  }
+
   /** Returns the summed work of all peers with fresh hints, by endpoint. The map changes with later calls. */
   work(nowMs: number): ReadonlyMap<string, EndpointLoad> {
     for (const [lifetime, { receivedAtMs }] of this.byLifetime) {
--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -1,5 +1,6 @@
 import type { RequestListener } from 'node:http';
 
+import type { UsageHolder } from '@skylarkreach/core/duties';
 import type { DaemonHints } from '@skylarkreach/core/hints';
 import { HintStore } from '@skylarkreach/core/hints';
 import { rankDaemons, ReaderRole } from '@skylarkreach/core/membership';
@@ -166,12 +167,21 @@
     return ranked.findIndex(daemon => daemon.id === identity.id);
   }
 
-  /** Returns the peer that holds the duties; undefined if none is known. */
-  dutyHolder(): DaemonIdentity | undefined {
-    const holderId = this.hintBoard.dutyLease.holderId(
-      this.context.clock.nowMs(),
+  /** Returns the peer that holds the duties, as a receiver of usage counts; undefined if none is known. */
+  usageHolder(): UsageHolder | undefined {
+    const { hintBoard, membership } = this;
+    const lease = hintBoard.dutyLease.heldLease(this.context.clock.nowMs());
+    const daemon =
+      lease && membership.live().find(each => each.id === lease.holderId);
+    return (
+      daemon && {
+        daemon,
+        fencingNumber: lease.fencingNumber,
+        // A daemon of an earlier build does not know the methods.
+        takesCounts: hintBoard.takesUsageCounts(daemon.id),
+        takesCollected: lease.takesCollectedUsage === true,
+      }
     );
-    return this.membership.live().find(each => each.id === holderId);
   }
 
   /** Whether hints from every live daemon arrived within the last `limitMs`. */
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -3,6 +3,7 @@
   DutyHolder,
   FleetScaler,
   UsageCheckpoint,
+  UsageForwarder,
   UsageLedger,
   UsageReporter,
   UsageTeller,
@@ -148,31 +149,42 @@
     ];
   }
 
-  /** Returns the loop that tells the holder of the duties this daemon's usage counts. */
-  createTellingLoop(context: GatewayContext, cluster: GatewayCluster): Loop {
+  /** Returns the loops that send usage counts towards the holder of the duties: those of this daemon, and those that peers have told it. */
+  createTellingLoops(
+    context: GatewayContext,
+    cluster: GatewayCluster,
+  ): readonly Loop[] {
     const { clock, settings } = context;
-    const teller = new UsageTeller({
+    const deps = {
       clock,
       peer: cluster.peer,
       registry: cluster.peerServer,
       ledger: this.usageLedger,
       isEnabled: () => settings.bounds.usageCheckpointSeconds > 0,
-      holder: () => {
-        const holder = cluster.dutyHolder();
-        // A daemon of an earlier build does not know the method.
-        const isKnown =
-          holder !== undefined && cluster.hintBoard.takesUsageCounts(holder.id);
-        return isKnown ? holder : undefined;
-      },
-      peerCount: () => cluster.size - 1,
+      holdsDuties: () => this.dutyHolder.currentToken() !== undefined,
+      holder: () => cluster.usageHolder(),
+    };
+    const forwarder = new UsageForwarder(deps);
+    const teller = new UsageTeller({
+      ...deps,
+      forwarder,
+      self: () => cluster.identity,
+      livePeers: () => cluster.membership.live(),
+      // Among thousands, the hints of most daemons are not known; their answer says whether they pass counts on.
+      mayCollect: id => cluster.hintBoard.collectsUsage(id) !== false,
     });
-    return createIntervalLoop(
-      context,
-      LogComponent.Duties,
-      'telling usage counts',
-      USAGE_COUNTS_STEP_MS,
-      () => teller.step(),
-    );
+    const createLoop = (name: string, step: () => Promise<void>) =>
+      createIntervalLoop(
+        context,
+        LogComponent.Duties,
+        name,
+        USAGE_COUNTS_STEP_MS,
+        step,
+      );
+    return [
+      createLoop('telling usage counts', () => teller.step()),
+      createLoop('passing on usage counts', () => forwarder.step()),
+    ];
   }
 
   /** Gives the duties up for good, so that another daemon can take them over. */
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -105,6 +105,7 @@
       }),
       reachability: reachabilityHints(this.deps.reachability, nowMs),
       takesUsageCounts: true,
+      collectsUsage: this.isUsageCollected(),
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
   }
@@ -155,10 +156,18 @@
     if (this.heldLease === undefined) return;
     const { fencingNumber, holder: holderId } = this.heldLease;
     const isHeld = token !== undefined;
-    const news = { fencingNumber, holderId, isHeld, ageMs: 0 };
+    const takesCollectedUsage = this.isUsageCollected();
+    const news = {
+      ...{ fencingNumber, holderId, isHeld, ageMs: 0 },
+      takesCollectedUsage,
+    };
     cluster().hintBoard.dutyLease.record(news, nowMs);
     if (!isHeld) this.heldLease = undefined;
   }
+
+  private isUsageCollected(): boolean {
+    return this.context.settings.bounds.usageCheckpointSeconds > 0;
+  }
 }
 
 function reachabilityHints(
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -300,7 +300,7 @@
     ...queue.loops,
     ...cluster.loops,
     ...duties.loops,
-    duties.createTellingLoop(context, cluster),
+    ...duties.createTellingLoops(context, cluster),
   ];
   return {
     ...context,
