Count and log the messages of collectors of usage counts

Operators could not see whether the counts of a data centre reach the holder of the duties. The metric usage_collections counts the messages by outcome, and a daemon that leaves a collector logs which one.

--- a/packages/core/src/duties/usage-collection.test.ts
+++ b/packages/core/src/duties/usage-collection.test.ts
@@ -6,7 +6,7 @@
 import { Fault, MemoryPeers } from '../fakes/index.js';
 import { rankDaemons } from '../membership/index.js';
 import type { DaemonIdentity } from '../ports/index.js';
-import { ManualClock } from '../ports/index.js';
+import { ManualClock, noopLog, noopMetrics } from '../ports/index.js';
 import { UsageForwarder } from './usage-forwarder.js';
 import { UsageLedger } from './usage-ledger.js';
 import { tellUsageMethod, UsageTeller } from './usage-teller.js';
@@ -84,6 +84,8 @@
     const deps = {
       clock: this.clock,
       ledger,
+      log: noopLog,
+      metrics: noopMetrics,
       peer: this.network.peer(id),
       registry: this.network.registry(id),
       isEnabled: () => true,
--- a/packages/core/src/duties/usage-forwarder.ts
+++ b/packages/core/src/duties/usage-forwarder.ts
@@ -3,6 +3,8 @@
 import type {
   Clock,
   DaemonIdentity,
+  Log,
+  Metrics,
   PeerClient,
   PeerRegistry,
 } from '../ports/index.js';
@@ -43,6 +45,8 @@
   readonly peer: PeerClient;
   readonly registry: PeerRegistry;
   readonly ledger: UsageLedger;
+  readonly log: Log;
+  readonly metrics: Metrics;
   readonly isEnabled: () => boolean;
   /** Whether this daemon holds the duties. */
   readonly holdsDuties: () => boolean;
@@ -116,13 +120,19 @@
         nowMs + CALL_TIMEOUT_MS,
       );
       this.collector.confirm(batch);
-      this.hasFailed = false;
+      this.recordOutcome(true);
     } catch (error) {
       // The hints carry the same counts, and the next message has those of this one.
       if (!(error instanceof PlatformError)) throw error;
-      this.hasFailed = true;
+      this.recordOutcome(false);
     }
   }
+
+  private recordOutcome(isSent: boolean): void {
+    this.hasFailed = !isSent;
+    const outcome = isSent ? 'sent' : 'failed';
+    this.deps.metrics.increment('usage.collections', 1, { outcome });
+  }
 }
 
 /** A holder that starts again has another fencing number, and no counts. */
--- a/packages/core/src/duties/usage-teller.ts
+++ b/packages/core/src/duties/usage-teller.ts
@@ -2,7 +2,11 @@
 
 import { windowUsageSchema } from '../hints/index.js';
 import type { DaemonIdentity } from '../ports/index.js';
-import { definePeerMethod, PlatformError } from '../ports/index.js';
+import {
+  definePeerMethod,
+  LogComponent,
+  PlatformError,
+} from '../ports/index.js';
 import type { CollectorChoiceDependencies } from './collector-choice.js';
 import { CollectorChoice } from './collector-choice.js';
 import type {
@@ -80,7 +84,7 @@
     { daemon, fencingNumber }: UsageHolder,
     directIntervalMs: number,
   ): Promise<void> {
-    const { clock, forwarder, livePeers, self } = this.deps;
+    const { clock, forwarder, livePeers, log, self } = this.deps;
     const nowMs = clock.nowMs();
     if (fencingNumber !== this.fencingNumber) this.choice.forgetFailures();
     this.fencingNumber = fencingNumber;
@@ -98,6 +102,11 @@
     const isPassedOn = await this.tell(collector, intervalMs, false);
     if (isPassedOn) return;
     this.choice.recordFailure(collector.id, clock.nowMs());
+    log.warn(
+      LogComponent.Duties,
+      'The collector of usage counts does not pass them on; another is chosen.',
+      { collector: collector.id },
+    );
     this.toldId = '';
   }
 
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -154,9 +154,9 @@
     context: GatewayContext,
     cluster: GatewayCluster,
   ): readonly Loop[] {
-    const { clock, settings } = context;
+    const { settings } = context;
     const deps = {
-      clock,
+      ...context,
       peer: cluster.peer,
       registry: cluster.peerServer,
       ledger: this.usageLedger,
