--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -293,7 +293,7 @@
     ...queue.loops,
     ...cluster.loops,
     ...duties.loops,
-    duties.createTellingLoop(context, cluster),
+    ...duties.createTellingLoops(context, cluster),
   ];
   return {
     ...context,
