Count a relay's refusal for lack of memory as one of the peer

A peer that has no memory for a relayed request refuses it as overloaded and names no endpoint (an empty header). The sender took that for a rejection by an endpoint, whose id was recorded as empty. A refusal without an endpoint is one of the peer now: the request was not sent. The same holds for one that ran out of time before the peer had chosen an endpoint.

--- a/packages/daemon/src/gateway/relay-client.ts
+++ b/packages/daemon/src/gateway/relay-client.ts
@@ -83,7 +83,9 @@
     );
     const added = splitHeaders(response.headers);
     const endpointId = added.byName.get(RelayHeader.Endpoint);
-    if (endpointId !== undefined) onEndpoint(endpointId);
+    // A peer that refuses a request itself names an empty endpoint.
+    const hasEndpoint = endpointId !== undefined && endpointId !== '';
+    if (hasEndpoint) onEndpoint(endpointId);
     const notRun = added.byName.get(RelayHeader.NotRun);
     if (endpointId === undefined && isMessageRefusal(response.status)) {
       await readToEnd(response.body);
@@ -92,7 +94,7 @@
       );
     }
     if (notRun === undefined) return { ...response, headers: added.others };
-    if (REFUSED_BY_ENDPOINT.has(notRun)) {
+    if (hasEndpoint && REFUSED_BY_ENDPOINT.has(notRun)) {
       const { requestId } = relayed.request;
       const metadata = { ...response.metadata, requestId, isNotRun: true };
       return { ...response, headers: added.others, metadata };
