Search for a connection to close once for several new ones

Each accept beyond the limit looked at all connections, twice. The candidates of one search are kept in order and serve the accepts of the next 100 ms; their rank is looked at again before one is closed. Where a search finds few (fewer than an eighth), the next follows 10 ms later, and new connections are closed until then.

--- a/packages/daemon/src/http/connection-limit.ts
+++ b/packages/daemon/src/http/connection-limit.ts
@@ -7,6 +7,8 @@
 import type { Connection } from './connection.js';
 import { ConnectionEnd } from './connection.js';
 import type { Connections } from './connections.js';
+import type { Candidate } from './victim-queue.js';
+import { VictimQueue } from './victim-queue.js';
 
 /** Why a connection was closed; tags the metric. */
 export enum LimitReason {
@@ -60,6 +62,22 @@
   Busy,
 }
 
+/** Connection that may be closed for a new one. */
+class ConnectionCandidate implements Candidate {
+  constructor(readonly connection: Connection) {}
+
+  get address(): string {
+    return this.connection.address;
+  }
+
+  get rank(): Rank | undefined {
+    const { connection } = this;
+    if (connection.socket.destroyed) return undefined;
+    const rank = rankOf(connection);
+    return rank === Rank.Busy ? undefined : rank;
+  }
+}
+
 /**
  * Bounds the connections of a server, the requests in progress on each, the heads
  * that were read in part and the time for which output stays unread. Meant for
@@ -70,6 +88,10 @@
  */
 export class ConnectionLimit {
   private readonly unread = new WeakMap<Connection, UnreadOutput>();
+  private readonly candidates = new WeakMap<Connection, ConnectionCandidate>();
+  private readonly victims = new VictimQueue(() =>
+    this.connections.open.map(each => this.candidateOf(each)),
+  );
 
   constructor(
     private readonly server: Server,
@@ -157,31 +179,17 @@
 
   private makeRoom(socket: Socket): void {
     const added = this.connections.of(socket);
-    const victim = this.findVictim(added) ?? added;
-    this.close(victim, LimitReason.Connections);
+    const nowMs = performance.now();
+    const victim = this.victims.take(this.candidateOf(added), nowMs);
+    this.close(victim?.connection ?? added, LimitReason.Connections);
   }
 
-  private findVictim(added: Connection): Connection | undefined {
-    const open = this.connections.open.filter(each => each !== added);
-    const countByAddress = new Map<string, number>();
-    const countOf = ({ address }: Connection) =>
-      countByAddress.get(address) ?? 0;
-    for (const connection of open)
-      countByAddress.set(connection.address, countOf(connection) + 1);
-    let victim: Connection | undefined;
-    let victimRank = Rank.Busy;
-    for (const connection of open) {
-      const rank = rankOf(connection);
-      const isPreferred =
-        rank < victimRank ||
-        (rank === victimRank &&
-          victim !== undefined &&
-          countOf(connection) > countOf(victim));
-      if (!isPreferred) continue;
-      victim = connection;
-      victimRank = rank;
-    }
-    return victim;
+  private candidateOf(connection: Connection): ConnectionCandidate {
+    const known = this.candidates.get(connection);
+    if (known !== undefined) return known;
+    const candidate = new ConnectionCandidate(connection);
+    this.candidates.set(connection, candidate);
+    return candidate;
   }
 
   private close(connection: Connection, reason: LimitReason): void {
