--- a/packages/daemon/src/http/connection-limit.ts
+++ b/packages/daemon/src/http/connection-limit.ts
@@ -7,6 +7,8 @@
 import type { Connection } from './connection.js';
 import { ConnectionEnd } from './connection.js';
 import type { Connections } from './connections.js';
+import type { Candidate } from './victim-queue.js';
+import { VictimQueue } from './victim-queue.js';
 
 /** Why a connection was closed; tags the metric. */
 export enum LimitReason {
@@ -60,6 +62,22 @@
   Busy,
 }
 
+/** Connection that may be closed for a new one. */
+class ConnectionCandidate implements Candidate {
+  constructor(readonly connection: Connection) {}
+
+  get address(): string {
+    return this.connection.address;
+  }
+
+  get rank(): Rank | undefined {
+    const { connection } = this;
+    if (connection.socket.destroyed) return undefined;
+    const rank = rankOf(connection);
+    return rank === Rank.Busy ? undefined : rank;
+  }
+}
+
 /**
  * Bounds the connections of a server, the requests in progress on each, the heads
  * that were read in part and the time for which output stays unread. Meant for
@@ -70,6 +88,10 @@
  */
 export class ConnectionLimit {
   private readonly unread = new WeakMap<Connection, UnreadOutput>();
+  private readonly candidates = new WeakMap<Connection, ConnectionCandidate>();
+  private readonly victims = new VictimQueue(() =>
+    this.connections.open.map(each => this.candidateOf(each)),
+  );
 
   constructor(
     private readonly server: Server,
@@ -108,20 +130,20 @@
 
   /** Closes the connections with the largest partial heads until the others keep within the limit. */
   private closePartialHeads(): void {
-    const partial = this.connections.open.filter(
-      connection =>
-        connection.responseCount === 0 &&
-        !connection.isLingering &&
-        connection.hasUnsettledInput,
-    );
-    let bytes = 0;
-    for (const { unsettledBytes } of partial) bytes += unsettledBytes;
-    if (bytes <= this.options.maxPartialHeadBytes) return;
+    const partial = this.connections.open
+      .filter(({ isLingering }) => !isLingering)
+      .map(connection => {
+        return { connection, bytes: connection.input.partialHeadBytes };
+      })
+      .filter(({ bytes }) => bytes > 0);
+    let excessBytes = -this.options.maxPartialHeadBytes;
+    for (const { bytes } of partial) excessBytes += bytes;
+    if (excessBytes <= 0) return;
     // The sort is stable: of equal ones, the oldest comes first.
-    partial.sort((left, right) => right.unsettledBytes - left.unsettledBytes);
-    for (const connection of partial) {
-      if (bytes <= this.options.maxPartialHeadBytes) return;
-      bytes -= connection.unsettledBytes;
+    partial.sort((left, right) => right.bytes - left.bytes);
+    for (const { bytes, connection } of partial) {
+      if (excessBytes <= 0) return;
+      excessBytes -= bytes;
       this.close(connection, LimitReason.PartialHeads);
     }
   }
@@ -157,31 +179,17 @@
 
   private makeRoom(socket: Socket): void {
     const added = this.connections.of(socket);
-    const victim = this.findVictim(added) ?? added;
-    this.close(victim, LimitReason.Connections);
+    const nowMs = performance.now();
+    const victim = this.victims.take(this.candidateOf(added), nowMs);
+    this.close(victim?.connection ?? added, LimitReason.Connections);
   }
 
-  private findVictim(added: Connection): Connection | undefined {
-    const open = this.connections.open.filter(each => each !== added);
-    const countByAddress = new Map<string, number>();
-    const countOf = ({ address }: Connection) =>
-      countByAddress.get(address) ?? 0;
-    for (const connection of open)
-      countByAddress.set(connection.address, countOf(connection) + 1);
-    let victim: Connection | undefined;
-    let victimRank = Rank.Busy;
-    for (const connection of open) {
-      const rank = rankOf(connection);
-      const isPreferred =
-        rank < victimRank ||
-        (rank === victimRank &&
-          victim !== undefined &&
-          countOf(connection) > countOf(victim));
-      if (!isPreferred) continue;
-      victim = connection;
-      victimRank = rank;
-    }
-    return victim;
+  private candidateOf(connection: Connection): ConnectionCandidate {
+    const known = this.candidates.get(connection);
+    if (known !== undefined) return known;
+    const candidate = new ConnectionCandidate(connection);
+    this.candidates.set(connection, candidate);
+    return candidate;
   }
 
   private close(connection: Connection, reason: LimitReason): void {
