Name each changed bound that needs a restart, and apply the others

Most bounds were read once at start. A change was taken over into the settings in force without an effect, and was not named in needsRestart; nor were changed addresses of the platform and the log level. The retry and exposure bounds are now read at each use. All others keep their value until a restart and are named.

The test of the retry budget's slack failed before (a change had no effect); the function that names changes is new.

--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -149,13 +149,12 @@
         .endpoints()
         .filter(each => !evacuations.isEvacuated(each.dataCentre)),
   });
-  const { exposureShare, exposureSlack } = settings.bounds;
   const rollouts = new RolloutRegistry({
     log,
     nowMs: () => clock.nowMs(),
     optionsFor: group => ({
-      exposureShare,
-      exposureSlack,
+      exposureShare: settings.bounds.exposureShare,
+      exposureSlack: settings.bounds.exposureSlack,
       daemons: () => cluster.size,
       routes: routeNamesFor(configuration.current, group),
     }),
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import { SteadyClock } from '../adapters/index.js';
 import { nextPoll } from '../http/index.js';
 import type { GatewaySettings } from '../settings/index.js';
+import { applyChangedSettings } from './apply-settings.js';
 import type { EndpointConnector } from './endpoint-client.js';
 import type { GatewayWiring } from './gateway-wiring.js';
 import { wireGateway } from './gateway-wiring.js';
@@ -13,14 +14,6 @@
 /** Time in which the last answers are sent, and requests that have arrived are refused, after the cutoff. */
 const FLUSH_MS = 500; // a part of CUTOFF_MARGIN_MS of stop-schedule.ts
 const MS_PER_SECOND = 1_000;
-/** Settings sections that are read only at start, so that a change needs a restart. */
-const RESTART_SECTIONS = [
-  'identity',
-  'listen',
-  'peerSecret',
-  'routing',
-  'callers',
-] as const;
 const METRICS_PATH = '/metrics';
 const ENDPOINTS_PATH = '/dump/endpoints';
 
@@ -84,18 +77,10 @@
     return { callers, readiness, metrics };
   }
 
-  /** Applies changed seeds and bounds at once, and logs changed sections that need a restart. */
+  /** Applies changed settings at once, and logs those that need a restart. */
   applySettings(next: GatewaySettings): void {
     const { log, settings } = this.wiring;
-    const needsRestart: string[] = RESTART_SECTIONS.filter(
-      section =>
-        JSON.stringify(next[section]) !== JSON.stringify(settings[section]),
-    );
-    settings.platform.seeds = next.platform.seeds;
-    Object.assign(settings.bounds, next.bounds);
-    const { isEnabled } = settings.queue;
-    if (next.queue.isEnabled !== isEnabled) needsRestart.push('queue');
-    Object.assign(settings.queue, next.queue, { isEnabled });
+    const needsRestart = applyChangedSettings(settings, next);
     log.info(LogComponent.Daemon, 'The settings have changed.', {
       needsRestart: needsRestart.join(','),
     });
--- a/packages/daemon/src/gateway/retry-budgets.test.ts
+++ b/packages/daemon/src/gateway/retry-budgets.test.ts
@@ -179,6 +179,23 @@
     }
   });
 
+  it('follow a change of the slack', () => {
+    const changed = { ...bounds, repeatSlack: 0 };
+    const fleet = {
+      isFirstStart: true,
+      daemonCount: () => 2,
+      rank: () => 0,
+      clusterTimeMs: () => 0,
+    };
+    const budgets = new RetryBudgets(changed, fleet, { nowMs: () => 0 });
+    const budget = budgets.forGroup('engines');
+    changed.repeatSlack = 58;
+    for (let sent = 0; sent < 10; sent += 1) budget.recordFirstAttempt();
+    assert.equal(budget.isAvailable, true);
+    changed.repeatSlack = 0;
+    assert.equal(budget.isAvailable, false);
+  });
+
   it('do not keep retries for later in a large group', () => {
     const fleet = new Fleet(300);
     for (let sent = 0; sent < 100; sent += 1) fleet.request(0);
--- a/packages/daemon/src/gateway/retry-budgets.ts
+++ b/packages/daemon/src/gateway/retry-budgets.ts
@@ -52,14 +52,15 @@
     return budget;
   }
 
+  /** Creates a budget that reads the bounds at each use, as they may change. */
   private createBudget(): RetryAllowance {
-    const { repeatShare, repeatSlack, repeatWindowSeconds } = this.bounds;
-    const { fleet } = this;
-    const windowMs = repeatWindowSeconds * MS_PER_SECOND;
-    const usedSlack = () => repeatSlack * USED_RETRY_SHARE;
+    const { bounds, clock, fleet } = this;
+    const usedSlack = () => bounds.repeatSlack * USED_RETRY_SHARE;
     const ownSlack = () => usedSlack() / fleet.daemonCount();
     const shared = new RetryBudget({
-      refillPerFirstAttempt: repeatShare * USED_RETRY_SHARE,
+      get refillPerFirstAttempt() {
+        return bounds.repeatShare * USED_RETRY_SHARE;
+      },
       // Before a restart, the daemon may have used its share in the same window.
       initialBalance: fleet.isFirstStart ? ownSlack() : 0,
       get capacity() {
@@ -67,13 +68,19 @@
       },
     });
     const paid = new RecentRequestsBudget({
-      retryShare: repeatShare,
-      windowMs,
-      nowMs: () => this.clock.nowMs(),
+      get retryShare() {
+        return bounds.repeatShare;
+      },
+      get windowMs() {
+        return bounds.repeatWindowSeconds * MS_PER_SECOND;
+      },
+      nowMs: () => clock.nowMs(),
     });
     const turns = new TurnBudget({
+      get windowMs() {
+        return bounds.repeatWindowSeconds * MS_PER_SECOND;
+      },
       retries: usedSlack,
-      windowMs,
       daemonCount: () => fleet.daemonCount(),
       rank: () => fleet.rank(),
       clusterTimeMs: () => fleet.clusterTimeMs(),
