Give adopted fleet slots a deadline to become ready

An instance that the plan adopted and that never became ready was kept as capacity for ever. It now has the same time as one that was started.

The new test failed before (the slot stayed started); the tests of fleet pass.

--- a/packages/core/src/fleet/fleet-planner.test.ts
+++ b/packages/core/src/fleet/fleet-planner.test.ts
@@ -245,6 +245,16 @@
     assert.ok(other.slots.every(slot => slot.instanceId === undefined));
   });
 
+  it('replaces an adopted instance that never becomes ready', () => {
+    const listing = listingOf('model', EndpointStage.Warming);
+    const adopted = decide(EMPTY_PLAN, NOW_MS, { listing });
+    const nowMs = NOW_MS + POLICY.readyTimeoutMs;
+    const later = { ...listing, asOfMs: nowMs };
+    const plan = decide(adopted, nowMs, { listing: later });
+    const slot = plan.slots.find(each => each.instanceId === 'orphan');
+    assert.equal(slot?.state, SlotState.Draining);
+  });
+
   it('replaces an instance that was not ready by its deadline', () => {
     const first = withAllReady(decide(EMPTY_PLAN, NOW_MS));
     const slots = first.slots.map((slot, index) =>
@@ -258,7 +268,7 @@
   });
 });
 
-function listingOf(group: string): FleetListing {
+function listingOf(group: string, stage = EndpointStage.Ready): FleetListing {
   const location = { dataCentre: 'a', instanceId: 'orphan' };
   return {
     asOfMs: NOW_MS,
@@ -272,7 +282,7 @@
         kind: EndpointKind.Model,
         group,
         version: 'v1',
-        stage: EndpointStage.Ready,
+        stage,
       },
     ],
   };
--- a/packages/core/src/fleet/merge-observation.ts
+++ b/packages/core/src/fleet/merge-observation.ts
@@ -40,6 +40,7 @@
     withListing,
     observation.listing,
     fencingNumber,
+    nowMs,
   );
   return { ...withAdopted, listingAsOfMs: observation.listing.asOfMs };
 }
@@ -139,6 +140,7 @@
   plan: FleetPlan,
   listing: FleetListing,
   fencingNumber: number,
+  nowMs: number,
 ): FleetPlan {
   const unknown = unknownInstances(policy, plan, listing);
   if (unknown.length === 0 || plan.slots.some(isStartPending)) return plan;
@@ -150,6 +152,8 @@
     pricePerHour: 0,
     instanceId: instance.id,
     startedAtMs: listing.asOfMs,
+    // It may have been started by a holder that ended before it could store the deadline.
+    readyByAtMs: nowMs + policy.readyTimeoutMs,
   }));
   return {
     ...plan,
