Do not shorten the backoff of a pool by a pause for a reclaim

A pause after a reclaim replaced a longer backoff and reset the number of refusals, so that the next backoff was shorter too.

The new test failed before (one refusal, 1 ms); the tests of fleet pass.

--- a/packages/core/src/fleet/fleet-planner.test.ts
+++ b/packages/core/src/fleet/fleet-planner.test.ts
@@ -18,7 +18,7 @@
 import type { FleetPolicy, Pool } from './fleet-policy.js';
 import { capacityOf } from './fleet-policy.js';
 import type { Offer } from './offers.js';
-import { recordRefusal } from './refusals.js';
+import { pausePool, recordRefusal } from './refusals.js';
 
 const SEED = 11;
 const MINUTE_MS = 60_000;
@@ -255,6 +255,14 @@
     assert.equal(slot?.state, SlotState.Draining);
   });
 
+  it('does not shorten the backoff of a pool by a pause for a reclaim', () => {
+    let plan = EMPTY_PLAN;
+    for (let refusals = 0; refusals < 4; refusals += 1)
+      plan = recordRefusal(POLICY, plan, pool('small', 'a'), NOW_MS);
+    const paused = pausePool(plan, pool('small', 'a'), NOW_MS + 1);
+    assert.deepEqual(paused.refusals, plan.refusals);
+  });
+
   it('replaces an instance that was not ready by its deadline', () => {
     const first = withAllReady(decide(EMPTY_PLAN, NOW_MS));
     const slots = first.slots.map((slot, index) =>
--- a/packages/core/src/fleet/refusals.ts
+++ b/packages/core/src/fleet/refusals.ts
@@ -1,4 +1,4 @@
-import type { FleetPlan } from './fleet-plan.js';
+import type { FleetPlan, Refusal } from './fleet-plan.js';
 import type { FleetPolicy, Pool } from './fleet-policy.js';
 import { poolKey, poolOf } from './fleet-policy.js';
 
@@ -9,9 +9,7 @@
   pool: Pool,
   nowMs: number,
 ): FleetPlan {
-  const known = plan.refusals.find(
-    refusal => poolKey(refusal) === poolKey(pool),
-  );
+  const known = findRefusal(plan, pool);
   const failures = (known?.failures ?? 0) + 1;
   const backoffMs = Math.min(
     policy.refusalBackoffMs * 2 ** (failures - 1),
@@ -21,13 +19,19 @@
   return replaceRefusal(plan, pool, failures, retryAtMs);
 }
 
-/** Excludes a pool from new starts until `retryAtMs`. */
+/** Excludes a pool from new starts until `retryAtMs`; a longer backoff stays in force. */
 export function pausePool(
   plan: FleetPlan,
   pool: Pool,
   retryAtMs: number,
 ): FleetPlan {
-  return replaceRefusal(plan, pool, 1, retryAtMs);
+  const known = findRefusal(plan, pool);
+  return replaceRefusal(
+    plan,
+    pool,
+    known?.failures ?? 1,
+    Math.max(known?.retryAtMs ?? 0, retryAtMs),
+  );
 }
 
 /** Clears the backoff of a pool after a successful start. */
@@ -35,6 +39,10 @@
   return { ...plan, refusals: refusalsOfOtherPools(plan, pool) };
 }
 
+function findRefusal(plan: FleetPlan, pool: Pool): Refusal | undefined {
+  return plan.refusals.find(refusal => poolKey(refusal) === poolKey(pool));
+}
+
 function replaceRefusal(
   plan: FleetPlan,
   pool: Pool,
