Do not evict all records for one that is larger than the store

A record above the store's limit evicted every other one and then itself. It is now refused.

The new test failed before (the other record was gone); the tests of streams pass.

--- a/packages/core/src/streams/record-replicator.test.ts
+++ b/packages/core/src/streams/record-replicator.test.ts
@@ -133,4 +133,13 @@
     assert.equal(store.size, 1);
     assert.equal(store.find({ ...REQUEST, requestId: 'b' }, 0)?.tokens, 20);
   });
+
+  it('do not evict others for a record that is larger than the store', () => {
+    const store = new RecordStore(40);
+    store.put(recordOf(20), 0);
+    const work = { ...recordOf(20).work, requestId: 'b' };
+    const large = { ...recordOf(20), work, text: 'x'.repeat(41) };
+    assert.equal(store.put(large, 0), false);
+    assert.equal(store.find(REQUEST, 0)?.tokens, 20);
+  });
 });
--- a/packages/core/src/streams/record-store.ts
+++ b/packages/core/src/streams/record-store.ts
@@ -15,19 +15,23 @@
     return this.records.size;
   }
 
-  /** Stores a record unless it has expired or a more advanced one of the same work is stored; returns whether it is stored. */
+  /**
+   * Stores a record unless it has expired, is larger than the store or a more advanced
+   * one of the same work is stored; returns whether it is stored.
+   */
   put(record: RequestRecord, nowMs: number): boolean {
     this.dropExpired(nowMs);
     const key = requestKeyOf(record.work);
     const existing = this.records.get(key);
     if (record.work.deadlineAtMs <= nowMs) return false;
+    if (characterCountOf(record) > this.maxCharacters) return false;
     if (existing !== undefined && isMoreAdvanced(existing, record))
       return false;
     this.removeByKey(key);
     this.records.set(key, record);
     this.totalCharacters += characterCountOf(record);
     this.evictOverLimit();
-    return this.records.has(key);
+    return true;
   }
 
   find(request: RequestIdentity, nowMs: number): RequestRecord | undefined {
