Forget the attempts in flight of endpoints that have none

The router kept an entry for every address that it had ever sent to.

The new test failed before (10,000 entries after as many endpoints had come and gone); the tests of routing pass.

--- a/packages/core/src/routing/least-in-flight-router.ts
+++ b/packages/core/src/routing/least-in-flight-router.ts
@@ -29,10 +29,10 @@
   }
 
   recordEnd(attempt: Attempt): void {
-    this.inFlightByAddress.set(
-      attempt.address,
-      this.inFlightOf(attempt.address) - 1,
-    );
+    const { address } = attempt;
+    const remaining = this.inFlightOf(address) - 1;
+    if (remaining > 0) this.inFlightByAddress.set(address, remaining);
+    else this.inFlightByAddress.delete(address);
   }
 
   applyListing(endpoints: readonly Endpoint[], asOfMs: number): void {
@@ -51,6 +51,11 @@
     this.table.markLeaving(address, nowMs);
   }
 
+  /** Number of endpoints with attempts of this daemon in flight. */
+  get busyEndpointCount(): number {
+    return this.inFlightByAddress.size;
+  }
+
   endpoints(): readonly Endpoint[] {
     return this.table.all();
   }
