Forget the scaling state of groups that are no longer configured

The holder of the duties kept load peaks, provisioned capacity and orders of every group since it got the duties.

The new test failed before (100 groups kept instead of 1); the tests of fleet-scaler pass.

--- a/packages/core/src/duties/fleet-scaler.test.ts
+++ b/packages/core/src/duties/fleet-scaler.test.ts
@@ -96,6 +96,26 @@
 }
 
 describe('FleetScaler', () => {
+  it('keeps nothing of groups that are no longer configured', async () => {
+    let name = '';
+    const clock = new ManualClock(1_000);
+    const scaler = new FleetScaler({
+      clock,
+      dutyApi: new FakePlatform(),
+      log: noopLog,
+      groups: () => [{ ...GROUP, name }],
+      endpoints: () => [],
+      runningIn: () => 0,
+      firstPlanAtMs: 0,
+      isEvacuated: () => false,
+    });
+    for (let index = 0; index < 100; index += 1) {
+      name = `group-${index}`;
+      await scaler.step(() => TOKEN);
+    }
+    assert.equal(scaler.groupCount, 1);
+  });
+
   // Endpoints that get no requests were counted as capacity, and reordered while their data centre was to be left alone.
   it('orders nothing in an evacuated data centre, and the capacity that it had in the others', async () => {
     const { evacuated, platform, scaler, stepFor } =
--- a/packages/core/src/duties/fleet-scaler.ts
+++ b/packages/core/src/duties/fleet-scaler.ts
@@ -56,6 +56,15 @@
 
   constructor(private readonly deps: FleetScalerDependencies) {}
 
+  /** Number of groups of which something is kept. */
+  get groupCount(): number {
+    const ordered = [...this.issuedOrders.values()].map(
+      ({ order }) => order.group,
+    );
+    const names = [...this.peaks.keys(), ...this.provisioned.keys()];
+    return new Set([...ordered, ...names]).size;
+  }
+
   /** Sends the orders that are due. `currentToken` returns undefined once the lease is lost. */
   async step(currentToken: () => FencingToken | undefined): Promise<void> {
     const initialToken = currentToken();
@@ -69,7 +78,9 @@
       this.peaks.clear();
       this.provisioned.clear();
     }
-    for (const { name, scaling } of this.deps.groups()) {
+    const groups = this.deps.groups();
+    this.retainGroups(new Set(groups.map(group => group.name)));
+    for (const { name, scaling } of groups) {
       if (scaling === undefined) continue;
       for (const order of this.plan(name, scaling)) {
         const token = currentToken();
@@ -81,6 +92,16 @@
     }
   }
 
+  /** Forgets the groups that are no longer configured. */
+  private retainGroups(names: ReadonlySet<string>): void {
+    for (const byGroup of [this.peaks, this.provisioned]) {
+      for (const name of byGroup.keys())
+        if (!names.has(name)) byGroup.delete(name);
+    }
+    for (const [key, { order }] of this.issuedOrders)
+      if (!names.has(order.group)) this.issuedOrders.delete(key);
+  }
+
   private plan(
     group: string,
     scaling: ScalingSettings,
