Exit with status 2 on wrong usage of the command line

Unknown options were ignored, and unknown commands and missing arguments ended with status 1, where docs/operators/running.md says 2.

Both new tests failed before (0 and 1 instead of 2); the tests of cli pass.

--- a/packages/cli/src/program.test.ts
+++ b/packages/cli/src/program.test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
 import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
 import type { Server } from 'node:http';
 import { createServer } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterEach, beforeEach, describe, it } from 'node:test';
+import { fileURLToPath } from 'node:url';
 
 import { runProgram } from './program.js';
 
@@ -191,6 +193,21 @@
     assert.equal(await runCommand('moves', 'wait', 'model'), 4);
   });
 
+  it('exits 2 for an option that the command does not have', async () => {
+    responses = { 'GET /v1/status': { status: 200, body: {} } };
+    assert.equal(await runCommand('status', '--bogus'), 2);
+    assert.match(printed.at(-1) ?? '', /--bogus/);
+    assert.equal(await runCommand('status', '--json'), 0);
+  });
+
+  it('exits 2 for a command that does not exist or lacks an argument', () => {
+    const main = fileURLToPath(new URL('main.js', import.meta.url));
+    for (const words of [['rules', 'shw'], ['rules', 'check'], []]) {
+      const { status } = spawnSync(process.execPath, [main, ...words]);
+      assert.equal(status, 2);
+    }
+  });
+
   it('exits 3 if the daemon cannot be reached', async () => {
     server.close();
     assert.equal(await runCommand('status'), 3);
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -35,12 +35,9 @@
   addRuleCommands(program);
   addStateCommands(program);
   addMoveCommands(program);
-  // sade returns undefined after it has printed help or a usage error.
-  const parsed = program.parse([...argv], { lazy: true }) as
-    sade.LazyOutput | undefined;
-  if (parsed === undefined) return;
   try {
-    await parsed.handler(...parsed.args);
+    const parsed = parseCommand(program, argv);
+    await parsed?.handler(...parsed.args);
   } catch (error) {
     if (!(error instanceof CliError)) throw error;
     console.error(error.message);
@@ -48,6 +45,31 @@
   }
 }
 
+/** Returns undefined after help was printed. Throws `CliError` for an unknown option. */
+function parseCommand(
+  program: sade.Sade,
+  argv: readonly string[],
+): sade.LazyOutput | undefined {
+  // sade ends the process with status 1 after it has printed a usage error.
+  const onExit = () => {
+    process.exitCode = CliExitCode.Usage;
+  };
+  process.once('exit', onExit);
+  try {
+    return program.parse([...argv], {
+      lazy: true,
+      unknown: option => {
+        throw new CliError(
+          `The command has no option ${option}; run it with --help.`,
+          CliExitCode.Usage,
+        );
+      },
+    });
+  } finally {
+    process.off('exit', onExit);
+  }
+}
+
 function addRuleCommands(program: sade.Sade): void {
   program
     .command('rules show')
