Forget the written phase of rollout orders that were replaced

The holder of the duties kept one entry for each order since it started.

The new test failed before (100 entries instead of 1); the tests of rollouts pass.

--- a/packages/core/src/rollouts/rollout-writer.ts
+++ b/packages/core/src/rollouts/rollout-writer.ts
@@ -37,9 +37,15 @@
 
   constructor(private readonly deps: RolloutWriterDependencies) {}
 
+  /** Number of orders whose written phase is kept. */
+  get writtenCount(): number {
+    return this.writtenPhases.size;
+  }
+
   /** Decides and writes what is due. Stops once `isHolding` returns false. */
   async step(isHolding: () => boolean): Promise<void> {
     const { registry, clock } = this.deps;
+    this.forgetReplaced();
     for (const rollout of registry.rollouts()) {
       if (!isHolding()) return;
       const previousPhase = rollout.phase;
@@ -56,6 +62,14 @@
     }
   }
 
+  private forgetReplaced(): void {
+    const revisions = new Set(
+      this.deps.registry.rollouts().map(({ order }) => order.revision),
+    );
+    for (const revision of this.writtenPhases.keys())
+      if (!revisions.has(revision)) this.writtenPhases.delete(revision);
+  }
+
   private logDecision(rollout: CanaryRollout): void {
     const { group, toVersion } = rollout.order;
     const evidence = rollout.evidence();
