Forget the cache events of endpoints that are no longer listed

The poller kept the last sequence of every address that it had ever read.

The new test failed before (10,000 entries where 100 endpoints were listed); the test of endpoint-poller passes.

--- a/packages/daemon/src/loops/endpoint-poller.ts
+++ b/packages/daemon/src/loops/endpoint-poller.ts
@@ -35,6 +35,11 @@
     private readonly log: Log,
   ) {}
 
+  /** Number of endpoints whose cache events are followed. */
+  get followedCount(): number {
+    return this.lastSequences.size;
+  }
+
   /** Reads the platform's listing and reclaim notices, and the prices when they are due. */
   async readListing(): Promise<void> {
     const deadlineAtMs = this.clock.nowMs() + CALL_TIMEOUT_MS;
@@ -67,6 +72,9 @@
       .endpoints()
       .filter(endpoint => endpoint.kind === EndpointKind.Model)
       .filter(endpoint => endpoint.stage !== EndpointStage.Terminated);
+    const addresses = new Set(models.map(endpoint => endpoint.address));
+    for (const address of this.lastSequences.keys())
+      if (!addresses.has(address)) this.lastSequences.delete(address);
     await Promise.all(models.map(endpoint => this.readEndpoint(endpoint)));
   }
 
