--- a/packages/core/src/fleet/fleet-planner.test.ts
+++ b/packages/core/src/fleet/fleet-planner.test.ts
@@ -18,7 +18,7 @@
 import type { FleetPolicy, Pool } from './fleet-policy.js';
 import { capacityOf } from './fleet-policy.js';
 import type { Offer } from './offers.js';
-import { recordRefusal } from './refusals.js';
+import { pausePool, recordRefusal } from './refusals.js';
 
 const SEED = 11;
 const MINUTE_MS = 60_000;
@@ -245,6 +245,24 @@
     assert.ok(other.slots.every(slot => slot.instanceId === undefined));
   });
 
+  it('replaces an adopted instance that never becomes ready', () => {
+    const listing = listingOf('model', EndpointStage.Warming);
+    const adopted = decide(EMPTY_PLAN, NOW_MS, { listing });
+    const nowMs = NOW_MS + POLICY.readyTimeoutMs;
+    const later = { ...listing, asOfMs: nowMs };
+    const plan = decide(adopted, nowMs, { listing: later });
+    const slot = plan.slots.find(each => each.instanceId === 'orphan');
+    assert.equal(slot?.state, SlotState.Draining);
+  });
+
+  it('does not shorten the backoff of a pool by a pause for a reclaim', () => {
+    let plan = EMPTY_PLAN;
+    for (let refusals = 0; refusals < 4; refusals += 1)
+      plan = recordRefusal(POLICY, plan, pool('small', 'a'), NOW_MS);
+    const paused = pausePool(plan, pool('small', 'a'), NOW_MS + 1);
+    assert.deepEqual(paused.refusals, plan.refusals);
+  });
+
   it('replaces an instance that was not ready by its deadline', () => {
     const first = withAllReady(decide(EMPTY_PLAN, NOW_MS));
     const slots = first.slots.map((slot, index) =>
@@ -258,7 +276,7 @@
   });
 });
 
-function listingOf(group: string): FleetListing {
+function listingOf(group: string, stage = EndpointStage.Ready): FleetListing {
   const location = { dataCentre: 'a', instanceId: 'orphan' };
   return {
     asOfMs: NOW_MS,
@@ -272,7 +290,7 @@
         kind: EndpointKind.Model,
         group,
         version: 'v1',
-        stage: EndpointStage.Ready,
+        stage,
       },
     ],
   };
