Show the queues and the limits in flight in a dump

Operators saw them only as gauges, and not what they were learned from. The metrics address answers /dump/queues with the waiting requests of each group by workspace and priority, the limit in flight, its pressure and the age of the last report, and with what the daemon itself sheds.

--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -3,6 +3,8 @@
 import { findDisplaced } from './displacement.js';
 import { DrainRate } from './drain-rate.js';
 import { InFlightLimit } from './in-flight-limit.js';
+import type { QueueState } from './queue-state.js';
+import { summarizeWaiting } from './queue-state.js';
 import type {
   QueueDecision,
   QueuedRequest,
@@ -188,6 +190,18 @@
     }));
   }
 
+  dumpState(nowMs: number): QueueState {
+    const perMs = this.rate.perMs(nowMs);
+    return {
+      ...summarizeWaiting(this.waiting, nowMs),
+      ...(perMs !== undefined && { sentPerSecond: perMs * 1_000 }),
+      inFlight: this.inFlightCount,
+      inFlightLimit: this.inFlightLimit(nowMs),
+      equalShare: this.equalShare,
+      limit: this.limit.dumpState(nowMs),
+    };
+  }
+
   recordLoad(load: ReportedLoad, nowMs: number): void {
     const limit = this.inFlightLimit(nowMs);
     const isBinding =
--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -12,6 +12,7 @@
 import { LogComponent } from '../ports/index.js';
 import { DispatchQueue, MAX_PASS_REQUESTS } from './dispatch-queue.js';
 import type { QueueGateDependencies, Reserve } from './queue-gate.js';
+import type { GroupQueueState } from './queue-state.js';
 import type { QueueDecision, QueuedRequest } from './queued-request.js';
 import { QueueDecisionKind, QueueRefusal } from './queued-request.js';
 import { isUseful } from './request-order.js';
@@ -125,6 +126,10 @@
     this.queue.recordRejection(sentAtMs);
   }
 
+  dumpState(nowMs: number): GroupQueueState {
+    return { group: this.group, ...this.queue.dumpState(nowMs) };
+  }
+
   refuseWaiting(): void {
     this.apply(this.queue.refuseWaiting(), this.deps.clock.nowMs());
   }
--- a/packages/core/src/dispatch-queue/in-flight-limit.ts
+++ b/packages/core/src/dispatch-queue/in-flight-limit.ts
@@ -31,6 +31,21 @@
 /** Time without reports after which what was learned no longer counts. */
 const MEMORY_MS = 5_000;
 
+/** What a limit has learned. */
+export interface InFlightLimitState {
+  /** The limit as a multiple of the equal share. */
+  readonly multipleOfShare: number;
+  readonly hasLearned: boolean;
+  /** Mean of the running and waiting requests for each slot, as reported. */
+  readonly pressure: number;
+  /** Pressure from which the limit decreases. */
+  readonly highPressure: number;
+  /** Mean time for which requests hold their places; absent before the first. */
+  readonly meanHoldMs?: number;
+  /** Time since the last report or rejection; absent before the first. */
+  readonly reportedAgoMs?: number;
+}
+
 /**
  * Limit of this daemon's requests in flight at one group, learned by additive
  * increase and multiplicative decrease (Chiu and Jain, 1989). As in DCTCP (Alizadeh
@@ -55,6 +70,20 @@
     return this.hasLearned ? limit : Math.max(MIN_START_LIMIT, limit);
   }
 
+  /** Returns what was learned, for the operators. */
+  dumpState(nowMs: number): InFlightLimitState {
+    return {
+      multipleOfShare: this.factor,
+      hasLearned: this.hasLearned,
+      pressure: this.pressure,
+      highPressure: this.highPressure(),
+      ...(Number.isFinite(this.holdMs) && { meanHoldMs: this.holdMs }),
+      ...(Number.isFinite(this.reportedAtMs) && {
+        reportedAgoMs: nowMs - this.reportedAtMs,
+      }),
+    };
+  }
+
   /** `isBinding` says whether requests wait or the limit is nearly reached; a limit that is not used does not increase. */
   recordLoad(
     { running, slots, waiting }: ReportedLoad,
--- a/packages/core/src/dispatch-queue/index.ts
+++ b/packages/core/src/dispatch-queue/index.ts
@@ -4,6 +4,7 @@
 export * from './in-flight-limit.js';
 export * from './loop-delay.js';
 export * from './queue-gate.js';
+export * from './queue-state.js';
 export * from './queued-request.js';
 export * from './refusal-backlog.js';
 export * from './request-order.js';
--- a/packages/core/src/dispatch-queue/loop-delay.ts
+++ b/packages/core/src/dispatch-queue/loop-delay.ts
@@ -50,6 +50,11 @@
     return this.shedFrom <= this.leastUrgent;
   }
 
+  /** Least priority number that is shed now; undefined if none is. */
+  get shedsFrom(): number | undefined {
+    return this.isShedding ? this.shedFrom : undefined;
+  }
+
   refusedForMs(
     { deadlineAtMs, priority }: SheddableRequest,
     nowMs: number,
--- a/packages/core/src/dispatch-queue/queue-gate-passes.test.ts
+++ b/packages/core/src/dispatch-queue/queue-gate-passes.test.ts
@@ -5,6 +5,36 @@
 import { GateHarness, sampleCall, sampleRoom } from './fakes/index.js';
 import { MAX_PASS_REQUESTS } from './index.js';
 
+describe('QueueGate.dumpState', () => {
+  // Operators could not see why requests waited or were refused.
+  it('shows what waits, for how long, and the limit in flight with what it was learned from', async () => {
+    const harness = new GateHarness();
+    harness.offer('a');
+    const load = { running: 4, waiting: 0, slots: 4 };
+    harness.gate.recordLoad('engines', load, 0);
+    harness.offer('b');
+    harness.offer('c');
+    harness.offer('d', { workspace: 'kowhai' });
+    harness.offer('e', { workspace: 'lumela', priority: 3 });
+    await harness.advance(40);
+    const [group] = harness.gate.dumpState(40);
+    assert.equal(group?.group, 'engines');
+    assert.equal(group.waiting, 2);
+    assert.equal(group.waitingBytes, 200);
+    assert.deepEqual(group.waitingByWorkspace, { kowhai: 1, lumela: 1 });
+    assert.deepEqual(group.waitingByPriority, { 1: 1, 3: 1 });
+    assert.equal(group.oldestWaitedMs, 40);
+    assert.equal(group.inFlight, 3);
+    assert.equal(group.inFlightLimit, 3);
+    assert.equal(group.equalShare, 1);
+    assert.equal(group.sentPerSecond, undefined);
+    assert.equal(group.limit.reportedAgoMs, 40);
+    assert.equal(group.limit.highPressure, 1.1);
+    assert.ok(group.limit.pressure > 0);
+    assert.doesNotThrow(() => JSON.stringify(group));
+  });
+});
+
 describe('a pass over the queues', () => {
   // Each request refused on its way to an endpoint used a turn of its workspace.
   it('charges a workspace nothing for requests that are refused as they leave the queue', async () => {
--- a/packages/core/src/dispatch-queue/queue-gate.ts
+++ b/packages/core/src/dispatch-queue/queue-gate.ts
@@ -9,6 +9,7 @@
 } from '../forwarding/index.js';
 import type { Clock, Log, Metrics, Random } from '../ports/index.js';
 import { GroupGate } from './group-gate.js';
+import type { GroupQueueState } from './queue-state.js';
 import type { QueueLimits } from './queued-request.js';
 
 export interface QueueGateDependencies {
@@ -67,6 +68,11 @@
     for (const gate of this.gates.values()) gate.refuseWaiting();
   }
 
+  /** Returns the state of the queue of each group that had requests, for the operators. */
+  dumpState(nowMs: number): readonly GroupQueueState[] {
+    return [...this.gates.values()].map(gate => gate.dumpState(nowMs));
+  }
+
   private gateOf(group: string): GroupGate {
     let gate = this.gates.get(group);
     if (gate === undefined) {
--- a/packages/daemon/src/gateway/gateway-queue.ts
+++ b/packages/daemon/src/gateway/gateway-queue.ts
@@ -1,3 +1,4 @@
+import type { LoopDelayShedder } from '@skylarkreach/core/dispatch-queue';
 import { QueueGate } from '@skylarkreach/core/dispatch-queue';
 import type {
   ConfigurationStore,
@@ -27,6 +28,7 @@
 export class GatewayQueue {
   readonly gate: QueueGate | undefined;
   readonly loops: readonly Loop[];
+  private readonly shedder: LoopDelayShedder | undefined;
   /** Part of the forwarder's dependencies. */
   readonly forwarding: Pick<
     ForwarderDependencies,
@@ -59,8 +61,19 @@
       createPollerLoop(context, LogComponent.Daemon, 'loopDelay', meter),
     ];
     const { shedder } = meter;
+    this.shedder = shedder;
     this.forwarding = { dispatchGate: this.gate, shedder, sendsPriority };
   }
+
+  /** Returns the state of the queues and what this daemon sheds, for the operators. */
+  dumpState(nowMs: number): unknown {
+    return {
+      isEnabled: this.gate !== undefined,
+      loopDelayMs: this.shedder?.standingDelayMs,
+      shedsFromPriority: this.shedder?.shedsFrom,
+      groups: this.gate?.dumpState(nowMs),
+    };
+  }
 }
 
 /** Returns the number of live daemons, or of listed ones while no other is known to be alive. */
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
 ] as const;
 const METRICS_PATH = '/metrics';
 const ENDPOINTS_PATH = '/dump/endpoints';
+const QUEUES_PATH = '/dump/queues';
 
 export interface GatewayOptions {
   readonly clock?: Clock;
@@ -57,6 +58,7 @@
         text: await this.wiring.metrics.text(),
       }),
       [ENDPOINTS_PATH]: () => ({ status: 200, text: this.dumpEndpoints() }),
+      [QUEUES_PATH]: () => ({ status: 200, text: this.dumpQueues() }),
     });
   }
 
@@ -183,6 +185,12 @@
     return JSON.stringify(pool.dumpState(clock.nowMs()));
   }
 
+  /** Returns the state of the queues as JSON. */
+  private dumpQueues(): string {
+    const { clock, queue } = this.wiring;
+    return JSON.stringify(queue.dumpState(clock.nowMs()));
+  }
+
   private readinessResponse(): TextResponse {
     return this.isReady
       ? { status: 200, text: 'ready' }
--- a/packages/stand-ins/src/gateway/gateway-queue.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-queue.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 
+import { request } from 'undici';
+
+import type { GroupQueueState } from '@skylarkreach/core/dispatch-queue';
 import { EndpointRoom } from '@skylarkreach/platform/stand-ins';
 
 import { GatewayFixture, waitUntil } from './gateway-fixture.js';
@@ -10,6 +13,11 @@
 const CALLS = 8;
 const DEADLINE = { 'deadline-ms': '60000' };
 
+interface QueueDump {
+  readonly isEnabled: boolean;
+  readonly groups: readonly GroupQueueState[];
+}
+
 describe('a gateway whose requests wait for capacity', () => {
   let fixture: GatewayFixture;
   let room: EndpointRoom;
@@ -46,6 +54,19 @@
     assert.equal(fixture.runs().length, CALLS);
   });
 
+  it('shows its queues to the operators', async () => {
+    room.serviceMs = 100;
+    const calls = callAll();
+    await waitUntil(() => fixture.runs().length === 1);
+    const metrics = fixture.deployment.gateways[0]?.addresses.metrics;
+    const { body } = await request(`http://${metrics ?? ''}/dump/queues`);
+    const dump = (await body.json()) as QueueDump;
+    assert.equal(dump.isEnabled, true);
+    assert.equal(dump.groups[0]?.group, 'ledger');
+    assert.ok(dump.groups[0].waiting > 0);
+    for (const response of await Promise.all(calls)) await response.body.dump();
+  });
+
   it('sends nothing for callers that leave while their requests wait', async () => {
     room.serviceMs = 100;
     const callers = new AbortController();
