Count the turns of the workspaces in the expected wait

A new request of a workspace that had the next turn was refused as too late if another workspace filled the queue with nearer deadlines: all of these counted as before it. The check of those that wait had the same fault where start tags differed by one turn. Both now take the order in which the requests would be sent, with the tags of the turns to come; a new request is placed in it only if it would be too late as the last one.

--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -12,13 +12,9 @@
 } from './queued-request.js';
 import { QueueDecisionKind, QueueRefusal } from './queued-request.js';
 import { RefusalBacklog } from './refusal-backlog.js';
-import {
-  compareClasses,
-  compareRequests,
-  isTooLate,
-  isUseful,
-} from './request-order.js';
+import { compareClasses, isTooLate, isUseful } from './request-order.js';
 import { spreadReturnMs } from './return-time.js';
+import { orderByTurns } from './service-order.js';
 import { WorkspaceShares } from './workspace-shares.js';
 
 /** One in this many requests that leave the queue is the oldest, so that no kind of request starves. */
@@ -101,10 +97,7 @@
       return this.send(request, nowMs);
     if (isFirst && this.hasRoom(room, nowMs) && this.maySend(request, nowMs))
       return this.send(request, nowMs);
-    const ahead = this.waiting.filter(
-      other => compareRequests(other, request, nowMs) <= 0,
-    ).length;
-    if (isTooLate(request, nowMs + (this.expectedWaitMs(ahead, nowMs) ?? 0)))
+    if (this.isHopeless(request, nowMs))
       return this.refuse(request, QueueRefusal.TooLate, nowMs);
     if (!this.makePlace(request, nowMs))
       return this.refuse(request, QueueRefusal.QueueFull, nowMs);
@@ -301,14 +294,23 @@
     );
   }
 
+  /** Whether a new request will not be sent in time at the rate at which the queue drains. */
+  private isHopeless(request: QueuedRequest, nowMs: number): boolean {
+    const isTooLateBehind = (ahead: number) =>
+      isTooLate(request, nowMs + (this.expectedWaitMs(ahead, nowMs) ?? 0));
+    // Its turn matters only if it would be too late as the last one.
+    if (!isTooLateBehind(this.waiting.length)) return false;
+    const all = [...this.waiting, request];
+    const ordered = orderByTurns(all, this.shares, nowMs);
+    return isTooLateBehind(ordered.indexOf(request));
+  }
+
   /** Gives up those that will not be sent in time at the rate at which the queue drains. */
   private giveUpHopeless(nowMs: number): void {
     if (nowMs < this.checkWaitsAtMs) return;
     this.checkWaitsAtMs = nowMs + WAIT_CHECK_INTERVAL_MS;
     if (this.rate.perMs(nowMs) === undefined) return;
-    const ordered = [...this.waiting].sort((first, second) =>
-      this.compare(first, second, nowMs),
-    );
+    const ordered = orderByTurns(this.waiting, this.shares, nowMs);
     const hopeless: QueuedRequest[] = [];
     for (const [index, request] of ordered.entries()) {
       const ahead = index - hopeless.length;
--- a/packages/core/src/dispatch-queue/index.ts
+++ b/packages/core/src/dispatch-queue/index.ts
@@ -9,5 +9,6 @@
 export * from './refusal-backlog.js';
 export * from './request-order.js';
 export * from './return-time.js';
+export * from './service-order.js';
 export * from './service-times.js';
 export * from './workspace-shares.js';
--- a/packages/core/src/dispatch-queue/workspace-shares.ts
+++ b/packages/core/src/dispatch-queue/workspace-shares.ts
@@ -42,6 +42,7 @@
   }
 }
 
-function costOf({ expectedServiceMs }: QueuedRequest): number {
+/** Returns what a workspace pays for a request, in milliseconds. */
+export function costOf({ expectedServiceMs }: QueuedRequest): number {
   return Math.max(MIN_COST_MS, expectedServiceMs);
 }
