--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -3,6 +3,8 @@
 import { findDisplaced } from './displacement.js';
 import { DrainRate } from './drain-rate.js';
 import { InFlightLimit } from './in-flight-limit.js';
+import type { QueueState } from './queue-state.js';
+import { summarizeWaiting } from './queue-state.js';
 import type {
   QueueDecision,
   QueuedRequest,
@@ -10,13 +12,9 @@
 } from './queued-request.js';
 import { QueueDecisionKind, QueueRefusal } from './queued-request.js';
 import { RefusalBacklog } from './refusal-backlog.js';
-import {
-  compareClasses,
-  compareRequests,
-  isTooLate,
-  isUseful,
-} from './request-order.js';
+import { compareClasses, isTooLate, isUseful } from './request-order.js';
 import { spreadReturnMs } from './return-time.js';
+import { orderByTurns } from './service-order.js';
 import { WorkspaceShares } from './workspace-shares.js';
 
 /** One in this many requests that leave the queue is the oldest, so that no kind of request starves. */
@@ -99,10 +97,7 @@
       return this.send(request, nowMs);
     if (isFirst && this.hasRoom(room, nowMs) && this.maySend(request, nowMs))
       return this.send(request, nowMs);
-    const ahead = this.waiting.filter(
-      other => compareRequests(other, request, nowMs) <= 0,
-    ).length;
-    if (isTooLate(request, nowMs + (this.expectedWaitMs(ahead, nowMs) ?? 0)))
+    if (this.isHopeless(request, nowMs))
       return this.refuse(request, QueueRefusal.TooLate, nowMs);
     if (!this.makePlace(request, nowMs))
       return this.refuse(request, QueueRefusal.QueueFull, nowMs);
@@ -188,6 +183,18 @@
     }));
   }
 
+  dumpState(nowMs: number): QueueState {
+    const perMs = this.rate.perMs(nowMs);
+    return {
+      ...summarizeWaiting(this.waiting, nowMs),
+      ...(perMs !== undefined && { sentPerSecond: perMs * 1_000 }),
+      inFlight: this.inFlightCount,
+      inFlightLimit: this.inFlightLimit(nowMs),
+      equalShare: this.equalShare,
+      limit: this.limit.dumpState(nowMs),
+    };
+  }
+
   recordLoad(load: ReportedLoad, nowMs: number): void {
     const limit = this.inFlightLimit(nowMs);
     const isBinding =
@@ -287,14 +294,23 @@
     );
   }
 
+  /** Whether a new request will not be sent in time at the rate at which the queue drains. */
+  private isHopeless(request: QueuedRequest, nowMs: number): boolean {
+    const isTooLateBehind = (ahead: number) =>
+      isTooLate(request, nowMs + (this.expectedWaitMs(ahead, nowMs) ?? 0));
+    // Its turn matters only if it would be too late as the last one.
+    if (!isTooLateBehind(this.waiting.length)) return false;
+    const all = [...this.waiting, request];
+    const ordered = orderByTurns(all, this.shares, nowMs);
+    return isTooLateBehind(ordered.indexOf(request));
+  }
+
   /** Gives up those that will not be sent in time at the rate at which the queue drains. */
   private giveUpHopeless(nowMs: number): void {
     if (nowMs < this.checkWaitsAtMs) return;
     this.checkWaitsAtMs = nowMs + WAIT_CHECK_INTERVAL_MS;
     if (this.rate.perMs(nowMs) === undefined) return;
-    const ordered = [...this.waiting].sort((first, second) =>
-      this.compare(first, second, nowMs),
-    );
+    const ordered = orderByTurns(this.waiting, this.shares, nowMs);
     const hopeless: QueuedRequest[] = [];
     for (const [index, request] of ordered.entries()) {
       const ahead = index - hopeless.length;
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -16,6 +16,7 @@
 const MS_PER_SECOND = 1_000;
 const METRICS_PATH = '/metrics';
 const ENDPOINTS_PATH = '/dump/endpoints';
+const QUEUES_PATH = '/dump/queues';
 
 export interface GatewayOptions {
   readonly clock?: Clock;
@@ -50,6 +51,7 @@
         text: await this.wiring.metrics.text(),
       }),
       [ENDPOINTS_PATH]: () => ({ status: 200, text: this.dumpEndpoints() }),
+      [QUEUES_PATH]: () => ({ status: 200, text: this.dumpQueues() }),
     });
   }
 
@@ -168,6 +170,12 @@
     return JSON.stringify(pool.dumpState(clock.nowMs()));
   }
 
+  /** Returns the state of the queues as JSON. */
+  private dumpQueues(): string {
+    const { clock, queue } = this.wiring;
+    return JSON.stringify(queue.dumpState(clock.nowMs()));
+  }
+
   private readinessResponse(): TextResponse {
     return this.isReady
       ? { status: 200, text: 'ready' }
