--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -9,7 +9,7 @@
   platform: ['core'],
   client: [],
   daemon: ['core', 'platform'],
-  cli: ['core'],
+  cli: ['core', 'platform'],
   'stand-ins': ['core', 'daemon', 'client', 'platform'],
   measure: ['core', 'daemon', 'client', 'stand-ins'],
 };
@@ -31,6 +31,7 @@
   placement: ['ports', 'routing', 'forwarding'],
   rollouts: ['ports', 'moves', 'forwarding'],
   quarantine: ['ports', 'forwarding'],
+  'configuration-check': ['forwarding'],
   'endpoint-limits': ['ports', 'membership', 'routing', 'forwarding'],
   'cold-starts': [
     'ports',
