Add the command skylarkreach check

Change: check FILE [--against FILE] [--regions LIST] [--json] prints errors, unreachable entries, contradictions, warnings and differences.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,5 +1,7 @@
 import sade from 'sade';
 
+import type { ConfigurationOptions } from './configuration-command.js';
+import { checkConfigurationFile } from './configuration-command.js';
 import {
   showMoves,
   startMove,
@@ -35,6 +37,7 @@
   addRuleCommands(program);
   addStateCommands(program);
   addMoveCommands(program);
+  addConfigurationCommand(program);
   try {
     const parsed = parseCommand(program, argv);
     await parsed?.handler(...parsed.args);
@@ -173,6 +176,22 @@
     );
 }
 
+function addConfigurationCommand(program: sade.Sade): void {
+  program
+    .command('check <file>')
+    .describe([
+      'Check a gateway configuration; exits 1 if it has faults.',
+      'Reports what daemons refuse, entries that can never match and limits that contradict each other. Reads files alone: no daemon is called, nothing is written.',
+    ])
+    .option('--against', 'File with the version in force, to list differences')
+    .option('--regions', 'Regions with data centres, separated by commas')
+    .example('check next.json --against in-force.json')
+    .example('check next.json --regions north,south --json')
+    .action((file: string, options: ConfigurationOptions) => {
+      checkConfigurationFile(file, options);
+    });
+}
+
 /** Returns a client of the daemon that the options or the environment name. Throws `CliError` without a token. */
 function createClient(options: CommonOptions): OperatorClient {
   const address =
