Take back the oldest request's turns only for sends from the queue

A request that was sent on arrival, or late while no endpoint was open, did not count towards the turns of the oldest request nor the drain rate, but was taken back from both when it was put back or refused. A less urgent request then went first out of turn, and the rate lost sends of other requests. The queue marks the requests that it has counted.

--- a/packages/core/src/dispatch-queue/dispatch-queue.test.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.test.ts
@@ -83,6 +83,17 @@
     assert.deepEqual(sentIds(queue.advance(FULL, 100)), ['next']);
   });
 
+  // The turns of the oldest request were counted by sends from the queue alone, but taken back for all.
+  it('keeps the turns of the oldest request if one is put back that was sent on arrival', () => {
+    const queue = sampleQueue();
+    const first = sampleQueued('first', { priority: 2 });
+    assert.equal(queue.offer(first, FULL, 0).kind, Send);
+    queue.putBack(first, 0);
+    const urgent = { priority: 0, receivedAtMs: 1 };
+    queue.offer(sampleQueued('urgent', urgent), FULL, 1);
+    assert.deepEqual(sentIds(queue.advance(FULL, 1)), ['urgent', 'first']);
+  });
+
   it('sends useful requests first, then by priority, then by deadline', () => {
     const queue = fullQueue();
     const requests = [
--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -55,6 +55,8 @@
   private inFlightCount = 0;
   private restsUntilMs = -Infinity;
   private sentFromQueue = 1;
+  /** Requests that were sent in the order of the queue, as opposed to on arrival. */
+  private readonly sentInOrder = new WeakSet<QueuedRequest>();
   private beyondLimitAtMs: readonly number[] = [];
   private checkWaitsAtMs = 0;
   private equalShare = 0;
@@ -154,6 +156,7 @@
     if (this.inFlightCount >= this.inFlightLimit(nowMs))
       this.beyondLimitAtMs = this.beyondLimitAtMs.slice(0, -1);
     this.shares.refund(request);
+    if (!this.sentInOrder.delete(request)) return;
     this.rate.removeSend();
     this.sentFromQueue -= 1;
   }
@@ -235,6 +238,7 @@
       const next = this.takeNext(nowMs);
       if (next === undefined) break;
       this.rate.recordSend(nowMs);
+      this.sentInOrder.add(next);
       sent.push(this.send(next, nowMs));
     }
     return sent;
