Charge a workspace nothing for requests that find no endpoint

A request that is refused on its way, as it finds no endpoint, used a turn of its workspace, a place until its run ended, and a send of the drain rate. After a time in which no endpoint was open, workspaces whose late requests were refused came last. Its send is now cancelled like that of a refused one.

--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -152,7 +152,7 @@
    * attempt, and the turns of the oldest request could all fall on such sends.
    */
   cancelSend(request: QueuedRequest, nowMs: number): void {
-    this.withdraw();
+    this.inFlightCount -= 1;
     if (this.inFlightCount >= this.inFlightLimit(nowMs))
       this.beyondLimitAtMs = this.beyondLimitAtMs.slice(0, -1);
     this.shares.refund(request);
@@ -161,11 +161,6 @@
     this.sentFromQueue -= 1;
   }
 
-  /** Frees the place of a request that was to be sent and was not. */
-  withdraw(): void {
-    this.inFlightCount -= 1;
-  }
-
   /**
    * Frees the place that a request held for `heldMs`. Under a limit below one the
    * place then rests, so that the limit holds on average.
--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -31,11 +31,9 @@
   readonly reject: (error: unknown) => void;
 }
 
-/** Request that was sent and holds a place. */
+/** Request for which an endpoint was reserved and that holds a place. */
 interface Sent {
   readonly route: string;
-  /** Whether an endpoint was reserved for it; if not, it ends at once. */
-  readonly isReserved: boolean;
   readonly sentAtMs: number;
   hasResponded: boolean;
 }
@@ -110,9 +108,8 @@
     if (sent === undefined) return;
     this.sent.delete(key);
     const nowMs = this.deps.clock.nowMs();
-    const { hasResponded, isReserved, sentAtMs } = sent;
-    if (isReserved) this.queue.release(nowMs - sentAtMs, nowMs, hasResponded);
-    else this.queue.withdraw();
+    const { hasResponded, sentAtMs } = sent;
+    this.queue.release(nowMs - sentAtMs, nowMs, hasResponded);
     this.advanceWaiting();
   }
 
@@ -225,10 +222,14 @@
       }
     }
     this.waiters.delete(key);
-    const { route } = call;
-    const isReserved = reservation !== undefined;
-    const sent = { route, isReserved, sentAtMs: nowMs, hasResponded: false };
-    this.sent.set(key, sent);
+    if (reservation === undefined) {
+      // The request is refused on its way.
+      this.queue.cancelSend(request, nowMs);
+      this.hasFreedPlace = true;
+    } else {
+      const { route } = call;
+      this.sent.set(key, { route, sentAtMs: nowMs, hasResponded: false });
+    }
     const waitedMs = nowMs - call.receivedAtMs;
     const { metrics } = this.deps;
     metrics.timingMs('queue.wait', waitedMs, { group: this.group });
--- a/packages/core/src/dispatch-queue/queue-gate-passes.test.ts
+++ b/packages/core/src/dispatch-queue/queue-gate-passes.test.ts
@@ -34,6 +34,26 @@
     assert.deepEqual(harness.sentIds.slice(3), ['served', 'other', 'last']);
   });
 
+  // Each late request that found no endpoint used a turn of its workspace.
+  it('charges a workspace nothing for requests that find no endpoint', async () => {
+    const harness = new GateHarness();
+    const [first] = harness.fill();
+    harness.room = sampleRoom(1, { openSlots: 0 });
+    for (const id of ['late', 'later']) {
+      const late = harness.offer(id, { workspace: 'w', objectiveAtMs: -1 });
+      await harness.advance(0);
+      assert.equal(harness.ends.get(id), 'none');
+      late.close();
+    }
+    harness.room = sampleRoom(1);
+    const times = { deadlineAtMs: 60_000, objectiveAtMs: 60_000 };
+    harness.offer('own', { ...times, workspace: 'w' });
+    harness.offer('other', { ...times, workspace: 'other' });
+    first?.close();
+    await harness.advance(0);
+    assert.equal(harness.sentIds.at(-1), 'own');
+  });
+
   // It waited for places that were held by requests to endpoints that the daemon no longer reached.
   it('lets waiting requests go to peers within 50 ms of when its daemon is cut off, in no place of the group', async () => {
     const harness = new GateHarness();
