Count a group again if it counts as open and no endpoint is found

Counts hold for 10 ms. If a peer's news (a pause, a limit, a cold start) closes the last open endpoint within that time, a request found none, and was refused as the outdated count said that others are open, although it could have waited.

npm test -- core/src/forwarding/endpoint-pool: 20 pass, 0 fail (1 fails before).

--- a/packages/core/src/forwarding/endpoint-pool.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -75,6 +75,19 @@
 }
 
 describe('EndpointPool', () => {
+  // A request that could have waited was refused, as the group counted as open for 10 ms more.
+  it('counts a group as closed once no endpoint was found for a request', () => {
+    let waitMs = 0;
+    const pool = createPool(['a', 'b'], 1, undefined, {
+      ...UNGUARDED,
+      waitMs: () => waitMs,
+    });
+    assert.ok(pool.room('ledger', 0).openSlots > 0);
+    waitMs = 300;
+    assert.equal(chooseEndpoint(pool), undefined);
+    assert.equal(pool.room('ledger', 0).openSlots, 0);
+  });
+
   it('sends nothing to an endpoint that its guard withholds, and knows for how long', () => {
     const waits = new Map([
       ['a', 300],
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -172,9 +172,9 @@
       best = member;
       bestMs = expectedMs;
     }
-    return best === undefined
-      ? undefined
-      : this.createReservation(best, placed, nowMs);
+    if (best !== undefined) return this.createReservation(best, placed, nowMs);
+    if (query.requiresRoom !== true) this.rooms.recordNoneFound(query.group);
+    return undefined;
   }
 
   /**
--- a/packages/core/src/forwarding/room-counts.ts
+++ b/packages/core/src/forwarding/room-counts.ts
@@ -70,6 +70,11 @@
     this.add(room, 1);
   }
 
+  /** Whether an endpoint may be sent a request, as far as is counted. */
+  get isOpen(): boolean {
+    return this.openSlots > 0;
+  }
+
   /** Returns whether the same data centres are evacuated as when it was counted. */
   isCurrent(nowMs: number): boolean {
     const ageMs = nowMs - this.countedAtMs;
@@ -119,6 +124,15 @@
     return count.room(nowMs);
   }
 
+  /**
+   * Records that no endpoint was found for a request, so that the group is counted
+   * again if it counts as open: a peer's news may have closed it without notice, and
+   * the request is to wait then instead of being refused.
+   */
+  recordNoneFound(group: string): void {
+    if (this.byGroup.get(group)?.isOpen === true) this.byGroup.delete(group);
+  }
+
   /** Records that this daemon has changed or learned something of an endpoint. */
   markChanged(member: PoolMember): void {
     this.byGroup.get(member.record.group)?.markChanged(member);
