Do not refuse hints for an optional age or version that cannot be read

By the schema's comment a part that cannot be read counts as absent, but four optional ones (the ages of reads, the versions of the configuration and of the evacuations) cost the whole message. Found by a test with random parts, which also checks lists with unreadable entries and what is read of other parts.

--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -70,15 +70,15 @@
   /** First window that the platform may still lack a usage report of; counts of earlier ones are not sent. Absent where that is not known. */
   usageReportedBefore: count.optional().catch(undefined),
   /** Time since the sender, or a daemon that it heard of, began its last successful read of the endpoints. */
-  endpointReadAgeMs: count.optional(),
+  endpointReadAgeMs: count.optional().catch(undefined),
   /** Version of the sender's list of endpoints. */
   endpointsVersion: count,
   /** Time since the sender, or a daemon that it heard of, last confirmed the operators' state. */
-  operatorReadAgeMs: count.optional(),
+  operatorReadAgeMs: count.optional().catch(undefined),
   /** Version of the sender's configuration. Absent in hints of daemons that do not know it. */
-  configurationVersion: count.optional(),
+  configurationVersion: count.optional().catch(undefined),
   /** Version of the evacuated data centres that the sender holds. Absent in hints of daemons that do not know them. */
-  evacuationsVersion: count.optional(),
+  evacuationsVersion: count.optional().catch(undefined),
   /** Newest lease for the duties that the sender knows of. */
   dutyLease: dutyLeaseHintSchema.optional().catch(undefined),
   rollouts: readableItems(rolloutHintsSchema),
--- a/packages/core/src/hints/hints-of-other-builds.test.ts
+++ b/packages/core/src/hints/hints-of-other-builds.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
+import fc from 'fast-check';
+
 import { exchangeHintsMethod } from './daemon-hints.js';
 
 const HINTS = {
@@ -29,6 +31,30 @@
   holdsDuties: false,
 };
 
+const LISTS = [
+  'rollouts',
+  'endpointLimits',
+  'brittleEndpoints',
+  'leavingEndpoints',
+  'coldEndpoints',
+] as const;
+/** Parts that may be absent, so that one that cannot be read must not cost the others. */
+const OPTIONAL_PARTS = [
+  ...LISTS.slice(1),
+  'passedOnGrants',
+  'usageReportedBefore',
+  'endpointReadAgeMs',
+  'operatorReadAgeMs',
+  'configurationVersion',
+  'evacuationsVersion',
+  'dutyLease',
+  'quarantine',
+  'loadReports',
+  'reachability',
+  'takesUsageCounts',
+  'collectsUsage',
+];
+
 function parse(changes: Readonly<Record<string, unknown>>) {
   return exchangeHintsMethod.params.parse({ ...HINTS, ...changes });
 }
@@ -81,4 +107,43 @@
       assert.equal(parse({ [part]: 'novel' })[part], undefined);
     });
   }
+
+  // One part that could not be read cost the whole message.
+  it('keeps all other parts, whatever an optional one has', () => {
+    const property = fc.property(
+      fc.constantFrom(...OPTIONAL_PARTS),
+      fc.jsonValue(),
+      (part, value) => {
+        const read = { ...parse({ [part]: value }), [part]: 0 };
+        assert.deepEqual(read, { ...HINTS, [part]: 0 });
+      },
+    );
+    fc.assert(property, { seed: 1, numRuns: 500 });
+  });
+
+  it('keeps the readable entries of a list, whatever is beside them', () => {
+    const property = fc.property(
+      fc.constantFrom(...LISTS),
+      fc.array(fc.jsonValue(), { maxLength: 4 }),
+      (part, values) => {
+        const entries = [...values, ...HINTS[part], ...values];
+        assert.deepEqual(parse({ [part]: entries }), HINTS);
+      },
+    );
+    fc.assert(property, { seed: 1, numRuns: 500 });
+  });
+
+  it('refuses a message or reads what others can read again, whatever a part has', () => {
+    const property = fc.property(
+      fc.constantFrom(...Object.keys(HINTS)),
+      fc.jsonValue(),
+      (part, value) => {
+        const { params } = exchangeHintsMethod;
+        const { data } = params.safeParse({ ...HINTS, [part]: value });
+        if (data === undefined) return;
+        assert.ok(params.safeParse(JSON.parse(JSON.stringify(data))).success);
+      },
+    );
+    fc.assert(property, { seed: 1, numRuns: 500 });
+  });
 });
