Test load reports of peers with random lines and times

The readable line of a message is used whatever lines and time are beside it, and averages stay finite.

--- a/packages/core/src/placement/load-reports.test.ts
+++ b/packages/core/src/placement/load-reports.test.ts
@@ -69,6 +69,27 @@
     });
   });
 
+  it('reads the lines of a message that it can use, whatever is beside them', () => {
+    const line = fc.oneof(
+      fc.string(),
+      fc.stringMatching(/^\d{1,4} b( -?\d(e30\d)?){0,5}$/),
+    );
+    const property = fc.property(
+      fc.array(line, { maxLength: 9 }),
+      fc.double(),
+      (lines, atMs) => {
+        const reports = createReports({ atMs: START_MS });
+        const message = [...lines, '0 a 3 1 16 250', ...lines].join('\n');
+        reports.applyPeer({ atMs, reports: message });
+        reports.applyPeer({ atMs: START_MS, reports: message });
+        assert.deepEqual(reports.newest('a')?.load, LOAD);
+        const other = reports.newest('b') ?? { averageActive: 0 };
+        assert.ok(Number.isFinite(other.averageActive));
+      },
+    );
+    fc.assert(property, { seed: 1, numRuns: 1_000 });
+  });
+
   it('bounds its messages, and passes on no report that is too old to be of use', () => {
     const clock = { atMs: START_MS };
     const reports = createReports(clock);
