--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -53,6 +53,8 @@
   private inFlightCount = 0;
   private restsUntilMs = -Infinity;
   private sentFromQueue = 1;
+  /** Requests that were sent in the order of the queue, as opposed to on arrival. */
+  private readonly sentInOrder = new WeakSet<QueuedRequest>();
   private beyondLimitAtMs: readonly number[] = [];
   private checkWaitsAtMs = 0;
   private equalShare = 0;
@@ -145,19 +147,15 @@
    * attempt, and the turns of the oldest request could all fall on such sends.
    */
   cancelSend(request: QueuedRequest, nowMs: number): void {
-    this.withdraw();
+    this.inFlightCount -= 1;
     if (this.inFlightCount >= this.inFlightLimit(nowMs))
       this.beyondLimitAtMs = this.beyondLimitAtMs.slice(0, -1);
     this.shares.refund(request);
+    if (!this.sentInOrder.delete(request)) return;
     this.rate.removeSend();
     this.sentFromQueue -= 1;
   }
 
-  /** Frees the place of a request that was to be sent and was not. */
-  withdraw(): void {
-    this.inFlightCount -= 1;
-  }
-
   /**
    * Frees the place that a request held for `heldMs`. Under a limit below one the
    * place then rests, so that the limit holds on average.
@@ -242,6 +240,7 @@
       const next = this.takeNext(nowMs);
       if (next === undefined) break;
       this.rate.recordSend(nowMs);
+      this.sentInOrder.add(next);
       sent.push(this.send(next, nowMs));
     }
     return sent;
