Bound the requests that have left a queue and are to be refused

A pass refuses at most 8 requests. Where more arrive in each turn of the event loop and displace others, those were held with their bodies without bound. A request no longer displaces others once as many, or as many bytes, are to be refused as may wait; it is refused itself.

--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -308,11 +308,13 @@
     return perMs === undefined ? undefined : ahead / perMs;
   }
 
-  /** Makes place for a request by displacing less valuable ones; returns false if it is the least valuable itself. */
+  /** Makes place for a request by displacing less valuable ones; returns false if it is the least valuable itself, or too many are to be refused already. */
   private makePlace(request: QueuedRequest, nowMs: number): boolean {
     const limits = this.options.limits();
     const displaced = findDisplaced(this.waiting, request, limits, nowMs);
     if (displaced === undefined) return false;
+    // Those to be refused hold their bodies as well.
+    if (displaced.length > 0 && this.refusals.isFull(limits)) return false;
     this.giveUp(displaced, QueueRefusal.QueueFull);
     return true;
   }
--- a/packages/core/src/dispatch-queue/refusal-backlog.ts
+++ b/packages/core/src/dispatch-queue/refusal-backlog.ts
@@ -1,4 +1,8 @@
-import type { QueuedRequest, QueueRefusal } from './queued-request.js';
+import type {
+  QueuedRequest,
+  QueueLimits,
+  QueueRefusal,
+} from './queued-request.js';
 
 export interface PendingRefusal {
   readonly request: QueuedRequest;
@@ -13,6 +17,15 @@
     return this.pending.length;
   }
 
+  /** Whether it has reached the limits, which are those of a queue. */
+  isFull({ maxBytes, maxRequests }: QueueLimits): boolean {
+    const bytes = this.pending.reduce(
+      (sum, { request }) => sum + request.bytes,
+      0,
+    );
+    return this.pending.length >= maxRequests || bytes >= maxBytes;
+  }
+
   add(requests: readonly QueuedRequest[], reason: QueueRefusal): void {
     if (requests.length === 0) return;
     const added = requests.map(request => ({ request, reason }));
