Keep the whole order of preferred endpoints for groups of up to 128

The first 32 endpoints in the order of a shared part were kept. While most were full, fewer than eight of these could be sent a request, and all were hashed and sorted again for each request, so the cost returned under load. The order of 128 takes up to about 1.5 MB (computed). The property test lists more endpoints, so that it still covers groups beyond that number.

--- a/packages/core/src/forwarding/endpoint-pool.property.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.property.test.ts
@@ -20,7 +20,7 @@
 const GROUPS = ['engines', 'ledger'];
 const DATA_CENTRES = ['north-1', 'north-2', 'north-3'];
 /** More than twice the number of endpoints whose order is kept for a shared part. */
-const ENDPOINTS = 140;
+const ENDPOINTS = 320;
 const SLOTS = 2;
 const SHARED_PARTS = 3;
 const REPORT_TTL_MS = 1_000;
--- a/packages/core/src/forwarding/preferred-members.ts
+++ b/packages/core/src/forwarding/preferred-members.ts
@@ -4,10 +4,10 @@
 
 /** Number of endpoints that daemons prefer for a shared part. */
 const MAX_PREFERRED = 8; // docs/design/placement.md, 'Weighed'
-/** Number of endpoints of which the order is kept for a shared part: enough to pass over some that may not be sent a request. */
-const MAX_RANKED = 4 * MAX_PREFERRED;
+/** Number of endpoints of which the order is kept for a shared part: all of a group of today's size, so that few that may be sent a request are found as fast. */
+const MAX_RANKED = 16 * MAX_PREFERRED;
 /** Number of shared parts whose endpoints are kept. */
-const MAX_SHARED_PARTS = 1_024; // bounds memory to about 400 kB; callers use some hundred shared prompts
+const MAX_SHARED_PARTS = 1_024; // bounds memory to about 1.5 MB; callers use some hundred shared prompts
 
 /** First endpoints of a group in the order of their weights for a shared part. */
 interface Ranking {
