Tell the counts again to a collector that started again before it passed them on

A daemon asks its collector, 1 s after the last message, whether counts are passed on, in a message without counts. A collector that was killed before its next message to the holder and had started again by then said yes, although it lacked the counts, which the holder got only through the hints. The second message now has the counts, too; it is sent at most once after each change.

The new test failed before (the holder had 1 of 2 requests).

--- a/packages/core/src/duties/usage-collection.test.ts
+++ b/packages/core/src/duties/usage-collection.test.ts
@@ -68,6 +68,12 @@
     this.network.remove(id);
   }
 
+  /** Starts a process again, without the counts that it had. */
+  restart(id: string): void {
+    this.network.remove(id);
+    this.start(identityOf(id), 2);
+  }
+
   async run(durationMs: number): Promise<void> {
     const endsAtMs = this.clock.nowMs() + durationMs;
     while (this.clock.nowMs() < endsAtMs) {
@@ -76,10 +82,10 @@
     }
   }
 
-  private start(self: DaemonIdentity): void {
+  private start(self: DaemonIdentity, run = 1): void {
     const { id } = self;
     // All counts stay in one window, however long a test takes.
-    const ledger = new UsageLedger(5_000, () => 10_000, `${id}/1`);
+    const ledger = new UsageLedger(5_000, () => 10_000, `${id}/${run}`);
     const live = () => this.daemons.filter(each => !this.dead.has(each.id));
     const deps = {
       clock: this.clock,
@@ -167,6 +173,22 @@
     });
   }
 
+  // The new process was asked whether it passes on counts that it did not have.
+  it('is told again to a collector that starts again before it has passed the counts on', async () => {
+    const deployment = new Deployment();
+    const [collector = '', , , last = ''] = deployment.collectors;
+    await deployment.run(DELIVERY_MS);
+    for (const id of [collector, last]) {
+      deployment.count(id);
+      await deployment.run(STEP_MS);
+    }
+    assert.equal(deployment.total(), 1);
+    assert.equal(deployment.total(collector), 2);
+    deployment.restart(collector);
+    await deployment.run(DELIVERY_MS);
+    assert.equal(deployment.total(), 2);
+  });
+
   it('goes directly to the holder if two collectors have failed', async () => {
     const deployment = new Deployment();
     const [first = '', second = '', , last = ''] = deployment.collectors;
--- a/packages/core/src/duties/usage-teller.ts
+++ b/packages/core/src/duties/usage-teller.ts
@@ -110,7 +110,7 @@
     this.toldId = '';
   }
 
-  /** Tells a daemon the counts unless it has them, and asks a collector once more whether it could pass them on. Returns whether they go on to the holder of the duties, as far as is known. */
+  /** Tells a daemon the counts unless it has them, and a collector once more, as it may have started again meanwhile or failed to pass them on. Returns whether they go on to the holder of the duties, as far as is known. */
   private async tell(
     target: DaemonIdentity,
     intervalMs: number,
@@ -127,7 +127,7 @@
       const { isPassedOn } = await peer.call(
         target.peerAddress,
         tellUsageMethod,
-        { lifetime, usage: isTold ? [] : ledger.ownUsage() },
+        { lifetime, usage: ledger.ownUsage() },
         nowMs + CALL_TIMEOUT_MS,
       );
       this.toldChange = ownChangeCount;
