Let a daemon use its turns for retries after its clock was set back

A daemon uses no turn that began before it started, by the time of the cluster. Until it hears of other daemons, that is its own clock: one that was an hour ahead then had no turn for an hour. The limit now follows the time when that is set back by more than a turn is valid; smaller corrections do not make a used turn usable again.

The new test failed before (no retry after the time was set back). The tests of retry-budgets (9) and routing (31) pass.

--- a/packages/core/src/routing/turn-budget.ts
+++ b/packages/core/src/routing/turn-budget.ts
@@ -24,12 +24,11 @@
  * who is live, several may have the same turn, and others none.
  */
 export class TurnBudget implements RetryAllowance {
-  private readonly startedAtMs: number;
-  /** Start of the last turn that was used. */
-  private usedTurnAtMs = -Infinity;
+  /** Turns that began no later are not used: this daemon has started since, or used them. */
+  private usableAfterMs: number;
 
   constructor(private readonly options: TurnBudgetOptions) {
-    this.startedAtMs = options.clusterTimeMs();
+    this.usableAfterMs = options.clusterTimeMs();
   }
 
   recordFirstAttempt(): void {
@@ -43,7 +42,7 @@
   tryAcquire(): boolean {
     const turnAtMs = this.usableTurnAtMs();
     if (turnAtMs === undefined) return false;
-    this.usedTurnAtMs = turnAtMs;
+    this.usableAfterMs = turnAtMs;
     return true;
   }
 
@@ -56,13 +55,15 @@
     if (intervals < 1) return undefined;
     const turnMs = (windowMs + TURN_VALIDITY_MS) / intervals;
     const nowMs = clusterTimeMs();
+    // A daemon whose clock is wrong follows it until it hears of the others' clocks.
+    if (this.usableAfterMs - nowMs > TURN_VALIDITY_MS)
+      this.usableAfterMs = nowMs;
     const present = Math.floor(nowMs / turnMs);
     const count = daemonCount();
     const turnsAgo = (((present - rank()) % count) + count) % count;
     const turnAtMs = (present - turnsAgo) * turnMs;
     const isUsable =
-      nowMs - turnAtMs < TURN_VALIDITY_MS &&
-      turnAtMs > Math.max(this.startedAtMs, this.usedTurnAtMs);
+      nowMs - turnAtMs < TURN_VALIDITY_MS && turnAtMs > this.usableAfterMs;
     return isUsable ? turnAtMs : undefined;
   }
 }
--- a/packages/daemon/src/gateway/retry-budgets.test.ts
+++ b/packages/daemon/src/gateway/retry-budgets.test.ts
@@ -11,6 +11,8 @@
 /** Daemons with a budget each, and when all of them made first attempts and retries. */
 class Fleet {
   nowMs = 0;
+  /** What the time of the cluster is ahead of this one. */
+  clusterOffsetMs = 0;
   readonly firstAtMs: number[] = [];
   readonly retryAtMs: number[] = [];
   private readonly budgets: RetryBudgets[];
@@ -63,7 +65,7 @@
       isFirstStart,
       daemonCount: () => this.size,
       rank: () => rank,
-      clusterTimeMs: () => this.nowMs,
+      clusterTimeMs: () => this.nowMs + this.clusterOffsetMs,
     };
     return new RetryBudgets(bounds, fleet, clock);
   }
@@ -157,6 +159,23 @@
     }
   });
 
+  // A daemon whose clock was an hour ahead when it started had no turn until the hour had passed.
+  it('allow a retry in turn after the time of the cluster was set back', () => {
+    const fleet = new Fleet(64);
+    fleet.clusterOffsetMs = 3_600_000;
+    const countIn = (durationMs: number) => {
+      const before = fleet.retryAtMs.length;
+      const untilMs = fleet.nowMs + durationMs;
+      for (; fleet.nowMs < untilMs; fleet.nowMs += 100) fleet.retry(0);
+      return fleet.retryAtMs.length - before;
+    };
+    const perRoundMs = 65 * 250;
+    assert.ok(countIn(perRoundMs) >= 1);
+    fleet.clusterOffsetMs = 0;
+    assert.ok(countIn(perRoundMs) >= 1);
+    fleet.check();
+  });
+
   it('stay within their bound where requests come before a window and at its end', () => {
     for (const requests of [5, 10]) {
       const all = { range: [0, 1], isRestarted: false, isRetried: true };
