Keep no request of a connection after its response has ended

The meter of partial heads referred to the last request of each connection, and through the listeners of that request to its body, whose share of memory had been given back. Idle connections so kept up to one body each outside the limits of memory.

--- a/packages/daemon/src/http/connection-limit.test.ts
+++ b/packages/daemon/src/http/connection-limit.test.ts
@@ -1,10 +1,13 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 import { afterEach, beforeEach, describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
 
 import { noopLog, noopMetrics } from '@skylarkreach/core/ports';
 
@@ -23,6 +26,9 @@
 const PARTIAL_HEAD = 'GET / HTTP/1.1\r\nhost: a\r\nb: ';
 const LARGE_BYTES = 32 * 1_024 * 1_024; // more than the buffers of a connection
 
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
 describe('ConnectionLimit', () => {
   let server: Server;
   let sockets: Socket[];
@@ -37,6 +43,8 @@
     server = createServer((request, response) => {
       if (request.url === '/ok') response.end('ok');
       if (request.url === '/body') request.resume();
+      if (request.url === '/drained')
+        request.resume().once('end', () => response.end('ok'));
       if (request.url === '/large') response.end(Buffer.alloc(LARGE_BYTES));
     });
     const connections = new Connections(server, clock);
@@ -167,6 +175,24 @@
     assert.deepEqual(closed, []);
   });
 
+  // Each idle connection kept its last request, with the body that was read, outside the limits of memory.
+  it('keeps no request that was answered', async () => {
+    const requests: WeakRef<IncomingMessage>[] = [];
+    server.on('request', request => requests.push(new WeakRef(request)));
+    const socket = await open(
+      'POST /drained HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\nx',
+    );
+    await once(socket, 'data');
+    const deadlineAtMs = Date.now() + 4 * CHECK_INTERVAL_MS;
+    const isKept = () => requests.some(each => each.deref() !== undefined);
+    do {
+      await delay(1);
+      collectGarbage();
+    } while (isKept() && Date.now() < deadlineAtMs);
+    assert.equal(requests.length, 1);
+    assert.ok(!socket.destroyed && !isKept());
+  });
+
   it('closes a connection whose response is not read, and none that is silent', async () => {
     const silent = await open(get('/silent'));
     const unread = await open(get('/large'));
--- a/packages/daemon/src/http/input-meter.ts
+++ b/packages/daemon/src/http/input-meter.ts
@@ -22,6 +22,7 @@
   private endBytes = 0;
   /** White space of headers that may not be included. */
   private uncertainBytes = 0;
+  /** The last request, until its response has ended; it would keep the body that was read. */
   private last: IncomingMessage | undefined;
 
   constructor(private readonly socket: Pick<Socket, 'bytesRead'>) {}
@@ -45,12 +46,14 @@
   /** Called when the response to the last request has ended. */
   settle(): void {
     const { bytesRead } = this.socket;
-    if (this.last?.complete !== true)
+    if (this.last?.complete === false) {
       this.endBytes = Math.max(this.endBytes, bytesRead);
-    else if (this.partialHeadBytes <= this.uncertainBytes) {
-      this.endBytes = bytesRead;
-      this.uncertainBytes = 0;
+      return;
     }
+    this.last = undefined;
+    if (this.partialHeadBytes > this.uncertainBytes) return;
+    this.endBytes = bytesRead;
+    this.uncertainBytes = 0;
   }
 
   private countChunks(request: IncomingMessage): void {
