Discard the order of connections to close once it is no longer used

After a crowd that exceeded the limit of connections, the order held those that were left in it, also once they were closed, until the limit was reached again.

The new test failed before (2 connections were kept). The tests of daemon/src/http pass (26).

--- a/packages/daemon/src/http/connection-limit.ts
+++ b/packages/daemon/src/http/connection-limit.ts
@@ -121,6 +121,7 @@
     const timer = setInterval(() => {
       this.closePartialHeads();
       this.limitUnreadOutput();
+      this.victims.discardOutdated(performance.now());
     }, CHECK_INTERVAL_MS);
     timer.unref();
     this.server.once('close', () => {
--- a/packages/daemon/src/http/victim-queue.test.ts
+++ b/packages/daemon/src/http/victim-queue.test.ts
@@ -47,6 +47,17 @@
     assert.equal(queue.take(third, 0), undefined);
   });
 
+  // After a crowd had left, its connections stayed in memory until the limit was reached again.
+  it('discards an order that is no longer used', () => {
+    const open = [new Item('a', 1), new Item('a', 1), new Item('a', 1)];
+    const queue = new VictimQueue(() => open);
+    queue.take(new Item('b', 1), 0);
+    queue.discardOutdated(99);
+    assert.equal(queue.size, 2);
+    queue.discardOutdated(100);
+    assert.equal(queue.size, 0);
+  });
+
   // Each accept beyond the limit looked at all connections, twice.
   for (const [name, value] of [
     ['idle ones', 1],
--- a/packages/daemon/src/http/victim-queue.ts
+++ b/packages/daemon/src/http/victim-queue.ts
@@ -34,9 +34,19 @@
   /** `open` returns the open connections, oldest first. */
   constructor(private readonly open: () => readonly Item[]) {}
 
+  /** Number of connections that the order holds. */
+  get size(): number {
+    return this.order.length;
+  }
+
+  /** Discards an order that is no longer used, with which closed connections would stay in memory. */
+  discardOutdated(nowMs: number): void {
+    if (nowMs >= this.orderedUntilMs) this.order = [];
+  }
+
   /** Returns the connection to close for `added`; undefined if all others are to be kept. */
   take(added: Item, nowMs: number): Item | undefined {
-    if (nowMs >= this.orderedUntilMs) this.order = [];
+    this.discardOutdated(nowMs);
     return this.takeOrdered(added) ?? this.search(added, nowMs);
   }
 
