Forget silent lifetimes also on a daemon that passes no usage counts on

The collector forgot the lifetimes that had told it counts only when it built a message to the holder of the duties. The holder itself builds none, so that it kept each lifetime of daemons of earlier builds, which tell it directly, until it lost the duties. They are now also forgotten when a new lifetime comes.

The new test failed before (10,000 lifetimes kept). The tests of usage-collection pass (16).

--- a/packages/core/src/duties/usage-collection.test.ts
+++ b/packages/core/src/duties/usage-collection.test.ts
@@ -7,6 +7,7 @@
 import { rankDaemons } from '../membership/index.js';
 import type { DaemonIdentity } from '../ports/index.js';
 import { ManualClock, noopLog, noopMetrics } from '../ports/index.js';
+import { UsageCollector } from './usage-collector.js';
 import { UsageForwarder } from './usage-forwarder.js';
 import { UsageLedger } from './usage-ledger.js';
 import { tellUsageMethod, UsageTeller } from './usage-teller.js';
@@ -253,6 +254,14 @@
     });
   }
 
+  // A holder of the duties that daemons of earlier builds told directly kept each of their lifetimes until it lost the duties.
+  it('forgets lifetimes that are silent, also while it passes nothing on', () => {
+    const collector = new UsageCollector(new UsageLedger(5_000, () => 10_000));
+    for (let number = 0; number < 10_000; number += 1)
+      collector.record(`a1/${number}`, number * 1_000);
+    assert.ok(collector.lifetimeCount < 100, `${collector.lifetimeCount}`);
+  });
+
   it('counts nothing twice and loses nothing, whichever way the counts take', async () => {
     const id = fc.constantFrom('a0', 'a1', 'a2', 'a3', 'h', 'i');
     const workspace = fc.constantFrom('kowhai', 'lumela');
--- a/packages/core/src/duties/usage-collector.ts
+++ b/packages/core/src/duties/usage-collector.ts
@@ -32,13 +32,22 @@
 
   constructor(private readonly ledger: UsageLedger) {}
 
+  /** Number of lifetimes whose counts are passed on. */
+  get lifetimeCount(): number {
+    return this.lifetimes.size;
+  }
+
   /** Records that a lifetime has told its counts, or that this daemon sends its own. */
   record(lifetime: string, nowMs: number): void {
     const expiresAtMs = nowMs + RETENTION_MS;
     const known = this.lifetimes.get(lifetime);
-    if (known === undefined)
-      this.lifetimes.set(lifetime, { expiresAtMs, sentChange: 0 });
-    else known.expiresAtMs = expiresAtMs;
+    if (known !== undefined) {
+      known.expiresAtMs = expiresAtMs;
+      return;
+    }
+    // The holder of the duties passes nothing on.
+    this.deleteExpired(nowMs);
+    this.lifetimes.set(lifetime, { expiresAtMs, sentChange: 0 });
   }
 
   /** Passes the counts of a lifetime on no longer. */
@@ -58,13 +67,12 @@
     const { changeCount: change } = this.ledger;
     const rows: LifetimeUsage[] = [];
     const lifetimes: string[] = [];
-    for (const [lifetime, { expiresAtMs, sentChange }] of this.lifetimes) {
-      if (nowMs >= expiresAtMs) this.lifetimes.delete(lifetime);
-      else if (sentChange < change && rows.length < MAX_BATCH_ROWS) {
-        lifetimes.push(lifetime);
-        const usage = this.ledger.changedUsage(lifetime, sentChange);
-        rows.push(...usage.map(each => ({ ...each, lifetime })));
-      }
+    this.deleteExpired(nowMs);
+    for (const [lifetime, { sentChange }] of this.lifetimes) {
+      if (sentChange >= change || rows.length >= MAX_BATCH_ROWS) continue;
+      lifetimes.push(lifetime);
+      const usage = this.ledger.changedUsage(lifetime, sentChange);
+      rows.push(...usage.map(each => ({ ...each, lifetime })));
     }
     return { rows, lifetimes, change };
   }
@@ -78,4 +86,9 @@
       this.lifetimes.set(lifetime, { ...known, sentChange: change });
     }
   }
+
+  private deleteExpired(nowMs: number): void {
+    for (const [lifetime, { expiresAtMs }] of this.lifetimes)
+      if (nowMs >= expiresAtMs) this.lifetimes.delete(lifetime);
+  }
 }
