--- a/packages/core/src/duties/usage-collection.test.ts
+++ b/packages/core/src/duties/usage-collection.test.ts
@@ -7,6 +7,7 @@
 import { rankDaemons } from '../membership/index.js';
 import type { DaemonIdentity } from '../ports/index.js';
 import { ManualClock, noopLog, noopMetrics } from '../ports/index.js';
+import { UsageCollector } from './usage-collector.js';
 import { UsageForwarder } from './usage-forwarder.js';
 import { UsageLedger } from './usage-ledger.js';
 import { tellUsageMethod, UsageTeller } from './usage-teller.js';
@@ -68,6 +69,12 @@
     this.network.remove(id);
   }
 
+  /** Starts a process again, without the counts that it had. */
+  restart(id: string): void {
+    this.network.remove(id);
+    this.start(identityOf(id), 2);
+  }
+
   async run(durationMs: number): Promise<void> {
     const endsAtMs = this.clock.nowMs() + durationMs;
     while (this.clock.nowMs() < endsAtMs) {
@@ -76,10 +83,10 @@
     }
   }
 
-  private start(self: DaemonIdentity): void {
+  private start(self: DaemonIdentity, run = 1): void {
     const { id } = self;
     // All counts stay in one window, however long a test takes.
-    const ledger = new UsageLedger(5_000, () => 10_000, `${id}/1`);
+    const ledger = new UsageLedger(5_000, () => 10_000, `${id}/${run}`);
     const live = () => this.daemons.filter(each => !this.dead.has(each.id));
     const deps = {
       clock: this.clock,
@@ -167,6 +174,22 @@
     });
   }
 
+  // The new process was asked whether it passes on counts that it did not have.
+  it('is told again to a collector that starts again before it has passed the counts on', async () => {
+    const deployment = new Deployment();
+    const [collector = '', , , last = ''] = deployment.collectors;
+    await deployment.run(DELIVERY_MS);
+    for (const id of [collector, last]) {
+      deployment.count(id);
+      await deployment.run(STEP_MS);
+    }
+    assert.equal(deployment.total(), 1);
+    assert.equal(deployment.total(collector), 2);
+    deployment.restart(collector);
+    await deployment.run(DELIVERY_MS);
+    assert.equal(deployment.total(), 2);
+  });
+
   it('goes directly to the holder if two collectors have failed', async () => {
     const deployment = new Deployment();
     const [first = '', second = '', , last = ''] = deployment.collectors;
@@ -231,6 +254,14 @@
     });
   }
 
+  // A holder of the duties that daemons of earlier builds told directly kept each of their lifetimes until it lost the duties.
+  it('forgets lifetimes that are silent, also while it passes nothing on', () => {
+    const collector = new UsageCollector(new UsageLedger(5_000, () => 10_000));
+    for (let number = 0; number < 10_000; number += 1)
+      collector.record(`a1/${number}`, number * 1_000);
+    assert.ok(collector.lifetimeCount < 100, `${collector.lifetimeCount}`);
+  });
+
   it('counts nothing twice and loses nothing, whichever way the counts take', async () => {
     const id = fc.constantFrom('a0', 'a1', 'a2', 'a3', 'h', 'i');
     const workspace = fc.constantFrom('kowhai', 'lumela');
