Play cold endpoints in the soak of processes

Cause: the soak had no endpoint that is cold, so the bound over all daemons was checked only without a network (cold-bound.property.test.ts) and with four daemons in one process.

Change: profile "cold". Endpoints that replace others start cold, and others become cold again by their entry and responses, beside kills, freezes and stops of daemons and faults of their links to the store. In any second a cold endpoint may get at most ColdPerS x ColdOverage + ColdSlack requests, 10 here: from its start on, or 3 s (the bound for news) after it became cold again.

--- a/packages/stand-ins/src/process-soak/daemon-faults.ts
+++ b/packages/stand-ins/src/process-soak/daemon-faults.ts
@@ -7,6 +7,7 @@
 import type { RecordAct } from './endpoint-faults.js';
 import { LinkFault, LinkProxy } from './link-proxy.js';
 import { ActKind, OVERDUE } from './loss-checks.js';
+import type { SoakVariant } from './soak-variant.js';
 
 const DAEMONS = 4;
 /** Daemons that are neither stopped nor killed at one time. */
@@ -62,16 +63,24 @@
     private readonly plan: SoakPlan,
     private readonly record: RecordAct,
     private readonly deployment: GatewayDeployment,
+    private readonly variant: SoakVariant,
   ) {}
 
   async start(): Promise<void> {
     const { cloudAddress, storeAddress } = this.deployment;
+    const { services, settings } = this.variant;
+    this.deployment.writeConfiguration(this.configurationVersion, { services });
     for (let index = 0; index < DAEMONS; index += 1) {
       const { address, proxy } = await LinkProxy.start(storeAddress);
       const platform = { storeAddress: address, cloudAddress };
       const id = `daemon-${index}`;
       this.daemons.push({
-        daemon: await DaemonProcess.create(this.program, id, platform),
+        daemon: await DaemonProcess.create(
+          this.program,
+          id,
+          platform,
+          settings,
+        ),
         storeLink: proxy,
         processId: '',
         starts: 0,
@@ -222,6 +231,7 @@
       lookupsService: this.plan.pick(['ledger', 'records']),
       plainTimeoutMs: this.plan.pick([700, 1_500, 3_000]),
       idleTimeoutMs: this.plan.pick([1_000, 2_000, 4_000]),
+      services: this.variant.services,
     };
     this.configurationVersion += 1;
     const { configurationVersion: version } = this;
--- a/packages/stand-ins/src/process-soak/daemon-process.ts
+++ b/packages/stand-ins/src/process-soak/daemon-process.ts
@@ -12,6 +12,8 @@
 
 import type { Address } from '@skylarkreach/core/ports';
 
+import type { SoakSettings } from './soak-variant.js';
+
 export const GRACE_PERIOD_SECONDS = 6;
 const READY_TIMEOUT_MS = 15_000;
 const POLL_INTERVAL_MS = 50;
@@ -52,6 +54,7 @@
     readonly id: string,
     private readonly listen: Readonly<Record<ListenName, Address>>,
     private readonly platform: PlatformAddresses,
+    private readonly settings: SoakSettings,
   ) {}
 
   /** Prepares a daemon that runs the given program, and does not start it. */
@@ -59,6 +62,7 @@
     program: string,
     daemonId: string,
     platform: PlatformAddresses,
+    settings: SoakSettings = {},
   ): Promise<DaemonProcess> {
     const listen = {
       callers: await freeAddress(),
@@ -67,7 +71,7 @@
       peers: await freeAddress(),
       metrics: await freeAddress(),
     };
-    return new DaemonProcess(program, daemonId, listen, platform);
+    return new DaemonProcess(program, daemonId, listen, platform, settings);
   }
 
   get callersAddress(): Address {
@@ -173,13 +177,18 @@
   }
 
   private writeSettings(bounds: { readonly repeatSlack?: number }): void {
-    const { id: daemonId, listen, platform } = this;
+    const { id: daemonId, listen, platform, settings } = this;
     const gateway = {
       identity: { daemonId, dataCentre: 'north-1', isFirstStart: true },
       listen,
       platform,
       peerSecret: 'a secret of the process soak',
-      bounds: { gracePeriodSeconds: GRACE_PERIOD_SECONDS, ...bounds },
+      ...settings,
+      bounds: {
+        gracePeriodSeconds: GRACE_PERIOD_SECONDS,
+        ...settings.bounds,
+        ...bounds,
+      },
     };
     // JSON is a subset of YAML.
     writeFileSync(this.settingsFile, JSON.stringify({ gateway }));
--- a/packages/stand-ins/src/process-soak/endpoint-faults.ts
+++ b/packages/stand-ins/src/process-soak/endpoint-faults.ts
@@ -6,6 +6,8 @@
 
 import type { SoakPlan } from '../gateway/index.js';
 import { GatewayDeployment, groupOf } from '../gateway/index.js';
+import type { ColdSpan } from './cold-faults.js';
+import { startSpan } from './cold-faults.js';
 import { LinkFault, LinkProxy } from './link-proxy.js';
 import type { SoakAct } from './loss-checks.js';
 import { ActKind } from './loss-checks.js';
@@ -18,6 +20,8 @@
 export const STREAM_EVENTS = 8;
 const EVENT_GAP_MS = 90;
 const PLAIN_RUN_MS = 40;
+/** Age of the endpoints that are there when a soak begins, by which they are warm. */
+const FIRST_AGE_MS = 60_000;
 /** Time for which a leaving endpoint goes on serving. */
 const LEAVING_MS = 3_000;
 const MIN_FAULT_MS = 500;
@@ -56,18 +60,24 @@
   detail?: string,
 ) => SoakAct;
 
+/** Fields of an endpoint's entry in the store. */
+type SoakEntry = Readonly<Record<string, unknown>>;
+
 /** Endpoints of a soak behind links of their own, and their faults. */
 export class EndpointFaults {
   readonly deployment = new GatewayDeployment((address, id) =>
     this.expose(address, id),
   );
   readonly drainedAtMs = new Map<string, number>();
+  /** Times for which endpoints are cold after their start. */
+  readonly startSpans: ColdSpan[] = [];
   private readonly links = new Map<string, LinkProxy>();
   private readonly proxies: LinkProxy[] = [];
   private readonly usable: EndpointServer[] = [];
   /** Time until which an endpoint is not silent again. */
   private readonly soundUntilMs = new Map<string, number>();
   private readonly dataCentreById = new Map<string, string>();
+  private readonly entries = new Map<EndpointServer, SoakEntry>();
   private added = 0;
 
   constructor(
@@ -85,7 +95,21 @@
   async start(): Promise<void> {
     await this.deployment.start();
     for (const [group, count] of ENDPOINTS_BY_GROUP)
-      for (let index = 0; index < count; index += 1) await this.add(group);
+      for (let index = 0; index < count; index += 1)
+        await this.add(group, undefined, FIRST_AGE_MS);
+  }
+
+  pickUsable(): EndpointServer {
+    return this.plan.pick(this.usable);
+  }
+
+  /** Replaces fields of an endpoint's entry, unless the endpoint is leaving. */
+  updateEntry(endpoint: EndpointServer, fields: SoakEntry): void {
+    if (!this.usable.includes(endpoint)) return;
+    const { address, id } = endpoint;
+    const exposed = this.exposedAddresses.get(address) ?? '';
+    const entry = { ...this.entries.get(endpoint), ...fields };
+    this.deployment.store.register(id, groupOf(endpoint), exposed, entry);
   }
 
   async destroy(): Promise<void> {
@@ -94,7 +118,7 @@
   }
 
   async apply(fault: EndpointFault): Promise<void> {
-    const endpoint = this.plan.pick(this.usable);
+    const endpoint = this.pickUsable();
     const { id } = endpoint;
     switch (fault) {
       case EndpointFault.Link:
@@ -225,7 +249,7 @@
     endpoint.destroy();
   }
 
-  private async add(group: string, knownId?: string): Promise<void> {
+  private async add(group: string, knownId?: string, ageMs = 0): Promise<void> {
     this.added += 1;
     const id = knownId ?? `${group}-${this.added}`;
     const options = {
@@ -238,10 +262,17 @@
       this.dataCentres[this.added % this.dataCentres.length] ??
       '';
     this.dataCentreById.set(id, Zone);
-    const entry = { born: Math.floor(Date.now()), Zone };
-    this.usable.push(
-      await this.deployment.addEndpoint(group, id, options, entry),
+    const born = Math.floor(Date.now()) - ageMs;
+    const entry = { born, Zone };
+    const endpoint = await this.deployment.addEndpoint(
+      group,
+      id,
+      options,
+      entry,
     );
+    this.usable.push(endpoint);
+    this.entries.set(endpoint, entry);
+    if (ageMs === 0) this.startSpans.push(startSpan(endpoint));
   }
 
   private readonly exposedAddresses = new Map<Address, Address>();
--- a/packages/stand-ins/src/process-soak/process-soak.ts
+++ b/packages/stand-ins/src/process-soak/process-soak.ts
@@ -1,4 +1,5 @@
 import { findViolations, SoakPlan } from '../gateway/index.js';
+import { ColdFault, ColdFaults, findColdExcesses } from './cold-faults.js';
 import { DaemonFault, DaemonFaults } from './daemon-faults.js';
 import { EndpointFaults, STREAM_EVENTS } from './endpoint-faults.js';
 import {
@@ -17,13 +18,14 @@
 } from './loss-checks.js';
 import { SoakCallers } from './soak-callers.js';
 import type { ProcessFault } from './soak-profile.js';
-import { FAULTS_BY_PROFILE, SoakProfile } from './soak-profile.js';
+import { FAULTS_BY_PROFILE, SoakProfile, variantOf } from './soak-profile.js';
 import { StoreFault, StoreFaults } from './store-faults.js';
 
 /** Profiles in which a daemon may have to answer with an error of its own. */
 const MAY_LOSE_ANSWERS: ReadonlySet<SoakProfile> = new Set([
   SoakProfile.All,
   SoakProfile.Evacuations,
+  SoakProfile.Cold,
 ]);
 /** Series of faults that run beside each other. */
 const SERIES = 2;
@@ -49,6 +51,7 @@
   private readonly daemons: DaemonFaults;
   private readonly store: StoreFaults;
   private readonly evacuations: EvacuationFaults;
+  private readonly cold: ColdFaults;
   private readonly callers: SoakCallers;
   private readonly acts: SoakAct[] = [];
   private readonly startedAtMs = performance.now();
@@ -72,9 +75,16 @@
       profile === SoakProfile.Evacuations ? SOAK_DATA_CENTRES : undefined,
     );
     const { deployment } = this.endpoints;
-    this.daemons = new DaemonFaults(program, this.plan, record, deployment);
+    this.daemons = new DaemonFaults(
+      program,
+      this.plan,
+      record,
+      deployment,
+      variantOf(profile),
+    );
     this.store = new StoreFaults(this.plan, record, deployment);
     this.evacuations = new EvacuationFaults(this.plan, record, deployment);
+    this.cold = new ColdFaults(record, this.endpoints);
     this.callers = new SoakCallers(this.plan, () => this.daemons.pickRouted());
   }
 
@@ -105,6 +115,7 @@
   private apply(fault: ProcessFault): Promise<void> {
     if (isOneOf(DaemonFault, fault)) return this.daemons.apply(fault);
     if (isOneOf(EvacuationFault, fault)) return this.evacuations.evacuate();
+    if (isOneOf(ColdFault, fault)) return this.cold.becomeCold();
     return isOneOf(StoreFault, fault)
       ? this.store.apply(fault)
       : this.endpoints.apply(fault);
@@ -129,6 +140,9 @@
       ...(MAY_LOSE_ANSWERS.has(this.profile)
         ? []
         : findFalseErrors({ calls, runs, acts })),
+      ...(this.profile === SoakProfile.Cold
+        ? findColdExcesses([...this.endpoints.startSpans, ...this.cold.spans])
+        : []),
       ...findEvacuatedRuns(runs, acts, id => this.endpoints.dataCentreOf(id)),
       ...findViolations({
         calls,
--- a/packages/stand-ins/src/process-soak/soak-profile.ts
+++ b/packages/stand-ins/src/process-soak/soak-profile.ts
@@ -1,10 +1,13 @@
+import { ColdFault } from './cold-faults.js';
 import { DaemonFault } from './daemon-faults.js';
 import { EndpointFault } from './endpoint-faults.js';
 import { EvacuationFault } from './evacuation-faults.js';
+import type { SoakVariant } from './soak-variant.js';
+import { COLD_VARIANT } from './soak-variant.js';
 import { StoreFault } from './store-faults.js';
 
 export type ProcessFault =
-  DaemonFault | EndpointFault | EvacuationFault | StoreFault;
+  ColdFault | DaemonFault | EndpointFault | EvacuationFault | StoreFault;
 
 /** What a soak plays beside planned work. */
 export enum SoakProfile {
@@ -16,6 +19,8 @@
   Silence = 'silence',
   /** Evacuations beside kills of daemons and trouble of their links to the store. */
   Evacuations = 'evacuations',
+  /** Endpoints that start cold or become cold again, beside kills and freezes of daemons. */
+  Cold = 'cold',
 }
 
 const PLANNED_WORK: readonly ProcessFault[] = [
@@ -67,4 +72,24 @@
     EvacuationFault.Evacuate,
     EvacuationFault.Evacuate,
   ],
+  [SoakProfile.Cold]: [
+    ...PLANNED_WORK,
+    DaemonFault.Kill,
+    DaemonFault.Freeze,
+    DaemonFault.StoreLink,
+    EndpointFault.ResetLink,
+    EndpointFault.Drain,
+    EndpointFault.End,
+    EndpointFault.Move,
+    EndpointFault.SayLeaving,
+    ColdFault.BecomeCold,
+    ColdFault.BecomeCold,
+  ],
 };
+
+/** Returns the configuration and the settings of a soak. */
+export function variantOf(profile: SoakProfile): SoakVariant {
+  return profile === SoakProfile.Cold
+    ? COLD_VARIANT
+    : { settings: {}, services: {} };
+}
--- /dev/null
+++ b/packages/stand-ins/src/process-soak/soak-variant.ts
@@ -0,0 +1,29 @@
+import type { GatewaySettings } from '@skylarkreach/daemon';
+
+/** Time after its start for which an endpoint of a soak is cold. */
+export const COLD_START_S = 5;
+const COLD_PER_S = 4;
+const COLD_OVERAGE = 2;
+const COLD_SLACK = 2;
+/** Maximum requests in any second that a cold endpoint may get from all daemons. */
+export const MAX_COLD_PER_S = COLD_PER_S * COLD_OVERAGE + COLD_SLACK;
+
+/** Parts of the settings in which soaks differ. */
+export interface SoakSettings {
+  readonly bounds?: Partial<GatewaySettings['bounds']>;
+  readonly routing?: Partial<GatewaySettings['routing']>;
+  readonly queue?: Partial<GatewaySettings['queue']>;
+}
+
+/** Configuration and settings of one soak. */
+export interface SoakVariant {
+  readonly settings: SoakSettings;
+  /** Fields of all services in each configuration. */
+  readonly services: Readonly<Record<string, unknown>>;
+}
+
+/** Soak whose endpoints may be cold. */
+export const COLD_VARIANT: SoakVariant = {
+  settings: { bounds: { coldOverage: COLD_OVERAGE, coldSlack: COLD_SLACK } },
+  services: { ColdStartS: COLD_START_S, ColdPerS: COLD_PER_S },
+};
