Tell the usage counts to a holder of the duties that is not among the known live daemons

With more than 64 daemons, a daemon tracks its own cell and two daemons of each other data centre: with 80 in 4 data centres, 25 of 79 (computed with computeCellLayout). A collector looked the holder up among these, and where it found none, counts reached the holder only through the hints. The holder now states its address in an optional field of the lease news, which daemons of earlier builds ignore, and collectors use it where the holder is not among their live peers.

The new test failed before (no holder found). The tests of hints (35), duties (75) and gateway-usage pass.

--- a/packages/core/src/duties/usage-forwarder.ts
+++ b/packages/core/src/duties/usage-forwarder.ts
@@ -1,8 +1,8 @@
 import { z } from 'zod';
 
+import type { DutyHolderPeer } from '../hints/index.js';
 import type {
   Clock,
-  DaemonIdentity,
   Log,
   Metrics,
   PeerClient,
@@ -32,7 +32,7 @@
 
 /** Peer that holds the duties, as this daemon knows it. */
 export interface UsageHolder {
-  readonly daemon: DaemonIdentity;
+  readonly daemon: DutyHolderPeer;
   readonly fencingNumber: number;
   /** Whether it can be told counts of the sender. */
   readonly takesCounts: boolean;
--- a/packages/core/src/duties/usage-teller.ts
+++ b/packages/core/src/duties/usage-teller.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
+import type { DutyHolderPeer } from '../hints/index.js';
 import { windowUsageSchema } from '../hints/index.js';
-import type { DaemonIdentity } from '../ports/index.js';
 import {
   definePeerMethod,
   LogComponent,
@@ -112,7 +112,7 @@
 
   /** Tells a daemon the counts unless it has them, and a collector once more, as it may have started again meanwhile or failed to pass them on. Returns whether they go on to the holder of the duties, as far as is known. */
   private async tell(
-    target: DaemonIdentity,
+    target: DutyHolderPeer,
     intervalMs: number,
     isHolder: boolean,
   ): Promise<boolean> {
--- a/packages/core/src/hints/duty-lease-news.test.ts
+++ b/packages/core/src/hints/duty-lease-news.test.ts
@@ -43,4 +43,18 @@
     news.record({ ...lease, fencingNumber: 2, ageMs: 0 }, 2_000);
     assert.equal(news.heldLease(2_000)?.takesCollectedUsage, undefined);
   });
+
+  // With 80 daemons in 4 data centres, a daemon knew two live ones of each other data centre, and told no counts unless one of them was the holder.
+  it('names a holder that is not among the live peers by its address, also if a daemon passes the news on without it', () => {
+    const news = new DutyLeaseNews();
+    const lease = { fencingNumber: 1, holderId: 'a', isHeld: true };
+    news.record({ ...lease, ageMs: 0, holderPeerAddress: '10.0.0.1:1' }, 1_000);
+    news.record({ ...lease, ageMs: 0 }, 2_000);
+    const expected = { id: 'a', peerAddress: '10.0.0.1:1' };
+    assert.deepEqual(news.holderPeer('b', [], 2_000), expected);
+    assert.equal(news.holderPeer('a', [], 2_000), undefined);
+    const live = { ...expected, dataCentre: 'dc-1', callerUrl: '' };
+    assert.equal(news.holderPeer('b', [live], 2_000), live);
+    assert.equal(news.holderPeer('b', [live], 6_000), undefined);
+  });
 });
--- a/packages/core/src/hints/duty-lease-news.ts
+++ b/packages/core/src/hints/duty-lease-news.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod';
 
+import type { DaemonIdentity } from '../ports/index.js';
+
 /** Age at which news of a held lease no longer counts. */
 const FRESHNESS_MS = 3_000; // six exchanges
 /** Age at which news is no longer passed on. */
@@ -12,6 +14,8 @@
   holderId: z.string().min(1),
   /** False once the holder has given the lease up or lost it. */
   isHeld: z.boolean(),
+  /** Address at which peers reach the holder. Absent where the holder does not state it. */
+  holderPeerAddress: z.string().min(1).optional().catch(undefined),
   /** Whether the holder accepts usage counts of several daemons in one message. Absent where it does not know them. */
   takesCollectedUsage: z.boolean().optional().catch(undefined),
   /** Time since the holder said so. */
@@ -20,6 +24,9 @@
 
 export type DutyLeaseHint = Readonly<z.output<typeof dutyLeaseHintSchema>>;
 
+/** Peer that holds the lease, as far as its callers need it. */
+export type DutyHolderPeer = Pick<DaemonIdentity, 'id' | 'peerAddress'>;
+
 type KnownLease = Omit<DutyLeaseHint, 'ageMs'> & { readonly atMs: number };
 
 /** Newest known state of the lease for the duties, from the holder or passed on by others. */
@@ -30,16 +37,19 @@
   record({ ageMs, ...lease }: DutyLeaseHint, nowMs: number): void {
     const atMs = nowMs - ageMs;
     const { known } = this;
-    let { takesCollectedUsage } = lease;
+    let { holderPeerAddress, takesCollectedUsage } = lease;
     if (known !== undefined) {
       if (lease.fencingNumber < known.fencingNumber) return;
       const isSame = lease.fencingNumber === known.fencingNumber;
       if (isSame && !known.isHeld) return;
       if (isSame && lease.isHeld && atMs <= known.atMs) return;
-      // A daemon that does not know the field passes the news on without it.
-      if (isSame) takesCollectedUsage ??= known.takesCollectedUsage;
+      // A daemon that does not know the fields passes the news on without them.
+      if (isSame) {
+        holderPeerAddress ??= known.holderPeerAddress;
+        takesCollectedUsage ??= known.takesCollectedUsage;
+      }
     }
-    this.known = { ...lease, takesCollectedUsage, atMs };
+    this.known = { ...lease, holderPeerAddress, takesCollectedUsage, atMs };
   }
 
   /** Returns the id of the daemon that recently held the lease; undefined if none did. */
@@ -54,6 +64,24 @@
     return isFresh ? known : undefined;
   }
 
+  /**
+   * Returns the peer that recently held the lease; undefined if that is this daemon,
+   * or one of which no address is known. With more than 64 daemons, most of those in
+   * other data centres are not among `livePeers`.
+   */
+  holderPeer(
+    ownId: string,
+    livePeers: readonly DaemonIdentity[],
+    nowMs: number,
+  ): DutyHolderPeer | undefined {
+    const lease = this.heldLease(nowMs);
+    if (lease === undefined || lease.holderId === ownId) return undefined;
+    const { holderId: id, holderPeerAddress: peerAddress } = lease;
+    const livePeer = livePeers.find(each => each.id === id);
+    if (livePeer !== undefined) return livePeer;
+    return peerAddress === undefined ? undefined : { id, peerAddress };
+  }
+
   /** Returns what to pass on to peers. */
   hint(nowMs: number): DutyLeaseHint | undefined {
     if (this.known === undefined) return undefined;
--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -177,11 +177,13 @@
 
   /** Returns the peer that holds the duties, as a receiver of usage counts; undefined if none is known. */
   usageHolder(): UsageHolder | undefined {
-    const { hintBoard, membership } = this;
-    const lease = hintBoard.dutyLease.heldLease(this.context.clock.nowMs());
-    const daemon =
-      lease && membership.live().find(each => each.id === lease.holderId);
+    const { hintBoard, identity, membership } = this;
+    const { dutyLease } = hintBoard;
+    const nowMs = this.context.clock.nowMs();
+    const lease = dutyLease.heldLease(nowMs);
+    const daemon = dutyLease.holderPeer(identity.id, membership.live(), nowMs);
     return (
+      lease &&
       daemon && {
         daemon,
         fencingNumber: lease.fencingNumber,
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -159,6 +159,7 @@
     const takesCollectedUsage = this.isUsageCollected();
     const news = {
       ...{ fencingNumber, holderId, isHeld, ageMs: 0 },
+      holderPeerAddress: cluster().identity.peerAddress,
       takesCollectedUsage,
     };
     cluster().hintBoard.dutyLease.record(news, nowMs);
