Divide limits among all listed daemons where each hears of a part of them

From 64 daemons on, membership has several cells, and a daemon hears of its own cell and some contacts only: 26 of 80 in 4 data centres. Limits on all daemons (slack of retries, shares of a cold, limited or brittle endpoint, places in the queue) were divided among these after 30 s, so that together the daemons had about three times as much. The registered daemons count now whatever was heard of them where they are that many. Fewer than 64 daemons: the slack of retries is divided among the daemons known within 10 minutes, as the other limits are, so that a daemon that is cut off does not take it all.

--- a/packages/core/src/membership/known-daemons.ts
+++ b/packages/core/src/membership/known-daemons.ts
@@ -1,4 +1,5 @@
 import type { DaemonIdentity } from '../ports/index.js';
+import { MAX_CELL_MEMBERS } from './cell-layout.js';
 
 /** Time for which the ids are not worked out again. */
 const REFRESH_INTERVAL_MS = 250; // membership changes within seconds
@@ -17,7 +18,8 @@
 /**
  * Daemons among which a limit on all of them is divided. One that is not heard of
  * goes on counting. A daemon that knows no other one and has not read the list of
- * daemons knows nothing of the division, and has no share.
+ * daemons knows nothing of the division, and has no share. From `MAX_CELL_MEMBERS`
+ * daemons on, a daemon hears of a part of them only, so that the listed ones count too.
  */
 export class KnownDaemons {
   private readonly lastLiveAtMs = new Map<string, number>();
@@ -47,6 +49,12 @@
     return this.currentIds;
   }
 
+  /** Returns the position of this daemon among the daemons that count, by id. */
+  rank(): number {
+    const { ownId } = this.deps;
+    return this.ids().filter(id => id < ownId).length;
+  }
+
   private refresh(nowMs: number): void {
     for (const { id } of this.deps.livePeers()) {
       this.lastLiveAtMs.set(id, nowMs);
@@ -57,7 +65,10 @@
     const hasPeers = this.lastLiveAtMs.size > 0;
     if (!hasPeers && this.firstListedAtMs === undefined) return;
     const listedForMs = nowMs - (this.firstListedAtMs ?? -Infinity);
-    const isListUsed = !hasPeers || listedForMs < LISTED_RETENTION_MS;
+    const isListUsed =
+      !hasPeers ||
+      listedForMs < LISTED_RETENTION_MS ||
+      this.listedIds.length >= MAX_CELL_MEMBERS;
     const counted = new Set([
       this.deps.ownId,
       ...this.lastLiveAtMs.keys(),
--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -169,12 +169,6 @@
     return ranked.findIndex(daemon => daemon.id === identity.id);
   }
 
-  /** Returns the number of live daemons whose id comes before this one's. */
-  rankById(): number {
-    const { id } = this.identity;
-    return this.membership.live().filter(peer => peer.id < id).length;
-  }
-
   /** Returns the peer that holds the duties, as a receiver of usage counts; undefined if none is known. */
   usageHolder(): UsageHolder | undefined {
     const { hintBoard, identity, membership } = this;
--- a/packages/daemon/src/gateway/gateway-queue.ts
+++ b/packages/daemon/src/gateway/gateway-queue.ts
@@ -6,6 +6,7 @@
   ForwarderDependencies,
 } from '@skylarkreach/core/forwarding';
 import type { KnownDaemons } from '@skylarkreach/core/membership';
+import { MAX_CELL_MEMBERS } from '@skylarkreach/core/membership';
 import { LogComponent } from '@skylarkreach/core/ports';
 import type { EndpointReachability } from '@skylarkreach/core/reachability';
 
@@ -76,7 +77,9 @@
   }
 }
 
-/** Returns the number of live daemons, or of listed ones while no other is known to be alive. */
+/** Returns the number of live daemons, or of all that are known where this daemon hears of no other one or of a part of them only. */
 function countDaemons({ cluster, knownDaemons }: GatewayQueueSources): number {
-  return cluster.size > 1 ? cluster.size : knownDaemons.ids().length;
+  const knownCount = knownDaemons.ids().length;
+  const hearsOfAll = cluster.size > 1 && knownCount < MAX_CELL_MEMBERS;
+  return hearsOfAll ? cluster.size : knownCount;
 }
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -195,7 +195,12 @@
     upstream: peerConnections,
     cluster,
   });
-  const retryBudgets = createRetryBudgets(context, cluster, duties.trueTime);
+  const retryBudgets = createRetryBudgets(
+    context,
+    cluster,
+    knownDaemons,
+    duties.trueTime,
+  );
   const stopSchedule = new StopSchedule(clock);
   const forwarder = new Forwarder({
     ...context,
--- a/packages/daemon/src/gateway/retry-budgets.ts
+++ b/packages/daemon/src/gateway/retry-budgets.ts
@@ -1,4 +1,5 @@
 import type { ClusterTime } from '@skylarkreach/core/hints';
+import type { KnownDaemons } from '@skylarkreach/core/membership';
 import type { Clock } from '@skylarkreach/core/ports';
 import type { RetryAllowance } from '@skylarkreach/core/routing';
 import {
@@ -93,11 +94,12 @@
 export function createRetryBudgets(
   { clock, settings }: GatewayContext,
   cluster: GatewayCluster,
+  knownDaemons: KnownDaemons,
   clusterTime: ClusterTime,
 ): RetryBudgets {
   const fleet: RetryFleet = {
-    daemonCount: () => cluster.size,
-    rank: () => cluster.rankById(),
+    daemonCount: () => Math.max(cluster.size, knownDaemons.ids().length),
+    rank: () => knownDaemons.rank(),
     clusterTimeMs: () => clusterTime.nowMs(),
     isFirstStart: settings.identity.isFirstStart,
   };
