--- a/packages/core/src/membership/cell-layout.ts
+++ b/packages/core/src/membership/cell-layout.ts
@@ -3,11 +3,16 @@
 import { hasEnded, isLive } from './member-table.js';
 import { hash32 } from './rendezvous.js';
 
+/** Maximum members of a cell, where there are several. */
+export const MAX_CELL_MEMBERS = 64;
+
 /**
- * Maximum members of a cell, and upper bound below which the daemons of all
- * data centres form one cell.
+ * Number of daemons from which on they form several cells; fewer form one. With
+ * several cells a daemon gets the hints of its own cell and of some contacts only:
+ * among 78 daemons, usage reports missed half of the requests, and each daemon read
+ * the store for itself.
  */
-export const MAX_CELL_MEMBERS = 64;
+export const MIN_DAEMONS_FOR_CELLS = 256;
 
 const CONTACTS_PER_CELL = 2;
 
@@ -25,8 +30,8 @@
 }
 
 /**
- * Partitions daemons into cells. Below `MAX_CELL_MEMBERS` all daemons form one
- * cell; above it each data centre is partitioned by hash into a power of two
+ * Partitions daemons into cells. Below `MIN_DAEMONS_FOR_CELLS` all daemons form one
+ * cell; from it on each data centre is partitioned by hash into a power of two
  * of cells, so that growth splits cells without moving members between others.
  */
 export function computeCellLayout(
@@ -34,7 +39,7 @@
   members: Iterable<Member>,
 ): CellLayout {
   const activeMembers = [...members].filter(member => !hasEnded(member));
-  if (activeMembers.length < MAX_CELL_MEMBERS) {
+  if (activeMembers.length < MIN_DAEMONS_FOR_CELLS) {
     return { ownCell: activeMembers, contacts: [], isRelayCell: true };
   }
   const { dataCentre } = self;
--- a/packages/core/src/membership/known-daemons.ts
+++ b/packages/core/src/membership/known-daemons.ts
@@ -1,5 +1,5 @@
 import type { DaemonIdentity } from '../ports/index.js';
-import { MAX_CELL_MEMBERS } from './cell-layout.js';
+import { MIN_DAEMONS_FOR_CELLS } from './cell-layout.js';
 
 /** Time for which the ids are not worked out again. */
 const REFRESH_INTERVAL_MS = 250; // membership changes within seconds
@@ -18,7 +18,7 @@
 /**
  * Daemons among which a limit on all of them is divided. One that is not heard of
  * goes on counting. A daemon that knows no other one and has not read the list of
- * daemons knows nothing of the division, and has no share. From `MAX_CELL_MEMBERS`
+ * daemons knows nothing of the division, and has no share. From `MIN_DAEMONS_FOR_CELLS`
  * daemons on, a daemon hears of a part of them only, so that the listed ones count too.
  */
 export class KnownDaemons {
@@ -68,7 +68,7 @@
     const isListUsed =
       !hasPeers ||
       listedForMs < LISTED_RETENTION_MS ||
-      this.listedIds.length >= MAX_CELL_MEMBERS;
+      this.listedIds.length >= MIN_DAEMONS_FOR_CELLS;
     const counted = new Set([
       this.deps.ownId,
       ...this.lastLiveAtMs.keys(),
--- a/packages/daemon/src/gateway/gateway-queue.ts
+++ b/packages/daemon/src/gateway/gateway-queue.ts
@@ -6,7 +6,7 @@
   ForwarderDependencies,
 } from '@skylarkreach/core/forwarding';
 import type { KnownDaemons } from '@skylarkreach/core/membership';
-import { MAX_CELL_MEMBERS } from '@skylarkreach/core/membership';
+import { MIN_DAEMONS_FOR_CELLS } from '@skylarkreach/core/membership';
 import { LogComponent } from '@skylarkreach/core/ports';
 import type { EndpointReachability } from '@skylarkreach/core/reachability';
 
@@ -80,6 +80,6 @@
 /** Returns the number of live daemons, or of all that are known where this daemon hears of no other one or of a part of them only. */
 function countDaemons({ cluster, knownDaemons }: GatewayQueueSources): number {
   const knownCount = knownDaemons.ids().length;
-  const hearsOfAll = cluster.size > 1 && knownCount < MAX_CELL_MEMBERS;
+  const hearsOfAll = cluster.size > 1 && knownCount < MIN_DAEMONS_FOR_CELLS;
   return hearsOfAll ? cluster.size : knownCount;
 }
