--- a/packages/core/src/membership/cell-layout.ts
+++ b/packages/core/src/membership/cell-layout.ts
@@ -9,8 +9,7 @@
 /**
  * Number of daemons from which on they form several cells; fewer form one. With
  * several cells a daemon gets the hints of its own cell and of some contacts only:
- * among 78 daemons, usage reports missed half of the requests, and each daemon read
- * the store for itself.
+ * among 78 daemons, usage reports missed half of the requests.
  */
 export const MIN_DAEMONS_FOR_CELLS = 256;
 
