Forget the evidence of peers once a rollout has ended

Cause: CanaryRollout kept the last evidence of every lifetime of a peer, and went on adding to it after the rollout had succeeded or was rolled back. The registry keeps the last rollout of each group, so the map grew with each restart of a peer. Change: evidence is merged only while the rollout is active, and the map is cleared after that. The state dump shows its size.

--- a/packages/core/src/rollouts/canary-rollout.test.ts
+++ b/packages/core/src/rollouts/canary-rollout.test.ts
@@ -220,6 +220,20 @@
     }
   });
 
+  it('keeps no evidence of peers once the rollout has ended', () => {
+    const rollout = createLoneRollout();
+    const peersWithEvidence = () =>
+      (rollout.dumpState() as { peersWithEvidence: number }).peersWithEvidence;
+    const hints = createLoneRollout().hints(100);
+    for (let peer = 0; peer < 1_000; peer += 1)
+      rollout.applyPeer(`d${peer}`, hints, 100);
+    assert.equal(peersWithEvidence(), 1_000);
+    rollout.decide(DURATION_MS);
+    for (let peer = 0; peer < 1_000; peer += 1)
+      rollout.applyPeer(`d${peer}`, hints, DURATION_MS);
+    assert.equal(peersWithEvidence(), 0);
+  });
+
   it('rolls back a version whose few answers fit a bad version better than a good one', () => {
     const rollout = createLoneRollout();
     const answer = (version: string, failed: boolean) => {
--- a/packages/core/src/rollouts/canary-rollout.ts
+++ b/packages/core/src/rollouts/canary-rollout.ts
@@ -156,10 +156,14 @@
     };
   }
 
-  /** Merges a peer's phase and start time, and adds its evidence since its last hints. */
+  /** Merges a peer's phase and start time, and adds its evidence since its last hints while the rollout is active. */
   applyPeer(lifetime: string, hints: RolloutHints, nowMs: number): void {
     this.phase = mergePhases(hints.phase, this.phase);
     this.startedAtMs = Math.min(this.startedAtMs, nowMs - hints.ageMs);
+    if (!this.isActive()) {
+      this.lastPeerEvidence.clear();
+      return;
+    }
     const peerEvidence = new EvidenceAccumulator();
     peerEvidence.add(hints.evidence);
     this.pendingEvidence.add(
@@ -183,6 +187,7 @@
       requests,
       tried,
       seen: this.evidence(),
+      peersWithEvidence: this.lastPeerEvidence.size,
     };
   }
 
