Name the bundle of the other front by its hash

Cause: skylarkreachd-daemon.mjs had the same name in each build, so that a program that was starting could load the bundle of another build. Change: it is named by its hash as the program is, and removed with it. Result: the smoke test starts the program; its bundle names the file that the build wrote.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -25,9 +25,9 @@
 const SCRIPTS = join(root, 'scripts/bundle');
 const TARGET = join(root, 'target');
 const LOADER = join(TARGET, 'skylarkreachd.mjs');
-const DAEMON_BUNDLE = 'skylarkreachd-daemon.mjs';
-/** Programs and code caches, whose names contain a hash of the program, so that no loader reads those of another build. */
-const PROGRAM_FILES = /^skylarkreachd-\w{8}\.js/;
+/** Programs and code caches, whose names contain a hash of the program, so that no loader or program reads those of another build. */
+const PROGRAM_FILES =
+  /^skylarkreachd-(daemon-\w{8}\.mjs|daemon\.mjs|\w{8}\.js)/;
 
 const options = {
   bundle: true,
@@ -54,11 +54,13 @@
   return path;
 }
 
-/** Bundles the front that gateways do not load, as an ES module. */
+/** Bundles the front that gateways do not load, as an ES module. Returns its file. */
 async function bundleDaemon() {
-  await bundle({
-    entryPoints: [join(SOURCES, 'daemon.ts')],
-    outfile: join(TARGET, DAEMON_BUNDLE),
+  return bundle({
+    entryPoints: { 'skylarkreachd-daemon': join(SOURCES, 'daemon.ts') },
+    entryNames: '[name]-[hash]',
+    outdir: TARGET,
+    outExtension: { '.js': '.mjs' },
     // Bundled CommonJS libraries call `require` for built-in modules of Node.js, which ES modules lack.
     banner: {
       js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
@@ -68,7 +70,7 @@
 }
 
 /** Bundles the program as a script that evaluates to an async function, as Node.js has no code cache for ES modules. Returns its file. */
-async function bundleProgram() {
+async function bundleProgram(daemonBundle) {
   return bundle({
     entryPoints: { skylarkreachd: join(SCRIPTS, 'program-entry.mjs') },
     entryNames: '[name]-[hash]',
@@ -76,7 +78,7 @@
     banner: { js: '(async (require, program) => {' },
     footer: { js: '})' },
     plugins: [
-      separateBundle(join(SOURCES, 'daemon.ts'), DAEMON_BUNDLE),
+      separateBundle(join(SOURCES, 'daemon.ts'), basename(daemonBundle)),
       usedParts,
       requiredBuiltins,
       workspaceSources,
@@ -113,15 +115,17 @@
   console.warn(`The code cache was not written: ${stderr.slice(-1_000)}`);
 }
 
-function removeOtherPrograms(program) {
+/** Removes the programs of other builds, with their code caches. */
+function removeOtherPrograms(...files) {
   for (const name of readdirSync(TARGET)) {
-    const isOther = !name.startsWith(basename(program));
+    const isOther = files.every(file => !name.startsWith(basename(file)));
     if (isOther && PROGRAM_FILES.test(name)) rmSync(join(TARGET, name));
   }
 }
 
 mkdirSync(TARGET, { recursive: true });
-const [program] = await Promise.all([bundleProgram(), bundleDaemon()]);
+const daemon = await bundleDaemon();
+const program = await bundleProgram(daemon);
 await bundleLoader(program);
-removeOtherPrograms(program);
+removeOtherPrograms(program, daemon);
 writeCodeCache(program);
