Let engines fetch shared parts of prompts from one another

An engine that lacks a shared part of a prompt prefills it, even if another engine has it, and serves no other request meanwhile.

The pool now names a source where the transfer is expected to be faster than prefill: an endpoint that has delivered a first event for the part, otherwise one that all daemons prefer for it. The costs of both placements count such tokens by their transfer time. The header is sent only where the configuration gives both figures and routing.transfersPrompts is set, which it is not by default.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -29,6 +29,7 @@
   fleet: ['ports', 'leases', 'membership', 'routing'],
   forwarding: ['ports', 'routing', 'evacuations'],
   placement: ['ports', 'routing', 'forwarding'],
+  'prompt-transfers': ['ports', 'routing', 'forwarding', 'placement'],
   rollouts: ['ports', 'moves', 'forwarding'],
   quarantine: ['ports', 'forwarding'],
   'configuration-check': ['forwarding'],
--- a/packages/core/src/forwarding/attempt-history.ts
+++ b/packages/core/src/forwarding/attempt-history.ts
@@ -1,10 +1,13 @@
 import { AttemptEndKind } from './attempt-outcome.js';
+import type { PoolReservation } from './pool-reservation.js';
 
 /** One attempt of a request. */
 export interface AttemptRecord {
   /** Endpoint, or peer through which the attempt was made. */
   readonly id: string;
   readonly isPeer: boolean;
+  /** Whether the endpoint was told to fetch the prompt from another one. */
+  readonly hasPromptSource: boolean;
   /** Endpoints to which the peer sent the request. */
   readonly relayedIds: readonly string[];
   /** Undefined while the attempt is in progress. */
@@ -23,6 +26,12 @@
   AttemptEndKind.Misdirected,
 ]);
 
+/** Attempts after which no endpoint has run the request. */
+const NOT_RUN_ENDS: ReadonlySet<AttemptEndKind | undefined> = new Set([
+  ...MISSED_ENDS,
+  AttemptEndKind.NotRun,
+]);
+
 /** Attempts of one request in the order in which they were made, one at a time. */
 export class AttemptHistory {
   private records: readonly AttemptRecord[] = [];
@@ -41,10 +50,17 @@
     return this.records.slice(this.beforeWait);
   }
 
-  begin(id: string, isPeer = false): void {
+  begin(
+    id: string,
+    {
+      isPeer = false,
+      promptSource,
+    }: Pick<PoolReservation, 'isPeer' | 'promptSource'> = {},
+  ): void {
     const record: AttemptRecord = {
       id,
       isPeer,
+      hasPromptSource: promptSource !== undefined,
       relayedIds: [],
       end: undefined,
       hasSentEvents: false,
@@ -84,6 +100,13 @@
     this.beforeWait = this.records.length;
   }
 
+  /** Whether an attempt failed, or is silent, that waited for its prompt from another endpoint. */
+  hasFailedWithSource(): boolean {
+    return this.records.some(
+      ({ end, hasPromptSource }) => hasPromptSource && !NOT_RUN_ENDS.has(end),
+    );
+  }
+
   /** Returns the ids of the endpoints to which the request was sent or was to be sent. */
   triedIds(): ReadonlySet<string> {
     return new Set([
--- a/packages/core/src/forwarding/configuration.ts
+++ b/packages/core/src/forwarding/configuration.ts
@@ -42,10 +42,19 @@
   readonly homeRegions: readonly Region[] | undefined;
 }
 
+/** How fast the engines of a group transfer cached prompts between one another. */
+export interface TransferCapacity {
+  readonly bytesPerToken: number;
+  /** Rate of one engine within a data centre. */
+  readonly bytesPerMs: number;
+}
+
 /** Capacity of one endpoint of a group of model engines. */
 export interface EngineCapacity {
   readonly slots: number;
   readonly cacheTokens: number;
+  /** Undefined if the engines transfer no prompts. */
+  readonly transfer: TransferCapacity | undefined;
 }
 
 /** Bounds and prices for scaling a group of endpoints. */
--- a/packages/core/src/forwarding/endpoint-choice.test.ts
+++ b/packages/core/src/forwarding/endpoint-choice.test.ts
@@ -78,6 +78,23 @@
 }
 
 describe('the choice of endpoints of a request', () => {
+  it('lets no attempt name a source for the prompt after one that did has failed or is silent', () => {
+    const promptSource = { endpoint: sampleEndpoint('e2'), tokens: 13_300 };
+    const mayTransfer = (end?: AttemptEndKind, hasSource = true) => {
+      const attempts = new AttemptHistory();
+      attempts.begin('e1', hasSource ? { promptSource } : {});
+      if (end !== undefined) attempts.recordEnd(end);
+      attempts.begin('e2');
+      attempts.recordEnd(AttemptEndKind.NotRun);
+      return !attempts.hasFailedWithSource();
+    };
+    assert.equal(mayTransfer(AttemptEndKind.Failed), false);
+    assert.equal(mayTransfer(AttemptEndKind.Silent), false);
+    assert.equal(mayTransfer(undefined), false);
+    assert.equal(mayTransfer(AttemptEndKind.NotRun), true);
+    assert.equal(mayTransfer(AttemptEndKind.Failed, false), true);
+  });
+
   it('does not return to an endpoint whose version was rolled back meanwhile', () => {
     let rule: VersionConstraint = { only: 'v2' };
     const attempts = new AttemptHistory();
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -202,11 +202,13 @@
     only,
   }: VersionConstraint): Omit<PoolQuery, 'excluded'> {
     const { expectedOutputTokens, group, homes, request } = this.options;
+    const { attempts, isRepeatable } = this.options;
     const { promptParts, usage } = request.metadata;
     return {
       group,
       promptParts,
       promptTokens: usage?.promptTokens ?? 0,
+      mayTransferPrompt: isRepeatable && !attempts.hasFailedWithSource(),
       ...(expectedOutputTokens !== undefined && { expectedOutputTokens }),
       ...(only === undefined ? {} : { onlyVersion: only }),
       ...(not === undefined ? {} : { notVersion: not }),
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -24,6 +24,7 @@
 import type { PoolReservation } from './pool-reservation.js';
 import { AttemptVerdict } from './pool-reservation.js';
 import { PreferredMembers } from './preferred-members.js';
+import { promptSourceOf } from './prompt-transfer.js';
 import { RoomCounts } from './room-counts.js';
 import { createStatementRecorders } from './statement-recorders.js';
 
@@ -161,7 +162,7 @@
       query.promptParts,
       isEligible,
     );
-    const placed = { ...query, preferred };
+    const placed = this.withSources({ ...query, preferred }, members, nowMs);
     let best: PoolMember | undefined;
     let bestMs = Infinity;
     for (const member of members) {
@@ -246,6 +247,28 @@
     );
   }
 
+  /** Adds the endpoints from which the prompt can be fetched, if it may be. */
+  private withSources(
+    query: PlacementQuery,
+    members: readonly PoolMember[],
+    nowMs: number,
+  ): PlacementQuery {
+    const { promptTransfers } = this.options;
+    if (promptTransfers === undefined || query.mayTransferPrompt !== true)
+      return query;
+    const { group, promptParts } = query;
+    const candidates = {
+      ranked: this.preferred.ranked(group, members, promptParts),
+      isUsable: (member: PoolMember) =>
+        this.members.get(member.record.id) === member &&
+        this.guards.isUsable(member, nowMs) &&
+        matchesQuery(member.record, query) &&
+        this.options.paused.waitMs(member.record) === 0,
+    };
+    const promptSources = promptTransfers.findSources(query, candidates, nowMs);
+    return promptSources ? { ...query, promptSources } : query;
+  }
+
   private createReservation(
     member: PoolMember,
     query: PlacementQuery,
@@ -255,6 +278,10 @@
       query.promptTokens > 0
         ? member.promptCache.uncachedTokens(query.promptParts)
         : 0;
+    const transfer = query.promptSources?.transferTo(
+      member,
+      this.placement.uncachedTokens?.(member, query) ?? 0,
+    );
     const wasOnTrial = isOnTrial(member, nowMs);
     const peerLoad = this.guards.peerLoadAt(member);
     const observation = this.placement.observe?.(
@@ -263,9 +290,12 @@
       peerLoad,
       nowMs,
     );
+    const { promptTransfers } = this.options;
+    const prompt = promptTransfers?.observe(member, query, transfer, nowMs);
+    const prefillTokens = Math.max(0, uncachedTokens - (transfer?.tokens ?? 0));
     member.running += 1;
     member.sentSinceLoadReport += 1;
-    member.backlogTokens += uncachedTokens;
+    member.backlogTokens += prefillTokens;
     member.promptCache.add(query.promptParts);
     const { limiter, overloadGuard } = this.options;
     limiter.recordDispatch(member.record);
@@ -276,7 +306,7 @@
       this.rooms.markChanged(member);
     };
     markChanged();
-    let ownBacklogTokens = uncachedTokens;
+    let ownBacklogTokens = prefillTokens;
     let isActive = true;
     let isWithheld = false;
     const clearBacklog = () => {
@@ -290,9 +320,11 @@
         isWithheld = !coldDispatch.mayWrite();
         return !isWithheld;
       },
+      ...(transfer && { promptSource: promptSourceOf(transfer) }),
       placementFields: () => observation?.fields() ?? {},
       recordFirstEvent: atMs => {
         clearBacklog();
+        prompt?.recordFirstEvent(atMs);
         observation?.recordFirstEvent(atMs);
         recordResponse(member, atMs - nowMs, wasOnTrial, atMs);
       },
@@ -315,12 +347,14 @@
       }),
       recordSilence: atMs => {
         member.health.record(true, atMs);
+        promptTransfers?.recordSilence(member, atMs);
       },
       release: (verdict, atMs) => {
         if (!isActive) return;
         isActive = false;
         lifetime.stop();
         clearBacklog();
+        prompt?.end();
         dispatch.end();
         coldDispatch.end();
         member.running -= 1;
--- a/packages/core/src/forwarding/forward-request.ts
+++ b/packages/core/src/forwarding/forward-request.ts
@@ -104,6 +104,8 @@
   readonly lastEventId: string | undefined;
   /** Priority at the endpoint, 0 first; undefined if the endpoint has no priorities. */
   readonly urgency: number | undefined;
+  /** Address of the endpoint from which the prompt is to be fetched; absent if from none. */
+  readonly promptSourceAddress?: string;
 }
 
 /** Codec for the headers that callers and endpoints use. */
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -21,6 +21,7 @@
 import { recordOutput } from './output-estimator.js';
 import { runPeerAttempt } from './peer-attempt.js';
 import type { PoolReservation } from './pool-reservation.js';
+import { countAttempt } from './prompt-transfer.js';
 import { RetryObstacle } from './retry-obstacle.js';
 import type { RunContext } from './run-context.js';
 import { toForwardError } from './run-failure.js';
@@ -165,7 +166,7 @@
       lastEventId: this.relay?.lastEventId,
       excludedIds: sequence.triedIds,
     };
-    attempts.begin(reservation.endpoint.id, true);
+    attempts.begin(reservation.endpoint.id, reservation);
     const result = await runPeerAttempt({
       ...this.deps,
       reservation,
@@ -193,7 +194,7 @@
     this.record.lastEndpointId = endpoint.id;
     this.record.recordDispatch(sentAtMs);
     this.record.endpointListAgeMs = this.deps.endpointListAgeMs();
-    this.attempts.begin(endpoint.id);
+    this.attempts.begin(endpoint.id, reservation);
     this.context.relayed?.onDispatch(endpoint.id);
     const observation = versions.observe({
       group: endpoint.group,
@@ -221,15 +222,14 @@
       body: request.body,
       isEndpointUsable: () => pool.isReady(endpoint.id, clock.nowMs()),
       mayWrite: () => reservation.mayWrite?.() ?? true,
-      headers: dispatchHeadersOf(this.deps, this.context, {
+      headers: dispatchHeadersOf(this.deps, this.context, reservation, {
         remainingMs: this.remainingMs(sentAtMs),
-        endpointId: endpoint.id,
         lastEventId: this.relay?.lastEventId,
       }),
     });
     stopListening();
     this.record.limitPerSecond = attempt.limitPerSecond;
-    this.record.placement = reservation.placementFields?.() ?? {};
+    this.record.recordPlacement(reservation);
     this.recordResult(result, reservation, sentAtMs);
     const { suspectIds } = this.context;
     const sent = { ...request, suspectIds, endpoint, sentAtMs };
@@ -262,7 +262,7 @@
 
   private recordResult(
     result: AttemptOutcome,
-    { endpoint }: PoolReservation,
+    reservation: PoolReservation,
     sentAtMs: number,
   ): void {
     const { clock, log, metrics, pool } = this.deps;
@@ -272,7 +272,7 @@
     recordFirstRejection(this.deps, this.context, this.attempts, sentAtMs);
     switch (result.kind) {
       case AttemptEndKind.Misdirected:
-        pool.recordMisdirected(endpoint, nowMs);
+        pool.recordMisdirected(reservation.endpoint, nowMs);
         break;
       case AttemptEndKind.NotSent:
       case AttemptEndKind.NotRun:
@@ -285,11 +285,11 @@
       case AttemptEndKind.Cancelled:
         this.record.mayHaveRun = true;
     }
-    metrics.increment('attempts', 1, { end: result.kind });
+    countAttempt(metrics, reservation, result.kind);
     if (result.kind === AttemptEndKind.Answered) return;
     log.info(LogComponent.Forwarding, 'An attempt gave no answer.', {
       requestId: this.context.request.requestId,
-      endpoint: endpoint.id,
+      endpoint: reservation.endpoint.id,
       end: result.kind,
       reason: result.reason ?? '',
       ...(result.noticedLateMs !== undefined && {
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -44,6 +44,7 @@
 export * from './pool-reservation.js';
 export * from './preferred-members.js';
 export * from './prompt-cache.js';
+export * from './prompt-transfer.js';
 export * from './request-fingerprint.js';
 export * from './request-memory.js';
 export * from './request-relay.js';
--- a/packages/core/src/forwarding/least-latency-placement.ts
+++ b/packages/core/src/forwarding/least-latency-placement.ts
@@ -11,6 +11,7 @@
   expectedUncachedTokens,
   runningAt,
 } from './pool-member.js';
+import { arrivalMs } from './prompt-transfer.js';
 
 export interface LeastLatencyOptions {
   readonly random: Random;
@@ -27,6 +28,8 @@
 const REMOTE_DATA_CENTRE_COST_MS = 1;
 /** Weight of the uncached tokens of a request: their prefill delays all later requests too. */
 const UNCACHED_TOKEN_WEIGHT = 6; // docs/decisions/0010-platform.md, 'Weighed'
+/** Weight of the time of a transfer: it delays the request, and later transfers of its engines. */
+const TRANSFER_WEIGHT = 2; // once for each
 /** Maximum random addition to a cost, so that daemons with equal state do not all choose the same endpoint. */
 const JITTER_MS = 2; // below the cost of one running request
 
@@ -48,6 +51,11 @@
           expectedServiceMs(member, running, nowMs);
   }
 
+  uncachedTokens(member: PoolMember, query: PlacementQuery): number {
+    const isPreferred = query.preferred[0] === member;
+    return expectedUncachedTokens(member, query, isPreferred);
+  }
+
   /** Returns what does not depend on the request: failures, distance, a cold start and jitter. */
   penaltyMs({ health, record }: PoolMember, nowMs: number): number {
     const { dataCentre, random } = this.options;
@@ -67,16 +75,19 @@
     nowMs: number,
   ): number {
     const queuedRequests = Math.max(0, running + 1 - member.record.slots);
-    const isPreferred = query.preferred[0] === member;
+    const uncachedTokens = this.uncachedTokens(member, query);
+    const transfer = query.promptSources?.transferTo(member, uncachedTokens);
+    const ownTokens = uncachedTokens - (transfer?.tokens ?? 0);
     const prefillTokens =
       member.backlogTokens +
       load.backlogTokens +
-      expectedUncachedTokens(member, query, isPreferred) *
-        UNCACHED_TOKEN_WEIGHT;
+      ownTokens * UNCACHED_TOKEN_WEIGHT;
     const prefillMs = prefillTokens / this.options.prefillTokensPerMs;
     const slotWaitMs =
       (queuedRequests / member.record.slots) *
       expectedResponseMs(member, nowMs);
-    return prefillMs + running * RUNNING_REQUEST_COST_MS + slotWaitMs;
+    const transferMs = arrivalMs(transfer) * TRANSFER_WEIGHT;
+    const runningMs = running * RUNNING_REQUEST_COST_MS;
+    return prefillMs + transferMs + runningMs + slotWaitMs;
   }
 }
--- a/packages/core/src/forwarding/placement-policy.ts
+++ b/packages/core/src/forwarding/placement-policy.ts
@@ -3,6 +3,7 @@
 import type { ReportedLoad } from './forward-request.js';
 import type { PoolMember } from './pool-member.js';
 import type { PoolQuery } from './pool-query.js';
+import type { PromptSources } from './prompt-transfer.js';
 
 /** Load of all peers together at an endpoint, as far as this daemon knows it. */
 export type PeerLoadAt = EndpointLoad;
@@ -11,6 +12,8 @@
 export interface PlacementQuery extends PoolQuery {
   /** Endpoints that all daemons prefer for the shared parts of the prompt, in this order; empty if no part is shared. */
   readonly preferred: readonly PoolMember[];
+  /** Endpoints from which the prompt can be fetched; absent if there are none. */
+  readonly promptSources?: PromptSources;
 }
 
 /** Receives the progress of a request at the endpoint that was reserved for it. */
@@ -35,6 +38,8 @@
     load: PeerLoadAt,
     nowMs: number,
   ): number;
+  /** Returns the prompt tokens that are expected to be missing at the endpoint; prompts are never transferred if absent. */
+  uncachedTokens?(member: PoolMember, query: PlacementQuery): number;
   /** Called with each request that is sent to an endpoint; absent if the policy learns nothing, undefined if it learns nothing from this one. */
   observe?(
     member: PoolMember,
--- a/packages/core/src/forwarding/pool-options.ts
+++ b/packages/core/src/forwarding/pool-options.ts
@@ -6,6 +6,7 @@
 import type { OverloadGuard } from './overload-guard.js';
 import type { PausedEndpoints } from './paused-endpoints.js';
 import type { PlacementPolicy } from './placement-policy.js';
+import type { PromptTransferPolicy } from './prompt-transfer.js';
 
 export interface EndpointPoolOptions {
   readonly dataCentre: DataCentre;
@@ -27,4 +28,6 @@
   readonly loadObserver?: LoadObserver | undefined;
   /** `LeastLatencyPlacement` if absent. */
   readonly placement?: PlacementPolicy;
+  /** Absent if no endpoint is told to fetch a prompt from another one. */
+  readonly promptTransfers?: PromptTransferPolicy;
 }
--- a/packages/core/src/forwarding/pool-query.ts
+++ b/packages/core/src/forwarding/pool-query.ts
@@ -16,6 +16,8 @@
   readonly allowedDataCentres?: ReadonlySet<DataCentre>;
   /** Skips endpoints whose known load leaves no capacity. */
   readonly requiresRoom?: boolean;
+  /** Whether the endpoint may be told to fetch the prompt from another one. */
+  readonly mayTransferPrompt?: boolean;
   /** Output tokens to expect; absent if nothing is known. */
   readonly expectedOutputTokens?: number;
 }
--- a/packages/core/src/forwarding/pool-reservation.ts
+++ b/packages/core/src/forwarding/pool-reservation.ts
@@ -2,6 +2,13 @@
 import type { EndpointRecord } from './endpoint-record.js';
 import type { EndpointStatements, ReportedLoad } from './forward-request.js';
 
+/** Endpoint from which another one fetches a prompt. */
+export interface PromptSource {
+  readonly endpoint: EndpointRecord;
+  /** Tokens that are expected to be transferred. */
+  readonly tokens: number;
+}
+
 /** Reservation of an endpoint for one attempt, held until it is released. */
 export interface PoolReservation {
   readonly endpoint: EndpointRecord;
@@ -11,8 +18,10 @@
   readonly lifetime?: AbortSignal;
   /** Whether the request may still be written to the endpoint; absent for a peer, which decides by itself. */
   readonly mayWrite?: () => boolean;
+  /** Endpoint from which the reserved one is to fetch the prompt; absent if from none. */
+  readonly promptSource?: PromptSource;
   /** Returns why the endpoint was chosen, for the log; absent for a peer. */
-  placementFields?(): LogFields;
+  readonly placementFields?: () => LogFields;
   /** Records that the first event of a stream or a complete response has arrived, so that its prompt is prefilled. */
   recordFirstEvent(nowMs: number): void;
   /** Records events of a stream, the first ones included; absent for a peer. */
--- a/packages/core/src/forwarding/preferred-members.ts
+++ b/packages/core/src/forwarding/preferred-members.ts
@@ -50,6 +50,16 @@
       : firstEligible(rank(members, key), isEligible);
   }
 
+  /** Returns the first endpoints of a group in order, whether or not they may be sent a request; empty if no part of the prompt is shared. */
+  ranked(
+    group: string,
+    members: readonly PoolMember[],
+    parts: readonly PromptPart[],
+  ): readonly PoolMember[] {
+    const key = parts.at(-2)?.id;
+    return key === undefined ? [] : this.rankingOf(group, members, key).members;
+  }
+
   private rankingOf(
     group: string,
     members: readonly PoolMember[],
--- a/packages/core/src/forwarding/run-record.ts
+++ b/packages/core/src/forwarding/run-record.ts
@@ -2,6 +2,7 @@
 import type { AttemptEndKind } from './attempt-outcome.js';
 import type { AttemptSequence } from './attempt-sequence.js';
 import type { ForwardRequest } from './forward-request.js';
+import type { PoolReservation } from './pool-reservation.js';
 import type { StreamRelay } from './stream-relay.js';
 
 /** Run that a record is about. */
@@ -23,8 +24,8 @@
   lastPeerId: string | undefined;
   /** Rate limit that the last attempt's endpoint named. */
   limitPerSecond: number | undefined;
-  /** Why the last attempt's endpoint was chosen. */
-  placement: LogFields = {};
+  /** Why the last attempt's endpoint was chosen, and from which one it fetched the prompt. */
+  private placement: LogFields = {};
   /** Age of the endpoint list at the dispatch of the last attempt. */
   endpointListAgeMs = 0;
   /** Time from the request's arrival to the dispatch of its last attempt. */
@@ -37,6 +38,16 @@
     this.dispatchedAfterMs = sentAtMs - this.run.request.receivedAtMs;
   }
 
+  recordPlacement({ placementFields, promptSource }: PoolReservation): void {
+    this.placement = {
+      ...placementFields?.(),
+      ...(promptSource && {
+        promptSource: promptSource.endpoint.id,
+        transferTokens: Math.round(promptSource.tokens),
+      }),
+    };
+  }
+
   recordResponse(nowMs: number): void {
     this.firstResponseAtMs ??= nowMs;
   }
--- a/packages/core/src/forwarding/shared-state.ts
+++ b/packages/core/src/forwarding/shared-state.ts
@@ -36,10 +36,18 @@
   requestsPerSecond: z.number(),
 });
 
+const engineSchema = z.object({
+  slots: z.number(),
+  cacheTokens: z.number(),
+  transfer: z
+    .object({ bytesPerToken: z.number(), bytesPerMs: z.number() })
+    .optional(),
+});
+
 const groupSchema = z.object({
   name: z.string(),
   maxConnections: z.number(),
-  engine: z.object({ slots: z.number(), cacheTokens: z.number() }).optional(),
+  engine: engineSchema.optional(),
   scaling: scalingSchema.optional(),
   coldStart: coldStartSchema.optional(),
 });
--- a/packages/core/src/placement/least-work-placement.ts
+++ b/packages/core/src/placement/least-work-placement.ts
@@ -5,10 +5,15 @@
   PlacementQuery,
   PoolMember,
 } from '../forwarding/index.js';
-import { LeastLatencyPlacement, sumTokens } from '../forwarding/index.js';
+import {
+  arrivalMs,
+  LeastLatencyPlacement,
+  sumTokens,
+} from '../forwarding/index.js';
 import type { DataCentre, Metrics, Random } from '../ports/index.js';
 import { LearnedMembers } from './learned-members.js';
 import type { LoadReports } from './load-reports.js';
+import { missShareAt } from './miss-share.js';
 
 export interface LeastWorkOptions {
   readonly random: Random;
@@ -37,7 +42,8 @@
   readonly averageFirstMs: number;
   /** Time that the request takes from others there, in milliseconds. */
   readonly harmMs: number;
-  readonly uncachedTokens: number;
+  /** Tokens that the endpoint has to prefill for the request. */
+  readonly prefillTokens: number;
   readonly ageMs: number | undefined;
 }
 
@@ -45,9 +51,6 @@
 const REPORT_AGE_MS = 150; // endpoints report figures of 100 to 200 ms before
 /** Time constant with which a reported slowdown loses its meaning. */
 const SLOWDOWN_DECAY_MS = 300; // other work slows a machine down for some hundred milliseconds
-/** Share of the shared parts of a prompt that is expected to be uncached at the first of its preferred endpoints, and how much more at each further one. */
-const FIRST_MISS_SHARE = 0.1; // docs/design/placement.md, 'Weighed'
-const MISS_SHARE_STEP = 0.05; // docs/design/placement.md, 'Weighed'
 /** Weight of a request's own prefill in the harm to others: it delays those that run, and evicts what they have cached. */
 const PREFILL_HARM_WEIGHT = 5; // with the prefill itself the weight that docs/decisions/0010-platform.md found, 'Weighed'
 /** Share of the prompts whose first event is due that is still to be read, and that precedes the request. */
@@ -101,7 +104,7 @@
     const estimate = this.estimate(member, query, load, nowMs);
     const { group, rates, sent } = this.members.get(member);
     sent.add(nowMs);
-    group.uncachedTokens.add(estimate.uncachedTokens);
+    group.uncachedTokens.add(estimate.prefillTokens);
     let firstMs: number | undefined;
     let events = 0;
     return {
@@ -142,6 +145,10 @@
     };
   }
 
+  uncachedTokens(member: PoolMember, query: PlacementQuery): number {
+    return expectedUncachedTokens(member, query);
+  }
+
   dumpMember(member: PoolMember, nowMs: number): unknown {
     const { group, rates } = this.members.get(member);
     const report = this.options.reports.newest(member.record.id);
@@ -174,16 +181,20 @@
     const knownTokens = member.backlogTokens + load.backlogTokens;
     const waitMs = Math.max(dueTokens * WAITING_SHARE, knownTokens) / perMs;
     const uncachedTokens = expectedUncachedTokens(member, query);
-    const prefillMs = uncachedTokens / perMs;
-    const averageFirstMs = waitMs + prefillMs + slotWaitMs;
+    const transfer = query.promptSources?.transferTo(member, uncachedTokens);
+    const prefillTokens = uncachedTokens - (transfer?.tokens ?? 0);
+    const prefillMs = prefillTokens / perMs;
+    const transferMs = arrivalMs(transfer);
+    const averageFirstMs = waitMs + transferMs + prefillMs + slotWaitMs;
     const tokens = query.expectedOutputTokens ?? DEFAULT_OUTPUT_TOKENS;
     // The request slows the others' steps down, and they its own.
     const stepsMs = 2 * active * tokens * STEP_MS_PER_REQUEST;
     return {
       firstMs: averageFirstMs * stretch,
       averageFirstMs,
-      harmMs: prefillMs * PREFILL_HARM_WEIGHT + stepsMs,
-      uncachedTokens,
+      // A transfer delays later ones of the same engines.
+      harmMs: prefillMs * PREFILL_HARM_WEIGHT + transferMs + stepsMs,
+      prefillTokens,
       ageMs,
     };
   }
@@ -228,8 +239,7 @@
   const knownTokens = member.promptCache.uncachedTokens(promptParts);
   const rank = preferred.indexOf(member);
   if (rank < 0) return knownTokens;
-  const missShare = FIRST_MISS_SHARE + MISS_SHARE_STEP * rank;
   const sharedTokens = sumTokens(promptParts.slice(0, -1));
   const ownTokens = promptParts.at(-1)?.tokens ?? 0;
-  return Math.min(knownTokens, ownTokens + sharedTokens * missShare);
+  return Math.min(knownTokens, ownTokens + sharedTokens * missShareAt(rank));
 }
--- /dev/null
+++ b/packages/core/src/prompt-transfers/index.ts
@@ -0,0 +1,1 @@
+export * from './prompt-transfers.js';
--- /dev/null
+++ b/packages/core/src/prompt-transfers/request-sources.ts
@@ -0,0 +1,78 @@
+import type {
+  PoolMember,
+  PromptSources,
+  PromptTransfer,
+} from '../forwarding/index.js';
+
+/** Engine from which a prompt can be fetched. */
+export interface SourceOptions {
+  readonly member: PoolMember;
+  /** Tokens of the prompt that are expected to be missing there. */
+  readonly uncachedTokens: number;
+}
+
+export interface TransferEstimates {
+  /** Time to transfer a token within a data centre, in milliseconds. */
+  readonly msPerToken: number;
+  /** Prompt tokens that an engine prefills per millisecond. */
+  readonly prefillTokensPerMs: number;
+  /** Returns when the known transfers of an engine end. */
+  readonly busyUntilMs: (member: PoolMember) => number;
+  readonly nowMs: number;
+}
+
+/** Fewest tokens for which a source is named. */
+export const MIN_TRANSFER_TOKENS = 512; // their prefill takes at most 11 ms, a few decoding steps
+/** Time of prefill relative to that of the transfer from which a transfer is worth its risk. */
+const MIN_GAIN = 1.1; // a fetch from an engine that lacks the part costs next to nothing
+/** Time of a transfer between data centres relative to one within a data centre. */
+const REMOTE_FACTOR = 2; // as the users specify
+
+/** Sources for the prompt of one request, compared for each endpoint that may get it. */
+export class RequestSources implements PromptSources {
+  constructor(
+    private readonly sources: readonly SourceOptions[],
+    private readonly estimates: TransferEstimates,
+  ) {}
+
+  transferTo(
+    member: PoolMember,
+    uncachedTokens: number,
+  ): PromptTransfer | undefined {
+    if (uncachedTokens < MIN_TRANSFER_TOKENS) return undefined;
+    const { prefillTokensPerMs } = this.estimates;
+    let best: PromptTransfer | undefined;
+    let bestSavedMs = 0;
+    for (const source of this.sources) {
+      const tokens = uncachedTokens - source.uncachedTokens;
+      if (tokens < MIN_TRANSFER_TOKENS) continue;
+      const isSame = source.member === member;
+      const { version } = source.member.record;
+      if (isSame || version !== member.record.version) continue;
+      const waitMs = this.waitMs(source.member, member);
+      const durationMs = this.durationMs(source.member, member, tokens);
+      const savedMs =
+        tokens / prefillTokensPerMs - (waitMs + durationMs) * MIN_GAIN;
+      if (!(savedMs > bestSavedMs)) continue;
+      bestSavedMs = savedMs;
+      best = { source: source.member, tokens, waitMs, durationMs };
+    }
+    return best;
+  }
+
+  private waitMs(source: PoolMember, member: PoolMember): number {
+    const { busyUntilMs, nowMs } = this.estimates;
+    const freeAtMs = Math.max(busyUntilMs(source), busyUntilMs(member));
+    return Math.max(0, freeAtMs - nowMs);
+  }
+
+  private durationMs(
+    source: PoolMember,
+    member: PoolMember,
+    tokens: number,
+  ): number {
+    const isRemote = source.record.dataCentre !== member.record.dataCentre;
+    const localMs = tokens * this.estimates.msPerToken;
+    return isRemote ? localMs * REMOTE_FACTOR : localMs;
+  }
+}
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -43,6 +43,7 @@
 import { createEndpointListPoller } from './create-endpoint-list-poller.js';
 import { createLeastWork } from './create-least-work.js';
 import { createOperatorWatch } from './create-operator-watch.js';
+import { createPromptTransfers } from './create-prompt-transfers.js';
 import { DEFAULT_LIMITS } from './default-limits.js';
 import type { EndpointConnector } from './endpoint-client.js';
 import { EndpointClient } from './endpoint-client.js';
@@ -119,6 +120,7 @@
     isEvacuated: dataCentre => evacuations.isEvacuated(dataCentre),
     loadObserver: queue.gate,
     ...(byWork && { placement: byWork.placement }),
+    ...createPromptTransfers(settings, groupOf),
   });
   const tokenBuckets = new TokenBucketLedger({
     tolerance: {
--- a/packages/daemon/src/settings/gateway-settings.ts
+++ b/packages/daemon/src/settings/gateway-settings.ts
@@ -82,6 +82,8 @@
       /** Prompt tokens that an engine processes per millisecond (prefill). */
       prefillTokensPerMs: z.number().positive().default(90),
       placement: z.enum(PlacementRule).default(PlacementRule.LeastLatency),
+      /** Whether engines are told to fetch shared parts of prompts from one another. */
+      transfersPrompts: z.boolean().default(false),
     })
     .prefault({}),
   /** Queues in which requests wait for the capacity of their group. */
