Charge a workspace's tokens for the time at which a request is written

Cause: tokens were deducted at admission, but a daemon whose event loop is late writes the request to its endpoint seconds later. Requests admitted over several seconds reached engines together, beyond the rate limit.

Change: right before the first write the tokens are charged again for that time. The request is refused as not run, with the time at which its tokens are there, if the bucket does not allow it and the later charge leaves a lower balance than its admission did. Tokens of requests that were never written are returned. Peers are told of what was written. A request that a peer passed on is checked by the daemon that writes it if that is late.

--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -286,8 +286,8 @@
     return {
       endpoint: member.record,
       lifetime: lifetime.signal,
-      mayWrite: () => {
-        isWithheld = !coldDispatch.mayWrite();
+      mayWrite: (isWithheldAnyway = false) => {
+        isWithheld = isWithheldAnyway || !coldDispatch.mayWrite();
         return !isWithheld;
       },
       placementFields: () => observation?.fields() ?? {},
--- a/packages/core/src/forwarding/fakes/scripted-relay.ts
+++ b/packages/core/src/forwarding/fakes/scripted-relay.ts
@@ -66,7 +66,7 @@
 
   send(
     endpoint: EndpointRecord,
-    { lastEventId, request }: RelayedRequest,
+    { lastEventId, mayWrite, request }: RelayedRequest,
     onEndpoint: (endpointId: string) => void,
     signal: AbortSignal,
   ): Promise<EndpointResponse> {
@@ -80,7 +80,13 @@
       [this.responses.get(id) ?? {}],
       this.clock,
     );
-    const call = { ...request, endpoint, isEndpointUsable: () => true };
+    const isEndpointUsable = () => true;
+    const call = {
+      ...request,
+      endpoint,
+      isEndpointUsable,
+      ...(mayWrite && { mayWrite }),
+    };
     return upstream.send(call, signal);
   }
 
--- a/packages/core/src/forwarding/fakes/scripted-upstream.ts
+++ b/packages/core/src/forwarding/fakes/scripted-upstream.ts
@@ -23,6 +23,8 @@
   /** The endpoint is silent after the chunks, or before the response if there are none, and then sends `lateChunks`. */
   readonly silentForMs?: number;
   readonly lateChunks?: readonly string[];
+  /** Time that it takes to connect to the endpoint. */
+  readonly connectMs?: number;
   /** The call fails before any byte is sent. */
   readonly isNotSent?: boolean;
   /** The call fails after the endpoint may have executed the request. */
@@ -60,6 +62,9 @@
     const isUnreachable = this.unreachableIds.has(call.endpoint.id);
     if (step.isNotSent === true || isUnreachable)
       throw new NotSentError('refused');
+    if (step.connectMs !== undefined)
+      await this.clock.waitUntil(this.clock.nowMs() + step.connectMs, signal);
+    if (call.mayWrite?.() === false) throw new NotSentError('withheld');
     if (step.isLost === true || this.resettingIds.has(call.endpoint.id))
       throw new AnswerLostError('lost');
     if (step.isHanging === true && step.chunks === undefined) {
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -18,12 +18,13 @@
 import { deadlineOf } from './forward-request.js';
 import type { ForwarderDependencies } from './forwarder.js';
 import { openPass, recordFirstRejection } from './gated-call.js';
+import { mayWrite } from './may-write.js';
 import { recordOutput } from './output-estimator.js';
 import { runPeerAttempt } from './peer-attempt.js';
 import type { PoolReservation } from './pool-reservation.js';
 import { RetryObstacle } from './retry-obstacle.js';
 import type { RunContext } from './run-context.js';
-import { toForwardError } from './run-failure.js';
+import { createRunError } from './run-failure.js';
 import { RunOutcome } from './run-outcome.js';
 import { RunRecord } from './run-record.js';
 import { StreamRelay } from './stream-relay.js';
@@ -126,6 +127,8 @@
         ? this.attemptThrough(reservation)
         : this.attempt(reservation));
       if (last.response !== undefined) this.hold(last.response);
+      const { refusal } = this.context.tokenGuard;
+      if (refusal !== undefined) throw refusal;
       if (hasCallerLeft(signal)) break;
       // The daemon that took the request from its caller decides on a wait.
       const mayWait = this.hasBegun() && this.context.relayed === undefined;
@@ -164,6 +167,7 @@
       remainingMs: this.remainingMs(sentAtMs),
       lastEventId: this.relay?.lastEventId,
       excludedIds: sequence.triedIds,
+      mayWrite: () => mayWrite(this.context, reservation),
     };
     attempts.begin(reservation.endpoint.id, true);
     const result = await runPeerAttempt({
@@ -220,7 +224,7 @@
       target: request.target,
       body: request.body,
       isEndpointUsable: () => pool.isReady(endpoint.id, clock.nowMs()),
-      mayWrite: () => reservation.mayWrite?.() ?? true,
+      mayWrite: () => mayWrite(this.context, reservation),
       headers: dispatchHeadersOf(this.deps, this.context, {
         remainingMs: this.remainingMs(sentAtMs),
         endpointId: endpoint.id,
@@ -336,16 +340,10 @@
     if (reason instanceof ForwardError && !mayHaveRun) return reason;
     if (this.sequence.obstacle === RetryObstacle.Stopping && !mayHaveRun)
       return daemonStoppingError();
-    const { clock, dataCentres, pool } = this.deps;
-    const { group, homes } = this.context;
-    return toForwardError({
-      group,
-      barrier: dataCentres.findBarrier(group, homes),
+    return createRunError(this.deps, this.context, {
       isTimedOut,
       mayHaveRun,
       last: last?.kind,
-      limitedForMs: () => pool.scheduleReturnMs(group, clock.nowMs()),
-      busyForMs: () => pool.busyForMs(group, clock.nowMs()),
     });
   }
 
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -8,7 +8,6 @@
 import { LogComponent } from '../ports/index.js';
 import type { RetryAllowance } from '../routing/index.js';
 import { chooseGroup } from './choose-group.js';
-import type { ForwardWorkspace } from './configuration.js';
 import type { ConfigurationStore } from './configuration-store.js';
 import type { CrashDetector } from './crash-detector.js';
 import type { CrashGuard } from './crash-guard.js';
@@ -18,7 +17,6 @@
 import type { DispatchWindow } from './dispatch-window.js';
 import type { EndpointPool } from './endpoint-pool.js';
 import {
-  allowanceSpentError,
   daemonStoppingError,
   ForwardError,
   ForwardErrorKind,
@@ -36,9 +34,15 @@
 import type { OutputEstimator } from './output-estimator.js';
 import { fingerprintOf, suspectIdsOf } from './request-fingerprint.js';
 import type { RelayedPart, RequestRelay } from './request-relay.js';
+import {
+  RelayedTokens,
+  requestedTokens,
+  RequestTokens,
+} from './request-tokens.js';
 import type { ResolvedRequest } from './resolve-request.js';
 import { resolveRequest } from './resolve-request.js';
 import type { ResponseMemory } from './response-memory.js';
+import type { RunContext, TokenGuard } from './run-context.js';
 import type { TokenBucketLedger } from './token-bucket-ledger.js';
 import type { ResponseWriter, Upstream } from './upstream.js';
 
@@ -161,19 +165,24 @@
     const requests = relayed === undefined ? 'requests' : 'relayedRequests';
     let resolved: IdentifiedRequest | undefined;
     let run: ForwardRun | undefined;
+    let tokens: TokenGuard | undefined;
     try {
       resolved = this.resolve(request);
       this.rejectLate(request);
       this.rejectBlocked(resolved);
       const target = this.chooseTarget(request, resolved);
-      if (relayed === undefined) this.admit(request, resolved);
-      run = this.createRun(request, resolved, target, sink, relayed);
+      const context = this.createContext(request, resolved, target, relayed);
+      tokens = context.tokenGuard;
+      this.admit(context);
+      run = new ForwardRun(this.deps, context, sink);
       await run.serve(signal);
       this.recordOutcome(requests, request, resolved, run, run.outcome);
     } catch (error) {
       const outcome = error instanceof ForwardError ? error.kind : 'error';
       this.recordOutcome(requests, request, resolved, run, outcome, error);
       throw error;
+    } finally {
+      tokens?.close();
     }
   }
 
@@ -231,71 +240,27 @@
    * Throws `ForwardError` if the rate limit of the request's workspace is exceeded.
    * The tokens of a request that may wait for capacity are deducted once it is sent.
    */
-  private admit(request: ForwardRequest, { workspace }: ResolvedRequest): void {
-    if (this.deps.dispatchGate === undefined)
-      this.takeTokens(request, workspace);
-    else this.findTokens(request, workspace);
-  }
-
-  /** Throws `ForwardError` if the request exceeds the rate limit of its workspace now. */
-  private findTokens(
-    request: ForwardRequest,
-    workspace: ForwardWorkspace | undefined,
-  ): void {
-    this.checkTokens(request, workspace, (...charge) =>
-      this.deps.tokenBuckets.waitMs(...charge),
-    );
-  }
-
-  /** Deducts the request's tokens from its workspace's token bucket. Throws `ForwardError` if the rate limit is exceeded. */
-  private takeTokens(
-    request: ForwardRequest,
-    workspace: ForwardWorkspace | undefined,
-  ): void {
-    this.checkTokens(request, workspace, (...charge) =>
-      this.deps.tokenBuckets.tryAcquire(...charge),
-    );
+  private admit({ tokenCharge }: RunContext): void {
+    if (this.deps.dispatchGate === undefined) tokenCharge?.take();
+    else tokenCharge?.check();
   }
 
-  /** Throws `ForwardError` if `waitMsFor` returns that the request's tokens are not available yet. */
-  private checkTokens(
-    request: ForwardRequest,
-    workspace: ForwardWorkspace | undefined,
-    waitMsFor: TokenBucketLedger['waitMs'],
-  ): void {
-    if (workspace?.tokenRate === undefined) return;
-    const { tokenRate, workspace: name } = workspace;
-    const tokens = requestedTokens(request) ?? tokenRate.plainTokens;
-    const nowMs = this.deps.clock.nowMs();
-    const waitMs = waitMsFor(name, tokenRate, tokens, nowMs);
-    if (waitMs !== undefined) throw allowanceSpentError(name, waitMs);
-  }
-
-  private createRun(
+  private createContext(
     request: ForwardRequest,
     resolved: IdentifiedRequest,
     { group, homes }: RequestTarget,
-    sink: ResponseWriter,
     relayed: RelayedPart | undefined,
-  ): ForwardRun {
-    const budget = this.deps.retryBudgetOf(group);
-    const { suspectIds } = resolved;
+  ): RunContext {
+    const { deps } = this;
+    const budget = deps.retryBudgetOf(group);
+    const { suspectIds, workspace } = resolved;
     const context = { request, resolved, suspectIds, group, budget, homes };
-    const tokenCharge = {
-      check: () => {
-        this.findTokens(request, resolved.workspace);
-      },
-      take: () => {
-        this.takeTokens(request, resolved.workspace);
-      },
-    };
-    return new ForwardRun(
-      this.deps,
-      relayed === undefined
-        ? { ...context, tokenCharge }
-        : { ...context, relayed },
-      sink,
-    );
+    if (relayed !== undefined) {
+      const tokenGuard = new RelayedTokens(deps, request, workspace);
+      return { ...context, tokenGuard, relayed };
+    }
+    const tokenCharge = new RequestTokens(deps, request, workspace);
+    return { ...context, tokenGuard: tokenCharge, tokenCharge };
   }
 
   /** Returns where the request may go. Throws `ForwardError` if no data centre may serve it. */
@@ -357,9 +322,3 @@
     }
   }
 }
-
-/** Returns the tokens that a request states it may use; undefined if it states none. */
-function requestedTokens({ metadata }: ForwardRequest): number | undefined {
-  const { usage } = metadata;
-  return usage && usage.promptTokens + usage.maxTokens;
-}
--- a/packages/core/src/forwarding/grant-window.ts
+++ b/packages/core/src/forwarding/grant-window.ts
@@ -9,6 +9,14 @@
 /** Share of the size that the cap leaves at least. */
 const MIN_DEBT_SHARE = 0.25; // above the overdraft of small requests
 
+/** Tokens of one request in a window. */
+export interface WindowCharge {
+  readonly tokens: number;
+  readonly bin: number;
+  /** Number of times that the window had been cleared by then. */
+  readonly clearings: number;
+}
+
 /** Size and refill of a token bucket. */
 export interface BucketLimit {
   readonly maxTokens: number;
@@ -25,6 +33,7 @@
   /** Tokens that the bucket lacked at the horizon, which is the start of the oldest bin. */
   private lackingTokens = 0;
   private newestBin: number;
+  private clearings = 0;
 
   constructor(
     private limit: BucketLimit,
@@ -44,6 +53,7 @@
     if (isLower) {
       const left = Math.max(0, this.balance(nowMs));
       this.bins.fill(0);
+      this.clearings += 1;
       this.lackingTokens = 0;
       this.add(Math.max(0, limit.maxTokens - left), nowMs, nowMs);
     }
@@ -61,6 +71,30 @@
       this.bins[bin % BINS] = this.at(bin) + share;
   }
 
+  /** Adds the tokens of one request, which may be removed again. */
+  charge(tokens: number, nowMs: number): WindowCharge {
+    this.add(tokens, nowMs, nowMs);
+    return { tokens, bin: binOf(nowMs), clearings: this.clearings };
+  }
+
+  /** Whether a charge is in the newest bin. */
+  isCurrent({ bin, clearings }: WindowCharge, nowMs: number): boolean {
+    return bin === binOf(nowMs) && clearings === this.clearings;
+  }
+
+  /** Removes a charge; returns false if it no longer counts by itself, past the horizon or as the limit was lowered since. */
+  remove({ bin, clearings, tokens }: WindowCharge, nowMs: number): boolean {
+    this.advance(nowMs);
+    const isHeld = clearings === this.clearings && bin > this.newestBin - BINS;
+    if (isHeld) this.bins[indexOf(bin)] = Math.max(0, this.at(bin) - tokens);
+    return isHeld;
+  }
+
+  /** Adds a charge again that was removed at the same time. */
+  restore({ bin, tokens }: WindowCharge): void {
+    this.bins[indexOf(bin)] = this.at(bin) + tokens;
+  }
+
   /** Returns the tokens left in the bucket. */
   balance(nowMs: number): number {
     this.advance(nowMs);
--- a/packages/core/src/forwarding/pool-reservation.ts
+++ b/packages/core/src/forwarding/pool-reservation.ts
@@ -9,8 +9,8 @@
   readonly isPeer?: boolean;
   /** Aborted once the endpoint is known to have lost what it ran; absent for a peer. */
   readonly lifetime?: AbortSignal;
-  /** Whether the request may still be written to the endpoint; absent for a peer, which decides by itself. */
-  readonly mayWrite?: () => boolean;
+  /** Whether the request may still be written to the endpoint, unless this daemon withholds it anyway; absent for a peer, which decides by itself. */
+  readonly mayWrite?: (isWithheld?: boolean) => boolean;
   /** Returns why the endpoint was chosen, for the log; absent for a peer. */
   placementFields?(): LogFields;
   /** Records that the first event of a stream or a complete response has arrived, so that its prompt is prefilled. */
--- a/packages/core/src/forwarding/request-relay.ts
+++ b/packages/core/src/forwarding/request-relay.ts
@@ -13,6 +13,8 @@
   readonly lastEventId: string | undefined;
   /** Endpoints that the request was sent to before. */
   readonly excludedIds: readonly string[];
+  /** Whether the request may still be written to the peer; asked right before it is. */
+  readonly mayWrite?: () => boolean;
 }
 
 /** Part that a daemon plays in a request that a peer passed on to it. */
--- a/packages/core/src/forwarding/run-failure.ts
+++ b/packages/core/src/forwarding/run-failure.ts
@@ -6,9 +6,11 @@
   ForwardErrorKind,
   timedOutNotRunError,
 } from './forward-error.js';
+import type { ForwarderDependencies } from './forwarder.js';
+import type { RunContext } from './run-context.js';
 
 /** State of a run that ended without a response. */
-export interface RunFailure {
+interface RunFailure {
   readonly group: string;
   /** Why no data centre may serve the request; undefined if one may. */
   readonly barrier: DataCentreBarrier | undefined;
@@ -27,8 +29,22 @@
 /** Retry delay after a group had no reachable endpoint. */
 const NO_ENDPOINT_RETRY_MS = 500;
 
-/** Returns the error by which the daemon itself answers the request. */
-export function toForwardError({
+/** Returns the error by which the daemon itself answers a request whose run ended without a response. */
+export function createRunError(
+  { clock, dataCentres, pool }: ForwarderDependencies,
+  { group, homes }: RunContext,
+  end: Pick<RunFailure, 'isTimedOut' | 'last' | 'mayHaveRun'>,
+): ForwardError {
+  return toForwardError({
+    ...end,
+    group,
+    barrier: dataCentres.findBarrier(group, homes),
+    limitedForMs: () => pool.scheduleReturnMs(group, clock.nowMs()),
+    busyForMs: () => pool.busyForMs(group, clock.nowMs()),
+  });
+}
+
+function toForwardError({
   barrier,
   group,
   busyForMs,
--- a/packages/core/src/forwarding/token-bucket-ledger.ts
+++ b/packages/core/src/forwarding/token-bucket-ledger.ts
@@ -8,14 +8,9 @@
   LifetimeGrants,
 } from './peer-totals.js';
 import { PeerTotals } from './peer-totals.js';
-
-interface TokenBucket {
-  rate: TokenRate;
-  /** Grants of all daemons, as far as this daemon knows. */
-  readonly window: GrantWindow;
-  /** Tokens granted by this process since it started. */
-  granted: number;
-}
+import type { TokenBucket } from './token-bucket.js';
+import { waitMsAt } from './token-bucket.js';
+import { TokenGrant } from './token-grant.js';
 
 /** Excess over a workspace's rate limit that the daemons together may grant, since updates about peers' grants arrive late. */
 export interface TokenRateTolerance {
@@ -44,15 +39,6 @@
 /** Share of the tolerance that is added to the limit, so that callers within their limit are not refused; the rest covers peers' grants that are not yet known. */
 const USED_TOLERANCE_SHARE = 0.35;
 
-/** Minimum retry delay given to a refused caller. */
-const MIN_RETRY_WAIT_MS = 100;
-/** Balance, as a share of the burst, that suffices for any larger request, which then overdraws the bucket. */
-const MIN_BALANCE_SHARE = 0.15; // above most drafts; without it the largest ones would starve behind smaller ones
-/** Requests of at least the burst divided by this get no overdraft. */
-const OVERDRAFT_SIZE_DIVISOR = 50; // a look-up uses about a thousandth of the burst, a draft a fifth
-/** Share of the burst that the smallest requests may overdraw, so that larger ones do not starve them. */
-const MAX_OVERDRAFT_SHARE = 0.2; // below the excess over the limit that the platform tolerates
-
 /**
  * Token buckets that limit the rate of each workspace over all daemons. A daemon
  * deducts its own grants at once and those of its peers as their updates arrive.
@@ -71,9 +57,8 @@
   }
 
   /**
-   * Acquires tokens. Returns undefined on success, or else the milliseconds
-   * after which to retry. A large request may overdraw the bucket, so that small
-   * ones do not starve it, and small ones have an overdraft of their own.
+   * Acquires tokens for a request that is written at once. Returns undefined on
+   * success, or else the milliseconds after which to retry.
    */
   tryAcquire(
     workspace: Workspace,
@@ -83,9 +68,7 @@
   ): number | undefined {
     const waitMs = this.waitMs(workspace, rate, tokens, nowMs);
     if (waitMs !== undefined) return waitMs;
-    const bucket = this.bucketOf(workspace, rate, nowMs);
-    bucket.window.add(tokens, nowMs, nowMs);
-    bucket.granted += tokens;
+    this.deduct(workspace, rate, tokens, nowMs).recordWrite(nowMs);
     return undefined;
   }
 
@@ -96,25 +79,44 @@
     tokens: number,
     nowMs: number,
   ): number | undefined {
+    const { window } = this.bucketOf(workspace, rate, nowMs);
+    return waitMsAt(window.balance(nowMs), tokens, rate);
+  }
+
+  /** Deducts the tokens of a request that is written later, whatever the balance. */
+  deduct(
+    workspace: Workspace,
+    rate: TokenRate,
+    tokens: number,
+    nowMs: number,
+  ): TokenGrant {
     const bucket = this.bucketOf(workspace, rate, nowMs);
-    const balance = bucket.window.balance(nowMs);
-    const neededTokens =
-      Math.min(tokens, rate.burstTokens * MIN_BALANCE_SHARE) -
-      overdraftFor(tokens, rate);
-    if (balance >= neededTokens) return undefined;
-    const missingTokens = neededTokens - balance;
-    return Math.max(
-      MIN_RETRY_WAIT_MS,
-      (missingTokens * 1_000) / rate.tokensPerSecond,
-    );
+    return new TokenGrant(bucket, tokens, nowMs);
   }
 
-  /** Total grants of this daemon, to be sent to its peers. */
+  /**
+   * Deducts the tokens of a request that a peer has admitted and this daemon writes.
+   * The peer tells the other daemons of them.
+   */
+  deductForPeer(
+    workspace: Workspace,
+    rate: TokenRate,
+    tokens: number,
+    nowMs: number,
+  ): void {
+    this.bucketOf(workspace, rate, nowMs).window.charge(tokens, nowMs);
+  }
+
+  /**
+   * Total tokens of what this daemon has written, to be sent to its peers. A request
+   * that is admitted and not written yet is left out: peers would charge
+   * it for a time before it counts.
+   */
   grantedTotals(): GrantedTokens {
     return Object.fromEntries(
       [...this.bucketsByWorkspace]
-        .filter(([, { granted }]) => granted > 0)
-        .map(([workspace, { granted }]) => [workspace, granted]),
+        .filter(([, { written }]) => written > 0)
+        .map(([workspace, { written }]) => [workspace, written]),
     );
   }
 
@@ -131,12 +133,12 @@
 
   /** Deducts what a peer tells of its own grants, given as totals since its start. */
   applyPeerGrants(grants: LifetimeGrants, nowMs: number): void {
-    this.deduct(this.peers.applyOwn(grants, nowMs), nowMs);
+    this.deductNews(this.peers.applyOwn(grants, nowMs), nowMs);
   }
 
   /** Deducts what others tell of a peer's grants to some workspaces. */
   applyPassedOnGrants(grants: LifetimeGrants, nowMs: number): void {
-    this.deduct(this.peers.applyPassedOn(grants, nowMs), nowMs);
+    this.deductNews(this.peers.applyPassedOn(grants, nowMs), nowMs);
   }
 
   /** Drops the state of peers of which nothing was heard for long. */
@@ -151,7 +153,7 @@
         workspace,
         {
           left: Math.round(bucket.window.balance(nowMs)),
-          granted: bucket.granted,
+          granted: bucket.written,
           ...bucket.rate,
         },
       ]),
@@ -168,7 +170,7 @@
       .map(([workspace]) => workspace);
   }
 
-  private deduct(news: readonly GrantNews[], nowMs: number): void {
+  private deductNews(news: readonly GrantNews[], nowMs: number): void {
     for (const { sinceMs, tokens, workspace } of news) {
       const known = this.bucketsByWorkspace.get(workspace);
       const rate = this.options.rateOf?.(workspace) ?? known?.rate;
@@ -187,7 +189,7 @@
     // Daemons that ran before may have granted the burst.
     if (this.options.isFirstStart === false)
       window.add(rate.burstTokens, startedAtMs, startedAtMs);
-    return { rate, window, granted: 0 };
+    return { rate, window, written: 0 };
   }
 
   private limitOf({ burstTokens, tokensPerSecond }: TokenRate): BucketLimit {
@@ -213,12 +215,3 @@
     return bucket;
   }
 }
-
-/** Returns the tokens that a request may overdraw; smaller requests may overdraw more. */
-function overdraftFor(tokens: number, { burstTokens }: TokenRate): number {
-  const relativeSize = Math.min(
-    1,
-    (tokens * OVERDRAFT_SIZE_DIVISOR) / burstTokens,
-  );
-  return burstTokens * MAX_OVERDRAFT_SHARE * (1 - relativeSize);
-}
--- a/packages/daemon/src/gateway/metered-client.ts
+++ b/packages/daemon/src/gateway/metered-client.ts
@@ -74,7 +74,7 @@
   }
 }
 
-/** Thrown where a request is about to be sent to an endpoint that no longer accepts it, or that ends a new connection at once. */
+/** Thrown where a request is about to be sent to an endpoint that no longer accepts it, or that ends a new connection at once, or where this daemon withholds it. */
 export class EndpointWithdrawnError extends Error {
   override readonly name = 'EndpointWithdrawnError';
 }
@@ -190,7 +190,7 @@
   const onConnect = handler.onConnect?.bind(handler);
   handler.onConnect = abort => {
     if (!mayWrite())
-      throw new EndpointWithdrawnError('The endpoint accepts few requests.');
+      throw new EndpointWithdrawnError('The request may no longer be written.');
     onConnect?.(abort);
   };
 }
--- a/packages/daemon/src/gateway/relay-client.ts
+++ b/packages/daemon/src/gateway/relay-client.ts
@@ -68,6 +68,7 @@
     signal: AbortSignal,
   ): Promise<EndpointResponse> {
     const { signer, upstream } = this.deps;
+    const { mayWrite } = relayed;
     const body = encodeRelayMessage(relayed);
     const signature = Object.entries(signer.sign(peer.address, body)).flat();
     const response = await upstream.send(
@@ -78,6 +79,7 @@
         headers: signature,
         body,
         isEndpointUsable: () => true,
+        ...(mayWrite && { mayWrite }),
       },
       signal,
     );
