--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -316,8 +316,8 @@
     return {
       endpoint: member.record,
       lifetime: lifetime.signal,
-      mayWrite: () => {
-        isWithheld = !coldDispatch.mayWrite();
+      mayWrite: (isWithheldAnyway = false) => {
+        isWithheld = isWithheldAnyway || !coldDispatch.mayWrite();
         return !isWithheld;
       },
       ...(transfer && { promptSource: promptSourceOf(transfer) }),
