Let a stream that has begun go on while time is left

Cause: a stream that had begun was cut at once, with time left, where its attempts were used and none of the two ways back was open: the endpoint that it had left no longer accepted requests (it drained, for example), the one way back was lost with a connection or not sent, or the endpoint that got it back failed it too. It was also cut up to 20 ms before its deadline.

Change: an endpoint that accepts no requests any more does not count towards the limit of attempts of a response that has begun. Where the attempts are used, the stream goes back, within the limit of endpoints, to those that may have run it, after pauses of 200 ms and more, each twice the one before, with one retry of the budget each; it is cut at its deadline. Requests whose response has not begun, that must not be repeated or that are blocked end as before.

Tests that expected the cut at once said the opposite of the rule, and are replaced: forward-streams (an error or a break wherever it runs: the same endpoints and the same attempts until the first pause, at most four further ones, the cut at the deadline), forward-silence ("gets a request back once at most ..." likewise), forward-waits ("is cut where the endpoint ... leaves the list": it goes on at one more endpoint). Three others now pass time up to the deadline; what they assert is unchanged.

Ten tests of forward-waits, forward-silence and forward-streams failed before. core/src/forwarding/forward: 153 passed; gateway-attempts 12, gateway-cut-answers 18, gateway-silence 10, gateway-relay 9, gateway-partition 13 passed.

--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -27,9 +27,11 @@
   readonly deadlineAtMs: number;
   readonly isRepeatable: boolean;
   readonly maxAttempts: number;
+  /** Whether the response has begun, so that it may wait for its next attempt. */
+  readonly mayWait: () => boolean;
   /** Tokens of a request that waits for capacity. */
   readonly tokenCharge?: TokenCharge | undefined;
-  /** Resolves with whether the endpoint of the last attempt has ended or is cut off from this daemon. */
+  /** Resolves with whether the endpoint of the last attempt has ended or is cut off. */
   readonly isLastEndpointGone: () => Promise<boolean>;
 }
 
@@ -44,7 +46,9 @@
 
 /** What may pass while a response that has begun waits. */
 const PASSING_OBSTACLES: ReadonlySet<RetryObstacle> = new Set([
+  RetryObstacle.AttemptsUsed,
   RetryObstacle.BudgetSpent,
+  RetryObstacle.DeadlineNear,
   RetryObstacle.NoEndpoint,
   RetryObstacle.Unreachable,
 ]);
@@ -55,6 +59,8 @@
   obstacle: RetryObstacle | undefined;
   /** Endpoint that takes over from the one of the current attempt, which is silent. */
   private replacement: PoolReservation | undefined;
+  /** Returns after a pause to endpoints that had failed the request. */
+  private pausedReturns = 0;
 
   constructor(private readonly options: AttemptSequenceOptions) {}
 
@@ -114,10 +120,7 @@
    * caller would lose what it has received, whereas others get an error and may
    * send their request again.
    */
-  async next(
-    last: AttemptOutcome,
-    mayWait: boolean,
-  ): Promise<PoolReservation | undefined> {
+  async next(last: AttemptOutcome): Promise<PoolReservation | undefined> {
     if (last.kind === AttemptEndKind.Silent && this.replacement !== undefined) {
       const { replacement } = this;
       this.replacement = undefined;
@@ -126,12 +129,15 @@
         return replacement;
       replacement.release(undefined, nowMs);
     }
-    if (mayWait && (await this.isLostWithEndpoint(last)))
-      this.options.attempts.recordGone();
+    const { attempts, clock, mayWait } = this.options;
+    if (mayWait() && (await this.isLostWithEndpoint(last)))
+      attempts.recordGone();
+    const returnAtMs =
+      clock.nowMs() + RECHECK_INTERVAL_MS * 2 ** this.pausedReturns;
     let reservation = this.tryNext(last);
-    while (reservation === undefined && mayWait && this.mayPass(last)) {
+    while (reservation === undefined && mayWait() && this.mayPass()) {
       await this.wait();
-      reservation = this.tryNext(last);
+      reservation = this.tryNext(last) ?? this.tryAgain(last, returnAtMs);
     }
     return reservation;
   }
@@ -215,50 +221,63 @@
       return undefined;
     }
     const reservation = reserve(clock.nowMs());
-    if (reservation === undefined) {
-      this.obstacle = RetryObstacle.NoEndpoint;
-      return undefined;
-    }
-    this.obstacle = undefined;
-    if (!isFree) budget.tryAcquire();
+    const isFound = reservation !== undefined;
+    this.obstacle = isFound ? undefined : RetryObstacle.NoEndpoint;
+    if (isFound && !isFree) budget.tryAcquire();
     return reservation;
   }
 
-  /** Whether what keeps the request from another attempt may pass before its deadline. */
-  private mayPass({ kind }: AttemptOutcome): boolean {
+  /**
+   * Goes back to an endpoint where a response that has begun has used its attempts: the
+   * limit is one of endpoints, and one that failed may recover. The pauses double, so
+   * that a request which fails everywhere costs few attempts.
+   */
+  private tryAgain(
+    last: AttemptOutcome,
+    returnAtMs: number,
+  ): PoolReservation | undefined {
     const { clock, endpoints } = this.options;
-    const nowMs = clock.nowMs();
-    if (this.obstacle === RetryObstacle.AttemptsUsed) {
-      const isRefused = kind === AttemptEndKind.NotRun;
-      if (endpoints.hasMissed(nowMs)) return true;
-      return isRefused && (this.mayRunElsewhere() || endpoints.hasLeft(nowMs));
-    }
+    const isUsed = this.obstacle === RetryObstacle.AttemptsUsed;
+    if (!isUsed || clock.nowMs() < returnAtMs) return undefined;
+    const reservation = this.tryReserve(last, nowMs =>
+      endpoints.reserveRunBefore(nowMs),
+    );
+    const hasRun = last.kind === AttemptEndKind.Failed;
+    if (reservation !== undefined && hasRun) this.pausedReturns += 1;
+    return reservation;
+  }
+
+  /** Whether what keeps the request from another attempt may pass before its deadline. */
+  private mayPass(): boolean {
     return this.obstacle !== undefined && PASSING_OBSTACLES.has(this.obstacle);
   }
 
   private async wait(): Promise<void> {
     const { attempts, clock, deadlineAtMs, signal } = this.options;
     const checkAtMs = clock.nowMs() + RECHECK_INTERVAL_MS;
-    await clock
-      .waitUntil(Math.min(checkAtMs, deadlineAtMs), signal)
-      .catch(() => undefined); // the request has ended
+    // The request ends a poll after its deadline.
+    const untilMs = checkAtMs < deadlineAtMs ? checkAtMs : Infinity;
+    await clock.waitUntil(untilMs, signal).catch(() => undefined); // the request has ended
     attempts.recordWait();
   }
 
   private state(): RetryState {
     const { attempts, clock, crashGuard, deadlineAtMs } = this.options;
     const { dispatchWindow, isRepeatable, maxAttempts } = this.options;
-    const { endpoints, signal, suspectIds } = this.options;
-    const remainingMs = deadlineAtMs - clock.nowMs();
+    const { endpoints, mayWait, signal, suspectIds } = this.options;
+    const nowMs = clock.nowMs();
+    const remainingMs = deadlineAtMs - nowMs;
     if (endpoints.isCutOff()) attempts.recordCutOff();
+    // An endpoint that accepts no requests cannot get back a response that has begun.
+    const counted = mayWait() ? endpoints.openAttempts(nowMs) : attempts.all;
     return {
       hasEnded: signal.aborted,
       isStopping: !isRepeatable && !dispatchWindow.isOpenUntil(deadlineAtMs),
       isDeadlineNear: remainingMs < MIN_TIME_FOR_ATTEMPT_MS,
       isBlocked: crashGuard.blockedForMs(suspectIds) !== undefined,
       isRepeatable,
-      hasAttemptsLeft: countAttempts(attempts.all) < maxAttempts,
-      hasRunsLeft: countRuns(attempts.all) < maxAttempts,
+      hasAttemptsLeft: countAttempts(counted) < maxAttempts,
+      hasRunsLeft: countRuns(counted) < maxAttempts,
       hasUnsentAttemptsLeft: this.hasUnsentAttemptsLeft(),
     };
   }
--- a/packages/core/src/forwarding/create-sequence.ts
+++ b/packages/core/src/forwarding/create-sequence.ts
@@ -7,7 +7,12 @@
 
 export type SequenceTraits = Pick<
   AttemptSequenceOptions,
-  'attempts' | 'signal' | 'deadlineAtMs' | 'isRepeatable' | 'isLastEndpointGone'
+  | 'attempts'
+  | 'signal'
+  | 'deadlineAtMs'
+  | 'isRepeatable'
+  | 'mayWait'
+  | 'isLastEndpointGone'
 >;
 
 /** Creates the sequence of attempts of one request. */
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -1,4 +1,4 @@
-import type { AttemptHistory } from './attempt-history.js';
+import type { AttemptHistory, AttemptRecord } from './attempt-history.js';
 import type { DataCentreGate } from './data-centre-gate.js';
 import type { EndpointPool } from './endpoint-pool.js';
 import type { ForwardRequest } from './forward-request.js';
@@ -70,8 +70,7 @@
     if (peer !== undefined || this.isBarredFromEndpoints()) return peer;
     const { attempts } = this.options;
     const silent = new Set([
-      ...attempts.leftIds(),
-      ...attempts.missedIds(),
+      ...attempts.silentIds(),
       ...attempts.all
         .slice(-1)
         .flatMap(({ id, relayedIds }) => [id, ...relayedIds]),
@@ -97,9 +96,12 @@
     return this.isAnyReady(new Set(ids), nowMs);
   }
 
-  /** Whether an endpoint to which there was no way back still accepts requests. */
-  hasMissed(nowMs: number): boolean {
-    return this.isAnyReady(this.options.attempts.missedIds(), nowMs);
+  /** Returns the attempts at endpoints that still accept requests, and those through peers. */
+  openAttempts(nowMs: number): readonly AttemptRecord[] {
+    const { attempts, group, pool } = this.options;
+    const ready = pool.readyEndpoints(group, nowMs).map(({ id }) => id);
+    const readyIds = new Set(ready);
+    return attempts.all.filter(({ id, isPeer }) => isPeer || readyIds.has(id));
   }
 
   /**
@@ -115,6 +117,16 @@
     );
   }
 
+  /** Reserves an endpoint that may have run the request, if possible another one than that of the last attempt. */
+  reserveRunBefore(nowMs: number): PoolReservation | undefined {
+    if (this.isBarredFromEndpoints()) return undefined;
+    const { attempts } = this.options;
+    const all = attempts.runIds();
+    const lastId = attempts.all.at(-1)?.id;
+    const others = new Set([...all].filter(id => id !== lastId));
+    return this.reserveAmong(others, nowMs) ?? this.reserveAmong(all, nowMs);
+  }
+
   private returnableIds(): readonly string[] {
     const { attempts, relayed } = this.options;
     // The daemon that took the request from its caller decides on a return.
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -64,6 +64,8 @@
       signal: this.runAbort.signal,
       deadlineAtMs: this.deadlineAtMs,
       isRepeatable: this.isRepeatable(),
+      // The daemon that took the request from its caller decides on a wait.
+      mayWait: () => this.hasBegun() && context.relayed === undefined,
       isLastEndpointGone: () => this.isLastEndpointGone(),
     });
     this.relay = this.createRelay();
@@ -127,9 +129,7 @@
         : this.attempt(reservation));
       if (last.response !== undefined) this.hold(last.response);
       if (hasCallerLeft(signal)) break;
-      // The daemon that took the request from its caller decides on a wait.
-      const mayWait = this.hasBegun() && this.context.relayed === undefined;
-      reservation = await sequence.next(last, mayWait);
+      reservation = await sequence.next(last);
     }
     if (hasCallerLeft(signal)) {
       this.outcome = RunOutcome.CallerDisconnected;
