Return a stream to an endpoint that was silent where the next one is silent too

Cause: a silent endpoint was only left while the route allowed another one, so that a stream whose first endpoint was silent for a moment and whose second one was silent for good waited at the second to its deadline.

Change: where the attempts of a stream are used, a silent endpoint is left for one that was left before, once for each endpoint and with one retry of the budget. Where all are slow, a stream that went to and fro would end nowhere.

--- a/packages/core/src/forwarding/attempt-history.ts
+++ b/packages/core/src/forwarding/attempt-history.ts
@@ -140,6 +140,16 @@
     return this.idsWhere(wasLeft);
   }
 
+  /** Returns the ids of the endpoints that were left once and have not got the request back since. */
+  leftOnceIds(): ReadonlySet<string> {
+    return this.idsWhere(
+      attempts =>
+        wasLeft(attempts) &&
+        !this.isMissed(attempts) &&
+        countEnds(attempts, AttemptEndKind.Silent) === 1,
+    );
+  }
+
   /** Returns the ids of the endpoints whose last attempt was refused or not sent. */
   putOffIds(): ReadonlySet<string> {
     return this.idsWhere(attempts => attempts.slice(-1).some(isPutOff));
--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -27,6 +27,7 @@
   readonly deadlineAtMs: number;
   readonly isRepeatable: boolean;
   readonly maxAttempts: number;
+  readonly isStream: boolean;
   /** Whether the response has begun, so that it may wait for its next attempt. */
   readonly mayWait: () => boolean;
   /** Tokens of a request that waits for capacity. */
@@ -144,11 +145,16 @@
 
   /** Reserves an endpoint that takes over from a silent one; returns false if the request must wait on. */
   tryReserveReplacement(): boolean {
-    const { budget, clock, endpoints } = this.options;
+    const { budget, clock, endpoints, isStream } = this.options;
     const silence = { kind: AttemptEndKind.Silent };
-    if (findRetryObstacle(silence, this.state()) !== undefined) return false;
+    const obstacle = findRetryObstacle(silence, this.state());
+    const isReturn = isStream && obstacle === RetryObstacle.AttemptsUsed;
+    if (obstacle !== undefined && !isReturn) return false;
     if (!budget.isAvailable) return false;
-    this.replacement = endpoints.reserveReplacement(clock.nowMs());
+    const nowMs = clock.nowMs();
+    this.replacement = isReturn
+      ? endpoints.reserveLeftOnce(nowMs)
+      : endpoints.reserveReplacement(nowMs);
     return this.replacement !== undefined && budget.tryAcquire();
   }
 
--- a/packages/core/src/forwarding/create-sequence.ts
+++ b/packages/core/src/forwarding/create-sequence.ts
@@ -1,5 +1,6 @@
 import type { AttemptSequenceOptions } from './attempt-sequence.js';
 import { AttemptSequence } from './attempt-sequence.js';
+import { RouteType } from './configuration.js';
 import { EndpointChoice } from './endpoint-choice.js';
 import type { ForwarderDependencies } from './forwarder.js';
 import { outputTraitsOf } from './output-estimator.js';
@@ -50,6 +51,7 @@
     }),
     suspectIds,
     tokenCharge,
+    isStream: resolved.route.type === RouteType.Streaming,
     // The daemon that took the request from its caller decides on a retry.
     ...(relayed === undefined
       ? { maxAttempts: resolved.route.maxAttempts }
--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -117,6 +117,17 @@
     );
   }
 
+  /**
+   * Reserves an endpoint that was left for its silence and has not got the request
+   * back, for one that is silent now. Each gets it back so once: where all are slow,
+   * a request that goes to and fro would end nowhere.
+   */
+  reserveLeftOnce(nowMs: number): PoolReservation | undefined {
+    const { attempts, relayed } = this.options;
+    if (relayed !== undefined || this.isBarredFromEndpoints()) return undefined;
+    return this.reserveAmong(attempts.leftOnceIds(), nowMs);
+  }
+
   /** Reserves an endpoint that may have run the request, if possible another one than that of the last attempt. */
   reserveRunBefore(nowMs: number): PoolReservation | undefined {
     if (this.isBarredFromEndpoints()) return undefined;
