End the check of a lost endpoint with its request

Cause: the connection that checks whether the last endpoint of a stream is gone was waited for beyond the deadline of the stream, up to 2 s.

Change: the wait ends as the request does. The new test of forward-waits failed before.

--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -12,6 +12,7 @@
 import type { RetryState } from './retry-obstacle.js';
 import { findRetryObstacle, RetryObstacle } from './retry-obstacle.js';
 import type { TokenCharge } from './run-context.js';
+import { unlessAborted } from './unless-aborted.js';
 
 export interface AttemptSequenceOptions {
   readonly attempts: AttemptHistory;
@@ -165,7 +166,7 @@
 
   /** Whether the last attempt is not to count: the limit is one of endpoints that may still run the request. */
   private async isLostWithEndpoint(last: AttemptOutcome): Promise<boolean> {
-    const { attempts, isLastEndpointGone } = this.options;
+    const { attempts, isLastEndpointGone, signal } = this.options;
     const isLost =
       last.kind === AttemptEndKind.Failed ||
       last.kind === AttemptEndKind.NotSent;
@@ -174,7 +175,7 @@
       isLost &&
       obstacle === RetryObstacle.AttemptsUsed &&
       attempts.goneIds().size < MAX_GONE_ENDPOINTS &&
-      (await isLastEndpointGone())
+      (await unlessAborted(isLastEndpointGone(), signal)) === true
     );
   }
 
--- a/packages/core/src/forwarding/forward-waits.test.ts
+++ b/packages/core/src/forwarding/forward-waits.test.ts
@@ -180,6 +180,20 @@
     assert.equal(harness.upstream.calls.length, 1);
   });
 
+  // The connection that checks whether an endpoint is gone outlasted the deadline by up to a second or two.
+  it('is cut at its deadline where the check of its last endpoint hangs', async () => {
+    const script = [broken, { isLost: true }];
+    const harness = new ForwarderHarness(script, draftRoute);
+    harness.upstream.dropsConnections = () => new Promise(() => undefined);
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + DEADLINE_MS - 1);
+    assert.equal(harness.sink.isDestroyed, false);
+    await harness.clock.advanceTo(START_MS + DEADLINE_MS);
+    assert.ok(harness.sink.isDestroyed);
+    assert.equal(await served, undefined);
+    assert.equal(harness.upstream.calls.length, 2);
+  });
+
   it('does not wait beyond the departure of its caller', async () => {
     const harness = new ForwarderHarness([broken, rest], draftRoute, {
       retries: 0,
