Refute supposed crashes of endpoints that serve on

Change: a crash is refuted, and counts nowhere, once any daemon completes a request that it sent to the endpoint up to 2 s after the crash. Peers pass this on with the crash, in an optional field of the hints. Requests that were sent before refute nothing, as a daemon that is late reads their responses after the crash. A completed request with the same fingerprint cleared the crashes of the fingerprint already, also at a peer. Metrics crashes_recorded and crashes_refuted, and a log line.

--- a/packages/core/src/forwarding/crash-detector.ts
+++ b/packages/core/src/forwarding/crash-detector.ts
@@ -39,7 +39,10 @@
     const { clock, crashGuard, log, upstream } = this.deps;
     const atMs = clock.nowMs();
     if (crashEvidence === CrashEvidence.Completed)
-      crashGuard.recordCompleted(suspectIds);
+      crashGuard.recordCompleted(suspectIds, {
+        endpointId: endpoint.id,
+        sentAtMs,
+      });
     if (crashEvidence !== CrashEvidence.MayHaveCrashed) return;
     if (!(await upstream.refusesConnections(endpoint))) return;
     if (!(await this.deps.reachesEndpoints())) return;
--- a/packages/core/src/forwarding/fakes/recording-crash-guard.ts
+++ b/packages/core/src/forwarding/fakes/recording-crash-guard.ts
@@ -1,4 +1,4 @@
-import type { CrashGuard, EndpointCrash } from '../index.js';
+import type { CompletedRequest, CrashGuard, EndpointCrash } from '../index.js';
 
 /** Fake guard that blocks the given ids and records what it is told. */
 export class RecordingCrashGuard implements CrashGuard {
@@ -10,6 +10,7 @@
   readonly crashes: EndpointCrash[] = [];
   /** Number of completed requests. */
   completed = 0;
+  readonly completedAt: (CompletedRequest | undefined)[] = [];
 
   blockedForMs(suspectIds: readonly string[]): number | undefined {
     const isBlocked =
@@ -23,7 +24,8 @@
     this.crashes.push(crash);
   }
 
-  recordCompleted(): void {
+  recordCompleted(_: readonly string[], completed?: CompletedRequest): void {
+    this.completedAt.push(completed);
     this.completed += 1;
   }
 }
--- a/packages/core/src/forwarding/forward-crashes.test.ts
+++ b/packages/core/src/forwarding/forward-crashes.test.ts
@@ -67,6 +67,9 @@
       await harness.serve({ promptParts });
       const expected = isCloseDelimited ? 0 : 1;
       assert.equal(harness.crashGuard.completed, expected);
+      const [served] = harness.crashGuard.completedAt;
+      const calledId = harness.upstream.calls[0]?.endpoint.id;
+      assert.equal(served?.endpointId, isCloseDelimited ? undefined : calledId);
     }
   });
 
--- a/packages/core/src/quarantine/crash-ledger.ts
+++ b/packages/core/src/quarantine/crash-ledger.ts
@@ -1,6 +1,7 @@
 import type { EndpointCrash } from '../forwarding/index.js';
 import type { QuarantineHints } from './quarantine-hints.js';
 import { MAX_SHARED_CRASHES } from './quarantine-hints.js';
+import { REFUTATION_MS, ServedRequests } from './served-requests.js';
 
 /** Time for which a crash counts. */
 const CRASH_TTL_MS = 30_000; // longer than the pause between two such requests that matter
@@ -11,6 +12,14 @@
 /** Number of ids whose last completion is remembered. */
 const MAX_COMPLETED_IDS = 10_000; // bounds memory to about 1 MB
 const MAX_CRASHES = 1_024;
+/** Number of refuted crashes in one message. */
+const MAX_SHARED_REFUTED = 8; // leaves most of a message to the crashes that count
+
+/** Crash that counts unless it is refuted. */
+export interface KnownCrash extends EndpointCrash {
+  /** Whether the endpoint has completed a request that was sent right after it. */
+  readonly isRefuted: boolean;
+}
 
 /** Prompt part or request with the crashes that no blocked one and no completed request explains away. */
 export interface Suspect {
@@ -21,16 +30,43 @@
 
 /** Crashes of endpoints and completed requests of all daemons, by prompt part and request. */
 export class CrashLedger {
-  private readonly crashes = new Map<string, EndpointCrash>();
+  private readonly crashes = new Map<string, KnownCrash>();
+  private readonly served = new ServedRequests();
   /** Time of the last completed request with the id, the longest unused id first. */
   private readonly completedAtMs = new Map<string, number>();
 
-  /** Adds a crash; repeated ones are ignored. */
-  addCrash(crash: EndpointCrash): void {
-    const key = `${crash.endpointId} ${crash.suspectIds.join(',')}`;
-    if (this.crashes.has(key)) return;
-    this.crashes.set(key, crash);
+  /**
+   * Adds a crash; repeated ones are ignored, unless the one before was refuted too
+   * long ago to be the same. Returns whether the crash is refuted from now on.
+   */
+  addCrash(crash: EndpointCrash & Partial<KnownCrash>): boolean {
+    const { atMs, endpointId } = crash;
+    const key = `${endpointId} ${crash.suspectIds.join(',')}`;
+    const known = this.crashes.get(key);
+    const isRefuted =
+      crash.isRefuted === true || this.served.refutes(endpointId, atMs);
+    if (known !== undefined) {
+      const isLater = atMs > known.atMs + REFUTATION_MS;
+      const isEarlier = atMs < known.atMs - REFUTATION_MS;
+      const isNews = known.isRefuted ? isLater : isRefuted && !isEarlier;
+      if (!isNews) return false;
+    }
+    this.crashes.set(key, { ...crash, isRefuted });
     removeOldest(this.crashes, MAX_CRASHES);
+    return isRefuted;
+  }
+
+  /** Records a request that an endpoint completed. Returns whether that refutes a crash. */
+  addServed(endpointId: string, sentAtMs: number): boolean {
+    this.served.record(endpointId, sentAtMs);
+    let hasRefuted = false;
+    for (const [key, crash] of this.crashes) {
+      if (crash.isRefuted || crash.endpointId !== endpointId) continue;
+      if (!this.served.refutes(endpointId, crash.atMs)) continue;
+      this.crashes.set(key, { ...crash, isRefuted: true });
+      hasRefuted = true;
+    }
+    return hasRefuted;
   }
 
   addCompletion(id: string, atMs: number): void {
@@ -50,7 +86,9 @@
     isBlocked: (id: string) => boolean,
   ): readonly Suspect[] {
     this.removeExpired(nowMs);
-    const crashes = [...this.crashes.values()];
+    const crashes = [...this.crashes.values()].filter(
+      ({ isRefuted }) => !isRefuted,
+    );
     const explainedIds = new Set(
       crashes
         .filter(crash => crash.suspectIds.some(isBlocked))
@@ -81,17 +119,27 @@
   /** Returns crashes and the last completions of their ids: first crashes with ids that others have too, then the newest. */
   hints(nowMs: number): Pick<QuarantineHints, 'crashes' | 'completed'> {
     this.removeExpired(nowMs);
-    const shared = this.mostSuspectCrashes().slice(0, MAX_SHARED_CRASHES);
+    const all = this.mostSuspectCrashes();
+    const refuted = all
+      .filter(({ isRefuted }) => isRefuted)
+      .slice(0, MAX_SHARED_REFUTED);
+    const shared = all
+      .filter(({ isRefuted }) => !isRefuted)
+      .slice(0, MAX_SHARED_CRASHES - refuted.length)
+      .concat(refuted);
     const ids = new Set(shared.flatMap(crash => crash.suspectIds));
     return {
-      crashes: shared.map(({ atMs, endpointId, sentAtMs, suspectIds }) => ({
-        endpointId,
-        partIds: [...suspectIds],
-        ageMs: nowMs - atMs,
-        ...(Number.isFinite(sentAtMs) && {
-          inFlightMs: Math.max(0, atMs - sentAtMs),
+      crashes: shared.map(
+        ({ atMs, endpointId, isRefuted, sentAtMs, suspectIds }) => ({
+          endpointId,
+          partIds: [...suspectIds],
+          ageMs: nowMs - atMs,
+          ...(Number.isFinite(sentAtMs) && {
+            inFlightMs: Math.max(0, atMs - sentAtMs),
+          }),
+          ...(isRefuted && { isRefuted }),
         }),
-      })),
+      ),
       completed: [...ids].flatMap(partId => {
         const atMs = this.completedAtMs.get(partId);
         return atMs === undefined ? [] : [{ partId, ageMs: nowMs - atMs }];
@@ -99,7 +147,7 @@
     };
   }
 
-  private mostSuspectCrashes(): EndpointCrash[] {
+  private mostSuspectCrashes(): KnownCrash[] {
     const crashes = [...this.crashes.values()];
     const countById = new Map<string, number>();
     for (const id of crashes.flatMap(crash => crash.suspectIds)) {
--- a/packages/core/src/quarantine/quarantine-hints.ts
+++ b/packages/core/src/quarantine/quarantine-hints.ts
@@ -18,6 +18,8 @@
   ageMs,
   /** Time from sending the request to the crash; absent in hints of daemons that do not know it. */
   inFlightMs: ageMs.optional(),
+  /** Whether the endpoint has completed a request that was sent to it right after the supposed crash; absent if not. */
+  isRefuted: z.boolean().optional(),
 });
 
 const partAgeSchema = z.object({ partId: text, ageMs });
--- a/packages/core/src/quarantine/request-quarantine.test.ts
+++ b/packages/core/src/quarantine/request-quarantine.test.ts
@@ -149,6 +149,52 @@
     assert.equal(harness.first.blockedForMs(popular), undefined);
   });
 
+  /** Has the first daemon take endpoints for crashed under a request, and the second one complete another request there. */
+  function crashBesideService(sentAfterMs: number): QuarantineHarness {
+    const harness = new QuarantineHarness(2);
+    for (let index = 0; index < 6; index += 1) {
+      harness.nowMs += 300;
+      harness.crash(harness.first, `e${index}`, ['request/popular']);
+      const sentAtMs = harness.nowMs + sentAfterMs;
+      harness.nowMs += 300;
+      const endpointId = `e${index}`;
+      harness.at(1).recordCompleted(idsOf(), { endpointId, sentAtMs });
+      harness.exchange();
+      harness.exchange();
+    }
+    harness.nowMs += SETTLED_MS;
+    harness.exchange();
+    return harness;
+  }
+
+  // A daemon that was cut off from some endpoints took responses that it lost there for crashes.
+  it('does not count crashes at endpoints that complete requests of other daemons afterwards', () => {
+    const harness = crashBesideService(50);
+    for (const daemon of harness.daemons)
+      assert.equal(daemon.blockedForMs(['request/popular']), undefined);
+  });
+
+  it('counts crashes at endpoints from which late daemons read what was sent before', () => {
+    const harness = crashBesideService(-20);
+    for (const daemon of harness.daemons)
+      assert.notEqual(daemon.blockedForMs(['request/popular']), undefined);
+  });
+
+  it('counts later crashes of endpoints that were once taken for crashed', () => {
+    const harness = crashBesideService(50);
+    harness.nowMs += 2_500;
+    for (let index = 0; index < 3; index += 1) {
+      harness.nowMs += 300;
+      harness.crash(harness.first, `e${index}`, ['request/popular']);
+      harness.exchange();
+    }
+    harness.nowMs += SETTLED_MS;
+    harness.exchange();
+    harness.exchange();
+    for (const daemon of harness.daemons)
+      assert.notEqual(daemon.blockedForMs(['request/popular']), undefined);
+  });
+
   it('passes on the crashes that say most where one message cannot hold all', () => {
     const harness = new QuarantineHarness(2);
     const bad = ['request/bad'];
--- a/packages/core/src/quarantine/request-quarantine.ts
+++ b/packages/core/src/quarantine/request-quarantine.ts
@@ -1,4 +1,8 @@
-import type { CrashGuard, EndpointCrash } from '../forwarding/index.js';
+import type {
+  CompletedRequest,
+  CrashGuard,
+  EndpointCrash,
+} from '../forwarding/index.js';
 import type { Log, Metrics } from '../ports/index.js';
 import { LogComponent } from '../ports/index.js';
 import { CrashLedger } from './crash-ledger.js';
@@ -47,12 +51,22 @@
 
   recordCrash(crash: EndpointCrash): void {
     const suspectIds = shareableIds(crash.suspectIds);
-    this.ledger.addCrash({ ...crash, suspectIds });
+    this.deps.metrics.increment('crashes.recorded');
+    const isRefuted = this.ledger.addCrash({ ...crash, suspectIds });
+    if (isRefuted) this.reportRefuted(crash.endpointId, 'evidence');
     this.evaluate();
   }
 
-  recordCompleted(suspectIds: readonly string[]): void {
+  recordCompleted(
+    suspectIds: readonly string[],
+    completed?: CompletedRequest,
+  ): void {
     const nowMs = this.deps.nowMs();
+    if (completed !== undefined) {
+      const { endpointId, sentAtMs } = completed;
+      if (this.ledger.addServed(endpointId, sentAtMs))
+        this.reportRefuted(endpointId, 'evidence');
+    }
     for (const id of shareableIds(suspectIds)) {
       this.ledger.addCompletion(id, nowMs);
     }
@@ -80,12 +94,15 @@
     for (const { ageMs, partId } of completed) {
       this.ledger.addCompletion(partId, nowMs - ageMs);
     }
-    for (const { ageMs, endpointId, inFlightMs, partIds } of crashes) {
+    for (const { endpointId, inFlightMs, partIds, ...crash } of crashes) {
+      const { ageMs, isRefuted = false } = crash;
       const atMs = nowMs - ageMs;
       // Without the time of sending, the request counts as sent long before.
       const sentAtMs = atMs - (inFlightMs ?? Infinity);
       const suspectIds = partIds;
-      this.ledger.addCrash({ endpointId, suspectIds, sentAtMs, atMs });
+      const added = { endpointId, suspectIds, sentAtMs, atMs, isRefuted };
+      if (this.ledger.addCrash(added))
+        this.reportRefuted(endpointId, isRefuted ? 'peer' : 'evidence');
     }
     if (completed.length + crashes.length > 0) this.evaluate();
   }
@@ -132,6 +149,17 @@
     );
   }
 
+  /** Reports that an endpoint that was taken for crashed is sound. */
+  private reportRefuted(endpoint: string, source: 'evidence' | 'peer'): void {
+    const { log, metrics } = this.deps;
+    metrics.increment('crashes.refuted', 1, { source });
+    log.info(
+      LogComponent.Routing,
+      'An endpoint that was taken for crashed serves on.',
+      { endpoint, source },
+    );
+  }
+
   private removeExpired(nowMs: number): void {
     for (const [id, untilMs] of this.blockedUntilMs) {
       if (untilMs <= nowMs) this.blockedUntilMs.delete(id);
