--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -66,6 +66,8 @@
       signal: this.runAbort.signal,
       deadlineAtMs: this.deadlineAtMs,
       isRepeatable: this.isRepeatable(),
+      // The daemon that took the request from its caller decides on a wait.
+      mayWait: () => this.hasBegun() && context.relayed === undefined,
       isLastEndpointGone: () => this.isLastEndpointGone(),
     });
     this.relay = this.createRelay();
@@ -131,9 +133,7 @@
       const { refusal } = this.context.tokenGuard;
       if (refusal !== undefined) throw refusal;
       if (hasCallerLeft(signal)) break;
-      // The daemon that took the request from its caller decides on a wait.
-      const mayWait = this.hasBegun() && this.context.relayed === undefined;
-      reservation = await sequence.next(last, mayWait);
+      reservation = await sequence.next(last);
     }
     if (hasCallerLeft(signal)) {
       this.outcome = RunOutcome.CallerDisconnected;
