Learn the planned load of endpoints from first events in time

Every group was planned with eight requests in flight for each endpoint, whether its engines have 12, 16 or 48 slots, and whether their first events come in time or not.

With fleet.learnsCapacity, daemons count first events and late ones over 3 s and report both in their hints; the holder of the duties raises the planned number while nearly all are in time and a burst would bring endpoints to it, and lowers it once too many are late. First events that are late only by the daemon's own delay are left out. The setting is false by default, and nothing changes then.

Unit and property tests only; not measured under load.

--- a/packages/core/src/duties/fleet-plan.test.ts
+++ b/packages/core/src/duties/fleet-plan.test.ts
@@ -43,6 +43,7 @@
     scaling,
     endpoints,
     peakInFlight,
+    inFlightPerEndpoint: 8,
     minRequired: 0,
     ...NO_ORDERS,
     ...orders,
@@ -247,6 +248,7 @@
         scaling: { ...scaling, maxEndpoints: 40, reclaimablePrice },
         endpoints: [],
         peakInFlight: 160,
+        inFlightPerEndpoint: 8,
         minRequired: 0,
         ...NO_ORDERS,
       })
@@ -262,6 +264,7 @@
       scaling: { ...scaling, maxEndpoints: 40 },
       endpoints: [],
       peakInFlight: 0,
+      inFlightPerEndpoint: 8,
       minRequired: 24,
       ...NO_ORDERS,
     });
@@ -281,6 +284,7 @@
           scaling: { ...scaling, maxEndpoints: 1_000, reclaimablePrice },
           endpoints,
           peakInFlight: 0,
+          inFlightPerEndpoint: 8,
           minRequired: endpoints.length + 1, // and one on demand
           ...NO_ORDERS,
         });
@@ -302,6 +306,7 @@
       scaling: { ...scaling, maxEndpoints: 40, reclaimablePrice: 0.15 },
       endpoints: [],
       peakInFlight: 0,
+      inFlightPerEndpoint: 8,
       minRequired: 28,
       provisionedOnDemand: 28,
       ...NO_ORDERS,
@@ -317,6 +322,7 @@
       scaling: { ...scaling, maxEndpoints: 40 },
       endpoints,
       peakInFlight: 0,
+      inFlightPerEndpoint: 8,
       minRequired: 20,
       ...NO_ORDERS,
     });
@@ -331,6 +337,7 @@
       scaling: { ...scaling, reclaimablePrice: undefined },
       endpoints: [],
       peakInFlight: 32,
+      inFlightPerEndpoint: 8,
       minRequired: 0,
       ...NO_ORDERS,
     });
--- a/packages/core/src/duties/fleet-plan.ts
+++ b/packages/core/src/duties/fleet-plan.ts
@@ -17,6 +17,8 @@
   readonly endpoints: readonly EndpointRecord[];
   /** Recent maximum of the requests in flight at the endpoints. */
   readonly peakInFlight: number;
+  /** Requests in flight that one endpoint serves within the latency objective, at least 1. */
+  readonly inFlightPerEndpoint: number;
   /** Endpoints that the group keeps whatever its load; 0 once its load decides. */
   readonly minRequired: number;
   /** Of these, the on-demand ones that were there before any order; reclaimable ones replace them. */
@@ -32,8 +34,8 @@
   readonly count: number;
 }
 
-/** Requests in flight that one engine serves within the latency objective. */
-const IN_FLIGHT_PER_ENDPOINT = 8; // with 14 in flight at each endpoint, first events took 1.8 s
+/** Requests in flight that one engine is taken to serve within the latency objective, as long as nothing is learned of it. */
+export const DEFAULT_IN_FLIGHT_PER_ENDPOINT = 8; // with 14 in flight at each endpoint, first events took 1.8 s
 /** Minimum number of endpoints, also without load. */
 const MIN_REQUIRED_ENDPOINTS = 3; // one for returning load, and two that may be lost at once
 /** Minimum number of reclaimable endpoints in each data centre, also without load. */
@@ -66,10 +68,11 @@
  * endpoints that replace them are ready.
  */
 export function planFleet(state: FleetState): readonly PlannedCount[] {
-  const { minRequired, peakInFlight, provisionedOnDemand, scaling } = state;
+  const { inFlightPerEndpoint, minRequired, peakInFlight } = state;
+  const { provisionedOnDemand, scaling } = state;
   const requiredByLoad = Math.max(
     MIN_REQUIRED_ENDPOINTS,
-    Math.ceil(peakInFlight / IN_FLIGHT_PER_ENDPOINT) + 1,
+    Math.ceil(peakInFlight / inFlightPerEndpoint) + 1,
   );
   const required = Math.max(minRequired, requiredByLoad);
   const reclaimableTarget = Math.max(
--- a/packages/core/src/duties/fleet-scaler.test.ts
+++ b/packages/core/src/duties/fleet-scaler.test.ts
@@ -1,12 +1,18 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import type { EndpointRecord } from '../forwarding/index.js';
-import { ManualClock, noopLog, RefusedError } from '../ports/index.js';
+import type { EndpointRecord, ForwardGroup } from '../forwarding/index.js';
+import {
+  ManualClock,
+  noopLog,
+  noopMetrics,
+  RefusedError,
+} from '../ports/index.js';
 import type { DutyApi, FencingToken, ScalingOrder } from './duty-api.js';
 import { ReportOutcome, ScalingOutcome } from './duty-api.js';
 import { reclaimableEndpointIn } from './fakes/index.js';
 import { FleetScaler } from './fleet-scaler.js';
+import { LearnedCapacities } from './learned-capacities.js';
 
 const TOKEN: FencingToken = { holder: 'daemon-1', fencingNumber: 1 };
 const GROUP = {
@@ -69,7 +75,8 @@
 function createFixture(
   endpoints: readonly EndpointRecord[] = [],
   firstPlanAtMs = 0,
-  group = GROUP,
+  group: ForwardGroup = GROUP,
+  capacities?: LearnedCapacities,
 ) {
   const clock = new ManualClock(1_000);
   const platform = new FakePlatform();
@@ -84,6 +91,7 @@
     runningIn: () => load.running,
     firstPlanAtMs,
     isEvacuated: dataCentre => evacuated.has(dataCentre),
+    capacities,
   });
   const stepFor = async (timeMs: number) => {
     const untilMs = clock.nowMs() + timeMs;
@@ -238,4 +246,34 @@
     await scaler.step(() => ({ ...TOKEN, fencingNumber: 3 }));
     assert.ok((platform.counts.get('a true') ?? 0) >= 18);
   });
+
+  // A group that served well with 20 in flight at each endpoint was planned with 8.
+  it('orders fewer endpoints once first events are in time under load, and as before at a new holder', async () => {
+    const capacities = new LearnedCapacities({
+      log: noopLog,
+      metrics: noopMetrics,
+      firstEvents: () => ({
+        ...{ total: 300, late: 0 },
+        ...{ daemons: 8, reportingDaemons: 8 },
+      }),
+    });
+    const endpoints = Array.from({ length: 8 }, () => READY_ENDPOINTS).flat();
+    const scaling = { ...GROUP.scaling, maxEndpoints: 100 };
+    const engine = { slots: 48, cacheTokens: 1_000_000 };
+    const group = { ...GROUP, scaling, engine };
+    const { load, platform, scaler, stepFor } = createFixture(
+      endpoints,
+      0,
+      group,
+      capacities,
+    );
+    platform.maxEndpoints = scaling.maxEndpoints;
+    load.running = 320;
+    await stepFor(4_000);
+    assert.equal(platform.counts.get('a true'), 82);
+    await stepFor(40_000);
+    assert.equal(platform.counts.get('a true'), 28);
+    await scaler.step(() => ({ ...TOKEN, fencingNumber: 3 }));
+    assert.equal(platform.counts.get('a true'), 82);
+  });
 });
--- a/packages/core/src/duties/fleet-scaler.ts
+++ b/packages/core/src/duties/fleet-scaler.ts
@@ -8,7 +8,8 @@
 import type { DutyApi, FencingToken, ScalingOrder } from './duty-api.js';
 import { ScalingOutcome } from './duty-api.js';
 import type { FleetState, LastOrder } from './fleet-plan.js';
-import { planFleet } from './fleet-plan.js';
+import { DEFAULT_IN_FLIGHT_PER_ENDPOINT, planFleet } from './fleet-plan.js';
+import type { LearnedCapacities } from './learned-capacities.js';
 import { ProvisionedCapacity } from './provisioned-capacity.js';
 import { SlidingWindowMax } from './sliding-window-max.js';
 
@@ -34,6 +35,8 @@
   readonly firstPlanAtMs: number;
   /** Whether a data centre is to be left as it is, and its endpoints are not to count. */
   readonly isEvacuated: (dataCentre: DataCentre) => boolean;
+  /** Absent if the same load is planned for the endpoints of all groups. */
+  readonly capacities?: LearnedCapacities | undefined;
 }
 
 /** Last order sent for one kind of endpoint in a data centre. */
@@ -61,7 +64,12 @@
     const ordered = [...this.issuedOrders.values()].map(
       ({ order }) => order.group,
     );
-    const names = [...this.peaks.keys(), ...this.provisioned.keys()];
+    const learned = this.deps.capacities?.groupNames ?? [];
+    const names = [
+      ...this.peaks.keys(),
+      ...this.provisioned.keys(),
+      ...learned,
+    ];
     return new Set([...ordered, ...names]).size;
   }
 
@@ -77,12 +85,14 @@
       // Another daemon planned meanwhile, and the load of that time was not observed.
       this.peaks.clear();
       this.provisioned.clear();
+      this.deps.capacities?.clear();
     }
     const groups = this.deps.groups();
     this.retainGroups(new Set(groups.map(group => group.name)));
-    for (const { name, scaling } of groups) {
+    for (const group of groups) {
+      const { scaling } = group;
       if (scaling === undefined) continue;
-      for (const order of this.plan(name, scaling)) {
+      for (const order of this.plan(group, scaling)) {
         const token = currentToken();
         if (token === undefined) return;
         // The evacuation may have begun during the call before.
@@ -98,19 +108,22 @@
       for (const name of byGroup.keys())
         if (!names.has(name)) byGroup.delete(name);
     }
+    this.deps.capacities?.retain(names);
     for (const [key, { order }] of this.issuedOrders)
       if (!names.has(order.group)) this.issuedOrders.delete(key);
   }
 
   private plan(
-    group: string,
+    forwardGroup: ForwardGroup,
     scaling: ScalingSettings,
   ): readonly ScalingOrder[] {
-    const { clock, endpoints, isEvacuated, runningIn } = this.deps;
+    const { capacities, clock, endpoints, isEvacuated, runningIn } = this.deps;
+    const group = forwardGroup.name;
     const nowMs = clock.nowMs();
     const peak = this.peaks.get(group) ?? new SlidingWindowMax(PEAK_WINDOW_MS);
     this.peaks.set(group, peak);
-    peak.add(runningIn(group), nowMs);
+    const inFlight = runningIn(group);
+    peak.add(inFlight, nowMs);
     const peakInFlight = peak.max(nowMs);
     const members = endpoints().filter(
       each => each.group === group && !isEvacuated(each.dataCentre),
@@ -120,10 +133,16 @@
       peakInFlight > 0,
       nowMs,
     );
+    const openScaling = this.withoutEvacuated(scaling);
+    const openGroup = { ...forwardGroup, scaling: openScaling };
+    const inFlightPerEndpoint =
+      capacities?.step(openGroup, members, inFlight, nowMs) ??
+      DEFAULT_IN_FLIGHT_PER_ENDPOINT;
     const plannedCounts = planFleet({
-      scaling: this.withoutEvacuated(scaling),
+      scaling: openScaling,
       endpoints: members,
       peakInFlight,
+      inFlightPerEndpoint,
       minRequired: kept.count,
       provisionedOnDemand: kept.onDemandCount,
       ...this.lastOrders(group, scaling.bootMs),
--- a/packages/core/src/duties/index.ts
+++ b/packages/core/src/duties/index.ts
@@ -4,6 +4,8 @@
 export * from './duty-holder.js';
 export * from './fleet-plan.js';
 export * from './fleet-scaler.js';
+export * from './learned-capacities.js';
+export * from './learned-capacity.js';
 export * from './sliding-window-max.js';
 export * from './usage-checkpoint.js';
 export * from './usage-collector.js';
--- /dev/null
+++ b/packages/core/src/duties/learned-capacity.test.ts
@@ -0,0 +1,188 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import fc from 'fast-check';
+
+import { planFleet } from './fleet-plan.js';
+import type { CapacityObservation } from './learned-capacity.js';
+import { LearnedCapacity } from './learned-capacity.js';
+
+const SEED = 20_261_207;
+const STEP_MS = 500;
+const DATA_CENTRES = 4;
+
+type Counts = readonly [total: number, late: number];
+
+function observation(
+  [total, late]: Counts,
+  peakPerEndpoint: number,
+  changes: Partial<CapacityObservation> = {},
+): CapacityObservation {
+  const daemons = { daemons: 8, reportingDaemons: 8 };
+  return {
+    ...{ slots: 48, bootMs: 4_000, dataCentres: DATA_CENTRES },
+    firstEvents: { total, late, ...daemons },
+    peakPerEndpoint,
+    ...changes,
+  };
+}
+
+/** Capacity of one group, with the number that it returned last. */
+class Learner {
+  private readonly capacity = new LearnedCapacity();
+  nowMs = 0;
+  value = 0;
+
+  /** Observes the same for a while; the load is a share of the number where it follows the plan. */
+  observe(
+    seconds: number,
+    counts: Counts,
+    load = this.value / 2.9,
+    changes: Partial<CapacityObservation> = {},
+  ): number {
+    const untilMs = this.nowMs + seconds * 1_000;
+    for (; this.nowMs < untilMs; this.nowMs += STEP_MS) {
+      const seen = observation(counts, load, changes);
+      this.value = this.capacity.step(seen, this.nowMs);
+    }
+    return this.value;
+  }
+}
+
+function learnerAt20(): Learner {
+  const learner = new Learner();
+  learner.observe(60, [300, 1], 20 / 3.3);
+  assert.ok(Math.abs(learner.value - 20) < 1);
+  return learner;
+}
+
+describe('LearnedCapacity', () => {
+  it('plans the present 8 without counts, or fewer for fewer slots', () => {
+    assert.equal(new Learner().observe(30, [0, 0], 8), 8);
+    assert.equal(new Learner().observe(30, [0, 0], 8, { slots: 8 }), 6);
+  });
+
+  it('raises the number slowly, to no more than three quarters of the slots', () => {
+    const learner = new Learner();
+    assert.equal(learner.observe(4, [300, 0], 40), 8);
+    assert.equal(learner.observe(4, [300, 0], 40), 9);
+    assert.equal(learner.observe(80, [300, 0], 40), 36);
+    assert.equal(new Learner().observe(80, [300, 0], 40, { slots: 12 }), 9);
+  });
+
+  // A daemon of another build may have all the late first events.
+  it('raises nothing by few first events, by late ones, or while peers do not report', () => {
+    assert.equal(new Learner().observe(60, [40, 0], 20), 8);
+    assert.equal(new Learner().observe(60, [300, 12], 20), 8);
+    const firstEvents = { total: 300, late: 0, daemons: 8 };
+    const others = { firstEvents: { ...firstEvents, reportingDaemons: 7 } };
+    assert.equal(new Learner().observe(60, [300, 0], 20, others), 8);
+  });
+
+  it('lowers a raised number at once, and further only as ordered endpoints serve', () => {
+    const learner = learnerAt20();
+    const { value } = learner;
+    learner.observe(0.5, [300, 90], 10);
+    assert.equal(learner.value, value * 0.85);
+    learner.observe(5, [300, 90], 10);
+    assert.equal(learner.value, value * 0.85);
+    learner.observe(1.5, [300, 300], 10);
+    assert.equal(learner.value, (value * 0.85) / 2);
+  });
+
+  it('orders more than the present rule only for lateness that lasts at endpoints that are used', () => {
+    const learner = new Learner();
+    assert.equal(learner.observe(6, [300, 100], 4), 8);
+    assert.ok(learner.observe(1, [300, 100], 4) < 8);
+    assert.equal(learner.observe(30, [300, 100], 4), 4);
+    assert.equal(new Learner().observe(60, [300, 100], 1), 8);
+  });
+
+  // A burst made all first events late although the plan was about to grow: its number was not at fault.
+  it('keeps the number while endpoints have more in flight than planned', () => {
+    assert.equal(new Learner().observe(30, [300, 300], 20), 8);
+  });
+
+  it('does not raise again soon what it has lowered, and forgets it without counts', () => {
+    const learner = learnerAt20();
+    const lowered = learner.observe(0.5, [300, 90], 10);
+    assert.equal(learner.observe(19, [300, 0], 10), lowered);
+    assert.ok(learner.observe(3, [300, 0], 10) > lowered);
+    assert.notEqual(learner.observe(7, [0, 0]), 8);
+    assert.equal(learner.observe(2, [0, 0]), 8);
+  });
+
+  const stepArbitrary = fc.record({
+    seconds: fc.integer({ min: 1, max: 12 }),
+    total: fc.nat(400),
+    lateShare: fc.constantFrom(0, 0, 0.01, 0.1, 1),
+    load: fc.double({ min: 0, max: 60, noNaN: true }),
+  });
+  const historyArbitrary = fc.array(stepArbitrary, { maxLength: 20 });
+  const slotsArbitrary = fc.constantFrom(1, 2, 8, 12, 16, 48);
+
+  it('stays within its bounds and within what a burst and a loss would bring, whatever it sees', () => {
+    const property = fc.property(
+      historyArbitrary,
+      slotsArbitrary,
+      (history, slots) => {
+        const learner = new Learner();
+        const initial = Math.max(1, Math.min(8, slots * 0.75));
+        let peak = 0;
+        for (const { lateShare, load, seconds, total } of history) {
+          peak = Math.max(peak, load);
+          const late = Math.floor(total * lateShare);
+          const value = learner.observe(seconds, [total, late], load, {
+            slots,
+          });
+          assert.ok(value >= Math.min(4, initial));
+          assert.ok(value <= Math.max(1, slots * 0.75));
+          const worst = peak * 2.5 * (DATA_CENTRES / (DATA_CENTRES - 1));
+          assert.ok(value <= Math.max(initial, worst));
+        }
+      },
+    );
+    fc.assert(property, { seed: SEED, numRuns: 300 });
+  });
+
+  // A burst comes before ordered endpoints have started, and a reclaim takes a whole data centre.
+  it('leaves a slot, or two places without headroom, for each request of a burst of 2.5 times the load without one data centre', () => {
+    const dataCentres = ['a', 'b', 'c', 'd'];
+    const prices = Object.fromEntries(dataCentres.map(each => [each, 1]));
+    const property = fc.property(
+      historyArbitrary,
+      // With one slot, the number cannot be below the slots.
+      slotsArbitrary.filter(slots => slots > 1),
+      fc.boolean(),
+      fc.integer({ min: 1, max: 5_000 }),
+      (history, slots, hasHeadroom, peakInFlight) => {
+        const learner = new Learner();
+        for (const { lateShare, load, seconds, total } of history) {
+          const late = Math.floor(total * lateShare);
+          learner.observe(seconds, [total, late], load, { slots });
+        }
+        const plan = planFleet({
+          scaling: {
+            ...{ minEndpoints: 1, maxEndpoints: 10_000, bootMs: 4_000 },
+            reclaimablePrice: hasHeadroom ? 0.2 : 0.5,
+            pricesByDataCentre: prices,
+          },
+          endpoints: [],
+          peakInFlight,
+          inFlightPerEndpoint: learner.observe(0.5, [0, 0], 0, { slots }),
+          minRequired: 0,
+          reclaimableOrders: new Map(),
+          onDemandOrders: new Map(),
+        });
+        for (const lost of dataCentres) {
+          const left = plan
+            .filter(each => each.isReclaimable && each.dataCentre !== lost)
+            .reduce((sum, each) => sum + each.count, 0);
+          const places = hasHeadroom ? slots : slots * 2;
+          assert.ok(peakInFlight * 2.5 <= left * places);
+        }
+      },
+    );
+    fc.assert(property, { seed: SEED, numRuns: 300 });
+  });
+});
--- /dev/null
+++ b/packages/core/src/first-events/first-event-counts.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+
+import { noopMetrics } from '../ports/index.js';
+import { FirstEventCounts } from './first-event-counts.js';
+import type { FirstEventHints } from './first-event-hints.js';
+import { firstEventHintsSchema, sumFirstEvents } from './first-event-hints.js';
+
+const EVENT = {
+  group: 'engines',
+  latencyObjectiveMs: 800,
+  elapsedMs: 600,
+  dispatchDelayMs: 0,
+};
+
+function createFixture() {
+  const time = { nowMs: 1_000, loopDelayMs: 0 };
+  const counts = new FirstEventCounts({
+    nowMs: () => time.nowMs,
+    metrics: noopMetrics,
+    loopDelayMs: () => time.loopDelayMs,
+  });
+  return { counts, time };
+}
+
+describe('FirstEventCounts', () => {
+  it('counts by group what is late, for three seconds', () => {
+    const { counts, time } = createFixture();
+    counts.record(EVENT);
+    counts.record({ ...EVENT, elapsedMs: 801 });
+    time.nowMs += 1_000;
+    counts.record({ ...EVENT, group: 'others' });
+    assert.deepEqual(counts.hints(), { engines: [2, 1], others: [1, 0] });
+    time.nowMs += 2_600;
+    assert.deepEqual(counts.hints(), { others: [1, 0] });
+    time.nowMs += 1_000;
+    assert.deepEqual(counts.hints(), {});
+  });
+
+  // A daemon without processor time reported late first events, for which endpoints would have been ordered.
+  it('leaves out what is late only by the delay of this daemon', () => {
+    const { counts, time } = createFixture();
+    time.loopDelayMs = 300;
+    counts.record({ ...EVENT, elapsedMs: 1_100 });
+    counts.record({ ...EVENT, elapsedMs: 1_200, dispatchDelayMs: 100 });
+    assert.deepEqual(counts.hints(), {});
+    counts.record({ ...EVENT, elapsedMs: 1_101 });
+    assert.deepEqual(counts.hints(), { engines: [1, 1] });
+  });
+});
+
+describe('sumFirstEvents', () => {
+  it('says how many daemons have reported, with or without first events', () => {
+    const hints: readonly (FirstEventHints | undefined)[] = [
+      { engines: [7, 2] },
+      {},
+      undefined,
+    ];
+    assert.deepEqual(sumFirstEvents('engines', hints), {
+      ...{ total: 7, late: 2 },
+      ...{ daemons: 3, reportingDaemons: 2 },
+    });
+  });
+});
+
+describe('firstEventHintsSchema', () => {
+  it('refuses more late first events than there are', () => {
+    const { success } = firstEventHintsSchema.safeParse({ engines: [2, 3] });
+    assert.equal(success, false);
+  });
+});
--- /dev/null
+++ b/packages/core/src/first-events/index.ts
@@ -0,0 +1,2 @@
+export * from './first-event-counts.js';
+export * from './first-event-hints.js';
--- a/packages/core/src/forwarding/fakes/forwarder-harness.ts
+++ b/packages/core/src/forwarding/fakes/forwarder-harness.ts
@@ -13,6 +13,7 @@
   EndpointRecord,
   ForwardRoute,
   GuardedResponse,
+  ObservedFirstEvent,
   OutputEstimator,
   RequestMetadata,
   TokenRate,
@@ -65,6 +66,7 @@
   readonly upstream: ScriptedUpstream;
   readonly crashGuard = new RecordingCrashGuard();
   readonly usageWorkspaces: string[] = [];
+  readonly firstEvents: ObservedFirstEvent[] = [];
   /** Whether any endpoint accepts connections of this daemon. */
   reachesEndpoints = true;
   /** Latest deadline of requests that may be sent. */
@@ -193,6 +195,11 @@
           this.usageWorkspaces.push(workspace);
         },
       },
+      firstEvents: {
+        record: event => {
+          this.firstEvents.push(event);
+        },
+      },
       dispatchWindow: {
         isOpenUntil: deadlineAtMs => deadlineAtMs <= this.latestDeadlineAtMs,
       },
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -13,6 +13,7 @@
 import { RouteType } from './configuration.js';
 import { createSequence } from './create-sequence.js';
 import { dispatchHeadersOf } from './dispatch-headers.js';
+import { countFirstEvent } from './first-event-observer.js';
 import { ForwardAttempt } from './forward-attempt.js';
 import { daemonStoppingError, ForwardError } from './forward-error.js';
 import { deadlineOf } from './forward-request.js';
@@ -357,9 +358,7 @@
     // The daemon that took a request from its caller counts it.
     if (this.isUsageCounted || this.context.relayed !== undefined) return;
     this.isUsageCounted = true;
-    const { workspace } = this.context.resolved;
-    if (workspace === undefined) return;
-    this.deps.usageCounter.count(workspace.workspace, startedAgoMs);
+    countFirstEvent(this.deps, this.context, this.record, startedAgoMs);
   }
 }
 
--- a/packages/core/src/forwarding/forwarder.ts
+++ b/packages/core/src/forwarding/forwarder.ts
@@ -17,6 +17,7 @@
 import type { DaemonShedder, DispatchGate } from './dispatch-gate.js';
 import type { DispatchWindow } from './dispatch-window.js';
 import type { EndpointPool } from './endpoint-pool.js';
+import type { FirstEventObserver } from './first-event-observer.js';
 import {
   allowanceSpentError,
   daemonStoppingError,
@@ -100,6 +101,8 @@
   readonly versions: VersionSelector;
   readonly dataCentres: DataCentreGate;
   readonly usageCounter: UsageCounter;
+  /** Absent if first events are not counted. */
+  readonly firstEvents?: FirstEventObserver | undefined;
   /** Absent if the placement of requests does not depend on their output. */
   readonly outputEstimator?: OutputEstimator;
   readonly requestRelay: RequestRelay;
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -20,6 +20,7 @@
 export * from './endpoint-record.js';
 export * from './endpoint-retention.js';
 export * from './event-splitter.js';
+export * from './first-event-observer.js';
 export * from './forward-attempt.js';
 export * from './forward-error.js';
 export * from './forward-request.js';
--- a/packages/core/src/forwarding/run-record.ts
+++ b/packages/core/src/forwarding/run-record.ts
@@ -29,12 +29,15 @@
   endpointListAgeMs = 0;
   /** Time from the request's arrival to the dispatch of its last attempt. */
   private dispatchedAfterMs = 0;
+  /** The same of its first attempt; undefined before it. */
+  firstDispatchedAfterMs: number | undefined;
   private firstResponseAtMs: number | undefined;
 
   constructor(private readonly run: RecordedRun) {}
 
   recordDispatch(sentAtMs: number): void {
     this.dispatchedAfterMs = sentAtMs - this.run.request.receivedAtMs;
+    this.firstDispatchedAfterMs ??= this.dispatchedAfterMs;
   }
 
   recordResponse(nowMs: number): void {
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -3,6 +3,7 @@
 import { brittleEndpointHintsSchema } from '../brittle-endpoints/index.js';
 import { coldEndpointHintsSchema } from '../cold-starts/index.js';
 import { endpointLimitHintsSchema } from '../endpoint-limits/index.js';
+import { firstEventHintsSchema } from '../first-events/index.js';
 import type { EndpointLoad, LifetimeGrants } from '../forwarding/index.js';
 import { leavingEndpointHintsSchema } from '../forwarding/index.js';
 import { loadReportHintsSchema } from '../placement/index.js';
@@ -100,6 +101,8 @@
   takesUsageCounts: z.boolean().optional().catch(undefined),
   /** Whether the sender passes the usage counts that it is told on to the holder of the duties. Absent in hints of daemons that do not know it. */
   collectsUsage: z.boolean().optional().catch(undefined),
+  /** Absent in hints of daemons that do not count first events; their counts are unknown. */
+  firstEvents: firstEventHintsSchema.optional().catch(undefined),
   /** Whether the sender holds the lease for the duties towards the platform. */
   holdsDuties: z.boolean(),
 });
--- a/packages/core/src/hints/hints-of-other-builds.test.ts
+++ b/packages/core/src/hints/hints-of-other-builds.test.ts
@@ -28,6 +28,7 @@
   ],
   coldEndpoints: [{ endpointId: 'e', bornAtMs: 0, coldUntilMs: 0 }],
   loadReports: { atMs: 1, reports: '50 e 1 0 8 100' },
+  firstEvents: { ledger: [7, 2] },
   holdsDuties: false,
 };
 
@@ -53,6 +54,7 @@
   'reachability',
   'takesUsageCounts',
   'collectsUsage',
+  'firstEvents',
 ];
 
 function parse(changes: Readonly<Record<string, unknown>>) {
@@ -102,6 +104,7 @@
     'dutyLease',
     'loadReports',
     'usageReportedBefore',
+    'firstEvents',
   ] as const) {
     it(`leaves out a part that it cannot read: ${part}`, () => {
       assert.equal(parse({ [part]: 'novel' })[part], undefined);
--- a/packages/daemon/src/gateway/apply-settings.ts
+++ b/packages/daemon/src/gateway/apply-settings.ts
@@ -7,6 +7,7 @@
   'peerSecret',
   'telemetry',
   'routing',
+  'fleet',
   'callers',
 ] as const satisfies readonly (keyof GatewaySettings)[];
 
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -2,6 +2,7 @@
   DutyCallTracker,
   DutyHolder,
   FleetScaler,
+  LearnedCapacities,
   UsageCheckpoint,
   UsageForwarder,
   UsageLedger,
@@ -9,6 +10,8 @@
   UsageTeller,
 } from '@skylarkreach/core/duties';
 import type { Evacuations } from '@skylarkreach/core/evacuations';
+import type { FirstEventCounts } from '@skylarkreach/core/first-events';
+import { sumFirstEvents } from '@skylarkreach/core/first-events';
 import type {
   ConfigurationStore,
   EndpointPool,
@@ -20,6 +23,7 @@
 
 import type { Loop } from '../loops/index.js';
 import { createIntervalLoop } from '../loops/index.js';
+import { createFirstEvents } from './create-first-events.js';
 import type { GatewayCluster } from './gateway-cluster.js';
 import type { GatewayContext } from './gateway-context.js';
 
@@ -53,12 +57,16 @@
   readonly trueTime: ClusterTime;
   readonly usageLedger: UsageLedger;
   readonly dutyHolder: DutyHolder;
+  /** Undefined if the planned load of endpoints is not learned. */
+  readonly firstEvents: FirstEventCounts | undefined;
   readonly loops: readonly Loop[];
   private readonly dutyCalls: DutyCallTracker;
 
   constructor(context: GatewayContext, deps: GatewayDutiesDependencies) {
     const { clock, log, platform, settings } = context;
     const { bounds, identity } = settings;
+    const { firstEventLoops, firstEvents } = createFirstEvents(context);
+    this.firstEvents = firstEvents;
     this.trueTime = new ClusterTime(
       () => Date.now(),
       () => clock.nowMs(),
@@ -115,6 +123,7 @@
       runningIn: group => deps.pool.runningRequests(group),
       firstPlanAtMs: clock.nowMs() + LISTING_SETTLE_MS,
       isEvacuated: dataCentre => deps.evacuations.isEvacuated(dataCentre),
+      capacities: createCapacities(context, firstEvents, deps.cluster),
     });
     const rolloutWriter = new RolloutWriter({
       clock,
@@ -132,6 +141,7 @@
     ) =>
       createIntervalLoop(context, LogComponent.Duties, name, intervalMs, step);
     this.loops = [
+      ...firstEventLoops,
       createLoop('duty lease', LEASE_STEP_MS, () => this.dutyHolder.step()),
       createLoop('usage', USAGE_STEP_MS, () =>
         usageReporter.step(currentProof),
@@ -192,3 +202,21 @@
     return this.dutyHolder.release(() => this.dutyCalls.settle());
   }
 }
+
+/** Creates what learns the planned load of endpoints from first events; undefined if they are not counted. */
+function createCapacities(
+  { clock, log, metrics }: GatewayContext,
+  firstEvents: FirstEventCounts | undefined,
+  cluster: () => GatewayCluster,
+): LearnedCapacities | undefined {
+  if (firstEvents === undefined) return undefined;
+  return new LearnedCapacities({
+    log,
+    metrics,
+    firstEvents: group => {
+      const peers = cluster().hintBoard.freshHints(clock.nowMs());
+      const peerCounts = peers.map(({ hints }) => hints.firstEvents);
+      return sumFirstEvents(group, [firstEvents.hints(), ...peerCounts]);
+    },
+  });
+}
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -106,6 +106,7 @@
       reachability: reachabilityHints(this.deps.reachability, nowMs),
       takesUsageCounts: true,
       collectsUsage: this.isUsageCollected(),
+      ...(duties.firstEvents && { firstEvents: duties.firstEvents.hints() }),
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
   }
--- a/packages/daemon/src/gateway/gateway-queue.ts
+++ b/packages/daemon/src/gateway/gateway-queue.ts
@@ -59,7 +59,7 @@
     });
     const meter = new LoopDelayMeter(context);
     this.loops = [
-      createPollerLoop(context, LogComponent.Daemon, 'loopDelay', meter),
+      createPollerLoop(context, LogComponent.Daemon, 'loopDelay', meter.timer),
     ];
     const { shedder } = meter;
     this.shedder = shedder;
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -227,6 +227,7 @@
       endpoints: () => pool.endpoints(),
     }),
     usageCounter: duties.usageLedger,
+    firstEvents: duties.firstEvents,
     ...(byWork && { outputEstimator: byWork.outputEstimator }),
     requestRelay,
     dispatchWindow: stopSchedule,
--- a/packages/daemon/src/gateway/loop-delay-meter.ts
+++ b/packages/daemon/src/gateway/loop-delay-meter.ts
@@ -1,11 +1,9 @@
-import {
-  LOOP_SAMPLE_INTERVAL_MS,
-  LoopDelayShedder,
-} from '@skylarkreach/core/dispatch-queue';
+import { LoopDelayShedder } from '@skylarkreach/core/dispatch-queue';
 import type { Clock, Log, Metrics, Random } from '@skylarkreach/core/ports';
 import { LogComponent } from '@skylarkreach/core/ports';
 
 import type { Poller } from '../loops/index.js';
+import { LoopDelayTimer } from './loop-delay-timer.js';
 
 export interface LoopDelayMeterDependencies {
   readonly clock: Clock;
@@ -15,35 +13,29 @@
 }
 
 /** Measures by how much timers of this process are late. */
-export class LoopDelayMeter implements Poller {
+export class LoopDelayMeter {
   readonly shedder: LoopDelayShedder;
-  private dueAtMs: number | undefined;
+  readonly timer: Poller;
 
   constructor(private readonly deps: LoopDelayMeterDependencies) {
     this.shedder = new LoopDelayShedder(deps.random);
+    this.timer = new LoopDelayTimer(deps.clock, delayMs => {
+      this.record(delayMs);
+    });
   }
 
-  step(): Promise<void> {
-    const { clock, log, metrics } = this.deps;
-    if (this.dueAtMs === undefined) return Promise.resolve();
-    const delayMs = Math.max(0, clock.nowMs() - this.dueAtMs);
+  private record(delayMs: number): void {
+    const { log, metrics } = this.deps;
     const hasChanged = this.shedder.recordDelay(delayMs);
     const { isShedding, standingDelayMs } = this.shedder;
     metrics.gauge('daemon.loopDelayMs', standingDelayMs);
-    if (hasChanged) {
-      log.warn(
-        LogComponent.Daemon,
-        isShedding
-          ? 'This daemon is overloaded and refuses its least urgent requests.'
-          : 'This daemon is no longer overloaded.',
-        { loopDelayMs: Math.round(standingDelayMs) },
-      );
-    }
-    return Promise.resolve();
-  }
-
-  nextAtMs(nowMs: number): number {
-    this.dueAtMs = nowMs + LOOP_SAMPLE_INTERVAL_MS;
-    return this.dueAtMs;
+    if (!hasChanged) return;
+    log.warn(
+      LogComponent.Daemon,
+      isShedding
+        ? 'This daemon is overloaded and refuses its least urgent requests.'
+        : 'This daemon is no longer overloaded.',
+      { loopDelayMs: Math.round(standingDelayMs) },
+    );
   }
 }
--- a/packages/daemon/src/settings/gateway-settings.ts
+++ b/packages/daemon/src/settings/gateway-settings.ts
@@ -84,6 +84,12 @@
       placement: z.enum(PlacementRule).default(PlacementRule.LeastLatency),
     })
     .prefault({}),
+  fleet: z
+    .strictObject({
+      /** Whether the planned load of an endpoint is learned from first events; else it is the same for all. */
+      learnsCapacity: z.boolean().default(false),
+    })
+    .prefault({}),
   /** Queues in which requests wait for the capacity of their group. */
   queue: z
     .strictObject({
