Report first events only to the holder of the duties

The counts were part of all hints. Only the holder uses them, and a daemon exchanges some sixteen messages a second with peers. They are now added to the hints for the holder alone, or for all peers while no holder is known.

--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -101,7 +101,7 @@
   takesUsageCounts: z.boolean().optional().catch(undefined),
   /** Whether the sender passes the usage counts that it is told on to the holder of the duties. Absent in hints of daemons that do not know it. */
   collectsUsage: z.boolean().optional().catch(undefined),
-  /** Absent in hints of daemons that do not count first events; their counts are unknown. */
+  /** Only in hints to the holder of the duties; absent also if the sender does not count first events, whose counts are unknown then. */
   firstEvents: firstEventHintsSchema.optional().catch(undefined),
   /** Whether the sender holds the lease for the duties towards the platform. */
   holdsDuties: z.boolean(),
--- a/packages/daemon/src/gateway/apply-settings.test.ts
+++ b/packages/daemon/src/gateway/apply-settings.test.ts
@@ -42,6 +42,14 @@
     assert.equal(inForce.bounds.gracePeriodSeconds, 6);
   });
 
+  it('keeps the way in which endpoints are planned until a restart', () => {
+    const inForce = settingsWith({});
+    assert.equal(inForce.fleet.learnsCapacity, false);
+    const next = { ...settingsWith({}), fleet: { learnsCapacity: true } };
+    assert.deepEqual(applyChangedSettings(inForce, next), ['fleet']);
+    assert.equal(inForce.fleet.learnsCapacity, false);
+  });
+
   it('names a changed address of the platform', () => {
     const next = settingsWith({}, '127.0.0.1:1');
     assert.deepEqual(applyChangedSettings(settingsWith({}), next), [
--- a/packages/daemon/src/gateway/gateway-cluster.ts
+++ b/packages/daemon/src/gateway/gateway-cluster.ts
@@ -27,6 +27,7 @@
 /** Hooks through which a cluster obtains this daemon's hints and delivers those of peers. */
 export interface ClusterHooks {
   ownHints(): DaemonHints;
+  hintsForDutyHolder(): Partial<DaemonHints>;
   applyHints(hints: DaemonHints): void;
 }
 
@@ -113,6 +114,7 @@
       livePeers: () => this.membership.live(),
       dutyHolderId: () => this.hintBoard.dutyLease.holderId(clock.nowMs()),
       ownHints: () => hooks.ownHints(),
+      hintsForDutyHolder: () => hooks.hintsForDutyHolder(),
       onHints: hints => {
         hooks.applyHints(hints);
       },
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -106,11 +106,17 @@
       reachability: reachabilityHints(this.deps.reachability, nowMs),
       takesUsageCounts: true,
       collectsUsage: this.isUsageCollected(),
-      ...(duties.firstEvents && { firstEvents: duties.firstEvents.hints() }),
       holdsDuties: duties.dutyHolder.currentToken() !== undefined,
     };
   }
 
+  hintsForDutyHolder(): Partial<DaemonHints> {
+    const { firstEvents } = this.deps.duties;
+    return firstEvents === undefined
+      ? {}
+      : { firstEvents: firstEvents.hints() };
+  }
+
   applyHints(hints: DaemonHints): void {
     const {
       brittleEndpoints,
--- a/packages/daemon/src/gateway/hint-exchange.ts
+++ b/packages/daemon/src/gateway/hint-exchange.ts
@@ -28,6 +28,8 @@
   readonly dutyHolderId: () => string | undefined;
   /** Builds this daemon's current hints. */
   readonly ownHints: () => DaemonHints;
+  /** Builds the part of them that only the holder of the duties uses. */
+  readonly hintsForDutyHolder: () => Partial<DaemonHints>;
   /** Called with hints newer than those known from the same lifetime of a daemon. */
   readonly onHints: (hints: DaemonHints) => void;
 }
@@ -39,7 +41,8 @@
   constructor(private readonly deps: HintExchangeDependencies) {
     deps.registry.handle(exchangeHintsMethod, hints => {
       this.receive(hints);
-      return Promise.resolve(deps.ownHints());
+      const isHolder = hints.holdsDuties || this.mayHoldDuties(hints.daemonId);
+      return Promise.resolve(this.hintsFor(isHolder, deps.ownHints()));
     });
   }
 
@@ -80,12 +83,13 @@
     hints: DaemonHints,
   ): Promise<void> {
     const { clock, peer } = this.deps;
+    const isHolder = this.mayHoldDuties(target.id);
     const sentAtMs = clock.nowMs();
     try {
       const peerHints = await peer.call(
         target.peerAddress,
         exchangeHintsMethod,
-        hints,
+        this.hintsFor(isHolder, hints),
         sentAtMs + CALL_TIMEOUT_MS,
       );
       this.receive(peerHints, sentAtMs);
@@ -95,6 +99,17 @@
     }
   }
 
+  /** Adds what only the holder of the duties uses; the messages to all others stay small. */
+  private hintsFor(isHolder: boolean, hints: DaemonHints): DaemonHints {
+    return isHolder ? { ...hints, ...this.deps.hintsForDutyHolder() } : hints;
+  }
+
+  /** Returns whether a peer is the holder of the duties, as far as that is known. */
+  private mayHoldDuties(peerId: string): boolean {
+    const holderId = this.deps.dutyHolderId();
+    return holderId === undefined || holderId === peerId;
+  }
+
   private receive(hints: DaemonHints, builtAfterMs?: number): void {
     const { hintBoard, clock, onHints } = this.deps;
     if (hintBoard.add(hints, clock.nowMs(), builtAfterMs)) onHints(hints);
--- a/packages/stand-ins/src/gateway/gateway-deployment.ts
+++ b/packages/stand-ins/src/gateway/gateway-deployment.ts
@@ -44,6 +44,8 @@
   regions: Readonly<Record<string, string>> = {};
   /** Section `queue` of the settings of daemons that are added. */
   queue: Partial<GatewaySettings['queue']> = {};
+  /** Section `fleet`, likewise. */
+  fleet: Partial<GatewaySettings['fleet']> = {};
 
   /** `expose` returns the address that is registered for an endpoint's own. */
   constructor(
@@ -142,6 +144,7 @@
       },
       peerSecret,
       queue: this.queue,
+      fleet: this.fleet,
       telemetry: { logLevel: LogLevel.Silent },
       routing: { placement: this.placement },
     });
