Check the counts of first events against all events of their window

A property test with a fixed seed compares the sums with the events of the last three seconds. The multiple of the boot time by which an ordered endpoint should serve stands in one place.

--- a/packages/core/src/duties/fleet-plan.ts
+++ b/packages/core/src/duties/fleet-plan.ts
@@ -36,6 +36,8 @@
 
 /** Requests in flight that one engine is taken to serve within the latency objective, as long as nothing is learned of it. */
 export const DEFAULT_IN_FLIGHT_PER_ENDPOINT = 8; // with 14 in flight at each endpoint, first events took 1.8 s
+/** Time within which an ordered endpoint should serve, as a multiple of its boot time. */
+export const BOOT_TIME_FACTOR = 1.5; // the list shows an endpoint up to a second late
 /** Minimum number of endpoints, also without load. */
 const MIN_REQUIRED_ENDPOINTS = 3; // one for returning load, and two that may be lost at once
 /** Minimum number of reclaimable endpoints in each data centre, also without load. */
--- a/packages/core/src/duties/fleet-scaler.ts
+++ b/packages/core/src/duties/fleet-scaler.ts
@@ -8,7 +8,11 @@
 import type { DutyApi, FencingToken, ScalingOrder } from './duty-api.js';
 import { ScalingOutcome } from './duty-api.js';
 import type { FleetState, LastOrder } from './fleet-plan.js';
-import { DEFAULT_IN_FLIGHT_PER_ENDPOINT, planFleet } from './fleet-plan.js';
+import {
+  BOOT_TIME_FACTOR,
+  DEFAULT_IN_FLIGHT_PER_ENDPOINT,
+  planFleet,
+} from './fleet-plan.js';
 import type { LearnedCapacities } from './learned-capacities.js';
 import { ProvisionedCapacity } from './provisioned-capacity.js';
 import { SlidingWindowMax } from './sliding-window-max.js';
@@ -18,8 +22,6 @@
 const REISSUE_INTERVAL_MS = 10_000; // an instance of the platform may fail after it has accepted an order, and lose it
 /** Time after which an order for unavailable endpoints is sent again. */
 const UNAVAILABLE_RETRY_MS = 2_000; // a seventh of the shortest period in which none are available
-/** Time within which an ordered endpoint should serve, as a multiple of its boot time. */
-const BOOT_TIME_FACTOR = 1.5; // the list shows an endpoint up to a second late
 /** Time for which the endpoints of a load peak are kept. */
 const PEAK_WINDOW_MS = 8_000; // twice the time in which an endpoint starts
 
--- a/packages/core/src/duties/learned-capacity.ts
+++ b/packages/core/src/duties/learned-capacity.ts
@@ -1,5 +1,8 @@
 import type { FirstEventTotals } from '../first-events/index.js';
-import { DEFAULT_IN_FLIGHT_PER_ENDPOINT } from './fleet-plan.js';
+import {
+  BOOT_TIME_FACTOR,
+  DEFAULT_IN_FLIGHT_PER_ENDPOINT,
+} from './fleet-plan.js';
 
 /** Share of the first events that may be late. */
 const MAX_LATE_SHARE = 0.05; // 95 in 100 are to be in time
@@ -22,8 +25,6 @@
 const MAX_SLOT_SHARE = 0.75;
 /** Greatest burst, as a multiple of the load before it. */
 const MAX_BURST = 2.5;
-/** Time in which ordered endpoints serve, as a multiple of their boot time. */
-const BOOT_TIME_FACTOR = 1.5; // the list shows an endpoint up to a second late
 /** Time after late first events in which the number is not raised. */
 const RAISE_PAUSE_MS = 20_000; // without it, each raise beyond what endpoints serve is tried again and again
 /** Time without counts after which the present rule applies again. */
@@ -59,8 +60,7 @@
 /**
  * Learns how many requests in flight one endpoint of a group serves within the
  * latency objective: raises the number slowly while nearly all first events are in
- * time and the endpoints are used, and lowers it at once when too many are late
- * (multiplicative increase and decrease; the load itself is measured, not probed).
+ * time and the endpoints are used, and lowers it at once when too many are late.
  * Meant for groups with bursts of up to 2.5 times the load and the loss of one
  * data centre at a time.
  */
--- a/packages/core/src/first-events/first-event-counts.test.ts
+++ b/packages/core/src/first-events/first-event-counts.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
+import fc from 'fast-check';
+
 import { noopMetrics } from '../ports/index.js';
 import { FirstEventCounts } from './first-event-counts.js';
 import type { FirstEventHints } from './first-event-hints.js';
@@ -37,6 +39,32 @@
     assert.deepEqual(counts.hints(), {});
   });
 
+  it('has each first event of the last three seconds, and none that is half a second older', () => {
+    const stepArbitrary = fc.tuple(fc.nat(900), fc.boolean());
+    const property = fc.property(fc.array(stepArbitrary), steps => {
+      const { counts, time } = createFixture();
+      const events: { atMs: number; isLate: boolean }[] = [];
+      const countSince = (startMs: number, isLate?: boolean) =>
+        events.filter(
+          each =>
+            each.atMs > startMs &&
+            (isLate === undefined || each.isLate === isLate),
+        ).length;
+      for (const [pauseMs, isLate] of steps) {
+        time.nowMs += pauseMs;
+        counts.record({ ...EVENT, elapsedMs: isLate ? 900 : 700 });
+        events.push({ atMs: time.nowMs, isLate });
+        const [total = 0, late = 0] = counts.hints().engines ?? [];
+        const startMs = time.nowMs - 3_000;
+        assert.ok(total >= countSince(startMs));
+        assert.ok(total <= countSince(startMs - 500));
+        assert.ok(late >= countSince(startMs, true));
+        assert.ok(late <= countSince(startMs - 500, true));
+      }
+    });
+    fc.assert(property, { seed: 20_261_207 });
+  });
+
   // A daemon without processor time reported late first events, for which endpoints would have been ordered.
   it('leaves out what is late only by the delay of this daemon', () => {
     const { counts, time } = createFixture();
