--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -110,6 +110,13 @@
     };
   }
 
+  hintsForDutyHolder(): Partial<DaemonHints> {
+    const { firstEvents } = this.deps.duties;
+    return firstEvents === undefined
+      ? {}
+      : { firstEvents: firstEvents.hints() };
+  }
+
   applyHints(hints: DaemonHints): void {
     const {
       brittleEndpoints,
