--- a/packages/core/src/forwarding/endpoint-choice.ts
+++ b/packages/core/src/forwarding/endpoint-choice.ts
@@ -197,18 +197,25 @@
     return withRoom ?? pool.reserve(query, nowMs);
   }
 
+  /** Whether an attempt may wait for its prompt from another endpoint: none may after one that did has failed, here or at another daemon. */
+  private mayTransferPrompt(): boolean {
+    const { attempts, isRepeatable, relayed } = this.options;
+    const wasTriedElsewhere = (relayed?.excludedIds.length ?? 0) > 0;
+    const hasFailed = wasTriedElsewhere || attempts.hasFailedWithSource();
+    return isRepeatable && !hasFailed;
+  }
+
   private queryFor({
     not,
     only,
   }: VersionConstraint): Omit<PoolQuery, 'excluded'> {
     const { expectedOutputTokens, group, homes, request } = this.options;
-    const { attempts, isRepeatable } = this.options;
     const { promptParts, usage } = request.metadata;
     return {
       group,
       promptParts,
       promptTokens: usage?.promptTokens ?? 0,
-      mayTransferPrompt: isRepeatable && !attempts.hasFailedWithSource(),
+      mayTransferPrompt: this.mayTransferPrompt(),
       ...(expectedOutputTokens !== undefined && { expectedOutputTokens }),
       ...(only === undefined ? {} : { onlyVersion: only }),
       ...(not === undefined ? {} : { notVersion: not }),
--- a/packages/core/src/prompt-transfers/request-sources.ts
+++ b/packages/core/src/prompt-transfers/request-sources.ts
@@ -28,51 +28,56 @@
 /** Time of a transfer between data centres relative to one within a data centre. */
 const REMOTE_FACTOR = 2; // as the users specify
 
-/** Sources for the prompt of one request, compared for each endpoint that may get it. */
+/** Source with what does not depend on the endpoint that gets the request. */
+interface ComparedSource {
+  readonly source: PoolMember;
+  readonly missingTokens: number;
+  readonly sourceWaitMs: number;
+}
+
+/** Sources for the prompt of one request, compared for each endpoint that may get it, some hundred times a request. */
 export class RequestSources implements PromptSources {
+  private readonly sources: readonly ComparedSource[];
+
   constructor(
-    private readonly sources: readonly SourceOptions[],
+    sources: readonly SourceOptions[],
     private readonly estimates: TransferEstimates,
-  ) {}
+  ) {
+    this.sources = sources.map(({ member, uncachedTokens }) => ({
+      source: member,
+      missingTokens: uncachedTokens,
+      sourceWaitMs: this.waitMs(member),
+    }));
+  }
 
   transferTo(
     member: PoolMember,
     uncachedTokens: number,
   ): PromptTransfer | undefined {
     if (uncachedTokens < MIN_TRANSFER_TOKENS) return undefined;
-    const { prefillTokensPerMs } = this.estimates;
+    const { msPerToken, prefillTokensPerMs } = this.estimates;
+    const ownWaitMs = this.waitMs(member);
     let best: PromptTransfer | undefined;
     let bestSavedMs = 0;
-    for (const source of this.sources) {
-      const tokens = uncachedTokens - source.uncachedTokens;
-      if (tokens < MIN_TRANSFER_TOKENS) continue;
-      const isSame = source.member === member;
-      const { version } = source.member.record;
-      if (isSame || version !== member.record.version) continue;
-      const waitMs = this.waitMs(source.member, member);
-      const durationMs = this.durationMs(source.member, member, tokens);
+    for (const { missingTokens, source, sourceWaitMs } of this.sources) {
+      const tokens = uncachedTokens - missingTokens;
+      if (tokens < MIN_TRANSFER_TOKENS || source === member) continue;
+      if (source.record.version !== member.record.version) continue;
+      const isRemote = source.record.dataCentre !== member.record.dataCentre;
+      const durationMs = tokens * msPerToken * (isRemote ? REMOTE_FACTOR : 1);
+      const waitMs = Math.max(ownWaitMs, sourceWaitMs);
       const savedMs =
         tokens / prefillTokensPerMs - (waitMs + durationMs) * MIN_GAIN;
       if (!(savedMs > bestSavedMs)) continue;
       bestSavedMs = savedMs;
-      best = { source: source.member, tokens, waitMs, durationMs };
+      best = { source, tokens, waitMs, durationMs };
     }
     return best;
   }
 
-  private waitMs(source: PoolMember, member: PoolMember): number {
+  /** Returns the time until the known transfers of an engine end. */
+  private waitMs(member: PoolMember): number {
     const { busyUntilMs, nowMs } = this.estimates;
-    const freeAtMs = Math.max(busyUntilMs(source), busyUntilMs(member));
-    return Math.max(0, freeAtMs - nowMs);
-  }
-
-  private durationMs(
-    source: PoolMember,
-    member: PoolMember,
-    tokens: number,
-  ): number {
-    const isRemote = source.record.dataCentre !== member.record.dataCentre;
-    const localMs = tokens * this.estimates.msPerToken;
-    return isRemote ? localMs * REMOTE_FACTOR : localMs;
+    return Math.max(0, busyUntilMs(member) - nowMs);
   }
 }
--- a/packages/stand-ins/src/gateway/gateway-deployment.ts
+++ b/packages/stand-ins/src/gateway/gateway-deployment.ts
@@ -38,6 +38,8 @@
   readonly gateways: RunningGateway[] = [];
   /** Rule by which gateways that are started choose endpoints. */
   placement: PlacementRule = PlacementRule.LeastLatency;
+  /** Whether gateways that are started tell engines to fetch prompts from one another. */
+  transfersPrompts = false;
   storeAddress = ANY_PORT;
   cloudAddress = ANY_PORT;
   /** Region of each data centre, in the settings of gateways that are started later. */
@@ -143,7 +145,10 @@
       peerSecret,
       queue: this.queue,
       telemetry: { logLevel: LogLevel.Silent },
-      routing: { placement: this.placement },
+      routing: {
+        placement: this.placement,
+        transfersPrompts: this.transfersPrompts,
+      },
     });
   }
 }
