--- a/packages/core/src/forwarding/prompt-transfer.ts
+++ b/packages/core/src/forwarding/prompt-transfer.ts
@@ -82,5 +82,5 @@
   metrics.increment('attempts', 1, { end });
   if (promptSource === undefined) return;
   metrics.increment('promptTransfers', 1, { end });
-  metrics.increment('promptTransfer.expectedTokens', promptSource.tokens);
+  metrics.increment('promptTransfers.expectedTokens', promptSource.tokens);
 }
--- a/packages/core/src/forwarding/run-record.ts
+++ b/packages/core/src/forwarding/run-record.ts
@@ -8,8 +8,8 @@
 /** Run that a record is about. */
 export interface RecordedRun {
   readonly group: string;
-  readonly request: ForwardRequest;
-  readonly sequence: AttemptSequence;
+  readonly request: Pick<ForwardRequest, 'receivedAtMs'>;
+  readonly sequence: Pick<AttemptSequence, 'attempts' | 'obstacle'>;
   /** Undefined if the response is no stream. */
   readonly relay: StreamRelay | undefined;
 }
@@ -38,7 +38,10 @@
     this.dispatchedAfterMs = sentAtMs - this.run.request.receivedAtMs;
   }
 
-  recordPlacement({ placementFields, promptSource }: PoolReservation): void {
+  recordPlacement({
+    placementFields,
+    promptSource,
+  }: Pick<PoolReservation, 'placementFields' | 'promptSource'>): void {
     this.placement = {
       ...placementFields?.(),
       ...(promptSource && {
--- a/packages/stand-ins/src/gateway/gateway-transfers.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-transfers.test.ts
@@ -38,9 +38,12 @@
   }
 
   /** Sends a request whose prompt has a shared part and one of its own. */
-  async function stream({ addresses }: RunningGateway): Promise<number> {
+  async function stream(
+    { addresses }: RunningGateway,
+    path = '/drafts/a',
+  ): Promise<number> {
     requests += 1;
-    const { headers, path } = sampleCall(`r${requests}`, DEADLINE_MS, true);
+    const { headers } = sampleCall(`r${requests}`, DEADLINE_MS, true);
     const { body, statusCode } = await request(
       `http://${addresses.callers}${path}`,
       {
@@ -85,7 +88,7 @@
     const text = await body.text();
     const count = /promptTransfers_total\{end="answered"\} (\d+)/.exec(text);
     assert.equal(Number(count?.[1]), named.length);
-    assert.match(text, /promptTransfer_expectedTokens_total \d+/);
+    assert.match(text, /promptTransfers_expectedTokens_total \d+/);
   });
 
   it('names none unless its settings enable it, whatever callers name', async () => {
@@ -95,6 +98,21 @@
     assert.ok(sources().every(each => each === undefined));
   });
 
+  it('names none for a request that must not be repeated', async () => {
+    const gateway = await start(true);
+    await stream(gateway);
+    await Promise.all(
+      Array.from({ length: 24 }, () => stream(gateway, '/answers/a')),
+    );
+    assertNoFaults();
+    assert.ok(sources().length > 20);
+    assert.ok(
+      sources()
+        .slice(1)
+        .every(each => each === undefined),
+    );
+  });
+
   // An engine that waits for a source that is gone could otherwise fail each attempt of a request.
   it('names none in the attempt after one that named a source and failed', async () => {
     const gateway = await start(true);
