Count only known sources of prompts when endpoints are compared

Cause: the first of the rendezvous order was expected to have 90 in 100 tokens of a shared part. Where most parts are used once, it never got them: requests went to other engines, named it as their source, and prefilled everything, and the part was cached nowhere twice. Change: placement counts a transfer only from an engine that has delivered a first event for the part; expected sources are still named in the request.

--- a/packages/core/src/prompt-transfers/prompt-transfers.ts
+++ b/packages/core/src/prompt-transfers/prompt-transfers.ts
@@ -135,6 +135,7 @@
     return {
       member,
       uncachedTokens: Math.min(knownTokens, maxUncachedTokens),
+      isConfirmed: maxUncachedTokens === Infinity,
     };
   }
 }
