Read responses of endpoints without a stream and async generators

Cause: undici's request creates a readable stream for each response, and its chunks passed through two async generators; each chunk cost several promises in code that is mostly interpreted in a process's first minute.

Change: a handler of undici reads the response and is the iterator over its body. The body that records reachability passes on the iterator's results. Chunks that arrive together are still read together, and what is unread of a failed response is still lost.

--- a/packages/core/src/reachability/observed-upstream.ts
+++ b/packages/core/src/reachability/observed-upstream.ts
@@ -26,7 +26,8 @@
     try {
       const response = await this.upstream.send(call, signal);
       state.recordHeard(this.clock.nowMs());
-      return { ...response, body: this.observe(response.body, state, signal) };
+      const body = new ObservedBody(response.body, state, this.clock, signal);
+      return { ...response, body };
     } catch (error) {
       if (error instanceof NotSentError) {
         if (call.isEndpointUsable()) state.recordConnectFailure();
@@ -48,24 +49,53 @@
   acceptsConnections(endpoint: EndpointRecord): Promise<boolean> {
     return this.upstream.acceptsConnections(endpoint);
   }
+}
 
-  private async *observe(
-    body: AsyncIterable<Uint8Array>,
-    state: GroupReachability,
-    signal: AbortSignal,
-  ): AsyncGenerator<Uint8Array> {
-    // A stream that falls silent waits like a request that was just sent.
-    state.recordSent(this.clock.nowMs());
-    try {
-      for await (const chunk of body) {
-        state.recordHeard(this.clock.nowMs());
-        state.recordSent(this.clock.nowMs());
-        yield chunk;
-      }
-      state.recordHeard(this.clock.nowMs());
-    } catch (error) {
-      if (!signal.aborted) state.recordLostResponse();
-      throw error;
+/**
+ * Body of a response that records when its chunks arrive. It passes on the
+ * iterator's results, as an async generator costs several promises for each chunk.
+ */
+class ObservedBody implements AsyncIterableIterator<Uint8Array> {
+  private chunks: AsyncIterator<Uint8Array> | undefined;
+
+  constructor(
+    private readonly body: AsyncIterable<Uint8Array>,
+    private readonly state: GroupReachability,
+    private readonly clock: Clock,
+    private readonly signal: AbortSignal,
+  ) {}
+
+  [Symbol.asyncIterator](): this {
+    return this;
+  }
+
+  next(): Promise<IteratorResult<Uint8Array>> {
+    if (this.chunks === undefined) {
+      this.chunks = this.body[Symbol.asyncIterator]();
+      // A stream that falls silent waits like a request that was just sent.
+      this.state.recordSent(this.clock.nowMs());
     }
+    return this.chunks.next().then(this.onResult, this.onError);
   }
+
+  return(): Promise<IteratorResult<Uint8Array>> {
+    return (
+      this.chunks?.return?.() ??
+      Promise.resolve({ done: true, value: undefined })
+    );
+  }
+
+  private readonly onResult = (
+    result: IteratorResult<Uint8Array>,
+  ): IteratorResult<Uint8Array> => {
+    const nowMs = this.clock.nowMs();
+    this.state.recordHeard(nowMs);
+    if (result.done !== true) this.state.recordSent(nowMs);
+    return result;
+  };
+
+  private readonly onError = (error: unknown): never => {
+    if (!this.signal.aborted) this.state.recordLostResponse();
+    throw error;
+  };
 }
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -23,6 +23,7 @@
 import { BodyFraming, bodyFraming } from './body-framing.js';
 import type { RequestContext } from './metered-client.js';
 import { EndpointWithdrawnError, MeteredClient } from './metered-client.js';
+import { ResponseReader } from './response-reader.js';
 
 /** Time within which an endpoint on the same network accepts a connection. */
 const CONNECT_TIMEOUT_MS = 1_000; // the same as callers allow for a new connection
@@ -92,31 +93,30 @@
     // Read before sending: a response head and a reset may arrive together.
     const resetsBefore = connections.resetCount;
     try {
-      const options: Dispatcher.RequestOptions = {
+      const options: Dispatcher.DispatchOptions = {
         method: call.method,
         path: call.target,
         headers: [...call.headers],
         body: call.body ?? null,
-        signal,
-        responseHeaders: 'raw',
-        highWaterMark: MAX_UNREAD_BYTES,
       };
       const { isEndpointUsable, mayWrite = () => true } = call;
       const context: RequestContext = { isEndpointUsable, mayWrite };
       this.contexts.set(options, context);
-      const response = await connections.pool.request(options);
-      const { body } = response;
-      const headers = toRawHeaders(response.headers);
-      const framing = bodyFraming(call.method, response.statusCode, headers);
+      const reader = new ResponseReader(signal, MAX_UNREAD_BYTES);
+      connections.pool.dispatch(options, reader);
+      const { headers, status } = await reader.head;
+      const framing = bodyFraming(call.method, status, headers);
       if (framing === BodyFraming.Unknown)
         throw new Error('The response has an unknown transfer coding.');
       const isFramed = framing === BodyFraming.Explicit;
       return {
-        status: response.statusCode,
+        status,
         headers,
-        metadata: this.protocol.readResponse(response.statusCode, headers),
+        metadata: this.protocol.readResponse(status, headers),
         isFramed,
-        body: isFramed ? body : failOnReset(body, connections, resetsBefore),
+        body: isFramed
+          ? reader
+          : failOnReset(reader, connections, resetsBefore),
       };
     } catch (error) {
       const message = `Endpoint ${endpoint.id} did not respond (${String(error)}).`;
@@ -330,9 +330,3 @@
     'The connection was reset during a response without content-length or transfer-encoding.',
   );
 }
-
-/** Returns undici's raw headers, in which names and values alternate. */
-function toRawHeaders(headers: unknown): readonly string[] {
-  if (!Array.isArray(headers)) return [];
-  return headers.map(header => String(header));
-}
