Forward an event without promises where nothing waits

Cause: each event awaited the memory of its response and the caller's connection, also where neither had to wait, copied or allocated buffers that were empty or whole, and computed the start of the clock each time.

Change: ResponseWriter.write, StreamConsumer.flush and ForwardAttempt.hold return a promise only if they wait. An event that is a whole chunk is passed on as it is. SteadyClock reads its origin once.

--- a/packages/core/src/forwarding/event-splitter.ts
+++ b/packages/core/src/forwarding/event-splitter.ts
@@ -46,12 +46,21 @@
     let start = 0;
     let scan = findEventEnd(data, start, this.nextLine);
     while (scan.end !== undefined) {
-      const bytes = data.subarray(start, scan.end);
+      const isAll = start === 0 && scan.end === data.length;
+      const bytes = isAll ? data : data.subarray(start, scan.end);
       events.push({ bytes, id: readEventId(bytes) });
       start = scan.end;
       scan = findEventEnd(data, start, start);
     }
     this.nextLine = scan.nextLine - start;
+    this.keep(data, start);
+    return events;
+  }
+
+  /** Keeps the bytes of the incomplete event at `start`. */
+  private keep(data: Buffer, start: number): void {
+    const { pending } = this;
+    if (start === data.length && pending.length === 0) return;
     const rest = data.subarray(start);
     if (rest.length > MAX_EVENT_BYTES) {
       throw new EventTooLargeError(
@@ -59,16 +68,13 @@
       );
     }
     // Where no event ended, a chunk that fits has been appended already.
-    if (start > 0 || this.pending.length < data.length)
-      this.pending.reset(rest);
-    return events;
+    if (start > 0 || pending.length < data.length) pending.reset(rest);
   }
 
   /** Returns the bytes of the incomplete event with the chunk after them. */
   private join(chunk: Uint8Array): Buffer {
     const { pending } = this;
-    if (pending.length === 0)
-      return Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength);
+    if (pending.length === 0) return asBuffer(chunk);
     if (!pending.fits(chunk)) return Buffer.concat([pending.bytes, chunk]);
     pending.append(chunk);
     return pending.bytes;
@@ -103,6 +109,13 @@
   }
 }
 
+/** Returns the same bytes without a copy. */
+function asBuffer(chunk: Uint8Array): Buffer {
+  return Buffer.isBuffer(chunk)
+    ? chunk
+    : Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength);
+}
+
 function readEventId(bytes: Buffer): string | undefined {
   return /(?:^|\n)id: ?([^\r\n]*)/.exec(bytes.toString('latin1'))?.[1];
 }
--- a/packages/core/src/forwarding/forward-attempt.ts
+++ b/packages/core/src/forwarding/forward-attempt.ts
@@ -9,6 +9,7 @@
   verdictOfResult,
 } from './attempt-outcome.js';
 import { BodyBuffer } from './body-buffer.js';
+import { discardBody } from './discard-body.js';
 import type {
   EndpointStatements,
   ResponseMetadata,
@@ -51,13 +52,8 @@
 /** Maximum size of a response that is buffered before it is forwarded. */
 const MAX_BUFFERED_BYTES = 4_194_304; // the largest body of the users
 
-/** Maximum bytes of a refusal's body that are read so that its connection can be reused. */
-const MAX_DISCARDED_BYTES = 65_536; // reading them costs less than a new connection
 /** Time from the first event of a response within which a crash may be due to the request. */
 const MAX_CRASH_DELAY_MS = 300; // a crash that is due to the request follows within a few steps of the engine
-/** Maximum time for which a refusal's body is read. */
-const MAX_DISCARD_MS = 20; // a few round trips; the caller waits for it
-
 /** Events of a stream that are forwarded at once, and the interval at which further ones are; each costs processor time. */
 const EVENT_BURST = 2_048;
 const MIN_EVENT_INTERVAL_MS = 1;
@@ -165,7 +161,7 @@
     if (fault !== undefined) {
       // A refusal that is read to its end leaves its connection reusable.
       if (fault.kind !== AttemptEndKind.Failed) {
-        await this.discard(response.body);
+        await discardBody(this.deps.clock, response.body);
       }
       return fault;
     }
@@ -252,7 +248,8 @@
       for await (const chunk of chunks) {
         this.silence.recordProgress();
         if (!body.fits(chunk)) return undefined;
-        await this.hold(body.capacityWith(chunk));
+        const memory = this.hold(body.capacityWith(chunk));
+        if (memory !== undefined) await memory;
         body.append(chunk);
       }
       return body.take();
@@ -270,7 +267,8 @@
     for await (const chunk of response.body) {
       const nowMs = this.deps.clock.nowMs();
       const newEvents = stream.add(chunk);
-      await this.hold(stream.bufferedBytes);
+      const memory = this.hold(stream.bufferedBytes);
+      if (memory !== undefined) await memory;
       if (newEvents === 0) {
         this.silence.recordFruitless();
         continue;
@@ -280,8 +278,11 @@
       this.firstEventAtMs ??= nowMs;
       this.options.observation.recordEvents(newEvents, nowMs);
       this.reservation.recordEvents?.(newEvents);
-      this.silence.pause();
-      await stream.flush();
+      const flushed = stream.flush();
+      if (flushed !== undefined) {
+        this.silence.pause();
+        await flushed;
+      }
       pacedAtMs =
         Math.max(pacedAtMs, nowMs - EVENT_BURST * MIN_EVENT_INTERVAL_MS) +
         newEvents * MIN_EVENT_INTERVAL_MS;
@@ -297,9 +298,13 @@
     };
   }
 
+  /** Holds the memory that the response needs. Returns a promise only if it has to wait: each one costs processor time for each event. */
+  private hold(bytes: number): Promise<void> | undefined {
+    return this.memory.tryHold(bytes) ? undefined : this.waitToHold(bytes);
+  }
+
   /** Waits for the memory that the response needs; the endpoint is not silent meanwhile. */
-  private async hold(bytes: number): Promise<void> {
-    if (this.memory.tryHold(bytes)) return;
+  private async waitToHold(bytes: number): Promise<void> {
     this.silence.pause();
     await this.memory.wait(bytes);
     this.upstreamAbort.signal.throwIfAborted();
@@ -316,19 +321,6 @@
     return this.deps.upstream.acceptsConnections(endpoint);
   }
 
-  /** Reads a body that is not needed, as far as that is cheaper than a new connection. */
-  private async discard(body: AsyncIterable<Uint8Array>): Promise<void> {
-    const { clock } = this.deps;
-    const timer = new AbortController();
-    const timeout = clock
-      .waitUntil(clock.nowMs() + MAX_DISCARD_MS, timer.signal)
-      .catch(() => undefined); // the body ended first
-    // A refusal holds whether or not its body is complete.
-    const bodyEnd = readAll(body).catch(() => undefined);
-    await Promise.race([bodyEnd, timeout]);
-    cancel(timer);
-  }
-
   private resultOfError(error: unknown): AttemptOutcome {
     const { isSilent, noticedLateMs } = this.silence;
     if (this.options.signal.aborted)
@@ -363,11 +355,3 @@
     };
   }
 }
-
-async function readAll(body: AsyncIterable<Uint8Array>): Promise<void> {
-  let bytes = 0;
-  for await (const chunk of body) {
-    bytes += chunk.length;
-    if (bytes > MAX_DISCARDED_BYTES) return;
-  }
-}
--- a/packages/core/src/forwarding/forward-run.ts
+++ b/packages/core/src/forwarding/forward-run.ts
@@ -321,7 +321,7 @@
       : RunOutcome.Answered;
     const headers = protocol.responseHeaders(response.headers);
     this.sink.begin(response.status, headers);
-    void this.sink.write(response.body).then(() => {
+    void Promise.resolve(this.sink.write(response.body)).then(() => {
       response.memory.close();
     });
     this.sink.end();
--- a/packages/core/src/forwarding/growing-buffer.ts
+++ b/packages/core/src/forwarding/growing-buffer.ts
@@ -1,6 +1,8 @@
+const EMPTY = Buffer.alloc(0);
+
 /** Bytes collected from chunks of any size, copied so that no chunk is retained. */
 export class GrowingBuffer {
-  private buffer = Buffer.alloc(0);
+  private buffer = EMPTY;
   private usedBytes = 0;
 
   /** `maxBytes` bounds the capacity. */
@@ -46,7 +48,7 @@
 
   /** Replaces all that was collected. */
   reset(chunk: Uint8Array): void {
-    this.buffer = Buffer.alloc(0);
+    this.buffer = EMPTY;
     this.usedBytes = 0;
     if (chunk.length > 0) this.append(chunk);
   }
--- a/packages/core/src/forwarding/stream-consumer.ts
+++ b/packages/core/src/forwarding/stream-consumer.ts
@@ -18,8 +18,8 @@
   begin(response: EndpointResponse): void;
   /** Adds bytes and returns the number of events that they complete and that the caller does not have. */
   add(chunk: Uint8Array): number;
-  /** Forwards the events added; resolves once the caller's connection accepts more. */
-  flush(): Promise<void>;
+  /** Forwards the events added. Returns a promise that resolves once the caller's connection accepts more; undefined if it does already. */
+  flush(): Promise<void> | undefined;
   /** Ends the stream if its response is complete; `isEndConfirmed` is false where its endpoint may have crashed. */
   finish(isEndConfirmed: boolean): StreamEnd;
 }
--- a/packages/core/src/forwarding/stream-relay.ts
+++ b/packages/core/src/forwarding/stream-relay.ts
@@ -63,13 +63,13 @@
     return this.unsent.length;
   }
 
-  async flush(): Promise<void> {
+  flush(): Promise<void> | undefined {
     const events = this.unsent;
     const [firstEvent] = events;
-    if (firstEvent === undefined) return;
+    if (firstEvent === undefined) return undefined;
     this.unsent = [];
     this.startResponse();
-    await this.sink.write(
+    return this.sink.write(
       events.length === 1 ? firstEvent : Buffer.concat(events),
     );
   }
--- a/packages/core/src/forwarding/upstream.ts
+++ b/packages/core/src/forwarding/upstream.ts
@@ -45,8 +45,8 @@
 export interface ResponseWriter {
   /** The response is framed, so that it looks truncated also where this process is killed within it. */
   begin(status: number, headers: RawHeaders): void;
-  /** Resolves once the caller's connection accepts more data, or is closed. */
-  write(bytes: Uint8Array): Promise<void>;
+  /** Returns a promise that resolves once the caller's connection accepts more data, or is closed; undefined if it accepts more already. */
+  write(bytes: Uint8Array): Promise<void> | undefined;
   end(): void;
   /** Aborts the connection, so that the caller sees a truncated response. */
   destroy(): void;
--- a/packages/daemon/src/adapters/steady-clock.ts
+++ b/packages/daemon/src/adapters/steady-clock.ts
@@ -7,8 +7,11 @@
  * adjustments of the system time. Time in which the instance is paused does not count.
  */
 export class SteadyClock implements Clock {
+  /** Read once: the property is computed at each use. */
+  private readonly originMs = performance.timeOrigin;
+
   nowMs(): number {
-    return performance.timeOrigin + performance.now();
+    return this.originMs + performance.now();
   }
 
   waitUntil(atMs: number, signal?: AbortSignal): Promise<void> {
