Test the bound of the learned number also under light load

Loads drawn up to 60 requests for each endpoint hid a bound that was twice too high: the greatest load of a history was nearly always high. With light histories the property fails if the bound is a fifth too high.

--- a/packages/core/src/duties/learned-capacity.test.ts
+++ b/packages/core/src/duties/learned-capacity.test.ts
@@ -104,8 +104,8 @@
   const stepArbitrary = fc.record({
     seconds: fc.integer({ min: 1, max: 12 }),
     total: fc.nat(400),
-    lateShare: fc.constantFrom(0, 0, 0.01, 0.1, 1),
-    load: fc.double({ min: 0, max: 60, noNaN: true }),
+    lateShare: fc.constantFrom(0, 0, 0, 0.01, 0.1, 1),
+    load: fc.constantFrom(0, 2, 4),
   });
 
   // A burst comes before ordered endpoints have started, and a reclaim takes a whole data centre.
@@ -113,14 +113,16 @@
     const prices = { a: 1, b: 1, c: 1, d: 1 };
     const property = fc.property(
       fc.array(stepArbitrary, { maxLength: 20 }),
+      fc.constantFrom(1, 2, 15),
       fc.constantFrom(2, 8, 12, 16, 48),
       fc.constantFrom(0.2, 0.5),
       fc.integer({ min: 1, max: 5_000 }),
-      (history, slots, reclaimablePrice, peakInFlight) => {
+      (history, loadFactor, slots, reclaimablePrice, peakInFlight) => {
         const learner = new Learner();
         const initial = Math.min(8, slots * 0.75);
         let worst = initial;
-        for (const { lateShare, load, seconds, total } of history) {
+        for (const { lateShare, seconds, total, ...each } of history) {
+          const load = each.load * loadFactor;
           const late = Math.floor(total * lateShare);
           learner.observe(seconds, [total, late], load, { slots });
           worst = Math.max(worst, load * 2.5 * (4 / 3));
