Share the suite of the two test files of the process soak

process-soak-load.test.ts repeated the loop of process-soak.test.ts. Both list their runs for describeSoaks now; the runs and what they assert are unchanged.

--- a/packages/stand-ins/src/process-soak/process-soak.test.ts
+++ b/packages/stand-ins/src/process-soak/process-soak.test.ts
@@ -1,28 +1,11 @@
-import assert from 'node:assert/strict';
-import { describe, it } from 'node:test';
-
-import { bundleProgram } from './bundle-program.js';
-import { ProcessSoak } from './process-soak.js';
 import { SoakProfile } from './soak-profile.js';
+import { describeSoaks } from './soak-suite.js';
 
-const DURATION_MS = 12_000;
-const SHORT_DURATION_MS = 6_000;
-const RUNS: readonly (readonly [SoakProfile, number, number])[] = [
-  [SoakProfile.All, 1, DURATION_MS],
-  [SoakProfile.All, 3, DURATION_MS],
-  [SoakProfile.All, 90, DURATION_MS],
-  [SoakProfile.Store, 4, SHORT_DURATION_MS],
-  [SoakProfile.Silence, 4, SHORT_DURATION_MS],
-  [SoakProfile.Evacuations, 4, DURATION_MS],
-];
-
-describe('daemons as processes under overlapping faults', () => {
-  const program = bundleProgram();
-  for (const [profile, seed, durationMs] of RUNS) {
-    it(`answer or refuse all requests with seed ${seed} of profile ${profile}`, async () => {
-      const soak = new ProcessSoak(seed, program, profile);
-      const { violations } = await soak.run(durationMs);
-      assert.equal(violations.join('\n'), '');
-    });
-  }
-});
+describeSoaks('daemons as processes under overlapping faults', [
+  { profile: SoakProfile.All, seed: 1, durationMs: 12_000 },
+  { profile: SoakProfile.All, seed: 3, durationMs: 12_000 },
+  { profile: SoakProfile.All, seed: 90, durationMs: 12_000 },
+  { profile: SoakProfile.Store, seed: 4, durationMs: 6_000 },
+  { profile: SoakProfile.Silence, seed: 4, durationMs: 6_000 },
+  { profile: SoakProfile.Evacuations, seed: 4, durationMs: 12_000 },
+]);
