Let requests wait for their own endpoints, and refuse them once evacuated

Cause: the queue knew only the capacity of a whole group. A request limited to its home regions, or kept from a version, was refused as if nothing were reachable when only its own endpoints were paused. A waiting request learned that its home data centres were evacuated only when it was sent.

Change: such requests wait for their endpoints, bounded by their objective and deadline like others, and hold up no other request. The endpoints are looked at again when one is expected to take a request, after 250 ms at the latest, once for all requests that may use the same ones. Without a queue, and once they are late, they are refused with the time at which one of their own endpoints takes a request. An evacuation that begins is checked against all waiting requests at once.

--- a/packages/core/src/dispatch-queue/dispatch-queue.ts
+++ b/packages/core/src/dispatch-queue/dispatch-queue.ts
@@ -14,6 +14,7 @@
 import { RefusalBacklog } from './refusal-backlog.js';
 import { compareClasses, isTooLate, isUseful } from './request-order.js';
 import { spreadReturnMs } from './return-time.js';
+import { ScopeHolds } from './scope-holds.js';
 import { orderByTurns } from './service-order.js';
 import { WorkspaceShares } from './workspace-shares.js';
 
@@ -49,6 +50,8 @@
  * seconds old. A linear scan finds the next request: queues hold a few hundred.
  */
 export class DispatchQueue {
+  /** What waits for endpoints of its own; no other request waits for it. */
+  readonly holds = new ScopeHolds();
   private waiting: readonly QueuedRequest[] = [];
   private inFlightCount = 0;
   private restsUntilMs = -Infinity;
@@ -91,13 +94,14 @@
    */
   offer(request: QueuedRequest, room: GroupRoom, nowMs: number): QueueDecision {
     this.updateShare(room);
-    const isFirst = this.waiting.length === 0;
+    const isFirst = this.sendable(nowMs).length === 0;
     if (isFirst) this.rate.clear();
     if (isTooLate(request, nowMs))
       return this.refuse(request, QueueRefusal.TooLate, nowMs);
     if (isClosed(room) && !isUseful(request, nowMs))
       return this.send(request, nowMs);
-    if (isFirst && this.hasRoom(room, nowMs) && this.maySend(request, nowMs))
+    const isNext = isFirst && !this.holds.isHeld(request, nowMs);
+    if (isNext && this.hasRoom(room, nowMs) && this.maySend(request, nowMs))
       return this.send(request, nowMs);
     if (this.isHopeless(request, nowMs))
       return this.refuse(request, QueueRefusal.TooLate, nowMs);
@@ -196,7 +200,8 @@
   recordLoad(load: ReportedLoad, nowMs: number): void {
     const limit = this.inFlightLimit(nowMs);
     const isBinding =
-      this.waiting.length > 0 || this.inFlightCount >= limit * BINDING_SHARE;
+      this.sendable(nowMs).length > 0 ||
+      this.inFlightCount >= limit * BINDING_SHARE;
     this.limit.recordLoad(load, this.equalShare, isBinding, nowMs);
   }
 
@@ -256,14 +261,15 @@
 
   /** Takes the request that is next in the order, or the oldest one if it is its turn; undefined if none may be sent. */
   private takeNext(nowMs: number): QueuedRequest | undefined {
-    const [first] = this.waiting;
+    const waiting = this.sendable(nowMs);
+    const [first] = waiting;
     if (first === undefined) return undefined;
     const isOldestsTurn = this.sentFromQueue % OLDEST_INTERVAL === 0;
     const isBefore = (one: QueuedRequest, other: QueuedRequest) =>
       isOldestsTurn
         ? one.receivedAtMs < other.receivedAtMs
         : this.compare(one, other, nowMs) < 0;
-    const next = this.waiting.reduce(
+    const next = waiting.reduce(
       (best, each) => (isBefore(each, best) ? each : best),
       first,
     );
@@ -299,7 +305,7 @@
       isTooLate(request, nowMs + (this.expectedWaitMs(ahead, nowMs) ?? 0));
     // Its turn matters only if it would be too late as the last one.
     if (!isTooLateBehind(this.waiting.length)) return false;
-    const all = [...this.waiting, request];
+    const all = [...this.sendable(nowMs), request];
     const ordered = orderByTurns(all, this.shares, nowMs);
     return isTooLateBehind(ordered.indexOf(request));
   }
@@ -309,7 +315,8 @@
     if (nowMs < this.checkWaitsAtMs) return;
     this.checkWaitsAtMs = nowMs + WAIT_CHECK_INTERVAL_MS;
     if (this.rate.perMs(nowMs) === undefined) return;
-    const ordered = orderByTurns(this.waiting, this.shares, nowMs);
+    const waiting = this.sendable(nowMs);
+    const ordered = orderByTurns(waiting, this.shares, nowMs);
     const hopeless: QueuedRequest[] = [];
     for (const [index, request] of ordered.entries()) {
       const ahead = index - hopeless.length;
@@ -335,6 +342,10 @@
     return true;
   }
 
+  private sendable(nowMs: number): readonly QueuedRequest[] {
+    return this.holds.sendable(this.waiting, nowMs);
+  }
+
   private add(request: QueuedRequest): void {
     this.waiting = [...this.waiting, request];
   }
--- a/packages/core/src/dispatch-queue/fakes/samples.ts
+++ b/packages/core/src/dispatch-queue/fakes/samples.ts
@@ -17,6 +17,7 @@
     deadlineAtMs: 4_000,
     expectedServiceMs: 100,
     bytes: 100,
+    scope: '',
     ...overrides,
   };
 }
@@ -33,6 +34,8 @@
     objectiveAtMs: 1_000,
     deadlineAtMs: 4_000,
     bytes: 100,
+    scope: '',
+    closedForMs: () => undefined,
     recheck: () => undefined,
     ...overrides,
   };
--- a/packages/core/src/dispatch-queue/group-gate.ts
+++ b/packages/core/src/dispatch-queue/group-gate.ts
@@ -23,6 +23,9 @@
 /** Share of its time limit above which a request's expected service time is not taken, so that slow responses cannot make a group refuse all. */
 const MAX_SERVICE_SHARE = 0.5;
 
+/** Longest time for which requests wait for their own endpoints without another look: others may be listed or warm before. */
+const MAX_HOLD_MS = 250; // a fraction of the shortest latency objective, at one look for all of them
+
 interface Waiter {
   readonly sinceMs: number;
   readonly request: QueuedRequest;
@@ -131,9 +134,15 @@
     this.apply(this.queue.refuseWaiting(), this.deps.clock.nowMs());
   }
 
+  /** Refuses the waiting requests that are no longer admitted. */
+  recheckWaiting(): void {
+    for (const [key, waiter] of this.waiters)
+      if (!this.isAdmitted(key, waiter)) this.queue.remove(key);
+  }
+
   private toQueued(key: string, call: GatedCall): QueuedRequest {
     const { bytes, deadlineAtMs, objectiveAtMs, priority } = call;
-    const { receivedAtMs, route, workspace } = call;
+    const { receivedAtMs, route, scope, workspace } = call;
     const maxServiceMs = (deadlineAtMs - receivedAtMs) * MAX_SERVICE_SHARE;
     return {
       requestId: key,
@@ -147,6 +156,7 @@
         maxServiceMs,
       ),
       bytes,
+      scope,
     };
   }
 
@@ -208,6 +218,11 @@
       this.hasFreedPlace = true;
       return isClosed;
     }
+    if (this.queue.holds.isHeld(request, nowMs)) {
+      this.queue.putBack(request, nowMs);
+      this.hasFreedPlace = true;
+      return isClosed;
+    }
     const mayWait = isUseful(request, nowMs);
     // Looking at all endpoints for each of these requests took processor time by the product of both.
     let reservation: PoolReservation | undefined;
@@ -225,6 +240,15 @@
         this.queue.putBack(request, nowMs);
         return true;
       }
+      const closedForMs = call.closedForMs(nowMs);
+      if (closedForMs !== undefined) {
+        const holdMs = Math.min(closedForMs, MAX_HOLD_MS);
+        this.queue.holds.hold(request.scope, nowMs + holdMs);
+        this.deps.metrics.increment('queue.holds', 1, { group: this.group });
+        this.queue.putBack(request, nowMs);
+        this.hasFreedPlace = true;
+        return isClosed;
+      }
     }
     this.waiters.delete(key);
     if (reservation === undefined) {
@@ -284,8 +308,7 @@
     const version = this.deps.configurationVersion();
     if (version === this.checkedVersion) return;
     this.checkedVersion = version;
-    for (const [key, waiter] of this.waiters)
-      if (!this.isAdmitted(key, waiter)) this.queue.remove(key);
+    this.recheckWaiting();
   }
 
   /** Checks a request again that has waited; ends its wait with the error if it is no longer admitted. */
--- a/packages/core/src/dispatch-queue/queue-gate.ts
+++ b/packages/core/src/dispatch-queue/queue-gate.ts
@@ -68,6 +68,11 @@
     for (const gate of this.gates.values()) gate.refuseWaiting();
   }
 
+  /** Refuses the waiting requests that are no longer admitted. */
+  recheckWaiting(): void {
+    for (const gate of this.gates.values()) gate.recheckWaiting();
+  }
+
   /** Returns the state of the queue of each group that had requests, for the operators. */
   dumpState(nowMs: number): readonly GroupQueueState[] {
     return [...this.gates.values()].map(gate => gate.dumpState(nowMs));
--- a/packages/core/src/dispatch-queue/queued-request.ts
+++ b/packages/core/src/dispatch-queue/queued-request.ts
@@ -13,6 +13,8 @@
   readonly expectedServiceMs: number;
   /** Size of the body, which stays in memory while the request waits. */
   readonly bytes: number;
+  /** Names the endpoints that the request may use. */
+  readonly scope: string;
 }
 
 export enum QueueDecisionKind {
--- a/packages/core/src/evacuations/evacuations.ts
+++ b/packages/core/src/evacuations/evacuations.ts
@@ -16,6 +16,7 @@
   private state: EvacuationState = { revision: 0, dataCentres: [] };
   private evacuated: ReadonlySet<DataCentre> = new Set();
   private readonly endListeners: ((dataCentre: DataCentre) => void)[] = [];
+  private readonly beginListeners: (() => void)[] = [];
 
   /** Revision of the newest state; 0 before the first. */
   get revision(): number {
@@ -38,6 +39,8 @@
       if (next.has(dataCentre)) continue;
       for (const listener of this.endListeners) listener(dataCentre);
     }
+    if (dataCentres.some(each => !before.has(each)))
+      for (const listener of this.beginListeners) listener();
     return true;
   }
 
@@ -45,6 +48,11 @@
     return this.evacuated.has(dataCentre);
   }
 
+  /** Calls the listener once further data centres are evacuated. */
+  onBegin(listener: () => void): void {
+    this.beginListeners.push(listener);
+  }
+
   /** Calls the listener with each data centre whose evacuation has ended. */
   onEnd(listener: (dataCentre: DataCentre) => void): void {
     this.endListeners.push(listener);
--- a/packages/core/src/forwarding/dispatch-gate.ts
+++ b/packages/core/src/forwarding/dispatch-gate.ts
@@ -26,7 +26,11 @@
   readonly deadlineAtMs: number;
   /** Size of the body in bytes. */
   readonly bytes: number;
-  /** Throws `ForwardError` if the request is no longer admitted: its route or workspace was removed, its home regions exclude some that it had, or it was found to crash endpoints. */
+  /** Names the endpoints of the group that the request may use; equal for those that may use the same ones. */
+  readonly scope: string;
+  /** Returns the milliseconds until one of these may be sent a request; undefined if one may be now, or none accepts new requests. */
+  readonly closedForMs: (nowMs: number) => number | undefined;
+  /** Throws `ForwardError` if the request is no longer admitted: its route or workspace was removed, its home regions exclude some that it had or are evacuated, or it was found to crash endpoints. */
   readonly recheck: () => void;
 }
 
--- a/packages/core/src/forwarding/endpoint-pool.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -106,6 +106,22 @@
     assert.equal(pool.busyForMs('ledger', 0), 200);
   });
 
+  // It was told to return at once, although only endpoints of another version or data centre were free.
+  it('names the wait at those endpoints that a request may use', () => {
+    const pool = createPool([], 1, undefined, {
+      ...UNGUARDED,
+      waitMs: ({ id }) => (id === 'busy' ? 300 : 0),
+    });
+    const busy = sampleEndpoint('busy', { dataCentre: 'south-1' });
+    const free = sampleEndpoint('free', { version: 'v2' });
+    pool.apply({ revision: 9, endpoints: [busy, free] });
+    const allowedDataCentres = new Set(['south-1']);
+    assert.equal(pool.busyForMs('ledger', 0), undefined);
+    assert.equal(pool.busyForMs('ledger', 0, { allowedDataCentres }), 300);
+    assert.equal(pool.busyForMs('ledger', 0, { notVersion: 'v2' }), 300);
+    assert.equal(pool.busyForMs('ledger', 0, { notVersion: 'v1' }), undefined);
+  });
+
   it('sends a cold endpoint only what its guard lets through, and prefers the others', () => {
     const waits = new Map([['a', 0]]);
     let ended = 0;
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -6,6 +6,7 @@
 import type { EndpointLoad } from './endpoint-load.js';
 import type { EndpointListing, EndpointRecord } from './endpoint-record.js';
 import { findRetainable } from './endpoint-retention.js';
+import type { EndpointScope } from './endpoint-scope.js';
 import { matchesRoom } from './group-room.js';
 import { LeastLatencyPlacement } from './least-latency-placement.js';
 import { MemberGuards } from './member-guards.js';
@@ -179,11 +180,17 @@
 
   /**
    * Returns the milliseconds after which a caller may return that is rejected now
-   * because of the rate limits of a group's endpoints; undefined if not all have one.
+   * because of the rate limits of the endpoints that it may use; undefined if not all have one.
    */
-  scheduleReturnMs(group: string, nowMs: number): number | undefined {
+  scheduleReturnMs(
+    group: string,
+    nowMs: number,
+    scope: EndpointScope = {},
+  ): number | undefined {
     const { limiter } = this.options;
-    const ready = this.readyEndpoints(group, nowMs);
+    const ready = this.readyEndpoints(group, nowMs).filter(each =>
+      matchesQuery(each, scope),
+    );
     if (ready.length === 0) return undefined;
     if (ready.some(each => limiter.waitMs(each) === undefined))
       return undefined;
@@ -191,13 +198,18 @@
   }
 
   /**
-   * Returns the milliseconds until one of a group's endpoints may be sent a request;
-   * undefined if one may be now, or none accepts new requests.
+   * Returns the milliseconds until one of a group's endpoints in a scope may be sent a
+   * request; undefined if one may be now, or none accepts new requests.
    */
-  busyForMs(group: string, nowMs: number): number | undefined {
+  busyForMs(
+    group: string,
+    nowMs: number,
+    scope: EndpointScope = {},
+  ): number | undefined {
     let waitMs = Infinity;
     for (const member of this.members.inGroup(group)) {
       if (waitMs === 0) break;
+      if (!matchesQuery(member.record, scope)) continue;
       if (this.guards.isUsable(member, nowMs))
         waitMs = Math.min(waitMs, this.guards.waitMs(member, nowMs));
     }
--- a/packages/core/src/forwarding/forward-data-centres.test.ts
+++ b/packages/core/src/forwarding/forward-data-centres.test.ts
@@ -155,6 +155,27 @@
     assert.deepEqual(evacuated.upstream.calls, []);
   });
 
+  // It was told to return in 500 ms, as if no endpoint were reachable.
+  it('is told when one of its own endpoints may be sent a request, where these are paused', async () => {
+    const pausing = { metadata: { isNotRun: true, pauseMs: 2_000 } };
+    const harness = createHarness([pausing], { ...home, maxAttempts: 1 });
+    const own = harness.pool
+      .endpoints()
+      .filter(each => each.dataCentre === SOUTH);
+    for (const { id } of own)
+      assert.equal(
+        (await harness.serve())?.kind,
+        ForwardErrorKind.Overloaded,
+        id,
+      );
+    assert.equal(new Set(calledDataCentres(harness)).size, 1);
+    await harness.clock.advanceTo(harness.clock.nowMs() + 500);
+    const error = await harness.serve();
+    assert.equal(error?.kind, ForwardErrorKind.Overloaded);
+    assert.equal(error.retryInMs, 1_500);
+    assert.equal(harness.upstream.calls.length, own.length);
+  });
+
   it('is passed on only through peers in these regions or in that of its daemon', async () => {
     const harness = createHarness([{}], home, new Map([['p1', {}]]));
     harness.relay.cut();
--- a/packages/core/src/forwarding/forward-queue.test.ts
+++ b/packages/core/src/forwarding/forward-queue.test.ts
@@ -114,6 +114,20 @@
     }
   });
 
+  it('is refused as not run if its home data centres are evacuated as it waits', async () => {
+    const { gate, harness } = create();
+    const served = harness.serve();
+    const recheck = () => {
+      gate.calls[0]?.recheck();
+    };
+    harness.evacuations.apply({ revision: 1, dataCentres: ['south-1'] });
+    assert.doesNotThrow(recheck);
+    harness.evacuations.apply({ revision: 2, dataCentres: ['north-1'] });
+    assert.throws(recheck, { kind: ForwardErrorKind.Evacuated });
+    harness.callerAbort.abort();
+    await served;
+  });
+
   // Tokens that were deducted on arrival let requests reach endpoints together with later ones, beyond the rate limit.
   it('uses tokens once it is sent, and none if the queue refuses it', async () => {
     const tokenRate = {
--- a/packages/core/src/forwarding/gated-call.ts
+++ b/packages/core/src/forwarding/gated-call.ts
@@ -1,6 +1,8 @@
 import type { AttemptHistory, AttemptRecord } from './attempt-history.js';
 import { AttemptEndKind } from './attempt-outcome.js';
+import { dataCentreBarrierError } from './data-centre-gate.js';
 import type { GatePass } from './dispatch-gate.js';
+import { endpointScopeOf } from './endpoint-scope.js';
 import {
   homeRegionsChangedError,
   requestBlockedError,
@@ -15,11 +17,12 @@
  * no queue, or if a peer passed the request on, where it has waited.
  */
 export function openPass(
-  { configuration, crashGuard, dispatchGate }: ForwarderDependencies,
+  deps: ForwarderDependencies,
   context: RunContext,
   deadlineAtMs: number,
 ): GatePass | undefined {
-  const { group, relayed, request, resolved } = context;
+  const { configuration, crashGuard, dataCentres, dispatchGate, pool } = deps;
+  const { group, homes, relayed, request, resolved } = context;
   if (relayed !== undefined) return undefined;
   const { body, metadata, receivedAtMs, requestId, target } = request;
   const { route, workspace } = resolved;
@@ -33,10 +36,15 @@
     objectiveAtMs: receivedAtMs + route.latencyObjectiveMs,
     deadlineAtMs,
     bytes: body?.byteLength ?? 0,
+    scope: [...(homes?.endpointDataCentres ?? [])].sort().join(),
+    closedForMs: nowMs =>
+      pool.busyForMs(group, nowMs, endpointScopeOf(deps, context)),
     recheck: () => {
       const { homeRegions } = resolveRequest(configuration, metadata, target);
       if (!includesAll(homeRegions, resolved.homeRegions))
         throw homeRegionsChangedError();
+      const barrier = dataCentres.findBarrier(group, homes);
+      if (barrier !== undefined) throw dataCentreBarrierError(barrier, group);
       const blockedForMs = crashGuard.blockedForMs(context.suspectIds);
       if (blockedForMs !== undefined) throw requestBlockedError(blockedForMs);
     },
--- a/packages/core/src/forwarding/pool-member.ts
+++ b/packages/core/src/forwarding/pool-member.ts
@@ -60,7 +60,11 @@
 /** Returns whether the query allows the endpoint's version and data centre. */
 export function matchesQuery(
   { dataCentre, version }: EndpointRecord,
-  { allowedDataCentres, notVersion, onlyVersion }: PoolQuery,
+  {
+    allowedDataCentres,
+    notVersion,
+    onlyVersion,
+  }: Pick<PoolQuery, 'allowedDataCentres' | 'notVersion' | 'onlyVersion'>,
 ): boolean {
   if (version === notVersion) return false;
   if (allowedDataCentres?.has(dataCentre) === false) return false;
--- a/packages/core/src/forwarding/run-failure.ts
+++ b/packages/core/src/forwarding/run-failure.ts
@@ -1,6 +1,7 @@
 import { AttemptEndKind } from './attempt-outcome.js';
 import type { DataCentreBarrier } from './data-centre-gate.js';
 import { dataCentreBarrierError } from './data-centre-gate.js';
+import { endpointScopeOf } from './endpoint-scope.js';
 import {
   ForwardError,
   ForwardErrorKind,
@@ -31,16 +32,19 @@
 
 /** Returns the error by which the daemon itself answers a request whose run ended without a response. */
 export function createRunError(
-  { clock, dataCentres, pool }: ForwarderDependencies,
-  { group, homes }: RunContext,
+  deps: ForwarderDependencies,
+  context: RunContext,
   end: Pick<RunFailure, 'isTimedOut' | 'last' | 'mayHaveRun'>,
 ): ForwardError {
+  const { clock, dataCentres, pool } = deps;
+  const { group, homes } = context;
+  const scope = endpointScopeOf(deps, context);
   return toForwardError({
     ...end,
     group,
     barrier: dataCentres.findBarrier(group, homes),
-    limitedForMs: () => pool.scheduleReturnMs(group, clock.nowMs()),
-    busyForMs: () => pool.busyForMs(group, clock.nowMs()),
+    limitedForMs: () => pool.scheduleReturnMs(group, clock.nowMs(), scope),
+    busyForMs: () => pool.busyForMs(group, clock.nowMs(), scope),
   });
 }
 
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -110,6 +110,9 @@
   const byWork = createLeastWork(context, () => duties.trueTime.nowMs());
   const queueSources = () => ({ pool, cluster, knownDaemons, reachability });
   const queue = new GatewayQueue(context, configuration, queueSources);
+  evacuations.onBegin(() => {
+    queue.gate?.recheckWaiting();
+  });
   const pool: EndpointPool = new EndpointPool(context.random, {
     dataCentre: settings.identity.dataCentre,
     prefillTokensPerMs: settings.routing.prefillTokensPerMs,
--- a/packages/daemon/src/gateway/queued-forwarding.test.ts
+++ b/packages/daemon/src/gateway/queued-forwarding.test.ts
@@ -2,6 +2,9 @@
 import { describe, it } from 'node:test';
 
 import { QueueGate } from '@skylarkreach/core/dispatch-queue';
+import type { ForwardRoute } from '@skylarkreach/core/forwarding';
+import { ForwardErrorKind } from '@skylarkreach/core/forwarding';
+import type { ScriptedResponse } from '@skylarkreach/core/forwarding/fakes';
 import {
   ForwarderHarness,
   sampleEndpoint,
@@ -15,6 +18,19 @@
 
 /** Returns a daemon before one endpoint that does not answer, with its places taken. */
 async function createFull() {
+  const harness = create([{ isHanging: true }], route);
+  harness.listRecords([sampleEndpoint('e1', { slots: 1 })]);
+  const busy = Array.from({ length: PLACES }, () => harness.serve());
+  await harness.clock.advanceTo(1_010);
+  assert.equal(harness.upstream.calls.length, PLACES);
+  return { busy, harness };
+}
+
+/** Returns a daemon whose requests wait for capacity. */
+function create(
+  script: readonly ScriptedResponse[],
+  servedRoute: ForwardRoute,
+): ForwarderHarness {
   let harness: ForwarderHarness | undefined = undefined;
   const current = (): ForwarderHarness => {
     assert.ok(harness !== undefined);
@@ -35,15 +51,27 @@
     isCutOff: () => current().relay.isUnreachable(),
     configurationVersion: () => 1,
   });
-  harness = new ForwarderHarness([{ isHanging: true }], route, {
+  harness = new ForwarderHarness(script, servedRoute, {
     dispatchGate: gate,
     peers: new Map([['peer', {}]]),
   });
-  harness.listRecords([sampleEndpoint('e1', { slots: 1 })]);
-  const busy = Array.from({ length: PLACES }, () => current().serve());
-  await harness.clock.advanceTo(1_010);
-  assert.equal(harness.upstream.calls.length, PLACES);
-  return { busy, harness };
+  harness.evacuations.onBegin(() => {
+    gate.recheckWaiting();
+  });
+  return harness;
+}
+
+/** Returns a daemon before a paused endpoint in the home region of requests and a free one elsewhere. */
+async function createPaused() {
+  const pausing = { metadata: { isNotRun: true, pauseMs: 700 } };
+  const home = { ...route, homeRegions: ['south'], maxAttempts: 1 };
+  const harness = create([pausing, {}], home);
+  harness.listRecords([
+    sampleEndpoint('home', { dataCentre: 'south-1' }),
+    sampleEndpoint('elsewhere'),
+  ]);
+  assert.equal((await harness.serve())?.kind, ForwardErrorKind.Overloaded);
+  return harness;
 }
 
 describe('a request that waits at the queue of a gateway', () => {
@@ -59,4 +87,27 @@
     assert.equal(await served, undefined);
     assert.equal(harness.upstream.calls.length, PLACES);
   });
+
+  // It was refused, as if no endpoint were reachable.
+  it('waits where only the endpoints in its home regions are paused', async () => {
+    const harness = await createPaused();
+    const served = harness.serve();
+    await harness.clock.advanceTo(1_690);
+    assert.equal(harness.upstream.calls.length, 1);
+    await harness.clock.advanceTo(1_760);
+    assert.equal(await served, undefined);
+    assert.equal(harness.upstream.calls[1]?.endpoint.id, 'home');
+  });
+
+  // It learned of the evacuation only as it was sent.
+  it('is refused as not run when the evacuation of its home regions is applied', async () => {
+    const harness = await createPaused();
+    const served = harness.serve();
+    await harness.clock.advanceTo(1_100);
+    harness.evacuations.apply({ revision: 1, dataCentres: ['south-1'] });
+    const refused = await served;
+    assert.equal(harness.clock.nowMs(), 1_100);
+    assert.equal(refused?.kind, ForwardErrorKind.Evacuated);
+    assert.equal(refused.httpStatus, 503);
+  });
 });
