--- a/packages/core/src/forwarding/least-latency-placement.ts
+++ b/packages/core/src/forwarding/least-latency-placement.ts
@@ -76,10 +76,7 @@
   ): number {
     const queuedRequests = Math.max(0, running + 1 - member.record.slots);
     const uncachedTokens = this.uncachedTokens(member, query);
-    const transfer = query.promptSources?.confirmedTransferTo(
-      member,
-      uncachedTokens,
-    );
+    const transfer = query.promptSources?.transferTo(member, uncachedTokens);
     const ownTokens = uncachedTokens - (transfer?.tokens ?? 0);
     const prefillTokens =
       member.backlogTokens +
--- a/packages/core/src/forwarding/prompt-transfer.ts
+++ b/packages/core/src/forwarding/prompt-transfer.ts
@@ -23,11 +23,6 @@
     member: PoolMember,
     uncachedTokens: number,
   ): PromptTransfer | undefined;
-  /** As `transferTo`, but only from engines that are known to have the shared parts: what is only expected must not draw requests away from the engine that keeps their prompt. */
-  confirmedTransferTo(
-    member: PoolMember,
-    uncachedTokens: number,
-  ): PromptTransfer | undefined;
 }
 
 /** Endpoints among which the sources of a prompt are found. */
--- a/packages/core/src/placement/least-work-placement.ts
+++ b/packages/core/src/placement/least-work-placement.ts
@@ -181,10 +181,7 @@
     const knownTokens = member.backlogTokens + load.backlogTokens;
     const waitMs = Math.max(dueTokens * WAITING_SHARE, knownTokens) / perMs;
     const uncachedTokens = expectedUncachedTokens(member, query);
-    const transfer = query.promptSources?.confirmedTransferTo(
-      member,
-      uncachedTokens,
-    );
+    const transfer = query.promptSources?.transferTo(member, uncachedTokens);
     const prefillTokens = uncachedTokens - (transfer?.tokens ?? 0);
     const prefillMs = prefillTokens / perMs;
     const transferMs = arrivalMs(transfer);
--- a/packages/core/src/prompt-transfers/prompt-transfers.ts
+++ b/packages/core/src/prompt-transfers/prompt-transfers.ts
@@ -135,7 +135,6 @@
     return {
       member,
       uncachedTokens: Math.min(knownTokens, maxUncachedTokens),
-      isConfirmed: maxUncachedTokens === Infinity,
     };
   }
 }
--- a/packages/core/src/prompt-transfers/request-sources.ts
+++ b/packages/core/src/prompt-transfers/request-sources.ts
@@ -9,8 +9,6 @@
   readonly member: PoolMember;
   /** Tokens of the prompt that are expected to be missing there. */
   readonly uncachedTokens: number;
-  /** Whether a first event has shown that it has the shared parts. */
-  readonly isConfirmed: boolean;
 }
 
 export interface TransferEstimates {
@@ -33,7 +31,6 @@
 /** Source with what does not depend on the endpoint that gets the request. */
 interface ComparedSource {
   readonly source: PoolMember;
-  readonly isConfirmed: boolean;
   readonly missingTokens: number;
   readonly sourceWaitMs: number;
 }
@@ -41,46 +38,28 @@
 /** Sources for the prompt of one request, compared for each endpoint that may get it, some hundred times a request. */
 export class RequestSources implements PromptSources {
   private readonly sources: readonly ComparedSource[];
-  private readonly confirmedSources: readonly ComparedSource[];
 
   constructor(
     sources: readonly SourceOptions[],
     private readonly estimates: TransferEstimates,
   ) {
-    this.sources = sources.map(({ isConfirmed, member, uncachedTokens }) => ({
+    this.sources = sources.map(({ member, uncachedTokens }) => ({
       source: member,
-      isConfirmed,
       missingTokens: uncachedTokens,
       sourceWaitMs: this.waitMs(member),
     }));
-    this.confirmedSources = this.sources.filter(each => each.isConfirmed);
   }
 
   transferTo(
     member: PoolMember,
     uncachedTokens: number,
-  ): PromptTransfer | undefined {
-    return this.bestTransfer(this.sources, member, uncachedTokens);
-  }
-
-  confirmedTransferTo(
-    member: PoolMember,
-    uncachedTokens: number,
-  ): PromptTransfer | undefined {
-    return this.bestTransfer(this.confirmedSources, member, uncachedTokens);
-  }
-
-  private bestTransfer(
-    sources: readonly ComparedSource[],
-    member: PoolMember,
-    uncachedTokens: number,
   ): PromptTransfer | undefined {
     if (uncachedTokens < MIN_TRANSFER_TOKENS) return undefined;
     const { msPerToken, prefillTokensPerMs } = this.estimates;
     const ownWaitMs = this.waitMs(member);
     let best: PromptTransfer | undefined;
     let bestSavedMs = 0;
-    for (const { missingTokens, source, sourceWaitMs } of sources) {
+    for (const { missingTokens, source, sourceWaitMs } of this.sources) {
       const tokens = uncachedTokens - missingTokens;
       if (tokens < MIN_TRANSFER_TOKENS || source === member) continue;
       if (source.record.version !== member.record.version) continue;
