Let placement count on confirmed sources of prompts only

The cost counted a transfer from engines that all daemons prefer for a part, although these often lack it.

A source that is only likely is still named for the endpoint that is chosen, but changes neither its cost nor its backlog. What remains to prefill after a transfer is what the source lacks as well.

--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -24,7 +24,7 @@
 import type { PoolReservation } from './pool-reservation.js';
 import { AttemptVerdict } from './pool-reservation.js';
 import { PreferredMembers } from './preferred-members.js';
-import { promptSourceOf } from './prompt-transfer.js';
+import { promptSourceOf, tokensToPrefill } from './prompt-transfer.js';
 import { RoomCounts } from './room-counts.js';
 import { createStatementRecorders } from './statement-recorders.js';
 
@@ -278,7 +278,7 @@
       query.promptTokens > 0
         ? member.promptCache.uncachedTokens(query.promptParts)
         : 0;
-    const transfer = query.promptSources?.transferTo(
+    const transfer = query.promptSources?.requestFor(
       member,
       this.placement.uncachedTokens?.(member, query) ?? 0,
     );
@@ -292,7 +292,7 @@
     );
     const { promptTransfers } = this.options;
     const prompt = promptTransfers?.observe(member, query, transfer, nowMs);
-    const prefillTokens = Math.max(0, uncachedTokens - (transfer?.tokens ?? 0));
+    const prefillTokens = tokensToPrefill(uncachedTokens, transfer);
     member.running += 1;
     member.sentSinceLoadReport += 1;
     member.backlogTokens += prefillTokens;
--- a/packages/core/src/forwarding/least-latency-placement.ts
+++ b/packages/core/src/forwarding/least-latency-placement.ts
@@ -77,7 +77,7 @@
     const queuedRequests = Math.max(0, running + 1 - member.record.slots);
     const uncachedTokens = this.uncachedTokens(member, query);
     const transfer = query.promptSources?.transferTo(member, uncachedTokens);
-    const ownTokens = uncachedTokens - (transfer?.tokens ?? 0);
+    const ownTokens = transfer?.remainingTokens ?? uncachedTokens;
     const prefillTokens =
       member.backlogTokens +
       load.backlogTokens +
--- a/packages/core/src/forwarding/prompt-transfer.ts
+++ b/packages/core/src/forwarding/prompt-transfer.ts
@@ -10,19 +10,28 @@
   readonly source: PoolMember;
   /** Tokens that the source is expected to have and the other engine to lack. */
   readonly tokens: number;
+  /** Tokens that the source is expected to lack as well, so that they are prefilled. */
+  readonly remainingTokens: number;
   /** Expected wait in milliseconds for other transfers of the two engines. */
   readonly waitMs: number;
   /** Expected time of the transfer itself in milliseconds. */
   readonly durationMs: number;
+  /** Whether the source is known to have had the tokens of late, rather than likely to. */
+  readonly isConfirmed: boolean;
 }
 
 /** Engines from which the prompt of one request can be fetched. */
 export interface PromptSources {
-  /** Returns the transfer to an engine that is expected to lack `uncachedTokens` of the prompt; undefined if prefill is not expected to take longer. */
+  /** Returns the transfer to count on at an engine that is expected to lack `uncachedTokens` of the prompt; undefined if no source is confirmed, or prefill is not expected to take longer. */
   transferTo(
     member: PoolMember,
     uncachedTokens: number,
   ): PromptTransfer | undefined;
+  /** Returns the transfer to request for the engine that gets the request; where there is none to count on, from a source that is likely to have the prompt. */
+  requestFor(
+    member: PoolMember,
+    uncachedTokens: number,
+  ): PromptTransfer | undefined;
 }
 
 /** Endpoints among which the sources of a prompt are found. */
@@ -68,6 +77,16 @@
   return { endpoint: source.record, tokens };
 }
 
+/** Returns how many of the uncached tokens are to be prefilled, whatever else a source may have that is not confirmed. */
+export function tokensToPrefill(
+  uncachedTokens: number,
+  transfer: PromptTransfer | undefined,
+): number {
+  return transfer?.isConfirmed === true
+    ? Math.min(uncachedTokens, transfer.remainingTokens)
+    : uncachedTokens;
+}
+
 /** Time of a transfer until it has arrived, in milliseconds; 0 if there is none. */
 export function arrivalMs(transfer: PromptTransfer | undefined): number {
   return transfer === undefined ? 0 : transfer.waitMs + transfer.durationMs;
--- a/packages/core/src/placement/least-work-placement.ts
+++ b/packages/core/src/placement/least-work-placement.ts
@@ -182,7 +182,7 @@
     const waitMs = Math.max(dueTokens * WAITING_SHARE, knownTokens) / perMs;
     const uncachedTokens = expectedUncachedTokens(member, query);
     const transfer = query.promptSources?.transferTo(member, uncachedTokens);
-    const prefillTokens = uncachedTokens - (transfer?.tokens ?? 0);
+    const prefillTokens = transfer?.remainingTokens ?? uncachedTokens;
     const prefillMs = prefillTokens / perMs;
     const transferMs = arrivalMs(transfer);
     const averageFirstMs = waitMs + transferMs + prefillMs + slotWaitMs;
--- a/packages/core/src/prompt-transfers/prompt-transfers.test.ts
+++ b/packages/core/src/prompt-transfers/prompt-transfers.test.ts
@@ -3,13 +3,14 @@
 
 import fc from 'fast-check';
 
+import { warmEndpoint } from '../fakes/index.js';
 import type {
   EndpointRecord,
-  PoolMember,
   PoolQuery,
   TransferCapacity,
 } from '../forwarding/index.js';
 import {
+  AttemptVerdict,
   createPoolMember,
   EndpointPool,
   EndpointState,
@@ -27,35 +28,17 @@
 const FAST: TransferCapacity = { bytesPerToken: 18_432, bytesPerMs: 22.5e6 };
 /** A token takes 0.0094 ms, prefill 0.0111 ms. */
 const SLOW: TransferCapacity = { bytesPerToken: 327_680, bytesPerMs: 35e6 };
+/** Prefill always takes less time. */
+const NEVER: TransferCapacity = { bytesPerToken: 1e9, bytesPerMs: 1 };
 const SHARED = { id: 'shared', tokens: 13_300 };
 const QUERY: PoolQuery = {
-  group: 'engines',
+  group: 'ledger',
   excluded: new Set(),
   promptParts: [SHARED, { id: 'own', tokens: 3_700 }],
   promptTokens: 17_000,
   mayTransferPrompt: true,
 };
 
-function recordOf(
-  id: string,
-  overrides: Partial<EndpointRecord> = {},
-): EndpointRecord {
-  return {
-    id,
-    address: `${id}:80`,
-    group: QUERY.group,
-    dataCentre: 'north-1',
-    version: 'v1',
-    slots: 4,
-    state: EndpointState.Ready,
-    coldRemainingMs: 0,
-    isReclaimable: false,
-    leavesInMs: undefined,
-    bornAtMs: 1,
-    ...overrides,
-  };
-}
-
 class TestDaemon {
   nowMs = 10_000;
   readonly evacuated = new Set<string>();
@@ -66,7 +49,7 @@
 
   constructor(
     records: readonly EndpointRecord[],
-    capacity: TransferCapacity | undefined = FAST,
+    capacity = FAST,
     placesByWork = false,
   ) {
     const random = new SeededRandom(1);
@@ -102,15 +85,12 @@
   /** Reserves an endpoint for a request with the shared part and an own one. */
   reserve(only?: string, overrides: Partial<PoolQuery> = {}) {
     this.requests += 1;
-    const ids = this.pool.endpoints().map(({ id }) => id);
-    const excluded = only === undefined ? [] : ids.filter(id => id !== only);
+    const all = this.pool.endpoints().map(({ id }) => id);
+    const excluded = new Set(only && all.filter(id => id !== only));
+    const own = { id: `own ${this.requests}`, tokens: 3_700 };
+    const query = { ...QUERY, promptParts: [SHARED, own], excluded };
     const reservation = this.pool.reserve(
-      {
-        ...QUERY,
-        promptParts: [SHARED, { id: `own ${this.requests}`, tokens: 3_700 }],
-        excluded: new Set(excluded),
-        ...overrides,
-      },
+      { ...query, ...overrides },
       this.nowMs,
     );
     assert.ok(reservation);
@@ -133,7 +113,7 @@
 }
 
 const IDS = ['a', 'b', 'c', 'd', 'e', 'f'];
-const RECORDS = IDS.map(id => recordOf(id));
+const RECORDS = IDS.map(id => warmEndpoint(id));
 
 /** Returns the endpoint that all daemons prefer for the shared part, and one that they do not prefer. */
 function rankedIds(): { readonly first: string; readonly last: string } {
@@ -175,82 +155,98 @@
   });
 
   it('names none where prefill costs less, or the request may not', () => {
-    const [own] = QUERY.promptParts.slice(-1);
-    assert.ok(own);
-    const filled = (daemon: TestDaemon) => {
+    const filled = (capacity: TransferCapacity) => {
+      const daemon = new TestDaemon(RECORDS, capacity);
       daemon.fill('a');
       return daemon;
     };
-    const daemon = filled(new TestDaemon(RECORDS));
+    const daemon = filled(FAST);
     assert.equal(daemon.sourceAt('b'), 'a');
     assert.equal(daemon.sourceAt('c', { mayTransferPrompt: false }), undefined);
-    assert.equal(daemon.sourceAt('c', { promptParts: [own] }), undefined);
-    const short = [{ id: 'shared', tokens: 300 }, own];
-    assert.equal(daemon.sourceAt('c', { promptParts: short }), undefined);
-    const without = { bytesPerToken: 1e9, bytesPerMs: 1 };
-    for (const capacity of [without, { bytesPerToken: 1, bytesPerMs: 0 }])
-      assert.equal(
-        filled(new TestDaemon(RECORDS, capacity)).sourceAt('b'),
-        undefined,
-      );
+    const own = { id: 'own', tokens: 3_700 };
+    const short = { id: 'shared', tokens: 300 };
+    for (const promptParts of [[own], [short, own]])
+      assert.equal(daemon.sourceAt('c', { promptParts }), undefined);
+    for (const capacity of [NEVER, { bytesPerToken: 1, bytesPerMs: 0 }])
+      assert.equal(filled(capacity).sourceAt('b'), undefined);
   });
 
   it('counts a transfer between data centres twice', () => {
-    const records = [
-      recordOf('a'),
-      recordOf('b', { dataCentre: 'south-1' }),
-      recordOf('c'),
-    ];
-    const daemon = new TestDaemon(records, SLOW);
+    const remote = warmEndpoint('b', { dataCentre: 'south-1' });
+    const daemon = new TestDaemon(
+      [warmEndpoint('a'), remote, warmEndpoint('c')],
+      SLOW,
+    );
     daemon.fill('a');
     assert.equal(daemon.sourceAt('b'), undefined);
     assert.equal(daemon.sourceAt('c'), 'a');
   });
 
-  it('names none that leaves, pauses, is silent, fails, is evacuated, not allowed, of another version or restarted', () => {
-    const pair = (source: Partial<EndpointRecord> = {}) => {
-      const records = [recordOf('a', source), recordOf('b')];
-      const daemon = new TestDaemon(records);
+  const abroad = { dataCentre: 'south-1' };
+  const allowedDataCentres = new Set(['north-1']);
+  const unusable: Readonly<Record<string, (daemon: TestDaemon) => void>> = {
+    leaves: daemon => {
+      daemon.reserve('a').recordLeaving();
+    },
+    pauses: daemon => {
+      daemon.paused.record(warmEndpoint('a'), 500);
+    },
+    'is silent': daemon => {
+      daemon.reserve('a').recordSilence(daemon.nowMs);
+    },
+    fails: daemon => {
+      daemon.reserve('a').release(AttemptVerdict.Failed, daemon.nowMs);
+    },
+    'is evacuated': daemon => {
+      daemon.evacuated.add('south-1');
+    },
+    drains: daemon => {
+      const draining = { ...abroad, state: EndpointState.Draining };
+      daemon.list([warmEndpoint('a', draining), warmEndpoint('b')]);
+    },
+    'has started again': daemon => {
+      daemon.list([
+        warmEndpoint('a', { ...abroad, bornAtMs: 2 }),
+        warmEndpoint('b'),
+      ]);
+      daemon.reserve('a');
+    },
+  };
+  for (const [reason, make] of Object.entries(unusable)) {
+    it(`names no endpoint that ${reason}`, () => {
+      const daemon = new TestDaemon([
+        warmEndpoint('a', abroad),
+        warmEndpoint('b'),
+      ]);
       daemon.fill('a');
-      return daemon;
+      make(daemon);
+      assert.equal(daemon.sourceAt('b'), undefined);
+    });
+  }
+
+  it('names no endpoint of another version or outside the home regions', () => {
+    const sourceOf = (source: object, query: Partial<PoolQuery> = {}) => {
+      const daemon = new TestDaemon([
+        warmEndpoint('a', source),
+        warmEndpoint('b'),
+      ]);
+      daemon.fill('a');
+      return daemon.sourceAt('b', query);
     };
-    assert.equal(pair().sourceAt('b'), 'a');
-    assert.equal(pair({ version: 'v2' }).sourceAt('b'), undefined);
-    const leaving = pair();
-    leaving.reserve('a').recordLeaving();
-    assert.equal(leaving.sourceAt('b'), undefined);
-    const paused = pair();
-    paused.paused.record(recordOf('a'), 500);
-    assert.equal(paused.sourceAt('b'), undefined);
-    const silent = pair();
-    silent.reserve('a').recordSilence(silent.nowMs);
-    assert.equal(silent.sourceAt('b'), undefined);
-    const evacuated = pair({ dataCentre: 'south-1' });
-    evacuated.evacuated.add('south-1');
-    assert.equal(evacuated.sourceAt('b'), undefined);
-    const allowedDataCentres = new Set(['north-1']);
-    const abroad = pair({ dataCentre: 'south-1' });
-    assert.equal(abroad.sourceAt('b', { allowedDataCentres }), undefined);
-    const draining = pair();
-    draining.list([
-      recordOf('a', { state: EndpointState.Draining }),
-      recordOf('b'),
-    ]);
-    assert.equal(draining.sourceAt('b'), undefined);
-    const gone = pair();
-    gone.list([recordOf('b')]);
-    assert.equal(gone.sourceAt('b'), undefined);
+    assert.equal(sourceOf(abroad), 'a');
+    assert.equal(sourceOf({ version: 'v2' }), undefined);
+    assert.equal(sourceOf(abroad, { allowedDataCentres }), undefined);
   });
 
   it('bounds the transfers in progress from one endpoint, and names another holder beyond', () => {
-    const daemon = new TestDaemon(IDS.map(id => recordOf(id)));
+    const daemon = new TestDaemon(IDS.map(id => warmEndpoint(id)));
     daemon.fill('a');
     const [, ...targets] = IDS;
     const running = targets.map(id => daemon.reserve(id));
     const sources = running.map(each => each.promptSource?.endpoint.id);
     assert.equal(sources.filter(id => id === 'a').length, 3);
     for (const each of running) each.release(undefined, daemon.nowMs);
-    daemon.list([recordOf('a'), recordOf('g')]);
+    daemon.list([warmEndpoint('a'), warmEndpoint('g')]);
     assert.equal(daemon.sourceAt('g'), 'a');
   });
 
@@ -269,66 +265,66 @@
 
   for (const placesByWork of [false, true]) {
     it(`uses a free endpoint where the one that has the prompt is busy (leastWork: ${placesByWork})`, () => {
-      const choose = (capacity: TransferCapacity | undefined) => {
-        const daemon = new TestDaemon(
-          [recordOf('a', { slots: 40 }), recordOf('b', { slots: 40 })],
-          capacity,
-          placesByWork,
-        );
+      const choose = (capacity: TransferCapacity) => {
+        const ends = ['a', 'b'].map(id => warmEndpoint(id, { slots: 40 }));
+        const daemon = new TestDaemon(ends, capacity, placesByWork);
         daemon.fill('a');
         for (let count = 0; count < 15; count += 1)
           daemon.reserve('a').recordFirstEvent(daemon.nowMs);
         return daemon.reserve().endpoint.id;
       };
-      assert.equal(choose({ bytesPerToken: 1e9, bytesPerMs: 1 }), 'a');
+      assert.equal(choose(NEVER), 'a');
       assert.equal(choose(FAST), 'b');
     });
   }
 
+  // Requests went to engines whose sources had nothing, and shared parts were prefilled more often than without transfers.
+  it('counts on no source of which this daemon does not know that it has the part', () => {
+    const { last } = rankedIds();
+    const tokensAt = (knowsHolder: boolean) => {
+      const daemon = new TestDaemon(RECORDS);
+      if (knowsHolder) daemon.fill(last);
+      const target = IDS.find(id => id !== last) ?? '';
+      const { promptSource } = daemon.reserve(target);
+      assert.ok(promptSource);
+      return daemon.pool.ownLoad().get(target)?.backlogTokens;
+    };
+    assert.equal(tokensAt(true), 3_700);
+    assert.equal(tokensAt(false), 17_000);
+  });
+
   it('never names the endpoint itself, another version or a transfer that takes longer than prefill', () => {
     const members = ['a', 'b', 'c', 'd'].map((id, index) =>
       createPoolMember(
-        recordOf(id, {
+        warmEndpoint(id, {
           version: index === 2 ? 'v2' : 'v1',
           dataCentre: index % 2 === 0 ? 'north-1' : 'south-1',
         }),
       ),
     );
-    const amount = fc.double({ min: 0, max: 50_000, noNaN: true });
+    const upTo = (max: number) => fc.double({ min: 0, max, noNaN: true });
     const member = fc.constantFrom(...members);
-    const source = fc.record({ member, uncachedTokens: amount });
-    const estimates = fc.record({
-      msPerToken: fc.oneof(
-        fc.double({ min: 0, max: 0.05, noNaN: true }),
-        fc.constantFrom(NaN, Infinity),
-      ),
-      prefillTokensPerMs: fc.double({ min: 1, max: 200, noNaN: true }),
-      busy: fc.array(fc.double({ min: 0, max: 300, noNaN: true }), {
-        minLength: 4,
-        maxLength: 4,
-      }),
-    });
+    const source = fc.record({ member, uncachedTokens: upTo(50_000) });
+    const sources = fc.array(source, { maxLength: 3 });
+    const msPerToken = fc.oneof(upTo(0.05), fc.constantFrom(NaN, Infinity));
+    const rate = fc.double({ min: 1, max: 200, noNaN: true });
     fc.assert(
       fc.property(
-        fc.array(source, { maxLength: 3 }),
-        estimates,
-        member,
-        amount,
-        (sources, { busy, ...rates }, target, uncachedTokens) => {
-          const busyUntilMs = (each: PoolMember) =>
-            1_000 + (busy[members.indexOf(each)] ?? 0);
-          const requestSources = new RequestSources(sources, {
-            ...rates,
-            busyUntilMs,
-            nowMs: 1_000,
-          });
-          const transfer = requestSources.transferTo(target, uncachedTokens);
+        fc.tuple(sources, sources, member, upTo(50_000)),
+        fc.tuple(msPerToken, rate, upTo(300)),
+        ([confirmed, likely, target, uncachedTokens], [ms, perMs, busyMs]) => {
+          const transfer = new RequestSources(confirmed, () => likely, {
+            msPerToken: ms,
+            prefillTokensPerMs: perMs,
+            busyUntilMs: ({ record }) => (record.id === 'a' ? busyMs : 0),
+            nowMs: 0,
+          }).requestFor(target, uncachedTokens);
           if (transfer === undefined) return;
           assert.notEqual(transfer.source, target);
           assert.equal(transfer.source.record.version, target.record.version);
           assert.ok(transfer.tokens <= uncachedTokens);
           const totalMs = transfer.waitMs + transfer.durationMs;
-          assert.ok(totalMs < transfer.tokens / rates.prefillTokensPerMs);
+          assert.ok(totalMs < transfer.tokens / perMs);
         },
       ),
       { seed: 7, numRuns: 500 },
--- a/packages/core/src/prompt-transfers/prompt-transfers.ts
+++ b/packages/core/src/prompt-transfers/prompt-transfers.ts
@@ -11,7 +11,6 @@
 import { sumTokens } from '../forwarding/index.js';
 import { missShareAt } from '../placement/index.js';
 import { PartHolders } from './part-holders.js';
-import type { SourceOptions } from './request-sources.js';
 import { MIN_TRANSFER_TOKENS, RequestSources } from './request-sources.js';
 import { TransferLoad } from './transfer-load.js';
 
@@ -22,8 +21,11 @@
   readonly transferOf: (group: string) => TransferCapacity | undefined;
 }
 
-/** Number of sources that are compared for a request. */
-const MAX_SOURCES = 3;
+/** Number of engines to which this daemon sent a part that are compared for a request. */
+const MAX_CONFIRMED = 3;
+/** Number of engines that all daemons prefer that are, and among how many first ones they are found. */
+const MAX_LIKELY = 2; // one more than the engine that gets the request
+const MAX_RANKED = 6;
 /** Number of transfers from one engine that this daemon has in progress. */
 const MAX_SENDING = 3; // peers have as many unseen; longer queues of slow transfers lose against prefill before
 /** Time since the last first event for which an engine is expected to have a part. */
@@ -57,27 +59,29 @@
     const isSource = (member: PoolMember) =>
       candidates.isUsable(member) && this.mayServe(member, nowMs);
     const holders = this.holders.of(query.group, partId);
-    const sources = holders
+    const confirmed = holders
       .filter(each => nowMs - each.confirmedAtMs < HOLDER_TTL_MS)
       .filter(({ member }) => isSource(member))
-      .slice(-MAX_SOURCES)
+      .slice(-MAX_CONFIRMED)
       .reverse()
-      .map(({ member }) => this.sourceOf(member, query, Infinity));
-    let rank = 0;
-    for (const member of candidates.ranked.slice(0, 2 * MAX_SOURCES)) {
-      if (sources.length >= MAX_SOURCES) break;
-      const holder = holders.find(each => each.member === member);
-      const isKnown = sources.some(each => each.member === member);
-      // The part may still be in prefill there.
-      const isAwaited = holder !== undefined && holder.awaitingFirst > 0;
-      if (isKnown || isAwaited || !isSource(member)) continue;
-      const ownTokens = query.promptParts.at(-1)?.tokens ?? 0;
-      const missingTokens = ownTokens + sharedTokens * missShareAt(rank);
-      sources.push(this.sourceOf(member, query, missingTokens));
-      rank += 1;
-    }
-    if (sources.length === 0) return undefined;
-    return new RequestSources(sources, {
+      .map(({ member }) => ({
+        member,
+        uncachedTokens: member.promptCache.uncachedTokens(query.promptParts),
+      }));
+    // The part may still be in prefill where this daemon has sent it.
+    const isAwaited = (member: PoolMember) =>
+      holders.some(each => each.member === member && each.awaitingFirst > 0);
+    const ownTokens = query.promptParts.at(-1)?.tokens ?? 0;
+    const findLikely = () =>
+      candidates.ranked
+        .slice(0, MAX_RANKED)
+        .filter(member => !isAwaited(member) && isSource(member))
+        .slice(0, MAX_LIKELY)
+        .map((member, rank) => ({
+          member,
+          uncachedTokens: ownTokens + sharedTokens * missShareAt(rank),
+        }));
+    return new RequestSources(confirmed, findLikely, {
       msPerToken: capacity.bytesPerToken / capacity.bytesPerMs,
       prefillTokensPerMs: this.options.prefillTokensPerMs,
       busyUntilMs: member => this.load.busyUntilMs(member),
@@ -124,17 +128,4 @@
       member.health.failureShare(nowMs) < MAX_FAILURE_SHARE
     );
   }
-
-  /** Returns a source that lacks what this daemon knows, and at most `maxUncachedTokens`. */
-  private sourceOf(
-    member: PoolMember,
-    { promptParts }: PoolQuery,
-    maxUncachedTokens: number,
-  ): SourceOptions {
-    const knownTokens = member.promptCache.uncachedTokens(promptParts);
-    return {
-      member,
-      uncachedTokens: Math.min(knownTokens, maxUncachedTokens),
-    };
-  }
 }
--- a/packages/core/src/prompt-transfers/request-sources.ts
+++ b/packages/core/src/prompt-transfers/request-sources.ts
@@ -28,56 +28,64 @@
 /** Time of a transfer between data centres relative to one within a data centre. */
 const REMOTE_FACTOR = 2; // as the users specify
 
-/** Source with what does not depend on the endpoint that gets the request. */
-interface ComparedSource {
-  readonly source: PoolMember;
-  readonly missingTokens: number;
-  readonly sourceWaitMs: number;
-}
-
 /** Sources for the prompt of one request, compared for each endpoint that may get it, some hundred times a request. */
 export class RequestSources implements PromptSources {
-  private readonly sources: readonly ComparedSource[];
-
+  /** `findLikely` returns the engines that are likely to have the prompt, which this daemon does not know. */
   constructor(
-    sources: readonly SourceOptions[],
+    private readonly confirmed: readonly SourceOptions[],
+    private readonly findLikely: () => readonly SourceOptions[],
     private readonly estimates: TransferEstimates,
-  ) {
-    this.sources = sources.map(({ member, uncachedTokens }) => ({
-      source: member,
-      missingTokens: uncachedTokens,
-      sourceWaitMs: this.waitMs(member),
-    }));
-  }
+  ) {}
 
   transferTo(
     member: PoolMember,
     uncachedTokens: number,
+  ): PromptTransfer | undefined {
+    return this.best(this.confirmed, true, member, uncachedTokens);
+  }
+
+  requestFor(
+    member: PoolMember,
+    uncachedTokens: number,
+  ): PromptTransfer | undefined {
+    return (
+      this.transferTo(member, uncachedTokens) ??
+      this.best(this.findLikely(), false, member, uncachedTokens)
+    );
+  }
+
+  /** Returns the transfer that saves most time; undefined if none saves any. */
+  private best(
+    sources: readonly SourceOptions[],
+    isConfirmed: boolean,
+    member: PoolMember,
+    uncachedTokens: number,
   ): PromptTransfer | undefined {
     if (uncachedTokens < MIN_TRANSFER_TOKENS) return undefined;
     const { msPerToken, prefillTokensPerMs } = this.estimates;
-    const ownWaitMs = this.waitMs(member);
     let best: PromptTransfer | undefined;
     let bestSavedMs = 0;
-    for (const { missingTokens, source, sourceWaitMs } of this.sources) {
-      const tokens = uncachedTokens - missingTokens;
+    for (const { member: source, uncachedTokens: remainingTokens } of sources) {
+      const tokens = uncachedTokens - remainingTokens;
       if (tokens < MIN_TRANSFER_TOKENS || source === member) continue;
       if (source.record.version !== member.record.version) continue;
       const isRemote = source.record.dataCentre !== member.record.dataCentre;
       const durationMs = tokens * msPerToken * (isRemote ? REMOTE_FACTOR : 1);
-      const waitMs = Math.max(ownWaitMs, sourceWaitMs);
+      const waitMs = this.waitMs(source, member);
       const savedMs =
         tokens / prefillTokensPerMs - (waitMs + durationMs) * MIN_GAIN;
       if (!(savedMs > bestSavedMs)) continue;
       bestSavedMs = savedMs;
-      best = { source, tokens, waitMs, durationMs };
+      const times = { waitMs, durationMs };
+      best = { source, tokens, remainingTokens, ...times, isConfirmed };
     }
     return best;
   }
 
-  /** Returns the time until the known transfers of an engine end. */
-  private waitMs(member: PoolMember): number {
+  /** Returns the time until the known transfers of both engines end. */
+  private waitMs(source: PoolMember, member: PoolMember): number {
     const { busyUntilMs, nowMs } = this.estimates;
-    return Math.max(0, busyUntilMs(member) - nowMs);
+    const freeAtMs = Math.max(busyUntilMs(source), busyUntilMs(member));
+    return Math.max(0, freeAtMs - nowMs);
   }
 }
--- a/packages/stand-ins/src/gateway/gateway-transfers.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-transfers.test.ts
@@ -91,27 +91,26 @@
     assert.match(text, /promptTransfers_expectedTokens_total \d+/);
   });
 
-  it('names none unless its settings enable it, whatever callers name', async () => {
-    const gateway = await start(false);
-    await Promise.all(Array.from({ length: 24 }, () => stream(gateway)));
-    assertNoFaults();
-    assert.ok(sources().every(each => each === undefined));
-  });
-
-  it('names none for a request that must not be repeated', async () => {
-    const gateway = await start(true);
-    await stream(gateway);
-    await Promise.all(
-      Array.from({ length: 24 }, () => stream(gateway, '/answers/a')),
-    );
-    assertNoFaults();
-    assert.ok(sources().length > 20);
-    assert.ok(
-      sources()
-        .slice(1)
-        .every(each => each === undefined),
-    );
-  });
+  for (const { enabled, path, when } of [
+    {
+      enabled: false,
+      path: '/drafts/a',
+      when: 'its settings do not enable it',
+    },
+    {
+      enabled: true,
+      path: '/answers/a',
+      when: 'a request must not be repeated',
+    },
+  ])
+    it(`names none where ${when}, whatever callers name`, async () => {
+      const gateway = await start(enabled);
+      const crowd = Array.from({ length: 24 }, () => stream(gateway, path));
+      await Promise.all(crowd);
+      assertNoFaults();
+      assert.ok(sources().length > 20);
+      assert.ok(sources().every(each => each === undefined));
+    });
 
   // An engine that waits for a source that is gone could otherwise fail each attempt of a request.
   it('names none in the attempt after one that named a source and failed', async () => {
