--- a/packages/core/src/forwarding/forward-cuts.test.ts
+++ b/packages/core/src/forwarding/forward-cuts.test.ts
@@ -88,6 +88,24 @@
     }
   });
 
+  // No endpoint behind a peer could get a stream back, so that it was cut.
+  it('goes on by itself once its links are back where its peers have failed it', async () => {
+    const step = { metadata, chunks: [eventText(1)], isTruncated: true };
+    const peers = new Map(['p1', 'p2'].map(id => [id, step]));
+    const script = [silent, rest];
+    const harness = new ForwarderHarness(script, draftRoute, { peers });
+    const served = harness.serve();
+    await harness.clock.advanceTo(START_MS + 100);
+    harness.relay.cut();
+    await harness.clock.advanceTo(START_MS + 1_000);
+    assert.equal(harness.relay.sent.length, draftRoute.maxAttempts);
+    harness.relay.restore();
+    await harness.clock.advanceTo(START_MS + 1_500);
+    assert.equal(harness.sink.text, eventText(1, 2, 3));
+    assert.ok(harness.sink.isEnded);
+    assert.equal(await served, undefined);
+  });
+
   it('runs on no more endpoints behind peers than the route allows', async () => {
     const step = { metadata, chunks: [eventText(1)], isTruncated: true };
     const peers = new Map(['p1', 'p2', 'p3', 'p4'].map(id => [id, step]));
--- a/packages/stand-ins/src/gateway/gateway-placement.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-placement.test.ts
@@ -7,12 +7,14 @@
 import { PlacementRule } from '@skylarkreach/daemon';
 import { sampleCall } from '@skylarkreach/platform/stand-ins';
 
+import { LinkState } from './endpoint-links.js';
 import type { RunningGateway } from './gateway-deployment.js';
 import { GatewayDeployment } from './gateway-deployment.js';
 
 const DEADLINE_MS = 4_000;
 const REPORT = { running: 2, waiting: 0, slots: 8, slowdown: 1.5 };
 const POLL_MS = 50;
+const WAIT_MS = 20_000;
 
 /** Endpoint in a daemon's dump, with what it learned of it. */
 interface DumpedEndpoint {
@@ -60,15 +62,45 @@
   it('tell one another the load that endpoints report', async () => {
     const first = await start('daemon-1', PlacementRule.LeastWork);
     const second = await start('daemon-2', PlacementRule.LeastWork);
-    const deadlineAtMs = performance.now() + 20_000;
-    for (let sent = 0; (await knownLoad(second)) === undefined; sent += 1) {
+    await tell(first, second);
+    assert.deepEqual(await knownLoad(second), REPORT);
+  });
+
+  /** Sends streams through one daemon until the other one knows of the load. */
+  async function tell(from: RunningGateway, to: RunningGateway) {
+    const deadlineAtMs = performance.now() + WAIT_MS;
+    for (let sent = 0; (await knownLoad(to)) === undefined; sent += 1) {
       assert.ok(performance.now() < deadlineAtMs, 'no report came');
-      assert.equal(await stream(first, `request-${sent}`), 200);
+      assert.equal(await stream(from, `request-${sent}`), 200);
       await delay(POLL_MS);
     }
+  }
+
+  it('serve on where the daemon that told them of the load is killed', async () => {
+    const first = await start('daemon-1', PlacementRule.LeastWork);
+    const second = await start('daemon-2', PlacementRule.LeastWork);
+    await tell(first, second);
+    await deployment.removeGateway(first);
+    for (const id of ['after-1', 'after-2', 'after-3'])
+      assert.equal(await stream(second, id), 200);
     assert.deepEqual(await knownLoad(second), REPORT);
   });
 
+  it('serve on beside one whose links are cut, and then through a peer', async () => {
+    const first = await start('daemon-1', PlacementRule.LeastWork);
+    const second = await start('daemon-2', PlacementRule.LeastWork);
+    await tell(first, second);
+    second.links.setState(LinkState.Reset);
+    assert.equal(await stream(first, 'beside'), 200);
+    const deadlineAtMs = performance.now() + WAIT_MS;
+    for (let sent = 0; ; sent += 1) {
+      const status = await stream(second, `cut-${sent}`);
+      if (status === 200) break;
+      assert.ok(performance.now() < deadlineAtMs, `status ${status}`);
+      await delay(POLL_MS);
+    }
+  });
+
   it('serve beside a daemon that places by latency and knows no reports', async () => {
     const first = await start('daemon-1', PlacementRule.LeastWork);
     const second = await start('daemon-2', PlacementRule.LeastLatency);
