Play placement by work and crowds of callers in the soak of processes

The soak covered neither. Seeds with remainder 5 by 9, of which KNOWN-RED.txt has none, place requests by work before endpoints that report their load.

--- a/packages/stand-ins/src/gateway/index.ts
+++ b/packages/stand-ins/src/gateway/index.ts
@@ -1,3 +1,4 @@
+export * from './caller-crowd.js';
 export * from './gateway-deployment.js';
 export { stall } from './gateway-fixture.js';
 export * from './soak-checks.js';
--- a/packages/stand-ins/src/process-soak/endpoint-faults.ts
+++ b/packages/stand-ins/src/process-soak/endpoint-faults.ts
@@ -60,7 +60,6 @@
   detail?: string,
 ) => SoakAct;
 
-/** Fields of an endpoint's entry in the store. */
 type SoakEntry = Readonly<Record<string, unknown>>;
 
 /** Endpoints of a soak behind links of their own, and their faults. */
@@ -87,6 +86,8 @@
     private readonly dataCentres: readonly string[] = ['north-1'],
     /** Fields of all endpoints' entries. */
     private readonly commonEntry: SoakEntry = {},
+    /** Load that all endpoints report. */
+    private readonly reportedLoad?: string,
   ) {}
 
   /** Returns the data centre of an endpoint; undefined if there was none with the id. */
@@ -272,6 +273,7 @@
       options,
       entry,
     );
+    endpoint.reportedLoad = this.reportedLoad;
     this.usable.push(endpoint);
     this.entries.set(endpoint, entry);
     if (ageMs === 0) this.startSpans.push(startSpan(endpoint));
--- a/packages/stand-ins/src/process-soak/loss-checks.ts
+++ b/packages/stand-ins/src/process-soak/loss-checks.ts
@@ -36,6 +36,7 @@
   State = 'state',
   Probe = 'probe',
   Evacuate = 'evacuate',
+  Crowd = 'crowd',
 }
 
 /** Detail of a stop after which the process had to be killed. */
--- a/packages/stand-ins/src/process-soak/process-soak.ts
+++ b/packages/stand-ins/src/process-soak/process-soak.ts
@@ -1,5 +1,6 @@
 import { findViolations, SoakPlan } from '../gateway/index.js';
 import { ColdFault, ColdFaults, findColdExcesses } from './cold-faults.js';
+import { CrowdFault, CrowdFaults } from './crowd-faults.js';
 import { DaemonFault, DaemonFaults } from './daemon-faults.js';
 import { EndpointFaults, STREAM_EVENTS } from './endpoint-faults.js';
 import {
@@ -32,6 +33,7 @@
   SoakProfile.All,
   SoakProfile.Evacuations,
   SoakProfile.Cold,
+  SoakProfile.Crowd,
 ]);
 /** Series of faults that run beside each other. */
 const SERIES = 2;
@@ -58,6 +60,7 @@
   private readonly store: StoreFaults;
   private readonly evacuations: EvacuationFaults;
   private readonly cold: ColdFaults;
+  private readonly crowds: CrowdFaults;
   private readonly callers: SoakCallers;
   private readonly acts: SoakAct[] = [];
   private readonly startedAtMs = performance.now();
@@ -81,6 +84,7 @@
       record,
       profile === SoakProfile.Evacuations ? SOAK_DATA_CENTRES : undefined,
       variant.entry,
+      variant.reportedLoad,
     );
     const { deployment } = this.endpoints;
     this.daemons = new DaemonFaults(
@@ -93,6 +97,10 @@
     this.store = new StoreFaults(this.plan, record, deployment);
     this.evacuations = new EvacuationFaults(this.plan, record, deployment);
     this.cold = new ColdFaults(record, this.endpoints);
+    this.crowds = new CrowdFaults(this.plan, record, () => {
+      const { daemon, processId } = this.daemons.pickRouted();
+      return { processId, callersAddress: daemon.callersAddress };
+    });
     this.callers = new SoakCallers(this.plan, () => this.daemons.pickRouted());
   }
 
@@ -113,6 +121,7 @@
       );
       await Promise.all([...disturbances, this.callers.run(endAtMs)]);
     } finally {
+      this.crowds.destroy();
       await this.daemons.destroy();
       await this.endpoints.destroy();
       process.off('exit', killAll).off('SIGTERM', exit).off('SIGINT', exit);
@@ -124,6 +133,7 @@
     if (isOneOf(DaemonFault, fault)) return this.daemons.apply(fault);
     if (isOneOf(EvacuationFault, fault)) return this.evacuations.evacuate();
     if (isOneOf(ColdFault, fault)) return this.cold.becomeCold();
+    if (isOneOf(CrowdFault, fault)) return this.crowds.apply(fault);
     return isOneOf(StoreFault, fault)
       ? this.store.apply(fault)
       : this.endpoints.apply(fault);
--- a/packages/stand-ins/src/process-soak/soak-profile.ts
+++ b/packages/stand-ins/src/process-soak/soak-profile.ts
@@ -1,13 +1,19 @@
 import { ColdFault } from './cold-faults.js';
+import { CrowdFault } from './crowd-faults.js';
 import { DaemonFault } from './daemon-faults.js';
 import { EndpointFault } from './endpoint-faults.js';
 import { EvacuationFault } from './evacuation-faults.js';
 import type { SoakVariant } from './soak-variant.js';
-import { COLD_VARIANT, withQueue } from './soak-variant.js';
+import { COLD_VARIANT, withLeastWork, withQueue } from './soak-variant.js';
 import { StoreFault } from './store-faults.js';
 
 export type ProcessFault =
-  ColdFault | DaemonFault | EndpointFault | EvacuationFault | StoreFault;
+  | ColdFault
+  | CrowdFault
+  | DaemonFault
+  | EndpointFault
+  | EvacuationFault
+  | StoreFault;
 
 /** What a soak plays beside planned work. */
 export enum SoakProfile {
@@ -21,6 +27,8 @@
   Evacuations = 'evacuations',
   /** Endpoints that start cold or become cold again, beside kills and freezes of daemons. */
   Cold = 'cold',
+  /** Crowds of callers outside the limits, beside ordinary callers, planned work and kills of daemons. */
+  Crowd = 'crowd',
 }
 
 const PLANNED_WORK: readonly ProcessFault[] = [
@@ -85,6 +93,14 @@
     ColdFault.BecomeCold,
     ColdFault.BecomeCold,
   ],
+  [SoakProfile.Crowd]: [
+    ...PLANNED_WORK,
+    DaemonFault.Kill,
+    DaemonFault.StoreLink,
+    EndpointFault.Drain,
+    ...Object.values(CrowdFault),
+    ...Object.values(CrowdFault),
+  ],
 };
 
 /** Seeds are taken modulo this number to choose the settings. */
@@ -92,6 +108,9 @@
 /** No seed that KNOWN-RED.txt records has these remainders, so that all keep the settings of their runs. */
 const QUEUE_REMAINDERS: readonly number[] = [2, 7];
 
+/** None of those either. */
+const LEAST_WORK_REMAINDERS: readonly number[] = [5];
+
 export function hasQueue(seed: number): boolean {
   return QUEUE_REMAINDERS.includes(seed % SEED_MODULUS);
 }
@@ -102,5 +121,7 @@
     profile === SoakProfile.Cold
       ? COLD_VARIANT
       : { settings: {}, services: {}, entry: {} };
+  if (LEAST_WORK_REMAINDERS.includes(seed % SEED_MODULUS))
+    return withLeastWork(variant);
   return hasQueue(seed) ? withQueue(variant) : variant;
 }
--- a/packages/stand-ins/src/process-soak/soak-variant.ts
+++ b/packages/stand-ins/src/process-soak/soak-variant.ts
@@ -1,4 +1,5 @@
 import type { GatewaySettings } from '@skylarkreach/daemon';
+import { PlacementRule } from '@skylarkreach/daemon';
 
 /** Time after its start for which an endpoint of a soak is cold. */
 export const COLD_START_S = 5;
@@ -25,6 +26,8 @@
   readonly services: Readonly<Record<string, unknown>>;
   /** Fields of all endpoints' entries in the store. */
   readonly entry: Readonly<Record<string, unknown>>;
+  /** Load that all endpoints report: running, waiting, slots and slowdown in percent; none if absent. */
+  readonly reportedLoad?: string;
 }
 
 /** Soak whose endpoints may be cold. */
@@ -46,3 +49,14 @@
     entry: { ...entry, Slots: QUEUE_SLOTS },
   };
 }
+
+/** Returns a soak whose daemons place requests by work, which they learn from what endpoints report. */
+export function withLeastWork(variant: SoakVariant): SoakVariant {
+  const { settings } = variant;
+  const routing = { ...settings.routing, placement: PlacementRule.LeastWork };
+  return {
+    ...variant,
+    settings: { ...settings, routing },
+    reportedLoad: '1,0,8,100',
+  };
+}
