--- a/packages/daemon/src/gateway/gateway-queue.ts
+++ b/packages/daemon/src/gateway/gateway-queue.ts
@@ -6,13 +6,13 @@
   ForwarderDependencies,
 } from '@skylarkreach/core/forwarding';
 import type { KnownDaemons } from '@skylarkreach/core/membership';
-import { MIN_DAEMONS_FOR_CELLS } from '@skylarkreach/core/membership';
 import { LogComponent } from '@skylarkreach/core/ports';
 import type { EndpointReachability } from '@skylarkreach/core/reachability';
 
 import { nextPoll } from '../http/index.js';
 import type { Loop } from '../loops/index.js';
 import { createPollerLoop } from '../loops/index.js';
+import { countDaemons } from './count-daemons.js';
 import type { GatewayCluster } from './gateway-cluster.js';
 import type { GatewayContext } from './gateway-context.js';
 import { LoopDelayMeter } from './loop-delay-meter.js';
@@ -76,10 +76,3 @@
     };
   }
 }
-
-/** Returns the number of live daemons, or of all that are known where this daemon hears of no other one or of a part of them only. */
-function countDaemons({ cluster, knownDaemons }: GatewayQueueSources): number {
-  const knownCount = knownDaemons.ids().length;
-  const hearsOfAll = cluster.size > 1 && knownCount < MIN_DAEMONS_FOR_CELLS;
-  return hearsOfAll ? cluster.size : knownCount;
-}
--- a/packages/daemon/src/gateway/queued-forwarding.test.ts
+++ b/packages/daemon/src/gateway/queued-forwarding.test.ts
@@ -88,6 +88,26 @@
     assert.equal(harness.upstream.calls.length, PLACES);
   });
 
+  it('waits and is sent by the list in use, however old, while the store is down', async () => {
+    const harness = create([{ silentForMs: 500 }], route);
+    harness.listRecords([sampleEndpoint('e1', { slots: 1 })]);
+    await harness.clock.advanceTo(3_600_000);
+    const served = Array.from({ length: PLACES + 1 }, () => harness.serve());
+    await harness.clock.advanceTo(3_600_400);
+    assert.equal(harness.upstream.calls.length, PLACES);
+    await harness.clock.advanceTo(3_601_500);
+    assert.equal(harness.upstream.calls.length, PLACES + 1);
+    const ends = await Promise.all(served);
+    assert.deepEqual(new Set(ends), new Set([undefined]));
+  });
+
+  it('is refused as before where its group has no endpoint', async () => {
+    const harness = create([{}], route);
+    harness.listRecords([]);
+    const refused = await harness.serve();
+    assert.equal(refused?.kind, ForwardErrorKind.NoEndpoint);
+  });
+
   // It was refused, as if no endpoint were reachable.
   it('waits where only the endpoints in its home regions are paused', async () => {
     const harness = await createPaused();
--- a/packages/stand-ins/src/gateway/program-fixture.ts
+++ b/packages/stand-ins/src/gateway/program-fixture.ts
@@ -45,6 +45,7 @@
   readonly listen?: Partial<typeof LISTEN>;
   readonly bounds?: Readonly<Record<string, number>>;
   readonly callers?: Readonly<Record<string, number>>;
+  readonly queue?: { readonly isEnabled: boolean };
 }
 
 /** Process that runs the daemon's program. */
@@ -143,13 +144,14 @@
   }
 
   /** Writes the settings of a gateway. */
-  configureGateway({ listen, bounds, callers }: GatewaySections): void {
+  configureGateway({ listen, bounds, callers, queue }: GatewaySections): void {
     this.configure({
       gateway: {
         ...this.gatewaySettings,
         listen: { ...LISTEN, ...listen },
         ...(bounds && { bounds }),
         ...(callers && { callers }),
+        ...(queue && { queue }),
       },
     });
   }
