Run the steps of loops together that are due at about the same time

Cause: a gateway without requests woke up 37 times a second, mostly for one of 15 loops at a time; each wake-up costs more than most steps.

Pollers move only where they say so: the meter of the event loop's delay must run exactly when it says.

--- a/packages/daemon/src/gateway/operator-watch.ts
+++ b/packages/daemon/src/gateway/operator-watch.ts
@@ -33,6 +33,7 @@
  * does not know of a watch that works.
  */
 export class OperatorWatch {
+  readonly mayShift = true;
   private revision: number | undefined;
   private hasFailed = false;
   private isWatching = false;
--- a/packages/daemon/src/membership/membership-service.ts
+++ b/packages/daemon/src/membership/membership-service.ts
@@ -202,7 +202,8 @@
       part: LogComponent,
       nextAtMs: (nowMs: number) => number,
       step: () => Promise<void>,
-    ) => new Loop({ name, part, nextAtMs, step }, clock, log);
+      mayShift = false,
+    ) => new Loop({ name, part, nextAtMs, step, mayShift }, clock, log);
     const { ruleWatch } = this;
     const ruleLoops =
       ruleWatch === undefined
@@ -222,6 +223,7 @@
         membership,
         nowMs => nowMs + TICK_MS,
         () => this.step(),
+        true,
       ),
       loop(
         'member listing',
