--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -139,7 +139,10 @@
 
   /** Returns the endpoints of a group that accept new requests. */
   readyEndpoints(group: string, nowMs: number): readonly EndpointRecord[] {
-    return this.usableMembers(group, nowMs).map(each => each.record);
+    return this.members
+      .inGroup(group)
+      .filter(each => this.guards.isUsable(each, nowMs))
+      .map(each => each.record);
   }
 
   /** Returns whether an endpoint accepts new requests. */
@@ -225,25 +228,11 @@
   /** Returns the endpoints with the state that their selection depends on, for the operators. */
   dumpState(nowMs: number): unknown {
     return this.members.all.map(member => ({
-      ...member.record,
-      running: member.running,
-      peersRunning: this.guards.peerLoadAt(member).running,
-      reported: member.reportedLoad,
-      failureShare: member.health.failureShare(nowMs),
-      isMisdirected: this.misdirected.has(member.record.id, nowMs),
-      isLeaving: this.options.leaving.has(member.record),
-      pausedForMs: this.options.paused.waitMs(member.record),
-      coldWaitMs: this.coldStarts.waitMs(member.record),
+      ...this.guards.dumpMember(member, nowMs),
       learned: this.placement.dumpMember?.(member, nowMs),
     }));
   }
 
-  private usableMembers(group: string, nowMs: number): readonly PoolMember[] {
-    return this.members
-      .inGroup(group)
-      .filter(each => this.guards.isUsable(each, nowMs));
-  }
-
   /** Returns whether a request may be sent to the endpoint now. */
   private matches(
     member: PoolMember,
--- a/packages/core/src/forwarding/member-guards.ts
+++ b/packages/core/src/forwarding/member-guards.ts
@@ -69,6 +69,23 @@
     return this.peerLoadById.get(record.id) ?? NO_PEER_LOAD;
   }
 
+  /** Returns an endpoint with the state that its selection depends on, for the operators. */
+  dumpMember(member: PoolMember, nowMs: number): object {
+    const { leaving, paused } = this.options;
+    const { health, record, reportedLoad, running } = member;
+    return {
+      ...record,
+      running,
+      peersRunning: this.peerLoadAt(member).running,
+      reported: reportedLoad,
+      failureShare: health.failureShare(nowMs),
+      isMisdirected: this.misdirected.has(record.id, nowMs),
+      isLeaving: leaving.has(record),
+      pausedForMs: paused.waitMs(record),
+      coldWaitMs: this.coldStarts.waitMs(record),
+    };
+  }
+
   private overloadWaitMs(member: PoolMember, nowMs: number): number {
     return this.options.overloadGuard.waitMs(member.record, {
       running: this.runningAt(member, nowMs),
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -13,10 +13,7 @@
 import type { Clock } from '@skylarkreach/core/ports';
 import { LogComponent, SeededRandom } from '@skylarkreach/core/ports';
 import { RequestQuarantine } from '@skylarkreach/core/quarantine';
-import {
-  EndpointReachability,
-  ObservedUpstream,
-} from '@skylarkreach/core/reachability';
+import { ObservedUpstream } from '@skylarkreach/core/reachability';
 import { RolloutRegistry } from '@skylarkreach/core/rollouts';
 import {
   DutyClient,
@@ -30,7 +27,7 @@
 import { HttpClient } from '../adapters/index.js';
 import { nextPoll } from '../http/index.js';
 import type { Loop } from '../loops/index.js';
-import { createIntervalLoop, createPollerLoop } from '../loops/index.js';
+import { createPollerLoop } from '../loops/index.js';
 import type { GatewaySettings } from '../settings/index.js';
 import { shareMachine } from '../settings/index.js';
 import {
@@ -44,6 +41,7 @@
 import { createLeastWork } from './create-least-work.js';
 import { createOperatorWatch } from './create-operator-watch.js';
 import { createPromptTransfers } from './create-prompt-transfers.js';
+import { createReachability } from './create-reachability.js';
 import { DEFAULT_LIMITS } from './default-limits.js';
 import type { EndpointConnector } from './endpoint-client.js';
 import { EndpointClient } from './endpoint-client.js';
@@ -62,9 +60,6 @@
 import { StateReplicator } from './state-replicator.js';
 import { StopSchedule } from './stop-schedule.js';
 
-/** Interval between checks of whether endpoints are to be probed. */
-const REACHABILITY_INTERVAL_MS = 200;
-
 /** Components of a gateway daemon. */
 export interface GatewayWiring extends GatewayContext {
   readonly configuration: ConfigurationStore;
@@ -141,15 +136,10 @@
       coldStarts.recordConnectionFailure(endpoint);
     },
   );
-  const reachability = new EndpointReachability({
-    ...context,
-    nowMs: () => clock.nowMs(),
+  const { reachability, reachabilityLoop } = createReachability(context, {
     probe: endpointClient,
-    // Endpoints that get no requests may be down.
-    endpoints: () =>
-      pool
-        .endpoints()
-        .filter(each => !evacuations.isEvacuated(each.dataCentre)),
+    pool,
+    evacuations,
   });
   const rollouts = new RolloutRegistry({
     log,
@@ -292,13 +282,7 @@
       'endpoints',
       endpointListPoller,
     ),
-    createIntervalLoop(
-      context,
-      LogComponent.Routing,
-      'reachability',
-      REACHABILITY_INTERVAL_MS,
-      () => reachability.step(),
-    ),
+    reachabilityLoop,
     coldStartsLoop,
     ...queue.loops,
     ...cluster.loops,
