--- a/packages/daemon/src/gateway/operator-watch.ts
+++ b/packages/daemon/src/gateway/operator-watch.ts
@@ -33,7 +33,6 @@
  * does not know of a watch that works.
  */
 export class OperatorWatch {
-  readonly mayShift = true;
   private revision: number | undefined;
   private hasFailed = false;
   private isWatching = false;
--- a/packages/daemon/src/loops/loop.ts
+++ b/packages/daemon/src/loops/loop.ts
@@ -1,15 +1,13 @@
 import type { Clock, Log } from '@skylarkreach/core/ports';
 import type { LogComponent } from '@skylarkreach/core/ports';
 
-import { waitForCommonTime } from './common-times.js';
-
 /** Dependencies of a loop. */
 export interface LoopDependencies {
   readonly clock: Clock;
   readonly log: Log;
 }
 
-/** Creates a loop that waits for about the same interval after each step. */
+/** Creates a loop that waits for the same interval after each step. */
 export function createIntervalLoop(
   { clock, log }: LoopDependencies,
   part: LogComponent,
@@ -18,16 +16,13 @@
   step: () => Promise<void>,
 ): Loop {
   const nextAtMs = (nowMs: number) => nowMs + intervalMs;
-  const options = { name, part, step, nextAtMs, mayShift: true };
-  return new Loop(options, clock, log);
+  return new Loop({ name, part, step, nextAtMs }, clock, log);
 }
 
 /** Part of a daemon that says itself when its next step is due. */
 export interface Poller {
   step(): Promise<void>;
   nextAtMs(nowMs: number): number;
-  /** See `LoopOptions`. */
-  readonly mayShift?: boolean;
 }
 
 export function createPollerLoop(
@@ -38,10 +33,7 @@
 ): Loop {
   const nextAtMs = (nowMs: number) => poller.nextAtMs(nowMs);
   return new Loop(
-    {
-      ...{ name, part, nextAtMs, step: () => poller.step() },
-      mayShift: poller.mayShift === true,
-    },
+    { name, part, nextAtMs, step: () => poller.step() },
     clock,
     log,
   );
@@ -53,8 +45,6 @@
   /** Returns the time of the next step, given the time at which the last step ended. */
   readonly nextAtMs: (nowMs: number) => number;
   readonly step: () => Promise<void>;
-  /** Whether a step may be shifted by some milliseconds, so that it runs together with others; false by default. */
-  readonly mayShift?: boolean;
 }
 
 /** Loop that repeats a step until it is stopped. A failed step is logged and retried at its next time. */
@@ -81,18 +71,11 @@
     const { signal } = this.stopController;
     while (!signal.aborted) {
       await this.stepOnce();
-      await this.wait(signal);
+      const nextAtMs = this.options.nextAtMs(this.clock.nowMs());
+      await this.clock.waitUntil(nextAtMs, signal).catch(() => undefined);
     }
   }
 
-  private async wait(signal: AbortSignal): Promise<void> {
-    const { mayShift = false, nextAtMs } = this.options;
-    const nowMs = this.clock.nowMs();
-    const atMs = nextAtMs(nowMs);
-    if (mayShift) await waitForCommonTime(this.clock, nowMs, atMs, signal);
-    else await this.clock.waitUntil(atMs, signal).catch(() => undefined);
-  }
-
   private async stepOnce(): Promise<void> {
     try {
       await this.options.step();
--- a/packages/daemon/src/membership/membership-service.ts
+++ b/packages/daemon/src/membership/membership-service.ts
@@ -202,8 +202,7 @@
       part: LogComponent,
       nextAtMs: (nowMs: number) => number,
       step: () => Promise<void>,
-      mayShift = false,
-    ) => new Loop({ name, part, nextAtMs, step, mayShift }, clock, log);
+    ) => new Loop({ name, part, nextAtMs, step }, clock, log);
     const { ruleWatch } = this;
     const ruleLoops =
       ruleWatch === undefined
@@ -223,7 +222,6 @@
         membership,
         nowMs => nowMs + TICK_MS,
         () => this.step(),
-        true,
       ),
       loop(
         'member listing',
