End streams of endpoints that only send bytes without events once their attempts are used

Cause: since begun streams wait for an endpoint until their deadline, one whose endpoints repeat events that the caller has, without end, went on to its deadline of 8 s; the test of gateway-floods allows 5 s. Change: an endpoint that was left for such bytes gets no attempt beyond the limit. The test failed before and passes now.

--- a/packages/core/src/forwarding/attempt-sequence.ts
+++ b/packages/core/src/forwarding/attempt-sequence.ts
@@ -123,8 +123,10 @@
    * send their request again.
    */
   async next(last: AttemptOutcome): Promise<PoolReservation | undefined> {
-    if (last.kind === AttemptEndKind.Silent && this.replacement !== undefined) {
-      const { replacement } = this;
+    const { replacement } = this;
+    const isSilent = last.kind === AttemptEndKind.Silent;
+    const isFlooding = isSilent && replacement === undefined;
+    if (isSilent && replacement !== undefined) {
       this.replacement = undefined;
       const nowMs = this.options.clock.nowMs();
       if (this.options.endpoints.isStillReady(replacement, nowMs))
@@ -137,7 +139,7 @@
     const returnAtMs =
       clock.nowMs() + RECHECK_INTERVAL_MS * 2 ** this.pausedReturns;
     let reservation = this.tryNext(last);
-    while (reservation === undefined && mayWait() && this.mayPass()) {
+    while (reservation === undefined && mayWait() && this.mayPass(isFlooding)) {
       await this.wait();
       reservation = this.tryNext(last) ?? this.tryAgain(last, returnAtMs);
     }
@@ -254,8 +256,13 @@
     return reservation;
   }
 
-  /** Whether what keeps the request from another attempt may pass before its deadline. */
-  private mayPass(): boolean {
+  /**
+   * Whether what keeps the request from another attempt may pass before its deadline.
+   * An endpoint that was left for sending bytes without events gets no further attempts.
+   */
+  private mayPass(isFlooding: boolean): boolean {
+    if (isFlooding && this.obstacle === RetryObstacle.AttemptsUsed)
+      return false;
     return this.obstacle !== undefined && PASSING_OBSTACLES.has(this.obstacle);
   }
 
