--- /dev/null
+++ b/review/lib-2/link.mjs
@@ -0,0 +1,58 @@
+// Proxy for one worker's channels. While it is cut, it holds all bytes and ends in both directions, and opens nothing.
+import { connect, createServer } from 'node:net';
+
+export class Link {
+  constructor(targetPort) {
+    this.targetPort = targetPort;
+    this.isCut = false;
+    this.sockets = new Set();
+    /** Channels that were opened during the cut. */
+    this.waiting = [];
+    this.server = createServer({ allowHalfOpen: true }, near => {
+      if (this.isCut) this.waiting.push(near);
+      else this.open(near);
+    });
+  }
+
+  async listen(host = '127.0.0.1') {
+    await new Promise(resolve => this.server.listen(0, host, resolve));
+    const { address, port } = this.server.address();
+    return `${address}:${port}`;
+  }
+
+  cut() {
+    this.isCut = true;
+    for (const socket of this.sockets) socket.pause();
+  }
+
+  heal() {
+    this.isCut = false;
+    for (const socket of this.sockets) socket.resume();
+    for (const near of this.waiting.splice(0)) this.open(near);
+  }
+
+  destroy() {
+    this.server.close();
+    for (const socket of [...this.sockets, ...this.waiting]) socket.destroy();
+  }
+
+  open(near) {
+    const far = connect({
+      port: this.targetPort,
+      host: '127.0.0.1',
+      allowHalfOpen: true,
+    });
+    this.join(near, far);
+    this.join(far, near);
+  }
+
+  /** Passes on what one socket receives, its end and its reset. */
+  join(from, to) {
+    this.sockets.add(from);
+    from.on('data', chunk => to.write(chunk));
+    from.on('end', () => to.end());
+    from.on('error', () => to.resetAndDestroy());
+    from.on('close', () => this.sockets.delete(from));
+    if (this.isCut) from.pause();
+  }
+}
