--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -54,7 +54,7 @@
 }
 
 /** Returns a loopback address of its own for a machine, as the template fixes the port of the metrics. */
-async function machineIp() {
+export async function machineIp() {
   for (;;) {
     const octets = [1, 2, 3].map(() => 1 + Math.floor(Math.random() * 253));
     const ip = `127.${octets.join('.')}`;
@@ -124,7 +124,7 @@
 
   /** Starts a daemon with the command of the deploy file. */
   async startDaemon(name, dataCentre, overrides = {}) {
-    const ip = await machineIp();
+    const ip = overrides.ip ?? (await machineIp());
     const platform = {
       store: overrides.storeAddress ?? this.storeAddress,
       cloud: overrides.cloudAddress ?? this.cloudAddress,
@@ -150,10 +150,14 @@
       'utf8',
     );
     const settingsFile = join(this.folder, `${name}.yaml`);
-    writeFileSync(
-      settingsFile,
-      standIns.renderSettings(template, { ...machine, values }, true),
+    const settings = standIns.renderSettings(
+      template,
+      { ...machine, values },
+      true,
     );
+    // The template derives the secret from the store's address, which is one for all machines of a deployment.
+    const secret = 'peerSecret: "edge@store-of-the-platform"';
+    writeFileSync(settingsFile, settings.replace(/peerSecret: .*/, secret));
     const daemon = { name, machine, settingsFile, output: '' };
     this.launch(daemon);
     await waitUntil(async () => {
--- a/review/lib-2/link.mjs
+++ b/review/lib-2/link.mjs
@@ -1,11 +1,14 @@
-// Proxy for one worker's channels. While it is cut, it holds all bytes and ends in both directions, and opens nothing.
+// Proxy for the channels to one worker, or of one machine to the store. While it is cut, it holds all bytes and ends in both directions, and opens nothing.
 import { connect, createServer } from 'node:net';
 
 export class Link {
-  constructor(targetPort) {
+  /** `onBytes` is called with what is sent towards the target. */
+  constructor(targetPort, onBytes = () => undefined) {
+    this.onBytes = onBytes;
     this.targetPort = targetPort;
     this.isCut = false;
     this.sockets = new Set();
+    this.silenced = new Set();
     /** Channels that were opened during the cut. */
     this.waiting = [];
     this.server = createServer({ allowHalfOpen: true }, near => {
@@ -25,9 +28,18 @@
     for (const socket of this.sockets) socket.pause();
   }
 
+  /** Silences the open channels for good; new ones work. */
+  silence() {
+    for (const socket of this.sockets) {
+      socket.pause();
+      this.silenced.add(socket);
+    }
+  }
+
   heal() {
     this.isCut = false;
-    for (const socket of this.sockets) socket.resume();
+    for (const socket of this.sockets)
+      if (!this.silenced.has(socket)) socket.resume();
     for (const near of this.waiting.splice(0)) this.open(near);
   }
 
@@ -42,6 +54,7 @@
       host: '127.0.0.1',
       allowHalfOpen: true,
     });
+    near.on('data', this.onBytes);
     this.join(near, far);
     this.join(far, near);
   }
