--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -160,12 +160,27 @@
     writeFileSync(settingsFile, settings.replace(/peerSecret: .*/, secret));
     const daemon = { name, machine, settingsFile, output: '' };
     this.launch(daemon);
+    await this.whenReady(daemon);
+    return daemon;
+  }
+
+  async whenReady({ machine, name }) {
     await waitUntil(async () => {
       const response = fetch(machine.readinessUrl).catch(() => undefined);
       return (await response)?.status === 200;
     }, `${name} is ready`);
     this.record.add(`${name}: ready at ${machine.callers}`);
-    return daemon;
+  }
+
+  /** Starts a daemon again that was killed; the whole system does not start for the first time then. */
+  restart(daemon) {
+    const settings = readFileSync(daemon.settingsFile, 'utf8');
+    const changed = settings.replace(
+      'isFirstStart: true',
+      'isFirstStart: false',
+    );
+    writeFileSync(daemon.settingsFile, changed);
+    this.launch(daemon);
   }
 
   launch(daemon) {
@@ -199,7 +214,8 @@
       const lines = pending.split('\n');
       pending = lines.pop();
       for (const line of lines) {
-        this.record.add(`worker ${worker.id}: ${line}`);
+        if (options.isQuiet !== true)
+          this.record.add(`worker ${worker.id}: ${line}`);
         options.onLine?.(line);
       }
     });
@@ -212,7 +228,7 @@
   register(worker, overrides = {}) {
     this.store.register(worker.id, worker.service, worker.address, {
       Zone: worker.zone ?? 'akl-a',
-      Version: 'v1',
+      Version: worker.version ?? 'v1',
       Slots: 6,
       born: worker.bornAtMs,
       ...overrides,
