Check all ports of a machine in the scripts of the review

Cause: only the port of the metrics was checked to be free. Change: an address is taken if all five ports of a machine are free on it.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -13,8 +13,9 @@
 export const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 const LIBRARY = dirname(fileURLToPath(import.meta.url));
 const WAIT_TIMEOUT_MS = 20_000;
-/** Ports of the template that are the same on all machines. */
-const METRICS_PORT = 9464;
+/** Ports of a machine, which are the same on all machines; the template fixes the last one, that of the metrics. */
+const MACHINE_PORTS = [8_221, 8_224, 8_229, 7_600, 9_464];
+const MAX_IP_TRIES = 50;
 
 const standIns = await import(join(ROOT, 'platform/dist/stand-ins/index.js'));
 
@@ -53,13 +54,15 @@
   return port;
 }
 
-/** Returns a loopback address of its own for a machine, as the template fixes the port of the metrics. */
+/** Returns a loopback address of its own for a machine, on which all of its ports are free. */
 export async function machineIp() {
-  for (;;) {
+  for (let count = 0; count < MAX_IP_TRIES; count += 1) {
     const octets = [1, 2, 3].map(() => 1 + Math.floor(Math.random() * 253));
     const ip = `127.${octets.join('.')}`;
-    if (await isFree(ip, METRICS_PORT)) return ip;
+    const checks = MACHINE_PORTS.map(port => isFree(ip, port));
+    if ((await Promise.all(checks)).every(each => each)) return ip;
   }
+  throw new Error('No loopback address has all ports of a machine free.');
 }
 
 export async function waitUntil(condition, description) {
