Confirm the operators' state by answered reads alone

Cause: a watch that waits counted as a read at this moment, also on a dead connection, and the hints of its daemon confirmed the old state to all others.

Change: only an answered read confirms, as of its start. The poller of the endpoint list becomes StatePoller, which reads the changes of the operators' state too, between the watches of the first two readers, and by itself where a daemon hears of no recent read. Watches make changes known at once, and confirm nothing. On related paths: a peer that holds a newer rollout order no longer confirms the state of a daemon that lacks it; a read that hangs is followed by one on a new connection at once, within the bound; a read whose state could not be applied confirms nothing.

--- a/packages/core/src/forwarding/sources.ts
+++ b/packages/core/src/forwarding/sources.ts
@@ -37,9 +37,19 @@
 
 /** Source of the operators' configuration and orders. Its methods throw `PlatformError`. */
 export interface OperatorSource {
-  readNow(deadlineAtMs: number): Promise<OperatorState>;
+  /** Uses a new connection if `freshConnection` is set. */
+  readNow(
+    deadlineAtMs: number,
+    freshConnection?: boolean,
+  ): Promise<OperatorState>;
   /** Waits for a change after the revision, at most until the deadline. */
   watch(afterRevision: number, deadlineAtMs: number): Promise<OperatorState>;
+  /** Returns the changes after the revision at once, on a new connection if `freshConnection` is set. */
+  readChanges(
+    afterRevision: number,
+    deadlineAtMs: number,
+    freshConnection: boolean,
+  ): Promise<OperatorState>;
 }
 
 /** Source of the endpoint listing. Throws `PlatformError`. */
--- a/packages/core/src/hints/daemon-hints.ts
+++ b/packages/core/src/hints/daemon-hints.ts
@@ -80,6 +80,8 @@
   configurationVersion: count.optional().catch(undefined),
   /** Version of the evacuated data centres that the sender holds. Absent in hints of daemons that do not know them. */
   evacuationsVersion: count.optional().catch(undefined),
+  /** Revision of the newest rollout order that the sender holds; 0 if it holds none. Absent in hints of daemons that do not state it. */
+  ordersRevision: count.optional().catch(undefined),
   /** Newest lease for the duties that the sender knows of. */
   dutyLease: dutyLeaseHintSchema.optional().catch(undefined),
   rollouts: readableItems(rolloutHintsSchema),
--- a/packages/core/src/hints/hint-store.test.ts
+++ b/packages/core/src/hints/hint-store.test.ts
@@ -46,6 +46,18 @@
     assert.equal(store.operatorReadAtMs(1), 900);
   });
 
+  // A read by a peer that holds a newer order confirmed the state of a daemon that lacks the order.
+  it('confirms rollout orders only by peers that state theirs and hold no newer one', () => {
+    const store = new HintStore();
+    const read = { operatorReadAgeMs: 100, configurationVersion: 1 };
+    store.add(hints('old build', 1, read), 1_000, 1_000);
+    assert.equal(store.orderReadAtMs(7), -Infinity);
+    const newer = { ...read, ordersRevision: 8 };
+    store.add(hints('newer', 1, newer), 1_000, 1_000);
+    assert.equal(store.orderReadAtMs(7), -Infinity);
+    assert.equal(store.orderReadAtMs(8), 900);
+  });
+
   // Daemons of an earlier build refused the calls, which an operator takes for a reason to roll back.
   it('knows a daemon that can be told usage counts by the hints of its last lifetime', () => {
     const store = new HintStore();
--- a/packages/core/src/hints/hint-store.ts
+++ b/packages/core/src/hints/hint-store.ts
@@ -25,6 +25,7 @@
   private readonly endpointReads = new PeerReads();
   private readonly operatorReads = new PeerReads();
   private readonly evacuationReads = new PeerReads();
+  private readonly orderReads = new PeerReads();
   readonly dutyLease = new DutyLeaseNews();
 
   /**
@@ -108,6 +109,14 @@
     return this.evacuationReads.latestAtMs(revision);
   }
 
+  /**
+   * Returns the same by the revision of the newest rollout order. Peers that do not
+   * state it confirm none: those of earlier builds also take a watch that waits for a read.
+   */
+  orderReadAtMs(revision: number): number {
+    return this.orderReads.latestAtMs(revision);
+  }
+
   /** Returns whether a peer recently held the lease for the duties. */
   hasHolder(nowMs: number): boolean {
     if (this.dutyLease.holderId(nowMs) !== undefined) return true;
@@ -133,6 +142,7 @@
       this.endpointReads.delete(lifetime);
       this.operatorReads.delete(lifetime);
       this.evacuationReads.delete(lifetime);
+      this.orderReads.delete(lifetime);
     }
   }
 
@@ -143,13 +153,14 @@
       const atMs = builtAfterMs - endpointReadAgeMs;
       this.endpointReads.record(lifetime, endpointsVersion, atMs);
     }
-    if (operatorReadAgeMs !== undefined && configurationVersion !== undefined) {
-      const atMs = builtAfterMs - operatorReadAgeMs;
-      this.operatorReads.record(lifetime, configurationVersion, atMs);
-    }
-    if (operatorReadAgeMs !== undefined && evacuationsVersion !== undefined) {
-      const atMs = builtAfterMs - operatorReadAgeMs;
-      this.evacuationReads.record(lifetime, evacuationsVersion, atMs);
-    }
+    if (operatorReadAgeMs === undefined) return;
+    const atMs = builtAfterMs - operatorReadAgeMs;
+    const parts = [
+      { reads: this.operatorReads, version: configurationVersion },
+      { reads: this.evacuationReads, version: evacuationsVersion },
+      { reads: this.orderReads, version: hints.ordersRevision },
+    ];
+    for (const { reads, version } of parts)
+      if (version !== undefined) reads.record(lifetime, version, atMs);
   }
 }
--- a/packages/core/src/hints/hints-of-other-builds.test.ts
+++ b/packages/core/src/hints/hints-of-other-builds.test.ts
@@ -48,6 +48,7 @@
   'operatorReadAgeMs',
   'configurationVersion',
   'evacuationsVersion',
+  'ordersRevision',
   'dutyLease',
   'quarantine',
   'loadReports',
--- a/packages/core/src/ports/key-value.ts
+++ b/packages/core/src/ports/key-value.ts
@@ -91,6 +91,24 @@
   releaseLease(lease: Lease, deadlineAtMs: number): Promise<void>;
 }
 
+/** Request for the changes under a prefix that the service already has. */
+export interface ChangesRequest {
+  readonly prefix: string;
+  readonly afterRevision: number;
+  readonly deadlineAtMs: number;
+  /** Whether to use a new connection. */
+  readonly freshConnection: boolean;
+}
+
+/** Reader of changes that does not wait for them. */
+export interface ChangeReader {
+  /**
+   * Returns the changes under a prefix like a watch, but at once, also where there
+   * are none. Throws the same errors as the calls of the key-value service.
+   */
+  readChanges(request: ChangesRequest): Promise<WatchResult>;
+}
+
 /** Reader of consistent snapshots: all entries under a prefix at one revision. */
 export interface SnapshotReader {
   /**
--- a/packages/core/src/rollouts/rollout-registry.ts
+++ b/packages/core/src/rollouts/rollout-registry.ts
@@ -126,6 +126,12 @@
     this.announceRollbacks();
   }
 
+  /** Revision of the newest order that this daemon holds; 0 if it holds none. */
+  get newestRevision(): number {
+    const revisions = this.rollouts().map(({ order }) => order.revision);
+    return Math.max(0, ...revisions);
+  }
+
   rollouts(): readonly CanaryRollout[] {
     return [...this.rolloutsByGroup.values()];
   }
--- a/packages/daemon/src/gateway/create-endpoint-list-poller.ts
+++ b/packages/daemon/src/gateway/create-endpoint-list-poller.ts
@@ -1,38 +1,65 @@
+import type { EndpointListing } from '@skylarkreach/core/forwarding';
 import { LogComponent } from '@skylarkreach/core/ports';
 
 import { createMonitor } from './dependency-monitor.js';
-import { EndpointListPoller } from './endpoint-list-poller.js';
 import type { GatewayCluster } from './gateway-cluster.js';
 import type { GatewayContext } from './gateway-context.js';
+import { StatePoller } from './state-poller.js';
 import type { StateReplicator } from './state-replicator.js';
 
 /** Interval between reads of the endpoint list, as a fraction of the drain bound. */
 const LISTING_INTERVAL_SHARE = 0.4; // a second read fits within the bound if one fails
 /** Age of the endpoint list from which a daemon that is no reader reads it, as a fraction of the drain bound. */
 const LISTING_FOLLOWED_SHARE = 0.6; // with the jitter, a read still fits within the bound
+/** Time after which a read counts as hanging, likewise. */
+const LISTING_PATIENCE_SHARE = 0.15;
+/** Time after which a read is abandoned. */
+const READ_TIMEOUT_MS = 4_000; // a list of two pages on a link that other traffic holds up for seconds
 
 export interface EndpointListPollerParts {
   readonly cluster: GatewayCluster;
   readonly replicator: StateReplicator;
 }
 
+/** List of endpoints with the number of entries that could not be read. */
+type ReadListing = EndpointListing & { readonly malformed: number };
+
+export type EndpointListPoller = StatePoller<ReadListing>;
+
 /** Creates the reader of the endpoint list, which follows the reads of peers. */
 export function createEndpointListPoller(
   context: GatewayContext,
   { cluster, replicator }: EndpointListPollerParts,
 ): EndpointListPoller {
   const { drainMs } = context.settings.bounds;
-  return new EndpointListPoller({
+  return new StatePoller<ReadListing>({
     ...context,
-    source: context.platform.endpoints,
+    ...{ name: 'endpoints', part: LogComponent.Routing },
     monitor: createMonitor(context, 'endpoints', LogComponent.Routing),
-    intervalMs: drainMs * LISTING_INTERVAL_SHARE,
-    maxFollowedAgeMs: drainMs * LISTING_FOLLOWED_SHARE,
+    timing: {
+      intervalMs: drainMs * LISTING_INTERVAL_SHARE,
+      maxFollowedAgeMs: drainMs * LISTING_FOLLOWED_SHARE,
+      patienceMs: drainMs * LISTING_PATIENCE_SHARE,
+      readTimeoutMs: READ_TIMEOUT_MS,
+    },
+    read: (deadlineAtMs, freshConnection) =>
+      context.platform.endpoints.readNow(deadlineAtMs, freshConnection),
     isReader: () => cluster.readerRole.isFirstReader(),
-    lastPeerReadAtMs: () =>
+    lastOtherReadAtMs: () =>
       cluster.hintBoard.endpointReadAtMs(replicator.endpointsVersion),
-    onListing: (listing, readAtMs) => {
+    onState: (listing, readAtMs) => {
+      if (listing.malformed > 0) reportMalformed(context, listing.malformed);
       replicator.handleListing(listing, readAtMs);
     },
   });
 }
+
+function reportMalformed(
+  { log, metrics }: GatewayContext,
+  entries: number,
+): void {
+  metrics.increment('endpoints.malformed', entries);
+  log.warn(LogComponent.Routing, 'Malformed endpoint entries were skipped.', {
+    entries,
+  });
+}
--- a/packages/daemon/src/gateway/gateway-hints.ts
+++ b/packages/daemon/src/gateway/gateway-hints.ts
@@ -93,6 +93,7 @@
       configurationVersion: this.deps.configurationVersion(),
       ...(Number.isFinite(operatorReadAgeMs) && { operatorReadAgeMs }),
       ...(evacuationsVersion !== undefined && { evacuationsVersion }),
+      ordersRevision: rollouts.newestRevision,
       ...(dutyLease && { dutyLease }),
       rollouts: rollouts.hints(),
       quarantine: quarantine.hints(),
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -37,23 +37,23 @@
   PromMetrics,
   RateLimitedLog,
 } from '../telemetry/index.js';
+import type { EndpointListPoller } from './create-endpoint-list-poller.js';
 import { createEndpointListPoller } from './create-endpoint-list-poller.js';
 import { createLeastWork } from './create-least-work.js';
-import { createOperatorWatch } from './create-operator-watch.js';
+import type { OperatorReads } from './create-operator-reads.js';
+import { createOperatorReads } from './create-operator-reads.js';
 import { createPromptTransfers } from './create-prompt-transfers.js';
 import { createReachability } from './create-reachability.js';
 import { DEFAULT_LIMITS } from './default-limits.js';
 import type { EndpointConnector } from './endpoint-client.js';
 import { EndpointClient } from './endpoint-client.js';
 import { createEndpointGuards } from './endpoint-guards.js';
-import type { EndpointListPoller } from './endpoint-list-poller.js';
 import { GatewayCluster } from './gateway-cluster.js';
 import type { GatewayContext } from './gateway-context.js';
 import { GatewayDuties } from './gateway-duties.js';
 import { GatewayHints } from './gateway-hints.js';
 import { GatewayQueue } from './gateway-queue.js';
 import { IngressServer } from './ingress-server.js';
-import type { OperatorWatch } from './operator-watch.js';
 import { createRelayClient } from './relay-client.js';
 import { RelayServer } from './relay-server.js';
 import { createRetryBudgets } from './retry-budgets.js';
@@ -177,7 +177,7 @@
     cluster: () => cluster,
     endpointsVersion: () => replicator.endpointsVersion,
     endpointReadAtMs: () => endpointListPoller.lastReadAtMs(),
-    operatorReadAtMs: () => operatorWatch.confirmedAtMs(),
+    operatorReadAtMs: () => operatorReads.operatorPoller.lastReadAtMs(),
     configurationVersion: () => configuration.version,
     evacuationsVersion: () => replicator.evacuationsVersion,
   });
@@ -260,10 +260,11 @@
       ingress.applyLimits();
     },
   });
-  const operatorWatch: OperatorWatch = createOperatorWatch(context, {
+  const operatorReads: OperatorReads = createOperatorReads(context, {
     cluster,
     evacuations,
     replicator,
+    rollouts,
   });
   const endpointListPoller: EndpointListPoller = createEndpointListPoller(
     context,
@@ -274,7 +275,13 @@
       context,
       LogComponent.Configuration,
       'operators',
-      operatorWatch,
+      operatorReads.operatorPoller,
+    ),
+    createPollerLoop(
+      context,
+      LogComponent.Configuration,
+      'operator watch',
+      operatorReads.operatorWatch,
     ),
     createPollerLoop(
       context,
--- a/packages/daemon/src/gateway/endpoint-list-poller.test.ts
+++ b/packages/daemon/src/gateway/state-poller.test.ts
@@ -1,10 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 
-import type {
-  EndpointListing,
-  EndpointSource,
-} from '@skylarkreach/core/forwarding';
 import {
   KeyValueUnavailableError,
   LogComponent,
@@ -15,37 +11,38 @@
 } from '@skylarkreach/core/ports';
 
 import { DependencyMonitor } from './dependency-monitor.js';
-import { EndpointListPoller } from './endpoint-list-poller.js';
+import { StatePoller } from './state-poller.js';
 
 const INTERVAL_MS = 1_200;
 const MAX_FOLLOWED_AGE_MS = 1_800;
 /** Longest that the jitter of a poll lets a list age beyond its interval. */
 const MAX_JITTER_MS = 600;
+const PATIENCE_MS = 700;
+const READ_TIMEOUT_MS = 4_000;
 
 /** Source whose reads take as long as `readMs` returns for each read, 0 for the first. */
-class SlowSource implements EndpointSource {
+class SlowSource {
   /** Whether each read was asked to use a new connection, in order. */
   readonly freshConnections: boolean[] = [];
+  /** Start time of each read. */
+  readonly readAtMs: number[] = [];
 
   constructor(
     private readonly clock: ManualClock,
     private readonly readMs: (readIndex: number) => number,
   ) {}
 
-  async readNow(
-    deadlineAtMs: number,
-    freshConnection: boolean,
-  ): Promise<EndpointListing & { readonly malformed: number }> {
-    const endAtMs =
-      this.clock.nowMs() + this.readMs(this.freshConnections.length);
+  async read(deadlineAtMs: number, freshConnection: boolean): Promise<void> {
+    const nowMs = this.clock.nowMs();
+    const endAtMs = nowMs + this.readMs(this.freshConnections.length);
     this.freshConnections.push(freshConnection);
+    this.readAtMs.push(nowMs);
     await this.clock.waitUntil(Math.min(endAtMs, deadlineAtMs));
     if (endAtMs > deadlineAtMs) throw new KeyValueUnavailableError('too late');
-    return { revision: 1, endpoints: [], malformed: 0 };
   }
 }
 
-/** Runs the poller as its loop does; returns the ages of its list, observed every 100 ms after the first second. */
+/** Runs the poller as its loop does; returns the ages of its state, observed every 100 ms after the first second. */
 async function observeAges(
   readMs: (readIndex: number) => number,
   untilMs: number,
@@ -54,8 +51,9 @@
 ): Promise<{ agesMs: number[]; source: SlowSource }> {
   const clock = new ManualClock(0);
   const source = new SlowSource(clock, readMs);
-  const poller = new EndpointListPoller({
-    source,
+  const poller = new StatePoller({
+    name: 'endpoints',
+    part: LogComponent.Routing,
     clock,
     random: new SeededRandom(1),
     log: noopLog,
@@ -66,11 +64,17 @@
       noopLog,
       noopMetrics,
     ),
-    intervalMs: INTERVAL_MS,
-    maxFollowedAgeMs: MAX_FOLLOWED_AGE_MS,
+    timing: {
+      intervalMs: INTERVAL_MS,
+      maxFollowedAgeMs: MAX_FOLLOWED_AGE_MS,
+      patienceMs: PATIENCE_MS,
+      readTimeoutMs: READ_TIMEOUT_MS,
+    },
+    read: (deadlineAtMs, freshConnection) =>
+      source.read(deadlineAtMs, freshConnection),
     isReader: () => peers === undefined,
-    lastPeerReadAtMs: () => peers?.(clock.nowMs()) ?? -Infinity,
-    onListing: () => undefined,
+    lastOtherReadAtMs: () => peers?.(clock.nowMs()) ?? -Infinity,
+    onState: () => undefined,
   });
   const stop = new AbortController();
   const run = async () => {
@@ -89,8 +93,8 @@
   return { agesMs, source };
 }
 
-describe('EndpointListPoller', () => {
-  it('reads the list over a path that is slower than its patience', async () => {
+describe('StatePoller', () => {
+  it('reads the state over a path that is slower than its patience', async () => {
     const { agesMs } = await observeAges(() => 1_500, 10_000);
     // A read takes 1.5 s, and the next one succeeds at most an interval, its jitter and a read later.
     const limitMs = 1_500 + INTERVAL_MS * 1.5 + 1_500;
@@ -104,6 +108,8 @@
     );
     assert.ok(agesMs.slice(2).every(ageMs => ageMs <= INTERVAL_MS * 2));
     assert.deepEqual(source.freshConnections.slice(0, 2), [false, true]);
+    // The second read has to end within the bound too.
+    assert.equal(source.readAtMs[1], PATIENCE_MS + 1);
   });
 
   it('has few reads in flight while none ends', async () => {
@@ -120,7 +126,7 @@
     assert.equal(source.freshConnections.length, 0);
   });
 
-  it('reads the list itself once the readers have gone silent', async () => {
+  it('reads the state itself once the readers have gone silent', async () => {
     const silentFromMs = 5_000;
     const { agesMs, source } = await observeAges(
       () => 5,
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -114,8 +114,7 @@
     for (const order of state.rollouts) rollouts.applyOrder(order);
     for (const rollout of state.ended) rollouts.applyOutcome(rollout);
     const orders = rollouts.rollouts().map(trial => trial.order);
-    const newest = Math.max(0, ...orders.map(order => order.revision));
-    this.publish(GossipKey.Rollouts, newest, orders);
+    this.publish(GossipKey.Rollouts, rollouts.newestRevision, orders);
     if (state.revision >= this.gossipVersion(GossipKey.Rollouts))
       this.lacksOrders = false;
     const next = state.configuration;
