Test a version on routes that become known during its rollout

Cause: the tests of a version were created for the routes that led to its group when the order was applied. A starting daemon applies the orders before the configuration of the same read, knew no route, and left all evidence out for the whole rollout; likewise for a route that was added later.

Change: RegressionDetector tests each route from its first evidence on, and asks for the known routes when it works out how strict the tests have to be, so that no order of the parts matters. On related paths: the bounds on exposure are read at each use, as changed settings apply to them at once; orders precede the configuration in the digests of peers.

--- a/packages/core/src/moves/move-controller.ts
+++ b/packages/core/src/moves/move-controller.ts
@@ -189,7 +189,7 @@
   private createDetector({ blockMs }: BlockTiming): RegressionDetector {
     const { deadlineAtMs, kinds, startedAtMs } = this.current.spec;
     return new RegressionDetector({
-      kinds,
+      kinds: () => kinds,
       plannedBlocks: Math.ceil((deadlineAtMs - startedAtMs) / blockMs),
       falseFindingRate: FALSE_FINDING_RATE / 2,
     });
--- a/packages/core/src/moves/regression-detector.ts
+++ b/packages/core/src/moves/regression-detector.ts
@@ -5,49 +5,57 @@
 import { TwoSampleTest } from './two-sample-test.js';
 
 export interface RegressionDetectorOptions {
-  readonly kinds: readonly string[];
+  /** Returns the kinds that are known now; they may change while the versions are compared. */
+  readonly kinds: () => readonly string[];
   /** Number of blocks within which a regression may start. */
   readonly plannedBlocks: number;
   /** Probability of a false finding over all tests of this detector. */
   readonly falseFindingRate: number;
 }
 
-/** Tests of one signal: one per kind, and one over all kinds combined. */
+/** Tests of one signal: one per kind, from its first evidence on, and one over all kinds combined. */
 class SignalTests {
   private readonly overall: TwoSampleTest;
-  private readonly byKind: Map<string, TwoSampleTest>;
+  private readonly byKind = new Map<string, TwoSampleTest>();
 
   constructor(
     private readonly signal: Signal,
-    private readonly logThreshold: number,
-    { kinds, plannedBlocks }: RegressionDetectorOptions,
+    private readonly plannedBlocks: number,
   ) {
     this.overall = new TwoSampleTest(plannedBlocks);
-    this.byKind = new Map(
-      kinds.map(kind => [kind, new TwoSampleTest(plannedBlocks)]),
-    );
   }
 
   /** Adds one block and returns the first finding that reaches the threshold, if any. */
-  add(evidence: readonly KindEvidence[]): Finding | undefined {
+  add(
+    evidence: readonly KindEvidence[],
+    logThreshold: number,
+  ): Finding | undefined {
     let finding: Finding | undefined;
     for (const kindEvidence of evidence) {
       const { kind } = kindEvidence;
-      const test = this.byKind.get(kind);
+      const test = this.testOf(kind);
       const block = kindEvidence[this.signal];
-      if (test === undefined) continue;
       // Kinds differ in rate and share, so their e-values are multiplied instead of pooling the counts.
       this.overall.addLogFactors(test.add(block));
-      if (test.reaches(this.logThreshold)) {
+      if (test.reaches(logThreshold)) {
         finding ??= this.createFinding(test, kind);
       }
     }
-    if (this.overall.reaches(this.logThreshold)) {
+    if (this.overall.reaches(logThreshold)) {
       finding ??= this.createFinding(this.overall, undefined);
     }
     return finding;
   }
 
+  private testOf(kind: string): TwoSampleTest {
+    let test = this.byKind.get(kind);
+    if (test === undefined) {
+      test = new TwoSampleTest(this.plannedBlocks);
+      this.byKind.set(kind, test);
+    }
+    return test;
+  }
+
   private createFinding(
     test: TwoSampleTest,
     kind: string | undefined,
@@ -64,23 +72,31 @@
 /**
  * Sequential comparison of the new version with the old one, for each signal:
  * per kind and over all kinds combined. The false finding rate is divided by
- * the number of tests (Bonferroni correction).
+ * the number of tests (Bonferroni correction), which counts each kind that is
+ * known or has had evidence; more of them make all tests stricter from then on.
  */
 export class RegressionDetector {
   private readonly tests: readonly SignalTests[];
+  private readonly kindsWithEvidence = new Set<string>();
 
-  constructor(options: RegressionDetectorOptions) {
-    const { falseFindingRate, kinds } = options;
-    const testCount = SIGNALS.length * (kinds.length + 1);
-    const logThreshold = Math.log(testCount / falseFindingRate);
+  constructor(private readonly options: RegressionDetectorOptions) {
     this.tests = SIGNALS.map(
-      signal => new SignalTests(signal, logThreshold, options),
+      signal => new SignalTests(signal, options.plannedBlocks),
     );
   }
 
   /** Adds one block and returns a finding that reaches the threshold, if any. */
   add(evidence: readonly KindEvidence[]): Finding | undefined {
-    const findings = this.tests.map(tests => tests.add(evidence));
+    for (const { kind } of evidence) this.kindsWithEvidence.add(kind);
+    const logThreshold = this.logThreshold();
+    const findings = this.tests.map(tests => tests.add(evidence, logThreshold));
     return findings.find(finding => finding !== undefined);
   }
+
+  private logThreshold(): number {
+    const { falseFindingRate, kinds } = this.options;
+    const tested = new Set([...kinds(), ...this.kindsWithEvidence]);
+    const testCount = SIGNALS.length * (tested.size + 1);
+    return Math.log(testCount / falseFindingRate);
+  }
 }
--- a/packages/core/src/rollouts/canary-rollout.test.ts
+++ b/packages/core/src/rollouts/canary-rollout.test.ts
@@ -79,7 +79,7 @@
         exposureShare: 0.1,
         exposureSlack: 50,
         daemons: () => DAEMONS,
-        routes: ROUTES,
+        routes: () => ROUTES,
       }),
   );
   let requests = 0;
@@ -130,7 +130,9 @@
 }
 
 /** Creates a rollout of group 'g' on the only daemon. */
-function createLoneRollout(): CanaryRollout {
+function createLoneRollout(
+  routes: () => readonly string[] = () => ROUTES,
+): CanaryRollout {
   const order = {
     revision: 7,
     group: 'g',
@@ -141,7 +143,7 @@
     exposureShare: 0.1,
     exposureSlack: 50,
     daemons: () => 1,
-    routes: ROUTES,
+    routes,
   });
 }
 
@@ -250,6 +252,24 @@
     assert.equal(rollout.phase, RolloutPhase.RolledBack);
   });
 
+  // The routes were read once, when the order arrived, so that nobody tested the version on others.
+  it('tests the version on routes that become known during the rollout', () => {
+    const routes: string[] = [];
+    const rollout = createLoneRollout(() => routes);
+    routes.push('drafts');
+    for (let nowMs = 0; nowMs <= 4_000; nowMs += 100) {
+      for (const version of ['v1', 'v1', 'v2']) {
+        const attempt = { group: 'g', version, route: 'drafts' };
+        const observation = rollout.observe(attempt, nowMs);
+        observation.recordEvents(1, nowMs + 50);
+        observation.end(version === 'v2');
+      }
+      rollout.tick(nowMs);
+    }
+    assert.equal(rollout.phase, RolloutPhase.RolledBack);
+    assert.equal(rollout.finding?.kind, 'drafts');
+  });
+
   it('sends nothing to the version after the deadline, and rolls back without enough answers', () => {
     const rollout = createLoneRollout();
     assert.deepEqual(rollout.choose(DURATION_MS), { not: 'v2' });
--- a/packages/core/src/rollouts/canary-rollout.ts
+++ b/packages/core/src/rollouts/canary-rollout.ts
@@ -12,6 +12,7 @@
 import type { RolloutHints } from './rollout-hints.js';
 import { mergePhases, RolloutPhase } from './rollout-hints.js';
 
+/** What a rollout depends on; all of it may change while it runs, and before its daemon knows any configuration. */
 export interface CanaryOptions {
   /** Largest share of the group's requests that may use the new version during the canary phase. */
   readonly exposureShare: number;
@@ -19,8 +20,8 @@
   readonly exposureSlack: number;
   /** Returns the number of daemons. */
   readonly daemons: () => number;
-  /** Routes that lead to the group. */
-  readonly routes: readonly string[];
+  /** Returns the names of the routes that lead to the group. */
+  readonly routes: () => readonly string[];
 }
 
 /** Part of the allowed exposure that is used, as daemons send unevenly and don't know what the others send. */
--- a/packages/core/src/rollouts/rollout-registry.test.ts
+++ b/packages/core/src/rollouts/rollout-registry.test.ts
@@ -17,7 +17,7 @@
   return new RolloutRegistry({
     nowMs: () => 0,
     log: noopLog,
-    optionsFor: () => ({ ...bounds, daemons: () => 2, routes: [] }),
+    optionsFor: () => ({ ...bounds, daemons: () => 2, routes: () => [] }),
   });
 }
 
--- a/packages/core/src/rollouts/rollout-writer.test.ts
+++ b/packages/core/src/rollouts/rollout-writer.test.ts
@@ -15,7 +15,7 @@
         exposureShare: 0.1,
         exposureSlack: 50,
         daemons: () => 1,
-        routes: [],
+        routes: () => [],
       }),
     });
     const writer = new RolloutWriter({
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -145,10 +145,14 @@
     log,
     nowMs: () => clock.nowMs(),
     optionsFor: group => ({
-      exposureShare: settings.bounds.exposureShare,
-      exposureSlack: settings.bounds.exposureSlack,
+      get exposureShare() {
+        return settings.bounds.exposureShare;
+      },
+      get exposureSlack() {
+        return settings.bounds.exposureSlack;
+      },
       daemons: () => cluster.size,
-      routes: routeNamesFor(configuration.current, group),
+      routes: () => routeNamesFor(configuration.current, group),
     }),
   });
   const quarantine = new RequestQuarantine({
--- a/packages/daemon/src/gateway/gossip-key.ts
+++ b/packages/daemon/src/gateway/gossip-key.ts
@@ -6,10 +6,10 @@
   Evacuations = 'evacuations',
 }
 
-/** Keys in every digest. The evacuations come before the configuration, by which a starting daemon begins to serve. */
+/** Keys in every digest. The evacuations and the orders come before the configuration, by which a starting daemon begins to serve. */
 export const GOSSIP_KEYS_OF_EVERY_DIGEST: readonly GossipKey[] = [
   GossipKey.Evacuations,
+  GossipKey.Rollouts,
   GossipKey.Configuration,
   GossipKey.Endpoints,
-  GossipKey.Rollouts,
 ];
--- a/packages/daemon/src/gateway/state-replicator.test.ts
+++ b/packages/daemon/src/gateway/state-replicator.test.ts
@@ -27,7 +27,7 @@
   const rollouts = new RolloutRegistry({
     nowMs: () => clock.nowMs(),
     log: noopLog,
-    optionsFor: () => ({ ...bounds, daemons: () => 2, routes: [] }),
+    optionsFor: () => ({ ...bounds, daemons: () => 2, routes: () => [] }),
   });
   const publish = (value: ReplicatedValue) => {
     for (const each of [store, ...peers]) each.apply(value);
--- a/packages/daemon/src/gateway/state-replicator.ts
+++ b/packages/daemon/src/gateway/state-replicator.ts
@@ -108,7 +108,7 @@
   /** Applies operator state read from the store and publishes its evacuations, rollouts and configuration. */
   handleOperatorState(state: OperatorState): void {
     const { rollouts } = this.deps;
-    // Before the configuration, by which a starting daemon begins to serve.
+    // Evacuations and orders come before the configuration, by which a starting daemon begins to serve.
     this.evacuationReplicator.handleRead(state.evacuations);
     if (state.malformed > 0) this.reportMalformed(state);
     for (const order of state.rollouts) rollouts.applyOrder(order);
