Read the cache capacity of engines at each use

Prompts went to engines that were taken to have, or to lack, cached parts.

Cause: the capacity was read once, when an engine was first listed.

Change: the model of the cache asks for the capacity.

--- a/packages/core/src/forwarding/endpoint-pool.test.ts
+++ b/packages/core/src/forwarding/endpoint-pool.test.ts
@@ -43,7 +43,7 @@
 function createPool(
   ids: readonly string[],
   seed = 1,
-  memoryTokens?: number,
+  memoryTokens: () => number | undefined = () => undefined,
   overloadGuard: OverloadGuard = UNGUARDED,
   coldStarts: ColdStartGuard = NEVER_COLD,
 ): EndpointPool {
@@ -51,7 +51,7 @@
     dataCentre: 'north-1',
     prefillTokensPerMs: 90,
     timeMs: () => 0,
-    engineMemoryTokens: () => memoryTokens,
+    engineMemoryTokens: memoryTokens,
     limiter: UNLIMITED,
     paused: new PausedEndpoints({
       nowMs: () => 0,
@@ -170,7 +170,7 @@
 
   it('expects a prompt to be uncached once others have filled the cache of its engine', () => {
     const backlogTokensAt = (memoryTokens: number) => {
-      const pool = createPool(['a'], 1, memoryTokens);
+      const pool = createPool(['a'], 1, () => memoryTokens);
       pool.reserve(draftQuery, 0);
       pool.reserve(otherDraftQuery, 0);
       pool.reserve(draftQuery, 0);
@@ -180,6 +180,16 @@
     assert.equal(backlogTokensAt(30_000), 51_000);
   });
 
+  // A list that came before the configuration left engines with the capacity that is assumed without one.
+  it('knows the cache of an engine whose configuration comes after its listing, or changes', () => {
+    const capacities: number[] = [];
+    const pool = createPool(['a'], 1, () => capacities[0]);
+    capacities.push(30_000);
+    for (const each of [draftQuery, otherDraftQuery, draftQuery])
+      pool.reserve(each, 0);
+    assert.equal(pool.ownLoad().get('a')?.backlogTokens, 51_000);
+  });
+
   it('ignores an older listing', () => {
     const pool = createPool(['a']);
     const endpoints = [sampleEndpoint('bb')];
--- a/packages/core/src/forwarding/endpoint-pool.ts
+++ b/packages/core/src/forwarding/endpoint-pool.ts
@@ -80,8 +80,7 @@
       if (isSame) member.record = record;
       const nextMember = isSame
         ? member
-        : createPoolMember(
-            record,
+        : createPoolMember(record, () =>
             this.options.engineMemoryTokens(record.group),
           );
       nextMember.usableUntilMs = Infinity;
--- a/packages/core/src/forwarding/pool-member.ts
+++ b/packages/core/src/forwarding/pool-member.ts
@@ -37,10 +37,13 @@
 /** Share of the shared parts of a prompt that is expected to be uncached at their preferred endpoint. */
 const PREFERRED_MISS_SHARE = 0.3; // tokens of shared parts that engines read again, relative to all tokens of shared parts, under light load
 
-/** Creates a member without statistics. `memoryTokens` is the KV cache capacity of its engine. */
+/**
+ * Creates a member without statistics. `memoryTokens` returns the KV cache capacity
+ * of its engine; undefined while its configuration is not known.
+ */
 export function createPoolMember(
   record: EndpointRecord,
-  memoryTokens = DEFAULT_ENGINE_MEMORY_TOKENS,
+  memoryTokens: () => number | undefined = () => undefined,
 ): PoolMember {
   return {
     record,
@@ -52,7 +55,10 @@
     averageResponseMs: undefined,
     respondedAtMs: -Infinity,
     health: new EndpointHealth(),
-    promptCache: new PromptCache(memoryTokens * PROMPT_CACHE_SHARE),
+    promptCache: new PromptCache(
+      () =>
+        (memoryTokens() ?? DEFAULT_ENGINE_MEMORY_TOKENS) * PROMPT_CACHE_SHARE,
+    ),
     usableUntilMs: Infinity,
   };
 }
--- a/packages/core/src/forwarding/prompt-cache.ts
+++ b/packages/core/src/forwarding/prompt-cache.ts
@@ -8,8 +8,8 @@
   private readonly tokensById = new Map<string, number>();
   private cachedTokens = 0;
 
-  /** `maxTokens` is the cache capacity of the endpoint. */
-  constructor(private readonly maxTokens: number) {}
+  /** `maxTokens` returns the cache capacity of the endpoint, which operators may change. */
+  constructor(private readonly maxTokens: () => number) {}
 
   /** Returns the tokens of the prompt after its longest cached prefix. */
   uncachedTokens(parts: readonly PromptPart[]): number {
@@ -29,9 +29,10 @@
       this.tokensById.set(part.id, part.tokens);
       this.cachedTokens += part.tokens;
     }
+    const maxTokens = this.maxTokens();
     for (const id of this.tokensById.keys()) {
       const isFull =
-        this.cachedTokens > this.maxTokens || this.tokensById.size > MAX_PARTS;
+        this.cachedTokens > maxTokens || this.tokensById.size > MAX_PARTS;
       if (!isFull) return;
       this.remove(id);
     }
--- a/packages/measure/src/routing/placement-engine.ts
+++ b/packages/measure/src/routing/placement-engine.ts
@@ -40,7 +40,7 @@
   /** Prompt tokens of shared parts that were read. */
   sharedTokensRead = 0;
   rejections = 0;
-  private readonly cache = new PromptCache(CACHE_TOKENS);
+  private readonly cache = new PromptCache(() => CACHE_TOKENS);
   private running: RunningJob[] = [];
   private readonly waiting: EngineJob[] = [];
   private isStepping = false;
