Wait for a holder of the duties before counts are made in gateway-usage

The test failed in 4 of 9 runs on a fast machine: 0 of 84 counts were reported, or none were stored.

Cause, in the test: only the holder of the duties stores counts. A daemon that starts beside others takes the duties three seconds after its start, reads the stored counts first, and writes a second later. Here the first holder came 3.05 to 3.13 s after the start of the daemons, the first write 4.10 to 4.21 s after it (four runs), and the kill 4.28 to 4.39 s (six runs): 0.2 s later.

Change: the test waits until a daemon holds the duties before it sends requests. The time in which counts have to be stored, their number and all other checks are as before.

--- a/packages/stand-ins/src/gateway/gateway-usage.test.ts
+++ b/packages/stand-ins/src/gateway/gateway-usage.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 
+import { waitUntil } from './gateway-fixture.js';
 import { PartitionFixture, SERVED_KINDS } from './partition-fixture.js';
 
 const ROUNDS = 8;
@@ -28,6 +29,13 @@
     const { deployment, gateways } = fixture;
     for (const { gateway } of gateways)
       gateway.wiring.settings.bounds.usageCheckpointSeconds = 1;
+    // Only the holder of the duties stores counts; there is none in the first three seconds.
+    await waitUntil(() =>
+      gateways.some(
+        ({ gateway }) =>
+          gateway.wiring.duties.dutyHolder.currentToken() !== undefined,
+      ),
+    );
     await fixture.serveRounds(gateways.slice(0, 2));
     const counted = fixture.usage();
     assert.ok(counted >= ROUNDS * SERVED_KINDS.length);
