Take a part of an early answer, and an invalid status, for a lost answer

Callers saw: an endpoint answers a long upload at once with a 200 without a length, writes a part of the body, ends its side of the connection and resets it; the caller gets the part as a whole answer. A status of 600 or 999 is passed on. A reset alone, and the statuses 000 and 099, were noticed before.

Cause: undici closes a connection whose end ends a response, and never learns of the reset. Statuses above 599 were not looked at.

Change: the end of a connection is held back for 100 ms where it ends the response to a request of 16 KiB or more, and longer while the endpoint reads on; a reset meanwhile, or an upload that is no longer read, makes the response a lost one. A status outside 100 to 599 is no response.

--- a/packages/daemon/src/gateway/metered-client.ts
+++ b/packages/daemon/src/gateway/metered-client.ts
@@ -4,6 +4,8 @@
 import { Client } from 'undici';
 
 import { nextPoll } from '../http/index.js';
+import { BodyFraming, bodyFraming } from './body-framing.js';
+import { UploadEndGuard } from './upload-end-guard.js';
 
 /** Bytes that a response may have besides those of its body: head, framing, and what waits in buffers. */
 const MAX_OVERHEAD_BYTES = 262_144; // four times the largest head
@@ -101,6 +103,7 @@
     private readonly meter = new ResponseMeter(),
     /** Context of the request that was dispatched last, until it ends: it refers to the request's body, and idle clients stay in their pool. */
     private readonly last: { context?: RequestContext | undefined } = {},
+    private readonly endGuard = new UploadEndGuard(),
   ) {
     super(origin, {
       ...options,
@@ -123,6 +126,7 @@
               return;
             }
             meter.attach(socket);
+            endGuard.attach(socket);
             callback(null, socket);
           });
         });
@@ -144,14 +148,40 @@
       });
     }
     meterBody(handler, this.meter);
+    this.guardEnd(options, handler);
     return super.dispatch(options, handler);
   }
+
+  /** Tells the guard of the connection's end about the request and what delimits its response. */
+  private guardEnd(
+    { body, method }: Dispatcher.DispatchOptions,
+    handler: RequestHandler,
+  ): void {
+    const { endGuard } = this;
+    if (!endGuard.start(body)) return;
+    const onHeaders = handler.onHeaders?.bind(handler);
+    handler.onHeaders = (status, rawHeaders, ...rest) => {
+      const headers = rawHeaders.map(text => text.toString('latin1'));
+      if (bodyFraming(method, status, headers) === BodyFraming.ConnectionEnd)
+        endGuard.recordEndDelimited();
+      return onHeaders?.(status, rawHeaders, ...rest) ?? true;
+    };
+    onEnd(handler, () => {
+      endGuard.recordEnd();
+    });
+  }
 }
 
 /** Handler of a request as undici's `request` creates it for each call. */
 interface RequestHandler {
   /** Called right before the request is written; if it throws, the request fails with the error and nothing is written. */
   onConnect?(abort: () => void): void;
+  onHeaders?(
+    status: number,
+    rawHeaders: Buffer[],
+    resume: () => void,
+    statusText: string,
+  ): boolean;
   /** Returns false if the parser is to pause. */
   onData?(chunk: Buffer): boolean;
   onComplete?(trailers: string[] | null): void;
--- a/packages/daemon/src/gateway/response-reader.ts
+++ b/packages/daemon/src/gateway/response-reader.ts
@@ -2,6 +2,9 @@
 
 import type { RawHeaders } from '@skylarkreach/core/forwarding';
 
+/** Range of the statuses (RFC 9110, 15). */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
 /** Lowest status of a final response. */
 const MIN_FINAL_STATUS = 200;
 
@@ -83,6 +86,9 @@
     rawHeaders: readonly (Buffer | string)[],
     resume: () => void,
   ): boolean {
+    // undici fails the request with what is thrown here.
+    if (status < MIN_STATUS || status > MAX_STATUS)
+      throw new Error(`The response has the invalid status ${status}.`);
     if (status < MIN_FINAL_STATUS) return true;
     this.resume = resume;
     const headers = rawHeaders.map(text =>
