Watch the operators' state again only once a read has been answered

While the store was away, a reader's watches and its reads each called it three times a second.

Change: after a watch that failed, the next begins once a read has shown that the store answers. The state has to be read whole then, and a peer's read confirms nothing until it has been: a reader that is not among the first ones would otherwise hear of their reads and not read again.

Result: two tests in operator-watch, of which the second fails where a peer's read counts.

--- a/packages/daemon/src/gateway/create-operator-reads.ts
+++ b/packages/daemon/src/gateway/create-operator-reads.ts
@@ -65,7 +65,7 @@
     read: (deadlineAtMs, freshConnection) =>
       reader.read(deadlineAtMs, freshConnection),
     isReader: () => readerRole.isFirstReader(),
-    lastOtherReadAtMs: () => Math.max(reader.lastReadAtMs, peerReadAtMs()),
+    lastOtherReadAtMs: () => reader.confirmedAtMs(peerReadAtMs()),
     onState: () => undefined, // the reader applies what it reads
   });
   const operatorWatch = new OperatorWatch({
--- a/packages/daemon/src/gateway/operator-state-reader.ts
+++ b/packages/daemon/src/gateway/operator-state-reader.ts
@@ -23,9 +23,15 @@
 
   constructor(private readonly deps: OperatorStateReaderDependencies) {}
 
-  /** Whether the state has been read. */
-  get isLoaded(): boolean {
-    return this.revision !== undefined;
+  /**
+   * Returns the latest read that confirms the state, of which a peer's began at
+   * `peerReadAtMs`. Where this daemon has to read the whole state, no peer's counts.
+   */
+  confirmedAtMs(peerReadAtMs: number): number {
+    const { lastReadAtMs } = this;
+    return this.needsWhole
+      ? lastReadAtMs
+      : Math.max(lastReadAtMs, peerReadAtMs);
   }
 
   /** Makes the next read one of the whole state. */
--- a/packages/daemon/src/gateway/operator-watch.test.ts
+++ b/packages/daemon/src/gateway/operator-watch.test.ts
@@ -76,6 +76,8 @@
   readonly clock = new ManualClock(0);
   readonly source = new QuietSource(this.clock);
   isReader = false;
+  /** Whether the daemon also polls as a reader. */
+  isFirstReader = true;
   peerReadAtMs = -Infinity;
   private readonly common = {
     clock: this.clock,
@@ -102,9 +104,9 @@
   readonly poller = new StatePoller<void>({
     ...this.common,
     ...{ name: 'operators', part: LogComponent.Configuration, timing: TIMING },
+    isReader: () => this.isReader && this.isFirstReader,
     read: (deadlineAtMs, fresh) => this.reader.read(deadlineAtMs, fresh),
-    lastOtherReadAtMs: () =>
-      Math.max(this.reader.lastReadAtMs, this.peerReadAtMs),
+    lastOtherReadAtMs: () => this.reader.confirmedAtMs(this.peerReadAtMs),
     onState: () => undefined,
   });
 
@@ -181,6 +183,34 @@
     assert.ok(harness.ageMs >= ageMs + 1_000);
   });
 
+  it('leaves it to the reads to find out when the store answers again', async () => {
+    const harness = new Harness();
+    harness.isReader = true;
+    await harness.advanceTo(3_000);
+    harness.source.isDown = true;
+    await harness.advanceTo(6_000);
+    const { watches } = harness.source;
+    await harness.advanceTo(10_000);
+    assert.equal(harness.source.watches, watches);
+    harness.source.isDown = false;
+    await harness.advanceTo(11_000);
+    assert.equal(harness.source.watches, watches + 1);
+  });
+
+  // A reader that is not among the first ones hears of their reads, and would not read again.
+  it('watches again after a failure while it hears of reads by peers', async () => {
+    const harness = new Harness();
+    harness.isReader = true;
+    harness.isFirstReader = false;
+    await harness.advanceTo(3_000, true);
+    harness.source.isDown = true;
+    await harness.advanceTo(6_000, true);
+    const { watches } = harness.source;
+    harness.source.isDown = false;
+    await harness.advanceTo(8_000, true);
+    assert.ok(harness.source.watches > watches);
+  });
+
   it('needs no new connection for a watch to be sure of changes', async () => {
     const harness = new Harness();
     harness.isReader = true;
--- a/packages/daemon/src/gateway/operator-watch.ts
+++ b/packages/daemon/src/gateway/operator-watch.ts
@@ -1,21 +1,19 @@
-import type { Clock, Random } from '@skylarkreach/core/ports';
+import type { Clock } from '@skylarkreach/core/ports';
 
 import type { DependencyMonitor } from './dependency-monitor.js';
 import type { OperatorStateReader } from './operator-state-reader.js';
 
 /** Maximum duration of one watch; an unresponsive connection is abandoned soon after it. */
 const WATCH_TIMEOUT_MS = 2_500; // with the store client's margin, at most the 3 s after which an instance counts as in contact again
-const RETRY_MS = 200;
 /** Interval at which a daemon that does not watch checks whether it has to. */
 const ROLE_CHECK_MS = 100;
 
 export interface OperatorWatchDependencies {
   readonly reader: Pick<
     OperatorStateReader,
-    'isLoaded' | 'requireWhole' | 'watch'
+    'lastReadAtMs' | 'requireWhole' | 'watch'
   >;
   readonly clock: Clock;
-  readonly random: Random;
   readonly monitor: DependencyMonitor;
   /** Whether this daemon reads the store for others. */
   readonly isReader: () => boolean;
@@ -24,10 +22,11 @@
 /**
  * Follows the operators' state through long-polling watches where this daemon
  * reads the store for others, so that changes are known at once. A watch that
- * waits confirms nothing, since its connection may be dead.
+ * waits confirms nothing, since its connection may be dead. After one that failed,
+ * the next begins once a read has shown that the store answers.
  */
 export class OperatorWatch {
-  private hasFailed = false;
+  private failedAtMs = -Infinity;
 
   constructor(private readonly deps: OperatorWatchDependencies) {}
 
@@ -37,22 +36,20 @@
     if (!this.isWatching()) return;
     try {
       await reader.watch(clock.nowMs() + WATCH_TIMEOUT_MS);
-      this.hasFailed = false;
       monitor.recordSuccess(clock.nowMs());
     } catch (error) {
-      this.hasFailed = true;
+      this.failedAtMs = clock.nowMs();
       monitor.recordFailure(error, clock.nowMs());
       reader.requireWhole();
     }
   }
 
   nextAtMs(nowMs: number): number {
-    if (!this.isWatching()) return nowMs + ROLE_CHECK_MS;
-    if (!this.hasFailed) return nowMs;
-    return nowMs + RETRY_MS + this.deps.random.nextInteger(RETRY_MS);
+    return this.isWatching() ? nowMs : nowMs + ROLE_CHECK_MS;
   }
 
   private isWatching(): boolean {
-    return this.deps.reader.isLoaded && this.deps.isReader();
+    const { isReader, reader } = this.deps;
+    return reader.lastReadAtMs > this.failedAtMs && isReader();
   }
 }
