--- a/packages/stand-ins/src/upgrade/daemon-builds.ts
+++ b/packages/stand-ins/src/upgrade/daemon-builds.ts
@@ -15,10 +15,10 @@
   readonly commit: string;
 }
 
-/** The last landing. */
-const PRODUCTION_COMMIT = 'c25a05e';
+/** The last landing that changed the program. */
+const PRODUCTION_COMMIT = 'abb8baf';
 /** The landing before; a deployment may skip one. */
-const OLDER_COMMIT = 'a2ee7e1';
+const OLDER_COMMIT = 'c25a05e';
 
 export const PRODUCTION: EarlierBuild = {
   name: 'build in production',
