--- a/packages/stand-ins/src/gateway/gateway-deployment.ts
+++ b/packages/stand-ins/src/gateway/gateway-deployment.ts
@@ -48,6 +48,8 @@
   queue: Partial<GatewaySettings['queue']> = {};
   /** Section `fleet`, likewise. */
   fleet: Partial<GatewaySettings['fleet']> = {};
+  /** Section `bounds`, likewise. */
+  bounds: Partial<GatewaySettings['bounds']> = {};
 
   /** `expose` returns the address that is registered for an endpoint's own. */
   constructor(
@@ -147,6 +149,7 @@
       peerSecret,
       queue: this.queue,
       fleet: this.fleet,
+      bounds: this.bounds,
       telemetry: { logLevel: LogLevel.Silent },
       routing: {
         placement: this.placement,
