Do not check each millisecond for a read that a peer has made meanwhile

While a read of the store hung, and a peer's read made the next one needless, the poller checked once a millisecond until the read was abandoned.

Change: the next check is when a read is due again. The jitter stays as it is after a read that hangs or failed, so that the read after it is not put off. A read of the operators' state is abandoned after 2.5 s in place of 1 s, as the patience notices a dead connection and a large state needs its time. The guard of a connection's end goes by the last head of a response, not by informational ones.

--- a/packages/daemon/src/gateway/create-operator-reads.ts
+++ b/packages/daemon/src/gateway/create-operator-reads.ts
@@ -28,7 +28,8 @@
 const FOLLOWED_SHARE = 0.6; // with the jitter and a read that hangs, another read still fits within the bound
 /** Time after which a read counts as hanging, likewise. */
 const PATIENCE_SHARE = 0.1;
-const READ_TIMEOUT_MS = 1_000;
+/** Time after which a read is abandoned. */
+const READ_TIMEOUT_MS = 2_500; // a large configuration on a slow link
 
 /** Creates the watch of the operators' state, and the reads that confirm all parts of it. */
 export function createOperatorReads(
--- a/packages/daemon/src/gateway/metered-client.ts
+++ b/packages/daemon/src/gateway/metered-client.ts
@@ -162,8 +162,8 @@
     const onHeaders = handler.onHeaders?.bind(handler);
     handler.onHeaders = (status, rawHeaders, ...rest) => {
       const headers = rawHeaders.map(text => text.toString('latin1'));
-      if (bodyFraming(method, status, headers) === BodyFraming.ConnectionEnd)
-        endGuard.recordEndDelimited();
+      const framing = bodyFraming(method, status, headers);
+      endGuard.recordHead(framing === BodyFraming.ConnectionEnd);
       return onHeaders?.(status, rawHeaders, ...rest) ?? true;
     };
     onEnd(handler, () => {
--- a/packages/daemon/src/gateway/state-poller.ts
+++ b/packages/daemon/src/gateway/state-poller.ts
@@ -75,7 +75,8 @@
   }
 
   nextAtMs(nowMs: number): number {
-    if (this.isAloneHanging) return nowMs + 1;
+    // A peer may have read meanwhile.
+    if (this.isAloneHanging) return Math.max(nowMs + 1, this.dueAtMs());
     if (this.isOverdue) {
       return nowMs + RETRY_MS + this.deps.random.nextInteger(RETRY_MS);
     }
@@ -97,7 +98,9 @@
     if (this.readsInFlight >= MAX_READS_IN_FLIGHT) return;
     const { clock, random, timing } = this.deps;
     const readAtMs = clock.nowMs();
-    this.jitterMs = random.nextInteger(timing.intervalMs * JITTER_SHARE);
+    // A read that follows one which hangs or failed is due as soon as that was.
+    if (!this.isOverdue)
+      this.jitterMs = random.nextInteger(timing.intervalMs * JITTER_SHARE);
     this.isAloneHanging = false;
     const readEnd = new AbortController();
     const patience = clock
--- a/packages/daemon/src/gateway/upload-end-guard.ts
+++ b/packages/daemon/src/gateway/upload-end-guard.ts
@@ -36,9 +36,9 @@
     return this.isLongUpload;
   }
 
-  /** Records that the end of the connection ends the response that has begun. */
-  recordEndDelimited(): void {
-    this.isEndDelimited = true;
+  /** Records what the head of a response says; the last one counts, after informational ones. */
+  recordHead(isEndDelimited: boolean): void {
+    this.isEndDelimited = isEndDelimited;
   }
 
   /** Records that the request has ended. */
