--- a/packages/daemon/src/gateway/operator-watch.ts
+++ b/packages/daemon/src/gateway/operator-watch.ts
@@ -4,7 +4,7 @@
 import type { OperatorStateReader } from './operator-state-reader.js';
 
 /** Maximum duration of one watch; an unresponsive connection is abandoned soon after it. */
-const WATCH_TIMEOUT_MS = 2_500; // with the store client's margin, at most the 3 s after which an instance counts as in contact again
+const WATCH_TIMEOUT_MS = 10_000; // reads notice what a dead connection hides
 /** Interval at which a daemon that does not watch checks whether it has to. */
 const ROLE_CHECK_MS = 100;
 
