Read and check less often in the loops of the operators' state

The first readers read once in 0.25 of the bound in place of 0.2, and roles are checked every half second.

--- a/packages/daemon/src/gateway/create-operator-reads.ts
+++ b/packages/daemon/src/gateway/create-operator-reads.ts
@@ -23,7 +23,7 @@
 }
 
 /** Time between reads of the operators' state, as a fraction of the shortest bound on its application. */
-const INTERVAL_SHARE = 0.2;
+const INTERVAL_SHARE = 0.25;
 /** Age of the state from which a daemon that is no reader reads it, likewise. */
 const FOLLOWED_SHARE = 0.6; // with the jitter and a read that hangs, another read still fits within the bound
 /** Time after which a read counts as hanging, likewise. */
--- a/packages/daemon/src/gateway/operator-watch.ts
+++ b/packages/daemon/src/gateway/operator-watch.ts
@@ -6,7 +6,7 @@
 /** Maximum duration of one watch; an unresponsive connection is abandoned soon after it. */
 const WATCH_TIMEOUT_MS = 10_000; // reads notice what a dead connection hides
 /** Interval at which a daemon that does not watch checks whether it has to. */
-const ROLE_CHECK_MS = 100;
+const ROLE_CHECK_MS = 500; // membership changes within seconds
 
 export interface OperatorWatchDependencies {
   readonly reader: Pick<
--- a/packages/daemon/src/gateway/state-poller.ts
+++ b/packages/daemon/src/gateway/state-poller.ts
@@ -81,7 +81,7 @@
       return nowMs + RETRY_MS + this.deps.random.nextInteger(RETRY_MS);
     }
     // The role may change meanwhile.
-    const checkAtMs = nowMs + this.deps.timing.intervalMs / 2;
+    const checkAtMs = nowMs + this.deps.timing.intervalMs;
     return Math.max(nowMs + 1, Math.min(this.dueAtMs(), checkAtMs));
   }
 
