Let the reads of a poller apply what they read, and hold an end by one flag

No change of behaviour. StatePoller took a state only to hand it to a callback, which one of its two users left empty; the read applies it now, so that the class needs no type parameter. The guard of a connection's end kept whether an upload is long beside a flag that is set for long uploads alone.

--- a/packages/daemon/src/adapters/connector.ts
+++ b/packages/daemon/src/adapters/connector.ts
@@ -7,6 +7,11 @@
   override readonly name = 'ConnectionResetError';
 }
 
+/** Returns whether a connection that has ended was reset: only then it has no peer. */
+export function wasReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
 /**
  * Returns a connector for clients of undici. Where a connection ends, or fails
  * with ECONNRESET, undici completes a response that its connection delimits; it
--- a/packages/daemon/src/gateway/create-endpoint-list-poller.ts
+++ b/packages/daemon/src/gateway/create-endpoint-list-poller.ts
@@ -1,4 +1,3 @@
-import type { EndpointListing } from '@skylarkreach/core/forwarding';
 import { LogComponent } from '@skylarkreach/core/ports';
 
 import { createMonitor } from './dependency-monitor.js';
@@ -21,18 +20,14 @@
   readonly replicator: StateReplicator;
 }
 
-/** List of endpoints with the number of entries that could not be read. */
-type ReadListing = EndpointListing & { readonly malformed: number };
-
-export type EndpointListPoller = StatePoller<ReadListing>;
-
 /** Creates the reader of the endpoint list, which follows the reads of peers. */
 export function createEndpointListPoller(
   context: GatewayContext,
   { cluster, replicator }: EndpointListPollerParts,
-): EndpointListPoller {
-  const { drainMs } = context.settings.bounds;
-  return new StatePoller<ReadListing>({
+): StatePoller {
+  const { clock, platform, settings } = context;
+  const { drainMs } = settings.bounds;
+  return new StatePoller({
     ...context,
     ...{ name: 'endpoints', part: LogComponent.Routing },
     monitor: createMonitor(context, 'endpoints', LogComponent.Routing),
@@ -42,15 +37,16 @@
       patienceMs: drainMs * LISTING_PATIENCE_SHARE,
       readTimeoutMs: READ_TIMEOUT_MS,
     },
-    read: (deadlineAtMs, freshConnection) =>
-      context.platform.endpoints.readNow(deadlineAtMs, freshConnection),
-    isReader: () => cluster.readerRole.isFirstReader(),
-    lastOtherReadAtMs: () =>
-      cluster.hintBoard.endpointReadAtMs(replicator.endpointsVersion),
-    onState: (listing, readAtMs) => {
+    read: async (deadlineAtMs, freshConnection) => {
+      const readAtMs = clock.nowMs();
+      const { endpoints } = platform;
+      const listing = await endpoints.readNow(deadlineAtMs, freshConnection);
       if (listing.malformed > 0) reportMalformed(context, listing.malformed);
       replicator.handleListing(listing, readAtMs);
     },
+    isReader: () => cluster.readerRole.isFirstReader(),
+    lastOtherReadAtMs: () =>
+      cluster.hintBoard.endpointReadAtMs(replicator.endpointsVersion),
   });
 }
 
--- a/packages/daemon/src/gateway/create-operator-reads.ts
+++ b/packages/daemon/src/gateway/create-operator-reads.ts
@@ -19,7 +19,7 @@
 
 export interface OperatorReads {
   readonly operatorWatch: OperatorWatch;
-  readonly operatorPoller: StatePoller<void>;
+  readonly operatorPoller: StatePoller;
 }
 
 /** Time between reads of the operators' state, as a fraction of the shortest bound on its application. */
@@ -53,7 +53,7 @@
       hintBoard.evacuationReadAtMs(evacuations.revision),
       hintBoard.orderReadAtMs(rollouts.newestRevision),
     );
-  const operatorPoller = new StatePoller<void>({
+  const operatorPoller = new StatePoller({
     ...context,
     ...{ name: 'operators', part },
     monitor: createMonitor(context, 'operators', part),
@@ -67,7 +67,6 @@
       reader.read(deadlineAtMs, freshConnection),
     isReader: () => readerRole.isFirstReader(),
     lastOtherReadAtMs: () => reader.confirmedAtMs(peerReadAtMs()),
-    onState: () => undefined, // the reader applies what it reads
   });
   const operatorWatch = new OperatorWatch({
     ...context,
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -18,6 +18,7 @@
   ConnectionResetError,
   createConnector,
   isConnectError,
+  wasReset,
 } from '../adapters/index.js';
 import { nextPoll } from '../http/index.js';
 import { BodyFraming, bodyFraming } from './body-framing.js';
@@ -278,8 +279,8 @@
     if (isReset) listener();
   });
   socket.on('end', () => {
-    // libuv reports a reset that arrives together with data as an end; only a connection that is reset has no peer by then.
-    if (socket.remoteAddress === undefined) listener();
+    // libuv reports a reset that arrives together with data as an end.
+    if (wasReset(socket)) listener();
   });
 }
 
--- a/packages/daemon/src/gateway/gateway-wiring.ts
+++ b/packages/daemon/src/gateway/gateway-wiring.ts
@@ -37,7 +37,6 @@
   PromMetrics,
   RateLimitedLog,
 } from '../telemetry/index.js';
-import type { EndpointListPoller } from './create-endpoint-list-poller.js';
 import { createEndpointListPoller } from './create-endpoint-list-poller.js';
 import { createLeastWork } from './create-least-work.js';
 import type { OperatorReads } from './create-operator-reads.js';
@@ -57,6 +56,7 @@
 import { createRelayClient } from './relay-client.js';
 import { RelayServer } from './relay-server.js';
 import { createRetryBudgets } from './retry-budgets.js';
+import type { StatePoller } from './state-poller.js';
 import { StateReplicator } from './state-replicator.js';
 import { StopSchedule } from './stop-schedule.js';
 
@@ -270,10 +270,10 @@
     replicator,
     rollouts,
   });
-  const endpointListPoller: EndpointListPoller = createEndpointListPoller(
-    context,
-    { cluster, replicator },
-  );
+  const endpointListPoller: StatePoller = createEndpointListPoller(context, {
+    cluster,
+    replicator,
+  });
   const loops = [
     createPollerLoop(
       context,
--- a/packages/daemon/src/gateway/metered-client.ts
+++ b/packages/daemon/src/gateway/metered-client.ts
@@ -5,7 +5,7 @@
 
 import { nextPoll } from '../http/index.js';
 import { BodyFraming, bodyFraming } from './body-framing.js';
-import { UploadEndGuard } from './upload-end-guard.js';
+import { isLongUpload, UploadEndGuard } from './upload-end-guard.js';
 
 /** Bytes that a response may have besides those of its body: head, framing, and what waits in buffers. */
 const MAX_OVERHEAD_BYTES = 262_144; // four times the largest head
@@ -157,8 +157,8 @@
     { body, method }: Dispatcher.DispatchOptions,
     handler: RequestHandler,
   ): void {
+    if (!isLongUpload(body)) return;
     const { endGuard } = this;
-    if (!endGuard.start(body)) return;
     const onHeaders = handler.onHeaders?.bind(handler);
     handler.onHeaders = (status, rawHeaders, ...rest) => {
       const headers = rawHeaders.map(text => text.toString('latin1'));
--- a/packages/daemon/src/gateway/operator-watch.test.ts
+++ b/packages/daemon/src/gateway/operator-watch.test.ts
@@ -101,13 +101,12 @@
     ...this.common,
     reader: this.reader,
   });
-  readonly poller = new StatePoller<void>({
+  readonly poller = new StatePoller({
     ...this.common,
     ...{ name: 'operators', part: LogComponent.Configuration, timing: TIMING },
     isReader: () => this.isReader && this.isFirstReader,
     read: (deadlineAtMs, fresh) => this.reader.read(deadlineAtMs, fresh),
     lastOtherReadAtMs: () => this.reader.confirmedAtMs(this.peerReadAtMs),
-    onState: () => undefined,
   });
 
   constructor() {
@@ -120,7 +119,7 @@
     return this.clock.nowMs() - this.poller.lastReadAtMs();
   }
 
-  private async run(part: OperatorWatch | StatePoller<void>): Promise<void> {
+  private async run(part: OperatorWatch | StatePoller): Promise<void> {
     for (;;) {
       await part.step();
       await this.clock.waitUntil(part.nextAtMs(this.clock.nowMs()));
--- a/packages/daemon/src/gateway/state-poller.test.ts
+++ b/packages/daemon/src/gateway/state-poller.test.ts
@@ -74,7 +74,6 @@
       source.read(deadlineAtMs, freshConnection),
     isReader: () => peers === undefined,
     lastOtherReadAtMs: () => peers?.(clock.nowMs()) ?? -Infinity,
-    onState: () => undefined,
   });
   const stop = new AbortController();
   let stepCount = 0;
--- a/packages/daemon/src/gateway/state-poller.ts
+++ b/packages/daemon/src/gateway/state-poller.ts
@@ -25,7 +25,7 @@
   readonly readTimeoutMs: number;
 }
 
-export interface StatePollerDependencies<State> {
+export interface StatePollerDependencies {
   /** Name of the state in logs and metrics. */
   readonly name: string;
   readonly part: LogComponent;
@@ -35,17 +35,15 @@
   readonly metrics: Metrics;
   readonly monitor: DependencyMonitor;
   readonly timing: PollTiming;
-  /** Reads the state, on a new connection if `freshConnection` is set. Throws `PlatformError`. */
+  /** Reads and applies the state, on a new connection if `freshConnection` is set. Throws `PlatformError`. */
   readonly read: (
     deadlineAtMs: number,
     freshConnection: boolean,
-  ) => Promise<State>;
+  ) => Promise<void>;
   /** Whether this daemon reads the store for others. */
   readonly isReader: () => boolean;
   /** Latest start of a successful read other than by this poller; -Infinity before the first. */
   readonly lastOtherReadAtMs: () => number;
-  /** Applies each state that was read; the read began at `readAtMs`. */
-  readonly onState: (state: State, readAtMs: number) => void;
 }
 
 /**
@@ -55,9 +53,9 @@
  * connection. The random jitter added to each wait leaves most reads to one
  * daemon (Trickle: Levis, Patel, Culler and Shenker, 2004).
  */
-export class StatePoller<State> {
+export class StatePoller {
   /** Start time of this daemon's last successful read; -Infinity before the first. */
-  lastOwnReadAtMs = -Infinity;
+  private lastOwnReadAtMs = -Infinity;
   /** Whether the last read failed or has not ended in time. */
   private isOverdue = false;
   /** Whether the only read in flight hangs, so that the next one, on a connection of its own, need not wait. */
@@ -65,7 +63,7 @@
   private readsInFlight = 0;
   private jitterMs = 0;
 
-  constructor(private readonly deps: StatePollerDependencies<State>) {}
+  constructor(private readonly deps: StatePollerDependencies) {}
 
   /** Reads the state if a read is due. */
   async step(): Promise<void> {
@@ -120,13 +118,12 @@
   }
 
   private async read(readAtMs: number): Promise<void> {
-    const { clock, metrics, monitor, name, onState, timing } = this.deps;
+    const { clock, metrics, monitor, name, timing } = this.deps;
     const deadlineAtMs = readAtMs + timing.readTimeoutMs;
     const isBesideAnother = this.readsInFlight > 0;
     this.readsInFlight += 1;
     try {
-      const state = await this.deps.read(deadlineAtMs, isBesideAnother);
-      onState(state, readAtMs);
+      await this.deps.read(deadlineAtMs, isBesideAnother);
       this.lastOwnReadAtMs = Math.max(this.lastOwnReadAtMs, readAtMs);
       this.isOverdue = false;
       this.isAloneHanging = false;
--- a/packages/daemon/src/gateway/upload-end-guard.ts
+++ b/packages/daemon/src/gateway/upload-end-guard.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 
-import { ConnectionResetError } from '../adapters/index.js';
+import { ConnectionResetError, wasReset } from '../adapters/index.js';
 
 /** Size of a request's body from which its endpoint may answer before it has read all of it. */
 const MIN_UPLOAD_BYTES = 16_384; // smaller ones are mostly read with their head
@@ -14,40 +14,35 @@
  * the connection is reset meanwhile, or the endpoint stops reading the request.
  */
 export class UploadEndGuard {
-  private isLongUpload = false;
-  private isEndDelimited = false;
+  /** Whether the end of the connection ends the response to a long upload that has begun. */
+  private isHolding = false;
 
   /** Watches the connection of one client. */
   attach(socket: Socket): void {
     const push = socket.push.bind(socket);
     socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
-      if (chunk !== null || !this.isLongUpload || !this.isEndDelimited)
-        return push(chunk, encoding);
+      if (chunk !== null || !this.isHolding) return push(chunk, encoding);
       hold(socket, () => push(null));
       return false;
     };
   }
 
-  /** Begins a request on the connection, and returns whether its body is a long upload. */
-  start(body: unknown): boolean {
-    this.isEndDelimited = false;
-    this.isLongUpload =
-      body instanceof Uint8Array && body.length >= MIN_UPLOAD_BYTES;
-    return this.isLongUpload;
-  }
-
-  /** Records what the head of a response says; the last one counts, after informational ones. */
+  /** Records what the head of the response to a long upload says; the last one counts, after informational ones. */
   recordHead(isEndDelimited: boolean): void {
-    this.isEndDelimited = isEndDelimited;
+    this.isHolding = isEndDelimited;
   }
 
   /** Records that the request has ended. */
   recordEnd(): void {
-    this.isLongUpload = false;
-    this.isEndDelimited = false;
+    this.isHolding = false;
   }
 }
 
+/** Returns whether an endpoint may answer before it has read all of a request's body. */
+export function isLongUpload(body: unknown): boolean {
+  return body instanceof Uint8Array && body.length >= MIN_UPLOAD_BYTES;
+}
+
 /** Ends or resets the connection once it is known which; the end waits while the endpoint reads on. */
 function hold(
   socket: Socket,
@@ -57,8 +52,7 @@
   setTimeout(() => {
     if (socket.destroyed) return;
     const { writableLength } = socket;
-    // Only a connection that was reset has no peer by then.
-    const isReset = socket.remoteAddress === undefined;
+    const isReset = wasReset(socket);
     if (!isReset && writableLength > 0 && writableLength < unsentBytes) {
       hold(socket, pushEnd, writableLength);
     } else if (isReset || writableLength > 0) {
