--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -1,4 +1,4 @@
-/* global AbortSignal, Buffer, URL, clearInterval, clearTimeout, fetch, performance, setInterval, setTimeout */
+/* global performance */
 // A duty call of the holder is on its way when the holder's machine is cut off from the platform. See claim.txt.
 import { writeFileSync } from 'node:fs';
 import { dirname, join } from 'node:path';
--- a/review/lib-3/daemons.mjs
+++ b/review/lib-3/daemons.mjs
@@ -1,4 +1,4 @@
-/* global AbortSignal, Buffer, URL, clearInterval, clearTimeout, fetch, performance, setInterval, setTimeout */
+/* global AbortSignal, fetch, performance, process */
 // Starts the deployed program as processes, with settings made from the project's template.
 import { spawn } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
--- a/review/lib-3/http.mjs
+++ b/review/lib-3/http.mjs
@@ -1,4 +1,4 @@
-/* global AbortSignal, Buffer, URL, clearInterval, clearTimeout, fetch, performance, setInterval, setTimeout */
+/* global Buffer, clearTimeout, setTimeout */
 // Raw HTTP/1.1 for stand-ins that have to control each byte.
 import { connect, createServer } from 'node:net';
 
--- a/review/lib-3/link.mjs
+++ b/review/lib-3/link.mjs
@@ -1,4 +1,4 @@
-/* global AbortSignal, Buffer, URL, clearInterval, clearTimeout, fetch, performance, setInterval, setTimeout */
+/* global performance, setTimeout */
 // Link between one machine and one address, as a proxy that can be cut silently and healed.
 //
 // It keeps to what TCP does: bytes that were sent into the cut stay with the sender's kernel, which sends them again after
--- a/review/lib-3/platform.mjs
+++ b/review/lib-3/platform.mjs
@@ -1,4 +1,4 @@
-/* global AbortSignal, Buffer, URL, clearInterval, clearTimeout, fetch, performance, setInterval, setTimeout */
+/* global Buffer, clearInterval, performance, setInterval, setTimeout */
 // Stand-ins for the platform's API and for workers that it starts and stops as ordered.
 import { createServer } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -1,4 +1,4 @@
-/* global AbortSignal, Buffer, URL, clearInterval, clearTimeout, fetch, performance, setInterval, setTimeout */
+/* global Buffer, URL, clearInterval, clearTimeout, performance, setInterval, setTimeout */
 // Stand-in for the platform's store, after PROTOCOL.md: keys, ranges, watches, transactions and leases, over HTTP.
 import { createServer } from 'node:http';
 
