--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -13,7 +13,8 @@
 import { Store } from '../lib-3/store.mjs';
 
 const IS_TROUBLED = process.env.TROUBLE !== '0';
-const NET = '127.71';
+/** Loopback network of this run, so that runs side by side do not meet. */
+const NET = `127.${64 + (process.pid % 128)}`;
 const CUT_MS = 6_000;
 const startedAtMs = performance.now();
 const record = [];
@@ -104,6 +105,11 @@
   daemons.set(n, new Daemons({ ...addresses, net: `${NET}.1`, zones }));
 }
 
+process.on('SIGTERM', () => {
+  for (const daemon of daemons.values()) daemon.close();
+  process.exit(2);
+});
+
 const healedAtMs = new Map();
 const highest = new Map();
 const broken = [];
