--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -15,7 +15,7 @@
 const IS_TROUBLED = process.env.TROUBLE !== '0';
 /** Loopback network of this run, so that runs side by side do not meet. */
 const NET = `127.${64 + (process.pid % 128)}`;
-const CUT_MS = 6_000;
+const CUT_MS = 5_500;
 const startedAtMs = performance.now();
 const record = [];
 const note = text =>
