Log duty calls that are given up

The daemon's logs could not tell an order that was sent once and arrived late from one that was sent again under an old number: they named neither the fencing number of a call nor the time that it took.

A call that ends without an answer now writes one line with its subject, fencing number and age, and `skylarkreach_duties_calls_total` counts calls by how they ended.

--- a/packages/core/src/duties/duty-call-tracker.ts
+++ b/packages/core/src/duties/duty-call-tracker.ts
@@ -1,4 +1,10 @@
-import { AnswerLostError } from '../ports/index.js';
+import type { Clock, Log, Metrics } from '../ports/index.js';
+import {
+  AnswerLostError,
+  LogComponent,
+  noopLog,
+  noopMetrics,
+} from '../ports/index.js';
 import type {
   DutyApi,
   FencingToken,
@@ -8,18 +14,49 @@
   UsageReport,
 } from './duty-api.js';
 
+export interface DutyCallTrackerDependencies {
+  readonly api: DutyApi;
+  readonly clock: Clock;
+  readonly log?: Log;
+  readonly metrics?: Metrics;
+}
+
+enum CallEnd {
+  Answered = 'answered',
+  /** The platform may have received the call, or may receive it later. */
+  AnswerLost = 'answerLost',
+  Failed = 'failed',
+}
+
 /** Passes calls on to the platform, and keeps track of those in progress. */
 export class DutyCallTracker implements DutyApi {
+  private readonly api: DutyApi;
+  private readonly clock: Clock;
+  private readonly log: Log;
+  private readonly metrics: Metrics;
   private readonly callsInProgress = new Set<Promise<unknown>>();
 
-  constructor(private readonly api: DutyApi) {}
+  constructor({
+    api,
+    clock,
+    log = noopLog,
+    metrics = noopMetrics,
+  }: DutyCallTrackerDependencies) {
+    this.api = api;
+    this.clock = clock;
+    this.log = log;
+    this.metrics = metrics;
+  }
 
   reportUsage(
     report: UsageReport,
     token: FencingToken,
     deadlineAtMs: number,
   ): Promise<ReportOutcome> {
-    return this.track(this.api.reportUsage(report, token, deadlineAtMs));
+    const subject = `usage of window ${report.windowId}`;
+    return this.track(subject, token, () =>
+      this.api.reportUsage(report, token, deadlineAtMs),
+    );
   }
 
   orderEndpoints(
@@ -27,7 +64,10 @@
     token: FencingToken,
     deadlineAtMs: number,
   ): Promise<ScalingOutcome> {
-    return this.track(this.api.orderEndpoints(order, token, deadlineAtMs));
+    const subject = `order for ${order.group} in ${order.dataCentre}`;
+    return this.track(subject, token, () =>
+      this.api.orderEndpoints(order, token, deadlineAtMs),
+    );
   }
 
   /**
@@ -43,12 +83,45 @@
     );
   }
 
-  private async track<Result>(call: Promise<Result>): Promise<Result> {
+  private async track<Result>(
+    subject: string,
+    token: FencingToken,
+    send: () => Promise<Result>,
+  ): Promise<Result> {
+    const startedAtMs = this.clock.nowMs();
+    const call = send();
     this.callsInProgress.add(call);
     try {
-      return await call;
+      const result = await call;
+      this.recordEnd(CallEnd.Answered);
+      return result;
+    } catch (error) {
+      const isLost = error instanceof AnswerLostError;
+      this.recordEnd(isLost ? CallEnd.AnswerLost : CallEnd.Failed);
+      if (isLost) this.logLost(subject, token, startedAtMs);
+      throw error;
     } finally {
       this.callsInProgress.delete(call);
     }
   }
+
+  private recordEnd(end: CallEnd): void {
+    this.metrics.increment('duties.calls', 1, { end });
+  }
+
+  private logLost(
+    subject: string,
+    { fencingNumber }: FencingToken,
+    startedAtMs: number,
+  ): void {
+    this.log.warn(
+      LogComponent.Duties,
+      'A call to the platform has no answer, and may still arrive there.',
+      {
+        subject,
+        fencingNumber,
+        afterMs: Math.round(this.clock.nowMs() - startedAtMs),
+      },
+    );
+  }
 }
--- a/packages/core/src/duties/duty-holder.test.ts
+++ b/packages/core/src/duties/duty-holder.test.ts
@@ -178,8 +178,11 @@
       };
     });
     const calls = new DutyCallTracker({
-      reportUsage: () => Promise.reject(new Error('not called')),
-      orderEndpoints: () => answer,
+      clock: worldClock,
+      api: {
+        reportUsage: () => Promise.reject(new Error('not called')),
+        orderEndpoints: () => answer,
+      },
     });
     calls.orderEndpoints(order, token, 0).catch(() => undefined);
     released = first.holder.release(() => calls.settle());
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -65,7 +65,7 @@
   private readonly dutyCalls: DutyCallTracker;
 
   constructor(context: GatewayContext, deps: GatewayDutiesDependencies) {
-    const { clock, log, platform, settings } = context;
+    const { clock, log, metrics, platform, settings } = context;
     const { bounds, identity } = settings;
     const { firstEventLoops, firstEvents } = createFirstEvents(context);
     this.firstEvents = firstEvents;
@@ -97,7 +97,12 @@
       { ...identity, leaseMs: bounds.leaseMs },
       log,
     );
-    this.dutyCalls = new DutyCallTracker(platform.duties);
+    this.dutyCalls = new DutyCallTracker({
+      api: platform.duties,
+      clock,
+      log,
+      metrics,
+    });
     const dutyApi = this.dutyCalls;
     const checkpointMs = () => bounds.usageCheckpointSeconds * MS_PER_SECOND;
     const usageCheckpoint: UsageCheckpoint = new UsageCheckpoint({
