Replace methods of sockets in one way

Callers see no change. The connector and the guard of a connection's end each rebound methods of a socket by hand.

--- a/packages/daemon/src/adapters/connector.ts
+++ b/packages/daemon/src/adapters/connector.ts
@@ -2,6 +2,8 @@
 
 import { buildConnector } from 'undici';
 
+import { overrideMethod } from './override-method.js';
+
 /** Error of a connection that was reset. */
 export class ConnectionResetError extends Error {
   override readonly name = 'ConnectionResetError';
@@ -38,15 +40,13 @@
 
 /** Keeps the socket from ending while undici's parser is paused. */
 function delayEnd(socket: Socket): void {
-  const read = socket.read.bind(socket);
-  const unshift = socket.unshift.bind(socket);
   let isPaused = false;
   // A parser that pauses returns what it has not parsed, also if that is nothing.
-  socket.unshift = (data, encoding) => {
+  overrideMethod(socket, 'unshift', unshift => (data, encoding) => {
     isPaused = true;
     unshift(data, encoding);
-  };
-  socket.read = (size?: number) => {
+  });
+  overrideMethod(socket, 'read', read => (size?: number) => {
     const { readableHighWaterMark, readableLength } = socket;
     // A read ends a socket that has no data left. Node.js reads by itself, and a resumed parser may pause again after its first read.
     const isEndDelayed = isPaused && readableLength === 0;
@@ -56,17 +56,20 @@
     const allData = Math.min(readableLength, readableHighWaterMark);
     const data: unknown = read(allData === 0 ? size : (size ?? allData));
     return data;
-  };
+  });
 }
 
 function replaceResetErrors(socket: Socket): void {
-  const destroy = socket.destroy.bind(socket);
-  socket.destroy = (error?: NodeJS.ErrnoException) =>
-    destroy(
-      error?.code === 'ECONNRESET'
-        ? new ConnectionResetError('The connection was reset.', {
-            cause: error,
-          })
-        : error,
-    );
+  overrideMethod(
+    socket,
+    'destroy',
+    destroy => (error?: NodeJS.ErrnoException) =>
+      destroy(
+        error?.code === 'ECONNRESET'
+          ? new ConnectionResetError('The connection was reset.', {
+              cause: error,
+            })
+          : error,
+      ),
+  );
 }
--- a/packages/daemon/src/adapters/index.ts
+++ b/packages/daemon/src/adapters/index.ts
@@ -5,5 +5,6 @@
 export * from './http-engine.js';
 export * from './http-key-value.js';
 export * from './http-service.js';
+export * from './override-method.js';
 export * from './steady-clock.js';
 export * from './system-clock.js';
--- a/packages/daemon/src/gateway/upload-end-guard.ts
+++ b/packages/daemon/src/gateway/upload-end-guard.ts
@@ -1,6 +1,10 @@
 import type { Socket } from 'node:net';
 
-import { ConnectionResetError, wasReset } from '../adapters/index.js';
+import {
+  ConnectionResetError,
+  overrideMethod,
+  wasReset,
+} from '../adapters/index.js';
 
 /** Size of a request's body from which its endpoint may answer before it has read all of it. */
 const MIN_UPLOAD_BYTES = 16_384; // smaller ones are mostly read with their head
@@ -19,12 +23,15 @@
 
   /** Watches the connection of one client. */
   attach(socket: Socket): void {
-    const push = socket.push.bind(socket);
-    socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
-      if (chunk !== null || !this.isHolding) return push(chunk, encoding);
-      hold(socket, () => push(null));
-      return false;
-    };
+    overrideMethod(
+      socket,
+      'push',
+      push => (chunk: unknown, encoding?: BufferEncoding) => {
+        if (chunk !== null || !this.isHolding) return push(chunk, encoding);
+        hold(socket, () => push(null));
+        return false;
+      },
+    );
   }
 
   /** Records what the head of the response to a long upload says; the last one counts, after informational ones. */
