Reset the connection of a request that is given up

Cause: undici destroys the socket of an aborted request, which closes it in order; the operating system goes on to send what it holds.

RevocableClient, now the base of all HTTP clients of undici here, resets the connection of a request that is given up before its response begins, and checks right before it writes that the request is still due. That covers calls to the store, to the platform and among peers, relays, requests to endpoints, and a client that is closed with calls under way. A connection whose peer has ended its side is closed as before.

LinkFault.Cut, in which a new connection carries nothing, is new. metered-client asserts RequestWithheldError in place of EndpointWithdrawnError for requests that may not be written: the check moved to the base class.

--- a/packages/daemon/src/adapters/http-client.ts
+++ b/packages/daemon/src/adapters/http-client.ts
@@ -1,5 +1,5 @@
 import type { Dispatcher } from 'undici';
-import { Agent } from 'undici';
+import { Agent, Pool } from 'undici';
 
 import type {
   Address,
@@ -16,6 +16,8 @@
 } from '@skylarkreach/core/ports';
 
 import { createConnector } from './connector.js';
+import type { WriteCondition } from './revocable-client.js';
+import { RequestWithheldError, RevocableClient } from './revocable-client.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MIN_TIMEOUT_MS = 1;
@@ -51,18 +53,11 @@
  * new connection, because an unresponsive connection shows no other sign.
  */
 export class HttpClient implements JsonHttpClient {
-  private readonly sharedAgent = new Agent({
-    connect: createConnector({ timeout: CONNECT_TIMEOUT_MS }),
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  /** Conditions of calls, by the options of the request. */
+  private readonly conditions = new WeakMap<object, WriteCondition>();
+  private readonly sharedAgent = createAgent(this.conditions);
   /** Agent whose connections close after each response. */
-  private readonly singleUseAgent = new Agent({
-    connect: createConnector({ timeout: CONNECT_TIMEOUT_MS }),
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    pipelining: 0,
-  });
+  private readonly singleUseAgent = createAgent(this.conditions, 0);
 
   private readonly inFlight = new Set<AbortController>();
   /** Addresses whose next call uses a new connection. */
@@ -95,14 +90,18 @@
     const agent = usesNewConnection ? this.singleUseAgent : this.sharedAgent;
     this.inFlight.add(callAbort);
     try {
-      const response = await agent.request({
+      const options = {
         origin: `http://${call.address}`,
         path: call.path,
         method: call.method,
         headers: { 'content-type': 'application/json', ...call.headers },
         body: call.body,
         signal,
+      };
+      this.conditions.set(options, {
+        mayWrite: () => this.clock.nowMs() < call.deadlineAtMs,
       });
+      const response = await agent.request(options);
       response.body.once('close', () => {
         clearTimeout(timer);
       });
@@ -167,6 +166,25 @@
   }
 }
 
+/** Creates an agent for the calls of one client. */
+function createAgent(
+  conditions: WeakMap<object, WriteCondition>,
+  pipelining?: number,
+): Agent {
+  const connect = createConnector({ timeout: CONNECT_TIMEOUT_MS });
+  return new Agent({
+    ...(pipelining === undefined ? {} : { pipelining }),
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    factory: (origin, poolOptions: Pool.Options) =>
+      new Pool(origin, {
+        ...poolOptions,
+        factory: (clientOrigin, clientOptions) =>
+          new RevocableClient(clientOrigin, clientOptions, connect, conditions),
+      }),
+  });
+}
+
 /** Throws the platform error that corresponds to a status other than success. */
 export async function throwUnlessSuccessful(
   address: Address,
@@ -192,6 +210,12 @@
 }
 
 function toPlatformError(address: Address, error: unknown): Error {
+  if (error instanceof RequestWithheldError) {
+    return new NotSentError(
+      `The call to ${address} was not sent, as it was no longer due.`,
+      { cause: error },
+    );
+  }
   if (isConnectError(error)) {
     return new NotSentError(
       `Could not connect to ${address} (${String(error)}).`,
--- a/packages/daemon/src/adapters/index.ts
+++ b/packages/daemon/src/adapters/index.ts
@@ -6,5 +6,6 @@
 export * from './http-key-value.js';
 export * from './http-service.js';
 export * from './override-method.js';
+export * from './revocable-client.js';
 export * from './steady-clock.js';
 export * from './system-clock.js';
--- a/packages/daemon/src/gateway/endpoint-client.ts
+++ b/packages/daemon/src/gateway/endpoint-client.ts
@@ -18,6 +18,7 @@
   ConnectionResetError,
   createConnector,
   isConnectError,
+  RequestWithheldError,
   wasReset,
 } from '../adapters/index.js';
 import { nextPoll } from '../http/index.js';
@@ -250,6 +251,7 @@
   return (
     isConnectError(error) ||
     error instanceof EndpointWithdrawnError ||
+    error instanceof RequestWithheldError ||
     // undici checks the arguments of a request before it connects.
     error instanceof errors.InvalidArgumentError
   );
--- a/packages/daemon/src/gateway/metered-client.test.ts
+++ b/packages/daemon/src/gateway/metered-client.test.ts
@@ -7,6 +7,7 @@
 
 import { buildConnector } from 'undici';
 
+import { RequestWithheldError } from '../adapters/index.js';
 import { nextPoll } from '../http/index.js';
 import type { RequestContext } from './metered-client.js';
 import { EndpointWithdrawnError, MeteredClient } from './metered-client.js';
@@ -103,9 +104,9 @@
       });
       return client.request(options);
     };
-    await assert.rejects(send(false), EndpointWithdrawnError);
+    await assert.rejects(send(false), RequestWithheldError);
     await (await send(true)).body.dump();
-    await assert.rejects(send(false), EndpointWithdrawnError);
+    await assert.rejects(send(false), RequestWithheldError);
     assert.equal(requestCount, 1);
   });
 
@@ -121,7 +122,7 @@
       const response = client.request(options);
       assert.notEqual(last.context, undefined);
       if (mayWrite) await (await response).body.dump();
-      else await assert.rejects(response, EndpointWithdrawnError);
+      else await assert.rejects(response, RequestWithheldError);
       assert.equal(last.context, undefined);
     }
   });
--- a/packages/daemon/src/gateway/metered-client.ts
+++ b/packages/daemon/src/gateway/metered-client.ts
@@ -1,8 +1,10 @@
 import type { Socket } from 'node:net';
 
 import type { buildConnector, Dispatcher } from 'undici';
-import { Client } from 'undici';
+import type { Client } from 'undici';
 
+import type { RequestHandler, WriteCondition } from '../adapters/index.js';
+import { RevocableClient } from '../adapters/index.js';
 import { nextPoll } from '../http/index.js';
 import { BodyFraming, bodyFraming } from './body-framing.js';
 import { isLongUpload, UploadEndGuard } from './upload-end-guard.js';
@@ -76,24 +78,22 @@
   }
 }
 
-/** Thrown where a request is about to be sent to an endpoint that no longer accepts it, or that ends a new connection at once, or where this daemon withholds it. */
+/** Thrown where a request is about to be sent to an endpoint that no longer accepts it, or that ends a new connection at once. */
 export class EndpointWithdrawnError extends Error {
   override readonly name = 'EndpointWithdrawnError';
 }
 
 /** What a connection needs to know of a request. */
-export interface RequestContext {
+export interface RequestContext extends WriteCondition {
   /** Asked when a connection is established. */
   readonly isEndpointUsable: () => boolean;
-  /** Asked right before the request is written. */
-  readonly mayWrite: () => boolean;
 }
 
 /**
  * HTTP client with one connection, whose responses are metered. A request that
  * waits for the connection fails where its endpoint is no longer usable by then.
  */
-export class MeteredClient extends Client {
+export class MeteredClient extends RevocableClient {
   constructor(
     origin: string | URL,
     options: Client.Options,
@@ -105,33 +105,28 @@
     private readonly last: { context?: RequestContext | undefined } = {},
     private readonly endGuard = new UploadEndGuard(),
   ) {
-    super(origin, {
-      ...options,
-      connect: (target, callback) => {
-        connect(target, (...result) => {
-          const [, socket] = result;
-          if (!socket) {
-            callback(...result);
+    const connectMetered: buildConnector.connector = (target, callback) => {
+      connect(target, (...result) => {
+        const [, socket] = result;
+        if (!socket) {
+          callback(...result);
+          return;
+        }
+        // A daemon that is behind reads the end of the request after its connection.
+        void nextPoll().then(() => {
+          if (last.context?.isEndpointUsable() === false || socket.destroyed) {
+            socket.destroy();
+            const error = new EndpointWithdrawnError('The endpoint leaves.');
+            callback(error, null);
             return;
           }
-          // A daemon that is behind reads the end of the request after its connection.
-          void nextPoll().then(() => {
-            if (
-              last.context?.isEndpointUsable() === false ||
-              socket.destroyed
-            ) {
-              socket.destroy();
-              const error = new EndpointWithdrawnError('The endpoint leaves.');
-              callback(error, null);
-              return;
-            }
-            meter.attach(socket);
-            endGuard.attach(socket);
-            callback(null, socket);
-          });
+          meter.attach(socket);
+          endGuard.attach(socket);
+          callback(null, socket);
         });
-      },
-    });
+      });
+    };
+    super(origin, options, connectMetered, contexts);
   }
 
   override dispatch(
@@ -142,7 +137,6 @@
     const context = this.contexts.get(options);
     if (context !== undefined) {
       this.last.context = context;
-      checkWrite(handler, context);
       onEnd(handler, () => {
         if (this.last.context === context) this.last.context = undefined;
       });
@@ -172,22 +166,6 @@
   }
 }
 
-/** Handler of a request as undici's `request` creates it for each call. */
-interface RequestHandler {
-  /** Called right before the request is written; if it throws, the request fails with the error and nothing is written. */
-  onConnect?(abort: () => void): void;
-  onHeaders?(
-    status: number,
-    rawHeaders: Buffer[],
-    resume: () => void,
-    statusText: string,
-  ): boolean;
-  /** Returns false if the parser is to pause. */
-  onData?(chunk: Buffer): boolean;
-  onComplete?(trailers: string[] | null): void;
-  onError?(error: Error): void;
-}
-
 /** Calls the listener once the request has succeeded or failed. */
 function onEnd(handler: RequestHandler, listener: () => void): void {
   const onComplete = handler.onComplete?.bind(handler);
@@ -211,16 +189,3 @@
     return onData(chunk);
   };
 }
-
-/** Makes the request fail right before it is written, if it may not be by then. */
-function checkWrite(
-  handler: RequestHandler,
-  { mayWrite }: RequestContext,
-): void {
-  const onConnect = handler.onConnect?.bind(handler);
-  handler.onConnect = abort => {
-    if (!mayWrite())
-      throw new EndpointWithdrawnError('The request may no longer be written.');
-    onConnect?.(abort);
-  };
-}
--- a/packages/stand-ins/src/process-soak/link-proxy.ts
+++ b/packages/stand-ins/src/process-soak/link-proxy.ts
@@ -9,6 +9,8 @@
   None = 'none',
   Slow = 'slow',
   Silent = 'silent',
+  /** Silent as in a partition: a connection that is opened meanwhile never carries anything. */
+  Cut = 'cut',
   /** Bytes from the side that opened the connection are held back. */
   HoldsRequests = 'holdsRequests',
   HoldsResponses = 'holdsResponses',
@@ -49,6 +51,11 @@
   }
 
   private join(near: Socket): void {
+    if (this.fault === LinkFault.Cut) {
+      this.sockets.add(near);
+      near.on('error', () => undefined).resume();
+      return;
+    }
     const [host = '', port] = this.target.split(':');
     const far = connect({ host, port: Number(port), allowHalfOpen: true });
     this.pass(near, far, LinkFault.HoldsRequests);
@@ -77,7 +84,8 @@
 
   private async whenPassable(holding: LinkFault): Promise<void> {
     if (this.fault === LinkFault.Slow) await delay(SLOW_MS);
-    while (this.fault === LinkFault.Silent || this.fault === holding)
+    const holdingFaults = [LinkFault.Silent, LinkFault.Cut, holding];
+    while (holdingFaults.includes(this.fault))
       await delay(HOLD_CHECK_INTERVAL_MS);
   }
 }
