--- a/packages/core/src/duties/duty-api.ts
+++ b/packages/core/src/duties/duty-api.ts
@@ -7,6 +7,14 @@
   readonly fencingNumber: number;
 }
 
+/** Terms of one call to the platform. */
+export interface DutyCallTerms {
+  readonly token: FencingToken;
+  readonly deadlineAtMs: number;
+  /** Asked right before the call is written; without it, only the deadline counts. */
+  readonly mayWrite?: () => boolean;
+}
+
 /** Number of requests of each workspace that endpoints started in one window. */
 export interface UsageReport {
   readonly windowId: number;
@@ -41,13 +49,11 @@
   /** Reports the usage of one window. Idempotent for the same counts. */
   reportUsage(
     report: UsageReport,
-    token: FencingToken,
-    deadlineAtMs: number,
+    terms: DutyCallTerms,
   ): Promise<ReportOutcome>;
   /** Sets the desired number of endpoints of one kind in a data centre. */
   orderEndpoints(
     order: ScalingOrder,
-    token: FencingToken,
-    deadlineAtMs: number,
+    terms: DutyCallTerms,
   ): Promise<ScalingOutcome>;
 }
--- a/packages/core/src/duties/duty-call-tracker.ts
+++ b/packages/core/src/duties/duty-call-tracker.ts
@@ -7,6 +7,7 @@
 } from '../ports/index.js';
 import type {
   DutyApi,
+  DutyCallTerms,
   FencingToken,
   ReportOutcome,
   ScalingOrder,
@@ -16,6 +17,8 @@
 
 export interface DutyCallTrackerDependencies {
   readonly api: DutyApi;
+  /** Returns the token under which calls may be made; undefined once the lease is lost. */
+  readonly currentToken: () => FencingToken | undefined;
   readonly clock: Clock;
   readonly log?: Log;
   readonly metrics?: Metrics;
@@ -28,9 +31,10 @@
   Failed = 'failed',
 }
 
-/** Passes calls on to the platform, and keeps track of those in progress. */
+/** Passes calls on to the platform while the lease is held, and keeps track of those in progress. */
 export class DutyCallTracker implements DutyApi {
   private readonly api: DutyApi;
+  private readonly currentToken: () => FencingToken | undefined;
   private readonly clock: Clock;
   private readonly log: Log;
   private readonly metrics: Metrics;
@@ -39,34 +43,34 @@
   constructor({
     api,
     clock,
+    currentToken,
     log = noopLog,
     metrics = noopMetrics,
   }: DutyCallTrackerDependencies) {
     this.api = api;
     this.clock = clock;
+    this.currentToken = currentToken;
     this.log = log;
     this.metrics = metrics;
   }
 
   reportUsage(
     report: UsageReport,
-    token: FencingToken,
-    deadlineAtMs: number,
+    terms: DutyCallTerms,
   ): Promise<ReportOutcome> {
     const subject = `usage of window ${report.windowId}`;
-    return this.track(subject, token, () =>
-      this.api.reportUsage(report, token, deadlineAtMs),
+    return this.track(subject, terms, checkedTerms =>
+      this.api.reportUsage(report, checkedTerms),
     );
   }
 
   orderEndpoints(
     order: ScalingOrder,
-    token: FencingToken,
-    deadlineAtMs: number,
+    terms: DutyCallTerms,
   ): Promise<ScalingOutcome> {
     const subject = `order for ${order.group} in ${order.dataCentre}`;
-    return this.track(subject, token, () =>
-      this.api.orderEndpoints(order, token, deadlineAtMs),
+    return this.track(subject, terms, checkedTerms =>
+      this.api.orderEndpoints(order, checkedTerms),
     );
   }
 
@@ -85,26 +89,30 @@
 
   private async track<Result>(
     subject: string,
-    token: FencingToken,
-    send: () => Promise<Result>,
+    terms: DutyCallTerms,
+    send: (terms: DutyCallTerms) => Promise<Result>,
   ): Promise<Result> {
     const startedAtMs = this.clock.nowMs();
-    const call = send();
-    this.callsInProgress.add(call);
+    const result = send({ ...terms, mayWrite: () => this.isHeld(terms.token) });
+    this.callsInProgress.add(result);
     try {
-      const result = await call;
+      const answer = await result;
       this.recordEnd(CallEnd.Answered);
-      return result;
+      return answer;
     } catch (error) {
       const isLost = error instanceof AnswerLostError;
       this.recordEnd(isLost ? CallEnd.AnswerLost : CallEnd.Failed);
-      if (isLost) this.logLost(subject, token, startedAtMs);
+      if (isLost) this.logLost(subject, terms.token, startedAtMs);
       throw error;
     } finally {
-      this.callsInProgress.delete(call);
+      this.callsInProgress.delete(result);
     }
   }
 
+  private isHeld({ fencingNumber }: FencingToken): boolean {
+    return this.currentToken()?.fencingNumber === fencingNumber;
+  }
+
   private recordEnd(end: CallEnd): void {
     this.metrics.increment('duties.calls', 1, { end });
   }
--- a/packages/core/src/duties/duty-holder.test.ts
+++ b/packages/core/src/duties/duty-holder.test.ts
@@ -11,7 +11,7 @@
   ManualClock,
   NotSentError,
 } from '../ports/index.js';
-import type { FencingToken, ScalingOrder } from './duty-api.js';
+import type { ScalingOrder } from './duty-api.js';
 import { ScalingOutcome } from './duty-api.js';
 import { DutyCallTracker } from './duty-call-tracker.js';
 import { DutyHolder } from './duty-holder.js';
@@ -152,7 +152,6 @@
 });
 
 describe('DutyHolder with a call in progress when it is released', () => {
-  const token: FencingToken = { holder: 'a', fencingNumber: 1 };
   const order: ScalingOrder = {
     group: 'engines',
     dataCentre: 'north-1',
@@ -164,6 +163,7 @@
   let second: Candidate;
   let endCall: (error?: Error) => void;
   let released: Promise<void>;
+  let mayWrite: (() => boolean) | undefined;
 
   beforeEach(async () => {
     worldClock = new ManualClock(1_000_000);
@@ -179,12 +179,20 @@
     });
     const calls = new DutyCallTracker({
       clock: worldClock,
+      currentToken: () => first.holder.currentToken(),
       api: {
         reportUsage: () => Promise.reject(new Error('not called')),
-        orderEndpoints: () => answer,
+        orderEndpoints: (_order, terms) => {
+          ({ mayWrite } = terms);
+          return answer;
+        },
       },
     });
-    calls.orderEndpoints(order, token, 0).catch(() => undefined);
+    const token = first.holder.currentToken();
+    assert.ok(token !== undefined);
+    const terms = { token, deadlineAtMs: 0 };
+    calls.orderEndpoints(order, terms).catch(() => undefined);
+    assert.equal(mayWrite?.(), true);
     released = first.holder.release(() => calls.settle());
   });
 
@@ -208,6 +216,11 @@
     assert.equal(await takesOver(), true);
   });
 
+  // An order whose connection was established late was written under a lease that the daemon had given up.
+  it('no longer writes the call', () => {
+    assert.equal(mayWrite?.(), false);
+  });
+
   it('lets the lease expire where the answer to the call is lost', async () => {
     endCall(new AnswerLostError('lost'));
     await released;
--- a/packages/core/src/duties/fleet-scaler.ts
+++ b/packages/core/src/duties/fleet-scaler.ts
@@ -212,11 +212,11 @@
     const isSameCount = previous?.order.count === count;
     if (isSameCount && nowMs < previous.reissueAtMs) return;
     try {
-      const outcome = await dutyApi.orderEndpoints(
-        order,
+      const deadlineAtMs = nowMs + CALL_TIMEOUT_MS;
+      const outcome = await dutyApi.orderEndpoints(order, {
         token,
-        nowMs + CALL_TIMEOUT_MS,
-      );
+        deadlineAtMs,
+      });
       const isAccepted = outcome === ScalingOutcome.Accepted;
       const delayMs = isAccepted ? REISSUE_INTERVAL_MS : UNAVAILABLE_RETRY_MS;
       const hasGrown = count > (previous?.order.count ?? 0);
--- a/packages/core/src/duties/usage-reporter.ts
+++ b/packages/core/src/duties/usage-reporter.ts
@@ -188,7 +188,10 @@
     const { windowId } = report;
     try {
       const deadlineAtMs = clock.nowMs() + CALL_TIMEOUT_MS;
-      const outcome = await dutyApi.reportUsage(report, token, deadlineAtMs);
+      const outcome = await dutyApi.reportUsage(report, {
+        token,
+        deadlineAtMs,
+      });
       this.sentWindowIds.add(windowId);
       if (outcome === ReportOutcome.Rejected) {
         log.error(
--- a/packages/core/src/ports/json-http.ts
+++ b/packages/core/src/ports/json-http.ts
@@ -11,6 +11,8 @@
   readonly deadlineAtMs: number;
   /** Whether to open a new connection that serves this call alone. */
   readonly freshConnection?: boolean;
+  /** Asked right before the request is written, once its connection is established; if it returns false, the request is not sent. */
+  readonly mayWrite?: () => boolean;
 }
 
 /** HTTP response with its parsed JSON body. */
--- a/packages/daemon/src/adapters/http-client.ts
+++ b/packages/daemon/src/adapters/http-client.ts
@@ -43,6 +43,8 @@
   readonly signal?: AbortSignal;
   /** Whether to open a new connection that serves this call alone. */
   readonly freshConnection?: boolean;
+  /** Asked right before the call is written. */
+  readonly mayWrite?: () => boolean;
 }
 
 export type HttpResponse = Dispatcher.ResponseData;
@@ -99,7 +101,8 @@
         signal,
       };
       this.conditions.set(options, {
-        mayWrite: () => this.clock.nowMs() < call.deadlineAtMs,
+        mayWrite: () =>
+          this.clock.nowMs() < call.deadlineAtMs && call.mayWrite?.() !== false,
       });
       const response = await agent.request(options);
       response.body.once('close', () => {
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -100,6 +100,7 @@
     this.dutyCalls = new DutyCallTracker({
       api: platform.duties,
       clock,
+      currentToken: () => this.dutyHolder.currentToken(),
       log,
       metrics,
     });
--- a/packages/stand-ins/src/gateway/revoked-calls.test.ts
+++ b/packages/stand-ins/src/gateway/revoked-calls.test.ts
@@ -12,6 +12,7 @@
 import type { JsonRequest } from '@skylarkreach/core/ports';
 import { AnswerLostError, NotSentError } from '@skylarkreach/core/ports';
 import { EndpointClient, HttpClient, SystemClock } from '@skylarkreach/daemon';
+import { DutyClient } from '@skylarkreach/platform';
 
 import { LinkFault, LinkProxy } from '../process-soak/index.js';
 
@@ -127,6 +128,41 @@
     assert.deepEqual(arrivals, ['/first']);
   });
 
+  // The system of a process that has ended delivers what an open connection holds, when another daemon has acted.
+  it('leaves nothing on the link if it is made under the lease of the duties, so that a kill leaves nothing to arrive', async () => {
+    const duties = new DutyClient(http, address);
+    const order = () =>
+      duties.orderEndpoints(
+        {
+          group: 'engines',
+          dataCentre: 'north-1',
+          isReclaimable: true,
+          count: 1,
+        },
+        {
+          token: { holder: 'daemon-1', fencingNumber: 1 },
+          deadlineAtMs: clock.nowMs() + CALL_MS,
+        },
+      );
+    await order();
+    await cut();
+    const failure = assert.rejects(order());
+    await delay(CALL_MS / 2);
+    assert.equal(link.heldBytes, 0);
+    await failure;
+    await heal();
+    assert.deepEqual(arrivals, ['/scaling']);
+  });
+
+  // A paused daemon sent what its connection was established for before it checked its lease again.
+  it('is not written if it may not be once its connection is established', async () => {
+    for (const freshConnection of [true, false]) {
+      const options = { freshConnection, mayWrite: () => false };
+      await assert.rejects(call('/withheld', options), NotSentError);
+    }
+    assert.deepEqual(arrivals, []);
+  });
+
   it('is not written once it is no longer due', async () => {
     const deadlineAtMs = clock.nowMs() - 1;
     await assert.rejects(call('/late', { deadlineAtMs }), NotSentError);
--- a/packages/stand-ins/src/process-soak/link-proxy.ts
+++ b/packages/stand-ins/src/process-soak/link-proxy.ts
@@ -22,6 +22,8 @@
 /** TCP proxy on the loopback address, in front of one server, whose link can fail. */
 export class LinkProxy {
   fault = LinkFault.None;
+  /** Bytes that a fault holds back at present. */
+  heldBytes = 0;
   private readonly sockets = new Set<Socket>();
   private readonly server = createServer({ allowHalfOpen: true }, socket => {
     this.join(socket);
@@ -69,8 +71,12 @@
     };
     this.sockets.add(from);
     from.setNoDelay(true);
-    from.on('data', chunk => {
-      then(() => to.write(chunk));
+    from.on('data', (chunk: Buffer) => {
+      this.heldBytes += chunk.length;
+      then(() => {
+        this.heldBytes -= chunk.length;
+        to.write(chunk);
+      });
     });
     from.on('end', () => {
       then(() => to.end());
