End duty calls before the lease does

Cause: the holder stops using a lease of 3 s after 2.25 s, but a call that it has sent just before lasts up to 0.8 s, 50 ms beyond the lease.

DutyHolder tells by when calls must have ended, a twelfth of the lease before its expiry, and DutyCallTracker sets their deadlines no later. Such a call is given up, and its connection reset, while nobody else can hold the lease.

--- a/packages/core/src/duties/duty-api.ts
+++ b/packages/core/src/duties/duty-api.ts
@@ -7,6 +7,14 @@
   readonly fencingNumber: number;
 }
 
+/** Lease under which calls to the platform are made. */
+export interface DutyLease {
+  /** Returns the token for calls; undefined once the lease is lost. */
+  currentToken(): FencingToken | undefined;
+  /** Returns the time by which calls must have ended, as another daemon may act soon after it. */
+  callsEndAtMs(): number;
+}
+
 /** Terms of one call to the platform. */
 export interface DutyCallTerms {
   readonly token: FencingToken;
--- a/packages/core/src/duties/duty-call-tracker.ts
+++ b/packages/core/src/duties/duty-call-tracker.ts
@@ -8,6 +8,7 @@
 import type {
   DutyApi,
   DutyCallTerms,
+  DutyLease,
   FencingToken,
   ReportOutcome,
   ScalingOrder,
@@ -17,8 +18,7 @@
 
 export interface DutyCallTrackerDependencies {
   readonly api: DutyApi;
-  /** Returns the token under which calls may be made; undefined once the lease is lost. */
-  readonly currentToken: () => FencingToken | undefined;
+  readonly lease: DutyLease;
   readonly clock: Clock;
   readonly log?: Log;
   readonly metrics?: Metrics;
@@ -34,7 +34,7 @@
 /** Passes calls on to the platform while the lease is held, and keeps track of those in progress. */
 export class DutyCallTracker implements DutyApi {
   private readonly api: DutyApi;
-  private readonly currentToken: () => FencingToken | undefined;
+  private readonly lease: DutyLease;
   private readonly clock: Clock;
   private readonly log: Log;
   private readonly metrics: Metrics;
@@ -43,13 +43,13 @@
   constructor({
     api,
     clock,
-    currentToken,
+    lease,
     log = noopLog,
     metrics = noopMetrics,
   }: DutyCallTrackerDependencies) {
     this.api = api;
     this.clock = clock;
-    this.currentToken = currentToken;
+    this.lease = lease;
     this.log = log;
     this.metrics = metrics;
   }
@@ -93,7 +93,11 @@
     send: (terms: DutyCallTerms) => Promise<Result>,
   ): Promise<Result> {
     const startedAtMs = this.clock.nowMs();
-    const result = send({ ...terms, mayWrite: () => this.isHeld(terms.token) });
+    const result = send({
+      ...terms,
+      deadlineAtMs: Math.min(terms.deadlineAtMs, this.lease.callsEndAtMs()),
+      mayWrite: () => this.isHeld(terms.token),
+    });
     this.callsInProgress.add(result);
     try {
       const answer = await result;
@@ -110,7 +114,7 @@
   }
 
   private isHeld({ fencingNumber }: FencingToken): boolean {
-    return this.currentToken()?.fencingNumber === fencingNumber;
+    return this.lease.currentToken()?.fencingNumber === fencingNumber;
   }
 
   private recordEnd(end: CallEnd): void {
--- a/packages/core/src/duties/duty-holder.test.ts
+++ b/packages/core/src/duties/duty-holder.test.ts
@@ -179,7 +179,7 @@
     });
     const calls = new DutyCallTracker({
       clock: worldClock,
-      currentToken: () => first.holder.currentToken(),
+      lease: first.holder,
       api: {
         reportUsage: () => Promise.reject(new Error('not called')),
         orderEndpoints: (_order, terms) => {
--- a/packages/core/src/duties/duty-holder.ts
+++ b/packages/core/src/duties/duty-holder.ts
@@ -1,7 +1,7 @@
 import { LeaseKeeper } from '../leases/index.js';
 import type { Clock, KeyValueStore, Lease, Log } from '../ports/index.js';
 import { LogComponent, noopLog } from '../ports/index.js';
-import type { FencingToken } from './duty-api.js';
+import type { DutyLease, FencingToken } from './duty-api.js';
 
 export interface DutyHolderOptions {
   readonly daemonId: string;
@@ -21,6 +21,8 @@
 const LEASE_NAME = 'duties';
 /** Part of the lease before its expiry in which the holder no longer uses it. */
 const LEASE_MARGIN_SHARE = 1 / 4; // covers a call in flight and a late timer
+/** Part of the lease before its expiry in which no call may be in flight. */
+const CALLS_END_SHARE = 1 / 12; // covers a late timer
 /** Delay per rank before a daemon tries to acquire the lease, so that daemons with a smaller rank try first. */
 const RANK_DELAY_MS = 700; // above the interval of the hint exchange, so that a new holder's hints arrive first
 /** Cooldown after losing the lease, as a multiple of the lease. */
@@ -33,7 +35,7 @@
  * and counts as expired as soon as either says so, since the monotonic clock
  * stops while the instance is paused.
  */
-export class DutyHolder {
+export class DutyHolder implements DutyLease {
   private readonly leaseKeeper: LeaseKeeper;
   /** Wall clock time before the last successful renewal. */
   private renewedAtWallMs = -Infinity;
@@ -71,6 +73,11 @@
     return { holder: lease.holder, fencingNumber: lease.fencingNumber };
   }
 
+  callsEndAtMs(): number {
+    const { expiresAtMs } = this.usableLease() ?? { expiresAtMs: -Infinity };
+    return expiresAtMs - this.options.leaseMs * CALLS_END_SHARE;
+  }
+
   /** Acquires or renews the lease where that is due. */
   async step(): Promise<void> {
     const nowMs = this.clock.nowMs();
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -100,7 +100,7 @@
     this.dutyCalls = new DutyCallTracker({
       api: platform.duties,
       clock,
-      currentToken: () => this.dutyHolder.currentToken(),
+      lease: this.dutyHolder,
       log,
       metrics,
     });
