Let the lease expire after a duty call that was given up before a stop

Callers saw nothing of it yet: a daemon that stops right after a call was given up released the lease at once, and the call, where the platform's host has it already, is carried out after an order of the next holder.

Cause: DutyCallTracker.settle looked at the calls in progress only, and forgot those whose answer had been lost before. It now counts a call as able to arrive for as long as a lease after it was given up; a holder that stops meanwhile leaves the lease to expire, as it does for a call in progress.

Test: duty-call-tracker, "lets the lease expire where the answer to a call was lost shortly before the stop"; it fails without the time that is kept.

--- a/packages/core/src/duties/duty-call-tracker.test.ts
+++ b/packages/core/src/duties/duty-call-tracker.test.ts
@@ -20,6 +20,7 @@
 describe('DutyCallTracker', () => {
   let clock: ManualClock;
   let holder: DutyHolder;
+  let successor: DutyHolder;
   let calls: DutyCallTracker;
   let isAnswerLost: boolean;
   let lastTerms: DutyCallTerms | undefined;
@@ -37,10 +38,12 @@
     clock = new ManualClock(1_000_000);
     const store = new MemoryKeyValue(clock);
     holder = createHolder(store, 'a');
+    successor = createHolder(store, 'b');
     isAnswerLost = false;
     calls = new DutyCallTracker({
       clock,
       lease: holder,
+      leaseMs: LEASE_MS,
       api: {
         reportUsage: () => Promise.resolve(ReportOutcome.Accepted),
         orderEndpoints: (_order, terms) => {
@@ -76,4 +79,33 @@
       await clock.advanceTo(clock.nowMs() + 50);
     }
   });
+
+  async function takesOver(): Promise<boolean> {
+    await successor.step();
+    return successor.currentToken() !== undefined;
+  }
+
+  // A stop released the lease at once, although a call that was given up just before might still arrive.
+  it('lets the lease expire where the answer to a call was lost shortly before the stop', async () => {
+    isAnswerLost = true;
+    await order();
+    await clock.advanceTo(clock.nowMs() + CALL_MS);
+    await holder.release(() => calls.settle());
+    assert.equal(await takesOver(), false);
+    await clock.advanceTo(clock.nowMs() + LEASE_MS);
+    assert.equal(await takesOver(), true);
+  });
+
+  it('releases the lease where all calls were answered for as long as a lease', async () => {
+    isAnswerLost = true;
+    await order();
+    isAnswerLost = false;
+    for (let renewals = 0; renewals < 2; renewals += 1) {
+      await clock.advanceTo(clock.nowMs() + LEASE_MS / 2);
+      await holder.step();
+    }
+    await order();
+    await holder.release(() => calls.settle());
+    assert.equal(await takesOver(), true);
+  });
 });
--- a/packages/core/src/duties/duty-call-tracker.ts
+++ b/packages/core/src/duties/duty-call-tracker.ts
@@ -19,6 +19,8 @@
 export interface DutyCallTrackerDependencies {
   readonly api: DutyApi;
   readonly lease: DutyLease;
+  /** Time after which another daemon can hold a lease that is not renewed. */
+  readonly leaseMs: number;
   readonly clock: Clock;
   readonly log?: Log;
   readonly metrics?: Metrics;
@@ -35,21 +37,26 @@
 export class DutyCallTracker implements DutyApi {
   private readonly api: DutyApi;
   private readonly lease: DutyLease;
+  private readonly leaseMs: number;
   private readonly clock: Clock;
   private readonly log: Log;
   private readonly metrics: Metrics;
   private readonly callsInProgress = new Set<Promise<unknown>>();
+  /** Time until which a call whose answer was lost counts as able to arrive. */
+  private mayArriveUntilMs = -Infinity;
 
   constructor({
     api,
     clock,
     lease,
+    leaseMs,
     log = noopLog,
     metrics = noopMetrics,
   }: DutyCallTrackerDependencies) {
     this.api = api;
     this.clock = clock;
     this.lease = lease;
+    this.leaseMs = leaseMs;
     this.log = log;
     this.metrics = metrics;
   }
@@ -76,15 +83,12 @@
 
   /**
    * Resolves once the calls in progress have ended. Returns false if the answer
-   * to one of them was lost, which may then still arrive at the platform.
+   * to one of them, or to one in the last lease, was lost: it may still arrive at
+   * the platform.
    */
   async settle(): Promise<boolean> {
-    const results = await Promise.allSettled(this.callsInProgress);
-    return results.every(
-      result =>
-        result.status === 'fulfilled' ||
-        !(result.reason instanceof AnswerLostError),
-    );
+    await Promise.allSettled(this.callsInProgress);
+    return this.clock.nowMs() >= this.mayArriveUntilMs;
   }
 
   private async track<Result>(
@@ -106,7 +110,7 @@
     } catch (error) {
       const isLost = error instanceof AnswerLostError;
       this.recordEnd(isLost ? CallEnd.AnswerLost : CallEnd.Failed);
-      if (isLost) this.logLost(subject, terms.token, startedAtMs);
+      if (isLost) this.recordLost(subject, terms.token, startedAtMs);
       throw error;
     } finally {
       this.callsInProgress.delete(result);
@@ -121,18 +125,20 @@
     this.metrics.increment('duties.calls', 1, { end });
   }
 
-  private logLost(
+  private recordLost(
     subject: string,
     { fencingNumber }: FencingToken,
     startedAtMs: number,
   ): void {
+    const nowMs = this.clock.nowMs();
+    this.mayArriveUntilMs = nowMs + this.leaseMs;
     this.log.warn(
       LogComponent.Duties,
       'A call to the platform has no answer, and may still arrive there.',
       {
         subject,
         fencingNumber,
-        afterMs: Math.round(this.clock.nowMs() - startedAtMs),
+        afterMs: Math.round(nowMs - startedAtMs),
       },
     );
   }
--- a/packages/core/src/duties/duty-holder.test.ts
+++ b/packages/core/src/duties/duty-holder.test.ts
@@ -180,6 +180,7 @@
     const calls = new DutyCallTracker({
       clock: worldClock,
       lease: first.holder,
+      leaseMs: LEASE_MS,
       api: {
         reportUsage: () => Promise.reject(new Error('not called')),
         orderEndpoints: (_order, terms) => {
--- a/packages/daemon/src/gateway/gateway-duties.ts
+++ b/packages/daemon/src/gateway/gateway-duties.ts
@@ -101,6 +101,7 @@
       api: platform.duties,
       clock,
       lease: this.dutyHolder,
+      leaseMs: bounds.leaseMs,
       log,
       metrics,
     });
