Tell apart calls that were not written from those whose answer is lost

Operators saw a duty call that waited for its connection to the end logged as one that may still arrive, and a holder that stopped then left its lease to expire although nothing could arrive.

Cause: HttpClient took any end but an error of the connect phase for a lost answer. RevocableClient asks right before it writes, so HttpClient knows now whether it did, and throws NotSentError where it did not, as JsonHttpClient says. A call that was aborted meanwhile is not written either.

--- a/packages/daemon/src/adapters/http-client.ts
+++ b/packages/daemon/src/adapters/http-client.ts
@@ -17,7 +17,7 @@
 
 import { createConnector } from './connector.js';
 import type { WriteCondition } from './revocable-client.js';
-import { RequestWithheldError, RevocableClient } from './revocable-client.js';
+import { RevocableClient } from './revocable-client.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MIN_TIMEOUT_MS = 1;
@@ -91,6 +91,7 @@
     const usesNewConnection = isSuspect || call.freshConnection === true;
     const agent = usesNewConnection ? this.singleUseAgent : this.sharedAgent;
     this.inFlight.add(callAbort);
+    let isWritten = false;
     try {
       const options = {
         origin: `http://${call.address}`,
@@ -101,8 +102,12 @@
         signal,
       };
       this.conditions.set(options, {
-        mayWrite: () =>
-          this.clock.nowMs() < call.deadlineAtMs && call.mayWrite?.() !== false,
+        mayWrite: () => {
+          const isDue =
+            !signal.aborted && this.clock.nowMs() < call.deadlineAtMs;
+          isWritten = isDue && call.mayWrite?.() !== false;
+          return isWritten;
+        },
       });
       const response = await agent.request(options);
       response.body.once('close', () => {
@@ -112,7 +117,7 @@
     } catch (error) {
       clearTimeout(timer);
       this.markSuspect(call.address);
-      throw toPlatformError(call.address, error);
+      throw toPlatformError(call.address, error, isWritten);
     } finally {
       this.inFlight.delete(callAbort);
     }
@@ -212,23 +217,18 @@
   return hasCode && CONNECT_ERROR_CODES.has(String(error.code));
 }
 
-function toPlatformError(address: Address, error: unknown): Error {
-  if (error instanceof RequestWithheldError) {
-    return new NotSentError(
-      `The call to ${address} was not sent, as it was no longer due.`,
-      { cause: error },
-    );
-  }
-  if (isConnectError(error)) {
-    return new NotSentError(
-      `Could not connect to ${address} (${String(error)}).`,
-      {
-        cause: error,
-      },
-    );
-  }
-  return new AnswerLostError(
-    `The call to ${address} received no response (${String(error)}).`,
-    { cause: error },
-  );
+function toPlatformError(
+  address: Address,
+  error: unknown,
+  isWritten: boolean,
+): Error {
+  return isWritten
+    ? new AnswerLostError(
+        `The call to ${address} received no response (${String(error)}).`,
+        { cause: error },
+      )
+    : new NotSentError(
+        `The call to ${address} was not sent (${String(error)}).`,
+        { cause: error },
+      );
 }
--- a/packages/stand-ins/src/gateway/revoked-calls.test.ts
+++ b/packages/stand-ins/src/gateway/revoked-calls.test.ts
@@ -163,6 +163,21 @@
     assert.deepEqual(arrivals, []);
   });
 
+  // A call that waited for its connection to the end counted as one that may still arrive.
+  it('counts as not sent if its connection was not established before', async () => {
+    const caller = new AbortController();
+    const sent = http.send({
+      address,
+      method: 'POST',
+      path: '/unsent',
+      deadlineAtMs: clock.nowMs() + CALL_MS,
+      signal: caller.signal,
+    });
+    caller.abort();
+    await assert.rejects(sent, NotSentError);
+    assert.deepEqual(arrivals, []);
+  });
+
   it('is not written once it is no longer due', async () => {
     const deadlineAtMs = clock.nowMs() - 1;
     await assert.rejects(call('/late', { deadlineAtMs }), NotSentError);
