Do not reset connections of messages among daemons that are given up

Cause, as far as shown: a peer that is behind reads a message after its sender has given it up, and still learns from it; a reset lets its system drop what it has not read, so that daemons hear less of one another and read the store themselves.

Messages among daemons carry versioned state, so that a late one does no harm: HttpPeer says so, and their connections are closed as before. All other calls reset theirs. Test: revoked-calls, "arrives if it does no harm late".

--- a/packages/daemon/src/adapters/http-client.ts
+++ b/packages/daemon/src/adapters/http-client.ts
@@ -45,6 +45,8 @@
   readonly freshConnection?: boolean;
   /** Asked right before the call is written. */
   readonly mayWrite?: () => boolean;
+  /** Whether it does no harm if the call arrives after it was given up; otherwise its connection is reset then. */
+  readonly mayArriveLate?: boolean;
 }
 
 export type HttpResponse = Dispatcher.ResponseData;
@@ -108,6 +110,7 @@
           isWritten = isDue && call.mayWrite?.() !== false;
           return isWritten;
         },
+        mayArriveLate: call.mayArriveLate === true,
       });
       const response = await agent.request(options);
       response.body.once('close', () => {
--- a/packages/daemon/src/adapters/revocable-client.ts
+++ b/packages/daemon/src/adapters/revocable-client.ts
@@ -17,6 +17,8 @@
 export interface WriteCondition {
   /** Asked right before the request is written. */
   readonly mayWrite: () => boolean;
+  /** Whether it does no harm if the request arrives after it was given up. */
+  readonly mayArriveLate?: boolean;
 }
 
 /** Handler of a request as undici's `request` creates it for each call. */
@@ -105,7 +107,7 @@
     requestHandler.onConnect = (...args) => {
       if (condition?.mayWrite() === false)
         throw new RequestWithheldError('The request may no longer be written.');
-      awaitedResponse.recordRequest();
+      if (condition?.mayArriveLate !== true) awaitedResponse.recordRequest();
       onConnect?.(...args);
     };
     const onHeaders = requestHandler.onHeaders?.bind(handler);
--- a/packages/daemon/src/peers/http-peer.ts
+++ b/packages/daemon/src/peers/http-peer.ts
@@ -51,6 +51,8 @@
       headers: this.signer.sign(address, body),
       body,
       deadlineAtMs,
+      // A busy peer reads messages late, and still learns from them; a reset would make its system drop them.
+      mayArriveLate: true,
     });
     try {
       return parseResult(address, method, id, response);
--- a/packages/stand-ins/src/gateway/revoked-calls.test.ts
+++ b/packages/stand-ins/src/gateway/revoked-calls.test.ts
@@ -128,6 +128,22 @@
     assert.deepEqual(arrivals, ['/first']);
   });
 
+  // A reset made the system of a busy peer drop messages that it had not read yet.
+  it('arrives if it does no harm late', async () => {
+    await call('/first');
+    await cut();
+    const message = http.send({
+      address,
+      method: 'POST',
+      path: '/late',
+      deadlineAtMs: clock.nowMs() + CALL_MS,
+      mayArriveLate: true,
+    });
+    await assert.rejects(message, AnswerLostError);
+    await heal();
+    assert.deepEqual(arrivals, ['/first', '/late']);
+  });
+
   // The system of a process that has ended delivers what an open connection holds, when another daemon has acted.
   it('leaves nothing on the link if it is made under the lease of the duties, so that a kill leaves nothing to arrive', async () => {
     const duties = new DutyClient(http, address);
